--- /dev/null
+++ b/crates/havenstage/src/main.rs
@@ -0,0 +1,2 @@
+//! The `havenstage` program.
+fn main() {}
