--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -8,9 +8,7 @@
 use crate::claim::{Claim, ClaimOutcome, ClaimVerdict};
 use crate::config::ConfigSnapshot;
 use crate::decision::DecisionRecord;
-use crate::ids::{
-    AttemptId, EngineName, IdempotencyKey, JobName, LogOffset, NodeId, VersionNumber,
-};
+use crate::ids::{AttemptId, EngineName, IdempotencyKey, LogOffset, NodeId, VersionNumber};
 use crate::refusal::Refusal;
 use crate::request::WholeAnswer;
 use crate::resource::PriorityClass;
@@ -77,8 +75,10 @@
         /// Request id, sample id or engine name.
         subject: String,
     },
-    /// Tells a job's owner that something changed, so that it need not wait for its next poll.
-    JobChanged(JobName),
+    /// Asks the holder of a permit to cancel its training work, which will resume later.
+    Preempt(AttemptId),
+    /// Asks only for the configuration offset that every answer carries.
+    ConfigOffset,
 }
 
 /// Asks for a permit.
