Write the node's services against the state machines

Cause: the node's interface refused everything. Ruled out: passing the token stream through the engine's home; the home only grants a permit and the node that asked speaks to the engine itself, which saves a hop for every token.

--- /dev/null
+++ b/crates/node/src/executor.rs
@@ -0,0 +1,371 @@
+//! Runs one execution of live or training work: places it, asks the engine's home for a permit,
+//! dispatches, follows the stream and gives the permit back.
+
+mod placement;
+pub(crate) mod progress;
+pub(crate) mod running;
+pub(crate) mod work;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use havenstage_platform::engine::{ChunkStream, EngineError};
+use havenstage_types::decision::{CandidateScore, Decision};
+use havenstage_types::engine::{EngineEndpoint, GenerateRequest, TokenChunk};
+use havenstage_types::ids::{AttemptId, EngineName, NodeId};
+use havenstage_types::job::Placement;
+use havenstage_types::peer::{
+    AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, Permit, ReleaseReason,
+    ReleaseRequest,
+};
+use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
+use havenstage_types::resource::{EngineDesiredState, PolicyName};
+use tokio::time::Instant;
+
+use crate::context::{CallError, NodeContext};
+use crate::homes::Homes;
+use placement::Placer;
+use progress::Progress;
+use running::{RunningAttempts, StopCause};
+use work::Work;
+
+/// Wait suggested to a caller whose refusal came without one.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs work on engines.
+pub(crate) struct Executor {
+    context: Arc<NodeContext>,
+    homes: Arc<Homes>,
+    running: Arc<RunningAttempts>,
+    placer: Placer,
+}
+
+/// How an execution ended without a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ExecutionFailure {
+    /// Why, and whether this execution ran.
+    pub(crate) refusal: Refusal,
+    /// What stopped it, when it was stopped from this side.
+    pub(crate) stopped: Option<StopCause>,
+}
+
+/// A permit together with what is needed to use it.
+struct Admitted {
+    permit: Permit,
+    home: NodeId,
+    asked_at: Instant,
+    candidates: Vec<CandidateScore>,
+    policy: PolicyName,
+}
+
+impl Executor {
+    pub(crate) fn new(
+        context: Arc<NodeContext>,
+        homes: Arc<Homes>,
+        running: Arc<RunningAttempts>,
+    ) -> Arc<Self> {
+        let placer = Placer::new(context.clone());
+        Arc::new(Self {
+            context,
+            homes,
+            running,
+            placer,
+        })
+    }
+
+    /// Runs one execution under `attempt`. Chunks are added to `progress` and then shown to
+    /// `on_chunk`.
+    pub(crate) async fn run(
+        &self,
+        work: &Work,
+        attempt: AttemptId,
+        progress: &mut Progress,
+        on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
+    ) -> Result<(), ExecutionFailure> {
+        let admitted = self.admit(work, attempt, progress).await?;
+        let engine = admitted.permit.engine.clone();
+        let home = admitted.home;
+        let result = self
+            .dispatch(work, attempt, admitted, progress, on_chunk)
+            .await;
+        let end = match &result {
+            Ok(()) => ReleaseReason::Ended,
+            Err(failure) => release_reason(failure),
+        };
+        self.release(home, ReleaseRequest { attempt, engine, end });
+        result
+    }
+
+    /// Asks the candidates' homes in turn. All but the last pass are asked without patience, so
+    /// that a full engine does not hold up work that another could start at once.
+    async fn admit(
+        &self,
+        work: &Work,
+        attempt: AttemptId,
+        progress: &Progress,
+    ) -> Result<Admitted, ExecutionFailure> {
+        self.context.check_dispatch().map_err(not_run)?;
+        let (policy, candidates) = self.placer.candidates(work)?;
+        let mut refusal = not_run(RefusalReason::NoEngine(work.pool.clone()));
+        for patience in [Duration::ZERO, work.patience()] {
+            for candidate in &candidates {
+                let ask = AdmitRequest {
+                    attempt,
+                    engine: candidate.engine.clone(),
+                    class: work.class,
+                    context_tokens: work.context_tokens(progress),
+                    max_new_tokens: work.remaining_tokens(progress),
+                    oldest_version: work.oldest_version,
+                    patience,
+                };
+                match self.ask_home(ask).await {
+                    Ok((permit, home, asked_at)) => {
+                        return Ok(Admitted {
+                            permit,
+                            home,
+                            asked_at,
+                            candidates,
+                            policy,
+                        });
+                    }
+                    Err(failure) => refusal = failure,
+                }
+            }
+            if work.patience().is_zero() {
+                break;
+            }
+        }
+        Err(refusal)
+    }
+
+    async fn ask_home(
+        &self,
+        ask: AdmitRequest,
+    ) -> Result<(Permit, NodeId, Instant), ExecutionFailure> {
+        let asked_at = Instant::now();
+        let home = self
+            .placer
+            .home_of(&ask.engine)
+            .ok_or_else(|| not_run(RefusalReason::PeerUnreachable))?;
+        let engine = ask.engine.clone();
+        let attempt = ask.attempt;
+        let answer = self.call_home(home, ask).await;
+        match answer {
+            Ok(PeerResponseBody::Admitted(permit)) => {
+                self.placer.learn(&engine, permit.load);
+                Ok((permit, home, asked_at))
+            }
+            Ok(PeerResponseBody::Refused { refusal, load }) => {
+                self.placer.learn(&engine, load);
+                Err(ExecutionFailure {
+                    refusal,
+                    stopped: None,
+                })
+            }
+            Ok(PeerResponseBody::Failed(PeerFailure::NotOwner)) => {
+                Err(not_run(RefusalReason::PeerUnreachable))
+            }
+            Ok(_) | Err(_) => {
+                // The home may have granted the permit although its answer was lost.
+                let end = ReleaseReason::Ended;
+                self.release(home, ReleaseRequest { attempt, engine, end });
+                Err(not_run(RefusalReason::PeerUnreachable))
+            }
+        }
+    }
+
+    async fn call_home(
+        &self,
+        home: NodeId,
+        ask: AdmitRequest,
+    ) -> Result<PeerResponseBody, CallError> {
+        if home == self.context.node_id() {
+            return Ok(self.homes.admit(ask).await);
+        }
+        let timeout = ask.patience + self.context.settings.peer_timeout();
+        self.context
+            .call_within(home, PeerRequestBody::Admit(ask), timeout)
+            .await
+    }
+
+    fn release(&self, home: NodeId, request: ReleaseRequest) {
+        if home == self.context.node_id() {
+            self.homes.release(&request);
+            return;
+        }
+        let context = self.context.clone();
+        self.context.environment.spawner.spawn(async move {
+            let body = PeerRequestBody::Release(request);
+            if let Err(error) = context.call(home, body).await {
+                log::debug!("release not delivered: {error}");
+            }
+        });
+    }
+
+    async fn dispatch(
+        &self,
+        work: &Work,
+        attempt: AttemptId,
+        admitted: Admitted,
+        progress: &mut Progress,
+        on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
+    ) -> Result<(), ExecutionFailure> {
+        let endpoint = self.check_before_dispatch(work, attempt, &admitted)?;
+        self.record_placement(work, attempt, &admitted);
+        let request = GenerateRequest {
+            attempt,
+            subject: work.subject.clone(),
+            prompt: work.prompt.clone(),
+            resume_tokens: progress.tokens.clone(),
+            max_tokens: work.max_tokens,
+            class: work.class,
+        };
+        let stop = self.running.start(attempt);
+        let engine = &endpoint.name;
+        let generate = self.context.environment.engines.generate(&endpoint, request);
+        let stream = generate
+            .await
+            .map_err(|error| start_failure(engine, &error))?;
+        progress.placement = Some(Placement {
+            engine: engine.clone(),
+            policy: admitted.policy,
+            node: self.context.node_id(),
+        });
+        let followed = tokio::select! {
+            biased;
+            cause = stop.stopped() => Err(stopped_failure(cause)),
+            () = tokio::time::sleep_until(work.deadline) => {
+                Err(ran(RefusalReason::DeadlineExceeded))
+            }
+            followed = follow(engine, stream, progress, on_chunk) => followed,
+        };
+        if followed.is_err() {
+            self.cancel(endpoint, attempt);
+        }
+        followed
+    }
+
+    /// Checked again right before the request leaves: the process may have been frozen since the
+    /// permit was asked for.
+    fn check_before_dispatch(
+        &self,
+        work: &Work,
+        attempt: AttemptId,
+        admitted: &Admitted,
+    ) -> Result<EngineEndpoint, ExecutionFailure> {
+        self.context.check_dispatch().map_err(not_run)?;
+        let engine = &admitted.permit.engine;
+        let expired = admitted.asked_at.elapsed()
+            > admitted.permit.dispatch_within
+                + Duration::from_millis(admitted.permit.queued_ms);
+        let state = self.context.state();
+        let spec = state
+            .engine(engine)
+            .filter(|spec| spec.desired_state == EngineDesiredState::Active)
+            .ok_or_else(|| not_run(RefusalReason::EngineDraining(engine.clone())))?;
+        // A node that was declared dead has lost its permits together with its old identity.
+        let identity_lost = attempt.node != self.context.node_id();
+        if expired || identity_lost {
+            return Err(not_run(RefusalReason::Overloaded(work.pool.clone())));
+        }
+        if Instant::now() >= work.deadline {
+            return Err(not_run(RefusalReason::DeadlineExceeded));
+        }
+        Ok(EngineEndpoint {
+            name: engine.clone(),
+            address: spec.address,
+        })
+    }
+
+    fn record_placement(&self, work: &Work, attempt: AttemptId, admitted: &Admitted) {
+        self.context.decide(
+            work.subject.as_str(),
+            Decision::Placed {
+                attempt,
+                policy: admitted.policy,
+                class: work.class,
+                candidates: admitted.candidates.clone(),
+                chosen: admitted.permit.engine.clone(),
+                version: admitted.permit.version,
+                queued_ms: admitted.permit.queued_ms,
+            },
+        );
+    }
+
+    fn cancel(&self, endpoint: EngineEndpoint, attempt: AttemptId) {
+        let context = self.context.clone();
+        self.context.environment.spawner.spawn(async move {
+            let engines = &context.environment.engines;
+            if let Err(error) = engines.cancel(&endpoint, attempt).await {
+                log::debug!(engine = endpoint.name.as_str(); "cancel not delivered: {error}");
+            }
+        });
+    }
+}
+
+/// Reads the stream to its end.
+async fn follow(
+    engine: &EngineName,
+    mut stream: ChunkStream,
+    progress: &mut Progress,
+    on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
+) -> Result<(), ExecutionFailure> {
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk.map_err(|_broken| ran(RefusalReason::EngineFailed(engine.clone())))?;
+        progress.add(&chunk);
+        on_chunk(&chunk);
+        if progress.finish.is_some() {
+            return Ok(());
+        }
+    }
+    // The stream ended without its last chunk.
+    Err(ran(RefusalReason::EngineFailed(engine.clone())))
+}
+
+fn not_run(reason: RefusalReason) -> ExecutionFailure {
+    ExecutionFailure {
+        refusal: Refusal::not_run(reason, Some(DEFAULT_RETRY_AFTER)),
+        stopped: None,
+    }
+}
+
+fn ran(reason: RefusalReason) -> ExecutionFailure {
+    ExecutionFailure {
+        refusal: Refusal {
+            reason,
+            execution: Execution::Ran,
+            retry_after: Some(DEFAULT_RETRY_AFTER),
+        },
+        stopped: None,
+    }
+}
+
+fn stopped_failure(cause: StopCause) -> ExecutionFailure {
+    ExecutionFailure {
+        stopped: Some(cause),
+        ..ran(RefusalReason::Preempted)
+    }
+}
+
+/// Only a connection that was refused, or the engine's own word, proves that nothing ran.
+fn start_failure(engine: &EngineName, error: &EngineError) -> ExecutionFailure {
+    match error {
+        EngineError::NotSent => not_run(RefusalReason::EngineUnreachable(engine.clone())),
+        EngineError::Rejected => not_run(RefusalReason::EngineDraining(engine.clone())),
+        EngineError::Broken | EngineError::Fenced { .. } | EngineError::Malformed => {
+            ExecutionFailure {
+                refusal: Refusal::unknown(RefusalReason::EngineFailed(engine.clone())),
+                stopped: None,
+            }
+        }
+    }
+}
+
+fn release_reason(failure: &ExecutionFailure) -> ReleaseReason {
+    match failure.refusal.reason {
+        RefusalReason::EngineUnreachable(_) => ReleaseReason::EngineUnreachable,
+        RefusalReason::EngineFailed(_) => ReleaseReason::EngineFailed,
+        _ => ReleaseReason::Ended,
+    }
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -166,6 +166,11 @@
         StreamName::new("config")
     }
 
+    /// Snapshots of the configuration; a start reads the last one.
+    pub fn config_snapshots() -> StreamName {
+        StreamName::new("config-snapshots")
+    }
+
     /// Claims and outcomes of one partition of the idempotency keys.
     pub fn claims(partition: Partition) -> StreamName {
         StreamName(format!("claims-{partition}"))
