--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -1,9 +1,11 @@
 //! Records of the configuration stream and what an operator learns about a change.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::{ChangeId, LogOffset, NodeId, Revision};
+use crate::ids::{ChangeId, LogOffset, ModelName, NodeId, Revision, VersionNumber};
 use crate::member::MemberIdentity;
 use crate::resource::{InvalidResource, Resource, ResourceKey, ResourceSpec};
 
@@ -60,6 +62,8 @@
     pub members: MemberList,
     /// Outcomes of the most recent change ids, oldest first.
     pub recent_changes: Vec<RecentChange>,
+    /// Highest version number each model ever had, versions since deleted included.
+    pub highest_versions: BTreeMap<ModelName, VersionNumber>,
 }
 
 /// A change id with what became of it.
--- a/crates/types/src/resource.rs
+++ b/crates/types/src/resource.rs
@@ -261,6 +261,36 @@
         /// What the parser said.
         reason: String,
     },
+    /// Other resources still need the resource that was to be deleted.
+    #[error("{kind} {name} is needed by {by_kind} {by_name}")]
+    InUse {
+        /// Kind of the resource that was to be deleted.
+        kind: ResourceKind,
+        /// Name of the resource that was to be deleted.
+        name: String,
+        /// Kind of one resource that needs it.
+        by_kind: ResourceKind,
+        /// Name of one resource that needs it.
+        by_name: String,
+    },
+    /// The field keeps the value it was created with.
+    #[error("{field} cannot change once the {kind} exists")]
+    Immutable {
+        /// Kind of the resource.
+        kind: ResourceKind,
+        /// Path of the field.
+        field: String,
+    },
+    /// Another resource of the kind already has this value, which only one may have.
+    #[error("{field} is the same as that of {kind} {other}")]
+    Duplicate {
+        /// Path of the field.
+        field: String,
+        /// Kind of both resources.
+        kind: ResourceKind,
+        /// Name of the resource that has the value.
+        other: String,
+    },
 }
 
 /// Key of the job resource `job`.
