Test the configuration fold and say open-ended limits plainly

Cause: the fold had no tests; the tests of the limits showed messages such as "1 to", and the engines of a pool could not be listed with a pool name that is dropped at once.

Limits without an upper end read "at least". The iterator over the engines of a pool borrows only the state.

--- a/crates/config/src/lookup.rs
+++ b/crates/config/src/lookup.rs
@@ -55,10 +55,10 @@
     }
 
     /// Engines of one pool, by name.
-    pub fn engines_of_pool(
-        &self,
+    pub fn engines_of_pool<'a>(
+        &'a self,
         pool: &PoolName,
-    ) -> impl Iterator<Item = (EngineName, &EngineSpec)> {
+    ) -> impl Iterator<Item = (EngineName, &'a EngineSpec)> + use<'a> {
         self.resources
             .engine_names_of_pool(pool)
             .filter_map(|name| Some((EngineName::new(name), self.engine_named(name)?)))
--- a/crates/config/src/resources.rs
+++ b/crates/config/src/resources.rs
@@ -53,7 +53,10 @@
     }
 
     /// Names of the engines of a pool, in order.
-    pub(crate) fn engine_names_of_pool(&self, pool: &PoolName) -> impl Iterator<Item = &String> {
+    pub(crate) fn engine_names_of_pool<'a>(
+        &'a self,
+        pool: &PoolName,
+    ) -> impl Iterator<Item = &'a String> + use<'a> {
         self.engines_by_pool.get(pool).into_iter().flatten()
     }
 
--- a/crates/config/src/validate/fields.rs
+++ b/crates/config/src/validate/fields.rs
@@ -42,11 +42,11 @@
         return Ok(());
     }
     let (shortest, longest) = limits::NAME_LENGTH.into_inner();
-    Err(InvalidResource::OutOfRange {
-        field: field.to_owned(),
-        value: format!("{:?}", excerpt(text)),
-        allowed: format!("{shortest} to {longest} characters of {allowed}"),
-    })
+    Err(out_of_range(
+        field,
+        format!("{:?}", excerpt(text)),
+        format!("{shortest} to {longest} characters of {allowed}"),
+    ))
 }
 
 /// The start of a text that may be too long to repeat in an error.
@@ -71,11 +71,26 @@
         return Ok(());
     }
     let (lowest, highest) = allowed.into_inner();
-    Err(InvalidResource::OutOfRange {
+    Err(out_of_range(field, value, format!("{lowest} to {highest}")))
+}
+
+fn check_at_least<T: PartialOrd + Display>(
+    field: &str,
+    value: T,
+    lowest: T,
+) -> Result<(), InvalidResource> {
+    if value >= lowest {
+        return Ok(());
+    }
+    Err(out_of_range(field, value, format!("at least {lowest}")))
+}
+
+fn out_of_range(field: &str, value: impl Display, allowed: String) -> InvalidResource {
+    InvalidResource::OutOfRange {
         field: field.to_owned(),
         value: value.to_string(),
-        allowed: format!("{lowest} to {highest}"),
-    })
+        allowed,
+    }
 }
 
 fn check_job(job: &JobSpec) -> Result<(), InvalidResource> {
@@ -94,7 +109,7 @@
     )?;
     check_range("max_tokens", job.max_tokens, limits::MAX_TOKENS)?;
     if let Some(steps) = job.steps {
-        check_range("steps", steps, limits::STEPS)?;
+        check_at_least("steps", steps, limits::STEPS_MIN)?;
     }
     check_range("steps_ahead", job.steps_ahead, limits::STEPS_AHEAD)?;
     check_prompts(&job.prompts)
@@ -104,15 +119,15 @@
     if job.samples_per_step.is_multiple_of(job.group_size) {
         return Ok(());
     }
-    Err(InvalidResource::OutOfRange {
-        field: "samples_per_step".to_owned(),
-        value: job.samples_per_step.to_string(),
-        allowed: format!("multiples of group_size, which is {}", job.group_size),
-    })
+    Err(out_of_range(
+        "samples_per_step",
+        job.samples_per_step,
+        format!("multiples of group_size, which is {}", job.group_size),
+    ))
 }
 
 fn check_prompts(prompts: &[String]) -> Result<(), InvalidResource> {
-    check_range("prompts.length", prompts.len(), limits::PROMPT_COUNT)?;
+    check_at_least("prompts.length", prompts.len(), limits::PROMPT_COUNT_MIN)?;
     let bytes = prompts.iter().map(String::len).sum();
     check_range("prompts.bytes", bytes, limits::PROMPT_BYTES)
 }
@@ -155,10 +170,10 @@
         )?;
     }
     if let Some(limit) = rule.max_in_flight_per_node {
-        check_range(
+        check_at_least(
             "max_in_flight_per_node",
             limit,
-            limits::MAX_IN_FLIGHT_PER_NODE,
+            limits::MAX_IN_FLIGHT_PER_NODE_MIN,
         )?;
     }
     Ok(())
@@ -167,9 +182,9 @@
 fn check_engine(engine: &EngineSpec) -> Result<(), InvalidResource> {
     check_name("pool", engine.pool.as_str())?;
     check_name("zone", engine.zone.as_str())?;
-    check_range(
+    check_at_least(
         "kv_capacity_tokens",
         engine.kv_capacity_tokens,
-        limits::KV_CAPACITY_TOKENS,
+        limits::KV_CAPACITY_TOKENS_MIN,
     )
 }
--- a/crates/config/src/validate/limits.rs
+++ b/crates/config/src/validate/limits.rs
@@ -24,20 +24,17 @@
 /// Generated tokens of one sample.
 pub const MAX_TOKENS: RangeInclusive<u32> = 1..=1_000_000;
 
-/// Steps of a job that ends.
-pub const STEPS: RangeInclusive<u64> = 1..=u64::MAX;
+/// Fewest steps of a job that ends.
+pub const STEPS_MIN: u64 = 1;
 
 /// Steps that may be open at once.
 pub const STEPS_AHEAD: RangeInclusive<u32> = 1..=8;
 
-/// Number of prompts of a job; the bytes they may take bound them from above.
-pub const PROMPT_COUNT: RangeInclusive<usize> = 1..=PROMPT_BYTES_MAX;
+/// Fewest prompts of a job.
+pub const PROMPT_COUNT_MIN: usize = 1;
 
-/// Bytes of all prompts of a job together.
-pub const PROMPT_BYTES: RangeInclusive<usize> = 0..=PROMPT_BYTES_MAX;
-
-/// Most bytes of all prompts of a job together: 1 MiB.
-pub const PROMPT_BYTES_MAX: usize = 1 << 20;
+/// Bytes of all prompts of a job together, at most 1 MiB.
+pub const PROMPT_BYTES: RangeInclusive<usize> = 0..=1 << 20;
 
 /// Requests an engine may run at once.
 pub const MAX_RUNNING_PER_ENGINE: RangeInclusive<u32> = 1..=4096;
@@ -48,8 +45,8 @@
 /// Percent of the running slots that training never takes.
 pub const LIVE_RESERVE_PERCENT: RangeInclusive<u8> = 0..=90;
 
-/// Tokens the KV cache of an engine holds.
-pub const KV_CAPACITY_TOKENS: RangeInclusive<u64> = 1..=u64::MAX;
+/// Fewest tokens the KV cache of an engine holds.
+pub const KV_CAPACITY_TOKENS_MIN: u64 = 1;
 
-/// Requests of one caller in flight at one node, where a rule limits them.
-pub const MAX_IN_FLIGHT_PER_NODE: RangeInclusive<u32> = 1..=u32::MAX;
+/// Lowest limit a rule may set on the requests of one caller in flight at one node.
+pub const MAX_IN_FLIGHT_PER_NODE_MIN: u32 = 1;
--- /dev/null
+++ b/crates/config/tests/readers.rs
@@ -0,0 +1,92 @@
+//! Readers that get the stream in different ways reach the same state, and nothing undoes it.
+
+mod common;
+#[path = "common/stream.rs"]
+mod stream;
+
+use common::fixed_cases;
+use havenstage_config::{ConfigState, FoldError};
+use havenstage_types::config::{ConfigRecord, ConfigSnapshot};
+use havenstage_types::ids::LogOffset;
+use proptest::prelude::*;
+use stream::{deliver, fold, streams};
+
+const LONGEST_STREAM: usize = 60;
+
+proptest! {
+    #![proptest_config(fixed_cases(256, 1))]
+
+    #[test]
+    fn duplicated_deliveries_reach_the_same_state(
+        stream in streams(LONGEST_STREAM),
+        batches in prop::collection::vec((0..20usize, 1..10usize), 1..40),
+    ) {
+        let mut reader = ConfigState::default();
+        for (back, forward) in batches {
+            let next = reader.next_offset().0 as usize;
+            let end = (next + forward).min(stream.len());
+            (next.saturating_sub(back)..end).for_each(|offset| deliver(&mut reader, &stream, offset));
+        }
+        let reached = reader.next_offset().0 as usize;
+        prop_assert_eq!(reader, fold(&stream, reached));
+    }
+
+    #[test]
+    fn late_duplicates_undo_nothing(stream in streams(LONGEST_STREAM), late in 0..LONGEST_STREAM) {
+        let full = fold(&stream, stream.len());
+        let mut reader = full.clone();
+        deliver(&mut reader, &stream, late % stream.len());
+        prop_assert_eq!(reader, full);
+    }
+
+    #[test]
+    fn snapshot_and_tail_equal_the_full_fold(
+        stream in streams(LONGEST_STREAM),
+        cut in 0..LONGEST_STREAM,
+    ) {
+        let cut = cut % stream.len();
+        let bytes = postcard::to_stdvec(&fold(&stream, cut).snapshot()).expect("encodes");
+        let snapshot: ConfigSnapshot = postcard::from_bytes(&bytes).expect("decodes");
+        let mut reader = ConfigState::from_snapshot(snapshot);
+        (cut..stream.len()).for_each(|offset| deliver(&mut reader, &stream, offset));
+        prop_assert_eq!(reader, fold(&stream, stream.len()));
+    }
+
+    #[test]
+    fn snapshots_in_the_stream_equal_the_fold_of_the_records_below(
+        stream in streams(LONGEST_STREAM),
+    ) {
+        for entry in &stream {
+            let Some(ConfigRecord::Snapshot(snapshot)) = entry else { continue };
+            let through = snapshot.through.0 as usize;
+            prop_assert_eq!(ConfigState::from_snapshot(snapshot.clone()), fold(&stream, through));
+        }
+    }
+}
+
+#[test]
+fn a_snapshot_record_reverts_nothing() {
+    let mut state = common::state_with_pool("pool");
+    let before = state.clone();
+    let events = common::append(
+        &mut state,
+        ConfigRecord::Snapshot(ConfigSnapshot::default()),
+    );
+    assert_eq!(events, []);
+    assert_eq!(state.next_offset(), LogOffset(2));
+    assert_eq!(state.snapshot().resources, before.snapshot().resources);
+}
+
+#[test]
+fn a_gap_is_refused_and_changes_nothing() {
+    let mut state = common::state_with_pool("pool");
+    let before = state.clone();
+    let gap = FoldError::Gap {
+        expected: LogOffset(1),
+        found: LogOffset(2),
+    };
+    let refused = state.apply(LogOffset(2), &common::members(1, 1));
+    assert_eq!(refused, Err(gap.clone()));
+    assert_eq!(state.skip(LogOffset(2)), Err(gap));
+    assert_eq!(state, before);
+}
