--- /dev/null
+++ b/crates/ledger/src/error.rs
@@ -0,0 +1,17 @@
+//! Errors of the folds.
+
+use havenstage_types::ids::LogOffset;
+use thiserror::Error;
+
+/// Why a record could not be applied. The fold's state is unchanged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum FoldError {
+    /// Records between are missing; read again from `expected`.
+    #[error("expected the record at offset {expected}, got the one at {found}")]
+    Gap {
+        /// Offset of the next record to apply.
+        expected: LogOffset,
+        /// Offset of the record given.
+        found: LogOffset,
+    },
+}
--- a/crates/types/src/job.rs
+++ b/crates/types/src/job.rs
@@ -3,9 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{
-    AttemptId, EngineName, LogOffset, NodeId, SampleId, StepNumber, TrainerName, VersionNumber,
+    AttemptId, EngineName, LogOffset, NodeId, Revision, SampleId, StepNumber, TrainerName,
+    VersionNumber,
 };
-use crate::resource::PolicyName;
+use crate::resource::{JobSpec, PolicyName};
 use crate::version::VersionSegments;
 
 /// One record of a job's stream.
@@ -26,6 +27,45 @@
         /// Version the trainer trains from, as it reports.
         version_in_use: VersionNumber,
     },
+    /// The job's rules from this offset on. The first one creates the job; a later one counts only
+    /// if its revision is higher, so that two owners may append the same change.
+    RulesChanged {
+        /// Configuration revision of the job resource the rules were taken from.
+        revision: Revision,
+        /// The rules.
+        rules: JobRules,
+    },
+}
+
+/// The part of a [`JobSpec`] that decides which samples count. It is copied from the configuration
+/// into the job's stream, because every reader must apply it at the same offset of that stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRules {
+    /// Samples in one step; a multiple of `group_size`.
+    pub samples_per_step: u32,
+    /// Samples drawn from one prompt.
+    pub group_size: u32,
+    /// Number of prompts.
+    pub prompt_count: u32,
+    /// How many versions older than the newest one any token of a sample may be.
+    pub staleness_bound: u64,
+    /// Number of steps after which the job is complete; `None` runs until deleted.
+    pub steps: Option<u64>,
+    /// How many steps may be open beyond the last acknowledged one; at least 1.
+    pub steps_ahead: u32,
+}
+
+impl From<&JobSpec> for JobRules {
+    fn from(spec: &JobSpec) -> Self {
+        Self {
+            samples_per_step: spec.samples_per_step,
+            group_size: spec.group_size,
+            prompt_count: u32::try_from(spec.prompts.len()).unwrap_or(u32::MAX),
+            staleness_bound: spec.staleness_bound,
+            steps: spec.steps,
+            steps_ahead: spec.steps_ahead,
+        }
+    }
 }
 
 /// A finished sample.
@@ -98,6 +138,8 @@
     JobDeleted,
     /// A sample without tokens or whose segments do not cover its tokens.
     Malformed,
+    /// The job's rules changed: the slot does not exist or is for another prompt.
+    RulesChanged,
 }
 
 /// A sample as handed to a trainer.
