placement: policies, admission at an engine's home, waves, retries and step order

Cause: nodes need one place for the decisions where work runs and when it may start, without I/O, so that the daemon and the simulator share it. Ruled out: swap slots drawn evenly from the window by a hash and the engine count alone, since their bursts break the weight store's limit; exact ranks over the pool's engine list are used instead.

--- /dev/null
+++ b/crates/placement/src/admission/kv_budget.rs
@@ -0,0 +1,64 @@
+//! The projected use of an engine's KV cache, in tokens, and what the engine itself reports.
+
+use havenstage_types::engine::LoadReport;
+use havenstage_types::peer::AdmitRequest;
+
+use super::limits::AdmissionLimits;
+use crate::lengths::RunningLength;
+
+/// Projects KV use and remembers what the engine reported.
+#[derive(Debug, Clone, Default)]
+pub(super) struct KvBudget {
+    training_lengths: RunningLength,
+    reported_used: u64,
+    reported_capacity: u64,
+}
+
+impl KvBudget {
+    /// Takes in the length of a finished training answer.
+    pub fn observe_training_length(&mut self, tokens: u32) {
+        self.training_lengths.observe(tokens);
+    }
+
+    /// Takes in the engine's own numbers; they lag.
+    pub fn observe_report(&mut self, report: &LoadReport) {
+        self.reported_used = report.kv_used_tokens;
+        self.reported_capacity = report.kv_capacity_tokens;
+    }
+
+    /// Tokens that projected use may reach: the capacity without the safety share. The smaller of
+    /// the configured and the reported capacity counts.
+    pub fn budget_tokens(&self, limits: &AdmissionLimits) -> u64 {
+        let capacity = match self.reported_capacity {
+            0 => limits.kv_capacity_tokens,
+            reported => reported.min(limits.kv_capacity_tokens),
+        };
+        let usable_percent = 100 - u64::from(limits.kv_safety_percent.min(100));
+        capacity / 100 * usable_percent + capacity % 100 * usable_percent / 100
+    }
+
+    /// Tokens `request` is projected to use at its end: its context, and for live work all it may
+    /// generate, for training what finished ones needed.
+    pub fn projected_tokens(&self, request: &AdmitRequest, limits: &AdmissionLimits) -> u64 {
+        let output = if request.class.is_live() {
+            request.max_new_tokens
+        } else {
+            self.expected_training_output(request.max_new_tokens, limits)
+        };
+        u64::from(request.context_tokens) + u64::from(output)
+    }
+
+    /// Whether the engine reports more use than the budget: the projection was too low.
+    pub fn is_under_pressure(&self, limits: &AdmissionLimits) -> bool {
+        self.reported_used > self.budget_tokens(limits)
+    }
+
+    fn expected_training_output(&self, max_new_tokens: u32, limits: &AdmissionLimits) -> u32 {
+        let by_share =
+            u64::from(max_new_tokens) * u64::from(limits.expected_output_percent.min(100)) / 100;
+        self.training_lengths
+            .cautious()
+            .unwrap_or(by_share as u32)
+            .min(max_new_tokens)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/admission/limits.rs
@@ -0,0 +1,111 @@
+//! Limits that one engine's admission keeps.
+
+use std::time::Duration;
+
+use havenstage_types::ids::PoolName;
+use havenstage_types::resource::{EngineSpec, PoolSpec};
+
+use crate::settings::InvalidSetting;
+
+/// Limits of one engine; taken from the operator's resources, the rest are defaults.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Pool of the engine; named in refusals.
+    pub pool: PoolName,
+    /// Most requests running at once.
+    pub max_running: u32,
+    /// Most requests waiting, of all classes together.
+    pub max_queued: u32,
+    /// Share of the slots, in percent, that training never takes.
+    pub live_reserve_percent: u8,
+    /// Tokens the engine's KV cache holds.
+    pub kv_capacity_tokens: u64,
+    /// Share of the KV cache, in percent, that projected use never reaches into.
+    pub kv_safety_percent: u8,
+    /// Share of a training request's upper bound, in percent, that it is expected to generate
+    /// until lengths of finished ones are known.
+    pub expected_output_percent: u8,
+    /// Whether training gives way when live work waits.
+    pub preempt: bool,
+    /// Whether queued training starts with the largest `max_new_tokens` instead of the oldest.
+    pub longest_training_first: bool,
+    /// How long a permit may be held; a permit whose release was lost ends then.
+    pub max_permit_age: Duration,
+    /// Successes, one at a time, that an engine needs after a failure before it is filled again.
+    pub recovery_successes: u32,
+    /// Failures to reach the engine in a row after which it counts as unreachable.
+    pub unreachable_failures: u32,
+}
+
+impl Default for AdmissionLimits {
+    fn default() -> Self {
+        Self {
+            pool: PoolName::new("default"),
+            max_running: 64,
+            max_queued: 128,
+            live_reserve_percent: 10,
+            kv_capacity_tokens: 1_000_000,
+            kv_safety_percent: 15,
+            expected_output_percent: 50,
+            preempt: true,
+            longest_training_first: false,
+            max_permit_age: Duration::from_secs(30 * 60),
+            recovery_successes: 5,
+            unreachable_failures: 3,
+        }
+    }
+}
+
+impl From<(&PoolSpec, &EngineSpec)> for AdmissionLimits {
+    fn from((pool, engine): (&PoolSpec, &EngineSpec)) -> Self {
+        Self {
+            pool: engine.pool.clone(),
+            max_running: pool.max_running_per_engine,
+            max_queued: pool.max_queued_per_engine,
+            live_reserve_percent: pool.live_reserve_percent,
+            kv_capacity_tokens: engine.kv_capacity_tokens,
+            ..Self::default()
+        }
+    }
+}
+
+impl AdmissionLimits {
+    /// Checks the ranges.
+    pub fn validate(&self) -> Result<(), InvalidSetting> {
+        let percents = [
+            ("admission.live_reserve_percent", self.live_reserve_percent),
+            ("admission.kv_safety_percent", self.kv_safety_percent),
+            (
+                "admission.expected_output_percent",
+                self.expected_output_percent,
+            ),
+        ];
+        for (setting, percent) in percents {
+            InvalidSetting::unless(percent <= 100, setting, percent, "0 to 100")?;
+        }
+        let counts = [
+            ("admission.max_running", self.max_running),
+            ("admission.unreachable_failures", self.unreachable_failures),
+        ];
+        for (setting, count) in counts {
+            InvalidSetting::unless(count >= 1, setting, count, "at least 1")?;
+        }
+        InvalidSetting::unless(
+            !self.max_permit_age.is_zero(),
+            "admission.max_permit_age",
+            format!("{:?}", self.max_permit_age),
+            "above 0",
+        )
+    }
+
+    /// Slots training may take: all but the live reserve, yet at least one unless the reserve is
+    /// the whole engine, since a one-slot engine would otherwise never train.
+    pub fn training_slots(&self) -> u32 {
+        let share = 100 - u64::from(self.live_reserve_percent.min(100));
+        if share == 0 {
+            return 0;
+        }
+        let slots = u64::from(self.max_running) * share / 100;
+        slots.max(1) as u32
+    }
+}
