--- a/crates/placement/src/admission/mod.rs
+++ b/crates/placement/src/admission/mod.rs
@@ -11,6 +11,7 @@
 //! - An engine that cannot be reached gets nothing until it reports again (a circuit breaker).
 
 mod action;
+mod advance;
 mod engine;
 mod health;
 mod kv_budget;
@@ -23,5 +24,6 @@
 mod release_rate;
 
 pub use action::AdmissionAction;
-pub use engine::{DISPATCH_WINDOW, EngineAdmission};
+pub use advance::DISPATCH_WINDOW;
+pub use engine::EngineAdmission;
 pub use limits::AdmissionLimits;
--- a/crates/placement/src/rollout_waves.rs
+++ b/crates/placement/src/rollout_waves.rs
@@ -17,9 +17,9 @@
 //!   most 2 s. Below 113.4 fetches a second the store sets the window, and below 680 / (8 - `t`)
 //!   no order of swaps could finish in 8 s.
 //!
-//! Ranks are exact, rather than drawn evenly from the window, because 680 draws over 6 s would
-//! put about 145 starts into the fullest second and so break the store's limit. Homes whose
-//! engine lists differ for a moment compute slightly different ranks, which shifts a few starts.
+//! Ranks are exact, rather than drawn evenly from the window, because even draws come in bursts
+//! that break the store's limit. Homes whose engine lists differ for a moment compute slightly
+//! different ranks, which shifts a few starts.
 
 use std::time::Duration;
 
