membership: SWIM state machine, role ownership and freshness

Cause: nodes must agree on who runs and who owns which role, and must know whether their configuration is recent, with no machine set aside for control.

Change: a pure state machine (time and seed passed in, datagrams out) with suspicion, incarnations, indirect probes and bounded retransmits; rendezvous hashing of roles; freshness counted from when a question was sent. Additive change to GossipPacket: running_members, by which the smaller side of a healed cut gives way.

Ruled out: declaring nobody dead on the minority side of a cut (a loss of two zones of three would then never move roles); periodic full-state exchange.

--- /dev/null
+++ b/crates/membership/src/packets.rs
@@ -0,0 +1,216 @@
+//! How the membership state machine takes datagrams.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use havenstage_types::clock::Moment;
+use havenstage_types::gossip::{GossipBody, GossipPacket, MemberUpdate};
+use havenstage_types::ids::{LogOffset, NodeId};
+use havenstage_types::member::MemberState;
+
+use crate::machine::{Membership, encoded_bytes};
+use crate::message::MembershipAction;
+use crate::probes::{Purpose, Question};
+use crate::roster::Peer;
+
+impl Membership {
+    pub(crate) fn receive(&mut self, now: Moment, address: SocketAddr, packet: GossipPacket) {
+        if packet.from == self.self_id {
+            return;
+        }
+        if self.roster.is_dead(packet.from) {
+            self.receive_from_dead(now, address, &packet);
+            return;
+        }
+        self.apply_updates(now, &packet);
+        if self.declared_dead {
+            return;
+        }
+        self.roster
+            .note_config_offset(packet.from, packet.config_offset);
+        self.notice_behind(now, packet.from, packet.config_offset);
+        let sender = Peer {
+            id: packet.from,
+            address,
+        };
+        self.introduce(now, sender);
+        self.answer(now, sender, &packet);
+    }
+
+    /// A member held dead still sends: tell it, unless its own verdict on us counts.
+    fn receive_from_dead(&mut self, now: Moment, address: SocketAddr, packet: &GossipPacket) {
+        let carries_verdict = packet.updates.iter().any(|update| self.is_verdict(update));
+        if carries_verdict && !self.outranks(packet) {
+            self.become_dead();
+            return;
+        }
+        let is_bare_news = packet.body == GossipBody::Updates;
+        if is_bare_news && !carries_verdict {
+            return;
+        }
+        let verdict = self.roster.update_about(packet.from);
+        let verdict = verdict.into_iter().collect();
+        self.send_updates(now, address, GossipBody::Updates, verdict);
+    }
+
+    fn is_verdict(&self, update: &MemberUpdate) -> bool {
+        update.identity.id == self.self_id && update.state == MemberState::Dead
+    }
+
+    /// Whether this side of a healed cut stays: the larger one, or the one with the lower id.
+    fn outranks(&self, packet: &GossipPacket) -> bool {
+        let own = u32::try_from(self.roster.running_count()).unwrap_or(u32::MAX);
+        let theirs = packet.running_members;
+        own > theirs || (own == theirs && self.self_id < packet.from)
+    }
+
+    fn apply_updates(&mut self, now: Moment, packet: &GossipPacket) {
+        for update in &packet.updates {
+            if self.is_verdict(update) {
+                self.become_dead();
+                return;
+            }
+            if update.identity.id == self.self_id {
+                self.refute_if_suspected(update);
+                continue;
+            }
+            if self.roster.apply(now, update) {
+                self.note_change(update.identity.id);
+            }
+        }
+    }
+
+    fn refute_if_suspected(&mut self, update: &MemberUpdate) {
+        let own = self.roster.member(self.self_id);
+        let own_incarnation = own.map_or(0, |member| member.incarnation);
+        let is_suspected = update.state == MemberState::Suspect;
+        if is_suspected && update.incarnation >= own_incarnation {
+            self.roster.refute(update.incarnation);
+            self.updates.add(self.self_id);
+        }
+    }
+
+    fn notice_behind(&mut self, now: Moment, peer: NodeId, offset: LogOffset) {
+        if offset <= self.applied || now < self.schedule.next_behind {
+            return;
+        }
+        self.schedule.next_behind = now + self.settings.probe_interval;
+        self.actions.push(MembershipAction::ConfigBehind { peer });
+    }
+
+    /// Asks an unknown sender who it is, at most once in a probe interval.
+    fn introduce(&mut self, now: Moment, sender: Peer) {
+        let is_known = self.roster.member(sender.id).is_some();
+        if is_known || now < self.schedule.next_introduction {
+            return;
+        }
+        self.schedule.next_introduction = now + self.settings.probe_interval;
+        self.send_updates(now, sender.address, GossipBody::Join, Vec::new());
+    }
+
+    fn answer(&mut self, now: Moment, sender: Peer, packet: &GossipPacket) {
+        match &packet.body {
+            GossipBody::Ping { sequence } => {
+                let sequence = *sequence;
+                self.send(now, sender, GossipBody::Ack { sequence });
+            }
+            GossipBody::Ack { sequence } => self.receive_ack(now, *sequence, packet),
+            GossipBody::PingRequest { sequence, target } => {
+                self.relay_probe(now, sender.address, *sequence, *target);
+            }
+            GossipBody::Join => self.answer_join(now, sender, packet),
+            GossipBody::Updates => {}
+        }
+    }
+
+    fn receive_ack(&mut self, now: Moment, sequence: u64, packet: &GossipPacket) {
+        let Some(question) = self.questions.answer(sequence) else {
+            return;
+        };
+        self.note_evidence(question.sent_at, packet);
+        match question.purpose {
+            Purpose::Indirect { probe } => {
+                self.questions.answer(probe);
+                self.roster.answered(question.target);
+            }
+            Purpose::Probe { .. } | Purpose::Hear => {
+                self.note_direct_answer(now, question, packet.from);
+            }
+            Purpose::Relay { asker, sequence } => {
+                let is_target = self.note_direct_answer(now, question, packet.from);
+                if is_target {
+                    self.send_updates(now, asker, GossipBody::Ack { sequence }, Vec::new());
+                }
+            }
+        }
+    }
+
+    /// Dates what an answer says by the moment its question was sent.
+    fn note_evidence(&mut self, asked_at: Moment, packet: &GossipPacket) {
+        self.freshness
+            .heard_member(asked_at, packet.from, packet.config_offset);
+        if let Some(age) = packet.log_word_age {
+            let age = Duration::from_millis(u64::from(age));
+            self.freshness
+                .relayed_log_word(asked_at, age, packet.config_offset);
+        }
+    }
+
+    /// Returns whether the member asked is the one that answered. If another process answered at
+    /// its address, the member asked is gone.
+    fn note_direct_answer(&mut self, now: Moment, question: Question, answerer: NodeId) -> bool {
+        if question.target == answerer {
+            self.roster.answered(answerer);
+            return true;
+        }
+        if self.roster.declare_dead(now, question.target) {
+            self.note_change(question.target);
+        }
+        false
+    }
+
+    fn relay_probe(&mut self, now: Moment, asker: SocketAddr, sequence: u64, target: NodeId) {
+        if let Some(peer) = self.roster.running_peer(target) {
+            self.ping(now, peer, Purpose::Relay { asker, sequence });
+        }
+    }
+
+    /// A newcomer, which names itself, gets all running members; a member that only asks who we
+    /// are gets our identity.
+    fn answer_join(&mut self, now: Moment, sender: Peer, packet: &GossipPacket) {
+        let is_newcomer = packet
+            .updates
+            .iter()
+            .any(|update| update.identity.id == sender.id);
+        let told: Vec<NodeId> = if is_newcomer {
+            self.roster
+                .view()
+                .running()
+                .map(|member| member.identity.id)
+                .filter(|id| *id != sender.id)
+                .collect()
+        } else {
+            vec![self.self_id]
+        };
+        self.send_all(now, sender.address, &told);
+    }
+
+    fn send_all(&mut self, now: Moment, to: SocketAddr, members: &[NodeId]) {
+        let mut chunk = Vec::new();
+        let mut room = self.update_room();
+        for id in members {
+            let Some(update) = self.roster.update_about(*id) else {
+                continue;
+            };
+            let bytes = encoded_bytes(&update);
+            if bytes > room {
+                let full = std::mem::take(&mut chunk);
+                self.send_updates(now, to, GossipBody::Updates, full);
+                room = self.update_room();
+            }
+            room = room.saturating_sub(bytes);
+            chunk.push(update);
+        }
+        self.send_updates(now, to, GossipBody::Updates, chunk);
+    }
+}
--- a/crates/types/src/gossip.rs
+++ b/crates/types/src/gossip.rs
@@ -15,6 +15,9 @@
     /// How long ago, in milliseconds, the sender knew `config_offset` to be the end of the log;
     /// `None` when it never did. Ages add up as the word is passed on.
     pub log_word_age: Option<u32>,
+    /// How many members the sender believes to run, itself included. After a cut heals, the side
+    /// that counts fewer members gives way.
+    pub running_members: u32,
     /// Probe, answer or plain update.
     pub body: GossipBody,
     /// News about members that the sender passes on.
