Say what a forgotten change id means

Cause: the limit on remembered change ids did not say what a later repeat does.

Change: its documentation says so.

--- a/crates/config/src/recent.rs
+++ b/crates/config/src/recent.rs
@@ -6,7 +6,8 @@
 use havenstage_types::ids::ChangeId;
 
 /// Number of change ids remembered. It is part of the fold: readers with different limits would
-/// disagree on which changes are repeats.
+/// disagree on which changes are repeats. A repeat of a forgotten id is decided anew; its
+/// precondition then still keeps it from undoing a later change of a resource that exists.
 pub const RECENT_CHANGE_LIMIT: usize = 4096;
 
 /// The last [`RECENT_CHANGE_LIMIT`] change ids with their outcomes; the oldest is forgotten first.
