Give permits back whatever happens to their holder's task

Cause: a job's tasks are aborted when it moves to another owner; their permits were then held at the engine's home until they aged out, half an hour later. Change: HeldPermit gives the permit back, and cancels what may still run under it, when it is dropped. A claim's verdict is now final only after the claim itself was read back, so that an attempt that was told off cannot come to hold the key later. Ruled out: leases that are renewed (traffic for every running sample).

--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -77,6 +77,8 @@
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
         let give_up_at = deadline.min(Instant::now() + CLAIM_PATIENCE);
         let mut attempt = self.context.next_attempt();
+        // Whether a claim of `attempt` may be in the log without having been read back.
+        let mut uncertain = false;
         loop {
             match self.ask(request, attempt).await {
                 Ok(ClaimVerdict::Granted) => return Ok(Claimed::Granted(attempt)),
@@ -85,6 +87,9 @@
                     return Err(Refusal::not_run(RefusalReason::KeyReused, None));
                 }
                 Ok(ClaimVerdict::HeldBy(holder)) => {
+                    if std::mem::take(&mut uncertain) {
+                        self.abandon(request, attempt);
+                    }
                     self.check_holder(holder, deadline)?;
                     attempt = self.context.next_attempt();
                     tokio::time::sleep(HELD_POLL).await;
@@ -95,7 +100,10 @@
                     let retry_after = Some(self.context.settings.log_retry());
                     return Err(Refusal::not_run(reason, retry_after));
                 }
-                Err(_reason) => tokio::time::sleep(backoff.next_delay()).await,
+                Err(_reason) => {
+                    uncertain = true;
+                    tokio::time::sleep(backoff.next_delay()).await;
+                }
             }
         }
     }
--- a/crates/node/src/claim_owner.rs
+++ b/crates/node/src/claim_owner.rs
@@ -88,28 +88,18 @@
         deadline: Instant,
     ) -> Option<ClaimVerdict> {
         timeout_at(deadline, follower.caught_up()).await.ok()?;
-        let verdict = || {
-            follower.with(|fold| {
-                fold.0
-                    .verdict(&claim.key, claim.attempt, claim.fingerprint)
-            })
-        };
+        let verdict =
+            || follower.with(|fold| fold.0.verdict(&claim.key, claim.attempt, claim.fingerprint));
         if let Some(known) = verdict() {
             return Some(known);
         }
         let record = ClaimRecord::Claim(claim.clone());
-        let sent = self.append(follower, &record, deadline).await;
-        if sent == Err(LogError::NotSent) {
-            return None;
-        }
-        let mut progress = follower.subscribe();
-        loop {
-            progress.borrow_and_update();
-            if let Some(known) = verdict() {
-                return Some(known);
-            }
-            timeout_at(deadline, progress.changed()).await.ok()?.ok()?;
-        }
+        // Only what is said after the claim itself has been read back is final: before that,
+        // another attempt may hold the key now and give it up before this claim comes in.
+        let offset = self.append(follower, &record, deadline).await.ok()?;
+        let read_back = follower.reached(LogOffset(offset.0 + 1));
+        timeout_at(deadline, read_back).await.ok()?;
+        verdict()
     }
 
     /// Records that an attempt was abandoned.
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -52,7 +52,10 @@
     let stream = streams::config_snapshots();
     let log = &context.environment.log;
     let no_wait = std::time::Duration::ZERO;
-    let end = log.read(&stream, LogOffset(u64::MAX), 1, no_wait).await?.end;
+    let end = log
+        .read(&stream, LogOffset(u64::MAX), 1, no_wait)
+        .await?
+        .end;
     if end.0 == 0 {
         return Ok(None);
     }
--- a/crates/node/src/config_recorder.rs
+++ b/crates/node/src/config_recorder.rs
@@ -35,8 +35,10 @@
 impl Recorder {
     async fn check(&mut self, context: &NodeContext) {
         let view = context.view();
-        let owners: Vec<MemberIdentity> =
-            view.owners().map(|member| member.identity.clone()).collect();
+        let owners: Vec<MemberIdentity> = view
+            .owners()
+            .map(|member| member.identity.clone())
+            .collect();
         let now = context.now();
         if owners != self.candidate {
             self.candidate = owners;
--- a/crates/node/src/decision_writer.rs
+++ b/crates/node/src/decision_writer.rs
@@ -111,7 +111,10 @@
     };
     let mut from = LogOffset(at_end.end.0.saturating_sub(BATCHES_SCANNED));
     while from < at_end.end {
-        let Ok(batch) = log.read(&stream, from, BATCHES_PER_READ, Duration::ZERO).await else {
+        let Ok(batch) = log
+            .read(&stream, from, BATCHES_PER_READ, Duration::ZERO)
+            .await
+        else {
             return found;
         };
         let Some(last) = batch.records.last() else {
@@ -119,8 +122,7 @@
         };
         from = LogOffset(last.offset.0 + 1);
         for record in &batch.records {
-            let decisions: Vec<DecisionRecord> =
-                codec::decode(&record.payload).unwrap_or_default();
+            let decisions: Vec<DecisionRecord> = codec::decode(&record.payload).unwrap_or_default();
             found.extend(decisions.into_iter().filter(|one| one.subject == subject));
         }
     }
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -1,6 +1,7 @@
 //! Runs one execution of live or training work: places it, asks the engine's home for a permit,
 //! dispatches, follows the stream and gives the permit back.
 
+mod held_permit;
 mod placement;
 pub(crate) mod progress;
 pub(crate) mod running;
@@ -17,7 +18,6 @@
 use havenstage_types::job::Placement;
 use havenstage_types::peer::{
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, Permit, ReleaseReason,
-    ReleaseRequest,
 };
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
 use havenstage_types::resource::{EngineDesiredState, PolicyName};
@@ -25,6 +25,7 @@
 
 use crate::context::{CallError, NodeContext};
 use crate::homes::Homes;
+use held_permit::HeldPermit;
 use placement::Placer;
 use progress::Progress;
 use running::{RunningAttempts, StopCause};
@@ -53,7 +54,7 @@
 /// A permit together with what is needed to use it.
 struct Admitted {
     permit: Permit,
-    home: NodeId,
+    held: HeldPermit,
     asked_at: Instant,
     candidates: Vec<CandidateScore>,
     policy: PolicyName,
@@ -84,17 +85,8 @@
         on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
     ) -> Result<(), ExecutionFailure> {
         let admitted = self.admit(work, attempt, progress).await?;
-        let engine = admitted.permit.engine.clone();
-        let home = admitted.home;
-        let result = self
-            .dispatch(work, attempt, admitted, progress, on_chunk)
-            .await;
-        let end = match &result {
-            Ok(()) => ReleaseReason::Ended,
-            Err(failure) => release_reason(failure),
-        };
-        self.release(home, ReleaseRequest { attempt, engine, end });
-        result
+        self.dispatch(work, attempt, admitted, progress, on_chunk)
+            .await
     }
 
     /// Asks the candidates' homes in turn. All but the last pass are asked without patience, so
@@ -120,10 +112,10 @@
                     patience,
                 };
                 match self.ask_home(ask).await {
-                    Ok((permit, home, asked_at)) => {
+                    Ok((permit, held, asked_at)) => {
                         return Ok(Admitted {
                             permit,
-                            home,
+                            held,
                             asked_at,
                             candidates,
                             policy,
@@ -142,22 +134,29 @@
     async fn ask_home(
         &self,
         ask: AdmitRequest,
-    ) -> Result<(Permit, NodeId, Instant), ExecutionFailure> {
+    ) -> Result<(Permit, HeldPermit, Instant), ExecutionFailure> {
         let asked_at = Instant::now();
         let home = self
             .placer
             .home_of(&ask.engine)
             .ok_or_else(|| not_run(RefusalReason::PeerUnreachable))?;
         let engine = ask.engine.clone();
-        let attempt = ask.attempt;
+        let held = HeldPermit::new(
+            self.context.clone(),
+            self.homes.clone(),
+            home,
+            ask.attempt,
+            engine.clone(),
+        );
         let answer = self.call_home(home, ask).await;
         match answer {
             Ok(PeerResponseBody::Admitted(permit)) => {
                 self.placer.learn(&engine, permit.load);
-                Ok((permit, home, asked_at))
+                Ok((permit, held, asked_at))
             }
             Ok(PeerResponseBody::Refused { refusal, load }) => {
                 self.placer.learn(&engine, load);
+                held.refused();
                 Err(ExecutionFailure {
                     refusal,
                     stopped: None,
@@ -166,12 +165,9 @@
             Ok(PeerResponseBody::Failed(PeerFailure::NotOwner)) => {
                 Err(not_run(RefusalReason::PeerUnreachable))
             }
-            Ok(_) | Err(_) => {
-                // The home may have granted the permit although its answer was lost.
-                let end = ReleaseReason::Ended;
-                self.release(home, ReleaseRequest { attempt, engine, end });
-                Err(not_run(RefusalReason::PeerUnreachable))
-            }
+            // The home may have granted the permit although its answer was lost: `held` gives it
+            // back.
+            Ok(_) | Err(_) => Err(not_run(RefusalReason::PeerUnreachable)),
         }
     }
 
@@ -189,25 +185,11 @@
             .await
     }
 
-    fn release(&self, home: NodeId, request: ReleaseRequest) {
-        if home == self.context.node_id() {
-            self.homes.release(&request);
-            return;
-        }
-        let context = self.context.clone();
-        self.context.environment.spawner.spawn(async move {
-            let body = PeerRequestBody::Release(request);
-            if let Err(error) = context.call(home, body).await {
-                log::debug!("release not delivered: {error}");
-            }
-        });
-    }
-
     async fn dispatch(
         &self,
         work: &Work,
         attempt: AttemptId,
-        admitted: Admitted,
+        mut admitted: Admitted,
         progress: &mut Progress,
         on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
     ) -> Result<(), ExecutionFailure> {
@@ -222,28 +204,32 @@
             class: work.class,
         };
         let stop = self.running.start(attempt);
-        let engine = &endpoint.name;
-        let generate = self.context.environment.engines.generate(&endpoint, request);
-        let stream = generate
-            .await
-            .map_err(|error| start_failure(engine, &error))?;
-        progress.placement = Some(Placement {
-            engine: engine.clone(),
-            policy: admitted.policy,
-            node: self.context.node_id(),
-        });
-        let followed = tokio::select! {
+        admitted.held.sent_to(endpoint.clone());
+        let generate = self
+            .context
+            .environment
+            .engines
+            .generate(&endpoint, request);
+        let result = tokio::select! {
             biased;
             cause = stop.stopped() => Err(stopped_failure(cause)),
             () = tokio::time::sleep_until(work.deadline) => {
                 Err(ran(RefusalReason::DeadlineExceeded))
             }
-            followed = follow(engine, stream, progress, on_chunk) => followed,
+            followed = async {
+                let stream = generate
+                    .await
+                    .map_err(|error| start_failure(&endpoint.name, &error))?;
+                progress.placement = Some(Placement {
+                    engine: endpoint.name.clone(),
+                    policy: admitted.policy,
+                    node: self.context.node_id(),
+                });
+                follow(&endpoint.name, stream, progress, on_chunk).await
+            } => followed,
         };
-        if followed.is_err() {
-            self.cancel(endpoint, attempt);
-        }
-        followed
+        settle(&mut admitted.held, &result);
+        result
     }
 
     /// Checked again right before the request leaves: the process may have been frozen since the
@@ -257,8 +243,7 @@
         self.context.check_dispatch().map_err(not_run)?;
         let engine = &admitted.permit.engine;
         let expired = admitted.asked_at.elapsed()
-            > admitted.permit.dispatch_within
-                + Duration::from_millis(admitted.permit.queued_ms);
+            > admitted.permit.dispatch_within + Duration::from_millis(admitted.permit.queued_ms);
         let state = self.context.state();
         let spec = state
             .engine(engine)
@@ -292,16 +277,6 @@
             },
         );
     }
-
-    fn cancel(&self, endpoint: EngineEndpoint, attempt: AttemptId) {
-        let context = self.context.clone();
-        self.context.environment.spawner.spawn(async move {
-            let engines = &context.environment.engines;
-            if let Err(error) = engines.cancel(&endpoint, attempt).await {
-                log::debug!(engine = endpoint.name.as_str(); "cancel not delivered: {error}");
-            }
-        });
-    }
 }
 
 /// Reads the stream to its end.
@@ -362,10 +337,18 @@
     }
 }
 
-fn release_reason(failure: &ExecutionFailure) -> ReleaseReason {
+/// Tells the permit how its execution ended.
+fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>) {
+    let Err(failure) = result else {
+        held.ended();
+        return;
+    };
+    if failure.refusal.execution == Execution::NotRun {
+        held.ended();
+    }
     match failure.refusal.reason {
-        RefusalReason::EngineUnreachable(_) => ReleaseReason::EngineUnreachable,
-        RefusalReason::EngineFailed(_) => ReleaseReason::EngineFailed,
-        _ => ReleaseReason::Ended,
+        RefusalReason::EngineUnreachable(_) => held.set_reason(ReleaseReason::EngineUnreachable),
+        RefusalReason::EngineFailed(_) => held.set_reason(ReleaseReason::EngineFailed),
+        _ => {}
     }
 }
--- /dev/null
+++ b/crates/node/src/executor/held_permit.rs
@@ -0,0 +1,110 @@
+//! A permit, or an ask for one, that is given back whatever happens to its holder's task.
+
+use std::sync::Arc;
+
+use havenstage_types::engine::EngineEndpoint;
+use havenstage_types::ids::{AttemptId, EngineName, NodeId};
+use havenstage_types::peer::{PeerRequestBody, ReleaseReason, ReleaseRequest};
+
+use crate::context::NodeContext;
+use crate::homes::Homes;
+
+/// Gives a permit back when dropped and cancels what may still run under it. Tasks are aborted
+/// when a job moves to another owner, so giving back must not depend on their reaching the end.
+pub(super) struct HeldPermit {
+    context: Arc<NodeContext>,
+    homes: Arc<Homes>,
+    home: NodeId,
+    attempt: AttemptId,
+    engine: EngineName,
+    end: ReleaseReason,
+    running_on: Option<EngineEndpoint>,
+    given_back: bool,
+}
+
+impl HeldPermit {
+    /// Made before the home is asked, since it may grant although its answer is lost.
+    pub(super) fn new(
+        context: Arc<NodeContext>,
+        homes: Arc<Homes>,
+        home: NodeId,
+        attempt: AttemptId,
+        engine: EngineName,
+    ) -> Self {
+        Self {
+            context,
+            homes,
+            home,
+            attempt,
+            engine,
+            end: ReleaseReason::Ended,
+            running_on: None,
+            given_back: false,
+        }
+    }
+
+    /// The home refused: there is nothing to give back.
+    pub(super) fn refused(mut self) {
+        self.given_back = true;
+    }
+
+    /// The request is about to be sent; until it is known to have ended it may be running.
+    pub(super) fn sent_to(&mut self, endpoint: EngineEndpoint) {
+        self.running_on = Some(endpoint);
+    }
+
+    /// Nothing runs any more.
+    pub(super) fn ended(&mut self) {
+        self.running_on = None;
+    }
+
+    /// Why the permit is given back.
+    pub(super) fn set_reason(&mut self, end: ReleaseReason) {
+        self.end = end;
+    }
+
+    fn cancel(&mut self) {
+        let Some(endpoint) = self.running_on.take() else {
+            return;
+        };
+        let context = self.context.clone();
+        let attempt = self.attempt;
+        self.context.environment.spawner.spawn(async move {
+            let engines = &context.environment.engines;
+            if let Err(error) = engines.cancel(&endpoint, attempt).await {
+                log::debug!(engine = endpoint.name.as_str(); "cancel not delivered: {error}");
+            }
+        });
+    }
+
+    fn give_back(&mut self) {
+        let request = ReleaseRequest {
+            attempt: self.attempt,
+            engine: self.engine.clone(),
+            end: self.end,
+        };
+        if self.home == self.context.node_id() {
+            self.homes.release(&request);
+            return;
+        }
+        let context = self.context.clone();
+        let home = self.home;
+        self.context.environment.spawner.spawn(async move {
+            let body = PeerRequestBody::Release(request);
+            if let Err(error) = context.call(home, body).await {
+                log::debug!("release not delivered: {error}");
+            }
+        });
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        // A killed node's tasks are dropped too; nothing may be spawned then.
+        if self.given_back || self.context.environment.spawner.is_closed() {
+            return;
+        }
+        self.cancel();
+        self.give_back();
+    }
+}
--- a/crates/node/src/executor/placement.rs
+++ b/crates/node/src/executor/placement.rs
@@ -68,7 +68,10 @@
         engines: &[EngineView],
     ) -> Vec<CandidateScore> {
         let mut policies = lock(&self.policies);
-        if policies.get(pool).is_none_or(|policy| policy.name() != name) {
+        if policies
+            .get(pool)
+            .is_none_or(|policy| policy.name() != name)
+        {
             let settings = PolicySettings::default();
             let policy = build(name, &settings, self.context.next_seed());
             policies.insert(pool.clone(), policy);
--- a/crates/node/src/executor/running.rs
+++ b/crates/node/src/executor/running.rs
@@ -15,8 +15,6 @@
     Preempted,
     /// Its tokens fell behind the staleness bound.
     TooStale,
-    /// Nobody needs the result any more.
-    NotNeeded,
 }
 
 /// Executions running now.
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -74,9 +74,7 @@
     /// Ends a permit or an ask.
     pub(crate) fn release(&self, request: &ReleaseRequest) {
         let now = self.context.now();
-        self.with_home(&request.engine, |home| {
-            home.admission.release(now, request)
-        });
+        self.with_home(&request.engine, |home| home.admission.release(now, request));
     }
 
     /// Drops what a dead node held.
@@ -122,7 +120,8 @@
                 }
                 AdmissionAction::EngineResumed => {
                     log::info!(engine = engine.as_str(); "engine gets new work again");
-                    self.context.decide(engine.as_str(), Decision::EngineResumed);
+                    self.context
+                        .decide(engine.as_str(), Decision::EngineResumed);
                 }
             }
         }
--- a/crates/node/src/homes/poller.rs
+++ b/crates/node/src/homes/poller.rs
@@ -152,7 +152,12 @@
             location: due.location,
         },
     };
-    let ordered = homes.context.environment.engines.order(endpoint, order).await;
+    let ordered = homes
+        .context
+        .environment
+        .engines
+        .order(endpoint, order)
+        .await;
     match ordered {
         Ok(()) => homes.context.decide(
             endpoint.name.as_str(),
--- a/crates/node/src/jobs/committer.rs
+++ b/crates/node/src/jobs/committer.rs
@@ -44,11 +44,7 @@
     }
 }
 
-async fn run(
-    context: Arc<NodeContext>,
-    stream: StreamName,
-    mut receiver: mpsc::Receiver<Pending>,
-) {
+async fn run(context: Arc<NodeContext>, stream: StreamName, mut receiver: mpsc::Receiver<Pending>) {
     let mut batch = Vec::new();
     while receiver
         .recv_many(&mut batch, context.settings.commit_batch)
@@ -69,7 +65,10 @@
     batch: &[Pending],
 ) -> LogOffset {
     loop {
-        let payloads = batch.iter().map(|pending| pending.payload.clone()).collect();
+        let payloads = batch
+            .iter()
+            .map(|pending| pending.payload.clone())
+            .collect();
         match context.environment.log.append(stream, payloads).await {
             Ok(first) => return first,
             Err(error) => {
--- a/crates/node/src/jobs/feed.rs
+++ b/crates/node/src/jobs/feed.rs
@@ -85,7 +85,10 @@
         if is_acknowledged(&followed, step) {
             return Ok(());
         }
-        if !followed.follower.with(|fold| fold.ledger.step_complete(step)) {
+        if !followed
+            .follower
+            .with(|fold| fold.ledger.step_complete(step))
+        {
             return Err(step_not_complete(step));
         }
         let record = JobRecord::StepAcknowledged {
--- a/crates/node/src/jobs/follower.rs
+++ b/crates/node/src/jobs/follower.rs
@@ -26,10 +26,7 @@
     fn apply(&mut self, record: &RawRecord) {
         let applied = match codec::decode::<JobRecord>(&record.payload) {
             Ok(decoded) => self.ledger.apply(record.offset, &decoded),
-            Err(_undecodable) => self
-                .ledger
-                .skip(record.offset)
-                .map(|()| JobEffect::Ignored),
+            Err(_undecodable) => self.ledger.skip(record.offset).map(|()| JobEffect::Ignored),
         };
         match applied {
             Ok(JobEffect::Rejected { id, reason, .. }) => {
--- a/crates/node/src/jobs/owner.rs
+++ b/crates/node/src/jobs/owner.rs
@@ -260,7 +260,10 @@
         let slots: Vec<OpenSlot> = follower.with(|fold| fold.ledger.open_slots().collect());
         let straggling = is_near_end(&slots, spec);
         let mut active = lock(&self.owned.active);
-        let room = context.settings.max_running_samples.saturating_sub(active.len());
+        let room = context
+            .settings
+            .max_running_samples
+            .saturating_sub(active.len());
         let idle: Vec<OpenSlot> = slots
             .into_iter()
             .filter(|slot| !active.contains_key(&self.sample_id(slot)))
@@ -278,8 +281,8 @@
         let expected: Vec<ExpectedSample> = slots
             .iter()
             .map(|slot| ExpectedSample {
+                index: slot.index,
                 expected_tokens: lengths.expected_tokens(slot.prompt_index, spec.max_tokens),
-                step: slot.step,
             })
             .collect();
         dispatch_order(&expected)
--- a/crates/node/src/jobs/sample_runner.rs
+++ b/crates/node/src/jobs/sample_runner.rs
@@ -164,7 +164,7 @@
                 attempt,
                 kept_tokens,
             },
-            Some(StopCause::TooStale | StopCause::NotNeeded) => return,
+            Some(StopCause::TooStale) => return,
             None => Decision::Refused(failure.refusal.clone()),
         };
         self.context.decide(task.id.to_string(), decision);
@@ -214,13 +214,7 @@
         }
     }
 
-    async fn commit(
-        &self,
-        task: &SampleTask,
-        attempt: AttemptId,
-        progress: Progress,
-        reward: f64,
-    ) {
+    async fn commit(&self, task: &SampleTask, attempt: AttemptId, progress: Progress, reward: f64) {
         let Some(placement) = progress.placement else {
             return;
         };
@@ -243,7 +237,8 @@
         follower.reached(LogOffset(offset.0 + 1)).await;
         if !self.is_slot_open(&task.id) {
             let subject = task.id.to_string();
-            self.context.decide(subject, Decision::Committed { attempt });
+            self.context
+                .decide(subject, Decision::Committed { attempt });
         }
     }
 
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -248,7 +248,11 @@
     }
 
     async fn run_at_most_once(&self, request: CallerRequest, mut sender: AnswerSender) {
-        let claimed = match self.at_most_once.claim(&request, self.deadline(&request)).await {
+        let claimed = match self
+            .at_most_once
+            .claim(&request, self.deadline(&request))
+            .await
+        {
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
         };
@@ -354,7 +358,11 @@
 fn truthful_reason(reason: RefusalReason, ran: bool) -> Refusal {
     Refusal {
         reason,
-        execution: if ran { Execution::Ran } else { Execution::NotRun },
+        execution: if ran {
+            Execution::Ran
+        } else {
+            Execution::NotRun
+        },
         retry_after: Some(Duration::from_secs(1)),
     }
 }
--- a/crates/node/src/member_service.rs
+++ b/crates/node/src/member_service.rs
@@ -7,9 +7,10 @@
 use havenstage_membership::{Membership, MembershipAction, MembershipInput, MembershipSettings};
 use havenstage_platform::machine_list::MachineRole;
 use havenstage_types::clock::Moment;
+use havenstage_types::config::MemberList;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::ids::{LogOffset, NodeId};
-use havenstage_types::member::{MemberIdentity, MemberList, MembershipView};
+use havenstage_types::member::{MemberIdentity, MembershipView};
 use tokio::sync::{mpsc, watch};
 
 use crate::environment::Environment;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -11,9 +11,7 @@
 };
 use havenstage_types::ids::{ChangeId, ModelName, NodeId, Revision, VersionNumber, streams};
 use havenstage_types::peer::PeerRequestBody;
-use havenstage_types::resource::{
-    ResourceKey, ResourceKind, ResourceSpec, WeightVersionSpec,
-};
+use havenstage_types::resource::{ResourceKey, ResourceKind, ResourceSpec, WeightVersionSpec};
 use tokio::time::{Instant, timeout_at};
 
 use crate::context::NodeContext;
@@ -70,10 +68,7 @@
     apply(context, change, wait_in_force).await
 }
 
-async fn decide(
-    context: &NodeContext,
-    change: ConfigChange,
-) -> Result<ChangeOutcome, ChangeError> {
+async fn decide(context: &NodeContext, change: ConfigChange) -> Result<ChangeOutcome, ChangeError> {
     let deadline = Instant::now() + DECISION_TIMEOUT;
     let state = context.state();
     if let Some(outcome) = state.outcome_of(&change.id) {
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -6,16 +6,16 @@
 use havenstage_platform::peer::PeerHandler;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::ids::LogOffset;
-use havenstage_types::peer::{
-    PeerRequest, PeerRequestBody, PeerResponse, PeerResponseBody,
-};
+use havenstage_types::peer::{PeerRequest, PeerRequestBody, PeerResponse, PeerResponseBody};
 
 use crate::node::Node;
 
 #[async_trait]
 impl PeerHandler for Node {
     async fn handle_request(&self, request: PeerRequest) -> PeerResponse {
-        self.context.members.note_offset(request.from, request.config_offset);
+        self.context
+            .members
+            .note_offset(request.from, request.config_offset);
         let body = self.answer(request.body).await;
         PeerResponse {
             config_offset: self.context.config_offset(),
@@ -25,7 +25,10 @@
 
     async fn handle_gossip(&self, from: SocketAddr, packet: GossipPacket) {
         let context = &self.context;
-        context.members.packet(&context.environment, from, packet).await;
+        context
+            .members
+            .packet(&context.environment, from, packet)
+            .await;
     }
 }
 
