--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -4,9 +4,10 @@
 //!
 //! * The first claim for a free key holds it. A claim by another attempt while the key is held
 //!   loses, and its attempt is closed for good: it does not queue. When the holder abandons, the
-//!   next *new* attempt's claim wins. An attempt that was told [`ClaimVerdict::HeldBy`] and went
-//!   away can therefore never come to hold the key unnoticed, not even when a copy of its claim is
-//!   appended late.
+//!   next *new* attempt's claim wins. Once an attempt's claim has lost it can therefore never come
+//!   to hold the key unnoticed, not even when a copy of the claim is appended late.
+//!   An attempt that was told [`ClaimVerdict::HeldBy`] before its own claim was read back, and
+//!   goes away, must be abandoned by its claimant, since that claim may still arrive first.
 //! * An abandoned attempt is closed for good, also when its abandonment is appended before its
 //!   claim. An abandonment counts as long as the attempt has no outcome; the claimant writes it
 //!   only when it has not dispatched and never will.
--- a/crates/ledger/src/claims/entry.rs
+++ b/crates/ledger/src/claims/entry.rs
@@ -26,9 +26,11 @@
 }
 
 impl KeyEntry {
-    /// Applies a claim: it takes a free key, and else closes its attempt for good.
+    /// Applies a claim: it takes a free key, and else closes its attempt for good. A late copy of a
+    /// closed attempt's claim renews the memory that it is closed.
     pub(super) fn claim(&mut self, offset: LogOffset, claim: &Claim) {
         if self.is_closed(claim.attempt) {
+            self.close(offset, claim.attempt);
             return;
         }
         match &self.holder {
--- a/crates/ledger/src/jobs.rs
+++ b/crates/ledger/src/jobs.rs
@@ -21,7 +21,7 @@
 
 use std::collections::BTreeMap;
 
-use havenstage_types::ids::{JobName, LogOffset, Revision, StepNumber, VersionNumber};
+use havenstage_types::ids::{AttemptId, JobName, LogOffset, Revision, StepNumber, VersionNumber};
 use havenstage_types::job::{DropReason, JobRecord, JobRules, Sample};
 use serde::{Deserialize, Serialize};
 
@@ -149,28 +149,23 @@
         if sample.id.job != self.job {
             return Judgement::Rejected(DropReason::Malformed);
         }
-        let newest = self.newest_version.max(Some(versions.newest));
-        self.newest_version = newest;
+        let newest = self
+            .newest_version
+            .map_or(versions.newest, |known| known.max(versions.newest));
+        self.newest_version = Some(newest);
         let (Some(in_force), Some(step)) = (&self.in_force, self.open.get(&sample.id.step)) else {
             return Judgement::Rejected(DropReason::StepNotOpen);
         };
         if let Some(winner) = step.filled_by(sample.id.index) {
-            if winner == sample.attempt {
-                return Judgement::Repeated;
-            }
-            return Judgement::Rejected(DropReason::SlotFilled);
+            return judge_late(sample, winner);
         }
         let prompt = step.prompt_index(sample.id.index, in_force.rules.prompt_count);
         if prompt != Some(sample.prompt_index) {
             return Judgement::Rejected(DropReason::RulesChanged);
         }
-        let newest = newest.unwrap_or(versions.newest);
-        let bound = StalenessBound(in_force.rules.staleness_bound);
-        if bound.is_too_stale(versions.oldest, newest) {
-            return Judgement::Rejected(DropReason::TooStale {
-                oldest: versions.oldest,
-                newest,
-            });
+        let oldest = versions.oldest;
+        if StalenessBound(in_force.rules.staleness_bound).is_too_stale(oldest, newest) {
+            return Judgement::Rejected(DropReason::TooStale { oldest, newest });
         }
         Judgement::Accepted
     }
@@ -227,6 +222,14 @@
     Rejected(DropReason),
 }
 
+/// Decides about a sample whose slot `winner` has filled.
+fn judge_late(sample: &Sample, winner: AttemptId) -> Judgement {
+    if winner == sample.attempt {
+        return Judgement::Repeated;
+    }
+    Judgement::Rejected(DropReason::SlotFilled)
+}
+
 /// Whether the fold can work with the rules; the configuration refuses others beforehand.
 fn is_usable(rules: &JobRules) -> bool {
     rules.samples_per_step > 0
