Count the dispatch window once

Cause: the permit's window already contains the time spent in the queue; the executor added it again, so a late dispatch could slip through. Change: compare with the permit's window alone. Ruled out: measuring from the answer's arrival, which a frozen process can receive late.

--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -242,8 +242,7 @@
     ) -> Result<EngineEndpoint, ExecutionFailure> {
         self.context.check_dispatch().map_err(not_run)?;
         let engine = &admitted.permit.engine;
-        let expired = admitted.asked_at.elapsed()
-            > admitted.permit.dispatch_within + Duration::from_millis(admitted.permit.queued_ms);
+        let expired = admitted.asked_at.elapsed() > admitted.permit.dispatch_within;
         let state = self.context.state();
         let spec = state
             .engine(engine)
