Add HTTP clients of the platform and servers that take its place

Cause: nodes need the log, the machine list, the weight store, the scorer and engines over HTTP, and tests need something that answers.

Change: platform-http has one module per wire format, with the bodies public so that the servers share them. standin has a server for each; every one takes commands on /misbehave and shows what it saw on /record. A closed gate breaks open connections and refuses new ones, as a dead process does.

Ruled out: stream names in the path of the log's requests, since a name may contain any character; NotSent for a pooled connection that broke, since the request may have been written.

--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,277 @@
+//! Stand-in of an engine: the model of `havenstage-emulator` on the real clock, behind the
+//! engines' HTTP dialect.
+
+mod routes;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use havenstage_emulator::{Engine, EngineOutput, EngineSettings, EngineTime, ExecutionRecord};
+use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
+use havenstage_types::engine::{LoadReport, TokenChunk};
+use havenstage_types::ids::{AttemptId, VersionNumber};
+use http::{StatusCode, Uri};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use crate::gate::Gate;
+use crate::server::{OUTAGE_DELAY, Running, Standin, StandinError};
+
+/// Settings of the engine stand-in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineStandinSettings {
+    /// Settings of the model.
+    pub engine: EngineSettings,
+    /// Seed of boot ids and random failures.
+    pub seed: u64,
+    /// Milliseconds a crashed engine takes to start again.
+    pub restart_ms: u64,
+    /// Weight store to fetch versions from; without it a fetch takes the time the model says.
+    pub weight_store: Option<SocketAddr>,
+    /// Milliseconds a fetch from the weight store may take.
+    pub fetch_timeout_ms: u64,
+    /// HTTP client for the weight store.
+    pub http_client: HttpClientSettings,
+}
+
+impl Default for EngineStandinSettings {
+    fn default() -> Self {
+        Self {
+            engine: EngineSettings::default(),
+            seed: 0,
+            restart_ms: 1_000,
+            weight_store: None,
+            fetch_timeout_ms: 60_000,
+            http_client: HttpClientSettings::default(),
+        }
+    }
+}
+
+impl EngineStandinSettings {
+    /// Checks every field against its allowed range.
+    pub fn validate(&self) -> Result<(), StandinError> {
+        self.engine.validate()?;
+        self.http_client.validate()?;
+        if self.fetch_timeout_ms == 0 {
+            return Err(StandinError::InvalidSetting {
+                field: "fetch_timeout_ms",
+                allowed: "1 or more",
+            });
+        }
+        Ok(())
+    }
+}
+
+/// Commands of the engine stand-in.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineMisbehaviour {
+    /// Break all connections and start again empty, with the initial version and a new boot id.
+    Crash,
+    /// Say that it is leaving and refuse new requests.
+    Leave,
+}
+
+/// What the engine stand-in ran.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineStandinRecord {
+    /// Boot id of every run, the present one last.
+    pub boots: Vec<u64>,
+    /// Versions loaded, in order.
+    pub versions_loaded: Vec<VersionNumber>,
+    /// Versions whose swap failed, in order.
+    pub failed_swaps: Vec<VersionNumber>,
+    /// All executions by attempt.
+    pub executions: Vec<ExecutionRecord>,
+}
+
+/// State of the engine stand-in.
+#[derive(Debug)]
+pub struct EngineStandin {
+    settings: EngineStandinSettings,
+    started: Instant,
+    gate: Gate,
+    client: HttpClient,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+#[derive(Debug)]
+struct Inner {
+    engine: Engine,
+    streams: BTreeMap<AttemptId, mpsc::UnboundedSender<TokenChunk>>,
+    boots: Vec<u64>,
+    versions_loaded: Vec<VersionNumber>,
+    failed_swaps: Vec<VersionNumber>,
+}
+
+impl EngineStandin {
+    /// Starts an engine on `listener`.
+    pub async fn start(
+        listener: TcpListener,
+        mut settings: EngineStandinSettings,
+    ) -> Result<Running<Self>, StandinError> {
+        settings.validate()?;
+        settings.engine.swap.external_fetch = settings.weight_store.is_some();
+        let engine = Engine::new(settings.engine.clone(), settings.seed)?;
+        let gate = Gate::new();
+        let inner = Inner {
+            boots: vec![engine.load_report().boot],
+            engine,
+            streams: BTreeMap::new(),
+            versions_loaded: Vec::new(),
+            failed_swaps: Vec::new(),
+        };
+        let state = Arc::new(Self {
+            started: Instant::now(),
+            gate: gate.clone(),
+            client: HttpClient::new(settings.http_client.clone()),
+            settings,
+            inner: Mutex::new(inner),
+            wake: Notify::new(),
+        });
+        let driver = tokio::spawn(drive(state.clone()));
+        let running = Running::start(listener, gate, state, routes::routes())?;
+        Ok(running.with_task(driver))
+    }
+
+    /// What the engine says about itself now.
+    pub fn load_report(&self) -> LoadReport {
+        self.lock().engine.load_report()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> EngineTime {
+        EngineTime(0) + self.started.elapsed()
+    }
+
+    fn to_instant(&self, time: EngineTime) -> Instant {
+        self.started + Duration::from_micros(time.0)
+    }
+
+    /// Moves the model on to the present and hands out what it put out.
+    fn step(self: &Arc<Self>) -> Option<EngineTime> {
+        let now = self.now();
+        let mut inner = self.lock();
+        for output in inner.engine.advance(now) {
+            self.hand_out(&mut inner, output, now);
+        }
+        inner.engine.next_event_at()
+    }
+
+    fn hand_out(self: &Arc<Self>, inner: &mut Inner, output: EngineOutput, now: EngineTime) {
+        match output {
+            EngineOutput::Chunk { attempt, chunk } => inner.send(attempt, chunk, now),
+            EngineOutput::Broken { attempt } => {
+                inner.streams.remove(&attempt);
+            }
+            EngineOutput::Crashed { boot } => {
+                inner.boots.push(boot);
+                inner.streams.clear();
+                let outage = Duration::from_millis(self.settings.restart_ms);
+                self.gate.schedule_outage(OUTAGE_DELAY, outage);
+            }
+            EngineOutput::FetchWanted { version, location } => {
+                tokio::spawn(fetch(self.clone(), version, location));
+            }
+            EngineOutput::VersionLoaded(version) => inner.versions_loaded.push(version),
+            EngineOutput::SwapFailed(version) => inner.failed_swaps.push(version),
+            EngineOutput::Cache(_) => {}
+        }
+    }
+}
+
+impl Inner {
+    /// Sends a chunk to its caller; an execution whose caller is gone is cancelled.
+    fn send(&mut self, attempt: AttemptId, chunk: TokenChunk, now: EngineTime) {
+        let finished = chunk.finish.is_some();
+        let Some(stream) = self.streams.get(&attempt) else {
+            return;
+        };
+        let caller_gone = stream.send(chunk).is_err();
+        if caller_gone && !finished {
+            self.engine.cancel(now, attempt);
+        }
+        if caller_gone || finished {
+            self.streams.remove(&attempt);
+        }
+    }
+}
+
+/// Runs an engine on `listener` until it fails.
+pub async fn serve(
+    listener: TcpListener,
+    settings: EngineStandinSettings,
+) -> Result<(), StandinError> {
+    EngineStandin::start(listener, settings).await?.wait().await;
+    Ok(())
+}
+
+impl Standin for EngineStandin {
+    type Misbehaviour = EngineMisbehaviour;
+    type Record = EngineStandinRecord;
+
+    fn misbehave(&self, command: EngineMisbehaviour) {
+        let now = self.now();
+        let mut inner = self.lock();
+        match command {
+            EngineMisbehaviour::Crash => inner.engine.crash(now),
+            EngineMisbehaviour::Leave => inner.engine.leave(),
+        }
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    fn record(&self) -> EngineStandinRecord {
+        let inner = self.lock();
+        EngineStandinRecord {
+            boots: inner.boots.clone(),
+            versions_loaded: inner.versions_loaded.clone(),
+            failed_swaps: inner.failed_swaps.clone(),
+            executions: inner.engine.executions().cloned().collect(),
+        }
+    }
+}
+
+/// Drives the model: sleeps until its next event or until new input comes.
+async fn drive(standin: Arc<EngineStandin>) {
+    loop {
+        let next_event_at = standin.step();
+        let woken = standin.wake.notified();
+        match next_event_at {
+            Some(time) => {
+                let deadline = standin.to_instant(time);
+                // Being woken and reaching the deadline lead to the same next step.
+                let _ = tokio::time::timeout_at(deadline, woken).await;
+            }
+            None => woken.await,
+        }
+    }
+}
+
+/// Fetches weights from the store and tells the model how that went.
+async fn fetch(standin: Arc<EngineStandin>, version: VersionNumber, location: String) {
+    let fetched = fetch_weights(&standin, &location).await;
+    log::debug!(version = version.0, fetched = fetched; "fetch from the weight store ended");
+    standin.wake.notify_one();
+}
+
+async fn fetch_weights(standin: &EngineStandin, location: &str) -> bool {
+    let Some(store) = standin.settings.weight_store else {
+        return false;
+    };
+    let Ok(location) = location.parse::<Uri>() else {
+        return false;
+    };
+    let timeout = Duration::from_millis(standin.settings.fetch_timeout_ms);
+    let answer = standin.client.get_within(store, location.path(), timeout);
+    matches!(answer.await, Ok(answer) if answer.status == StatusCode::OK)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Small HTTP servers that take the platform's place in tests and demonstrations. Each one can
+//! misbehave on command (`POST /misbehave`) and shows what it saw (`GET /record`).
+
+pub mod engine;
+pub mod gate;
+pub mod log_service;
+pub mod machine_list;
+pub mod scorer;
+pub mod server;
+pub mod weight_store;
+
+pub use server::{Running, Standin, StandinError};
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,169 @@
+//! What all stand-ins share: starting, stopping, the control paths and broken answers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures::stream;
+use havenstage_emulator::InvalidEngineSettings;
+use havenstage_platform_http::http_client::InvalidHttpClientSettings;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::gate::{Gate, GatedListener};
+
+/// Path that takes a misbehaviour command.
+pub const MISBEHAVE_PATH: &str = "/misbehave";
+/// Path that answers the stand-in's record.
+pub const RECORD_PATH: &str = "/record";
+
+/// Time for the answer to a command to leave before the command breaks the connections.
+pub(crate) const OUTAGE_DELAY: Duration = Duration::from_millis(50);
+
+/// A stand-in's state, shared by its request handlers.
+pub trait Standin: Send + Sync + Sized + 'static {
+    /// Commands that make it misbehave or behave again.
+    type Misbehaviour: DeserializeOwned + Send + 'static;
+    /// What it saw.
+    type Record: Serialize + Send + 'static;
+
+    /// Takes a command.
+    fn misbehave(&self, command: Self::Misbehaviour);
+
+    /// What it saw until now.
+    fn record(&self) -> Self::Record;
+}
+
+/// Why a stand-in could not start, or stopped.
+#[derive(Debug, Error)]
+pub enum StandinError {
+    /// The socket failed.
+    #[error("socket: {0}")]
+    Io(#[from] io::Error),
+    /// A setting is outside its range.
+    #[error("{field}: allowed is {allowed}")]
+    InvalidSetting {
+        /// Name of the field.
+        field: &'static str,
+        /// Allowed range.
+        allowed: &'static str,
+    },
+    /// The settings of the engine model are invalid.
+    #[error(transparent)]
+    InvalidEngine(#[from] InvalidEngineSettings),
+    /// The settings of an HTTP client are invalid.
+    #[error(transparent)]
+    InvalidClient(#[from] InvalidHttpClientSettings),
+}
+
+/// A stand-in that is running in this process. Dropping it stops it.
+#[derive(Debug)]
+pub struct Running<S> {
+    address: SocketAddr,
+    gate: Gate,
+    state: Arc<S>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl<S: Standin> Running<S> {
+    /// Starts serving `routes` and the control paths.
+    pub(crate) fn start(
+        listener: TcpListener,
+        gate: Gate,
+        state: Arc<S>,
+        routes: Router<Arc<S>>,
+    ) -> Result<Self, StandinError> {
+        let address = listener.local_addr()?;
+        let listener = GatedListener::new(listener, gate.clone())?;
+        let router = routes
+            .route(MISBEHAVE_PATH, post(take_command::<S>))
+            .route(RECORD_PATH, get(show_record::<S>))
+            .with_state(state.clone());
+        let server = tokio::spawn(async move {
+            if let Err(error) = axum::serve(listener, router).await {
+                log::error!(error:% = error; "stand-in stopped");
+            }
+        });
+        Ok(Self {
+            address,
+            gate,
+            state,
+            tasks: vec![server],
+        })
+    }
+
+    /// Adds a task that ends with the stand-in.
+    pub(crate) fn with_task(mut self, task: JoinHandle<()>) -> Self {
+        self.tasks.push(task);
+        self
+    }
+
+    /// Address it serves on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its gate, to refuse and break connections.
+    pub fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    /// Its state.
+    pub fn state(&self) -> &Arc<S> {
+        &self.state
+    }
+
+    /// Gives it a command, as `POST /misbehave` does.
+    pub fn misbehave(&self, command: S::Misbehaviour) {
+        self.state.misbehave(command);
+    }
+
+    /// What it saw until now.
+    pub fn record(&self) -> S::Record {
+        self.state.record()
+    }
+
+    /// Serves until the task is dropped.
+    pub async fn wait(mut self) {
+        if let Some(server) = self.tasks.first_mut() {
+            // A server task that panicked has said so on its own.
+            let _ = server.await;
+        }
+    }
+}
+
+impl<S> Drop for Running<S> {
+    fn drop(&mut self) {
+        self.gate.close();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn take_command<S: Standin>(
+    State(state): State<Arc<S>>,
+    Json(command): Json<S::Misbehaviour>,
+) {
+    state.misbehave(command);
+}
+
+async fn show_record<S: Standin>(State(state): State<Arc<S>>) -> Json<S::Record> {
+    Json(state.record())
+}
+
+/// An answer whose head is sent and whose body then breaks the connection: the caller cannot
+/// know what it would have said.
+pub(crate) fn lost_answer() -> Response {
+    let broken: Result<bytes::Bytes, io::Error> = Err(io::ErrorKind::ConnectionReset.into());
+    Body::from_stream(stream::iter([broken])).into_response()
+}
--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers shared by the tests.
+
+pub mod engines;
