--- /dev/null
+++ b/crates/history/src/checker/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
