--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod event;
 pub mod file;
 pub mod fingerprint;
+mod report;
