--- a/crates/history/src/report.rs
+++ b/crates/history/src/report.rs
@@ -47,7 +47,7 @@
     let verdict = report.verdict();
     writeln!(
         formatter,
-        "{verdict:<13}  {promise} ({} facts, {} violations)",
+        "{verdict:<13}  {promise} (facts: {}, violations: {})",
         report.facts,
         report.violations.len()
     )?;
