Model continuous batching, KV memory, swaps and lags in the engine emulator

Cause: placement, staleness and preemption can only be tried against an engine that queues, runs out of memory, swaps versions in the middle of an answer and reports late.

Change: the model runs in iterations of chunked prefill and decode on passed-in time. KV memory is held in blocks with a prefix cache that evicts the block unused for longest; live work displaces training; short memory means computing again or, if set so, a crash. A swap fetches while computing goes on and loads while it stands still, and what was generated before it is put out with the old version. Load reports lag, cache events come late and with gaps. Every execution is on record.

Ruled out: seeding answers from the engine's own seed, since a resumed or repeated sample must be the same on any engine; keeping the fencing token over a crash, since machines have no disks.

--- a/crates/emulator/src/content.rs
+++ b/crates/emulator/src/content.rs
@@ -100,8 +100,12 @@
     }
 }
 
-/// Natural-log probability that goes with a token.
-pub fn log_probability(token: u32) -> f32 {
+/// Natural-log probability that goes with each token.
+pub fn log_probabilities(tokens: &[u32]) -> Vec<f32> {
+    tokens.iter().map(|token| log_probability(*token)).collect()
+}
+
+fn log_probability(token: u32) -> f32 {
     let step = (token % LOG_PROBABILITY_STEPS) as f32 / LOG_PROBABILITY_STEPS as f32;
     LOWEST_LOG_PROBABILITY * step
 }
--- a/crates/emulator/src/output.rs
+++ b/crates/emulator/src/output.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::cache_events::CacheEvent;
+
 /// Something the engine did.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum EngineOutput {
@@ -41,25 +43,6 @@
     Cache(CacheEvent),
 }
 
-/// A late report of a change in the prefix cache. A gap in the sequence numbers is a lost report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Number of the event since the engine's boot, from 1.
-    pub sequence: u64,
-    /// What changed.
-    pub change: CacheChange,
-}
-
-/// A change in the prefix cache.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum CacheChange {
-    /// The block that ends the prefix with this hash is cached.
-    Stored(u64),
-    /// It was evicted.
-    Evicted(u64),
-}
-
 /// Why a request was not taken. Nothing ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -1,5 +1,8 @@
 //! The engine's own record of what it ran, for checks from outside.
 
+use std::collections::BTreeMap;
+
+use havenstage_types::engine::{GenerateRequest, TokenChunk};
 use havenstage_types::ids::AttemptId;
 use havenstage_types::version::VersionSegments;
 use serde::{Deserialize, Serialize};
@@ -46,3 +49,82 @@
     /// The engine crashed.
     Crashed,
 }
+
+/// Records of all executions since the engine's first start.
+#[derive(Debug, Default)]
+pub(crate) struct ExecutionLog {
+    records: Vec<ExecutionRecord>,
+    /// Attempts of the present boot, with the index of their record.
+    known: BTreeMap<AttemptId, usize>,
+}
+
+impl ExecutionLog {
+    pub(crate) fn records(&self) -> &[ExecutionRecord] {
+        &self.records
+    }
+
+    /// Whether the attempt was taken on this boot.
+    pub(crate) fn is_known(&self, attempt: AttemptId) -> bool {
+        self.known.contains_key(&attempt)
+    }
+
+    /// Begins the record of a request that was taken.
+    pub(crate) fn start(&mut self, now: EngineTime, boot: u64, request: &GenerateRequest) {
+        self.known.insert(request.attempt, self.records.len());
+        self.records.push(ExecutionRecord {
+            attempt: request.attempt,
+            subject: request.subject.clone(),
+            boot,
+            started: now,
+            first_token: None,
+            ended: None,
+            resumed_tokens: request.resume_tokens.len() as u32,
+            tokens: 0,
+            versions: VersionSegments::default(),
+            preemptions: 0,
+            outcome: ExecutionOutcome::Running,
+        });
+    }
+
+    /// Notes a chunk that was put out.
+    pub(crate) fn put_out(&mut self, now: EngineTime, attempt: AttemptId, chunk: &TokenChunk) {
+        let Some(record) = self.record_mut(attempt) else {
+            return;
+        };
+        let tokens = chunk.tokens.len() as u32;
+        if tokens > 0 {
+            record.first_token.get_or_insert(now);
+        }
+        record.tokens += tokens;
+        record.versions.push(chunk.version, tokens);
+        if chunk.finish.is_some() {
+            record.ended = Some(now);
+            record.outcome = ExecutionOutcome::Finished;
+        }
+    }
+
+    /// Notes that an execution lost its KV memory.
+    pub(crate) fn preempted(&mut self, attempt: AttemptId) {
+        if let Some(record) = self.record_mut(attempt) {
+            record.preemptions += 1;
+        }
+    }
+
+    /// Notes that an execution ended early.
+    pub(crate) fn end(&mut self, now: EngineTime, attempt: AttemptId, outcome: ExecutionOutcome) {
+        if let Some(record) = self.record_mut(attempt) {
+            record.ended = Some(now);
+            record.outcome = outcome;
+        }
+    }
+
+    /// Forgets which attempts were taken, as a new boot does; the records stay.
+    pub(crate) fn forget_attempts(&mut self) {
+        self.known.clear();
+    }
+
+    fn record_mut(&mut self, attempt: AttemptId) -> Option<&mut ExecutionRecord> {
+        let index = *self.known.get(&attempt)?;
+        self.records.get_mut(index)
+    }
+}
--- a/crates/emulator/src/settings.rs
+++ b/crates/emulator/src/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of the model; every field names its unit.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -220,7 +222,36 @@
     }
 }
 
+impl EngineSettings {
+    /// Takes away all times that an instant engine does not have.
+    pub(crate) fn with_instant_applied(mut self) -> Self {
+        if self.instant {
+            self.swap.fetch_us = 0;
+            self.swap.load_us = 0;
+            self.load_report_lag_us = 0;
+            self.kv.event_lag_us = 0;
+        }
+        self
+    }
+}
+
 impl ComputeCost {
+    /// Microseconds to generate one token after `context_tokens`.
+    pub(crate) fn decode_us(&self, context_tokens: u32) -> f64 {
+        self.decode_sequence_us + self.decode_context_token_us * f64::from(context_tokens)
+    }
+
+    /// Microseconds to compute `tokens` of a prompt.
+    pub(crate) fn prefill_us(&self, tokens: u32) -> f64 {
+        self.prefill_token_us * f64::from(tokens)
+    }
+
+    /// The time this machine takes for what takes `microseconds` at normal speed.
+    pub(crate) fn scaled(&self, microseconds: f64) -> Duration {
+        let scaled = (microseconds * self.slowness).ceil().max(1.0);
+        Duration::from_micros(scaled as u64)
+    }
+
     fn validate(&self) -> Result<(), InvalidEngineSettings> {
         positive("compute.iteration_us", self.iteration_us)?;
         not_negative("compute.prefill_token_us", self.prefill_token_us)?;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -75,6 +75,13 @@
     Crash,
     /// Say that it is leaving and refuse new requests.
     Leave,
+    /// Fail the next version swap after its load.
+    FailNextSwap,
+    /// Compute at another speed.
+    Slow {
+        /// Factor on the time of every iteration; 1 is normal speed.
+        factor: f64,
+    },
 }
 
 /// What the engine stand-in ran.
@@ -121,7 +128,7 @@
         let engine = Engine::new(settings.engine.clone(), settings.seed)?;
         let gate = Gate::new();
         let inner = Inner {
-            boots: vec![engine.load_report().boot],
+            boots: vec![engine.true_load().boot],
             engine,
             streams: BTreeMap::new(),
             versions_loaded: Vec::new(),
@@ -142,7 +149,7 @@
 
     /// What the engine says about itself now.
     pub fn load_report(&self) -> LoadReport {
-        self.lock().engine.load_report()
+        self.lock().engine.load_report(self.now())
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -224,7 +231,13 @@
         let mut inner = self.lock();
         match command {
             EngineMisbehaviour::Crash => inner.engine.crash(now),
-            EngineMisbehaviour::Leave => inner.engine.leave(),
+            EngineMisbehaviour::Leave => inner.engine.leave(now),
+            EngineMisbehaviour::FailNextSwap => inner.engine.fail_next_swap(),
+            EngineMisbehaviour::Slow { factor } => {
+                if let Err(error) = inner.engine.set_slowness(factor) {
+                    log::warn!(error:% = error; "command ignored");
+                }
+            }
         }
         drop(inner);
         self.wake.notify_one();
@@ -236,7 +249,7 @@
             boots: inner.boots.clone(),
             versions_loaded: inner.versions_loaded.clone(),
             failed_swaps: inner.failed_swaps.clone(),
-            executions: inner.engine.executions().cloned().collect(),
+            executions: inner.engine.executions().to_vec(),
         }
     }
 }
@@ -261,6 +274,8 @@
 async fn fetch(standin: Arc<EngineStandin>, version: VersionNumber, location: String) {
     let fetched = fetch_weights(&standin, &location).await;
     log::debug!(version = version.0, fetched = fetched; "fetch from the weight store ended");
+    let now = standin.now();
+    standin.lock().engine.fetch_finished(now, version, fetched);
     standin.wake.notify_one();
 }
 
