Run a call and a whole training job through the real node code in simulation

Cause: the promises can only be proved under failure if the real code runs on a virtual clock. Conclusion: the world is usable as a library (world::World).

--- a/crates/simulator/src/clients/call.rs
+++ b/crates/simulator/src/clients/call.rs
@@ -98,7 +98,11 @@
         Some(process) => pending.follow(&process, &request).await,
         None => CallEnd::Broken(BrokenCause::NotConnected),
     };
-    record(world, &request, pending.received.ending(&request.call, &end));
+    record(
+        world,
+        &request,
+        pending.received.ending(&request.call, &end),
+    );
     end
 }
 
--- a/crates/simulator/src/deployment.rs
+++ b/crates/simulator/src/deployment.rs
@@ -84,10 +84,7 @@
                 zones: zones(["bilbao-a", "bilbao-b", "oviedo-c"]),
                 zone_latency: Duration::from_micros(500),
                 client_latency: Duration::from_millis(1),
-                pools: vec![
-                    pool("tono-llm", "tono", 8),
-                    pool("aviso-app", "aviso", 3),
-                ],
+                pools: vec![pool("tono-llm", "tono", 8), pool("aviso-app", "aviso", 3)],
             },
             Self::PoValley => DeploymentSettings {
                 zones: zones(["sala-lodi", "sala-cremona", "sala-piacenza"]),
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! service, engines, machine list, scorer, weight store) and the processes of the nodes; it can be
 //! used on its own, for instance by benchmarks.
 
+pub mod clients;
 pub mod deployment;
 pub mod random;
 pub mod recorder;
--- a/crates/simulator/src/world/engine_client.rs
+++ b/crates/simulator/src/world/engine_client.rs
@@ -43,7 +43,7 @@
     async fn exchange<T, F>(&self, endpoint: &EngineEndpoint, act: F) -> Result<T, EngineError>
     where
         T: Send + 'static,
-        F: FnOnce(&SimulatedEngine) -> Result<T, EngineError> + Send + 'static,
+        F: FnOnce(&Arc<SimulatedEngine>) -> Result<T, EngineError> + Send + 'static,
     {
         let engine = self.engines.get(&endpoint.address);
         let engine = engine.ok_or(EngineError::NotSent)?.clone();
@@ -85,11 +85,7 @@
 
     /// The chunks as they arrive here. The stream ends after the finishing chunk; whatever else
     /// ends it is an error.
-    fn arriving(
-        &self,
-        there: Place,
-        chunks: mpsc::UnboundedReceiver<SentChunk>,
-    ) -> ChunkStream {
+    fn arriving(&self, there: Place, chunks: mpsc::UnboundedReceiver<SentChunk>) -> ChunkStream {
         let arrival = Arrival {
             chunks,
             network: self.network.clone(),
@@ -137,7 +133,7 @@
         engine: &EngineEndpoint,
         request: GenerateRequest,
     ) -> Result<ChunkStream, EngineError> {
-        let submit = move |engine: &SimulatedEngine| {
+        let submit = move |engine: &Arc<SimulatedEngine>| {
             engine
                 .submit(request)
                 .map(|chunks| (engine.identity().place(), chunks))
@@ -148,7 +144,7 @@
     }
 
     async fn cancel(&self, engine: &EngineEndpoint, attempt: AttemptId) -> Result<(), EngineError> {
-        let cancel = move |engine: &SimulatedEngine| {
+        let cancel = move |engine: &Arc<SimulatedEngine>| {
             engine.cancel(attempt);
             Ok(())
         };
@@ -156,7 +152,7 @@
     }
 
     async fn order(&self, engine: &EngineEndpoint, order: EngineOrder) -> Result<(), EngineError> {
-        let order = move |engine: &SimulatedEngine| {
+        let order = move |engine: &Arc<SimulatedEngine>| {
             engine.order(order).map_err(|refusal| match refusal {
                 OrderRefusal::Fenced { highest } => EngineError::Fenced { highest },
             })
@@ -165,6 +161,7 @@
     }
 
     async fn load(&self, engine: &EngineEndpoint) -> Result<LoadReport, EngineError> {
-        self.exchange(engine, |engine| Ok(engine.load_report())).await
+        self.exchange(engine, |engine| Ok(engine.load_report()))
+            .await
     }
 }
--- a/crates/simulator/src/world/engines.rs
+++ b/crates/simulator/src/world/engines.rs
@@ -8,8 +8,8 @@
     Engine, EngineOutput, EngineSettings, InvalidEngineSettings, OrderRefusal, SubmitRefusal,
 };
 use havenstage_history::event::engine::{
-    BackEndLeaving, EngineVersionCurrent, ExecutionOutcome, Finish, LeavingOrigin,
-    WorkWhileLeaving,
+    BackEndLeaving, BackEndReturned, EngineVersionCurrent, ExecutionId, ExecutionOutcome, Finish,
+    LeavingOrigin, WorkWhileLeaving,
 };
 use havenstage_history::event::{EventBody, EventSource};
 use havenstage_types::engine::{EngineOrder, GenerateRequest, LoadReport, TokenChunk};
@@ -87,8 +87,7 @@
         record_tokens: bool,
     ) -> Result<Arc<Self>, InvalidEngineSettings> {
         let model = Engine::new(settings, seed)?;
-        let boot = model.load_report().boot;
-        let version = model.load_report().version;
+        let LoadReport { boot, version, .. } = model.true_load();
         let engine = Arc::new(Self {
             identity,
             recorder,
@@ -118,9 +117,10 @@
         &self.identity
     }
 
-    /// Its report about itself.
+    /// Its report about itself, which lags behind the truth.
     pub fn load_report(&self) -> LoadReport {
-        self.lock().model.load_report()
+        let now = self.recorder.clock().engine_time();
+        self.lock().model.load_report(now)
     }
 
     /// Looks at the model, for instance at its own record of executions.
@@ -136,15 +136,21 @@
     }
 
     /// The process dies; what runs is lost. It refuses connections until [`Self::restart`].
-    pub fn crash(&self) {
+    pub fn crash(self: &Arc<Self>) {
         self.step();
         let now = self.recorder.clock().engine_time();
         let mut state = self.lock();
         let running = std::mem::take(&mut state.running);
         state.model.crash(now);
         state.down = true;
-        state.leaving_since_ms = None;
+        let was_leaving = state.leaving_since_ms.take().is_some();
         drop(state);
+        if was_leaving {
+            self.record(EventBody::BackEndReturned(BackEndReturned {
+                engine: self.identity.name.clone(),
+                origin: LeavingOrigin::Engine,
+            }));
+        }
         for execution in running.into_values() {
             self.record(execution.ended(ExecutionOutcome::Crashed, self.record_tokens));
         }
@@ -155,8 +161,8 @@
     pub fn restart(&self) {
         let mut state = self.lock();
         state.down = false;
-        state.boot = state.model.load_report().boot;
-        let (boot, version) = (state.boot, state.model.load_report().version);
+        let LoadReport { boot, version, .. } = state.model.true_load();
+        state.boot = boot;
         drop(state);
         self.record_version(boot, version);
         self.answering.notify_waiters();
@@ -182,12 +188,13 @@
 
     /// It says that it is leaving and refuses new requests.
     pub fn leave(&self) {
+        let clock = self.recorder.clock();
         let mut state = self.lock();
         if state.leaving_since_ms.is_some() || state.down {
             return;
         }
-        state.leaving_since_ms = Some(self.recorder.clock().now_ms());
-        state.model.leave();
+        state.leaving_since_ms = Some(clock.now_ms());
+        state.model.leave(clock.engine_time());
         drop(state);
         self.record(EventBody::BackEndLeaving(BackEndLeaving {
             engine: self.identity.name.clone(),
@@ -215,7 +222,7 @@
 
     /// Takes a request; its output comes through the receiver.
     pub(super) fn submit(
-        &self,
+        self: &Arc<Self>,
         request: GenerateRequest,
     ) -> Result<mpsc::UnboundedReceiver<SentChunk>, SubmitRefusal> {
         self.step();
@@ -241,7 +248,7 @@
     }
 
     /// Stops an execution; an unknown attempt is ignored.
-    pub(super) fn cancel(&self, attempt: AttemptId) {
+    pub(super) fn cancel(self: &Arc<Self>, attempt: AttemptId) {
         self.step();
         let now = self.recorder.clock().engine_time();
         let mut state = self.lock();
@@ -263,7 +270,7 @@
     }
 
     /// Moves the model on to the present and hands out what it put out.
-    fn step(&self) {
+    fn step(self: &Arc<Self>) {
         let now = self.recorder.clock().engine_time();
         let outputs = {
             let mut state = self.lock();
@@ -277,7 +284,7 @@
         }
     }
 
-    fn hand_out(&self, output: EngineOutput) {
+    fn hand_out(self: &Arc<Self>, output: EngineOutput) {
         match output {
             EngineOutput::Chunk { attempt, chunk } => self.put_out(attempt, chunk),
             EngineOutput::VersionLoaded(version) => {
@@ -304,7 +311,7 @@
             let finished = state.running.remove(&attempt);
             drop(state);
             let outcome = ExecutionOutcome::Finished(finish_of(finish));
-            for execution in finished {
+            if let Some(execution) = finished {
                 self.record(execution.ended(outcome, self.record_tokens));
             }
         } else if !listening {
@@ -320,12 +327,28 @@
         state.model.cancel(now, attempt);
         let cancelled = state.running.remove(&attempt);
         drop(state);
-        for execution in cancelled {
+        if let Some(execution) = cancelled {
             self.record(execution.ended(ExecutionOutcome::Cancelled, self.record_tokens));
         }
     }
 
-    fn fetch(&self, _version: VersionNumber) {}
+    /// Fetches weights and tells the model how that went.
+    fn fetch(self: &Arc<Self>, version: VersionNumber) {
+        let engine = self.clone();
+        let boot = self.lock().boot;
+        tokio::spawn(async move {
+            let fetched = engine.platform.fetch_weights().await;
+            let now = engine.recorder.clock().engine_time();
+            let mut state = engine.lock();
+            if state.boot != boot || state.down {
+                return;
+            }
+            let succeeds = fetched && !state.failing_swaps;
+            state.model.fetch_finished(now, version, succeeds);
+            drop(state);
+            engine.wake.notify_one();
+        });
+    }
 
     fn record_version(&self, boot: u64, version: Option<VersionNumber>) {
         let Some(version) = version else {
@@ -349,13 +372,10 @@
 }
 
 impl EngineState {
-    fn next_execution(
-        &mut self,
-        engine: &EngineName,
-    ) -> havenstage_history::event::engine::ExecutionId {
+    fn next_execution(&mut self, engine: &EngineName) -> ExecutionId {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        havenstage_history::event::engine::ExecutionId {
+        ExecutionId {
             engine: engine.clone(),
             boot: self.boot,
             sequence,
@@ -365,7 +385,7 @@
     fn complaint(
         &mut self,
         refusal: SubmitRefusal,
-        execution: havenstage_history::event::engine::ExecutionId,
+        execution: ExecutionId,
         now_ms: u64,
     ) -> Option<EventBody> {
         let since_ms = self.leaving_since_ms?;
@@ -394,7 +414,11 @@
         engine.step();
         let next_event_at = {
             let state = engine.lock();
-            if state.stalled { None } else { state.model.next_event_at() }
+            if state.stalled {
+                None
+            } else {
+                state.model.next_event_at()
+            }
         };
         let woken = engine.wake.notified();
         match next_event_at {
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -327,7 +327,8 @@
                 .list(MachineRole::Engine, address, live, Duration::ZERO);
         }
         for (index, machine) in self.machines.all().iter().enumerate() {
-            self.network.locate(Place::Node(index), machine.zone.clone());
+            self.network
+                .locate(Place::Node(index), machine.zone.clone());
         }
         for engine in self.engines.values() {
             let identity = engine.identity();
--- a/crates/simulator/src/world/services.rs
+++ b/crates/simulator/src/world/services.rs
@@ -50,13 +50,7 @@
 
     /// Tells the platform of a machine; its list shows it when the lag has passed, or at once for
     /// `lag` zero.
-    pub fn list(
-        &self,
-        role: MachineRole,
-        address: SocketAddr,
-        state: MachineState,
-        lag: Duration,
-    ) {
+    pub fn list(&self, role: MachineRole, address: SocketAddr, state: MachineState, lag: Duration) {
         let machine = Machine {
             role,
             address,
@@ -121,7 +115,10 @@
             return Err(MachineListError::Unavailable);
         }
         let visible = state.machines.values().filter_map(|history| {
-            let seen = history.iter().rev().find(|(visible_at, _)| *visible_at <= now);
+            let seen = history
+                .iter()
+                .rev()
+                .find(|(visible_at, _)| *visible_at <= now);
             seen.and_then(|(_, machine)| machine.clone())
         });
         Ok(visible.collect())
@@ -159,7 +156,10 @@
             (arrived && answered).then_some(result)
         };
         let patience = self.network.settings().request_timeout;
-        tokio::time::timeout(patience, exchange).await.ok().flatten()
+        tokio::time::timeout(patience, exchange)
+            .await
+            .ok()
+            .flatten()
     }
 }
 
