--- a/crates/simulator/src/world/clock.rs
+++ b/crates/simulator/src/world/clock.rs
@@ -22,6 +22,12 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Milliseconds from the start to a moment.
+    pub fn ms_at(&self, moment: Instant) -> u64 {
+        let since = moment.saturating_duration_since(self.start);
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// The same time as the engines' model counts it.
     pub fn engine_time(&self) -> EngineTime {
         EngineTime(0) + self.start.elapsed()
--- a/crates/simulator/src/world/log.rs
+++ b/crates/simulator/src/world/log.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use havenstage_platform::log_service::{LogError, LogService, ReadBatch};
-use havenstage_types::ids::{LogOffset, StreamName};
+use havenstage_types::ids::{LogOffset, StreamName, streams};
 use havenstage_types::peer::RawRecord;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot};
@@ -63,6 +63,8 @@
 struct LogState {
     streams: BTreeMap<StreamName, Vec<Bytes>>,
     counts: BTreeMap<String, StreamCounts>,
+    /// When each record of the configuration stream was appended.
+    config_appended_at: Vec<Instant>,
     /// Faults by their number.
     faults: BTreeMap<u64, LogFault>,
 }
@@ -100,6 +102,10 @@
         counts.appends += 1;
         counts.records += records.len() as u64;
         counts.bytes += records.iter().map(size_of_record).sum::<u64>();
+        if *stream == streams::config() {
+            let times = std::iter::repeat_n(Instant::now(), records.len());
+            state.config_appended_at.extend(times);
+        }
         let stored = state.streams.entry(stream.clone()).or_default();
         let first = LogOffset(stored.len() as u64);
         stored.extend(records);
@@ -114,6 +120,12 @@
         state.streams.get(stream).cloned().unwrap_or_default()
     }
 
+    /// When the configuration record at `offset` was appended.
+    pub fn config_appended_at(&self, offset: LogOffset) -> Option<Instant> {
+        let index = usize::try_from(offset.0).ok()?;
+        self.lock().config_appended_at.get(index).copied()
+    }
+
     /// What was counted, by kind of stream (the name up to its first number or job).
     pub fn counts(&self) -> BTreeMap<String, StreamCounts> {
         self.lock().counts.clone()
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -24,7 +24,7 @@
 mod peers;
 pub mod place;
 pub mod process;
-mod resources;
+pub mod resources;
 pub mod services;
 pub mod settings;
 
@@ -220,10 +220,11 @@
         let Some(process) = self.machines.process(machine) else {
             return;
         };
-        for node in process.identities() {
-            self.record(EventBody::NodeFrozen(NodeEvent { node }));
+        if process.freeze() {
+            for node in process.identities() {
+                self.record(EventBody::NodeFrozen(NodeEvent { node }));
+            }
         }
-        process.spawner().hold();
     }
 
     /// Lets a frozen node run again.
@@ -231,10 +232,11 @@
         let Some(process) = self.machines.process(machine) else {
             return;
         };
-        for node in process.identities() {
-            self.record(EventBody::NodeWoken(NodeEvent { node }));
+        if process.wake() {
+            for node in process.identities() {
+                self.record(EventBody::NodeWoken(NodeEvent { node }));
+            }
         }
-        process.spawner().release();
     }
 
     /// Stops the node on a machine in good order and returns when its process has exited.
--- a/crates/simulator/src/world/process.rs
+++ b/crates/simulator/src/world/process.rs
@@ -1,6 +1,6 @@
 //! The process of a node: one run of the real node code behind a gate of its own.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use havenstage_node::node::Node;
@@ -15,6 +15,7 @@
     node: Arc<Node>,
     spawner: TaskSpawner,
     ended: CancellationToken,
+    frozen: AtomicBool,
     open_calls: TaskTracker,
     requests: AtomicU64,
     /// Every identity the process has had; it takes a new one when the others had declared it
@@ -30,6 +31,7 @@
             node,
             spawner,
             ended: CancellationToken::new(),
+            frozen: AtomicBool::new(false),
             open_calls: TaskTracker::new(),
             requests: AtomicU64::new(0),
             identities: Mutex::new(vec![first]),
@@ -90,6 +92,18 @@
         self.ended.is_cancelled()
     }
 
+    /// Holds the process up; `false` when it was held up already.
+    pub(super) fn freeze(&self) -> bool {
+        self.spawner.hold();
+        !self.frozen.swap(true, Ordering::Relaxed)
+    }
+
+    /// Lets the process go on; `false` when it was not held up.
+    pub(super) fn wake(&self) -> bool {
+        self.spawner.release();
+        self.frozen.swap(false, Ordering::Relaxed)
+    }
+
     pub(super) fn end(&self) {
         self.spawner.close();
         self.ended.cancel();
