Tell a node's new identity how far its configuration reaches

Cause: a node that was declared dead joins under a new identity whose membership believed that no configuration was applied. Change: the new membership is told the offset that is applied; an answer of the node itself tells nothing. Ruled out: only dropping the node's own answers, since it would go on gossiping offset 0.

--- a/crates/node/src/member_service.rs
+++ b/crates/node/src/member_service.rs
@@ -85,16 +85,22 @@
 
     /// A peer's answer showed how far it has applied the configuration.
     pub(crate) fn note_offset(&self, node: NodeId, offset: LogOffset) {
-        let own = lock(&self.membership)
-            .view()
-            .members
-            .get(&self.identity().id)
-            .map_or(LogOffset(0), |member| member.config_offset);
-        if offset > own {
+        let own = self.identity().id;
+        // A request to itself tells a node nothing new.
+        if node != own && offset > self.reported_offset(own) {
             let _ = self.behind.try_send(node);
         }
     }
 
+    /// Configuration offset that membership knows of a member.
+    fn reported_offset(&self, node: NodeId) -> LogOffset {
+        lock(&self.membership)
+            .view()
+            .members
+            .get(&node)
+            .map_or(LogOffset(0), |member| member.config_offset)
+    }
+
     /// Remembers where other nodes may be found.
     pub(crate) fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *lock(&self.seeds) = seeds;
@@ -164,6 +170,9 @@
             .chain(self.seeds())
             .collect();
         membership.handle(now, MembershipInput::Seeds(known));
+        // The configuration is kept, only the identity is new.
+        let applied = MembershipInput::ConfigApplied(self.reported_offset(old.id));
+        membership.handle(now, applied);
         *self
             .identity
             .write()
