Assign samples to all nodes instead of running them at the job's owner

Cause: one node would have followed every token stream of a job, about 72,000 tokens a second at the size aimed for, and its loss would have thrown away every running sample of the step. Change: the owner assigns each slot to the node that rendezvous hashing names; that node runs the sample and commits it itself. The next owner assigns to the same node and joins the run. A node that stops hands its progress back, to be resumed elsewhere. Ruled out: checkpoints of progress in the log (traffic for every sample) and fixed shards of a step (a shard's node lost would stall it until re-sharded). Conclusion: a lost owner costs no tokens, a lost node only its own samples.

--- a/crates/ledger/src/jobs/view.rs
+++ b/crates/ledger/src/jobs/view.rs
@@ -1,6 +1,8 @@
 //! What a [`JobLedger`] tells its readers.
 
-use havenstage_types::ids::{JobName, LogOffset, Revision, SampleId, StepNumber, VersionNumber};
+use havenstage_types::ids::{
+    AttemptId, JobName, LogOffset, Revision, SampleId, StepNumber, VersionNumber,
+};
 use havenstage_types::job::{JobRules, SampleBatch};
 
 use super::step::OpenStep;
@@ -47,6 +49,16 @@
         })
     }
 
+    /// Whether a slot of an open step has no sample yet.
+    pub fn is_open(&self, step: StepNumber, index: u32) -> bool {
+        self.prompt_index(step, index).is_some() && self.filled_by(step, index).is_none()
+    }
+
+    /// The attempt whose sample fills a slot of an open step.
+    pub fn filled_by(&self, step: StepNumber, index: u32) -> Option<AttemptId> {
+        self.open.get(&step)?.filled_by(index)
+    }
+
     /// Identifier of a slot of this job.
     pub fn sample_id(&self, step: StepNumber, index: u32) -> SampleId {
         SampleId {
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -2,7 +2,9 @@
 //!
 //! Members with the same view agree, and when a member goes only its own roles move.
 
-use havenstage_types::ids::{EngineName, IdempotencyKey, JobName, NodeId, Partition, Zone};
+use havenstage_types::ids::{
+    EngineName, IdempotencyKey, JobName, NodeId, Partition, SampleId, Zone,
+};
 use havenstage_types::member::{Member, MembershipView};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -13,6 +15,7 @@
     Engine = 2,
     Job = 3,
     ConfigRecorder = 4,
+    Sample = 5,
 }
 
 /// The member that leads a partition; `None` when there is no member that may own roles.
@@ -32,6 +35,12 @@
     highest(view.owners(), Role::Job, job.as_str().as_bytes())
 }
 
+/// The member that runs a sample. The same member is chosen by the next owner of the job, so that
+/// a run under way goes on when the owner is lost.
+pub fn runner_of_sample(view: &MembershipView, sample: &SampleId) -> Option<NodeId> {
+    highest(view.owners(), Role::Sample, sample.to_string().as_bytes())
+}
+
 /// The member that writes member lists and snapshots to the configuration stream.
 pub fn config_recorder(view: &MembershipView) -> Option<NodeId> {
     highest(view.owners(), Role::ConfigRecorder, &[])
--- a/crates/node/src/executor/progress.rs
+++ b/crates/node/src/executor/progress.rs
@@ -19,6 +19,11 @@
 }
 
 impl Progress {
+    /// Number of tokens so far.
+    pub(crate) fn token_count(&self) -> u32 {
+        u32::try_from(self.tokens.len()).unwrap_or(u32::MAX)
+    }
+
     /// Adds a chunk.
     pub(crate) fn add(&mut self, chunk: &TokenChunk) {
         let token_count = u32::try_from(chunk.tokens.len()).unwrap_or(u32::MAX);
--- a/crates/node/src/jobs/owner.rs
+++ b/crates/node/src/jobs/owner.rs
@@ -1,40 +1,40 @@
-//! Owns jobs: keeps the rules and versions of each in its stream and runs its open slots. Two
-//! owners at once only do work twice; the stream's order decides which sample counts.
+//! Owns jobs: keeps the rules and versions of each in its stream and assigns its open slots to
+//! nodes. Two owners at once assign a slot to the same node, which runs it once; whatever happens,
+//! the stream's order decides which sample counts.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use havenstage_ledger::jobs::OpenSlot;
-use havenstage_ledger::staleness::StalenessBound;
 use havenstage_membership::ownership;
 use havenstage_placement::stragglers::{ExpectedSample, dispatch_order};
-use havenstage_types::ids::{JobName, Revision, SampleId, StepNumber, VersionNumber, streams};
+use havenstage_types::ids::{JobName, Revision, SampleId, StepNumber, streams};
 use havenstage_types::job::{JobRecord, JobRules};
+use havenstage_types::peer::{SampleAssignment, SampleProgress};
 use havenstage_types::resource::{JobSpec, job_key};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::committer::Committer;
 use super::follower::{FollowedJob, JobFollowers};
-use super::sample_runner::{SampleRunner, SampleTask};
+use super::sample_drive::SampleDrive;
 use crate::context::NodeContext;
-use crate::executor::Executor;
-use crate::executor::running::RunningAttempts;
 use crate::locks::lock;
 use crate::node::JobStatus;
 
 /// Time after which a job is looked at even if nothing is known to have changed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Samples assigned at once, in percent of the pool's slots.
+const ASSIGNED_PERCENT: usize = 125;
+
 /// A step with fewer open slots than this share (in percent) is near its end.
 const STRAGGLER_PERCENT: u64 = 10;
 
 /// The jobs this node owns.
 pub(crate) struct JobOwners {
     context: Arc<NodeContext>,
-    executor: Arc<Executor>,
-    running: Arc<RunningAttempts>,
     followers: Arc<JobFollowers>,
     owned: Mutex<BTreeMap<JobName, Arc<OwnedJob>>>,
 }
@@ -43,11 +43,10 @@
 pub(super) struct OwnedJob {
     pub(super) job: JobName,
     pub(super) followed: Arc<FollowedJob>,
-    pub(super) committer: Committer,
+    committer: Committer,
     /// Slots with a task; a task removes its own when it ends.
     pub(super) active: Mutex<BTreeMap<SampleId, JoinHandle<Option<()>>>>,
     pub(super) slot_freed: Notify,
-    pub(super) newest: watch::Sender<Option<VersionNumber>>,
     pub(super) lengths: Mutex<havenstage_placement::stragglers::LengthEstimator>,
     task: Mutex<Option<JoinHandle<Option<()>>>>,
 }
@@ -64,16 +63,9 @@
 }
 
 impl JobOwners {
-    pub(crate) fn new(
-        context: Arc<NodeContext>,
-        executor: Arc<Executor>,
-        running: Arc<RunningAttempts>,
-        followers: Arc<JobFollowers>,
-    ) -> Arc<Self> {
+    pub(crate) fn new(context: Arc<NodeContext>, followers: Arc<JobFollowers>) -> Arc<Self> {
         Arc::new(Self {
             context,
-            executor,
-            running,
             followers,
             owned: Mutex::new(BTreeMap::new()),
         })
@@ -128,7 +120,6 @@
             job,
             active: Mutex::new(BTreeMap::new()),
             slot_freed: Notify::new(),
-            newest: watch::Sender::new(None),
             lengths: Mutex::default(),
             task: Mutex::new(None),
         });
@@ -220,12 +211,6 @@
             self.append_and_read_back(&JobRecord::VersionPublished(version))
                 .await;
         }
-        let newest = follower.with(|fold| fold.ledger.newest_version());
-        self.owned.newest.send_if_modified(|current| {
-            let changed = *current != newest;
-            *current = newest;
-            changed
-        });
     }
 
     async fn append_and_read_back(&self, record: &JobRecord) {
@@ -260,10 +245,7 @@
         let slots: Vec<OpenSlot> = follower.with(|fold| fold.ledger.open_slots().collect());
         let straggling = is_near_end(&slots, spec);
         let mut active = lock(&self.owned.active);
-        let room = context
-            .settings
-            .max_running_samples
-            .saturating_sub(active.len());
+        let room = self.room(spec).saturating_sub(active.len());
         let idle: Vec<OpenSlot> = slots
             .into_iter()
             .filter(|slot| !active.contains_key(&self.sample_id(slot)))
@@ -276,6 +258,18 @@
         }
     }
 
+    /// Samples that may be assigned at once: enough to keep the pool's queues filled, so that the
+    /// longest of the others still can go first.
+    fn room(&self, spec: &JobSpec) -> usize {
+        let state = self.owners.context.state();
+        let slots_per_engine = state
+            .pool(&spec.pool)
+            .map_or(0, |pool| pool.max_running_per_engine as usize);
+        let slots = state.engines_of_pool(&spec.pool).count() * slots_per_engine;
+        let wanted = slots * ASSIGNED_PERCENT / 100;
+        wanted.clamp(1, self.owners.context.settings.max_running_samples)
+    }
+
     fn longest_first(&self, slots: &[OpenSlot], spec: &JobSpec) -> Vec<usize> {
         let lengths = lock(&self.owned.lengths);
         let expected: Vec<ExpectedSample> = slots
@@ -300,26 +294,19 @@
             .get(slot.prompt_index as usize)
             .cloned()
             .unwrap_or_default();
-        let task = SampleTask {
+        let assignment = SampleAssignment {
             id,
             prompt_index: slot.prompt_index,
             prompt,
             pool: spec.pool.clone(),
             max_tokens: spec.max_tokens,
-            bound: StalenessBound(spec.staleness_bound),
+            staleness_bound: spec.staleness_bound,
             straggler,
+            progress: SampleProgress::default(),
         };
-        let runner = SampleRunner::new(
-            self.owners.context.clone(),
-            self.owners.executor.clone(),
-            self.owners.running.clone(),
-            self.owned.clone(),
-        );
-        self.owners
-            .context
-            .environment
-            .spawner
-            .spawn(runner.run(task))
+        let context = self.owners.context.clone();
+        let drive = SampleDrive::new(context.clone(), self.owned.clone());
+        context.environment.spawner.spawn(drive.run(assignment))
     }
 
     fn sample_id(&self, slot: &OpenSlot) -> SampleId {
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -31,6 +31,13 @@
         *self.stopping.borrow()
     }
 
+    /// Returns when a planned stop has begun.
+    pub(crate) async fn stop_begun(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // The sender lives as long as `self`, so waiting cannot fail.
+        let _ = stopping.wait_for(|stopping| *stopping).await;
+    }
+
     /// Counts a new piece of work until the guard is dropped.
     pub(crate) fn track(&self) -> InFlightGuard {
         self.in_flight.send_modify(|count| *count += 1);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,7 @@
 use crate::executor::Executor;
 use crate::executor::running::RunningAttempts;
 use crate::homes::{self, Homes};
-use crate::jobs::{self, JobFollowers, JobOwners, TrainerFeed};
+use crate::jobs::{self, JobFollowers, JobOwners, SampleRunners, TrainerFeed};
 use crate::kept_answers::KeptAnswers;
 use crate::live::LiveService;
 use crate::settings::NodeSettings;
@@ -45,6 +45,7 @@
     pub(crate) running: Arc<RunningAttempts>,
     pub(crate) claim_owner: Arc<ClaimOwner>,
     pub(crate) kept_answers: KeptAnswers,
+    pub(crate) samples: Arc<SampleRunners>,
     live: Arc<LiveService>,
     jobs: Arc<JobOwners>,
     feed: Arc<TrainerFeed>,
@@ -74,8 +75,10 @@
     pub engines: Vec<EngineStatus>,
     /// Jobs it owns.
     pub jobs: Vec<JobStatus>,
-    /// Requests in flight from callers of this node.
+    /// Requests and samples in flight at this node.
     pub in_flight: usize,
+    /// Samples this node runs.
+    pub running_samples: usize,
 }
 
 /// An engine as its home sees it.
@@ -122,12 +125,8 @@
             claim_owner: ClaimOwner::new(context.clone()),
             kept_answers,
             live: LiveService::new(context.clone(), executor.clone(), at_most_once),
-            jobs: JobOwners::new(
-                context.clone(),
-                executor,
-                running.clone(),
-                followers.clone(),
-            ),
+            samples: SampleRunners::new(context.clone(), executor, running.clone()),
+            jobs: JobOwners::new(context.clone(), followers.clone()),
             feed: TrainerFeed::new(context.clone(), followers),
             homes,
             running,
@@ -251,6 +250,7 @@
             engines: self.homes.status(),
             jobs: self.jobs.status(),
             in_flight: self.context.lifecycle.in_flight(),
+            running_samples: self.samples.active(),
         }
     }
 
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -68,6 +68,9 @@
             PeerRequestBody::Explain { subject } => {
                 PeerResponseBody::Decisions(self.context.decisions.about(&subject))
             }
+            PeerRequestBody::RunSample(assignment) => {
+                PeerResponseBody::SampleEnded(self.samples.run(*assignment).await)
+            }
             PeerRequestBody::ConfigOffset => PeerResponseBody::Done,
         }
     }
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -8,10 +8,13 @@
 use crate::claim::{Claim, ClaimOutcome, ClaimVerdict};
 use crate::config::ConfigSnapshot;
 use crate::decision::DecisionRecord;
-use crate::ids::{AttemptId, EngineName, IdempotencyKey, LogOffset, NodeId, VersionNumber};
+use crate::ids::{
+    AttemptId, EngineName, IdempotencyKey, LogOffset, NodeId, PoolName, SampleId, VersionNumber,
+};
 use crate::refusal::Refusal;
 use crate::request::WholeAnswer;
 use crate::resource::PriorityClass;
+use crate::version::VersionSegments;
 
 /// A request from one node to another, with the sender's configuration offset.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -77,6 +80,9 @@
     },
     /// Asks the holder of a permit to cancel its training work, which will resume later.
     Preempt(AttemptId),
+    /// Asks a node to run a sample and commit it; answered when it ends. Asking again while it runs
+    /// joins the run under way.
+    RunSample(Box<SampleAssignment>),
     /// Asks only for the configuration offset that every answer carries.
     ConfigOffset,
 }
@@ -100,6 +106,56 @@
     pub patience: Duration,
 }
 
+/// A sample to be run by one node on behalf of its job's owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SampleAssignment {
+    /// Slot the sample is for.
+    pub id: SampleId,
+    /// Index into the job's prompts.
+    pub prompt_index: u32,
+    /// Prompt text.
+    pub prompt: String,
+    /// Pool whose engines run it.
+    pub pool: PoolName,
+    /// Upper bound on generated tokens.
+    pub max_tokens: u32,
+    /// How many versions older than the newest one any of its tokens may be.
+    pub staleness_bound: u64,
+    /// Whether it is among the last samples of its step.
+    pub straggler: bool,
+    /// What an earlier run left, to be resumed.
+    pub progress: SampleProgress,
+}
+
+/// What the runs of a sample have produced so far.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct SampleProgress {
+    /// Token ids.
+    pub tokens: Vec<u32>,
+    /// Natural-log probability of each token; empty when the engine gives none.
+    pub log_probabilities: Vec<f32>,
+    /// The tokens as text.
+    pub text: String,
+    /// Versions that produced the tokens.
+    pub segments: VersionSegments,
+}
+
+/// How the run of a sample ended at the node that ran it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum SampleEnd {
+    /// It is in the job's stream; whether it counts is decided there.
+    Committed {
+        /// Offset of its record.
+        offset: LogOffset,
+        /// Number of its tokens.
+        token_count: u32,
+    },
+    /// The node is stopping and hands back what there is.
+    Suspended(SampleProgress),
+    /// The node cannot run it: it does not know the job or its pool (yet).
+    NotRunnable,
+}
+
 /// Ends a permit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseRequest {
@@ -162,6 +218,8 @@
     },
     /// The state of a claim.
     Claim(ClaimVerdict),
+    /// How the run of a sample ended.
+    SampleEnded(SampleEnd),
     /// The kept answer, if there is one.
     KeptAnswer(Option<WholeAnswer>),
     /// Configuration records, or a snapshot when the records are no longer kept.
