Add the program: node, ctl, standin and check

Cause: the crates had no program around them.

Change: node reads a TOML file over which options stand, refuses wrong keys, kinds and ranges with file, key, value and what is allowed (exit 2), and stops as planned on SIGTERM; ctl repeats a change of unknown outcome under one id until it is decided or the time is used up (exit 4 then, with the id); standin and check link the stand-ins and the history checker. Logs are JSON lines with the record's pairs beside the fixed fields.

Ruled out: a [membership] section, since the node takes no such settings yet; a key without effect would mislead.

Conclusion: settings, usage, help and check are tested on the built program.

--- /dev/null
+++ b/crates/havenstage/src/settings/mod.rs
@@ -0,0 +1,4 @@
+//! Settings files: reading them, and the settings of a node.
+
+pub mod file;
+pub mod node;
--- a/crates/http-api/tests/refusals.rs
+++ b/crates/http-api/tests/refusals.rs
@@ -18,13 +18,14 @@
     let answer = send("POST", "/v1/completions", &[], COMPLETION).await;
     assert_eq!(answer.status, 503);
     assert_eq!(answer.headers["x-request-id"], "r-00000000000000ab-1");
+    assert_eq!(answer.headers["retry-after"], "2");
     insta::assert_json_snapshot!(answer.json(), @r#"
     {
       "error": {
         "code": "config_stale",
         "execution": "not_run",
         "message": "configuration may be stale on this node",
-        "retry_after_ms": null
+        "retry_after_ms": 2000
       }
     }
     "#);
