Do not wait on the first read of a stream; keep node identities exact in JSON

Cause: the first at-most-once request of a partition took 2 s, because its follower's first read of an empty stream waited the whole long poll before it was known to have reached the end. Node identities of 64 bits lost their last digits in JSON readers that use doubles. Change: reads before the end is known do not wait; identities have 53 bits. Ruled out: a separate request for the stream's end (one more round trip).

--- a/crates/havenstage/src/commands/node/mod.rs
+++ b/crates/havenstage/src/commands/node/mod.rs
@@ -113,7 +113,7 @@
     http_address: SocketAddr,
 ) -> MemberIdentity {
     MemberIdentity {
-        id: NodeId(rand::random()),
+        id: NodeId::from_random(rand::random()),
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         peer_address,
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration stream, from the log while it answers and from peers otherwise.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use havenstage_config::ConfigEvent;
 use havenstage_membership::MembershipInput;
@@ -17,10 +18,13 @@
 /// Restores the last snapshot, then follows the log's configuration stream for ever.
 pub(crate) async fn run(context: Arc<NodeContext>) {
     restore_snapshot(&context).await;
+    // The first read does not wait: the node serves as soon as it knows the end.
+    let mut wait = Duration::ZERO;
     loop {
-        if follow_once(&context).await.is_err() {
+        if follow_once(&context, wait).await.is_err() {
             tokio::time::sleep(context.settings.log_retry()).await;
         }
+        wait = context.settings.log_wait();
     }
 }
 
@@ -51,7 +55,7 @@
 ) -> Result<Option<ConfigSnapshot>, havenstage_platform::log_service::LogError> {
     let stream = streams::config_snapshots();
     let log = &context.environment.log;
-    let no_wait = std::time::Duration::ZERO;
+    let no_wait = Duration::ZERO;
     let end = log
         .read(&stream, LogOffset(u64::MAX), 1, no_wait)
         .await?
@@ -69,6 +73,7 @@
 
 async fn follow_once(
     context: &NodeContext,
+    wait: Duration,
 ) -> Result<(), havenstage_platform::log_service::LogError> {
     let asked_at = context.now();
     let batch = context
@@ -78,7 +83,7 @@
             &streams::config(),
             context.config_offset(),
             RECORDS_PER_READ,
-            context.settings.log_wait(),
+            wait,
         )
         .await?;
     apply_records(context, &batch.records).await;
--- a/crates/node/src/member_service.rs
+++ b/crates/node/src/member_service.rs
@@ -179,7 +179,7 @@
     bytes[..8].copy_from_slice(&old.0.to_le_bytes());
     bytes[8..16].copy_from_slice(&seed.to_le_bytes());
     bytes[16..].copy_from_slice(&now.0.to_le_bytes());
-    NodeId(xxhash_rust::xxh3::xxh3_64(&bytes))
+    NodeId::from_random(xxhash_rust::xxh3::xxh3_64(&bytes))
 }
 
 /// Keeps time for the membership state machine and reads the machine list for seeds.
--- a/crates/node/src/stream_follower.rs
+++ b/crates/node/src/stream_follower.rs
@@ -1,6 +1,7 @@
 //! Follows one log stream into a fold and lets tasks wait until it has moved on.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use havenstage_platform::log_service::LogError;
 use havenstage_types::ids::{LogOffset, StreamName};
@@ -91,7 +92,12 @@
 
     async fn follow_once(&self, context: &NodeContext) -> Result<(), LogError> {
         let from = self.with(F::next_offset);
-        let wait = context.settings.log_wait();
+        // At an unknown distance from the end there is nothing to wait for.
+        let wait = if self.is_caught_up() {
+            context.settings.log_wait()
+        } else {
+            Duration::ZERO
+        };
         let batch = context
             .environment
             .log
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -124,6 +124,16 @@
     Partition
 );
 
+/// Bits of a node's identity. JSON readers keep integers of this size exactly.
+const NODE_ID_BITS: u32 = 53;
+
+impl NodeId {
+    /// An identity from random bits; the highest ones are left out.
+    pub fn from_random(bits: u64) -> Self {
+        Self(bits >> (u64::BITS - NODE_ID_BITS))
+    }
+}
+
 /// One try at running something, unique in the deployment: the node that made it and that node's
 /// own counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
