Let a planned stop wait until cancels and releases are delivered

Cause: read in review: the tasks that give a permit back were not counted as in flight, so a stopping node could exit before them; the engine then went on with work nobody wanted and its home kept the slot until the node was dead. Change: both tasks count as in flight. Ruled out: a fixed pause before exit.

--- a/crates/node/src/executor/held_permit.rs
+++ b/crates/node/src/executor/held_permit.rs
@@ -69,11 +69,13 @@
         };
         let context = self.context.clone();
         let attempt = self.attempt;
+        let in_flight = self.context.lifecycle.track();
         self.context.environment.spawner.spawn(async move {
             let engines = &context.environment.engines;
             if let Err(error) = engines.cancel(&endpoint, attempt).await {
                 log::debug!(engine = endpoint.name.as_str(); "cancel not delivered: {error}");
             }
+            drop(in_flight);
         });
     }
 
@@ -89,11 +91,13 @@
         }
         let context = self.context.clone();
         let home = self.home;
+        let in_flight = self.context.lifecycle.track();
         self.context.environment.spawner.spawn(async move {
             let body = PeerRequestBody::Release(request);
             if let Err(error) = context.call(home, body).await {
                 log::debug!("release not delivered: {error}");
             }
+            drop(in_flight);
         });
     }
 }
