--- a/crates/platform-http/src/http_client.rs
+++ b/crates/platform-http/src/http_client.rs
@@ -208,6 +208,18 @@
         )
         .await
     }
+
+    /// Sends bytes with PUT within the request timeout of the settings.
+    pub async fn put(
+        &self,
+        server: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<ShortAnswer, HttpError> {
+        let request = request(Method::PUT, server, path, body)?;
+        self.exchange(request, self.settings.request_timeout())
+            .await
+    }
 }
 
 /// A POST request with a JSON body.
