--- a/crates/platform-http/src/engine.rs
+++ b/crates/platform-http/src/engine.rs
@@ -258,20 +258,38 @@
         Ok(Err(_)) | Err(_) => Err(EngineError::Broken),
     });
     let events = Box::pin(bytes.eventsource());
-    stream::unfold((events, true), |(mut events, expects_more)| async move {
-        if !expects_more {
-            while let Some(Ok(_)) = events.next().await {}
-            return None;
-        }
+    stream::unfold(StreamState::Open(events), |state| async move {
+        let mut events = match state {
+            StreamState::Open(events) => events,
+            StreamState::Finished(mut events) => {
+                while let Some(Ok(_)) = events.next().await {}
+                return None;
+            }
+            StreamState::Failed => return None,
+        };
         let chunk = match events.next().await {
             Some(Ok(event)) => parse_event(&event.data),
             Some(Err(_)) | None => Err(EngineError::Broken),
         };
-        let expects_more = matches!(&chunk, Ok(chunk) if chunk.finish.is_none());
-        Some((chunk, (events, expects_more)))
+        let state = match &chunk {
+            Ok(chunk) if chunk.finish.is_none() => StreamState::Open(events),
+            Ok(_) => StreamState::Finished(events),
+            Err(_) => StreamState::Failed,
+        };
+        Some((chunk, state))
     })
 }
 
+/// State of a stream of events.
+enum StreamState<E> {
+    /// More chunks are expected.
+    Open(E),
+    /// The finishing chunk has come; the rest is read only to reuse the connection.
+    Finished(E),
+    /// It failed; the connection is dropped.
+    Failed,
+}
+
 fn parse_event(data: &str) -> Result<TokenChunk, EngineError> {
     if data == STREAM_END {
         return Err(EngineError::Broken);
