--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,7 +1,7 @@
 //! The membership state machine: its state, its entry point and how it sends.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use havenstage_types::clock::Moment;
 use havenstage_types::codec;
@@ -9,8 +9,9 @@
 use havenstage_types::gossip::{GossipBody, GossipPacket, MemberUpdate};
 use havenstage_types::ids::{LogOffset, NodeId};
 use havenstage_types::member::{MemberIdentity, MemberState, MembershipView};
-use rand::SeedableRng;
+
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::budget::ByteBudget;
@@ -41,8 +42,15 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) schedule: Schedule,
     pub(crate) applied: LogOffset,
-    pub(crate) awaited: Option<AwaitedConfig>,
+    /// An offset that an operator waits for.
+    pub(crate) awaited: Option<LogOffset>,
+    /// When each member was last pinged.
+    pub(crate) last_asked: BTreeMap<NodeId, Moment>,
+    /// Who was asked for the member list last, and when.
+    pub(crate) member_list_asked: Option<(SocketAddr, Moment)>,
     pub(crate) declared_dead: bool,
+    /// When this process last found that it had not run for a while.
+    pub(crate) woken_at: Option<Moment>,
     pub(crate) actions: Vec<MembershipAction>,
 }
 
@@ -61,21 +69,13 @@
     pub(crate) hearing_owed: u64,
 }
 
-/// An offset that an operator waits for.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct AwaitedConfig {
-    pub(crate) offset: LogOffset,
-    /// Member asked last; the next one follows it in order of ids.
-    pub(crate) last_asked: NodeId,
-}
-
 impl Membership {
     /// A member that knows only itself. `seed` feeds all random choices. The settings must have
     /// passed [`MembershipSettings::validate`].
     pub fn new(identity: MemberIdentity, settings: MembershipSettings, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let self_id = identity.id;
-        let mut updates = UpdateQueue::default();
+        let mut updates = UpdateQueue::new(rng.random());
         updates.add(self_id);
         Self {
             self_id,
@@ -95,7 +95,10 @@
             schedule: Schedule::default(),
             applied: LogOffset::default(),
             awaited: None,
+            last_asked: BTreeMap::new(),
+            member_list_asked: None,
             declared_dead: false,
+            woken_at: None,
             actions: Vec::new(),
             settings,
         }
@@ -144,7 +147,7 @@
             MembershipInput::Seeds(seeds) => self.set_seeds(now, seeds),
             MembershipInput::ConfigApplied(offset) => self.config_applied(offset),
             MembershipInput::LogWord { asked_at, end } => self.freshness.log_word(asked_at, end),
-            MembershipInput::AwaitConfig(offset) => self.await_config(offset),
+            MembershipInput::AwaitConfig(offset) => self.awaited = self.awaited.max(Some(offset)),
             MembershipInput::Leave => self.leave(now),
         }
     }
@@ -154,16 +157,6 @@
         self.roster.note_config_offset(self.self_id, self.applied);
     }
 
-    fn await_config(&mut self, offset: LogOffset) {
-        let awaited = self
-            .awaited
-            .map_or(offset, |known| known.offset.max(offset));
-        self.awaited = Some(AwaitedConfig {
-            offset: awaited,
-            last_asked: self.self_id,
-        });
-    }
-
     fn leave(&mut self, now: Moment) {
         if self.roster.state(self.self_id) == Some(MemberState::Leaving) {
             return;
@@ -176,6 +169,11 @@
     /// A member's state changed: pass it on and tell the caller.
     pub(crate) fn note_change(&mut self, member: NodeId) {
         self.updates.add(member);
+        self.tell_view_changed();
+    }
+
+    /// Tells the caller once.
+    pub(crate) fn tell_view_changed(&mut self) {
         let is_told = self.actions.contains(&MembershipAction::ViewChanged);
         if !is_told {
             self.actions.push(MembershipAction::ViewChanged);
@@ -186,12 +184,13 @@
     pub(crate) fn become_dead(&mut self) {
         self.declared_dead = true;
         self.roster.declare_dead(Moment::default(), self.self_id);
-        self.actions.push(MembershipAction::ViewChanged);
+        self.tell_view_changed();
         self.actions.push(MembershipAction::DeclaredDead);
     }
 
     /// Pings a member.
     pub(crate) fn ping(&mut self, now: Moment, peer: Peer, purpose: Purpose) {
+        self.last_asked.insert(peer.id, now);
         let sequence = self.questions.ask(now, peer.id, purpose);
         self.send(now, peer, GossipBody::Ping { sequence });
     }
@@ -210,11 +209,10 @@
         body: GossipBody,
         updates: Vec<MemberUpdate>,
     ) {
-        let word_age = self.freshness.applied_log_word_age(now, self.applied);
         let packet = GossipPacket {
             from: self.self_id,
             config_offset: self.applied,
-            log_word_age: word_age.and_then(milliseconds),
+            log_word_age: self.log_word_age_to_relay(now),
             running_members: u32::try_from(self.roster.running_count()).unwrap_or(u32::MAX),
             body,
             updates,
@@ -222,6 +220,15 @@
         self.actions.push(MembershipAction::Send { to, packet });
     }
 
+    /// Word that is older than the bound is of no use to anybody.
+    fn log_word_age_to_relay(&self, now: Moment) -> Option<u32> {
+        let age = self.freshness.applied_log_word_age(now, self.applied)?;
+        if age > self.settings.freshness_bound {
+            return None;
+        }
+        u32::try_from(age.as_millis()).ok()
+    }
+
     /// Random peers, without repetition.
     pub(crate) fn random_peers(&mut self, count: usize, except: Option<NodeId>) -> Vec<Peer> {
         let mut peers = self.roster.peers();
@@ -237,37 +244,54 @@
         self.settings.max_packet_bytes - PACKET_HEADER_BYTES
     }
 
-    /// News for a recipient. What it must hear first is any suspicion against itself, so that it
-    /// can refute; a leaving sender repeats its own state, since no probe would reveal it.
+    /// News for a recipient: what is urgent for it, and queued news as far as the packet and the
+    /// budget allow. Queued news would be wasted on a suspect.
     fn select_updates(&mut self, recipient: NodeId) -> Vec<MemberUpdate> {
+        let urgent = self.urgent_updates(recipient);
         let mut selected = Vec::new();
-        let mut room = self.update_room().min(self.budget.available());
-        let limit = self.transmission_limit();
-        let mut candidates = self.urgent_updates(recipient);
-        let urgent_count = candidates.len();
-        let queued = self.updates.in_order();
-        let is_urgent = |id: &NodeId| candidates[..urgent_count].contains(id);
-        let queued: Vec<NodeId> = queued
-            .into_iter()
-            .filter(|id| *id != recipient && !is_urgent(id))
-            .collect();
-        candidates.extend(queued);
-        for id in candidates {
-            let Some(update) = self.roster.update_about(id) else {
+        let mut room = self.update_room();
+        for id in &urgent {
+            self.select_update(*id, &mut room, &mut selected);
+        }
+        let is_suspect = self.roster.state(recipient) == Some(MemberState::Suspect);
+        if is_suspect || self.updates.is_empty() {
+            return selected;
+        }
+        room = room.min(self.budget.available());
+        for id in self.updates.in_order() {
+            if id == recipient || urgent.contains(&id) {
                 continue;
-            };
-            let bytes = encoded_bytes(&update);
-            if bytes > room {
+            }
+            if !self.select_update(id, &mut room, &mut selected) {
                 break;
             }
-            room -= bytes;
-            self.budget.spend(bytes);
-            self.updates.sent(id, limit);
-            selected.push(update);
         }
         selected
     }
 
+    /// Adds the news about a member if there is room; returns whether there was.
+    fn select_update(
+        &mut self,
+        id: NodeId,
+        room: &mut usize,
+        selected: &mut Vec<MemberUpdate>,
+    ) -> bool {
+        let Some(update) = self.roster.update_about(id) else {
+            return true;
+        };
+        let bytes = encoded_bytes(&update);
+        if bytes > *room {
+            return false;
+        }
+        *room -= bytes;
+        self.budget.spend(bytes);
+        self.updates.sent(id, self.transmission_limit());
+        selected.push(update);
+        true
+    }
+
+    /// What a recipient must hear first is any suspicion against itself, so that it can refute; a
+    /// leaving sender repeats its own state, since no probe would reveal it.
     fn urgent_updates(&self, recipient: NodeId) -> Vec<NodeId> {
         let mut urgent = Vec::new();
         if self.roster.state(recipient) == Some(MemberState::Suspect) {
@@ -279,7 +303,7 @@
         urgent
     }
 
-    fn transmission_limit(&self) -> u32 {
+    pub(crate) fn transmission_limit(&self) -> u32 {
         let members = self.roster.running_count() as f64;
         let rounds = (members + 1.0).ln().ceil() as u32;
         self.settings.retransmit_factor * rounds.max(1)
@@ -290,7 +314,3 @@
 pub(crate) fn encoded_bytes(update: &MemberUpdate) -> usize {
     codec::encode(update).map_or(usize::MAX, |bytes| bytes.len())
 }
-
-fn milliseconds(duration: Duration) -> Option<u32> {
-    u32::try_from(duration.as_millis()).ok()
-}
--- a/crates/membership/src/packets.rs
+++ b/crates/membership/src/packets.rs
@@ -13,6 +13,9 @@
 use crate::probes::{Purpose, Question};
 use crate::roster::Peer;
 
+/// Time after a pause of this process in which it accepts any verdict on itself.
+const WAKE_MEMORY: Duration = Duration::from_secs(60);
+
 impl Membership {
     pub(crate) fn receive(&mut self, now: Moment, address: SocketAddr, packet: GossipPacket) {
         if packet.from == self.self_id {
@@ -22,7 +25,7 @@
             self.receive_from_dead(now, address, &packet);
             return;
         }
-        self.apply_updates(now, &packet);
+        self.apply_updates(now, address, &packet);
         if self.declared_dead {
             return;
         }
@@ -64,30 +67,75 @@
         own > theirs || (own == theirs && self.self_id < packet.from)
     }
 
-    fn apply_updates(&mut self, now: Moment, packet: &GossipPacket) {
+    /// Whether a verdict is only that of the smaller side of a cut, of which word has not reached
+    /// us: the sender counts far fewer members than we do. If our side agreed with it, our side
+    /// would say so too. A process that was frozen knows too little to overrule anybody.
+    fn overrules(&self, now: Moment, packet: &GossipPacket) -> bool {
+        let woke_lately = self
+            .woken_at
+            .is_some_and(|woken_at| now.since(woken_at) < WAKE_MEMORY);
+        let own = self.roster.running_count() as u64;
+        let theirs = u64::from(packet.running_members);
+        !woke_lately && own * 2 > theirs * 3
+    }
+
+    /// A member list that we asked for is not passed on: its members are known already.
+    fn is_member_list(&self, now: Moment, address: SocketAddr, packet: &GossipPacket) -> bool {
+        let Some((asked, asked_at)) = self.member_list_asked else {
+            return false;
+        };
+        let is_answer = packet.body == GossipBody::Updates && asked == address;
+        is_answer && now.since(asked_at) < self.settings.probe_interval
+    }
+
+    fn apply_updates(&mut self, now: Moment, address: SocketAddr, packet: &GossipPacket) {
+        let is_member_list = self.is_member_list(now, address, packet);
         for update in &packet.updates {
             if self.is_verdict(update) {
+                if self.overrules(now, packet) {
+                    continue;
+                }
                 self.become_dead();
                 return;
             }
             if update.identity.id == self.self_id {
-                self.refute_if_suspected(update);
+                self.refute_if_suspected(now, address, update);
                 continue;
             }
-            if self.roster.apply(now, update) {
-                self.note_change(update.identity.id);
-            }
+            self.apply_update(now, update, is_member_list);
         }
     }
 
-    fn refute_if_suspected(&mut self, update: &MemberUpdate) {
+    /// News goes on to others; news heard again needs to go on the less.
+    fn apply_update(&mut self, now: Moment, update: &MemberUpdate, is_member_list: bool) {
+        let id = update.identity.id;
+        if self.roster.knows(update) {
+            self.updates.sent(id, self.transmission_limit());
+        }
+        if !self.roster.apply(now, update) {
+            return;
+        }
+        if is_member_list {
+            self.tell_view_changed();
+        } else {
+            self.note_change(id);
+        }
+    }
+
+    /// Tells the sender of a suspicion at once that we live, also when we refuted it before.
+    fn refute_if_suspected(&mut self, now: Moment, address: SocketAddr, update: &MemberUpdate) {
+        if update.state != MemberState::Suspect {
+            return;
+        }
         let own = self.roster.member(self.self_id);
         let own_incarnation = own.map_or(0, |member| member.incarnation);
-        let is_suspected = update.state == MemberState::Suspect;
-        if is_suspected && update.incarnation >= own_incarnation {
+        if update.incarnation >= own_incarnation {
             self.roster.refute(update.incarnation);
             self.updates.add(self.self_id);
         }
+        let refutation = self.roster.update_about(self.self_id);
+        let refutation = refutation.into_iter().collect();
+        self.send_updates(now, address, GossipBody::Updates, refutation);
     }
 
     fn notice_behind(&mut self, now: Moment, peer: NodeId, offset: LogOffset) {
@@ -131,7 +179,7 @@
         match question.purpose {
             Purpose::Indirect { probe } => {
                 self.questions.answer(probe);
-                self.roster.answered(question.target);
+                self.roster.answered(question.sent_at, question.target);
             }
             Purpose::Probe { .. } | Purpose::Hear => {
                 self.note_direct_answer(now, question, packet.from);
@@ -160,7 +208,7 @@
     /// its address, the member asked is gone.
     fn note_direct_answer(&mut self, now: Moment, question: Question, answerer: NodeId) -> bool {
         if question.target == answerer {
-            self.roster.answered(answerer);
+            self.roster.answered(question.sent_at, answerer);
             return true;
         }
         if self.roster.declare_dead(now, question.target) {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -9,13 +9,20 @@
 use havenstage_types::ids::{LogOffset, NodeId};
 use havenstage_types::member::{Member, MemberIdentity, MemberState, MembershipView};
 
-/// Timers of one member.
-#[derive(Debug, Clone, Copy, Default)]
-struct Timers {
-    /// When the member is declared dead unless it refutes.
-    dead_at: Option<Moment>,
-    /// When it was found dead.
-    dead_since: Option<Moment>,
+/// Before its death a suspect is asked this many times more: it may have refuted, and the word may
+/// have missed us.
+const LAST_CHANCES: u32 = 2;
+
+/// Time between two last chances, and between the last one and the death.
+const LAST_CHANCE_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Timer of a member that is not simply alive.
+#[derive(Debug, Clone, Copy)]
+enum Timer {
+    /// Declared dead at a moment unless it refutes.
+    Dying { dead_at: Moment, chances_left: u32 },
+    /// Dead since a moment.
+    Dead { since: Moment },
 }
 
 /// A running member to send to.
@@ -31,7 +38,8 @@
     self_id: NodeId,
     suspicion_timeout: Duration,
     view: MembershipView,
-    timers: BTreeMap<NodeId, Timers>,
+    timers: BTreeMap<NodeId, Timer>,
+    running_count: usize,
 }
 
 impl Roster {
@@ -43,6 +51,7 @@
             suspicion_timeout,
             view: MembershipView::default(),
             timers: BTreeMap::new(),
+            running_count: 0,
         };
         roster.insert(&MemberUpdate {
             identity,
@@ -70,7 +79,7 @@
     }
 
     pub(crate) fn running_count(&self) -> usize {
-        self.view.running().count()
+        self.running_count
     }
 
     /// All running members but this node.
@@ -131,28 +140,38 @@
         })
     }
 
+    /// Whether this node believes exactly what the news says.
+    pub(crate) fn knows(&self, update: &MemberUpdate) -> bool {
+        self.member(update.identity.id).is_some_and(|member| {
+            member.state == update.state && member.incarnation == update.incarnation
+        })
+    }
+
     /// Takes news about another member; returns whether it was news.
     pub(crate) fn apply(&mut self, now: Moment, update: &MemberUpdate) -> bool {
         let id = update.identity.id;
         let Some(member) = self.view.members.get_mut(&id) else {
             self.insert(update);
-            self.restart_timers(now, id);
+            self.restart_timer(now, id);
             return true;
         };
         member.config_offset = member.config_offset.max(update.config_offset);
         if !supersedes(member, update) {
             return false;
         }
+        if update.state == MemberState::Dead {
+            self.running_count -= 1;
+        }
         member.state = update.state;
         member.incarnation = update.incarnation;
-        self.restart_timers(now, id);
+        self.restart_timer(now, id);
         true
     }
 
     /// A member failed a probe of ours; returns whether its state changed. A leaving member keeps
     /// its state, so that it does not get its roles back, but its time runs all the same.
     pub(crate) fn suspect(&mut self, now: Moment, id: NodeId) -> bool {
-        let dead_at = now + self.suspicion_timeout;
+        let timer = self.dying_from(now);
         let Some(member) = self.view.members.get_mut(&id) else {
             return false;
         };
@@ -163,19 +182,29 @@
         if was_alive {
             member.state = MemberState::Suspect;
         }
-        let timers = self.timers.entry(id).or_default();
-        timers.dead_at.get_or_insert(dead_at);
+        self.timers.entry(id).or_insert(timer);
         was_alive
     }
 
-    /// A member answered a probe of ours. A suspect has to refute by a higher incarnation, but a
-    /// leaving member's timer is only ours.
-    pub(crate) fn answered(&mut self, id: NodeId) {
-        if self.state(id) != Some(MemberState::Leaving) {
-            return;
+    /// A member answered what we asked at `asked_at`, so it ran then. A suspect still has to refute
+    /// by a higher incarnation, but it gets its full time again. A leaving member's timer is only
+    /// ours and ends.
+    pub(crate) fn answered(&mut self, asked_at: Moment, id: NodeId) {
+        match self.state(id) {
+            Some(MemberState::Leaving) => {
+                self.timers.remove(&id);
+            }
+            Some(MemberState::Suspect) => {
+                self.timers.insert(id, self.dying_from(asked_at));
+            }
+            _ => {}
         }
-        if let Some(timers) = self.timers.get_mut(&id) {
-            timers.dead_at = None;
+    }
+
+    fn dying_from(&self, moment: Moment) -> Timer {
+        Timer::Dying {
+            dead_at: moment + self.suspicion_timeout,
+            chances_left: LAST_CHANCES,
         }
     }
 
@@ -188,37 +217,58 @@
             return false;
         }
         member.state = MemberState::Dead;
-        self.restart_timers(now, id);
+        self.running_count -= 1;
+        self.restart_timer(now, id);
         true
     }
 
     /// Suspects whose time is over.
     pub(crate) fn overdue_suspects(&self, now: Moment) -> Vec<NodeId> {
+        let is_overdue =
+            |timer: &Timer| matches!(timer, Timer::Dying { dead_at, .. } if *dead_at <= now);
         self.timers
             .iter()
-            .filter(|(_, timers)| timers.dead_at.is_some_and(|dead_at| dead_at <= now))
+            .filter(|(_, timer)| is_overdue(timer))
             .map(|(id, _)| *id)
             .collect()
     }
 
+    /// Suspects whose time is nearly over and that are to be asked again now.
+    pub(crate) fn take_last_chances(&mut self, now: Moment) -> Vec<NodeId> {
+        let mut chances = Vec::new();
+        for (id, timer) in &mut self.timers {
+            let Timer::Dying {
+                dead_at,
+                chances_left,
+            } = timer
+            else {
+                continue;
+            };
+            if *chances_left > 0 && *dead_at <= now + LAST_CHANCE_INTERVAL * *chances_left {
+                *chances_left -= 1;
+                chances.push(*id);
+            }
+        }
+        chances
+    }
+
     /// This process did not run for a while, so suspects could not refute: give them the time.
     pub(crate) fn extend_suspicions(&mut self, stall: Duration) {
-        for timers in self.timers.values_mut() {
-            timers.dead_at = timers.dead_at.map(|dead_at| dead_at + stall);
+        for timer in self.timers.values_mut() {
+            if let Timer::Dying { dead_at, .. } = timer {
+                *dead_at = *dead_at + stall;
+            }
         }
     }
 
     /// Forgets members that have been dead for longer than `retention`; returns them.
     pub(crate) fn forget_dead(&mut self, now: Moment, retention: Duration) -> Vec<NodeId> {
-        let is_forgotten = |timers: &Timers| {
-            timers
-                .dead_since
-                .is_some_and(|since| now.since(since) > retention)
-        };
+        let is_forgotten =
+            |timer: &Timer| matches!(timer, Timer::Dead { since } if now.since(*since) > retention);
         let forgotten: Vec<NodeId> = self
             .timers
             .iter()
-            .filter(|(_, timers)| is_forgotten(timers))
+            .filter(|(_, timer)| is_forgotten(timer))
             .map(|(id, _)| *id)
             .collect();
         for id in &forgotten {
@@ -257,22 +307,22 @@
             incarnation: update.incarnation,
             config_offset: update.config_offset,
         };
+        if member.state != MemberState::Dead {
+            self.running_count += 1;
+        }
         self.view.members.insert(update.identity.id, member);
     }
 
-    fn restart_timers(&mut self, now: Moment, id: NodeId) {
-        let timers = match self.state(id) {
-            Some(MemberState::Suspect) => Timers {
-                dead_at: Some(now + self.suspicion_timeout),
-                dead_since: None,
-            },
-            Some(MemberState::Dead) => Timers {
-                dead_at: None,
-                dead_since: Some(now),
-            },
-            _ => Timers::default(),
+    fn restart_timer(&mut self, now: Moment, id: NodeId) {
+        let timer = match self.state(id) {
+            Some(MemberState::Suspect) => self.dying_from(now),
+            Some(MemberState::Dead) => Timer::Dead { since: now },
+            _ => {
+                self.timers.remove(&id);
+                return;
+            }
         };
-        self.timers.insert(id, timers);
+        self.timers.insert(id, timer);
     }
 }
 
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -53,8 +53,8 @@
             reconnect_interval: Duration::from_secs(5),
             max_packet_bytes: 1_200,
             gossip_fanout: 2,
-            retransmit_factor: 2,
-            update_bytes_per_second: 1_500,
+            retransmit_factor: 4,
+            update_bytes_per_second: 1_300,
             update_burst_bytes: 40_000,
             freshness_bound: Duration::from_secs(12),
         }
--- a/crates/membership/src/ticks.rs
+++ b/crates/membership/src/ticks.rs
@@ -1,12 +1,13 @@
 //! What the membership state machine does by itself as time passes.
 
 use std::net::SocketAddr;
-use std::ops::Bound;
+
 use std::time::Duration;
 
 use havenstage_types::clock::Moment;
 use havenstage_types::gossip::GossipBody;
 use havenstage_types::ids::NodeId;
+use havenstage_types::member::MemberState;
 use rand::seq::IndexedRandom;
 
 use crate::machine::Membership;
@@ -39,6 +40,7 @@
         self.freshness.forget_old(now);
         self.forget_dead(now);
         self.declare_overdue_dead(now);
+        self.give_last_chances(now);
         self.check_probes(now);
         self.start_probes(now);
         self.hear_members(now);
@@ -64,6 +66,7 @@
             return;
         }
         self.schedule.next_tick = Some(now);
+        self.woken_at = Some(now);
         self.questions.clear();
         self.roster.extend_suspicions(stall);
         for peer in self.random_peers(WAKE_PINGS, None) {
@@ -96,6 +99,7 @@
         let retention = self.settings.dead_retention;
         for id in self.roster.forget_dead(now, retention) {
             self.updates.remove(id);
+            self.last_asked.remove(&id);
         }
     }
 
@@ -107,6 +111,15 @@
         }
     }
 
+    /// The ping carries the suspicion, and a member that has refuted it answers with its state.
+    fn give_last_chances(&mut self, now: Moment) {
+        for id in self.roster.take_last_chances(now) {
+            if let Some(peer) = self.roster.running_peer(id) {
+                self.ping(now, peer, Purpose::Hear);
+            }
+        }
+    }
+
     fn check_probes(&mut self, now: Moment) {
         let timeout = self.settings.probe_timeout;
         for (probe, target) in self.questions.take_probes_to_repeat(now, timeout) {
@@ -177,50 +190,59 @@
         targets * tick * HEARING_PARTS / window.max(1)
     }
 
+    /// Pings the next member in random order that is likely to answer and was not asked of late.
     fn hear_next_member(&mut self, now: Moment) {
-        let roster = &self.roster;
-        let next = self
-            .hearing_order
-            .next(&mut self.rng, || ids(&roster.peers()));
-        let next = next.and_then(|id| self.roster.running_peer(id));
-        if let Some(peer) = next {
-            self.ping(now, peer, Purpose::Hear);
+        for _ in 0..self.roster.running_count() {
+            let roster = &self.roster;
+            let next = self
+                .hearing_order
+                .next(&mut self.rng, || ids(&roster.peers()));
+            let peer = next.and_then(|id| self.peer_worth_hearing(now, id));
+            if let Some(peer) = peer {
+                self.ping(now, peer, Purpose::Hear);
+                return;
+            }
         }
     }
 
+    fn peer_worth_hearing(&self, now: Moment, id: NodeId) -> Option<Peer> {
+        let is_suspect = self.roster.state(id) == Some(MemberState::Suspect);
+        let interval = self.settings.freshness_bound / 2;
+        if is_suspect || self.was_asked_within(now, id, interval) {
+            return None;
+        }
+        self.roster.running_peer(id)
+    }
+
+    fn was_asked_within(&self, now: Moment, id: NodeId, interval: Duration) -> bool {
+        let last_asked = self.last_asked.get(&id);
+        last_asked.is_some_and(|asked_at| now.since(*asked_at) < interval)
+    }
+
     fn ask_awaited(&mut self, now: Moment) {
-        let Some(mut awaited) = self.awaited else {
+        let Some(offset) = self.awaited else {
             return;
         };
-        let lagging: Vec<Peer> =
-            self.lagging_after(awaited.last_asked, |offset| offset < awaited.offset);
+        let lagging: Vec<NodeId> = self
+            .roster
+            .view()
+            .running()
+            .filter(|member| member.config_offset < offset)
+            .map(|member| member.identity.id)
+            .filter(|id| *id != self.self_id)
+            .collect();
         if lagging.is_empty() {
             self.awaited = None;
-            return;
         }
-        let ticks = AWAIT_INTERVAL.as_millis() / self.settings.tick_interval.as_millis().max(1);
-        let share = lagging.len().div_ceil((ticks as usize).max(1));
-        for peer in lagging.into_iter().take(share.min(AWAIT_PINGS_PER_TICK)) {
-            awaited.last_asked = peer.id;
+        let due: Vec<Peer> = lagging
+            .into_iter()
+            .filter(|id| !self.was_asked_within(now, *id, AWAIT_INTERVAL))
+            .filter_map(|id| self.roster.running_peer(id))
+            .take(AWAIT_PINGS_PER_TICK)
+            .collect();
+        for peer in due {
             self.ping(now, peer, Purpose::Hear);
         }
-        self.awaited = Some(awaited);
-    }
-
-    /// Running peers whose offset lags, in order of ids from the one after `id`.
-    fn lagging_after(
-        &self,
-        id: NodeId,
-        lags: impl Fn(havenstage_types::ids::LogOffset) -> bool,
-    ) -> Vec<Peer> {
-        let members = &self.roster.view().members;
-        let after = members.range((Bound::Excluded(id), Bound::Unbounded));
-        let up_to = members.range(..=id);
-        after
-            .chain(up_to)
-            .filter(|(member_id, member)| **member_id != self.self_id && lags(member.config_offset))
-            .filter_map(|(member_id, _)| self.roster.running_peer(*member_id))
-            .collect()
     }
 
     /// Asks a seed for the members until one has answered, and then a member once more.
@@ -233,13 +255,13 @@
             self.schedule.joins_left = REPEATED_JOINS;
             self.schedule.next_join = now + self.settings.probe_interval;
             let seed = self.seeds.choose(&mut self.rng).copied();
-            self.send_join(now, seed);
+            self.ask_member_list(now, seed);
             return;
         };
         self.schedule.next_join = now + REPEATED_JOIN_DELAY;
         if self.schedule.joins_left > 0 {
             self.schedule.joins_left -= 1;
-            self.send_join(now, Some(peer.address));
+            self.ask_member_list(now, Some(peer.address));
         }
     }
 
@@ -260,6 +282,11 @@
         self.send_join(now, address);
     }
 
+    fn ask_member_list(&mut self, now: Moment, from: Option<SocketAddr>) {
+        self.member_list_asked = from.map(|address| (address, now));
+        self.send_join(now, from);
+    }
+
     fn send_join(&mut self, now: Moment, to: Option<SocketAddr>) {
         let introduction: Vec<_> = self.roster.update_about(self.self_id).into_iter().collect();
         if let Some(address) = to {
