--- a/crates/havenstage/src/commands/ctl/table.rs
+++ b/crates/havenstage/src/commands/ctl/table.rs
@@ -7,6 +7,7 @@
 use havenstage_config::manifest::Manifest;
 use havenstage_node::node::NodeStatus;
 use havenstage_types::decision::DecisionRecord;
+use havenstage_types::ids::NodeId;
 use serde_json::Value;
 
 /// Lists longer than this are counted instead of shown.
@@ -55,7 +56,7 @@
         let decision = serde_json::to_value(&record.decision).unwrap_or(Value::Null);
         table.add_row([
             record.wall_clock_ms.to_string(),
-            format!("{:x}", record.node.0),
+            node_id(record.node),
             record.sequence.to_string(),
             decision.to_string(),
         ]);
@@ -71,7 +72,7 @@
         Err(reason) => reason.to_string(),
     };
     node.add_row([
-        format!("{:x}", status.identity.id.0),
+        node_id(status.identity.id),
         status.identity.name.clone(),
         status.identity.zone.to_string(),
         ready,
@@ -91,7 +92,7 @@
     let mut members = table(&["MEMBER", "NAME", "ZONE", "STATE", "CONFIG", "HTTP ADDRESS"]);
     for member in &status.members {
         members.add_row([
-            format!("{:x}", member.identity.id.0),
+            node_id(member.identity.id),
             member.identity.name.clone(),
             member.identity.zone.to_string(),
             format!("{:?}", member.state),
@@ -130,6 +131,11 @@
     jobs.to_string()
 }
 
+/// A node's id as it stands in request ids and in the log.
+fn node_id(id: NodeId) -> String {
+    format!("{:016x}", id.0)
+}
+
 fn field_names(manifest: &Manifest) -> impl Iterator<Item = &str> {
     let fields = manifest.spec.as_object();
     fields.into_iter().flatten().map(|(name, _)| name.as_str())
--- a/crates/havenstage/src/commands/node/mod.rs
+++ b/crates/havenstage/src/commands/node/mod.rs
@@ -139,7 +139,7 @@
 
 fn log_start(identity: &MemberIdentity) {
     log::info!(
-        node:% = identity.id,
+        node = format!("{:016x}", identity.id.0),
         name:% = identity.name,
         zone:% = identity.zone,
         peer_address:% = identity.peer_address,
--- a/crates/http-api/src/routes/callers.rs
+++ b/crates/http-api/src/routes/callers.rs
@@ -6,7 +6,7 @@
 use axum::extract::State;
 use axum::response::{IntoResponse, Response, Sse};
 use havenstage_types::ids::{IdempotencyKey, PoolName, RequestId};
-use havenstage_types::request::{CallerRequest, Repeatability};
+use havenstage_types::request::CallerRequest;
 use havenstage_types::resource::ResourceKind;
 use http::{HeaderMap, HeaderValue};
 use serde::Serialize;
@@ -136,7 +136,7 @@
 ) -> Result<CallerRequest, ApiError> {
     let headers = CallerHeaders::read(headers, state.settings())?;
     Ok(CallerRequest {
-        idempotency_key: idempotency_key(id, &headers),
+        idempotency_key: scoped_key(&headers),
         id: id.clone(),
         caller: headers.caller,
         pool: PoolName(fields.model),
@@ -149,15 +149,9 @@
 }
 
 /// The key within the caller's own key space, so that no caller is handed another one's answer.
-/// An at-most-once request without a key gets its request id for one: the caller cannot repeat
-/// it, but the node's own retries need a key to claim.
-fn idempotency_key(id: &RequestId, headers: &CallerHeaders) -> Option<IdempotencyKey> {
-    let scoped = |key: &str| IdempotencyKey(format!("{}/{key}", headers.caller));
-    match (&headers.idempotency_key, headers.repeatability) {
-        (Some(key), _) => Some(scoped(key.as_str())),
-        (None, Repeatability::AtMostOnce) => Some(scoped(id.as_str())),
-        (None, Repeatability::Repeatable) => None,
-    }
+fn scoped_key(headers: &CallerHeaders) -> Option<IdempotencyKey> {
+    let key = headers.idempotency_key.as_ref()?;
+    Some(IdempotencyKey(format!("{}/{key}", headers.caller)))
 }
 
 fn max_tokens(state: &ApiState, asked: Option<u32>) -> Result<u32, ApiError> {
--- a/crates/http-api/src/state.rs
+++ b/crates/http-api/src/state.rs
@@ -11,6 +11,11 @@
 
 use crate::settings::HttpApiSettings;
 
+/// Upper bounds of histogram buckets, in seconds: from a refusal to a long answer.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0,
+];
+
 /// Shared by all handlers; clones share everything.
 #[derive(Clone)]
 pub struct ApiState {
@@ -91,7 +96,10 @@
 }
 
 fn install_recorder() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    let builder = PrometheusBuilder::new()
+        .set_buckets(&SECONDS_BUCKETS)
+        .unwrap_or_else(|_empty| PrometheusBuilder::new());
+    let recorder = builder.build_recorder();
     let handle = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
         log::warn!("another metrics recorder is installed; /metrics stays empty");
