--- a/crates/http-api/tests/operators.rs
+++ b/crates/http-api/tests/operators.rs
@@ -1,8 +1,10 @@
 //! Operators' and trainers' routes and the probes, over a node that serves nothing yet.
 
+#[path = "support/client.rs"]
+mod client;
 mod support;
 
-use support::send;
+use client::send;
 
 const POOL: &str = r#"{"kind":"Pool","name":"pool","spec":{"model":"m"}}"#;
 
--- a/crates/http-api/tests/refusals.rs
+++ b/crates/http-api/tests/refusals.rs
@@ -1,15 +1,17 @@
 //! Shapes of refusals over HTTP.
 
+#[path = "support/client.rs"]
+mod client;
 mod support;
 
 use std::time::Duration;
 
 use axum::response::IntoResponse;
+use client::{Answer, send};
 use havenstage_http_api::error::ApiError;
 use havenstage_types::config::{ChangeError, ChangeOutcome};
 use havenstage_types::ids::{ChangeId, EngineName, PoolName, Revision};
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
-use support::{Answer, send};
 
 const COMPLETION: &str = r#"{"model":"pool","prompt":"hello"}"#;
 
