--- a/crates/http-api/tests/refusals.rs
+++ b/crates/http-api/tests/refusals.rs
@@ -1,15 +1,17 @@
 //! Shapes of refusals over HTTP.
 
+#[path = "support/client.rs"]
+mod client;
 mod support;
 
 use std::time::Duration;
 
 use axum::response::IntoResponse;
+use client::{Answer, send};
 use havenstage_http_api::error::ApiError;
 use havenstage_types::config::{ChangeError, ChangeOutcome};
 use havenstage_types::ids::{ChangeId, EngineName, PoolName, Revision};
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
-use support::{Answer, send};
 
 const COMPLETION: &str = r#"{"model":"pool","prompt":"hello"}"#;
 
@@ -18,13 +20,14 @@
     let answer = send("POST", "/v1/completions", &[], COMPLETION).await;
     assert_eq!(answer.status, 503);
     assert_eq!(answer.headers["x-request-id"], "r-00000000000000ab-1");
+    assert_eq!(answer.headers["retry-after"], "2");
     insta::assert_json_snapshot!(answer.json(), @r#"
     {
       "error": {
         "code": "config_stale",
         "execution": "not_run",
         "message": "configuration may be stale on this node",
-        "retry_after_ms": null
+        "retry_after_ms": 2000
       }
     }
     "#);
