Say that a change is in force only when also members held dead cannot serve without it

Cause: a member that was cut off and declared dead was no longer counted, yet it serves until its freshness bound has passed. Change: members held dead and named members count as lagging until they answer or the bound has passed, unless another process runs at their address. Ruled out: counting from the moment a member was declared dead, since a node that still reaches the log keeps serving; trusting a refused connection, since a connection that meets silence looks the same. After a machine is lost for good, the word may take the bound (10 s).

--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,6 +1,7 @@
 //! Operators' changes: proposed to the log, answered once the fold has decided them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -9,7 +10,7 @@
 use havenstage_types::config::{
     ChangeError, ChangeOutcome, ConfigChange, ConfigRecord, InForce, Precondition,
 };
-use havenstage_types::ids::{ChangeId, ModelName, NodeId, Revision, VersionNumber, streams};
+use havenstage_types::ids::{ChangeId, LogOffset, ModelName, NodeId, Revision, VersionNumber, streams};
 use havenstage_types::peer::PeerRequestBody;
 use havenstage_types::resource::{ResourceKey, ResourceKind, ResourceSpec, WeightVersionSpec};
 use tokio::time::{Instant, timeout_at};
@@ -121,9 +122,9 @@
     }
 }
 
-/// Waits until every live member has applied `revision`, or the freshness bound has passed for the
-/// ones that have not and a majority of the named members has. By then a node without it refuses
-/// new work: it has neither heard the log nor a majority that knows no more than itself.
+/// Waits until every member has applied `revision`, or the freshness bound has passed for the ones
+/// that have not and a majority of the named members has. By then a node without it refuses new
+/// work: it has neither heard the log nor a majority that knows no more than itself.
 async fn wait_until_in_force(
     context: &NodeContext,
     revision: Revision,
@@ -131,15 +132,14 @@
 ) -> InForce {
     let started = Instant::now();
     let bound = context.settings.freshness_bound();
-    let mut reported: BTreeMap<NodeId, bool> = BTreeMap::new();
+    let mut applied: BTreeSet<NodeId> = BTreeSet::new();
     loop {
-        ask_members(context, revision, &mut reported).await;
-        let lagging: Vec<NodeId> = reported
-            .iter()
-            .filter(|(_, applied)| !**applied)
-            .map(|(node, _)| *node)
+        ask_members(context, revision, &mut applied).await;
+        let lagging: Vec<NodeId> = members_to_ask(context)
+            .into_keys()
+            .filter(|node| !applied.contains(node))
             .collect();
-        let bound_passed = started.elapsed() >= bound && majority_applied(context, &reported);
+        let bound_passed = started.elapsed() >= bound && majority_applied(context, &applied);
         if lagging.is_empty() || bound_passed {
             return InForce {
                 everywhere: true,
@@ -156,49 +156,60 @@
     }
 }
 
-async fn ask_members(
-    context: &NodeContext,
-    revision: Revision,
-    reported: &mut BTreeMap<NodeId, bool>,
-) {
-    let own = context.node_id();
+/// Members that may serve, with their addresses. One that is held dead may only be cut off, and
+/// then it serves until the freshness bound has passed; it is surely gone when another process
+/// answers at its address.
+fn members_to_ask(context: &NodeContext) -> BTreeMap<NodeId, SocketAddr> {
     let view = context.view();
-    reported.retain(|node, applied| *applied || view.members.contains_key(node));
-    let asked = view
+    let state = context.state();
+    let running: BTreeMap<SocketAddr, NodeId> = view
         .running()
-        .map(|member| member.identity.id)
-        .filter(|node| reported.get(node) != Some(&true))
-        .map(|node| async move {
-            let applied = node == own || has_applied(context, node, revision).await;
-            (node, applied)
+        .map(|member| (member.identity.peer_address, member.identity.id))
+        .collect();
+    let known = view.members.values().map(|member| &member.identity);
+    known
+        .chain(&state.members().members)
+        .filter(|identity| {
+            let at_address = running.get(&identity.peer_address);
+            at_address.is_none_or(|runs| *runs == identity.id)
+        })
+        .map(|identity| (identity.id, identity.peer_address))
+        .collect()
+}
+
+async fn ask_members(context: &NodeContext, revision: Revision, applied: &mut BTreeSet<NodeId>) {
+    let own = context.node_id();
+    let asked = members_to_ask(context)
+        .into_iter()
+        .filter(|(node, _)| !applied.contains(node))
+        .map(|(node, address)| async move {
+            let has_applied = node == own || has_applied(context, address, revision).await;
+            has_applied.then_some(node)
         });
     let answers = join_all(asked).await;
-    let running: Vec<NodeId> = view.running().map(|member| member.identity.id).collect();
-    reported.retain(|node, applied| *applied || running.contains(node));
-    reported.extend(answers);
+    applied.extend(answers.into_iter().flatten());
 }
 
-async fn has_applied(context: &NodeContext, node: NodeId, revision: Revision) -> bool {
+async fn has_applied(context: &NodeContext, address: SocketAddr, revision: Revision) -> bool {
     context
-        .member_offset(node)
+        .member_offset(address)
         .await
         .is_some_and(|offset| offset.0 > revision.0)
 }
 
-fn majority_applied(context: &NodeContext, reported: &BTreeMap<NodeId, bool>) -> bool {
+fn majority_applied(context: &NodeContext, applied: &BTreeSet<NodeId>) -> bool {
     let state = context.state();
     let named = &state.members().members;
     let applied = named
         .iter()
-        .filter(|member| reported.get(&member.id) == Some(&true))
+        .filter(|member| applied.contains(&member.id))
         .count();
     applied * 2 > named.len()
 }
 
 impl NodeContext {
     /// Configuration offset a member has applied, asked of the member itself.
-    async fn member_offset(&self, node: NodeId) -> Option<havenstage_types::ids::LogOffset> {
-        let address = self.view().members.get(&node)?.identity.peer_address;
+    async fn member_offset(&self, address: SocketAddr) -> Option<LogOffset> {
         let request = havenstage_types::peer::PeerRequest {
             from: self.node_id(),
             config_offset: self.config_offset(),
