Count a live request's deadline from its arrival, in every phase

Change: one deadline from arrival on; admission, claim and pauses end at it. A permit asked for in vain is given back, and a claim in doubt is abandoned, as before. Ruled out: a timeout around the whole request, since it could not tell whether the request had run.

--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -12,7 +12,7 @@
 use havenstage_types::peer::{PeerFailure, PeerRequestBody, PeerResponseBody};
 use havenstage_types::refusal::{Refusal, RefusalReason};
 use havenstage_types::request::{CallerRequest, WholeAnswer};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::context::NodeContext;
@@ -80,7 +80,8 @@
         // Whether a claim of `attempt` may be in the log without having been read back.
         let mut uncertain = false;
         loop {
-            match self.ask(request, attempt).await {
+            let asked = timeout_at(deadline, self.ask(request, attempt)).await;
+            match asked.unwrap_or(Err(RefusalReason::DeadlineExceeded)) {
                 Ok(ClaimVerdict::Granted) => return Ok(Claimed::Granted(attempt)),
                 Ok(ClaimVerdict::Done(outcome)) => return answered(outcome),
                 Ok(ClaimVerdict::KeyReused) => {
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -21,7 +21,7 @@
 };
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
 use havenstage_types::resource::{EngineDesiredState, PolicyName};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::context::{CallError, NodeContext};
 use crate::homes::Homes;
@@ -84,7 +84,9 @@
         progress: &mut Progress,
         on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
     ) -> Result<(), ExecutionFailure> {
-        let admitted = self.admit(work, attempt, progress).await?;
+        let admitted = timeout_at(work.deadline, self.admit(work, attempt, progress))
+            .await
+            .unwrap_or_else(|_elapsed| Err(not_run(RefusalReason::DeadlineExceeded)))?;
         self.dispatch(work, attempt, admitted, progress, on_chunk)
             .await
     }
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -130,9 +130,11 @@
             events,
         };
         let service = self.clone();
+        // Counted from here on, whatever the claim or a look for a kept answer takes.
+        let deadline = self.deadline(&request);
         let in_flight = self.context.lifecycle.track();
         self.context.environment.spawner.spawn(async move {
-            service.run(request, sender).await;
+            service.run(request, deadline, sender).await;
             lock(&service.limiter).finish(&caller);
             drop(in_flight);
         });
@@ -171,18 +173,18 @@
         lock(&self.limiter).try_start(caller, limit)
     }
 
-    async fn run(&self, request: CallerRequest, sender: AnswerSender) {
+    async fn run(&self, request: CallerRequest, deadline: Instant, sender: AnswerSender) {
+        let work = work(&request, deadline);
         match request.repeatability {
-            Repeatability::AtMostOnce => self.run_at_most_once(request, sender).await,
-            Repeatability::Repeatable => self.run_repeatable(request, sender).await,
+            Repeatability::AtMostOnce => self.run_at_most_once(request, work, sender).await,
+            Repeatability::Repeatable => self.run_repeatable(request, work, sender).await,
         }
     }
 
-    async fn run_repeatable(&self, request: CallerRequest, mut sender: AnswerSender) {
+    async fn run_repeatable(&self, request: CallerRequest, work: Work, mut sender: AnswerSender) {
         if let Some(answer) = kept_answers::fetch(&self.context, &request).await {
             return sender.replay(answer);
         }
-        let work = self.work(&request);
         let mut progress = Progress::default();
         // A caller that gave a key may come back for the answer, so it is finished without it.
         let abandonable = request.idempotency_key.is_none();
@@ -226,7 +228,7 @@
             if !self.may_retry(work, &refusal) || (abandonable && !sender.is_open()) {
                 return Err(refusal);
             }
-            tokio::time::sleep(backoff.next_delay()).await;
+            pause(backoff.next_delay(), work.deadline).await;
         }
         let reason = RefusalReason::Overloaded(work.pool.clone());
         Err(truthful_reason(reason, ran))
@@ -247,12 +249,13 @@
             && lock(&self.retry_budget).try_retry(self.context.now())
     }
 
-    async fn run_at_most_once(&self, request: CallerRequest, mut sender: AnswerSender) {
-        let claimed = match self
-            .at_most_once
-            .claim(&request, self.deadline(&request))
-            .await
-        {
+    async fn run_at_most_once(
+        &self,
+        request: CallerRequest,
+        work: Work,
+        mut sender: AnswerSender,
+    ) {
+        let claimed = match self.at_most_once.claim(&request, work.deadline).await {
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
         };
@@ -260,7 +263,7 @@
             crate::at_most_once::Claimed::Granted(attempt) => attempt,
             crate::at_most_once::Claimed::Answered(answer) => return sender.replay(answer),
         };
-        match self.run_once(&request, attempt, &mut sender).await {
+        match self.run_once(&work, attempt, &mut sender).await {
             Ok(answer) => {
                 sender.send(AnswerEvent::Finished(answer.summary.clone()));
                 self.at_most_once.completed(&request, attempt, answer).await;
@@ -280,11 +283,10 @@
     /// One execution. Only an execution that surely never began may be followed by another.
     async fn run_once(
         &self,
-        request: &CallerRequest,
+        work: &Work,
         attempt: AttemptId,
         sender: &mut AnswerSender,
     ) -> Result<WholeAnswer, Refusal> {
-        let work = self.work(request);
         let mut progress = Progress::default();
         let mut on_chunk = |chunk: &TokenChunk| {
             forward(sender, chunk);
@@ -293,17 +295,17 @@
         loop {
             let result = self
                 .executor
-                .run(&work, attempt, &mut progress, &mut on_chunk)
+                .run(work, attempt, &mut progress, &mut on_chunk)
                 .await;
             let Err(failure) = result else {
                 let unknown = || Refusal::unknown(RefusalReason::OutcomeUnknown);
                 return whole_answer(progress).ok_or_else(unknown);
             };
             let refusal = failure.refusal;
-            if refusal.execution != Execution::NotRun || !self.may_retry(&work, &refusal) {
+            if refusal.execution != Execution::NotRun || !self.may_retry(work, &refusal) {
                 return Err(refusal);
             }
-            tokio::time::sleep(backoff.next_delay()).await;
+            pause(backoff.next_delay(), work.deadline).await;
         }
     }
 
@@ -319,23 +321,27 @@
         let default = Duration::from_millis(self.context.settings.default_deadline_ms);
         Instant::now() + request.deadline.unwrap_or(default)
     }
+}
 
-    fn work(&self, request: &CallerRequest) -> Work {
-        let deadline = self.deadline(request);
-        Work {
-            subject: request.id.0.clone(),
-            pool: request.pool.clone(),
-            prompt: request.prompt.clone(),
-            max_tokens: request.max_tokens,
-            class: request.class,
-            deadline,
-            queue_patience: deadline.saturating_duration_since(Instant::now()),
-            oldest_version: None,
-            straggler: false,
-        }
+fn work(request: &CallerRequest, deadline: Instant) -> Work {
+    Work {
+        subject: request.id.0.clone(),
+        pool: request.pool.clone(),
+        prompt: request.prompt.clone(),
+        max_tokens: request.max_tokens,
+        class: request.class,
+        deadline,
+        queue_patience: deadline.saturating_duration_since(Instant::now()),
+        oldest_version: None,
+        straggler: false,
     }
 }
 
+/// Waits before another try, but not beyond the deadline.
+async fn pause(delay: Duration, deadline: Instant) {
+    tokio::time::sleep_until(deadline.min(Instant::now() + delay)).await;
+}
+
 fn forward(sender: &mut AnswerSender, chunk: &TokenChunk) -> bool {
     if chunk.tokens.is_empty() {
         return sender.is_open();
