Count a sample's run as in flight until it ends, not until its asker has gone

Change: the task of the run holds the count. Ruled out: keeping the asker, since the owner's task must end.

--- a/crates/node/src/jobs/runner.rs
+++ b/crates/node/src/jobs/runner.rs
@@ -68,11 +68,14 @@
         let (sender, receiver) = watch::channel(None);
         active.insert(assignment.id.clone(), receiver.clone());
         let runners = self.clone();
+        // Counted here, since the one who asked may go before the run has ended.
+        let in_flight = self.context.lifecycle.track();
         self.context.environment.spawner.spawn(async move {
             let id = assignment.id.clone();
             let end = runners.sample_run(assignment).finish().await;
             lock(&runners.active).remove(&id);
             sender.send_replace(Some(end));
+            drop(in_flight);
         });
         receiver
     }
--- a/crates/simulator/examples/search.rs
+++ b/crates/simulator/examples/search.rs
@@ -1,7 +1,11 @@
-//! Searches seeds from the command line: `search DEPLOYMENT FIRST END THREADS [SHRINK_RUNS]`.
+//! Searches seeds from the command line:
+//! `search DEPLOYMENT FIRST END THREADS [SHRINK_RUNS [DIRECTORY]]`. Failures are written into the
+//! directory, in the form of the regression files.
+
+use std::path::Path;
 
 use havenstage_simulator::deployment::Deployment;
-use havenstage_simulator::search::{SearchOptions, search};
+use havenstage_simulator::search::{Failure, SearchOptions, search};
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -28,4 +32,19 @@
         }
     });
     print!("{report}");
+    if let Some(directory) = arguments.get(5) {
+        for failure in &report.failures {
+            write(Path::new(directory), failure);
+        }
+    }
+}
+
+fn write(directory: &Path, failure: &Failure) {
+    let name = format!("{}-{}.json", failure.deployment, failure.seed);
+    let written = serde_json::to_string_pretty(failure)
+        .map_err(std::io::Error::other)
+        .and_then(|text| std::fs::write(directory.join(name), text + "\n"));
+    if let Err(error) = written {
+        eprintln!("a failure cannot be written: {error}");
+    }
 }
