Admit to an engine only after it has reported to its home

Change: an ask waits for the first report, at least 250 ms, and is else refused as not run. Ruled out: handing the last report over with the home, since the old home may be dead.

--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -19,8 +19,10 @@
 use havenstage_types::peer::{
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, ReleaseRequest,
 };
+use havenstage_types::refusal::{Refusal, RefusalReason};
 use havenstage_types::resource::{EngineDesiredState, EngineSpec};
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::context::NodeContext;
 use crate::executor::running::RunningAttempts;
@@ -31,6 +33,9 @@
 /// Time between two looks at queues whose patience may have passed.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Shortest wait of an ask for the first report of an engine that was just taken over.
+const FIRST_REPORT_PATIENCE: Duration = Duration::from_millis(250);
+
 /// All engines this node is the home of.
 pub(crate) struct Homes {
     context: Arc<NodeContext>,
@@ -51,6 +56,9 @@
 
     /// Answers an ask for a permit, waiting in the engine's queue if it must.
     pub(crate) async fn admit(&self, request: AdmitRequest) -> PeerResponseBody {
+        if !self.is_heard(&request).await {
+            return unheard(request.engine);
+        }
         let Some(answer) = self.enqueue(request) else {
             return PeerResponseBody::Failed(PeerFailure::NotOwner);
         };
@@ -60,6 +68,20 @@
             .unwrap_or(PeerResponseBody::Failed(PeerFailure::NotOwner))
     }
 
+    /// Waits for the engine's first report to this home: before it, nobody here knows whether the
+    /// engine is leaving or which version it has. An engine without a home here passes.
+    async fn is_heard(&self, request: &AdmitRequest) -> bool {
+        let heard = lock(&self.engines)
+            .get(&request.engine)
+            .map(EngineHome::heard);
+        let Some(mut heard) = heard else {
+            return true;
+        };
+        let patience = request.patience.max(FIRST_REPORT_PATIENCE);
+        let first_report = heard.wait_for(|heard| *heard);
+        matches!(timeout(patience, first_report).await, Ok(Ok(_)))
+    }
+
     fn enqueue(&self, request: AdmitRequest) -> Option<oneshot::Receiver<PeerResponseBody>> {
         let now = self.context.now();
         let engine = request.engine.clone();
@@ -229,6 +251,15 @@
     }
 }
 
+/// The answer to an ask for an engine that has never reported here.
+fn unheard(engine: EngineName) -> PeerResponseBody {
+    let reason = RefusalReason::EngineUnreachable(engine);
+    PeerResponseBody::Refused {
+        refusal: Refusal::not_run(reason, Some(FIRST_REPORT_PATIENCE)),
+        load: 0,
+    }
+}
+
 /// Follows configuration and membership, for ever.
 pub(crate) async fn run(homes: Arc<Homes>) {
     let mut config = homes.context.config.subscribe();
--- a/crates/node/src/homes/engine_home.rs
+++ b/crates/node/src/homes/engine_home.rs
@@ -9,7 +9,7 @@
 use havenstage_types::ids::AttemptId;
 use havenstage_types::peer::PeerResponseBody;
 use havenstage_types::resource::EngineSpec;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 /// One engine this node is the home of.
@@ -19,6 +19,7 @@
     limits: AdmissionLimits,
     waiting: BTreeMap<AttemptId, Vec<oneshot::Sender<PeerResponseBody>>>,
     stopped: BTreeMap<StopKey, bool>,
+    heard: watch::Sender<bool>,
     poller: JoinHandle<Option<()>>,
 }
 
@@ -41,6 +42,7 @@
             limits,
             waiting: BTreeMap::new(),
             stopped: BTreeMap::new(),
+            heard: watch::Sender::new(false),
             poller,
         }
     }
@@ -57,6 +59,16 @@
         receiver
     }
 
+    /// The engine has reported about itself.
+    pub(super) fn note_heard(&self) {
+        self.heard.send_if_modified(|heard| !std::mem::replace(heard, true));
+    }
+
+    /// Whether the engine has reported to this home; changes once.
+    pub(super) fn heard(&self) -> watch::Receiver<bool> {
+        self.heard.subscribe()
+    }
+
     /// Answers every asker of the attempt.
     pub(super) fn answer(&mut self, attempt: AttemptId, answer: PeerResponseBody) {
         for sender in self.waiting.remove(&attempt).unwrap_or_default() {
--- a/crates/node/src/homes/poller.rs
+++ b/crates/node/src/homes/poller.rs
@@ -40,7 +40,10 @@
     let report = homes.context.environment.engines.load(endpoint).await;
     let now = homes.context.now();
     homes.with_home(&endpoint.name, |home| match &report {
-        Ok(report) => home.admission.report(now, report),
+        Ok(report) => {
+            home.note_heard();
+            home.admission.report(now, report)
+        }
         Err(_unreachable) => home.admission.unreachable(now),
     });
     report.ok()
