Let events of a streamed answer leave at once

Cause: connections of callers kept Nagle's algorithm, so the second small write of a streamed answer waited for the acknowledgement of the first one, up to 44 ms by the kernel's delayed acknowledgements. Change: every accepted connection gets TCP_NODELAY. Ruled out: joining the last events into one write, since an engine's chunks come apart anyway.

--- a/crates/http-api/src/server.rs
+++ b/crates/http-api/src/server.rs
@@ -4,8 +4,9 @@
 use std::io;
 use std::sync::Arc;
 
+use axum::serve::ListenerExt;
 use havenstage_node::node::Node;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::router::router;
 use crate::settings::HttpApiSettings;
@@ -25,7 +26,14 @@
         shutdown.await;
         state.end_long_polls();
     };
-    axum::serve(listener, router)
+    axum::serve(listener.tap_io(send_at_once), router)
         .with_graceful_shutdown(shutdown)
         .await
 }
+
+/// Lets a small event of a stream leave before the one ahead of it has been acknowledged.
+fn send_at_once(connection: &mut TcpStream) {
+    if let Err(error) = connection.set_nodelay(true) {
+        log::debug!("a connection keeps its delay: {error}");
+    }
+}
