Run the trainer stand-in from the program, and test a job end to end

Cause: the trainer stand-in exists now; the program did not start it.

Change: `standin trainer`; a test in which it pulls two steps of a job from a node and sees each of the eight slots once, none staler than the bound.

Ruled out: judging times; the test waits for the trainer to say it is done.

--- a/crates/havenstage/src/commands/standin.rs
+++ b/crates/havenstage/src/commands/standin.rs
@@ -7,7 +7,9 @@
 use anyhow::Context;
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_standin::server::MISBEHAVE_PATH;
-use havenstage_standin::{StandinError, engine, log_service, machine_list, scorer, weight_store};
+use havenstage_standin::{
+    StandinError, engine, log_service, machine_list, scorer, trainer, weight_store,
+};
 use http::StatusCode;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -20,7 +22,7 @@
 use crate::logging::{self, LoggingSettings};
 use crate::settings::file::{self, SettingsError};
 
-const CHOICES: &str = "log, engine, weights, machines, scorer, misbehave";
+const CHOICES: &str = "log, engine, weights, machines, scorer, trainer, misbehave";
 
 /// A stand-in did not take a command.
 #[derive(Debug, Error)]
@@ -45,6 +47,7 @@
         "weights" => serve(line, weight_store::serve),
         "machines" => serve(line, machine_list::serve),
         "scorer" => serve(line, scorer::serve),
+        "trainer" => serve(line, trainer::serve),
         "misbehave" => misbehave(line),
         _ => Err(Failure::usage(UsageError::UnknownCommand {
             command: format!("standin {service}"),
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -94,7 +94,7 @@
 usage: havenstage standin SERVICE --listen ADDR [--config FILE]
        havenstage standin misbehave ADDR JSON
 
-services: log, engine, weights, machines, scorer
+services: log, engine, weights, machines, scorer, trainer
 
 options:
   --listen ADDR   IP:PORT to serve on
--- a/crates/havenstage/tests/whole_path.rs
+++ b/crates/havenstage/tests/whole_path.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use deployment::{Deployment, Process};
+use deployment::{Deployment, Process, Service};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
@@ -53,10 +53,14 @@
     json!({"model": "p", "prompt": prompt, "max_tokens": max_tokens})
 }
 
-async fn executions(engine: SocketAddr, request: &str) -> usize {
+async fn record(standin: SocketAddr) -> Value {
     let client = HttpClient::new(HttpClientSettings::default());
-    let record = client.get(engine, "/record").await.expect("a record");
-    let record: Value = record.json().expect("JSON");
+    let record = client.get(standin, "/record").await.expect("a record");
+    record.json().expect("JSON")
+}
+
+async fn executions(engine: SocketAddr, request: &str) -> usize {
+    let record = record(engine).await;
     let executions = record["executions"].as_array().expect("a list");
     let of_request = |execution: &&Value| execution["subject"] == request;
     executions.iter().filter(of_request).count()
@@ -113,6 +117,54 @@
     );
 }
 
+#[tokio::test]
+async fn a_trainer_gets_every_sample_of_its_steps_once() {
+    let deployment = Deployment::start("trainer", FAST);
+    deployment.create_pool("trainer");
+    let job = "kind = \"Job\"\nname = \"j\"\n[spec]\npool = \"p\"\nprompts = [\"a\", \"b\"]\n\
+               group_size = 2\nsamples_per_step = 4\nstaleness_bound = 1\nmax_tokens = 20\n\
+               steps = 2\n";
+    let job = file("trainer-job.toml", job);
+    let applied = deployment.ctl(&["apply", "-f", job.to_str().expect("the path is text")]);
+    assert_eq!(applied.code, Some(0), "{}", applied.stderr);
+
+    let settings = format!(
+        "job = \"j\"\nmodel = \"m\"\nnodes = [\"{}\"]\nsteps = 2\ntraining_ms = 1\n",
+        deployment.server
+    );
+    let settings = file("trainer.toml", &settings);
+    let settings = settings.to_str().expect("the path is text");
+    let trainer = Service::start("trainer", &["--config", settings]);
+    let seen = loop {
+        let seen = record(trainer.address).await;
+        if seen["finished"] == true {
+            break seen;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    let deliveries = seen["deliveries"].as_array().expect("a list");
+    let mut slots: Vec<(u64, u64)> = deliveries.iter().map(slot).collect();
+    slots.sort_unstable();
+    let all = [
+        (0, 0),
+        (0, 1),
+        (0, 2),
+        (0, 3),
+        (1, 0),
+        (1, 1),
+        (1, 2),
+        (1, 3),
+    ];
+    assert_eq!(slots, all, "{seen}");
+    let stale = |delivery: &Value| delivery["staleness"].as_u64() > Some(1);
+    assert!(!deliveries.iter().any(stale), "{seen}");
+}
+
+fn slot(delivery: &Value) -> (u64, u64) {
+    let part = |name: &str| delivery["sample"][name].as_u64().expect("a number");
+    (part("step"), part("index"))
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_lets_a_stream_finish_and_exits_with_0() {
     let deployment = Deployment::start("stop", SLOW);
