--- a/crates/platform-http/src/http_client.rs
+++ b/crates/platform-http/src/http_client.rs
@@ -15,6 +15,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::traffic::{CountingConnector, HttpTraffic};
+
 /// Timeouts and pool limits of an [`HttpClient`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -118,7 +120,8 @@
 #[derive(Debug, Clone)]
 pub struct HttpClient {
     settings: HttpClientSettings,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<CountingConnector, Full<Bytes>>,
+    traffic: HttpTraffic,
 }
 
 impl HttpClient {
@@ -127,12 +130,22 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(settings.connect_timeout_ms)));
+        let traffic = HttpTraffic::default();
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_millis(settings.pool_idle_timeout_ms))
             .pool_max_idle_per_host(settings.pool_max_idle_per_server)
-            .build(connector);
-        Self { settings, client }
+            .build(CountingConnector::new(connector, traffic.clone()));
+        Self {
+            settings,
+            client,
+            traffic,
+        }
+    }
+
+    /// Counters of what its connections carry.
+    pub fn traffic(&self) -> HttpTraffic {
+        self.traffic.clone()
     }
 
     /// The settings it was made with.
--- a/crates/platform-http/src/lib.rs
+++ b/crates/platform-http/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod log_service;
 pub mod machine_list;
 pub mod scorer;
+pub mod traffic;
 pub mod weight_store;
