Do not sleep for no time in the log stand-in

Cause: a sleep of zero milliseconds still waits for the timer's next millisecond, so every append and every read of the stand-in lasted up to a millisecond longer than its settings say. Change: nothing is slept when there is no delay. Ruled out: a cost of the node's claims, which only add two requests to the log.

--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -165,7 +165,11 @@
             LogMisbehaviour::Slow { by_ms } => by_ms,
             _ => 0,
         };
-        tokio::time::sleep(Duration::from_millis(delay_ms + extra_ms)).await;
+        let delay = Duration::from_millis(delay_ms + extra_ms);
+        // Even a sleep of no time lasts until the timer's next millisecond.
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         let up = misbehaviour != LogMisbehaviour::Unavailable;
         if !up {
             self.lock().seen.refused += 1;
