--- a/crates/bench/src/scale/phases/config_changes.rs
+++ b/crates/bench/src/scale/phases/config_changes.rs
@@ -32,12 +32,15 @@
         let node = cluster.random_node()?;
         let change = engine_change(cluster, &node, &format!("timed-{number}"))?;
         let stop = CancellationToken::new();
-        let started = Instant::now();
         let watchers: Vec<_> = cluster
             .nodes
             .iter()
-            .map(|hollow| tokio::spawn(watch_offsets(hollow.node.clone(), stop.clone())))
+            .map(|hollow| {
+                let from = hollow.node.status().config_offset;
+                tokio::spawn(watch_offsets(hollow.node.clone(), from, stop.clone()))
+            })
             .collect();
+        let started = Instant::now();
         let applying = cluster
             .spawn_on_nodes(async move { node.apply(change, Some(IN_FORCE_PATIENCE)).await });
         let revision = accepted(applying.await?)?;
@@ -116,9 +119,13 @@
 }
 
 /// Notes when a node's offset changes, until stopped.
-async fn watch_offsets(node: Arc<Node>, stop: CancellationToken) -> Vec<(Instant, LogOffset)> {
+async fn watch_offsets(
+    node: Arc<Node>,
+    from: LogOffset,
+    stop: CancellationToken,
+) -> Vec<(Instant, LogOffset)> {
     let mut seen = Vec::new();
-    let mut last = node.status().config_offset;
+    let mut last = from;
     loop {
         let next = tokio::select! {
             () = stop.cancelled() => return seen,
