--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Measurements of the whole system.
+
+pub mod experiment;
--- a/crates/emulator/src/batch.rs
+++ b/crates/emulator/src/batch.rs
@@ -40,6 +40,8 @@
     pub(crate) memory: KvMemory,
     /// Attempts that lost their memory since the last look.
     preempted: Vec<AttemptId>,
+    /// Context tokens computed in prefill, repeated ones included.
+    pub(crate) prefilled_tokens: u64,
 }
 
 impl Batch {
@@ -53,6 +55,7 @@
             next_arrival: 0,
             memory: KvMemory::new(&settings.kv),
             preempted: Vec::new(),
+            prefilled_tokens: 0,
         }
     }
 
@@ -148,6 +151,9 @@
                 continue;
             };
             sequence.computed += work.tokens;
+            if work.tokens > 1 {
+                self.prefilled_tokens += u64::from(work.tokens);
+            }
             share_whole_blocks(&mut self.memory, sequence);
             if sequence.uncomputed() == 0 {
                 sequence.generate_one();
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -39,6 +39,8 @@
     imports: BTreeMap<EngineTime, Vec<u64>>,
     load_history: LoadHistory,
     log: ExecutionLog,
+    /// Prefilled tokens of earlier boots.
+    prefilled_before: u64,
     outputs: Vec<EngineOutput>,
 }
 
@@ -84,6 +86,7 @@
             imports: BTreeMap::new(),
             load_history: LoadHistory::new(lag, now, first_report),
             log: ExecutionLog::default(),
+            prefilled_before: 0,
             outputs: Vec::new(),
             settings,
         })
@@ -107,7 +110,8 @@
         );
         self.log.start(self.now, self.boot, &request);
         let class = request.class;
-        let mut sequence = Sequence::new(request, prompt, answer);
+        let mut sequence =
+            Sequence::new(request, prompt, answer, self.settings.chunk_tokens(class));
         if self.settings.instant {
             sequence.generate_all();
         }
@@ -251,6 +255,11 @@
         self.batch.memory.occupied_tokens()
     }
 
+    /// Context tokens computed in prefill since the first start, repeated ones included.
+    pub fn prefilled_tokens(&self) -> u64 {
+        self.prefilled_before + self.batch.prefilled_tokens
+    }
+
     /// Everything run since the first start, in order of submission.
     pub fn executions(&self) -> &[ExecutionRecord] {
         self.log.records()
--- a/crates/emulator/src/engine/events.rs
+++ b/crates/emulator/src/engine/events.rs
@@ -90,7 +90,6 @@
         let Some(version) = self.version else {
             return;
         };
-        let tokens_per_chunk = self.settings.tokens_per_chunk as usize;
         for attempt in self.batch.apply(iteration) {
             let Some(sequence) = self.batch.sequence_mut(attempt) else {
                 continue;
@@ -99,7 +98,7 @@
                 if let Some(mut sequence) = self.batch.remove(attempt) {
                     self.put_out(version, &mut sequence);
                 }
-            } else if sequence.pending_tokens() >= tokens_per_chunk {
+            } else if sequence.pending_tokens() >= sequence.chunk_tokens {
                 let chunk = sequence.take_chunk(version);
                 self.push_chunk(attempt, chunk);
             }
@@ -190,6 +189,7 @@
         self.version = self.settings.initial_version.map(VersionNumber);
         self.highest_token = FencingToken(0);
         self.leaving = false;
+        self.prefilled_before += self.batch.prefilled_tokens;
         self.batch = Batch::new(&self.settings);
         self.iteration = None;
         self.swap = Swap::new(self.settings.swap);
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -28,6 +28,12 @@
     pub resumed_tokens: u32,
     /// New tokens put out.
     pub tokens: u32,
+    /// Tokens of the prompt; known when it has finished.
+    #[serde(default)]
+    pub prompt_tokens: u32,
+    /// Prompt tokens found in the prefix cache; known when it has finished.
+    #[serde(default)]
+    pub cached_tokens: u32,
     /// Versions of the new tokens, counted from the first new token.
     pub versions: VersionSegments,
     /// How often it lost its KV memory to other work and was computed again.
@@ -80,6 +86,8 @@
             ended: None,
             resumed_tokens: request.resume_tokens.len() as u32,
             tokens: 0,
+            prompt_tokens: 0,
+            cached_tokens: 0,
             versions: VersionSegments::default(),
             preemptions: 0,
             outcome: ExecutionOutcome::Running,
@@ -98,6 +106,8 @@
         record.tokens += tokens;
         record.versions.push(chunk.version, tokens);
         if chunk.finish.is_some() {
+            record.prompt_tokens = chunk.prompt_tokens;
+            record.cached_tokens = chunk.cached_tokens;
             record.ended = Some(now);
             record.outcome = ExecutionOutcome::Finished;
         }
--- a/crates/emulator/src/sequence.rs
+++ b/crates/emulator/src/sequence.rs
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(crate) struct Sequence {
     pub(crate) attempt: AttemptId,
+    /// Tokens that make a chunk.
+    pub(crate) chunk_tokens: usize,
     pub(crate) lease: KvLease,
     /// Tokens of the context whose KV is in memory.
     pub(crate) computed: u32,
@@ -37,9 +39,15 @@
 }
 
 impl Sequence {
-    pub(crate) fn new(request: GenerateRequest, prompt: Vec<u32>, answer: Answer) -> Self {
+    pub(crate) fn new(
+        request: GenerateRequest,
+        prompt: Vec<u32>,
+        answer: Answer,
+        chunk_tokens: usize,
+    ) -> Self {
         Self {
             attempt: request.attempt,
+            chunk_tokens,
             lease: KvLease::default(),
             computed: 0,
             prompt,
--- a/crates/emulator/src/settings.rs
+++ b/crates/emulator/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use havenstage_types::resource::PriorityClass;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -19,6 +20,9 @@
     pub output_length: LengthDistribution,
     /// Most tokens put out as one chunk.
     pub tokens_per_chunk: u32,
+    /// The same for training requests; `None` is as for the others. Larger chunks make long
+    /// simulations cheaper and change nothing but when tokens are seen.
+    pub training_tokens_per_chunk: Option<u32>,
     /// Most requests computed at once.
     pub max_running_requests: u32,
     /// Most requests that may wait inside the engine.
@@ -129,6 +133,7 @@
                 sigma: 1.0,
             },
             tokens_per_chunk: 8,
+            training_tokens_per_chunk: None,
             max_running_requests: 64,
             max_waiting_requests: 1_024,
             compute: ComputeCost::default(),
@@ -201,6 +206,9 @@
     /// Checks every field against its allowed range.
     pub fn validate(&self) -> Result<(), InvalidEngineSettings> {
         at_least_one("tokens_per_chunk", self.tokens_per_chunk)?;
+        if let Some(tokens) = self.training_tokens_per_chunk {
+            at_least_one("training_tokens_per_chunk", tokens)?;
+        }
         at_least_one("max_running_requests", self.max_running_requests)?;
         at_least_one(
             "compute.prefill_chunk_tokens",
@@ -223,6 +231,15 @@
 }
 
 impl EngineSettings {
+    /// Most tokens of a chunk for a request of this class.
+    pub(crate) fn chunk_tokens(&self, class: PriorityClass) -> usize {
+        let tokens = match (class, self.training_tokens_per_chunk) {
+            (PriorityClass::Training, Some(tokens)) => tokens,
+            _ => self.tokens_per_chunk,
+        };
+        tokens as usize
+    }
+
     /// Takes away all times that an instant engine does not have.
     pub(crate) fn with_instant_applied(mut self) -> Self {
         if self.instant {
--- a/crates/simulator/src/clients/mod.rs
+++ b/crates/simulator/src/clients/mod.rs
@@ -20,14 +20,16 @@
 
 /// An answer of a node and the identity the node had when it gave it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Answer<T> {
-    pub(crate) node: NodeId,
-    pub(crate) result: T,
+pub struct Answer<T> {
+    /// Identity of the node that answered.
+    pub node: NodeId,
+    /// What it answered.
+    pub result: T,
 }
 
 /// Asks the node on a machine and waits for its answer; `None` when there was none in time. The
 /// question goes on inside the node whatever becomes of its asker.
-pub(crate) async fn ask<T, F, Fut>(
+pub async fn ask<T, F, Fut>(
     world: &Arc<World>,
     machine: usize,
     patience: Duration,
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -24,7 +24,7 @@
 mod peers;
 pub mod place;
 pub mod process;
-mod resources;
+pub mod resources;
 pub mod services;
 pub mod settings;
 
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -38,6 +38,9 @@
     datagrams: u64,
     datagrams_lost: u64,
     datagrams_duplicated: u64,
+    datagram_bytes: u64,
+    requests: u64,
+    request_bytes: u64,
 }
 
 /// A spell in which the network between nodes is worse than its settings say.
@@ -60,6 +63,12 @@
     pub datagrams_lost: u64,
     /// Datagrams delivered twice.
     pub datagrams_duplicated: u64,
+    /// Bytes of the datagrams sent, encoded, without headers of lower layers.
+    pub datagram_bytes: u64,
+    /// Messages of requests between nodes: each request and each answer is one.
+    pub requests: u64,
+    /// Bytes of these messages, encoded, without frames and headers of lower layers.
+    pub request_bytes: u64,
 }
 
 /// What becomes of one datagram: one delay for each copy that arrives.
@@ -185,6 +194,18 @@
         (0..copies).map(|_| self.latency(from, to)).collect()
     }
 
+    /// Counts the bytes of a datagram between nodes.
+    pub fn count_datagram_bytes(&self, bytes: usize) {
+        self.lock().datagram_bytes += bytes as u64;
+    }
+
+    /// Counts a request between nodes, or its answer.
+    pub fn count_request(&self, bytes: usize) {
+        let mut state = self.lock();
+        state.requests += 1;
+        state.request_bytes += bytes as u64;
+    }
+
     /// What was counted so far.
     pub fn counts(&self) -> NetworkCounts {
         let state = self.lock();
@@ -192,6 +213,9 @@
             datagrams: state.datagrams,
             datagrams_lost: state.datagrams_lost,
             datagrams_duplicated: state.datagrams_duplicated,
+            datagram_bytes: state.datagram_bytes,
+            requests: state.requests,
+            request_bytes: state.request_bytes,
         }
     }
 
--- a/crates/simulator/src/world/peers.rs
+++ b/crates/simulator/src/world/peers.rs
@@ -6,8 +6,10 @@
 
 use async_trait::async_trait;
 use havenstage_platform::peer::{PeerError, PeerHandler, PeerNetwork};
+use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::{PeerRequest, PeerResponse};
+use serde::Serialize;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -64,6 +66,7 @@
         patience: Duration,
     ) -> Result<PeerResponse, PeerError> {
         let there = self.connect(address, patience).await?;
+        self.network.count_request(encoded_len(&request));
         let (sender, answer) = oneshot::channel();
         let peers = self.clone();
         // The request goes on by itself whatever becomes of its sender.
@@ -75,6 +78,9 @@
                 Some(process) => answer_in(&process, request).await,
                 None => Err(PeerError::NotSent),
             };
+            if let Ok(response) = &result {
+                peers.network.count_request(encoded_len(response));
+            }
             if peers.network.carry(there, peers.place).await {
                 // The one who asked may have gone.
                 let _ = sender.send(result);
@@ -90,6 +96,7 @@
         let Some(there) = self.machines.place_of(address) else {
             return;
         };
+        self.network.count_datagram_bytes(encoded_len(&packet));
         for delay in self.network.datagram(self.place, there) {
             let machines = self.machines.clone();
             let packet = packet.clone();
@@ -104,6 +111,11 @@
     }
 }
 
+/// Length of a message as the real network encodes it.
+fn encoded_len(message: &impl Serialize) -> usize {
+    codec::encode(message).map_or(0, |bytes| bytes.len())
+}
+
 /// Lets a process answer. The connection breaks when the process ends first.
 async fn answer_in(
     process: &Arc<NodeProcess>,
