--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Measurements of the whole system.
 
 pub mod experiment;
+pub mod latency;
