--- a/crates/bench/src/experiment/table.rs
+++ b/crates/bench/src/experiment/table.rs
@@ -4,6 +4,7 @@
 
 use comfy_table::{Table, presets};
 
+use super::compare::{Comparison, Spread};
 use super::report::{LiveReport, Report, TrainingReport};
 
 /// The whole report.
@@ -197,3 +198,50 @@
     }
     table.to_string()
 }
+
+/// A comparison: each measure of each variant with its spread over the seeds, and the ratio to the
+/// first variant.
+pub fn comparison(comparison: &Comparison) -> String {
+    let Some(base) = comparison.variants.first() else {
+        return String::new();
+    };
+    let mut header = vec!["measure"];
+    header.extend(
+        comparison
+            .variants
+            .iter()
+            .map(|variant| variant.name.as_str()),
+    );
+    let mut table = table(&header);
+    let names: Vec<String> = base.spreads().into_keys().collect();
+    let columns: Vec<_> = comparison
+        .variants
+        .iter()
+        .map(|variant| (variant.spreads(), variant.ratios_to(base)))
+        .collect();
+    for name in names {
+        let mut row = vec![name.clone()];
+        for (index, (spreads, ratios)) in columns.iter().enumerate() {
+            let ratio = ratios.get(&name).filter(|_| index > 0);
+            row.push(cell(spreads.get(&name), ratio));
+        }
+        table.add_row(row);
+    }
+    table.to_string() + "\n"
+}
+
+fn cell(spread: Option<&Spread>, ratio: Option<&Spread>) -> String {
+    let Some(spread) = spread else {
+        return "-".to_owned();
+    };
+    let value = format!("{:.2} ({:.2}..{:.2})", spread.mean, spread.min, spread.max);
+    match ratio {
+        Some(ratio) => {
+            format!(
+                "{value} x{:.2} ({:.2}..{:.2})",
+                ratio.mean, ratio.min, ratio.max
+            )
+        }
+        None => value,
+    }
+}
