Start the trainer stand-in's cursor anew with every step

Cause: the stand-in carried its cursor from one step to the next. A cursor belongs to one step (JobLedger::deliver says so): with steps_ahead of 2 or more the samples of two open steps are mixed in the stream, so that the carried cursor skipped those samples of the next step that lay before the end of the step before. The node then rightly called the step complete, and the trainer had lost them.

Change: every step starts at offset 0.

After: the test passes.

--- a/crates/standin/src/trainer.rs
+++ b/crates/standin/src/trainer.rs
@@ -200,12 +200,11 @@
     let end = settings
         .steps
         .map_or(u64::MAX, |steps| settings.first_step.saturating_add(steps));
-    let mut cursor = LogOffset(0);
     let mut version = VersionNumber(settings.first_version);
     for step in (settings.first_step..end).map(StepNumber) {
         trainer.wait_while_stalled().await;
         let began = Instant::now();
-        cursor = pull_step(&trainer, step, cursor, version).await;
+        pull_step(&trainer, step, version).await;
         let idle = began.elapsed();
         let training = trainer.training_time();
         tokio::time::sleep(training).await;
@@ -219,14 +218,10 @@
     trainer.lock().record.finished = true;
 }
 
-/// Pulls until the step is complete and returns the cursor after it.
-async fn pull_step(
-    trainer: &TrainerStandin,
-    step: StepNumber,
-    from: LogOffset,
-    version: VersionNumber,
-) -> LogOffset {
-    let mut cursor = from;
+/// Pulls until the step is complete. The cursor starts anew with every step, since samples of steps
+/// that are open at the same time are mixed in the job's stream.
+async fn pull_step(trainer: &TrainerStandin, step: StepNumber, version: VersionNumber) {
+    let mut cursor = LogOffset(0);
     let mut pull_again = trainer.misbehaviour() == TrainerMisbehaviour::PullTwice;
     loop {
         let batch = trainer.client.pull(step, cursor).await;
@@ -235,11 +230,11 @@
         cursor = batch.next_cursor;
         if batch.step_complete && pull_again {
             pull_again = false;
-            cursor = from;
+            cursor = LogOffset(0);
             continue;
         }
         if batch.step_complete {
-            return cursor;
+            return;
         }
         if brought_nothing {
             tokio::time::sleep(Duration::from_millis(trainer.settings.retry_ms)).await;
--- a/crates/standin/tests/trainer.rs
+++ b/crates/standin/tests/trainer.rs
@@ -23,6 +23,7 @@
 /// Address where nothing listens.
 const NO_NODE: &str = "127.0.0.1:1";
 const SAMPLES_PER_STEP: u64 = 3;
+const STEPS: u64 = 2;
 
 /// What the node was told.
 #[derive(Debug, Default)]
@@ -30,6 +31,8 @@
     acknowledged: Vec<(u64, AcknowledgeRequest)>,
     published: Vec<PublishRequest>,
     requests_to_fail: u32,
+    /// Whether the samples of both steps alternate in the stream, as they do when both are open.
+    alternate: bool,
 }
 
 type Node = Arc<Mutex<Told>>;
@@ -40,10 +43,14 @@
     max: usize,
 }
 
-fn delivered(step: u64, index: u64) -> DeliveredSample {
+fn delivered(step: u64, index: u64, alternate: bool) -> DeliveredSample {
     let mut segments = VersionSegments::default();
     segments.push(VersionNumber(step), 2);
-    let offset = step * SAMPLES_PER_STEP + index;
+    let offset = if alternate {
+        index * STEPS + step
+    } else {
+        step * SAMPLES_PER_STEP + index
+    };
     let sample = Sample {
         id: SampleId {
             job: JobName::new("tone"),
@@ -82,18 +89,19 @@
         told.requests_to_fail -= 1;
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let samples: Vec<_> = (0..SAMPLES_PER_STEP)
-        .map(|index| delivered(step, index))
+    let mut samples: Vec<_> = (0..SAMPLES_PER_STEP)
+        .map(|index| delivered(step, index, told.alternate))
         .filter(|sample| sample.offset.0 >= query.cursor)
-        .take(query.max)
         .collect();
+    let step_complete = samples.len() <= query.max;
+    samples.truncate(query.max);
     let next = samples
         .last()
         .map_or(query.cursor, |last| last.offset.0 + 1);
     Ok(Json(SampleBatch {
         samples,
         next_cursor: LogOffset(next),
-        step_complete: next == (step + 1) * SAMPLES_PER_STEP,
+        step_complete,
     }))
 }
 
@@ -124,17 +132,17 @@
 /// Runs a trainer for two steps; the first node in its list does not exist.
 async fn run(
     misbehaviour: TrainerMisbehaviour,
-    requests_to_fail: u32,
+    prepare: impl FnOnce(&mut Told),
 ) -> (Running<TrainerStandin>, Node) {
     let (node_listener, router, node) = start_node().await;
-    node.lock().unwrap().requests_to_fail = requests_to_fail;
+    prepare(&mut node.lock().unwrap());
     let settings = TrainerSettings {
         job: JobName::new("tone"),
         nodes: vec![
             NO_NODE.parse().unwrap(),
             node_listener.local_addr().unwrap(),
         ],
-        steps: Some(2),
+        steps: Some(STEPS),
         training_ms: 1,
         retry_ms: 1,
         max_samples_per_pull: 2,
@@ -152,7 +160,10 @@
 
 #[tokio::test]
 async fn every_step_is_pulled_published_and_acknowledged_in_order() {
-    let (trainer, node) = run(TrainerMisbehaviour::Behave, 3).await;
+    let (trainer, node) = run(TrainerMisbehaviour::Behave, |node| {
+        node.requests_to_fail = 3
+    })
+    .await;
     let record = trainer.record();
     let offsets: Vec<u64> = record
         .deliveries
@@ -184,7 +195,7 @@
 
 #[tokio::test]
 async fn samples_pulled_twice_are_no_conflict() {
-    let (trainer, _node) = run(TrainerMisbehaviour::PullTwice, 0).await;
+    let (trainer, _node) = run(TrainerMisbehaviour::PullTwice, |_| {}).await;
     let record = trainer.record();
     assert_eq!(record.deliveries.len(), 12);
     assert!(record.conflicting_deliveries().is_empty());
@@ -192,3 +203,15 @@
     conflicting.deliveries[3].attempt.sequence += 100;
     assert_eq!(conflicting.conflicting_deliveries().len(), 1);
 }
+
+#[tokio::test]
+async fn samples_of_steps_that_are_open_together_are_all_pulled() {
+    let (trainer, _node) = run(TrainerMisbehaviour::Behave, |node| node.alternate = true).await;
+    let record = trainer.record();
+    let offsets: Vec<u64> = record
+        .deliveries
+        .iter()
+        .map(|delivery| delivery.offset.0)
+        .collect();
+    assert_eq!(offsets, [0, 2, 4, 1, 3, 5]);
+}
