Add the demonstration: the whole path in one process, judged from outside

Cause: a newcomer had no single command that shows a job and live calls end to end.

Change: `havenstage demo` starts stand-ins, three nodes with their real HTTP and peer network, an operator, a trainer and live callers on loopback, runs a job to its end, and counts from the records of stand-ins and callers. These are turned into a history that the checker of crates/history judges; exit 1 when a promise is broken or a sample is lost or doubled. The engine's record holds no tokens; they follow from the subject and are computed again from the emulator's content. It holds no prompt either, so the prompt of the call that the subject names stands in for it.

Ruled out: counting from the nodes' status or decisions (their own word), and wrapping the engine client (it would record what the node's side of the wire saw, not what the engine ran).

--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod ctl;
+mod demo;
 mod node;
 mod standin;
 
@@ -25,6 +26,7 @@
         "ctl" => (help::CTL, ctl::run),
         "standin" => (help::STANDIN, standin::run),
         "check" => (help::CHECK, check::run),
+        "demo" => (help::DEMO, demo::run),
         _ => return Err(Failure::usage(UsageError::UnknownCommand { command })),
     };
     if line.wants_help() {
@@ -43,7 +45,7 @@
     line.finish()?;
     Err(Failure::usage(UsageError::MissingWord {
         command: "havenstage",
-        choices: "node, ctl, standin, check",
+        choices: "node, ctl, standin, check, demo",
     }))
 }
 
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -11,6 +11,7 @@
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
   check     judge a recorded history
+  demo      run the whole path in one process and count what came of it
 
 options:
   -h, --help   show this text, or that of a command
@@ -123,3 +124,29 @@
 example:
   havenstage check run.jsonl --bounds bounds.toml
 ";
+
+/// `havenstage demo`
+pub const DEMO: &str = "\
+havenstage demo - the whole path in one process, on loopback
+
+usage: havenstage demo [OPTIONS]
+
+Starts stand-ins of the platform and of the engines, three nodes, a trainer and live callers,
+runs a training job to its end, and counts from the records of stand-ins and callers what came
+of it. The result is printed on standard output, the progress on standard error.
+
+options:
+  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
+  --prompts FILE      prompts of the job: a text file (a paragraph is a prompt) or a file of JSON
+                      lines with a field prompt or text; without it the built-in ones are taken
+  --steps N           training steps, 1 to 1000 (default 12)
+  --samples N         samples of a step, 4 to 4096, a multiple of 4 (default 48)
+  --chaos             meanwhile stop one node as planned, crash one engine, drain another
+  --hold              at the end keep everything running until SIGINT, to look around with ctl
+  --json              print the result as JSON
+
+exit codes: 0 the job ended and no promise is broken, 1 otherwise, 2 usage or prompts file
+
+example:
+  havenstage demo --deployment po-valley --chaos
+";
