--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod check;
 mod ctl;
+mod demo;
 mod node;
 mod standin;
 
@@ -27,6 +28,7 @@
         "standin" => (help::STANDIN, standin::run),
         "check" => (help::CHECK, check::run),
         "bench" => (help::BENCH, bench::run),
+        "demo" => (help::DEMO, demo::run),
         _ => return Err(Failure::usage(UsageError::UnknownCommand { command })),
     };
     if line.wants_help() {
@@ -45,7 +47,7 @@
     line.finish()?;
     Err(Failure::usage(UsageError::MissingWord {
         command: "havenstage",
-        choices: "node, ctl, standin, check, bench",
+        choices: "node, ctl, standin, check, bench, demo",
     }))
 }
 
