--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -16,6 +16,9 @@
 use crate::world::resources::FIRST_VERSION;
 use crate::world::settings::WorldSettings;
 
+/// Configuration records between two snapshots; few, so that starts meet snapshots.
+const SNAPSHOT_EVERY: u64 = 10;
+
 /// Everything of a run but its seed and its faults.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -56,6 +59,7 @@
     pub fn new(deployment: Deployment) -> Self {
         let mut world = WorldSettings::new(deployment);
         world.nodes_per_zone = 2;
+        world.node.snapshot_every = SNAPSHOT_EVERY;
         world.engine.output_length = LengthDistribution::LogNormal {
             median_tokens: 60.0,
             sigma: 0.8,
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -191,7 +191,9 @@
         };
         let spawner = TaskSpawner::new();
         let environment = self.environment(machine, spawner.clone());
-        let node = Node::new(self.settings.node.clone(), identity.clone(), environment);
+        let settings = self.settings.node.clone();
+        let mechanisms = self.settings.mechanisms;
+        let node = Node::with_mechanisms(settings, identity.clone(), environment, mechanisms);
         let process = NodeProcess::new(machine, node.clone(), spawner.clone());
         self.machines.set_process(machine, Some(process));
         let started = NodeStarted {
@@ -247,10 +249,14 @@
         let node = process.identity();
         self.record(EventBody::NodeStopBegun(NodeEvent { node }));
         let stopping = process.clone();
+        let waits = self.settings.mechanisms.stop_waits;
         let stopped = process.spawner().spawn(async move {
             stopping.node().stop().await;
-            stopping.open_calls().close();
-            stopping.open_calls().wait().await;
+            // The HTTP server waits for its open connections, too.
+            if waits {
+                stopping.open_calls().close();
+                stopping.open_calls().wait().await;
+            }
         });
         tokio::select! {
             biased;
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -14,6 +14,9 @@
 /// Smallest step of tokio's clock.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
+/// Probability that a request over a cut finds an old connection.
+const OLD_CONNECTION: f64 = 0.5;
+
 /// Longest time for which the network keeps what a cut holds up.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
@@ -135,6 +138,11 @@
         !self.is_cut(one, other) && !self.is_cut(other, one)
     }
 
+    /// Whether a request over a cut finds an old connection, rather than having to make a new one.
+    pub fn is_old_connection(&self) -> bool {
+        self.random.chance(OLD_CONNECTION)
+    }
+
     /// Waits until what `from` sends reaches `to`; `false` when that takes so long that the
     /// network has given up.
     pub async fn open(&self, from: Place, to: Place) -> bool {
--- a/crates/simulator/src/world/peers.rs
+++ b/crates/simulator/src/world/peers.rs
@@ -43,17 +43,21 @@
         }
     }
 
-    /// Makes a connection; fails if there is nobody, or silence for too long.
+    /// Makes a connection; fails if there is nobody, or silence for too long. A new connection that
+    /// meets silence was never made, an old one may have carried the request.
     async fn connect(&self, address: SocketAddr, patience: Duration) -> Result<Place, PeerError> {
         let there = self.machines.place_of(address).ok_or(PeerError::NotSent)?;
         if self.network.is_connected(self.place, there) {
             return Ok(there);
         }
         tokio::time::sleep(patience.min(self.network.settings().connect_timeout)).await;
-        match self.network.is_connected(self.place, there) {
-            true => Ok(there),
-            false => Err(PeerError::NoAnswer),
+        if self.network.is_connected(self.place, there) {
+            return Ok(there);
         }
+        Err(match self.network.is_old_connection() {
+            true => PeerError::NoAnswer,
+            false => PeerError::NotSent,
+        })
     }
 }
 
--- a/crates/simulator/src/world/settings.rs
+++ b/crates/simulator/src/world/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use havenstage_emulator::EngineSettings;
+use havenstage_node::mechanisms::Mechanisms;
 use havenstage_node::settings::NodeSettings;
 
 use crate::deployment::{Deployment, DeploymentSettings};
@@ -16,6 +17,8 @@
     pub nodes_per_zone: u32,
     /// Behaviour of the nodes.
     pub node: NodeSettings,
+    /// Mechanisms of the nodes that work; tests switch one off.
+    pub mechanisms: Mechanisms,
     /// Behaviour of all engines. The version they start with and their speed may be overridden
     /// one by one through [`super::engines::SimulatedEngine`].
     pub engine: EngineSettings,
@@ -23,8 +26,8 @@
     pub network: NetworkSettings,
     /// The platform's services.
     pub platform: PlatformSettings,
-    /// Length of the tokens text that the history keeps: whether the token ids that engines
-    /// produced are recorded, for the strictest check of resumed work.
+    /// Whether the history keeps the token ids that engines produced, for the strictest check of
+    /// resumed work.
     pub record_tokens: bool,
 }
 
@@ -83,6 +86,7 @@
             deployment,
             nodes_per_zone: 1,
             node: NodeSettings::default(),
+            mechanisms: Mechanisms::default(),
             engine,
             network: NetworkSettings::default(),
             platform: PlatformSettings::default(),
