--- a/crates/bench/src/experiment/error.rs
+++ b/crates/bench/src/experiment/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use havenstage_simulator::runtime::RuntimeError;
 use havenstage_simulator::world::WorldError;
 use thiserror::Error;
 
@@ -52,9 +53,12 @@
         /// Steps that were complete.
         steps: usize,
     },
-    /// A runtime or thread cannot be had.
-    #[error("runtime: {0}")]
-    Runtime(io::Error),
+    /// The virtual clock stopped, or there is no runtime.
+    #[error(transparent)]
+    Runtime(#[from] RuntimeError),
+    /// A thread cannot be had.
+    #[error("thread: {0}")]
+    Thread(io::Error),
     /// A run panicked.
     #[error("a run panicked")]
     Panicked,
--- a/crates/bench/src/experiment/run.rs
+++ b/crates/bench/src/experiment/run.rs
@@ -37,7 +37,7 @@
 pub fn run(experiment: &Experiment) -> Result<Report, ExperimentError> {
     experiment.validate()?;
     let future = Box::pin(run_in_runtime(experiment));
-    runtime::run(experiment.seed, future).map_err(ExperimentError::Runtime)?
+    runtime::run(experiment.seed, future)?
 }
 
 async fn run_in_runtime(experiment: &Experiment) -> Result<Report, ExperimentError> {
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -168,6 +168,7 @@
 example:
   havenstage bench run crates/bench/experiments/po-valley.toml --svg po-valley.svg
   havenstage bench latency --seconds 120 --json latency.json
+";
 
 /// `havenstage demo`
 pub const DEMO: &str = "\
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -249,12 +249,7 @@
             && lock(&self.retry_budget).try_retry(self.context.now())
     }
 
-    async fn run_at_most_once(
-        &self,
-        request: CallerRequest,
-        work: Work,
-        mut sender: AnswerSender,
-    ) {
+    async fn run_at_most_once(&self, request: CallerRequest, work: Work, mut sender: AnswerSender) {
         let claimed = match self.at_most_once.claim(&request, work.deadline).await {
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -10,7 +10,9 @@
 use havenstage_types::config::{
     ChangeError, ChangeOutcome, ConfigChange, ConfigRecord, InForce, Precondition,
 };
-use havenstage_types::ids::{ChangeId, LogOffset, ModelName, NodeId, Revision, VersionNumber, streams};
+use havenstage_types::ids::{
+    ChangeId, LogOffset, ModelName, NodeId, Revision, VersionNumber, streams,
+};
 use havenstage_types::peer::PeerRequestBody;
 use havenstage_types::resource::{ResourceKey, ResourceKind, ResourceSpec, WeightVersionSpec};
 use tokio::time::{Instant, timeout_at};
