Read an engine's stream to its end so that its connection is used again

Cause: an execution dropped its stream right after the last chunk, before the end mark behind it had been read; the connection then cannot be used again. A count of system calls showed a new connection to the engine for about every second request (1,255 connects for 2,680 requests). Change: what follows the last chunk is read in the same step when it is there already, else in a task of its own for at most a second. The answer does not wait for it. Ruled out: waiting for the end mark before the last chunk is handed on, which would let a slow engine hold up answers; only keeping more idle connections (256 instead of 32), measured in the same run as no change.

--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use havenstage_platform::engine::{ChunkStream, EngineError};
 use havenstage_types::decision::{CandidateScore, Decision};
 use havenstage_types::engine::{EngineEndpoint, GenerateRequest, TokenChunk};
@@ -34,6 +34,9 @@
 /// Wait suggested to a caller whose refusal came without one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time an engine has to end a stream after its last chunk, before the connection is given up.
+const REST_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Runs work on engines.
 pub(crate) struct Executor {
     context: Arc<NodeContext>,
@@ -225,7 +228,9 @@
                     policy: admitted.policy,
                     node: self.context.node_id(),
                 });
-                follow(&endpoint.name, stream, progress, on_chunk).await
+                let rest = follow(&endpoint.name, stream, progress, on_chunk).await?;
+                self.read_to_end(rest);
+                Ok(())
             } => followed,
         };
         settle(&mut admitted.held, &result);
@@ -262,6 +267,20 @@
         })
     }
 
+    /// Reads what follows the last chunk, the stream's end mark, without holding up the answer. A
+    /// connection that is dropped before its end cannot be used again.
+    fn read_to_end(&self, mut rest: ChunkStream) {
+        if rest.next().now_or_never().is_some() {
+            return;
+        }
+        self.context
+            .environment
+            .spawner
+            .spawn(tokio::time::timeout(REST_PATIENCE, async move {
+                while rest.next().await.is_some() {}
+            }));
+    }
+
     fn record_placement(&self, work: &Work, attempt: AttemptId, admitted: &Admitted) {
         self.context.decide(
             work.subject.as_str(),
@@ -278,19 +297,19 @@
     }
 }
 
-/// Reads the stream to its end.
+/// Reads the stream to its last chunk, and answers what follows that.
 async fn follow(
     engine: &EngineName,
     mut stream: ChunkStream,
     progress: &mut Progress,
     on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
-) -> Result<(), ExecutionFailure> {
+) -> Result<ChunkStream, ExecutionFailure> {
     while let Some(chunk) = stream.next().await {
         let chunk = chunk.map_err(|_broken| ran(RefusalReason::EngineFailed(engine.clone())))?;
         progress.add(&chunk);
         on_chunk(&chunk);
         if progress.finish.is_some() {
-            return Ok(());
+            return Ok(stream);
         }
     }
     // The stream ended without its last chunk.
