Keep up to 256 idle connections to one server

Cause: a node kept 32 idle connections to an engine; with more requests than that at once the rest were closed after each use and opened again for the next (367 connects for 4,824 requests with 64 callers). Change: the default of `pool_max_idle_per_server` is 256. Idle connections still end after 30 s. Ruled out: no limit, which a burst could turn into any number of idle sockets.

--- a/crates/platform-http/src/http_client.rs
+++ b/crates/platform-http/src/http_client.rs
@@ -40,7 +40,7 @@
             request_timeout_ms: 5_000,
             stream_idle_timeout_ms: 15_000,
             pool_idle_timeout_ms: 30_000,
-            pool_max_idle_per_server: 32,
+            pool_max_idle_per_server: 256,
             max_answer_bytes: 64 * 1024 * 1024,
         }
     }
