--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -12,6 +12,7 @@
   standin   run a stand-in of a platform service, for tests and trials
   check     judge a recorded history
   demo      run the whole path in one process and count what came of it
+  bench     measure the system
 
 options:
   -h, --help   show this text, or that of a command
@@ -95,7 +96,7 @@
 usage: havenstage standin SERVICE --listen ADDR [--config FILE]
        havenstage standin misbehave ADDR JSON
 
-services: log, engine, weights, machines, scorer
+services: log, engine, weights, machines, scorer, trainer
 
 options:
   --listen ADDR   IP:PORT to serve on
@@ -150,3 +151,33 @@
 example:
   havenstage demo --deployment po-valley --chaos
 ";
+
+/// `havenstage bench`
+pub const BENCH: &str = "\
+havenstage bench - measure the system
+
+usage: havenstage bench latency [OPTIONS]
+       havenstage bench latency --engine ADDR --home ADDR --front ADDR --pool NAME [OPTIONS]
+
+latency measures the time a node adds to a request against calling the engine directly, and the
+requests a second one node serves. Without addresses it starts everything in this process, each
+node on two threads. With addresses it measures an engine that answers at once and two nodes.
+
+options:
+  --seconds N               time of the whole measurement (default 60)
+  --rounds N                alternations of the latency cases (default 10)
+  --latency-connections N   connections while latency is measured (default 1)
+  --connections N           connections while throughput is measured (default 64)
+  --json FILE               also write the report as JSON
+  --engine ADDR             IP:PORT of the engine
+  --home ADDR               IP:PORT of the node that is the engine's home
+  --front ADDR              IP:PORT of another node
+  --pool NAME               pool whose only engine that is
+  --home-process PID        process of the home, to measure its CPU time and memory
+  --front-process PID       process of the other node
+
+exit codes: 0 ok, 1 failed, 2 usage
+
+example:
+  havenstage bench latency --seconds 120 --json latency.json
+";
--- a/crates/simulator/src/clients/callers.rs
+++ b/crates/simulator/src/clients/callers.rs
@@ -83,7 +83,7 @@
             settings: settings.clone(),
             number,
             at_most_once,
-            key: keyed.then(|| IdempotencyKey(key)),
+            key: keyed.then_some(IdempotencyKey(key)),
         }
     }
 
