Take a clippy suggestion in the demonstration's callers

Cause: an eager value was wrapped in a closure; clippy with -D warnings refuses it. It had been hidden by an earlier refusal in another crate, at which clippy stopped. Change: then_some.

--- a/crates/havenstage/src/commands/demo/callers.rs
+++ b/crates/havenstage/src/commands/demo/callers.rs
@@ -151,7 +151,7 @@
             pool: self.pools[index % self.pools.len()].clone(),
             prompt: format!("{prompt} (request {number} of {caller})"),
             max_tokens: MAX_TOKENS,
-            key: (plan != Plan::Plain).then(|| IdempotencyKey(key)),
+            key: (plan != Plan::Plain).then_some(IdempotencyKey(key)),
             at_most_once: plan.is_at_most_once(),
             streamed: number.is_multiple_of(2),
             class: self.class,
