--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -27,8 +27,8 @@
         "ctl" => (help::CTL, ctl::run),
         "standin" => (help::STANDIN, standin::run),
         "check" => (help::CHECK, check::run),
-        "demo" => (help::DEMO, demo::run),
         "bench" => (help::BENCH, bench::run),
+        "demo" => (help::DEMO, demo::run),
         _ => return Err(Failure::usage(UsageError::UnknownCommand { command })),
     };
     if line.wants_help() {
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -11,8 +11,8 @@
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
   check     judge a recorded history
-  demo      run the whole path in one process and count what came of it
   bench     measure the system
+  demo      run the whole path in one process and count what came of it
 
 options:
   -h, --help   show this text, or that of a command
@@ -126,44 +126,31 @@
   havenstage check run.jsonl --bounds bounds.toml
 ";
 
-/// `havenstage demo`
-pub const DEMO: &str = "\
-havenstage demo - the whole path in one process, on loopback
-
-usage: havenstage demo [OPTIONS]
-
-Starts stand-ins of the platform and of the engines, three nodes, a trainer and live callers,
-runs a training job to its end, and counts from the records of stand-ins and callers what came
-of it. The result is printed on standard output, the progress on standard error.
-
-options:
-  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
-  --prompts FILE      prompts of the job: a text file (a paragraph is a prompt) or a file of JSON
-                      lines with a field prompt or text; without it the built-in ones are taken
-  --steps N           training steps, 1 to 1000 (default 12)
-  --samples N         samples of a step, 4 to 4096, a multiple of 4 (default 48)
-  --chaos             meanwhile stop one node as planned, crash one engine, drain another
-  --hold              at the end keep everything running until SIGINT, to look around with ctl
-  --json              print the result as JSON
-
-exit codes: 0 the job ended and no promise is broken, 1 otherwise, 2 usage or prompts file
-
-example:
-  havenstage demo --deployment po-valley --chaos
-";
-
 /// `havenstage bench`
 pub const BENCH: &str = "\
 havenstage bench - measure the system
 
-usage: havenstage bench latency [OPTIONS]
+usage: havenstage bench run EXPERIMENT.toml [--seed N] [--json FILE] [--svg FILE]
+       havenstage bench compare A.toml B.toml [C.toml ..] [--seeds N] [--parallel N] [--json FILE]
+       havenstage bench latency [OPTIONS]
        havenstage bench latency --engine ADDR --home ADDR --front ADDR --pool NAME [OPTIONS]
 
+run drives an experiment on a virtual clock through the real node code and prints what came of it;
+the same file and seed give the same digits. compare runs several experiments on the same seeds
+(default 3) and prints ratios to the first one with their spread.
+
 latency measures the time a node adds to a request against calling the engine directly, and the
 requests a second one node serves. Without addresses it starts everything in this process, each
 node on two threads. With addresses it measures an engine that answers at once and two nodes.
 
-options:
+options of run and compare:
+  --seed N       seed instead of the file's
+  --seeds N      seeds, counted up from that of the first file
+  --parallel N   runs at once (default 2)
+  --json FILE    also write everything measured as JSON
+  --svg FILE     also draw step times, staleness, live latencies and swap times
+
+options of latency:
   --seconds N               time of the whole measurement (default 60)
   --rounds N                alternations of the latency cases (default 10)
   --latency-connections N   connections while latency is measured (default 1)
@@ -179,5 +166,32 @@
 exit codes: 0 ok, 1 failed, 2 usage
 
 example:
+  havenstage bench run crates/bench/experiments/po-valley.toml --svg po-valley.svg
   havenstage bench latency --seconds 120 --json latency.json
 ";
+
+/// `havenstage demo`
+pub const DEMO: &str = "\
+havenstage demo - the whole path in one process, on loopback
+
+usage: havenstage demo [OPTIONS]
+
+Starts stand-ins of the platform and of the engines, three nodes, a trainer and live callers,
+runs a training job to its end, and counts from the records of stand-ins and callers what came
+of it. The result is printed on standard output, the progress on standard error.
+
+options:
+  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
+  --prompts FILE      prompts of the job: a text file (a paragraph is a prompt) or a file of JSON
+                      lines with a field prompt or text; without it the built-in ones are taken
+  --steps N           training steps, 1 to 1000 (default 12)
+  --samples N         samples of a step, 4 to 4096, a multiple of 4 (default 48)
+  --chaos             meanwhile stop one node as planned, crash one engine, drain another
+  --hold              at the end keep everything running until SIGINT, to look around with ctl
+  --json              print the result as JSON
+
+exit codes: 0 the job ended and no promise is broken, 1 otherwise, 2 usage or prompts file
+
+example:
+  havenstage demo --deployment po-valley --chaos
+";
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -24,7 +24,7 @@
 mod peers;
 pub mod place;
 pub mod process;
-mod resources;
+pub mod resources;
 pub mod services;
 pub mod settings;
 
@@ -191,7 +191,9 @@
         };
         let spawner = TaskSpawner::new();
         let environment = self.environment(machine, spawner.clone());
-        let node = Node::new(self.settings.node.clone(), identity.clone(), environment);
+        let settings = self.settings.node.clone();
+        let mechanisms = self.settings.mechanisms;
+        let node = Node::with_mechanisms(settings, identity.clone(), environment, mechanisms);
         let process = NodeProcess::new(machine, node.clone(), spawner.clone());
         self.machines.set_process(machine, Some(process));
         let started = NodeStarted {
@@ -220,10 +222,11 @@
         let Some(process) = self.machines.process(machine) else {
             return;
         };
-        for node in process.identities() {
-            self.record(EventBody::NodeFrozen(NodeEvent { node }));
+        if process.freeze() {
+            for node in process.identities() {
+                self.record(EventBody::NodeFrozen(NodeEvent { node }));
+            }
         }
-        process.spawner().hold();
     }
 
     /// Lets a frozen node run again.
@@ -231,10 +234,11 @@
         let Some(process) = self.machines.process(machine) else {
             return;
         };
-        for node in process.identities() {
-            self.record(EventBody::NodeWoken(NodeEvent { node }));
+        if process.wake() {
+            for node in process.identities() {
+                self.record(EventBody::NodeWoken(NodeEvent { node }));
+            }
         }
-        process.spawner().release();
     }
 
     /// Stops the node on a machine in good order and returns when its process has exited.
@@ -245,10 +249,14 @@
         let node = process.identity();
         self.record(EventBody::NodeStopBegun(NodeEvent { node }));
         let stopping = process.clone();
+        let waits = self.settings.mechanisms.stop_waits;
         let stopped = process.spawner().spawn(async move {
             stopping.node().stop().await;
-            stopping.open_calls().close();
-            stopping.open_calls().wait().await;
+            // The HTTP server waits for its open connections, too.
+            if waits {
+                stopping.open_calls().close();
+                stopping.open_calls().wait().await;
+            }
         });
         tokio::select! {
             biased;
