--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod ctl;
 mod demo;
 mod node;
+mod simulate;
 mod standin;
 
 use std::future::Future;
@@ -27,6 +28,7 @@
         "ctl" => (help::CTL, ctl::run),
         "standin" => (help::STANDIN, standin::run),
         "check" => (help::CHECK, check::run),
+        "simulate" => (help::SIMULATE, simulate::run),
         "bench" => (help::BENCH, bench::run),
         "demo" => (help::DEMO, demo::run),
         _ => return Err(Failure::usage(UsageError::UnknownCommand { command })),
@@ -47,7 +49,7 @@
     line.finish()?;
     Err(Failure::usage(UsageError::MissingWord {
         command: "havenstage",
-        choices: "node, ctl, standin, check, bench, demo",
+        choices: "node, ctl, standin, demo, simulate, check, bench",
     }))
 }
 
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -10,6 +10,7 @@
   node      run a node
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
+  simulate  search seeded faults for a broken promise, on a virtual clock
   check     judge a recorded history
   bench     measure the system
   demo      run the whole path in one process and count what came of it
@@ -126,6 +127,31 @@
   havenstage check run.jsonl --bounds bounds.toml
 ";
 
+/// `havenstage simulate`
+pub const SIMULATE: &str = "\
+havenstage simulate - search seeded faults for a broken promise, on a virtual clock
+
+usage: havenstage simulate [OPTIONS]
+       havenstage simulate --replay FILE
+
+Runs the real node code with simulated engines, platform and network. Each seed draws a schedule of
+faults; what callers, engines, trainers and operators saw is judged by the history checker. The
+schedule of a failing seed is shrunk and printed.
+
+options:
+  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
+  --seeds N           seeds to try (default 100)
+  --first N           first seed (default 0)
+  --threads N         seeds run at once (default 4)
+  --failures DIR      also write each failure into this directory, to be replayed
+  --replay FILE       run one written failure again
+
+exit codes: 0 no promise is broken, 1 otherwise, 2 usage
+
+example:
+  havenstage simulate --seeds 200 --deployment po-valley
+";
+
 /// `havenstage bench`
 pub const BENCH: &str = "\
 havenstage bench - measure the system
