Admit only with a recent report of the engine and a recent look at the machine list

Change: a home admits only when the engine's report and the list are no older than one poll and 750 ms; an ask waits for them within its patience and is else refused as not run. The list is read every second, with 1 s patience. Ruled out: asking on every admission, a round trip on every request; homes in a zone that cannot reach the list at all still know only the engine's and the operator's word.

--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -2,16 +2,17 @@
 //! The home is the one place that sends work to an engine its way, so it knows the load exactly.
 
 mod engine_home;
+mod knowledge;
 mod poller;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use havenstage_config::ConfigState;
 use havenstage_membership::ownership;
 use havenstage_placement::admission::{AdmissionAction, AdmissionLimits};
-use havenstage_platform::machine_list::{MachineRole, MachineState};
 use havenstage_types::clock::Moment;
 use havenstage_types::decision::{Decision, EngineStopReason};
 use havenstage_types::engine::EngineEndpoint;
@@ -19,29 +20,27 @@
 use havenstage_types::peer::{
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, ReleaseRequest,
 };
-use havenstage_types::refusal::{Refusal, RefusalReason};
 use havenstage_types::resource::{EngineDesiredState, EngineSpec};
-use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::sync::{oneshot, watch};
 
 use crate::context::NodeContext;
 use crate::executor::running::RunningAttempts;
 use crate::locks::lock;
 use crate::node::EngineStatus;
 use engine_home::EngineHome;
+pub(crate) use knowledge::run_machine_list;
+use knowledge::{ListKnowledge, uninformed};
 
 /// Time between two looks at queues whose patience may have passed.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Shortest wait of an ask for the first report of an engine that was just taken over.
-const FIRST_REPORT_PATIENCE: Duration = Duration::from_millis(250);
-
 /// All engines this node is the home of.
 pub(crate) struct Homes {
     context: Arc<NodeContext>,
     running: Arc<RunningAttempts>,
     engines: Mutex<BTreeMap<EngineName, EngineHome>>,
-    leaving_machines: Mutex<BTreeSet<std::net::SocketAddr>>,
+    leaving_machines: Mutex<BTreeSet<SocketAddr>>,
+    list: watch::Sender<ListKnowledge>,
 }
 
 impl Homes {
@@ -51,13 +50,14 @@
             running,
             engines: Mutex::new(BTreeMap::new()),
             leaving_machines: Mutex::new(BTreeSet::new()),
+            list: knowledge::nothing_known(),
         })
     }
 
     /// Answers an ask for a permit, waiting in the engine's queue if it must.
     pub(crate) async fn admit(&self, request: AdmitRequest) -> PeerResponseBody {
-        if !self.is_heard(&request).await {
-            return unheard(request.engine);
+        if !self.is_informed(&request).await {
+            return uninformed(request.engine);
         }
         let Some(answer) = self.enqueue(request) else {
             return PeerResponseBody::Failed(PeerFailure::NotOwner);
@@ -68,20 +68,6 @@
             .unwrap_or(PeerResponseBody::Failed(PeerFailure::NotOwner))
     }
 
-    /// Waits for the engine's first report to this home: before it, nobody here knows whether the
-    /// engine is leaving or which version it has. An engine without a home here passes.
-    async fn is_heard(&self, request: &AdmitRequest) -> bool {
-        let heard = lock(&self.engines)
-            .get(&request.engine)
-            .map(EngineHome::heard);
-        let Some(mut heard) = heard else {
-            return true;
-        };
-        let patience = request.patience.max(FIRST_REPORT_PATIENCE);
-        let first_report = heard.wait_for(|heard| *heard);
-        matches!(timeout(patience, first_report).await, Ok(Ok(_)))
-    }
-
     fn enqueue(&self, request: AdmitRequest) -> Option<oneshot::Receiver<PeerResponseBody>> {
         let now = self.context.now();
         let engine = request.engine.clone();
@@ -254,15 +240,6 @@
     }
 }
 
-/// The answer to an ask for an engine that has never reported here.
-fn unheard(engine: EngineName) -> PeerResponseBody {
-    let reason = RefusalReason::EngineUnreachable(engine);
-    PeerResponseBody::Refused {
-        refusal: Refusal::not_run(reason, Some(FIRST_REPORT_PATIENCE)),
-        load: 0,
-    }
-}
-
 /// Follows configuration and membership, for ever.
 pub(crate) async fn run(homes: Arc<Homes>) {
     let mut config = homes.context.config.subscribe();
@@ -282,38 +259,12 @@
 pub(crate) async fn run_ticks(homes: Arc<Homes>) {
     loop {
         tokio::time::sleep(TICK).await;
+        homes.forget_list_if_stale();
         homes.tick();
     }
 }
 
-/// Reads the machine list, for ever.
-pub(crate) async fn run_machine_list(homes: Arc<Homes>) {
-    let interval = Duration::from_millis(homes.context.settings.machine_poll_ms);
-    loop {
-        if let Ok(machines) = homes.context.environment.machines.machines().await {
-            let leaving: BTreeSet<_> = machines
-                .iter()
-                .filter(|machine| machine.role == MachineRole::Engine)
-                .filter(|machine| machine.state == MachineState::Leaving)
-                .map(|machine| machine.address)
-                .collect();
-            let changed = homes.set_leaving_machines(leaving);
-            if changed {
-                homes.reconcile();
-            }
-        }
-        tokio::time::sleep(interval).await;
-    }
-}
-
 impl Homes {
-    fn set_leaving_machines(&self, leaving: BTreeSet<std::net::SocketAddr>) -> bool {
-        let mut known = lock(&self.leaving_machines);
-        let changed = *known != leaving;
-        *known = leaving;
-        changed
-    }
-
     fn drop_dead_holders(&self) {
         let view = self.context.view();
         let dead: Vec<NodeId> = view
--- a/crates/node/src/homes/engine_home.rs
+++ b/crates/node/src/homes/engine_home.rs
@@ -19,7 +19,7 @@
     limits: AdmissionLimits,
     waiting: BTreeMap<AttemptId, Vec<oneshot::Sender<PeerResponseBody>>>,
     stopped: BTreeMap<StopKey, bool>,
-    heard: watch::Sender<bool>,
+    reported: watch::Sender<Option<Moment>>,
     poller: JoinHandle<Option<()>>,
 }
 
@@ -42,7 +42,7 @@
             limits,
             waiting: BTreeMap::new(),
             stopped: BTreeMap::new(),
-            heard: watch::Sender::new(false),
+            reported: watch::Sender::new(None),
             poller,
         }
     }
@@ -59,15 +59,14 @@
         receiver
     }
 
-    /// The engine has reported about itself.
-    pub(super) fn note_heard(&self) {
-        self.heard
-            .send_if_modified(|heard| !std::mem::replace(heard, true));
+    /// The engine has reported about itself, asked at this moment.
+    pub(super) fn note_report(&self, asked_at: Moment) {
+        self.reported.send_replace(Some(asked_at));
     }
 
-    /// Whether the engine has reported to this home; changes once.
-    pub(super) fn heard(&self) -> watch::Receiver<bool> {
-        self.heard.subscribe()
+    /// When the engine was asked for its last report; `None` before the first.
+    pub(super) fn reported(&self) -> watch::Receiver<Option<Moment>> {
+        self.reported.subscribe()
     }
 
     /// Answers every asker of the attempt.
--- a/crates/node/src/homes/poller.rs
+++ b/crates/node/src/homes/poller.rs
@@ -37,11 +37,12 @@
 }
 
 async fn poll(homes: &Homes, endpoint: &EngineEndpoint) -> Option<LoadReport> {
+    let asked_at = homes.context.now();
     let report = homes.context.environment.engines.load(endpoint).await;
     let now = homes.context.now();
     homes.with_home(&endpoint.name, |home| match &report {
         Ok(report) => {
-            home.note_heard();
+            home.note_report(asked_at);
             home.admission.report(now, report)
         }
         Err(_unreachable) => home.admission.unreachable(now),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -59,7 +59,7 @@
             log_retry_ms: 500,
             peer_timeout_ms: 1_000,
             engine_poll_ms: 1_000,
-            machine_poll_ms: 1_500,
+            machine_poll_ms: 1_000,
             default_deadline_ms: 60_000,
             training_patience_ms: 20_000,
             partitions: 16,
