Repeat a cancel until the engine has taken it

Change: a cancel is repeated with backoff for up to 30 s, and a planned stop waits for it. Ruled out: giving up at a refused connection, since a cut looks the same.

--- a/crates/node/src/executor/held_permit.rs
+++ b/crates/node/src/executor/held_permit.rs
@@ -1,14 +1,20 @@
 //! A permit, or an ask for one, that is given back whatever happens to its holder's task.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use havenstage_placement::retry::{Backoff, BackoffSettings};
 use havenstage_types::engine::EngineEndpoint;
 use havenstage_types::ids::{AttemptId, EngineName, NodeId};
 use havenstage_types::peer::{PeerRequestBody, ReleaseReason, ReleaseRequest};
+use tokio::time::Instant;
 
 use crate::context::NodeContext;
 use crate::homes::Homes;
 
+/// Longest time for which a cancel is tried; a planned stop waits as long.
+const CANCEL_PATIENCE: Duration = Duration::from_secs(30);
+
 /// Gives a permit back when dropped and cancels what may still run under it. Tasks are aborted
 /// when a job moves to another owner, so giving back must not depend on their reaching the end.
 pub(super) struct HeldPermit {
@@ -71,10 +77,7 @@
         let attempt = self.attempt;
         let in_flight = self.context.lifecycle.track();
         self.context.environment.spawner.spawn(async move {
-            let engines = &context.environment.engines;
-            if let Err(error) = engines.cancel(&endpoint, attempt).await {
-                log::debug!(engine = endpoint.name.as_str(); "cancel not delivered: {error}");
-            }
+            deliver_cancel(&context, &endpoint, attempt).await;
             drop(in_flight);
         });
     }
@@ -102,6 +105,19 @@
     }
 }
 
+/// Cancels an execution, again and again while the engine does not answer.
+async fn deliver_cancel(context: &NodeContext, engine: &EngineEndpoint, attempt: AttemptId) {
+    let give_up_at = Instant::now() + CANCEL_PATIENCE;
+    let mut backoff = Backoff::new(BackoffSettings::default(), context.next_seed());
+    while let Err(error) = context.environment.engines.cancel(engine, attempt).await {
+        if Instant::now() >= give_up_at {
+            log::warn!(engine = engine.name.as_str(); "cancel not delivered: {error}");
+            return;
+        }
+        tokio::time::sleep(backoff.next_delay()).await;
+    }
+}
+
 impl Drop for HeldPermit {
     fn drop(&mut self) {
         // A killed node's tasks are dropped too; nothing may be spawned then.
