--- a/crates/simulator/tests/determinism.rs
+++ b/crates/simulator/tests/determinism.rs
@@ -1,20 +1,18 @@
 //! A seed is a run: running it twice gives the same history, byte for byte.
 
-mod support;
-
 use havenstage_history::file::HistoryWriter;
-use havenstage_node::mechanisms::Mechanisms;
 use havenstage_simulator::deployment::Deployment;
-use havenstage_simulator::faults::generator;
-use support::{run, short_scenario};
+use havenstage_simulator::search::run::{RunOptions, run_seed};
 
 const SEED: u64 = 41;
 
 fn history() -> Vec<u8> {
-    let scenario = short_scenario(Deployment::Cobrasur);
-    let schedule = generator::generate(SEED, &scenario.targets());
-    assert!(schedule.faults.len() > 3, "the seed must have faults");
-    let outcome = run(SEED, scenario, schedule, Mechanisms::default());
+    let options = RunOptions::default();
+    let outcome = run_seed(SEED, Deployment::Cobrasur, &options).expect("the run can be set up");
+    assert!(
+        outcome.schedule.faults.len() > 3,
+        "the seed must have faults"
+    );
     let mut writer = HistoryWriter::new(Vec::new());
     for event in &outcome.events {
         writer.write(event).expect("an event can be written");
--- a/crates/simulator/tests/regressions.rs
+++ b/crates/simulator/tests/regressions.rs
@@ -2,7 +2,7 @@
 //! and what was broken at the time.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 
 use havenstage_simulator::search::Failure;
@@ -23,7 +23,7 @@
     paths.into_iter().map(read).collect()
 }
 
-fn replay(path: &PathBuf, failure: &Failure) -> Result<(), String> {
+fn replay(path: &Path, failure: &Failure) -> Result<(), String> {
     let options = RunOptions {
         schedule: Some(failure.schedule.clone()),
         ..RunOptions::default()
