--- a/crates/bench/src/experiment/settings.rs
+++ b/crates/bench/src/experiment/settings.rs
@@ -347,7 +347,7 @@
         within("job.max_tokens", self.max_tokens, 1, 1_000_000)?;
         within("job.steps", self.steps, 1, 1_000_000)?;
         within("job.steps_ahead", self.steps_ahead, 1, 256)?;
-        if self.samples_per_step % self.group_size != 0 {
+        if !self.samples_per_step.is_multiple_of(self.group_size) {
             return Err(ExperimentError::OutOfRange {
                 setting: "job.samples_per_step",
                 value: self.samples_per_step.to_string(),
