--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -49,7 +49,7 @@
     line.finish()?;
     Err(Failure::usage(UsageError::MissingWord {
         command: "havenstage",
-        choices: "node, ctl, standin, demo, simulate, check, bench",
+        choices: "node, ctl, standin, check, demo, simulate, bench",
     }))
 }
 
