--- a/crates/bench/src/scale/clients.rs
+++ b/crates/bench/src/scale/clients.rs
@@ -1,5 +1,6 @@
 //! The node's clients of the platform: the real ones over HTTP, counted.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,18 @@
 
 use super::traffic::{NodeTraffic, TrafficKind};
 
+/// Kinds of traffic with the log.
+const LOG_KINDS: [TrafficKind; 8] = [
+    TrafficKind::ConfigRead,
+    TrafficKind::ConfigAppend,
+    TrafficKind::ClaimRead,
+    TrafficKind::ClaimAppend,
+    TrafficKind::JobRead,
+    TrafficKind::JobAppend,
+    TrafficKind::DecisionRead,
+    TrafficKind::DecisionAppend,
+];
+
 /// A new HTTP client whose bytes count as `kind`.
 fn counted_client(traffic: &NodeTraffic, kind: TrafficKind) -> HttpClient {
     let client = HttpClient::new(HttpClientSettings::default());
@@ -27,22 +40,28 @@
     client
 }
 
-/// The log client. Reads and appends use a client each, so that their bytes count apart.
+/// The log client. Each kind of traffic uses a client of its own, so that its bytes count apart.
 pub(super) struct CountedLog {
-    reads: HttpLogService,
-    appends: HttpLogService,
+    services: BTreeMap<TrafficKind, HttpLogService>,
     traffic: Arc<NodeTraffic>,
 }
 
 impl CountedLog {
     pub(super) fn new(server: SocketAddr, traffic: Arc<NodeTraffic>) -> Self {
-        let client = |kind| HttpLogService::new(counted_client(&traffic, kind), server);
+        let service = |kind| {
+            let client = counted_client(&traffic, kind);
+            (kind, HttpLogService::new(client, server))
+        };
         Self {
-            reads: client(TrafficKind::LogRead),
-            appends: client(TrafficKind::LogAppend),
+            services: LOG_KINDS.into_iter().map(service).collect(),
             traffic,
         }
     }
+
+    fn service(&self, kind: TrafficKind) -> Result<&HttpLogService, LogError> {
+        self.traffic.count(kind, 0, 0);
+        self.services.get(&kind).ok_or(LogError::NotSent)
+    }
 }
 
 #[async_trait]
@@ -52,8 +71,8 @@
         stream: &StreamName,
         records: Vec<Bytes>,
     ) -> Result<LogOffset, LogError> {
-        self.traffic.count(TrafficKind::LogAppend, 0, 0);
-        self.appends.append(stream, records).await
+        let (_, kind) = TrafficKind::of_stream(stream);
+        self.service(kind)?.append(stream, records).await
     }
 
     async fn read(
@@ -63,8 +82,10 @@
         max_records: usize,
         wait: Duration,
     ) -> Result<ReadBatch, LogError> {
-        self.traffic.count(TrafficKind::LogRead, 0, 0);
-        self.reads.read(stream, from, max_records, wait).await
+        let (kind, _) = TrafficKind::of_stream(stream);
+        self.service(kind)?
+            .read(stream, from, max_records, wait)
+            .await
     }
 }
 
--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -124,7 +124,9 @@
     for phase in Phase::ALL {
         if settings.phases.contains(&phase) {
             progress(ScaleProgress::Phase(size, phase));
-            phases::run(phase, &mut cluster, &mut report).await?;
+            if let Err(error) = phases::run(phase, &mut cluster, &mut report).await {
+                report.failed_phases.insert(phase, error.to_string());
+            }
         }
     }
     Ok(report)
--- a/crates/bench/src/scale/phases/requests.rs
+++ b/crates/bench/src/scale/phases/requests.rs
@@ -45,9 +45,15 @@
     let deadline = Instant::now() + cluster.settings.window();
     let mut ticks = tokio::time::interval(interval);
     let mut running = Vec::new();
+    let fronts: Vec<Arc<Node>> = cluster
+        .nodes
+        .iter()
+        .take(cluster.settings.request_nodes)
+        .map(|hollow| hollow.node.clone())
+        .collect();
     while Instant::now() < deadline {
         ticks.tick().await;
-        let node = cluster.random_node()?;
+        let node = fronts[running.len() % fronts.len()].clone();
         let request = request(cluster, kind, running.len());
         running.push(cluster.spawn_on_nodes(serve(node, request)));
     }
--- a/crates/bench/src/scale/report.rs
+++ b/crates/bench/src/scale/report.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::settings::{ClusterSize, ScaleSettings};
+use super::settings::{ClusterSize, Phase, ScaleSettings};
 use super::slopes::{self, Slope};
 use super::traffic::TrafficKind;
 
@@ -57,6 +57,9 @@
     pub converge_seconds: f64,
     /// Memory that this process gained for each node, connections of the stand-ins included.
     pub memory_bytes_per_node: f64,
+    /// Phases that could not be measured, and why.
+    #[serde(default)]
+    pub failed_phases: BTreeMap<Phase, String>,
     /// See [`Phase::Idle`](super::settings::Phase::Idle).
     pub idle: Option<WindowReport>,
     /// See [`Phase::ConfigChanges`](super::settings::Phase::ConfigChanges).
@@ -90,8 +93,12 @@
     pub cpu_wait_percent_per_node: f64,
     /// Control bytes sent and received, HTTP heads included, without TCP, UDP and IP headers.
     pub control_bytes_per_second: f64,
-    /// The same of the node that had the most.
+    /// The same of the node that had the most; bytes between nodes count as if the other end had
+    /// begun as many.
     pub highest_control_bytes_per_second: f64,
+    /// Bytes of prompts, answers and samples sent and received, with what carries them: engine
+    /// streams, claims, kept answers, job streams and assigned samples.
+    pub payload_bytes_per_second: f64,
     /// By kind of message, as far as the node began it.
     pub kinds: BTreeMap<TrafficKind, KindRate>,
     /// Reads asked of the log by all nodes together.
@@ -148,6 +155,8 @@
     pub cpu_microseconds: f64,
     /// Control bytes sent and received, of all nodes together.
     pub control_bytes: f64,
+    /// Bytes of prompts, answers and samples sent and received, of all nodes together.
+    pub payload_bytes: f64,
     /// Log appends.
     pub log_appends: f64,
     /// Payload bytes appended to the log.
@@ -164,6 +173,8 @@
             cpu_microseconds: cpu / 100.0 * 1e6 * of_all_nodes,
             control_bytes: (window.control_bytes_per_second - idle.control_bytes_per_second)
                 * of_all_nodes,
+            payload_bytes: (window.payload_bytes_per_second - idle.payload_bytes_per_second)
+                * of_all_nodes,
             log_appends: (window.log_appends_per_second - idle.log_appends_per_second) * per_event,
             log_bytes: (window.log_appended_bytes_per_second - idle.log_appended_bytes_per_second)
                 * per_event,
--- a/crates/bench/src/scale/settings.rs
+++ b/crates/bench/src/scale/settings.rs
@@ -96,6 +96,9 @@
     pub replacement_speedup: f64,
     /// Live requests a second, from all nodes together.
     pub requests_per_second: f64,
+    /// Nodes that take the live requests; each opens connections to most others, and all of them
+    /// count against the limit of one process.
+    pub request_nodes: usize,
     /// Tokens of every answer.
     pub answer_tokens: u32,
     /// Samples of the training step.
@@ -130,6 +133,7 @@
             change_speedup: 50.0,
             replacement_speedup: 100.0,
             requests_per_second: 100.0,
+            request_nodes: 8,
             answer_tokens: 450,
             samples_per_step: 512,
             cut_ms: 15_000,
@@ -163,6 +167,7 @@
             ("node_threads", self.node_threads as f64),
             ("platform_threads", self.platform_threads as f64),
             ("window_ms", self.window_ms as f64),
+            ("request_nodes", self.request_nodes as f64),
             ("changes_per_day", self.changes_per_day),
             ("replacements_per_day", self.replacements_per_day),
             ("change_speedup", self.change_speedup),
--- a/crates/bench/src/scale/table.rs
+++ b/crates/bench/src/scale/table.rs
@@ -12,6 +12,14 @@
 pub fn render(report: &ScaleReport) -> String {
     let mut parts = vec![sizes(report).to_string(), events(report).to_string()];
     parts.extend(report.sizes.iter().filter_map(kinds));
+    for size in &report.sizes {
+        for (phase, error) in &size.failed_phases {
+            parts.push(format!(
+                "{}: {phase:?} not measured: {error}",
+                size_name(size)
+            ));
+        }
+    }
     parts.push(slopes(&report.slopes).to_string());
     parts.join("\n\n")
 }
@@ -108,6 +116,7 @@
         "per s",
         "cpu us/event",
         "control B/event",
+        "payload B/event",
         "log appends/event",
         "log B/event",
         "median s",
@@ -150,6 +159,7 @@
         figure(Some(rate.per_second), 2),
         figure(cost.map(|cost| cost.cpu_microseconds), 0),
         figure(cost.map(|cost| cost.control_bytes), 0),
+        figure(cost.map(|cost| cost.payload_bytes), 0),
         figure(cost.map(|cost| cost.log_appends), 2),
         figure(cost.map(|cost| cost.log_bytes), 0),
         figure(latency.map(|latency| latency.median), 4),
