Do not send an unchanged machine list again

Cause: every node reads the whole machine list at its interval. A change shows at the next read as before. Ruled out: longer intervals, since a leaving machine must be seen within seconds; reading at a few nodes that tell the others, which is a protocol more. A service without tags still works and costs what it did. Before: 24 nodes, 43 engines, 2,677 B/s idle at each node, 1,692 B/s of it the list.

--- a/crates/platform-http/src/http_client.rs
+++ b/crates/platform-http/src/http_client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -107,6 +107,8 @@
     pub status: StatusCode,
     /// Body.
     pub body: Bytes,
+    /// Entity tag of the body, if the server gave one.
+    pub entity_tag: Option<HeaderValue>,
 }
 
 impl ShortAnswer {
@@ -175,8 +177,13 @@
         let exchange = async {
             let response = self.send(request, timeout).await?;
             let status = response.status();
+            let entity_tag = response.headers().get(header::ETAG).cloned();
             let body = self.read_whole(response).await?;
-            Ok(ShortAnswer { status, body })
+            Ok(ShortAnswer {
+                status,
+                body,
+                entity_tag,
+            })
         };
         tokio::time::timeout(timeout, exchange)
             .await
--- a/crates/standin/src/machine_list.rs
+++ b/crates/standin/src/machine_list.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use axum::extract::State;
-use axum::http::StatusCode;
+use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -103,6 +103,10 @@
 #[derive(Debug)]
 struct List {
     shown: Vec<Machine>,
+    /// How many changes have been shown.
+    shown_changes: u64,
+    /// Drawn at the start, so that a list of an earlier run has another tag.
+    run: u64,
     pending: Vec<(Instant, MachineChange)>,
     misbehaviour: MachineListMisbehaviour,
     seen: MachineListRecord,
@@ -117,6 +121,8 @@
         settings.validate()?;
         let list = List {
             shown: settings.machines,
+            shown_changes: 0,
+            run: rand::random(),
             pending: Vec::new(),
             misbehaviour: MachineListMisbehaviour::Behave,
             seen: MachineListRecord::default(),
@@ -179,8 +185,14 @@
             .partition_point(|(shows_at, _)| *shows_at <= now);
         for (_, change) in self.pending.drain(..due) {
             apply(&mut self.shown, change);
+            self.shown_changes += 1;
         }
     }
+
+    /// Tells one shown list from another.
+    fn entity_tag(&self) -> String {
+        format!("\"{:x}-{}\"", self.run, self.shown_changes)
+    }
 }
 
 fn apply(machines: &mut Vec<Machine>, change: MachineChange) {
@@ -202,7 +214,7 @@
     }
 }
 
-async fn machines(State(standin): State<Arc<MachineListStandin>>) -> Response {
+async fn machines(State(standin): State<Arc<MachineListStandin>>, headers: HeaderMap) -> Response {
     let mut list = standin.lock();
     if list.misbehaviour == MachineListMisbehaviour::Unavailable {
         list.seen.refused += 1;
@@ -210,7 +222,14 @@
     }
     list.seen.reads += 1;
     list.show_due_changes(Instant::now());
-    Json(list.shown.clone()).into_response()
+    let tag = list.entity_tag();
+    if headers
+        .get(header::IF_NONE_MATCH)
+        .is_some_and(|known| known.as_bytes() == tag.as_bytes())
+    {
+        return (StatusCode::NOT_MODIFIED, [(header::ETAG, tag)]).into_response();
+    }
+    ([(header::ETAG, tag)], Json(list.shown.clone())).into_response()
 }
 
 async fn change(State(standin): State<Arc<MachineListStandin>>, Json(change): Json<MachineChange>) {
