Read the log's end so often that members are not pinged for it

Cause: word of the log's end is dated by the question, so with a read of 2 s it is up to 4 s old; after a third of the bound, 3.3 s, members are pinged for their word. Change: the longest read is 1.5 s by default; the setting says why. Ruled out: a later start of the pings, with which a majority might not be heard within the bound after the log has gone. Conclusion: pings no longer grow with the number of nodes while the log answers.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,7 +11,9 @@
 pub struct NodeSettings {
     /// A node that has not heard the end of the configuration for this long refuses new work.
     pub freshness_bound_ms: u64,
-    /// Longest wait of one read at the log's end.
+    /// Longest wait of one read at the log's end. Word of the end is up to twice as old as this;
+    /// once it is older than a third of the freshness bound, members are pinged for theirs. So a
+    /// sixth of the bound is the most that leaves them in peace while the log answers.
     pub log_wait_ms: u64,
     /// Pause after a failed log request.
     pub log_retry_ms: u64,
@@ -55,7 +57,7 @@
     fn default() -> Self {
         Self {
             freshness_bound_ms: 10_000,
-            log_wait_ms: 2_000,
+            log_wait_ms: 1_500,
             log_retry_ms: 500,
             peer_timeout_ms: 1_000,
             engine_poll_ms: 1_000,
