--- a/crates/http-api/tests/refusals.rs
+++ b/crates/http-api/tests/refusals.rs
@@ -27,7 +27,7 @@
         "code": "config_stale",
         "execution": "not_run",
         "message": "configuration may be stale on this node",
-        "retry_after_ms": 2000
+        "retry_after_ms": 1500
       }
     }
     "#);
