--- a/crates/simulator/src/faults/generator.rs
+++ b/crates/simulator/src/faults/generator.rs
@@ -8,9 +8,18 @@
 use crate::random::SharedRandom;
 use crate::world::log::LogFault;
 
-/// Fewest and most faults of one run, repeats not counted.
+/// Fewest and most faults of one run, repeats and bursts not counted.
 const FAULTS: (u64, u64) = (2, 9);
 
+/// Probability that a fault brings others with it.
+const BURST: f64 = 0.2;
+
+/// Most faults that one brings with it.
+const BURST_FAULTS: u64 = 3;
+
+/// Longest time within which the faults of a burst begin, in milliseconds.
+const BURST_WITHIN_MS: u64 = 3_000;
+
 /// Probability that a fault comes a second time soon after.
 const REPEAT: f64 = 0.2;
 
@@ -54,10 +63,25 @@
 }
 
 impl Generator<'_> {
+    /// Adds a fault and, now and then, others that begin at about the same time.
     fn add(&mut self) {
+        let at_ms = self.random.below(self.horizon_ms());
+        self.add_at(at_ms);
+        if self.random.chance(BURST) {
+            for _ in 0..=self.random.below(BURST_FAULTS) {
+                let later_ms = at_ms + self.random.below(BURST_WITHIN_MS);
+                self.add_at(later_ms.min(self.horizon_ms() - 1));
+            }
+        }
+    }
+
+    fn horizon_ms(&self) -> u64 {
+        u64::try_from(self.targets.horizon.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn add_at(&mut self, at_ms: u64) {
         let (fault, longest_ms) = self.fault();
-        let horizon_ms = u64::try_from(self.targets.horizon.as_millis()).unwrap_or(u64::MAX);
-        let at_ms = self.random.below(horizon_ms);
+        let horizon_ms = self.horizon_ms();
         let duration_ms = self.duration(longest_ms).min(horizon_ms - at_ms);
         self.push(at_ms, duration_ms, fault.clone());
         let again_ms = at_ms + duration_ms + self.random.below(REPEAT_WITHIN_MS);
--- a/crates/simulator/src/faults/injector.rs
+++ b/crates/simulator/src/faults/injector.rs
@@ -299,6 +299,7 @@
         let lag = self.world.platform().list_lag();
         self.list(address, MachineState::Leaving, lag);
         sleep(lag).await;
+        self.world.platform().list_answers().await;
         let name = engine.identity().name.clone();
         let origin = LeavingOrigin::MachineList;
         self.record_platform(EventBody::BackEndLeaving(BackEndLeaving {
--- a/crates/simulator/src/world/process.rs
+++ b/crates/simulator/src/world/process.rs
@@ -104,6 +104,11 @@
         self.frozen.swap(false, Ordering::Relaxed)
     }
 
+    /// Whether the process is held up now.
+    pub fn is_frozen(&self) -> bool {
+        self.frozen.load(Ordering::Relaxed)
+    }
+
     pub(super) fn end(&self) {
         self.spawner.close();
         self.ended.cancel();
--- a/crates/simulator/src/world/services.rs
+++ b/crates/simulator/src/world/services.rs
@@ -19,6 +19,9 @@
 use super::place::Place;
 use super::settings::{PlatformSettings, WorldSettings};
 
+/// Time between two looks at whether the machine list answers.
+const LIST_LOOK: Duration = Duration::from_millis(10);
+
 /// Number of different rewards.
 const REWARD_STEPS: u64 = 1_000;
 
@@ -74,6 +77,13 @@
         self.lock().list_down = down;
     }
 
+    /// Waits until the machine list answers: before, it shows nothing to anybody.
+    pub async fn list_answers(&self) {
+        while self.lock().list_down {
+            tokio::time::sleep(LIST_LOOK).await;
+        }
+    }
+
     /// Whether the scorer answers.
     pub fn set_scorer_down(&self, down: bool) {
         self.lock().scorer_down = down;
