Let the smaller side of a healed cut give way also when it was never declared dead

Cause: a node that started inside a cut-off zone declared all others dead, while they learned of it only after the cut and held it alive. Change: a node whose verdict was told three times over three probe intervals to a member that goes on, and that counts half as many members again, takes a new identity; the same measure by which the others overrule it. Ruled out: giving way at the first contact, since a member that was frozen must hear the verdict first.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -17,6 +17,7 @@
 use crate::budget::ByteBudget;
 use crate::freshness::{Freshness, StaleConfig};
 use crate::message::{MembershipAction, MembershipInput};
+use crate::packets::VerdictTold;
 use crate::probes::{ProbeOrder, Purpose, Questions};
 use crate::roster::{Peer, Roster};
 use crate::settings::MembershipSettings;
@@ -49,6 +50,8 @@
     /// Who was asked for the member list last, and when.
     pub(crate) member_list_asked: Option<(SocketAddr, Moment)>,
     pub(crate) declared_dead: bool,
+    /// Members held dead that still send.
+    pub(crate) verdicts_told: BTreeMap<NodeId, VerdictTold>,
     /// When this process last found that it had not run for a while.
     pub(crate) woken_at: Option<Moment>,
     pub(crate) actions: Vec<MembershipAction>,
@@ -98,6 +101,7 @@
             last_asked: BTreeMap::new(),
             member_list_asked: None,
             declared_dead: false,
+            verdicts_told: BTreeMap::new(),
             woken_at: None,
             actions: Vec::new(),
             settings,
--- a/crates/membership/src/packets.rs
+++ b/crates/membership/src/packets.rs
@@ -16,6 +16,19 @@
 /// Time after a pause of this process in which it accepts any verdict on itself.
 const WAKE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Times a member held dead is told so before its going on overrules the verdict.
+const VERDICTS_BEFORE_YIELDING: u32 = 3;
+
+/// Probe intervals that must pass between the first time and the yielding.
+const VERDICT_INTERVALS: u32 = 3;
+
+/// How often, and since when, a member held dead was told so.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VerdictTold {
+    first: Moment,
+    times: u32,
+}
+
 impl Membership {
     pub(crate) fn receive(&mut self, now: Moment, address: SocketAddr, packet: GossipPacket) {
         if packet.from == self.self_id {
@@ -47,10 +60,15 @@
             self.become_dead();
             return;
         }
+        if !carries_verdict && self.is_overruled(now, packet) {
+            self.become_dead();
+            return;
+        }
         let is_bare_news = packet.body == GossipBody::Updates;
         if is_bare_news && !carries_verdict {
             return;
         }
+        self.note_verdict_told(now, packet.from);
         let verdict = self.roster.update_about(packet.from);
         let verdict = verdict.into_iter().collect();
         self.send_updates(now, address, GossipBody::Updates, verdict);
@@ -79,6 +97,30 @@
         !woke_lately && own * 2 > theirs * 3
     }
 
+    /// Whether a member held dead overrules our verdict: it was told several times, goes on as
+    /// before, and counts far more members than we do. Its side never declared us dead, so that
+    /// nothing but our own giving way brings the two views together.
+    fn is_overruled(&self, now: Moment, packet: &GossipPacket) -> bool {
+        let own = self.roster.running_count() as u64;
+        let theirs = u64::from(packet.running_members);
+        let told = self.verdicts_told.get(&packet.from);
+        let was_told = told.is_some_and(|told| {
+            let long_enough = VERDICT_INTERVALS * self.settings.probe_interval;
+            told.times >= VERDICTS_BEFORE_YIELDING && now.since(told.first) >= long_enough
+        });
+        was_told && theirs * 2 > own * 3
+    }
+
+    fn note_verdict_told(&mut self, now: Moment, member: NodeId) {
+        let roster = &self.roster;
+        self.verdicts_told.retain(|id, _| roster.is_dead(*id));
+        let first_time = VerdictTold {
+            first: now,
+            times: 0,
+        };
+        self.verdicts_told.entry(member).or_insert(first_time).times += 1;
+    }
+
     /// A member list that we asked for is not passed on: its members are known already.
     fn is_member_list(&self, now: Moment, address: SocketAddr, packet: &GossipPacket) -> bool {
         let Some((asked, asked_at)) = self.member_list_asked else {
