--- a/crates/node/src/jobs/sample_run.rs
+++ b/crates/node/src/jobs/sample_run.rs
@@ -35,6 +35,7 @@
     assignment: SampleAssignment,
     subject: String,
     bound: StalenessBound,
+    backoff: Backoff,
 }
 
 impl SampleRun {
@@ -45,7 +46,9 @@
         committer: Committer,
         assignment: SampleAssignment,
     ) -> Self {
+        let seed = context.next_seed();
         Self {
+            backoff: Backoff::new(BackoffSettings::default(), seed),
             context,
             executor,
             running,
@@ -84,7 +87,8 @@
     }
 
     /// One execution; whether it ended with a whole sample.
-    async fn execute(&self, attempt: AttemptId, progress: &mut Progress) -> bool {
+    async fn execute(&mut self, attempt: AttemptId, progress: &mut Progress) -> bool {
+        let tokens_before = progress.token_count();
         let work = self.work();
         let executed = tokio::select! {
             biased;
@@ -95,6 +99,9 @@
             return true;
         };
         self.note_failure(attempt, progress, &failure);
+        if progress.token_count() > tokens_before {
+            self.backoff.reset();
+        }
         tokio::time::sleep(self.pause_after(&failure)).await;
         false
     }
@@ -175,13 +182,13 @@
         }
     }
 
-    /// Work that was stopped from here resumes at once; a full or failing engine is given time.
-    fn pause_after(&self, failure: &ExecutionFailure) -> Duration {
+    /// Work that was stopped from here resumes at once; full or failing engines are given the more
+    /// time the longer nothing comes of it.
+    fn pause_after(&mut self, failure: &ExecutionFailure) -> Duration {
         if failure.stopped.is_some() {
             return Duration::ZERO;
         }
-        let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
-        backoff.next_delay()
+        self.backoff.next_delay()
     }
 
     /// Tokens behind the bound cannot be used any more: the sample starts over.
