--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -13,23 +13,31 @@
 //!   only when it has not dispatched and never will.
 //! * Only the holder's first outcome counts.
 //!
+//! While a replica group is in force (see [`ClaimGroup`]) only its entries count, in the order of
+//! their indexes. A member of the group applies them as they are committed, ahead of the log.
+//! After a group was lost, a free key is answered [`ClaimVerdict::Unknown`] until the loss is
+//! settled.
+//!
 //! At-most-once horizon: a key is forgotten [`ClaimLedgerSettings::retention_records`] records
 //! after its claim or outcome. Up to there no second attempt is granted a key whose holder did not
 //! abandon; a repeat that comes later runs again. A holder that was granted but has not dispatched
 //! must not dispatch once that many records have followed its claim.
 
 mod entry;
+mod group;
 mod retention;
 mod settings;
 
 use std::collections::BTreeMap;
 
-use havenstage_types::claim::{ClaimOutcome, ClaimRecord, ClaimVerdict};
-use havenstage_types::ids::{AttemptId, IdempotencyKey, LogOffset};
+use havenstage_types::claim::{Claim, ClaimCommand, ClaimOutcome, ClaimRecord, ClaimVerdict};
+use havenstage_types::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset};
+use havenstage_types::replica::{EntryPayload, SequencedEntry};
 use serde::{Deserialize, Serialize};
 
 use self::entry::KeyEntry;
-use self::retention::RetentionQueue;
+pub use self::group::ClaimGroup;
+use self::retention::{RecordNumber, RetentionQueue};
 pub use self::settings::{ClaimLedgerSettings, InvalidClaimLedgerSettings};
 use crate::error::FoldError;
 use crate::position::{Arrival, StreamPosition};
@@ -39,6 +47,11 @@
 pub struct ClaimLedger {
     settings: ClaimLedgerSettings,
     position: StreamPosition,
+    /// Number of the next record that counts for retention.
+    next_number: RecordNumber,
+    group: Option<ClaimGroup>,
+    /// Generation that replaced a group which may have had records outside the log.
+    open_loss: Option<LogOffset>,
     keys: BTreeMap<IdempotencyKey, KeyEntry>,
     remembered: RetentionQueue,
     answers: RetentionQueue,
@@ -74,35 +87,71 @@
         self.position.next()
     }
 
+    /// The replica group in force; `None` while claims are written to the log directly.
+    pub fn group(&self) -> Option<&ClaimGroup> {
+        self.group.as_ref()
+    }
+
+    /// Generation whose forming revealed that records may be lost, until that is settled.
+    pub fn open_loss(&self) -> Option<LogOffset> {
+        self.open_loss
+    }
+
     /// Applies the record at `offset`. A record applied before is ignored; a record beyond the
-    /// next offset is a [`FoldError::Gap`].
+    /// next offset is a [`FoldError::Gap`]. [`FoldError::AheadOfLog`] means that this fold took
+    /// entries of a lost group from its members which the log never got: it must start anew.
     pub fn apply(&mut self, offset: LogOffset, record: &ClaimRecord) -> Result<(), FoldError> {
-        if self.advance(offset)? == Arrival::Duplicate {
+        if let ClaimRecord::GroupFormed { previous, .. } = record {
+            self.check_not_ahead(*previous)?;
+        }
+        if self.position.advance(offset)? == Arrival::Duplicate {
             return Ok(());
         }
         match record {
-            ClaimRecord::Claim(claim) => {
-                let entry = self.keys.entry(claim.key.clone()).or_default();
-                entry.claim(offset, claim);
-                self.remembered.push(offset, &claim.key, claim.attempt);
-            }
-            ClaimRecord::Abandon { key, attempt } => {
-                let entry = self.keys.entry(key.clone()).or_default();
-                entry.abandon(offset, *attempt);
-                self.remembered.push(offset, key, *attempt);
+            ClaimRecord::GroupFormed { previous, members } => {
+                self.form_group(offset, *previous, members);
             }
+            ClaimRecord::Batch {
+                generation,
+                first_index,
+                entries,
+            } => self.apply_batch(offset, *generation, *first_index, entries),
+            _ if self.group.is_some() => {}
+            ClaimRecord::Claim(claim) => self.claim(claim),
+            ClaimRecord::Abandon { key, attempt } => self.abandon(key, *attempt),
             ClaimRecord::Outcome {
                 key,
                 attempt,
                 outcome,
-            } => self.complete(offset, key, *attempt, outcome),
+            } => self.complete(key, *attempt, outcome),
         }
         Ok(())
     }
 
+    /// Applies a committed entry of the group in force before the log has it. Returns `false` when
+    /// it is not the next entry of that group.
+    pub fn apply_entry(
+        &mut self,
+        generation: LogOffset,
+        index: EntryIndex,
+        entry: &SequencedEntry<ClaimCommand>,
+    ) -> bool {
+        let is_next = self
+            .group
+            .as_mut()
+            .is_some_and(|group| group.generation == generation && group.take_if_next(index));
+        if is_next {
+            self.apply_payload(&entry.payload);
+        }
+        is_next
+    }
+
     /// Moves past a record that cannot be decoded; it changes nothing else.
     pub fn skip(&mut self, offset: LogOffset) -> Result<(), FoldError> {
-        self.advance(offset).map(|_| ())
+        if self.position.advance(offset)? == Arrival::New && self.group.is_none() {
+            self.count_record();
+        }
+        Ok(())
     }
 
     /// What `attempt` may do, as of the records applied.
@@ -116,7 +165,12 @@
         attempt: AttemptId,
         fingerprint: u64,
     ) -> Option<ClaimVerdict> {
-        self.keys.get(key)?.verdict(attempt, fingerprint)
+        let entry = self.keys.get(key);
+        let is_held = entry.is_some_and(|entry| entry.holder.is_some());
+        if self.open_loss.is_some() && !is_held {
+            return Some(ClaimVerdict::Unknown);
+        }
+        entry?.verdict(attempt, fingerprint)
     }
 
     /// The attempt that holds the key, finished or not.
@@ -130,38 +184,74 @@
         self.keys.len()
     }
 
-    fn complete(
-        &mut self,
-        offset: LogOffset,
-        key: &IdempotencyKey,
-        attempt: AttemptId,
-        outcome: &ClaimOutcome,
-    ) {
-        let Some(entry) = self.keys.get_mut(key) else {
-            return;
+    fn apply_payload(&mut self, payload: &EntryPayload<ClaimCommand>) {
+        match payload {
+            EntryPayload::Command(ClaimCommand::Claim(claim)) => self.claim(claim),
+            EntryPayload::Command(ClaimCommand::Abandon { key, attempt }) => {
+                self.abandon(key, *attempt);
+            }
+            EntryPayload::Command(ClaimCommand::Outcome {
+                key,
+                attempt,
+                outcome,
+            }) => self.complete(key, *attempt, outcome),
+            EntryPayload::LossSettled { generation } => {
+                if self.open_loss == Some(*generation) {
+                    self.open_loss = None;
+                }
+            }
+            EntryPayload::TermStart | EntryPayload::Seal { .. } => {}
+        }
+    }
+
+    fn claim(&mut self, claim: &Claim) {
+        let number = self.count_record();
+        let entry = self.keys.entry(claim.key.clone()).or_default();
+        if self.open_loss.is_some() {
+            entry.claim_after_loss(number, claim);
+        } else {
+            entry.claim(number, claim);
+        }
+        self.remembered.push(number, &claim.key, claim.attempt);
+    }
+
+    fn abandon(&mut self, key: &IdempotencyKey, attempt: AttemptId) {
+        let number = self.count_record();
+        let entry = self.keys.entry(key.clone()).or_default();
+        entry.abandon(number, attempt);
+        self.remembered.push(number, key, attempt);
+    }
+
+    fn complete(&mut self, key: &IdempotencyKey, attempt: AttemptId, outcome: &ClaimOutcome) {
+        let number = self.count_record();
+        let is_kept = if self.open_loss.is_some() {
+            let entry = self.keys.entry(key.clone()).or_default();
+            entry.complete_after_loss(number, attempt, outcome)
+        } else {
+            let entry = self.keys.get_mut(key);
+            entry.is_some_and(|entry| entry.complete(number, attempt, outcome))
         };
-        if !entry.complete(offset, attempt, outcome) {
+        if !is_kept {
             return;
         }
-        self.remembered.push(offset, key, attempt);
+        self.remembered.push(number, key, attempt);
         if matches!(outcome, ClaimOutcome::Answer(_)) {
-            self.answers.push(offset, key, attempt);
+            self.answers.push(number, key, attempt);
         }
     }
 
-    fn advance(&mut self, offset: LogOffset) -> Result<Arrival, FoldError> {
-        let arrival = self.position.advance(offset)?;
-        if arrival == Arrival::New {
-            self.forget_answers();
-            self.forget_keys();
-        }
-        Ok(arrival)
+    /// Takes the next record number and forgets what has thereby grown too old.
+    fn count_record(&mut self) -> RecordNumber {
+        let number = self.next_number;
+        self.next_number = RecordNumber(number.0 + 1);
+        self.forget_answers();
+        self.forget_keys();
+        number
     }
 
     fn forget_answers(&mut self) {
-        let next_offset = self.position.next();
         let retention = self.settings.answer_retention_records;
-        while let Some(expired) = self.answers.pop_expired(next_offset, retention) {
+        while let Some(expired) = self.answers.pop_expired(self.next_number, retention) {
             if let Some(entry) = self.keys.get_mut(&expired.key) {
                 entry.forget_answer(expired.attempt);
             }
@@ -169,9 +259,8 @@
     }
 
     fn forget_keys(&mut self) {
-        let next_offset = self.position.next();
         let retention = self.settings.retention_records;
-        while let Some(expired) = self.remembered.pop_expired(next_offset, retention) {
+        while let Some(expired) = self.remembered.pop_expired(self.next_number, retention) {
             let Some(entry) = self.keys.get_mut(&expired.key) else {
                 continue;
             };
--- a/crates/ledger/src/claims/entry.rs
+++ b/crates/ledger/src/claims/entry.rs
@@ -3,45 +3,48 @@
 use std::collections::BTreeMap;
 
 use havenstage_types::claim::{Claim, ClaimOutcome, ClaimVerdict};
-use havenstage_types::ids::{AttemptId, LogOffset};
+use havenstage_types::ids::AttemptId;
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
 use serde::{Deserialize, Serialize};
 
+use super::retention::RecordNumber;
+
 /// The attempt that may run a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Holder {
     pub(super) attempt: AttemptId,
-    fingerprint: u64,
+    /// `None` when the claim was lost with its group and only the outcome is known.
+    fingerprint: Option<u64>,
     outcome: Option<ClaimOutcome>,
-    /// Offset of the claim or, once there is one, of the outcome; retention counts from here.
-    recorded_at: LogOffset,
+    /// Number of the claim or, once there is one, of the outcome; retention counts from here.
+    recorded_at: RecordNumber,
 }
 
 /// What is remembered of one key: who holds it, and which attempts never will.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(super) struct KeyEntry {
     pub(super) holder: Option<Holder>,
-    /// Attempts that were abandoned or lost, with the offset of the last record that says so.
-    closed: BTreeMap<AttemptId, LogOffset>,
+    /// Attempts that were abandoned or lost, with the number of the last record that says so.
+    closed: BTreeMap<AttemptId, RecordNumber>,
 }
 
 impl KeyEntry {
     /// Applies a claim: it takes a free key, and else closes its attempt for good. A late copy of a
     /// closed attempt's claim renews the memory that it is closed.
-    pub(super) fn claim(&mut self, offset: LogOffset, claim: &Claim) {
+    pub(super) fn claim(&mut self, number: RecordNumber, claim: &Claim) {
         if self.is_closed(claim.attempt) {
-            self.close(offset, claim.attempt);
+            self.close(number, claim.attempt);
             return;
         }
         match &self.holder {
             Some(holder) if holder.attempt == claim.attempt => {}
-            Some(_) => self.close(offset, claim.attempt),
+            Some(_) => self.close(number, claim.attempt),
             None => {
                 self.holder = Some(Holder {
                     attempt: claim.attempt,
-                    fingerprint: claim.fingerprint,
+                    fingerprint: Some(claim.fingerprint),
                     outcome: None,
-                    recorded_at: offset,
+                    recorded_at: number,
                 });
             }
         }
@@ -49,20 +52,20 @@
 
     /// Closes an attempt and frees the key if the attempt holds it. An attempt with an outcome
     /// has run and can no longer be abandoned.
-    pub(super) fn abandon(&mut self, offset: LogOffset, attempt: AttemptId) {
+    pub(super) fn abandon(&mut self, number: RecordNumber, attempt: AttemptId) {
         if let Some(holder) = self.held_by(attempt) {
             if holder.outcome.is_some() {
                 return;
             }
             self.holder = None;
         }
-        self.close(offset, attempt);
+        self.close(number, attempt);
     }
 
     /// Keeps the first outcome of the holder; returns whether this is it.
     pub(super) fn complete(
         &mut self,
-        offset: LogOffset,
+        number: RecordNumber,
         attempt: AttemptId,
         outcome: &ClaimOutcome,
     ) -> bool {
@@ -73,19 +76,47 @@
             return false;
         }
         holder.outcome = Some(outcome.clone());
-        holder.recorded_at = offset;
+        holder.recorded_at = number;
+        true
+    }
+
+    /// Closes an attempt that asks for a free key while records of the key may be lost.
+    pub(super) fn claim_after_loss(&mut self, number: RecordNumber, claim: &Claim) {
+        if self.holder.is_some() {
+            self.claim(number, claim);
+        } else {
+            self.close(number, claim.attempt);
+        }
+    }
+
+    /// Keeps an outcome whose claim was lost with its group; returns whether the key was free.
+    pub(super) fn complete_after_loss(
+        &mut self,
+        number: RecordNumber,
+        attempt: AttemptId,
+        outcome: &ClaimOutcome,
+    ) -> bool {
+        if self.holder.is_some() {
+            return self.complete(number, attempt, outcome);
+        }
+        self.holder = Some(Holder {
+            attempt,
+            fingerprint: None,
+            outcome: Some(outcome.clone()),
+            recorded_at: number,
+        });
         true
     }
 
-    /// Forgets what the record at `offset` said about `attempt`, unless a later record renewed it.
-    pub(super) fn forget(&mut self, offset: LogOffset, attempt: AttemptId) {
+    /// Forgets what the record `number` said about `attempt`, unless a later record renewed it.
+    pub(super) fn forget(&mut self, number: RecordNumber, attempt: AttemptId) {
         if self
             .held_by(attempt)
-            .is_some_and(|holder| holder.recorded_at == offset)
+            .is_some_and(|holder| holder.recorded_at == number)
         {
             self.holder = None;
         }
-        if self.closed.get(&attempt) == Some(&offset) {
+        if self.closed.get(&attempt) == Some(&number) {
             self.closed.remove(&attempt);
         }
     }
@@ -106,7 +137,7 @@
         let Some(holder) = &self.holder else {
             return self.is_closed(attempt).then_some(ClaimVerdict::Abandoned);
         };
-        if holder.fingerprint != fingerprint {
+        if holder.fingerprint.is_some_and(|held| held != fingerprint) {
             return Some(ClaimVerdict::KeyReused);
         }
         if let Some(outcome) = &holder.outcome {
@@ -127,8 +158,8 @@
         self.closed.contains_key(&attempt)
     }
 
-    fn close(&mut self, offset: LogOffset, attempt: AttemptId) {
-        self.closed.insert(attempt, offset);
+    fn close(&mut self, number: RecordNumber, attempt: AttemptId) {
+        self.closed.insert(attempt, number);
     }
 
     fn held_by(&mut self, attempt: AttemptId) -> Option<&mut Holder> {
--- /dev/null
+++ b/crates/ledger/src/claims/group.rs
@@ -0,0 +1,124 @@
+//! The replica group in force in a claim stream, and how its entries reach the fold.
+//!
+//! Entries count in the order of their indexes, each once. A batch of another generation than the
+//! one in force is ignored, and so is a batch that would leave a gap: whoever flushes reads the
+//! stream back and sends again.
+
+use havenstage_types::claim::ClaimCommand;
+use havenstage_types::ids::{EntryIndex, LogOffset, Term};
+use havenstage_types::replica::{EntryPayload, GroupMember, ReplicaGroup, SequencedEntry};
+use serde::{Deserialize, Serialize};
+
+use super::ClaimLedger;
+use crate::error::FoldError;
+
+/// A group and how far its entries have come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimGroup {
+    /// Offset of the record that formed the group.
+    pub generation: LogOffset,
+    /// Its members.
+    pub members: Vec<GroupMember>,
+    /// Last entry applied, from the log or from the group.
+    pub applied: EntryIndex,
+    /// Last entry that the log has.
+    pub logged: EntryIndex,
+    /// Term of the last entry that the log has.
+    pub logged_term: Term,
+}
+
+impl ClaimGroup {
+    fn new(generation: LogOffset, members: &[GroupMember]) -> Self {
+        Self {
+            generation,
+            members: members.to_vec(),
+            applied: EntryIndex::default(),
+            logged: EntryIndex::default(),
+            logged_term: Term::default(),
+        }
+    }
+
+    /// The group without its progress.
+    pub fn description(&self) -> ReplicaGroup {
+        ReplicaGroup {
+            generation: self.generation,
+            members: self.members.clone(),
+        }
+    }
+
+    /// Moves past the entry if it is the next one to apply.
+    pub(super) fn take_if_next(&mut self, index: EntryIndex) -> bool {
+        let is_next = index == self.applied.next();
+        if is_next {
+            self.applied = index;
+        }
+        is_next
+    }
+}
+
+impl ClaimLedger {
+    /// A fold that is ahead of the log may not see its group replaced: what it took is lost.
+    pub(super) fn check_not_ahead(&self, previous: Option<LogOffset>) -> Result<(), FoldError> {
+        match &self.group {
+            Some(group) if Some(group.generation) == previous && group.applied > group.logged => {
+                Err(FoldError::AheadOfLog {
+                    generation: group.generation,
+                    logged: group.logged,
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Puts a group in force if the record names the one it replaces. Replacing a group that has
+    /// not sealed itself may lose records.
+    pub(super) fn form_group(
+        &mut self,
+        offset: LogOffset,
+        previous: Option<LogOffset>,
+        members: &[GroupMember],
+    ) {
+        let in_force = self.group.as_ref().map(|group| group.generation);
+        if in_force != previous {
+            return;
+        }
+        if previous.is_some() {
+            self.open_loss = Some(offset);
+        }
+        self.group = Some(ClaimGroup::new(offset, members));
+    }
+
+    /// Applies the entries of a batch that are new to the log, in order.
+    pub(super) fn apply_batch(
+        &mut self,
+        offset: LogOffset,
+        generation: LogOffset,
+        first_index: EntryIndex,
+        entries: &[SequencedEntry<ClaimCommand>],
+    ) {
+        let Some(group) = self.group.as_ref() else {
+            return;
+        };
+        if group.generation != generation || first_index > group.logged.next() {
+            return;
+        }
+        let known = (group.logged.next().0 - first_index.0) as usize;
+        let mut index = group.logged;
+        for entry in entries.iter().skip(known) {
+            index = index.next();
+            self.apply_entry(generation, index, entry);
+            self.note_logged(index, entry.term);
+            if let EntryPayload::Seal { successor } = &entry.payload {
+                self.group = Some(ClaimGroup::new(offset, successor));
+                return;
+            }
+        }
+    }
+
+    fn note_logged(&mut self, index: EntryIndex, term: Term) {
+        if let Some(group) = &mut self.group {
+            group.logged = index;
+            group.logged_term = term;
+        }
+    }
+}
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AttemptId, IdempotencyKey, RequestId};
+use crate::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset, RequestId};
 use crate::refusal::Refusal;
+use crate::replica::{GroupMember, SequencedEntry};
 use crate::request::WholeAnswer;
 
 /// One record of a claim stream.
@@ -27,6 +28,48 @@
         /// Answer or failure.
         outcome: ClaimOutcome,
     },
+    /// Hands the partition to a replica group; the group's generation is this record's offset.
+    /// From here on claims count only as entries of the group. Applied only if `previous` is the
+    /// generation in force at its offset.
+    GroupFormed {
+        /// Generation that is replaced; `None` when claims were written to the log directly.
+        previous: Option<LogOffset>,
+        /// Members of the new group.
+        members: Vec<GroupMember>,
+    },
+    /// Consecutive committed entries of a group. Ignored when another generation is in force;
+    /// entries that were applied before are skipped.
+    Batch {
+        /// Generation of the group.
+        generation: LogOffset,
+        /// Index of the first entry.
+        first_index: EntryIndex,
+        /// The entries.
+        entries: Vec<SequencedEntry<ClaimCommand>>,
+    },
+}
+
+/// What a replica group agrees on about claims; the same three matters as in [`ClaimRecord`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimCommand {
+    /// The attempt asks to run the request.
+    Claim(Claim),
+    /// The attempt gives up and will never dispatch.
+    Abandon {
+        /// Key of the request.
+        key: IdempotencyKey,
+        /// Attempt given up.
+        attempt: AttemptId,
+    },
+    /// What came of the attempt.
+    Outcome {
+        /// Key of the request.
+        key: IdempotencyKey,
+        /// Attempt that ran.
+        attempt: AttemptId,
+        /// Answer or failure.
+        outcome: ClaimOutcome,
+    },
 }
 
 /// An attempt's wish to run a request.
@@ -64,4 +107,7 @@
     Abandoned,
     /// The key was used for a request with another fingerprint.
     KeyReused,
+    /// A replica group was lost with records that may not have reached the log. Nobody can tell
+    /// whether a request with this key ran.
+    Unknown,
 }
--- /dev/null
+++ b/crates/types/src/replica.rs
@@ -0,0 +1,175 @@
+//! Replica groups: three nodes that agree on a sequence of entries while the log is away, and the
+//! messages they send to each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{EntryIndex, LogOffset, NodeId, Partition, Term, Zone};
+
+/// One member of a group. A process that restarts has another id and is no member any more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupMember {
+    /// Identity of the process run.
+    pub id: NodeId,
+    /// Zone of its machine.
+    pub zone: Zone,
+    /// Where it takes peer requests.
+    pub peer_address: SocketAddr,
+}
+
+/// A group as the log names it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaGroup {
+    /// Offset of the record that formed the group; a later generation fences earlier ones.
+    pub generation: LogOffset,
+    /// Members, the first one being the one that should lead.
+    pub members: Vec<GroupMember>,
+}
+
+impl ReplicaGroup {
+    /// Number of members that decide.
+    pub fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    /// The member with this identity.
+    pub fn member(&self, id: NodeId) -> Option<&GroupMember> {
+        self.members.iter().find(|member| member.id == id)
+    }
+}
+
+/// An entry of a group's sequence with the term in which it was proposed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SequencedEntry<C> {
+    /// Term of the leader that proposed it.
+    pub term: Term,
+    /// What it says.
+    pub payload: EntryPayload<C>,
+}
+
+/// What an entry says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryPayload<C> {
+    /// A leader begins its term.
+    TermStart,
+    /// Something the group's users asked for.
+    Command(C),
+    /// The time has passed in which a request granted by a lost group could still run or be
+    /// repeated; keys without a record are free again.
+    LossSettled {
+        /// Generation whose forming revealed the loss.
+        generation: LogOffset,
+    },
+    /// The group ends with this entry. Once it is in the log, its batch's offset is the generation
+    /// of the next group.
+    Seal {
+        /// Members of the next group.
+        successor: Vec<GroupMember>,
+    },
+}
+
+/// Where a member's sequence ends, to compare whose is more complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct SequenceEnd {
+    /// Term of the last entry.
+    pub term: Term,
+    /// Index of the last entry.
+    pub index: EntryIndex,
+}
+
+/// What members send to each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaMessage<C> {
+    /// Asks the leader to show that it is there.
+    Wake,
+    /// Asks whether a vote in `term` would be given; binds nobody.
+    PreVote {
+        /// Term the candidate would start.
+        term: Term,
+        /// End of the candidate's sequence.
+        end: SequenceEnd,
+    },
+    /// Answer to a pre-vote.
+    PreVoteReply {
+        /// Term asked about, or the higher one the member has seen.
+        term: Term,
+        /// Whether the vote would be given.
+        granted: bool,
+    },
+    /// Asks for a vote.
+    Vote {
+        /// Term the candidate starts.
+        term: Term,
+        /// End of the candidate's sequence.
+        end: SequenceEnd,
+    },
+    /// Answer to a vote.
+    VoteReply {
+        /// The member's term.
+        term: Term,
+        /// Whether the vote is given.
+        granted: bool,
+    },
+    /// Entries from the leader; also its heartbeat.
+    Append(AppendEntries<C>),
+    /// Answer to an append.
+    AppendReply(AppendReply),
+}
+
+/// Entries from the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendEntries<C> {
+    /// The leader's term.
+    pub term: Term,
+    /// Number of this message, echoed in its answer.
+    pub round: u64,
+    /// The entry right before the first one sent.
+    pub previous: SequenceEnd,
+    /// Entries in order.
+    pub entries: Vec<SequencedEntry<C>>,
+    /// Every entry up to here is committed.
+    pub committed: EntryIndex,
+    /// Every entry up to here is in the log.
+    pub logged: EntryIndex,
+}
+
+/// Answer to [`AppendEntries`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendReply {
+    /// The member's term.
+    pub term: Term,
+    /// Number of the message answered.
+    pub round: u64,
+    /// Whether the sequences match up to the last entry sent, and up to where.
+    pub result: AppendResult,
+    /// Every entry up to here is in the log, as far as the member knows.
+    pub logged: EntryIndex,
+}
+
+/// Whether a member took the entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AppendResult {
+    /// The member has the leader's entries up to here.
+    Matched(EntryIndex),
+    /// The entry before the first one sent is missing or differs; go back to after this one.
+    Mismatch(EntryIndex),
+    /// The sender leads no more.
+    StaleTerm,
+}
+
+/// A message with its group and its two ends. A process that is not `to` must not act on it: it
+/// has not got that member's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaEnvelope<C> {
+    /// Partition the group serves.
+    pub partition: Partition,
+    /// The group, so that a member that has not read the log knows it.
+    pub group: ReplicaGroup,
+    /// Sender.
+    pub from: NodeId,
+    /// Member that is meant.
+    pub to: NodeId,
+    /// The message.
+    pub message: ReplicaMessage<C>,
+}
