--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -71,7 +71,7 @@
             return;
         }
         self.arm_election(now);
-        if self.has_read_log {
+        if self.can_lead() {
             self.begin_pre_vote(now);
         }
     }
--- a/crates/replication/src/flushing.rs
+++ b/crates/replication/src/flushing.rs
@@ -103,12 +103,8 @@
     /// The log was read: the batch under way may be there.
     pub(crate) fn note_read_back(&mut self, now: Moment) {
         let logged = self.logged;
-        if !self
-            .flush
-            .batch
-            .as_ref()
-            .is_some_and(|batch| batch.last <= logged)
-        {
+        let batch = self.flush.batch.as_ref();
+        if batch.is_none_or(|batch| batch.last > logged) {
             return;
         }
         self.flush.batch = None;
--- a/crates/replication/src/proposals.rs
+++ b/crates/replication/src/proposals.rs
@@ -64,6 +64,19 @@
         is_log_away && outlives_a_member && is_in_force
     }
 
+    /// Whether the log takes entries without delay and was read lately. Only then should a group be
+    /// sealed.
+    pub fn is_log_prompt(&self, now: Moment) -> bool {
+        let takes_entries = self
+            .commit_times
+            .front()
+            .is_none_or(|(_, oldest_commit)| now < *oldest_commit + self.settings.outage_after);
+        let is_read = self
+            .log_confirmed_at
+            .is_some_and(|at| now < at + self.settings.replace_after);
+        takes_entries && is_read
+    }
+
     /// When a proposal can be answered although the log has not taken it.
     pub(crate) fn next_outage_answer(&self) -> Option<Moment> {
         let oldest_pending = *self.pending.first_key_value()?.0;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -32,14 +32,16 @@
     /// When the leader was last heard, or the member was created.
     pub(crate) leader_heard_at: Moment,
     pub(crate) sequence: Sequence<C>,
-    /// Every entry up to here is committed and was given out as such.
+    /// Every entry up to here is committed.
     pub(crate) committed: EntryIndex,
+    /// Every entry up to here was given out as committed, or read from the log.
+    pub(crate) applied: EntryIndex,
     /// Every entry up to here is in the log.
     pub(crate) logged: EntryIndex,
     /// When a follower begins an election.
     pub(crate) election_at: Option<Moment>,
     pub(crate) demanded_until: Moment,
-    /// Whether the log was read up to this group's start, without which no member can lead.
+    /// Whether the log was read up to this group's start; before that nothing can be applied.
     pub(crate) has_read_log: bool,
     pub(crate) log_confirmed_at: Option<Moment>,
     /// When entries that are not in the log were committed here, oldest first.
@@ -73,6 +75,7 @@
             leader_heard_at: now,
             sequence: Sequence::new(),
             committed: EntryIndex(0),
+            applied: EntryIndex(0),
             logged: EntryIndex(0),
             election_at: None,
             demanded_until: now,
@@ -195,29 +198,41 @@
             });
             self.step_down(now);
         }
+        self.applied = self.applied.max(read.logged);
         self.commit_through(now, read.logged);
         self.note_logged(now, read.logged);
         self.note_read_back(now);
     }
 
-    /// Gives out entries up to `index` as committed.
+    /// Entries up to `index` are committed.
     pub(crate) fn commit_through(&mut self, now: Moment, index: EntryIndex) {
-        while self.committed < index {
-            self.committed = self.committed.next();
-            let Some(entry) = self.sequence.get(self.committed) else {
-                // Read from the log, where whoever applies entries has it from as well.
-                self.committed = self.committed.max(self.sequence.base().index);
-                continue;
+        self.committed = self.committed.max(index);
+        let newest = self.commit_times.back().map(|(newest, _)| *newest);
+        if self.committed > self.logged && newest < Some(self.committed) {
+            self.commit_times.push_back((self.committed, now));
+        }
+        self.give_out_committed();
+    }
+
+    /// Gives out committed entries in order. A member that has not read the log so far, or lacks
+    /// entries that only the log has, waits for its next read.
+    fn give_out_committed(&mut self) {
+        while self.has_read_log && self.applied < self.committed {
+            let index = self.applied.next();
+            let Some(entry) = self.sequence.get(index) else {
+                return;
             };
             self.outbox.push(ReplicaAction::Committed {
-                index: self.committed,
+                index,
                 entry: entry.clone(),
             });
+            self.applied = index;
         }
-        let newest = self.commit_times.back().map(|(newest, _)| *newest);
-        if self.committed > self.logged && newest < Some(self.committed) {
-            self.commit_times.push_back((self.committed, now));
-        }
+    }
+
+    /// Whether it has applied all it knows to be committed; only then may it lead.
+    pub(crate) fn can_lead(&self) -> bool {
+        self.has_read_log && self.applied == self.committed
     }
 
     /// Everything up to `index` is in the log.
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -4,6 +4,9 @@
 
 use thiserror::Error;
 
+/// Clocks are taken to differ in rate by less than one part in this.
+const CLOCK_MARGIN: u32 = 100;
+
 /// Times and sizes of a replica group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaSettings {
@@ -45,9 +48,9 @@
     pub lost_after: Duration,
     /// A grant must be used within this time of being asked for.
     pub grant_validity: Duration,
-    /// How long after a loss a key without a record is answered as unknown. A caller must not
-    /// repeat a request later than this.
-    pub loss_window: Duration,
+    /// How long after it was granted a request may still be repeated by its caller. It bounds what
+    /// can be promised after a group was lost with records that the log has not got.
+    pub repeat_horizon: Duration,
 }
 
 impl Default for ReplicaSettings {
@@ -70,7 +73,7 @@
             replace_after: Duration::from_secs(5),
             lost_after: Duration::from_secs(20),
             grant_validity: Duration::from_secs(10),
-            loss_window: Duration::from_secs(90 * 60),
+            repeat_horizon: Duration::from_secs(60 * 60),
         }
     }
 }
@@ -95,6 +98,14 @@
 }
 
 impl ReplicaSettings {
+    /// How long after a loss was recorded a key without a record is answered as unknown: as long as
+    /// the lost group may have gone on granting, and then as long as its callers may repeat. One
+    /// part in [`CLOCK_MARGIN`] is added, since clocks do not run alike.
+    pub fn loss_window(&self) -> Duration {
+        let window = self.outage_limit + self.grant_validity + self.repeat_horizon;
+        window + window / CLOCK_MARGIN
+    }
+
     /// Checks the ranges.
     pub fn validate(&self) -> Result<(), InvalidReplicaSettings> {
         let sizes = [
@@ -130,13 +141,6 @@
                 ("outage_after", self.outage_after),
                 ("outage_limit", self.outage_limit),
             ),
-            (
-                (
-                    "outage_limit with grant_validity",
-                    self.outage_limit + self.grant_validity,
-                ),
-                ("loss_window", self.loss_window),
-            ),
         ];
         for ((shorter, short), (longer, long)) in orders {
             if short >= long {
--- a/crates/replication/src/tender.rs
+++ b/crates/replication/src/tender.rs
@@ -102,7 +102,7 @@
         overview: &PartitionOverview<'_>,
     ) -> Option<TendingStep> {
         let (generation, read_at) = self.loss_read?;
-        let is_over = now >= read_at + settings.loss_window;
+        let is_over = now >= read_at + settings.loss_window();
         (is_over && overview.is_leader).then_some(TendingStep::SettleLoss { generation })
     }
 
