Let a member vouch for a lost group, and enter an outage only by consent

Change: a majority alone is enough only after every member has taken the outage's first entry; a member that has not, or whose log holds the outage's end, vouches when it leaves the group for good. Ruled out: a record in the log before an outage (it is away by then); retirement by a majority (there is none).

--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -108,9 +108,11 @@
             return Ok(());
         }
         match record {
-            ClaimRecord::GroupFormed { previous, members } => {
-                self.form_group(offset, *previous, members);
-            }
+            ClaimRecord::GroupFormed {
+                previous,
+                members,
+                vouched_by,
+            } => self.form_group(offset, *previous, members, vouched_by.is_some()),
             ClaimRecord::Batch {
                 generation,
                 first_index,
@@ -200,7 +202,7 @@
                     self.open_loss = None;
                 }
             }
-            EntryPayload::TermStart | EntryPayload::Seal { .. } => {}
+            EntryPayload::TermStart | EntryPayload::Outage(_) | EntryPayload::Seal { .. } => {}
         }
     }
 
--- a/crates/ledger/src/claims/group.rs
+++ b/crates/ledger/src/claims/group.rs
@@ -6,7 +6,9 @@
 
 use havenstage_types::claim::ClaimCommand;
 use havenstage_types::ids::{EntryIndex, LogOffset, Term};
-use havenstage_types::replica::{EntryPayload, GroupMember, ReplicaGroup, SequencedEntry};
+use havenstage_types::replica::{
+    EntryPayload, GroupMember, OutageStep, ReplicaGroup, SequencedEntry,
+};
 use serde::{Deserialize, Serialize};
 
 use super::ClaimLedger;
@@ -25,6 +27,8 @@
     pub logged: EntryIndex,
     /// Term of the last entry that the log has.
     pub logged_term: Term,
+    /// The last step into or out of answering on a majority alone that the log has.
+    pub outage_step: Option<OutageStep>,
 }
 
 impl ClaimGroup {
@@ -35,6 +39,7 @@
             applied: EntryIndex::default(),
             logged: EntryIndex::default(),
             logged_term: Term::default(),
+            outage_step: None,
         }
     }
 
@@ -71,18 +76,19 @@
     }
 
     /// Puts a group in force if the record names the one it replaces. Replacing a group that has
-    /// not sealed itself may lose records.
+    /// not sealed itself, and for which nobody vouches, may lose records.
     pub(super) fn form_group(
         &mut self,
         offset: LogOffset,
         previous: Option<LogOffset>,
         members: &[GroupMember],
+        is_vouched: bool,
     ) {
         let in_force = self.group.as_ref().map(|group| group.generation);
         if in_force != previous {
             return;
         }
-        if previous.is_some() {
+        if previous.is_some() && !is_vouched {
             self.open_loss = Some(offset);
         }
         self.group = Some(ClaimGroup::new(offset, members));
@@ -107,7 +113,7 @@
         for entry in entries.iter().skip(known) {
             index = index.next();
             self.apply_entry(generation, index, entry);
-            self.note_logged(index, entry.term);
+            self.note_logged(index, entry);
             if let EntryPayload::Seal { successor } = &entry.payload {
                 self.group = Some(ClaimGroup::new(offset, successor));
                 return;
@@ -115,10 +121,14 @@
         }
     }
 
-    fn note_logged(&mut self, index: EntryIndex, term: Term) {
-        if let Some(group) = &mut self.group {
-            group.logged = index;
-            group.logged_term = term;
+    fn note_logged(&mut self, index: EntryIndex, entry: &SequencedEntry<ClaimCommand>) {
+        let Some(group) = &mut self.group else {
+            return;
+        };
+        group.logged = index;
+        group.logged_term = entry.term;
+        if let EntryPayload::Outage(step) = &entry.payload {
+            group.outage_step = Some(*step);
         }
     }
 }
--- a/crates/replication/src/action.rs
+++ b/crates/replication/src/action.rs
@@ -2,7 +2,7 @@
 
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::{EntryIndex, LogOffset, NodeId, Term};
-use havenstage_types::replica::{GroupMember, ReplicaMessage, SequencedEntry};
+use havenstage_types::replica::{GroupMember, OutageStep, ReplicaMessage, SequencedEntry};
 
 /// Number the caller gives a proposal, to know it again in the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,6 +60,8 @@
     pub logged: EntryIndex,
     /// Term of that entry.
     pub logged_term: Term,
+    /// The last step into or out of answering on a majority alone that the log has.
+    pub outage_step: Option<OutageStep>,
 }
 
 /// How an append to the log ended.
--- a/crates/replication/src/appending.rs
+++ b/crates/replication/src/appending.rs
@@ -27,7 +27,7 @@
         leadership.peers.values().any(|peer| {
             let last_heard = peer.heard_at.unwrap_or(leadership.busy_since);
             let is_behind = peer.matched < end || peer.logged < self.logged;
-            is_behind && now.since(last_heard) < patience
+            is_behind && !peer.is_retired && now.since(last_heard) < patience
         })
     }
 
@@ -68,7 +68,7 @@
     fn is_due(&self, now: Moment, peer: &PeerProgress, end: EntryIndex, is_busy: bool) -> bool {
         let has_news = peer.in_flight.is_none() && !peer.is_stalled && peer.next <= end;
         let is_overdue = now >= peer.sent_at + self.settings.heartbeat_interval;
-        has_news || (is_busy && is_overdue)
+        !peer.is_retired && (has_news || (is_busy && is_overdue))
     }
 
     /// When the next append is due.
@@ -79,7 +79,10 @@
         if !self.is_busy(now) {
             return None;
         }
-        let sent = leadership.peers.values().map(|peer| peer.sent_at);
+        let peers = leadership.peers.values();
+        let sent = peers
+            .filter(|peer| !peer.is_retired)
+            .map(|peer| peer.sent_at);
         sent.min()
             .map(|sent_at| sent_at + self.settings.heartbeat_interval)
     }
@@ -176,8 +179,10 @@
             if matched <= self.committed || is_known {
                 continue;
             }
-            self.sequence.truncate_after(EntryIndex(matched.0 - 1));
-            self.sequence.push(entry);
+            let last_same = EntryIndex(matched.0 - 1);
+            self.sequence.truncate_after(last_same);
+            self.outage.truncate_after(last_same);
+            self.add_entry(entry);
         }
         self.commit_through(now, append.committed.min(matched));
         self.note_logged(now, append.logged.min(self.committed));
@@ -219,6 +224,23 @@
         }
     }
 
+    /// A member that left the group is neither waited for nor sent to.
+    pub(crate) fn note_retired(&mut self, from: NodeId) {
+        let leadership = self.leadership_mut();
+        if let Some(peer) = leadership.and_then(|leadership| leadership.peers.get_mut(&from)) {
+            peer.is_retired = true;
+        }
+    }
+
+    /// Members that told this leader that they left the group.
+    pub fn retired_members(&self) -> Vec<NodeId> {
+        let Role::Leader(leadership) = &self.role else {
+            return Vec::new();
+        };
+        let retired = leadership.peers.iter().filter(|(_, peer)| peer.is_retired);
+        retired.map(|(member, _)| *member).collect()
+    }
+
     /// Commits what a majority has, up to an entry of the leader's own term.
     pub(crate) fn advance_leader_commit(&mut self, now: Moment) {
         let Role::Leader(leadership) = &self.role else {
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -18,7 +18,7 @@
 impl<C: Command> Replica<C> {
     /// Somebody looks for the leader: ask it to show itself, and replace it if it does not.
     pub(crate) fn demand(&mut self, now: Moment) {
-        if self.is_leader() {
+        if self.is_leader() || self.is_retired {
             return;
         }
         self.demanded_until = now + self.settings.demand_duration;
@@ -62,7 +62,8 @@
     }
 
     pub(crate) fn check_election(&mut self, now: Moment) {
-        if self.is_leader() || self.election_at.is_none_or(|at| at > now) {
+        let is_due = self.election_at.is_some_and(|at| at <= now);
+        if self.is_leader() || self.is_retired || !is_due {
             return;
         }
         if !self.needs_leader(now) {
@@ -205,7 +206,7 @@
         self.leader = Some(self.id);
         self.election_at = None;
         // Entries of earlier terms are committed only through one of the leader's own term.
-        self.sequence.push(SequencedEntry {
+        self.add_entry(SequencedEntry {
             term: self.term,
             payload: EntryPayload::TermStart,
         });
@@ -226,7 +227,7 @@
             self.interrupt_pending();
         }
         self.role = Role::Follower;
-        if self.needs_leader(now) && self.election_at.is_none() {
+        if self.needs_leader(now) && self.election_at.is_none() && !self.is_retired {
             self.arm_election(now);
         }
     }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -11,7 +11,8 @@
 //! * The leader moves committed entries to the log in batches; what the log has is committed by
 //!   definition, and is the snapshot from which a member that has fallen behind goes on.
 //! * While the log answers, a proposal is answered only once the log has it. When the log has not
-//!   taken an entry for a while, a majority is enough.
+//!   taken an entry for a while, and every member has consented, a majority is enough. A member
+//!   that did not consent can therefore vouch for a group that was lost.
 //! * A group without work is silent: there are no heartbeats, and nobody doubts the leader before
 //!   somebody asks for it.
 //!
@@ -23,6 +24,7 @@
 mod election;
 mod flushing;
 pub mod group;
+mod outage;
 mod proposals;
 pub mod replica;
 mod role;
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -14,6 +14,7 @@
 use crate::action::{LogRead, ProposalId, ReplicaAction, ReplicaInput};
 use crate::command::Command;
 use crate::flushing::FlushState;
+use crate::outage::OutageState;
 use crate::role::{Leadership, Role};
 use crate::sequence::Sequence;
 use crate::settings::{InvalidReplicaSettings, ReplicaSettings};
@@ -46,6 +47,8 @@
     pub(crate) log_confirmed_at: Option<Moment>,
     /// When entries that are not in the log were committed here, oldest first.
     pub(crate) commit_times: VecDeque<(EntryIndex, Moment)>,
+    pub(crate) outage: OutageState,
+    pub(crate) is_retired: bool,
     pub(crate) pending: BTreeMap<EntryIndex, ProposalId>,
     pub(crate) flush: FlushState,
     pub(crate) next_round: u64,
@@ -82,6 +85,8 @@
             has_read_log: false,
             log_confirmed_at: None,
             commit_times: VecDeque::new(),
+            outage: OutageState::default(),
+            is_retired: false,
             pending: BTreeMap::new(),
             flush: FlushState::new(now),
             next_round: 0,
@@ -132,6 +137,18 @@
     /// Takes an input and returns what is to be done, in order.
     pub fn handle(&mut self, now: Moment, input: ReplicaInput<C>) -> Vec<ReplicaAction<C>> {
         self.note_idle_leader(now);
+        self.take_input(now, input);
+        self.check_quorum(now);
+        self.check_election(now);
+        self.advance_outage(now);
+        self.send_due(now);
+        self.advance_leader_commit(now);
+        self.answer_pending(now);
+        self.flush_due(now);
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn take_input(&mut self, now: Moment, input: ReplicaInput<C>) {
         match input {
             ReplicaInput::Tick => {}
             ReplicaInput::Message { from, message } => self.take_message(now, from, message),
@@ -144,13 +161,6 @@
                 self.add_as_leader(EntryPayload::LossSettled { generation });
             }
         }
-        self.check_quorum(now);
-        self.check_election(now);
-        self.send_due(now);
-        self.advance_leader_commit(now);
-        self.answer_pending(now);
-        self.flush_due(now);
-        std::mem::take(&mut self.outbox)
     }
 
     /// When [`ReplicaInput::Tick`] is wanted, if nothing else happens before.
@@ -160,7 +170,7 @@
             self.next_send(now),
             self.next_quorum_check(now),
             self.next_flush(now),
-            self.next_outage_answer(),
+            self.next_outage_step(now),
         ];
         times.into_iter().flatten().min()
     }
@@ -169,7 +179,12 @@
         if from == self.id || self.group.member(from).is_none() {
             return;
         }
+        if self.is_retired {
+            self.answer_as_retired(from, &message);
+            return;
+        }
         match message {
+            ReplicaMessage::Retired => self.note_retired(from),
             ReplicaMessage::Wake => self.show_leadership(now, from),
             ReplicaMessage::PreVote { term, end } => self.take_pre_vote(now, from, term, end),
             ReplicaMessage::PreVoteReply { term, granted } => {
@@ -196,8 +211,10 @@
                 term: read.logged_term,
                 index: read.logged,
             });
+            self.outage.truncate_after(read.logged);
             self.step_down(now);
         }
+        self.outage.note_read(read.logged, read.outage_step);
         self.applied = self.applied.max(read.logged);
         self.commit_through(now, read.logged);
         self.note_logged(now, read.logged);
@@ -258,12 +275,20 @@
         if !self.is_leader() || self.is_sealed() {
             return None;
         }
-        Some(self.sequence.push(SequencedEntry {
+        Some(self.add_entry(SequencedEntry {
             term: self.term,
             payload,
         }))
     }
 
+    /// Appends an entry of any leader.
+    pub(crate) fn add_entry(&mut self, entry: SequencedEntry<C>) -> EntryIndex {
+        let index = self.sequence.last_index().next();
+        self.outage.note_added(index, &entry.payload);
+        self.sequence.push(entry);
+        index
+    }
+
     fn seal(&mut self, seal: EntryPayload<C>) {
         self.add_as_leader(seal);
     }
--- a/crates/replication/src/role.rs
+++ b/crates/replication/src/role.rs
@@ -40,6 +40,8 @@
     pub(crate) in_flight: Option<u64>,
     /// Whether it lacks entries that only the log has; it is not pressed until it has read them.
     pub(crate) is_stalled: bool,
+    /// Whether it left the group for good.
+    pub(crate) is_retired: bool,
     /// When the last append was sent.
     pub(crate) sent_at: Moment,
     /// When the latest append that was answered had been sent.
@@ -55,6 +57,7 @@
             logged: EntryIndex(0),
             in_flight: None,
             is_stalled: false,
+            is_retired: false,
             sent_at: now,
             heard_at: None,
         }
--- a/crates/replication/src/sequence.rs
+++ b/crates/replication/src/sequence.rs
@@ -77,10 +77,9 @@
     }
 
     /// Adds an entry at the end.
-    pub(crate) fn push(&mut self, entry: SequencedEntry<C>) -> EntryIndex {
+    pub(crate) fn push(&mut self, entry: SequencedEntry<C>) {
         self.bytes += size_of(&entry);
         self.entries.push_back(entry);
-        self.last_index()
     }
 
     /// Drops every entry after `index`.
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -44,6 +44,9 @@
     pub takeover_after: Duration,
     /// How long a member must be missing before its group is replaced.
     pub replace_after: Duration,
+    /// A leader that has not read the log to its end for this long has the members consent to an
+    /// outage, although nobody asked for anything yet.
+    pub unread_after: Duration,
     /// How long a majority must be missing before the group counts as lost.
     pub lost_after: Duration,
     /// A grant must be used within this time of being asked for.
@@ -56,8 +59,8 @@
 impl Default for ReplicaSettings {
     fn default() -> Self {
         Self {
-            heartbeat_interval: Duration::from_millis(300),
-            election_timeout: Duration::from_millis(1_000),
+            heartbeat_interval: Duration::from_millis(500),
+            election_timeout: Duration::from_millis(1_500),
             demand_duration: Duration::from_secs(5),
             outage_after: Duration::from_millis(500),
             outage_limit: Duration::from_secs(75 * 60),
@@ -71,6 +74,7 @@
             read_back_timeout: Duration::from_secs(5),
             takeover_after: Duration::from_secs(10),
             replace_after: Duration::from_secs(5),
+            unread_after: Duration::from_secs(6),
             lost_after: Duration::from_secs(20),
             grant_validity: Duration::from_secs(10),
             repeat_horizon: Duration::from_secs(60 * 60),
--- a/crates/replication/src/tender.rs
+++ b/crates/replication/src/tender.rs
@@ -32,11 +32,16 @@
 /// What should be done for a partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TendingStep {
-    /// Append a record that forms a group. With a `previous` that did not seal itself, this says
-    /// that records may be lost.
+    /// Append a record that forms the first group.
     Form {
-        /// Generation to be replaced.
-        previous: Option<LogOffset>,
+        /// Members of the group.
+        members: Vec<GroupMember>,
+    },
+    /// Have the members of the group that still answer leave it for good, and append a record that
+    /// forms another; it names a member that vouches, or else says that records may be lost.
+    Replace {
+        /// Group to be replaced.
+        previous: ReplicaGroup,
         /// Members of the new group.
         members: Vec<GroupMember>,
     },
@@ -133,8 +138,8 @@
         if !is_lost || !overview.is_owner || !is_log_near(now, settings, overview) {
             return None;
         }
-        Some(TendingStep::Form {
-            previous: Some(group.generation),
+        Some(TendingStep::Replace {
+            previous: group.clone(),
             members: overview.candidates?.to_vec(),
         })
     }
@@ -149,7 +154,6 @@
         return None;
     }
     Some(TendingStep::Form {
-        previous: None,
         members: overview.candidates?.to_vec(),
     })
 }
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset, RequestId};
+use crate::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset, NodeId, RequestId};
 use crate::refusal::Refusal;
 use crate::replica::{GroupMember, SequencedEntry};
 use crate::request::WholeAnswer;
@@ -36,6 +36,9 @@
         previous: Option<LogOffset>,
         /// Members of the new group.
         members: Vec<GroupMember>,
+        /// A member of the replaced group that vouched, before it left the group for good, that
+        /// nothing was acknowledged which the log has not got.
+        vouched_by: Option<NodeId>,
     },
     /// Consecutive committed entries of a group. Ignored when another generation is in force;
     /// entries that were applied before are skipped.
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -55,6 +55,8 @@
     TermStart,
     /// Something the group's users asked for.
     Command(C),
+    /// A step into or out of answering on a majority alone.
+    Outage(OutageStep),
     /// The time has passed in which a request granted by a lost group could still run or be
     /// repeated; keys without a record are free again.
     LossSettled {
@@ -69,6 +71,18 @@
     },
 }
 
+/// A step into or out of answering on a majority alone. It takes every member's consent to begin,
+/// so that any one of them can tell whether entries may have been acknowledged outside the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OutageStep {
+    /// The leader finds the log away; a member that takes this entry consents.
+    Begun,
+    /// Every member has consented: from here on a majority is enough.
+    Agreed,
+    /// The log is back: from here on an entry must be in the log.
+    Ended,
+}
+
 /// Where a member's sequence ends, to compare whose is more complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SequenceEnd {
@@ -83,6 +97,8 @@
 pub enum ReplicaMessage<C> {
     /// Asks the leader to show that it is there.
     Wake,
+    /// The sender takes no further part in the group.
+    Retired,
     /// Asks whether a vote in `term` would be given; binds nobody.
     PreVote {
         /// Term the candidate would start.
