Decide claims in replica groups of nodes, behind a setting (in progress)

Change: claim_store = log | replicas; peer messages for replicas; hosting, tending and routing in small modules. Compiles and lints; not run yet.

--- a/crates/bench/src/scale/traffic.rs
+++ b/crates/bench/src/scale/traffic.rs
@@ -68,7 +68,9 @@
             PeerRequestBody::Release(_) => Self::Release,
             PeerRequestBody::Claim(_)
             | PeerRequestBody::AbandonClaim { .. }
-            | PeerRequestBody::CompleteClaim { .. } => Self::Claim,
+            | PeerRequestBody::CompleteClaim { .. }
+            | PeerRequestBody::Replica(_)
+            | PeerRequestBody::RetireReplica { .. } => Self::Claim,
             PeerRequestBody::KeepAnswer { .. } | PeerRequestBody::FetchAnswer { .. } => {
                 Self::KeptAnswer
             }
--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -1,13 +1,13 @@
 //! The claimant's side of at-most-once requests: claims the key through the partition's owner
 //! before anything is dispatched, and records what came of it.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use havenstage_membership::ownership;
 use havenstage_placement::retry::{Backoff, BackoffSettings};
 use havenstage_types::claim::{Claim, ClaimOutcome, ClaimVerdict};
-use havenstage_types::ids::{AttemptId, IdempotencyKey, NodeId};
+use havenstage_types::ids::{AttemptId, IdempotencyKey, Partition};
 use havenstage_types::member::MemberState;
 use havenstage_types::peer::{PeerFailure, PeerRequestBody, PeerResponseBody};
 use havenstage_types::refusal::{Refusal, RefusalReason};
@@ -16,6 +16,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::context::NodeContext;
+use crate::locks::lock;
+use crate::replicas::routes::GroupRoutes;
+use crate::settings::ClaimStore;
 
 /// How long a claim is tried while the log or the owner does not answer. After it the caller is
 /// told at once that nothing ran.
@@ -24,21 +27,37 @@
 /// Time an owner may take to read a claim back from the log.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a claim is tried with replica groups, which may have to elect a leader.
+const REPLICA_CLAIM_PATIENCE: Duration = Duration::from_secs(10);
+
 /// Pause before asking again about a key that another attempt holds.
 const HELD_POLL: Duration = Duration::from_millis(200);
 
+/// Nodes asked in a row because the one before pointed there.
+const MAX_REDIRECTS: u32 = 3;
+
 /// Tries to hand an outcome or an abandonment to the partition's owner.
 const RECORD_TRIES: u32 = 40;
 
 /// Claims keys and records outcomes.
 pub(crate) struct AtMostOnce {
     context: Arc<NodeContext>,
+    routes: Mutex<GroupRoutes>,
+}
+
+/// Leave to dispatch.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Grant {
+    /// Attempt that may dispatch.
+    pub(crate) attempt: AttemptId,
+    /// Until when, if the leave lapses.
+    pub(crate) dispatch_by: Option<Instant>,
 }
 
 /// What a claim led to.
 pub(crate) enum Claimed {
     /// This attempt may dispatch.
-    Granted(AttemptId),
+    Granted(Grant),
     /// The request has run before; this is its answer.
     Answered(WholeAnswer),
 }
@@ -64,7 +83,10 @@
 
 impl AtMostOnce {
     pub(crate) fn new(context: Arc<NodeContext>) -> Arc<Self> {
-        Arc::new(Self { context })
+        Arc::new(Self {
+            context,
+            routes: Mutex::default(),
+        })
     }
 
     /// Claims the request's key. Every refusal is true: an attempt that is not granted is never
@@ -75,13 +97,26 @@
         deadline: Instant,
     ) -> Result<Claimed, Refusal> {
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
-        let give_up_at = deadline.min(Instant::now() + CLAIM_PATIENCE);
+        let give_up_at = deadline.min(Instant::now() + self.patience());
         let mut attempt = self.context.next_attempt();
         // Whether a claim of `attempt` may be in the log without having been read back.
         let mut uncertain = false;
         loop {
+            let asked_at = Instant::now();
             match self.ask(request, attempt).await {
-                Ok(ClaimVerdict::Granted) => return Ok(Claimed::Granted(attempt)),
+                Ok(ClaimVerdict::Granted) => {
+                    let dispatch_by = self.grant_validity().map(|validity| asked_at + validity);
+                    return Ok(Claimed::Granted(Grant {
+                        attempt,
+                        dispatch_by,
+                    }));
+                }
+                Ok(ClaimVerdict::Unknown) => {
+                    if uncertain {
+                        self.abandon(request, attempt);
+                    }
+                    return Err(Refusal::unknown(RefusalReason::OutcomeUnknown));
+                }
                 Ok(ClaimVerdict::Done(outcome)) => return answered(outcome),
                 Ok(ClaimVerdict::KeyReused) => {
                     return Err(Refusal::not_run(RefusalReason::KeyReused, None));
@@ -128,28 +163,92 @@
         attempt: AttemptId,
     ) -> Result<ClaimVerdict, RefusalReason> {
         let key = key_of(request);
-        let owner = self.owner(&key).ok_or(RefusalReason::PeerUnreachable)?;
         let claim = Claim {
-            key,
+            key: key.clone(),
             attempt,
             request: request.id.clone(),
             fingerprint: fingerprint(request),
         };
-        let timeout = CLAIM_TIMEOUT + self.context.settings.peer_timeout();
-        let answer = self
-            .context
-            .call_within(owner, PeerRequestBody::Claim(claim), timeout)
-            .await;
-        match answer {
-            Ok(PeerResponseBody::Claim(verdict)) => Ok(verdict),
-            Ok(PeerResponseBody::Failed(PeerFailure::LogAway)) => Err(RefusalReason::LogAway),
+        let body = PeerRequestBody::Claim(claim);
+        match self.call_decider(&key, body).await {
+            Some(PeerResponseBody::Claim(verdict)) => Ok(verdict),
+            Some(PeerResponseBody::Failed(PeerFailure::LogAway)) => Err(RefusalReason::LogAway),
             _ => Err(RefusalReason::PeerUnreachable),
         }
     }
 
-    fn owner(&self, key: &IdempotencyKey) -> Option<NodeId> {
+    fn has_replicas(&self) -> bool {
+        self.context.settings.claim_store == ClaimStore::Replicas
+    }
+
+    fn patience(&self) -> Duration {
+        if self.has_replicas() {
+            REPLICA_CLAIM_PATIENCE
+        } else {
+            CLAIM_PATIENCE
+        }
+    }
+
+    /// A grant of a replica group lapses, so that it cannot outlive the group by much.
+    fn grant_validity(&self) -> Option<Duration> {
+        let validity = self.context.settings.replica_settings().grant_validity;
+        self.has_replicas().then_some(validity)
+    }
+
+    /// Asks whoever decides about the key.
+    async fn call_decider(
+        &self,
+        key: &IdempotencyKey,
+        body: PeerRequestBody,
+    ) -> Option<PeerResponseBody> {
         let partition = ownership::partition_of(key, self.context.settings.partitions);
-        ownership::owner_of_partition(&self.context.view(), partition)
+        if self.has_replicas() {
+            return self.call_group(partition, body).await;
+        }
+        let owner = ownership::owner_of_partition(&self.context.view(), partition)?;
+        let answer = self.context.call_within(owner, body, self.timeout()).await;
+        answer.ok()
+    }
+
+    /// Asks the partition's group, following at once where an answer points.
+    async fn call_group(
+        &self,
+        partition: Partition,
+        body: PeerRequestBody,
+    ) -> Option<PeerResponseBody> {
+        for _ in 0..MAX_REDIRECTS {
+            let view = self.context.view();
+            let target = lock(&self.routes).target(&view, partition)?;
+            let call = self
+                .context
+                .call_member(&target, body.clone(), self.timeout());
+            let answer = call.await;
+            let mut routes = lock(&self.routes);
+            match answer {
+                Ok(PeerResponseBody::Route(route)) => {
+                    if !routes.learn(partition, route) {
+                        return None;
+                    }
+                }
+                Ok(PeerResponseBody::Failed(PeerFailure::NotOwner)) | Err(_) => {
+                    routes.failed(partition, target.id);
+                    return None;
+                }
+                Ok(answer @ PeerResponseBody::Failed(_)) => {
+                    routes.failed(partition, target.id);
+                    return Some(answer);
+                }
+                Ok(answer) => {
+                    routes.succeeded(partition, target.id);
+                    return Some(answer);
+                }
+            }
+        }
+        None
+    }
+
+    fn timeout(&self) -> Duration {
+        CLAIM_TIMEOUT + self.context.settings.peer_timeout()
     }
 
     /// Records that the attempt will never dispatch; tried in the background.
@@ -207,13 +306,10 @@
     /// Hands a record to the partition's owner until it is in the log.
     async fn record(&self, key: &IdempotencyKey, body: PeerRequestBody) {
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
-        let timeout = CLAIM_TIMEOUT + self.context.settings.peer_timeout();
         for _ in 0..RECORD_TRIES {
-            if let Some(owner) = self.owner(key) {
-                let answer = self.context.call_within(owner, body.clone(), timeout).await;
-                if matches!(answer, Ok(PeerResponseBody::Done)) {
-                    return;
-                }
+            let answer = self.call_decider(key, body.clone()).await;
+            if matches!(answer, Some(PeerResponseBody::Done)) {
+                return;
             }
             tokio::time::sleep(backoff.next_delay()).await;
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,5 +1,6 @@
 //! What all services of one node share: settings, identity, configuration, membership, decisions.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, Weak};
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use havenstage_types::member::{MemberIdentity, MembershipView};
 use havenstage_types::peer::{PeerRequest, PeerRequestBody, PeerResponse, PeerResponseBody};
 use havenstage_types::refusal::RefusalReason;
+use havenstage_types::replica::GroupMember;
 
 use crate::config_store::ConfigStore;
 use crate::decision_log::DecisionLog;
@@ -122,11 +124,7 @@
         body: PeerRequestBody,
         timeout: Duration,
     ) -> Result<PeerResponseBody, CallError> {
-        let request = PeerRequest {
-            from: self.node_id(),
-            config_offset: self.config_offset(),
-            body,
-        };
+        let request = self.request(body);
         if node == self.node_id() {
             return self.answer_locally(request).await;
         }
@@ -136,6 +134,39 @@
             .get(&node)
             .map(|member| member.identity.peer_address)
             .ok_or(CallError::UnknownMember)?;
+        self.call_address(node, address, request, timeout).await
+    }
+
+    /// Sends a request to a member of a replica group, which the view need not know any more.
+    pub(crate) async fn call_member(
+        &self,
+        member: &GroupMember,
+        body: PeerRequestBody,
+        timeout: Duration,
+    ) -> Result<PeerResponseBody, CallError> {
+        let request = self.request(body);
+        if member.id == self.node_id() {
+            return self.answer_locally(request).await;
+        }
+        self.call_address(member.id, member.peer_address, request, timeout)
+            .await
+    }
+
+    fn request(&self, body: PeerRequestBody) -> PeerRequest {
+        PeerRequest {
+            from: self.node_id(),
+            config_offset: self.config_offset(),
+            body,
+        }
+    }
+
+    async fn call_address(
+        &self,
+        node: NodeId,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerResponseBody, CallError> {
         let response: PeerResponse = self
             .environment
             .peers
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -253,7 +253,7 @@
         if expired || identity_lost {
             return Err(not_run(RefusalReason::Overloaded(work.pool.clone())));
         }
-        if Instant::now() >= work.deadline {
+        if work.is_too_late() {
             return Err(not_run(RefusalReason::DeadlineExceeded));
         }
         Ok(EngineEndpoint {
--- a/crates/node/src/jobs/sample_run.rs
+++ b/crates/node/src/jobs/sample_run.rs
@@ -167,6 +167,7 @@
             max_tokens: self.assignment.max_tokens,
             class: PriorityClass::Training,
             deadline: Instant::now() + EXECUTION_DEADLINE,
+            dispatch_by: None,
             queue_patience: Duration::from_millis(self.context.settings.training_patience_ms),
             oldest_version: self
                 .newest_version()
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -8,7 +8,7 @@
 use havenstage_placement::retry::{Backoff, BackoffSettings, RetryBudget, RetryBudgetSettings};
 use havenstage_types::decision::Decision;
 use havenstage_types::engine::TokenChunk;
-use havenstage_types::ids::{AttemptId, CallerName};
+use havenstage_types::ids::CallerName;
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
 use havenstage_types::request::{
     AnswerEvent, AnswerSummary, CallerRequest, FinishReason, Repeatability, WholeAnswer,
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::at_most_once::AtMostOnce;
+use crate::at_most_once::{AtMostOnce, Claimed, Grant};
 use crate::context::NodeContext;
 use crate::executor::progress::Progress;
 use crate::executor::work::Work;
@@ -256,11 +256,12 @@
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
         };
-        let attempt = match claimed {
-            crate::at_most_once::Claimed::Granted(attempt) => attempt,
-            crate::at_most_once::Claimed::Answered(answer) => return sender.replay(answer),
+        let grant = match claimed {
+            Claimed::Granted(grant) => grant,
+            Claimed::Answered(answer) => return sender.replay(answer),
         };
-        match self.run_once(&request, attempt, &mut sender).await {
+        let attempt = grant.attempt;
+        match self.run_once(&request, grant, &mut sender).await {
             Ok(answer) => {
                 sender.send(AnswerEvent::Finished(answer.summary.clone()));
                 self.at_most_once.completed(&request, attempt, answer).await;
@@ -281,10 +282,12 @@
     async fn run_once(
         &self,
         request: &CallerRequest,
-        attempt: AttemptId,
+        grant: Grant,
         sender: &mut AnswerSender,
     ) -> Result<WholeAnswer, Refusal> {
-        let work = self.work(request);
+        let attempt = grant.attempt;
+        let mut work = self.work(request);
+        work.dispatch_by = grant.dispatch_by;
         let mut progress = Progress::default();
         let mut on_chunk = |chunk: &TokenChunk| {
             forward(sender, chunk);
@@ -329,6 +332,7 @@
             max_tokens: request.max_tokens,
             class: request.class,
             deadline,
+            dispatch_by: None,
             queue_patience: deadline.saturating_duration_since(Instant::now()),
             oldest_version: None,
             straggler: false,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::at_most_once::AtMostOnce;
-use crate::claim_owner::{self, ClaimOwner};
+use crate::claim_service::{self, ClaimService};
 use crate::context::NodeContext;
 use crate::environment::Environment;
 use crate::executor::Executor;
@@ -38,12 +38,15 @@
 /// Longest time a planned stop waits for its last records to reach the log.
 const STOP_FLUSH: Duration = Duration::from_secs(5);
 
+/// Longest time a planned stop waits until its replica groups have other members.
+const STOP_LEAVE_GROUPS: Duration = Duration::from_secs(15);
+
 /// One node of the system.
 pub struct Node {
     pub(crate) context: Arc<NodeContext>,
     pub(crate) homes: Arc<Homes>,
     pub(crate) running: Arc<RunningAttempts>,
-    pub(crate) claim_owner: Arc<ClaimOwner>,
+    pub(crate) claims: ClaimService,
     pub(crate) kept_answers: KeptAnswers,
     pub(crate) samples: Arc<SampleRunners>,
     live: Arc<LiveService>,
@@ -122,7 +125,7 @@
         let at_most_once = AtMostOnce::new(context.clone());
         let followers = JobFollowers::new(context.clone());
         let node = Arc::new(Self {
-            claim_owner: ClaimOwner::new(context.clone()),
+            claims: ClaimService::new(context.clone()),
             kept_answers,
             live: LiveService::new(context.clone(), executor.clone(), at_most_once),
             samples: SampleRunners::new(context.clone(), executor, running.clone()),
@@ -151,7 +154,7 @@
         spawner.spawn(homes::run(self.homes.clone()));
         spawner.spawn(homes::run_ticks(self.homes.clone()));
         spawner.spawn(homes::run_machine_list(self.homes.clone()));
-        spawner.spawn(claim_owner::run(self.claim_owner.clone()));
+        spawner.spawn(claim_service::run(self.claims.clone()));
         spawner.spawn(jobs::run(self.jobs.clone()));
     }
 
@@ -270,6 +273,12 @@
         let leave = MembershipInput::Leave;
         self.context.members.input(environment, leave).await;
         self.context.lifecycle.drained().await;
+        if tokio::time::timeout(STOP_LEAVE_GROUPS, self.claims.left_groups())
+            .await
+            .is_err()
+        {
+            log::warn!("stopped while still a member of a replica group");
+        }
         let flush = decision_writer::flush(&self.context);
         if tokio::time::timeout(STOP_FLUSH, flush).await.is_err() {
             let unsent = self.context.decisions.unsent();
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -44,15 +44,15 @@
                 self.running.preempt(attempt);
                 PeerResponseBody::Done
             }
-            PeerRequestBody::Claim(claim) => self.claim_owner.claim(claim).await,
+            PeerRequestBody::Claim(claim) => self.claims.claim(claim).await,
             PeerRequestBody::AbandonClaim { key, attempt } => {
-                self.claim_owner.abandon(key, attempt).await
+                self.claims.abandon(key, attempt).await
             }
             PeerRequestBody::CompleteClaim {
                 key,
                 attempt,
                 outcome,
-            } => self.claim_owner.complete(key, attempt, outcome).await,
+            } => self.claims.complete(key, attempt, outcome).await,
             PeerRequestBody::KeepAnswer {
                 key,
                 fingerprint,
@@ -72,6 +72,9 @@
                 PeerResponseBody::SampleEnded(self.samples.run(*assignment).await)
             }
             PeerRequestBody::ConfigOffset => PeerResponseBody::Done,
+            body @ (PeerRequestBody::Replica(_) | PeerRequestBody::RetireReplica { .. }) => {
+                self.claims.answer_member(body)
+            }
         }
     }
 
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -76,7 +76,7 @@
             replace_after: Duration::from_secs(5),
             unread_after: Duration::from_secs(6),
             lost_after: Duration::from_secs(20),
-            grant_validity: Duration::from_secs(10),
+            grant_validity: Duration::from_secs(120),
             repeat_horizon: Duration::from_secs(60 * 60),
         }
     }
--- a/crates/replication/tests/support/mod.rs
+++ b/crates/replication/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub fn settings() -> ReplicaSettings {
     ReplicaSettings {
         outage_limit: Duration::from_secs(60),
+        grant_validity: Duration::from_secs(10),
         repeat_horizon: Duration::from_secs(40),
         lost_after: Duration::from_secs(8),
         replace_after: Duration::from_secs(3),
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -7,6 +7,15 @@
 
 use crate::ids::{EntryIndex, LogOffset, NodeId, Partition, Term, Zone};
 
+/// Where a claimant finds a partition's group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRoute {
+    /// The newest group known.
+    pub group: ReplicaGroup,
+    /// The member believed to lead.
+    pub leader: Option<NodeId>,
+}
+
 /// One member of a group. A process that restarts has another id and is no member any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupMember {
