--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -24,8 +24,11 @@
 /// told at once that nothing ran.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(4);
 
-/// Time an owner may take to read a claim back from the log.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for one answer: what an owner may take to read a claim back, and the way.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest wait for one try at recording an outcome or an abandonment.
+const RECORD_PATIENCE: Duration = Duration::from_secs(6);
 
 /// How long a claim is tried with replica groups, which may have to elect a leader.
 const REPLICA_CLAIM_PATIENCE: Duration = Duration::from_secs(10);
@@ -103,7 +106,7 @@
         let mut uncertain = false;
         loop {
             let asked_at = Instant::now();
-            match self.ask(request, attempt).await {
+            match self.ask(request, attempt, give_up_at).await {
                 Ok(ClaimVerdict::Granted) => {
                     let dispatch_by = self.grant_validity().map(|validity| asked_at + validity);
                     return Ok(Claimed::Granted(Grant {
@@ -161,6 +164,7 @@
         &self,
         request: &CallerRequest,
         attempt: AttemptId,
+        by: Instant,
     ) -> Result<ClaimVerdict, RefusalReason> {
         let key = key_of(request);
         let claim = Claim {
@@ -170,7 +174,7 @@
             fingerprint: fingerprint(request),
         };
         let body = PeerRequestBody::Claim(claim);
-        match self.call_decider(&key, body).await {
+        match self.call_decider(&key, body, by).await {
             Some(PeerResponseBody::Claim(verdict)) => Ok(verdict),
             Some(PeerResponseBody::Failed(PeerFailure::LogAway)) => Err(RefusalReason::LogAway),
             _ => Err(RefusalReason::PeerUnreachable),
@@ -195,18 +199,20 @@
         self.has_replicas().then_some(validity)
     }
 
-    /// Asks whoever decides about the key.
+    /// Asks whoever decides about the key; the answer must come by then.
     async fn call_decider(
         &self,
         key: &IdempotencyKey,
         body: PeerRequestBody,
+        by: Instant,
     ) -> Option<PeerResponseBody> {
         let partition = ownership::partition_of(key, self.context.settings.partitions);
         if self.has_replicas() {
-            return self.call_group(partition, body).await;
+            return self.call_group(partition, body, by).await;
         }
         let owner = ownership::owner_of_partition(&self.context.view(), partition)?;
-        let answer = self.context.call_within(owner, body, self.timeout()).await;
+        let call = self.context.call_within(owner, body, call_timeout(by));
+        let answer = call.await;
         answer.ok()
     }
 
@@ -215,13 +221,13 @@
         &self,
         partition: Partition,
         body: PeerRequestBody,
+        by: Instant,
     ) -> Option<PeerResponseBody> {
         for _ in 0..MAX_REDIRECTS {
             let view = self.context.view();
             let target = lock(&self.routes).target(&view, partition)?;
-            let call = self
-                .context
-                .call_member(&target, body.clone(), self.timeout());
+            let timeout = call_timeout(by);
+            let call = self.context.call_member(&target, body.clone(), timeout);
             let answer = call.await;
             let mut routes = lock(&self.routes);
             match answer {
@@ -247,10 +253,6 @@
         None
     }
 
-    fn timeout(&self) -> Duration {
-        CLAIM_TIMEOUT + self.context.settings.peer_timeout()
-    }
-
     /// Records that the attempt will never dispatch; tried in the background.
     pub(crate) fn abandon(self: &Arc<Self>, request: &CallerRequest, attempt: AttemptId) {
         let service = self.clone();
@@ -307,7 +309,8 @@
     async fn record(&self, key: &IdempotencyKey, body: PeerRequestBody) {
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
         for _ in 0..RECORD_TRIES {
-            let answer = self.call_decider(key, body.clone()).await;
+            let by = Instant::now() + RECORD_PATIENCE;
+            let answer = self.call_decider(key, body.clone(), by).await;
             if matches!(answer, Some(PeerResponseBody::Done)) {
                 return;
             }
@@ -317,6 +320,11 @@
     }
 }
 
+fn call_timeout(by: Instant) -> Duration {
+    by.saturating_duration_since(Instant::now())
+        .min(CALL_TIMEOUT)
+}
+
 fn answered(outcome: ClaimOutcome) -> Result<Claimed, Refusal> {
     match outcome {
         ClaimOutcome::Answer(answer) => Ok(Claimed::Answered(answer)),
