--- a/crates/replication/tests/outages.rs
+++ b/crates/replication/tests/outages.rs
@@ -84,6 +84,7 @@
         .max();
     assert!(*busiest.unwrap() <= 20, "{busiest:?} appends in a second");
     assert!(world.log.records.len() - in_outage < 200);
+    assert!(checks::largest_batch(&world) <= 256);
 }
 
 #[test]
@@ -277,3 +278,29 @@
     check_nothing_lost(&world);
     assert_eq!(checks::count(&world, End::Served), callers);
 }
+
+#[test]
+fn a_group_that_cannot_know_whether_it_is_in_force_stops_granting() {
+    let mut world = World::new(14, 2, support::settings());
+    world.schedule(10 * SECOND, Fault::Log(LogMode::Down));
+    let within = add_callers(&mut world, 20 * SECOND, 60 * SECOND, 500);
+    add_callers(&mut world, 75 * SECOND, 100 * SECOND, 500);
+    world.schedule(2 * MINUTE, Fault::Log(LogMode::Up));
+    world.run_until(4 * MINUTE);
+    check_nothing_lost(&world);
+    assert_eq!(checks::count(&world, End::Served), within);
+}
+
+#[test]
+fn a_grant_lapses_before_its_key_can_be_free_again() {
+    let mut world = lose_majority_in_outage(15);
+    let frozen = world.add_caller(29 * SECOND, 0, true);
+    world.run_until(29 * SECOND + 1);
+    world.frozen_callers.insert(frozen, 4 * MINUTE);
+    let repeat = world.add_caller(4 * MINUTE + 10 * SECOND, 0, true);
+    world.run_until(5 * MINUTE);
+    check_safety(&world);
+    assert!(
+        world.callers[repeat].granted_after.is_some() || world.callers[frozen].dispatched.is_some()
+    );
+}
--- a/crates/replication/tests/support/checks.rs
+++ b/crates/replication/tests/support/checks.rs
@@ -149,6 +149,15 @@
     }
 }
 
+/// Entries in the largest batch.
+pub fn largest_batch(world: &World) -> usize {
+    let sizes = world.log.records.iter().map(|record| match record {
+        ClaimRecord::Batch { entries, .. } => entries.len(),
+        _ => 0,
+    });
+    sizes.max().unwrap_or(0)
+}
+
 /// Callers that ended in a way.
 pub fn count(world: &World, end: End) -> usize {
     let ended = world.callers.iter().map(|caller| &caller.state);
--- a/crates/replication/tests/support/world.rs
+++ b/crates/replication/tests/support/world.rs
@@ -72,6 +72,8 @@
     pub cut_from_log: BTreeSet<NodeId>,
     /// Nodes that are held up until a time.
     pub frozen: BTreeMap<NodeId, u64>,
+    /// Callers whose process is held up until a time.
+    pub frozen_callers: BTreeMap<usize, u64>,
     pub one_way_ms: u64,
     pub loss: f64,
     pub messages: u64,
@@ -95,6 +97,7 @@
             cuts: BTreeSet::new(),
             cut_from_log: BTreeSet::new(),
             frozen: BTreeMap::new(),
+            frozen_callers: BTreeMap::new(),
             one_way_ms: 2,
             loss: 0.0,
             messages: 0,
@@ -174,7 +177,13 @@
             Event::Envelope(envelope) => Some(envelope.to),
             _ => None,
         };
-        let until = node.and_then(|node| self.frozen.get(&node)).copied();
+        let caller = match &event {
+            Event::CallerAsks(caller) | Event::Reply { caller, .. } => Some(*caller),
+            _ => None,
+        };
+        let node_until = node.and_then(|node| self.frozen.get(&node)).copied();
+        let caller_until = caller.and_then(|caller| self.frozen_callers.get(&caller));
+        let until = node_until.max(caller_until.copied());
         if let Some(until) = until.filter(|until| *until > self.now) {
             self.at(until, event);
             return;
