--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -10,8 +10,10 @@
   node      run a node
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
+  simulate  search seeded faults for a broken promise, on a virtual clock
   check     judge a recorded history
   bench     measure the system
+  demo      run the whole path in one process and count what came of it
 
 options:
   -h, --help   show this text, or that of a command
@@ -125,18 +127,60 @@
   havenstage check run.jsonl --bounds bounds.toml
 ";
 
+/// `havenstage simulate`
+pub const SIMULATE: &str = "\
+havenstage simulate - search seeded faults for a broken promise, on a virtual clock
+
+usage: havenstage simulate [OPTIONS]
+       havenstage simulate --replay FILE
+
+Runs the real node code with simulated engines, platform and network. Each seed draws a schedule of
+faults; what callers, engines, trainers and operators saw is judged by the history checker. The
+schedule of a failing seed is shrunk and printed.
+
+options:
+  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
+  --seeds N           seeds to try (default 100)
+  --first N           first seed (default 0)
+  --threads N         seeds run at once (default 4)
+  --failures DIR      also write each failure into this directory, to be replayed
+  --replay FILE       run one written failure again
+
+exit codes: 0 no promise is broken, 1 otherwise, 2 usage
+
+example:
+  havenstage simulate --seeds 200 --deployment po-valley
+";
+
 /// `havenstage bench`
 pub const BENCH: &str = "\
 havenstage bench - measure the system
 
-usage: havenstage bench latency [OPTIONS]
+usage: havenstage bench run EXPERIMENT.toml [--seed N] [--json FILE] [--svg FILE]
+       havenstage bench compare A.toml B.toml [C.toml ..] [--seeds N] [--parallel N] [--json FILE]
+       havenstage bench latency [OPTIONS]
        havenstage bench latency --engine ADDR --home ADDR --front ADDR --pool NAME [OPTIONS]
+       havenstage bench scale [OPTIONS]
+
+run drives an experiment on a virtual clock through the real node code and prints what came of it;
+the same file and seed give the same digits. compare runs several experiments on the same seeds
+(default 3) and prints ratios to the first one with their spread.
 
 latency measures the time a node adds to a request against calling the engine directly, and the
 requests a second one node serves. Without addresses it starts everything in this process, each
 node on two threads. With addresses it measures an engine that answers at once and two nodes.
 
-options:
+scale runs many hollow nodes and engines in this process, over loopback, and measures what each
+node costs, how fast changes spread and roles move, and the slopes of all figures.
+
+options of run and compare:
+  --seed N       seed instead of the file's
+  --seeds N      seeds, counted up from that of the first file
+  --parallel N   runs at once (default 2)
+  --json FILE    also write everything measured as JSON
+  --svg FILE     also draw step times, staleness, live latencies and swap times
+
+options of latency:
   --seconds N               time of the whole measurement (default 60)
   --rounds N                alternations of the latency cases (default 10)
   --latency-connections N   connections while latency is measured (default 1)
@@ -149,8 +193,42 @@
   --home-process PID        process of the home, to measure its CPU time and memory
   --front-process PID       process of the other node
 
+options of scale:
+  --settings FILE       settings, in TOML
+  --size NODES:ENGINES  a size to measure; may be repeated
+  --phase NAME          what to measure; may be repeated (default: everything)
+  --json FILE           also write the report as JSON
+  --join FILE           join reports of earlier runs instead of measuring; may be repeated
+
 exit codes: 0 ok, 1 failed, 2 usage
 
 example:
+  havenstage bench run crates/bench/experiments/po-valley.toml --svg po-valley.svg
   havenstage bench latency --seconds 120 --json latency.json
 ";
+
+/// `havenstage demo`
+pub const DEMO: &str = "\
+havenstage demo - the whole path in one process, on loopback
+
+usage: havenstage demo [OPTIONS]
+
+Starts stand-ins of the platform and of the engines, three nodes, a trainer and live callers,
+runs a training job to its end, and counts from the records of stand-ins and callers what came
+of it. The result is printed on standard output, the progress on standard error.
+
+options:
+  --deployment NAME   cobrasur (default) or po-valley: zones, pools and numbers of engines
+  --prompts FILE      prompts of the job: a text file (a paragraph is a prompt) or a file of JSON
+                      lines with a field prompt or text; without it the built-in ones are taken
+  --steps N           training steps, 1 to 1000 (default 12)
+  --samples N         samples of a step, 4 to 4096, a multiple of 4 (default 48)
+  --chaos             meanwhile stop one node as planned, crash one engine, drain another
+  --hold              at the end keep everything running until SIGINT, to look around with ctl
+  --json              print the result as JSON
+
+exit codes: 0 the job ended and no promise is broken, 1 otherwise, 2 usage or prompts file
+
+example:
+  havenstage demo --deployment po-valley --chaos
+";
--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -100,8 +100,14 @@
         deadline: Instant,
     ) -> Result<Claimed, Refusal> {
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
-        let give_up_at = deadline.min(Instant::now() + self.patience());
+        let mut give_up_at = deadline.min(Instant::now() + self.patience());
         let mut attempt = self.context.next_attempt();
+        if !self.context.mechanisms.claims {
+            return Ok(Claimed::Granted(Grant {
+                attempt,
+                dispatch_by: None,
+            }));
+        }
         // Whether a claim of `attempt` may be in the log without having been read back.
         let mut uncertain = false;
         loop {
@@ -131,6 +137,7 @@
                     self.check_holder(holder, deadline)?;
                     attempt = self.context.next_attempt();
                     tokio::time::sleep(HELD_POLL).await;
+                    give_up_at = deadline.min(Instant::now() + self.patience());
                 }
                 Ok(ClaimVerdict::Abandoned) => attempt = self.context.next_attempt(),
                 Err(reason) if Instant::now() >= give_up_at => {
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use havenstage_platform::engine::{ChunkStream, EngineError};
 use havenstage_types::decision::{CandidateScore, Decision};
 use havenstage_types::engine::{EngineEndpoint, GenerateRequest, TokenChunk};
@@ -21,10 +21,11 @@
 };
 use havenstage_types::refusal::{Execution, Refusal, RefusalReason};
 use havenstage_types::resource::{EngineDesiredState, PolicyName};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::context::{CallError, NodeContext};
 use crate::homes::Homes;
+use crate::mechanisms::Mechanisms;
 use held_permit::HeldPermit;
 use placement::Placer;
 use progress::Progress;
@@ -34,6 +35,9 @@
 /// Wait suggested to a caller whose refusal came without one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time an engine has to end a stream after its last chunk, before the connection is given up.
+const REST_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Runs work on engines.
 pub(crate) struct Executor {
     context: Arc<NodeContext>,
@@ -84,7 +88,9 @@
         progress: &mut Progress,
         on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
     ) -> Result<(), ExecutionFailure> {
-        let admitted = self.admit(work, attempt, progress).await?;
+        let admitted = timeout_at(work.deadline, self.admit(work, attempt, progress))
+            .await
+            .unwrap_or_else(|_elapsed| Err(not_run(RefusalReason::DeadlineExceeded)))?;
         self.dispatch(work, attempt, admitted, progress, on_chunk)
             .await
     }
@@ -219,13 +225,17 @@
             followed = async {
                 let stream = generate
                     .await
-                    .map_err(|error| start_failure(&endpoint.name, &error))?;
+                    .map_err(|error| self.start_failure(&endpoint.name, &error))?;
                 progress.placement = Some(Placement {
                     engine: endpoint.name.clone(),
                     policy: admitted.policy,
                     node: self.context.node_id(),
                 });
-                follow(&endpoint.name, stream, progress, on_chunk).await
+                let mechanisms = self.context.mechanisms;
+                let rest =
+                    follow(&endpoint.name, stream, mechanisms, progress, on_chunk).await?;
+                self.read_to_end(rest);
+                Ok(())
             } => followed,
         };
         settle(&mut admitted.held, &result);
@@ -262,6 +272,38 @@
         })
     }
 
+    /// Only a connection that was refused, or the engine's own word, proves that nothing ran.
+    fn start_failure(&self, engine: &EngineName, error: &EngineError) -> ExecutionFailure {
+        let reason = RefusalReason::EngineFailed(engine.clone());
+        match error {
+            EngineError::NotSent => not_run(RefusalReason::EngineUnreachable(engine.clone())),
+            EngineError::Rejected => not_run(RefusalReason::EngineDraining(engine.clone())),
+            EngineError::Broken | EngineError::Fenced { .. } | EngineError::Malformed => {
+                if !self.context.mechanisms.doubt_is_told {
+                    return not_run(reason);
+                }
+                ExecutionFailure {
+                    refusal: Refusal::unknown(reason),
+                    stopped: None,
+                }
+            }
+        }
+    }
+
+    /// Reads what follows the last chunk, the stream's end mark, without holding up the answer. A
+    /// connection that is dropped before its end cannot be used again.
+    fn read_to_end(&self, mut rest: ChunkStream) {
+        if rest.next().now_or_never().is_some() {
+            return;
+        }
+        self.context
+            .environment
+            .spawner
+            .spawn(tokio::time::timeout(REST_PATIENCE, async move {
+                while rest.next().await.is_some() {}
+            }));
+    }
+
     fn record_placement(&self, work: &Work, attempt: AttemptId, admitted: &Admitted) {
         self.context.decide(
             work.subject.as_str(),
@@ -278,22 +320,28 @@
     }
 }
 
-/// Reads the stream to its end.
+/// Reads the stream to its last chunk, and answers what follows that.
 async fn follow(
     engine: &EngineName,
     mut stream: ChunkStream,
+    mechanisms: Mechanisms,
     progress: &mut Progress,
     on_chunk: &mut (dyn FnMut(&TokenChunk) + Send),
-) -> Result<(), ExecutionFailure> {
-    while let Some(chunk) = stream.next().await {
-        let chunk = chunk.map_err(|_broken| ran(RefusalReason::EngineFailed(engine.clone())))?;
+) -> Result<ChunkStream, ExecutionFailure> {
+    while let Some(Ok(mut chunk)) = stream.next().await {
+        if !mechanisms.version_of_every_chunk {
+            chunk.version = progress.first_version().unwrap_or(chunk.version);
+        }
         progress.add(&chunk);
         on_chunk(&chunk);
         if progress.finish.is_some() {
-            return Ok(());
+            return Ok(stream);
         }
     }
-    // The stream ended without its last chunk.
+    // The stream broke, or ended without its last chunk.
+    if !mechanisms.finishing_chunk {
+        return Ok(stream);
+    }
     Err(ran(RefusalReason::EngineFailed(engine.clone())))
 }
 
@@ -322,20 +370,6 @@
     }
 }
 
-/// Only a connection that was refused, or the engine's own word, proves that nothing ran.
-fn start_failure(engine: &EngineName, error: &EngineError) -> ExecutionFailure {
-    match error {
-        EngineError::NotSent => not_run(RefusalReason::EngineUnreachable(engine.clone())),
-        EngineError::Rejected => not_run(RefusalReason::EngineDraining(engine.clone())),
-        EngineError::Broken | EngineError::Fenced { .. } | EngineError::Malformed => {
-            ExecutionFailure {
-                refusal: Refusal::unknown(RefusalReason::EngineFailed(engine.clone())),
-                stopped: None,
-            }
-        }
-    }
-}
-
 /// Tells the permit how its execution ended.
 fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>) {
     let Err(failure) = result else {
--- a/crates/node/src/homes/engine_home.rs
+++ b/crates/node/src/homes/engine_home.rs
@@ -9,7 +9,7 @@
 use havenstage_types::ids::AttemptId;
 use havenstage_types::peer::PeerResponseBody;
 use havenstage_types::resource::EngineSpec;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 /// One engine this node is the home of.
@@ -19,6 +19,7 @@
     limits: AdmissionLimits,
     waiting: BTreeMap<AttemptId, Vec<oneshot::Sender<PeerResponseBody>>>,
     stopped: BTreeMap<StopKey, bool>,
+    reported: watch::Sender<Option<Moment>>,
     poller: JoinHandle<Option<()>>,
 }
 
@@ -41,6 +42,7 @@
             limits,
             waiting: BTreeMap::new(),
             stopped: BTreeMap::new(),
+            reported: watch::Sender::new(None),
             poller,
         }
     }
@@ -57,6 +59,16 @@
         receiver
     }
 
+    /// The engine has reported about itself, asked at this moment.
+    pub(super) fn note_report(&self, asked_at: Moment) {
+        self.reported.send_replace(Some(asked_at));
+    }
+
+    /// When the engine was asked for its last report; `None` before the first.
+    pub(super) fn reported(&self) -> watch::Receiver<Option<Moment>> {
+        self.reported.subscribe()
+    }
+
     /// Answers every asker of the attempt.
     pub(super) fn answer(&mut self, attempt: AttemptId, answer: PeerResponseBody) {
         for sender in self.waiting.remove(&attempt).unwrap_or_default() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
 use crate::jobs::{self, JobFollowers, JobOwners, SampleRunners, TrainerFeed};
 use crate::kept_answers::KeptAnswers;
 use crate::live::LiveService;
+use crate::mechanisms::Mechanisms;
 use crate::settings::NodeSettings;
 use crate::{config_follower, config_recorder, decision_writer, member_service, operator};
 
@@ -116,9 +117,20 @@
         settings: NodeSettings,
         identity: MemberIdentity,
         environment: Environment,
+    ) -> Arc<Self> {
+        Self::with_mechanisms(settings, identity, environment, Mechanisms::default())
+    }
+
+    /// [`Node::new`] with some mechanisms off. For the simulator only: without them promises are
+    /// broken, which is what its tests show.
+    pub fn with_mechanisms(
+        settings: NodeSettings,
+        identity: MemberIdentity,
+        environment: Environment,
+        mechanisms: Mechanisms,
     ) -> Arc<Self> {
         let kept_answers = KeptAnswers::new(settings.kept_answer_bytes);
-        let context = NodeContext::new(settings, identity, environment);
+        let context = NodeContext::new(settings, identity, environment, mechanisms);
         let running = Arc::new(RunningAttempts::default());
         let homes = Homes::new(context.clone(), running.clone());
         let executor = Executor::new(context.clone(), homes.clone(), running.clone());
@@ -272,12 +284,9 @@
         let environment = &self.context.environment;
         let leave = MembershipInput::Leave;
         self.context.members.input(environment, leave).await;
-        self.context.lifecycle.drained().await;
-        if tokio::time::timeout(STOP_LEAVE_GROUPS, self.claims.left_groups())
-            .await
-            .is_err()
-        {
-            log::warn!("stopped while still a member of a replica group");
+        if self.context.mechanisms.stop_waits {
+            self.context.lifecycle.drained().await;
+            self.leave_groups().await;
         }
         let flush = decision_writer::flush(&self.context);
         if tokio::time::timeout(STOP_FLUSH, flush).await.is_err() {
@@ -285,4 +294,12 @@
             log::warn!(unsent = unsent; "stopped before all decisions were recorded");
         }
     }
+
+    /// Waits until the replica groups this node is a member of have other members.
+    async fn leave_groups(&self) {
+        let left = tokio::time::timeout(STOP_LEAVE_GROUPS, self.claims.left_groups());
+        if left.await.is_err() {
+            log::warn!("stopped while still a member of a replica group");
+        }
+    }
 }
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -14,6 +14,9 @@
 /// Smallest step of tokio's clock.
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 
+/// Probability that a request over a cut finds an old connection.
+const OLD_CONNECTION: f64 = 0.5;
+
 /// Longest time for which the network keeps what a cut holds up.
 const LONGEST_HOLD: Duration = Duration::from_secs(60);
 
@@ -38,6 +41,9 @@
     datagrams: u64,
     datagrams_lost: u64,
     datagrams_duplicated: u64,
+    datagram_bytes: u64,
+    requests: u64,
+    request_bytes: u64,
 }
 
 /// A spell in which the network between nodes is worse than its settings say.
@@ -60,6 +66,12 @@
     pub datagrams_lost: u64,
     /// Datagrams delivered twice.
     pub datagrams_duplicated: u64,
+    /// Bytes of the datagrams sent, encoded, without headers of lower layers.
+    pub datagram_bytes: u64,
+    /// Messages of requests between nodes: each request and each answer is one.
+    pub requests: u64,
+    /// Bytes of these messages, encoded, without frames and headers of lower layers.
+    pub request_bytes: u64,
 }
 
 /// What becomes of one datagram: one delay for each copy that arrives.
@@ -126,6 +138,11 @@
         !self.is_cut(one, other) && !self.is_cut(other, one)
     }
 
+    /// Whether a request over a cut finds an old connection, rather than having to make a new one.
+    pub fn is_old_connection(&self) -> bool {
+        self.random.chance(OLD_CONNECTION)
+    }
+
     /// Waits until what `from` sends reaches `to`; `false` when that takes so long that the
     /// network has given up.
     pub async fn open(&self, from: Place, to: Place) -> bool {
@@ -185,6 +202,18 @@
         (0..copies).map(|_| self.latency(from, to)).collect()
     }
 
+    /// Counts the bytes of a datagram between nodes.
+    pub fn count_datagram_bytes(&self, bytes: usize) {
+        self.lock().datagram_bytes += bytes as u64;
+    }
+
+    /// Counts a request between nodes, or its answer.
+    pub fn count_request(&self, bytes: usize) {
+        let mut state = self.lock();
+        state.requests += 1;
+        state.request_bytes += bytes as u64;
+    }
+
     /// What was counted so far.
     pub fn counts(&self) -> NetworkCounts {
         let state = self.lock();
@@ -192,6 +221,9 @@
             datagrams: state.datagrams,
             datagrams_lost: state.datagrams_lost,
             datagrams_duplicated: state.datagrams_duplicated,
+            datagram_bytes: state.datagram_bytes,
+            requests: state.requests,
+            request_bytes: state.request_bytes,
         }
     }
 
