--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -147,7 +147,8 @@
                 }
                 Err(_reason) => {
                     uncertain = true;
-                    tokio::time::sleep(backoff.next_delay()).await;
+                    let next = Instant::now() + backoff.next_delay();
+                    tokio::time::sleep_until(next.min(give_up_at)).await;
                 }
             }
         }
