--- a/crates/replication/src/outage.rs
+++ b/crates/replication/src/outage.rs
@@ -15,9 +15,6 @@
 use crate::replica::Replica;
 use crate::role::Role;
 
-/// How many times the outage delay the log must have been prompt before an outage ends.
-const CALM_FACTOR: u32 = 10;
-
 /// What a member knows of its group's outages.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OutageState {
@@ -148,7 +145,7 @@
     }
 
     fn calm_at(&self) -> Option<Moment> {
-        Some(self.outage.late_at? + self.settings.outage_after * CALM_FACTOR)
+        Some(self.outage.late_at? + self.settings.calm_after)
     }
 
     /// Whether the log takes entries without delay and was read lately. Only then should a group be
@@ -158,8 +155,8 @@
         !self.is_log_late(now) && is_read
     }
 
-    /// Whether a majority is enough: every member has consented, the log is late, and it confirmed
-    /// not too long ago that the group is in force.
+    /// Whether a majority is enough: every member has consented to an outage that has not ended, and
+    /// the log confirmed not too long ago that the group is in force.
     pub fn answers_on_majority(&self, now: Moment) -> bool {
         let has_consent = match self.outage.last_step() {
             Some((agreed, OutageStep::Agreed)) => agreed <= self.committed,
@@ -168,7 +165,7 @@
         let is_in_force = self
             .log_confirmed_at
             .is_some_and(|at| now < at + self.settings.outage_limit);
-        has_consent && is_in_force && self.is_log_late(now)
+        has_consent && is_in_force
     }
 
     /// When the outage needs attention: a step is due or proposals can be answered.
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -21,6 +21,9 @@
     /// A committed entry that the log has not taken for this long is acknowledged on a majority
     /// alone.
     pub outage_after: Duration,
+    /// How long the log must have been prompt before an outage ends, so that a slow log does not
+    /// make every other request wait.
+    pub calm_after: Duration,
     /// How long entries are acknowledged on a majority alone after the log last confirmed that the
     /// group is in force.
     pub outage_limit: Duration,
@@ -63,6 +66,7 @@
             election_timeout: Duration::from_millis(1_500),
             demand_duration: Duration::from_secs(5),
             outage_after: Duration::from_millis(500),
+            calm_after: Duration::from_secs(30),
             outage_limit: Duration::from_secs(75 * 60),
             max_batch_entries: 256,
             max_batch_bytes: 256 * 1024,
