--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::at_most_once::AtMostOnce;
+use crate::at_most_once::{AtMostOnce, Claimed};
 use crate::context::NodeContext;
 use crate::executor::progress::Progress;
 use crate::executor::work::Work;
@@ -249,15 +249,22 @@
             && lock(&self.retry_budget).try_retry(self.context.now())
     }
 
-    async fn run_at_most_once(&self, request: CallerRequest, work: Work, mut sender: AnswerSender) {
+    async fn run_at_most_once(
+        &self,
+        request: CallerRequest,
+        mut work: Work,
+        mut sender: AnswerSender,
+    ) {
         let claimed = match self.at_most_once.claim(&request, work.deadline).await {
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
         };
-        let attempt = match claimed {
-            crate::at_most_once::Claimed::Granted(attempt) => attempt,
-            crate::at_most_once::Claimed::Answered(answer) => return sender.replay(answer),
+        let grant = match claimed {
+            Claimed::Granted(grant) => grant,
+            Claimed::Answered(answer) => return sender.replay(answer),
         };
+        let attempt = grant.attempt;
+        work.dispatch_by = grant.dispatch_by;
         match self.run_once(&work, attempt, &mut sender).await {
             Ok(answer) => {
                 sender.send(AnswerEvent::Finished(answer.summary.clone()));
@@ -326,6 +333,7 @@
         max_tokens: request.max_tokens,
         class: request.class,
         deadline,
+        dispatch_by: None,
         queue_patience: deadline.saturating_duration_since(Instant::now()),
         oldest_version: None,
         straggler: false,
