Learn from peers which engines leave while the machine list does not answer here

Change: a node whose own reads fail asks two running members of each other zone, every 1.25 s. Ruled out: recording the list in the configuration stream, which needs the log that the zone cannot reach either.

--- a/crates/node/src/homes/knowledge.rs
+++ b/crates/node/src/homes/knowledge.rs
@@ -2,15 +2,16 @@
 //! machine list. A home that was cut off or frozen would else give work to an engine that has been
 //! leaving for a while.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use havenstage_platform::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_types::clock::Moment;
-use havenstage_types::ids::EngineName;
-use havenstage_types::peer::{AdmitRequest, PeerResponseBody};
+use havenstage_types::ids::{EngineName, NodeId, Zone};
+use havenstage_types::peer::{AdmitRequest, PeerRequestBody, PeerResponseBody};
 use havenstage_types::refusal::{Refusal, RefusalReason};
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -30,6 +31,12 @@
 /// Patience with one read of the machine list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Members of each other zone that are asked while the machine list does not answer here.
+const PEERS_PER_ZONE: usize = 2;
+
+/// Pause between two tries while the machine list does not answer here.
+const AWAY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// What this node knows about the machine list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ListKnowledge {
@@ -86,24 +93,74 @@
         }
     }
 
+    /// Engines whose machines are leaving, as this node has lately read; `None` when it has not.
+    pub(crate) fn leaving_machines(&self) -> Option<BTreeSet<SocketAddr>> {
+        let list = *self.list.borrow();
+        let is_read = matches!(list, ListKnowledge::AsOf(_)) && self.is_list_recent(list);
+        is_read.then(|| lock(&self.leaving_machines).clone())
+    }
+
+    /// Reads the machine list, and asks peers as well while it does not answer here: only this
+    /// zone may be cut off from it.
     async fn read_machine_list(self: &Arc<Self>) {
         let asked_at = self.context.now();
         let machines = self.context.environment.machines.machines();
-        let Ok(Ok(machines)) = timeout(LIST_TIMEOUT, machines).await else {
-            self.list.send_replace(ListKnowledge::Away);
+        let read = timeout(LIST_TIMEOUT, machines);
+        let (read, told) = futures::join!(read, self.ask_peers_if_away());
+        if let Ok(Ok(machines)) = read {
+            self.set_leaving_machines(leaving(&machines));
+            self.list.send_replace(ListKnowledge::AsOf(asked_at));
             return;
+        }
+        if let Some(leaving) = told {
+            self.set_leaving_machines(leaving);
+        }
+        self.list.send_replace(ListKnowledge::Away);
+    }
+
+    fn set_leaving_machines(self: &Arc<Self>, leaving: BTreeSet<SocketAddr>) {
+        let changed = {
+            let mut known = lock(&self.leaving_machines);
+            let changed = *known != leaving;
+            *known = leaving;
+            changed
         };
-        if self.set_leaving_machines(leaving(&machines)) {
+        if changed {
             self.reconcile();
         }
-        self.list.send_replace(ListKnowledge::AsOf(asked_at));
     }
 
-    fn set_leaving_machines(&self, leaving: BTreeSet<SocketAddr>) -> bool {
-        let mut known = lock(&self.leaving_machines);
-        let changed = *known != leaving;
-        *known = leaving;
-        changed
+    async fn ask_peers_if_away(&self) -> Option<BTreeSet<SocketAddr>> {
+        if matches!(*self.list.borrow(), ListKnowledge::AsOf(_)) {
+            return None;
+        }
+        let asked = self.peers_to_ask().into_iter().map(|peer| {
+            let body = PeerRequestBody::LeavingMachines;
+            self.context.call_within(peer, body, LIST_TIMEOUT)
+        });
+        let answers = join_all(asked).await;
+        answers.into_iter().find_map(|answer| match answer {
+            Ok(PeerResponseBody::LeavingMachines(leaving)) => leaving,
+            _ => None,
+        })
+    }
+
+    /// A few running members of each other zone.
+    fn peers_to_ask(&self) -> Vec<NodeId> {
+        let own_zone = &self.context.members.identity().zone;
+        let view = self.context.view();
+        let mut by_zone: BTreeMap<&Zone, Vec<NodeId>> = BTreeMap::new();
+        let others = view
+            .running()
+            .map(|member| &member.identity)
+            .filter(|identity| identity.zone != *own_zone);
+        for identity in others {
+            let chosen = by_zone.entry(&identity.zone).or_default();
+            if chosen.len() < PEERS_PER_ZONE {
+                chosen.push(identity.id);
+            }
+        }
+        by_zone.into_values().flatten().collect()
     }
 }
 
@@ -135,6 +192,10 @@
     let interval = Duration::from_millis(homes.context.settings.machine_poll_ms);
     loop {
         homes.read_machine_list().await;
-        tokio::time::sleep(interval).await;
+        let pause = match *homes.list.borrow() {
+            ListKnowledge::AsOf(_) => interval,
+            ListKnowledge::Unknown | ListKnowledge::Away => interval.min(AWAY_INTERVAL),
+        };
+        tokio::time::sleep(pause).await;
     }
 }
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -72,6 +72,9 @@
                 PeerResponseBody::SampleEnded(self.samples.run(*assignment).await)
             }
             PeerRequestBody::ConfigOffset => PeerResponseBody::Done,
+            PeerRequestBody::LeavingMachines => {
+                PeerResponseBody::LeavingMachines(self.homes.leaving_machines())
+            }
             body @ (PeerRequestBody::Replica(_) | PeerRequestBody::RetireReplica { .. }) => {
                 self.claims.answer_member(body)
             }
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -1,5 +1,7 @@
 //! Requests between nodes and their answers, encoded with postcard.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -87,6 +89,8 @@
     RunSample(Box<SampleAssignment>),
     /// Asks only for the configuration offset that every answer carries.
     ConfigOffset,
+    /// Asks which engines' machines are leaving, for a node that cannot read the machine list.
+    LeavingMachines,
     /// A message from one member of a replica group to another.
     Replica(Box<ReplicaEnvelope<ClaimCommand>>),
     /// Asks a member to leave its group for good, and whether it vouches that nothing was
@@ -245,6 +249,9 @@
     },
     /// Recent decisions.
     Decisions(Vec<DecisionRecord>),
+    /// Addresses of engines whose machines are leaving; `None` when the node cannot read the
+    /// machine list either.
+    LeavingMachines(Option<BTreeSet<SocketAddr>>),
     /// Done.
     Done,
     /// The node could not do it.
