Ask also members seen under an earlier identity before a change is said to be in force

Change: a process remembers every member it has seen running for as long as dead ones are remembered, across its own identities. Ruled out: keeping the old view, whose verdicts are what the new identity is to be free of. A process that started after such a member was declared dead still does not know it.

--- a/crates/node/src/member_service.rs
+++ b/crates/node/src/member_service.rs
@@ -1,5 +1,6 @@
 //! Drives the membership state machine: feeds it packets and time, sends what it asks for.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, RwLock};
 
@@ -12,6 +13,7 @@
 use havenstage_types::ids::{LogOffset, NodeId};
 use havenstage_types::member::{MemberIdentity, MembershipView};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 use crate::environment::Environment;
 use crate::locks::lock;
@@ -29,6 +31,8 @@
     behind_receiver: Mutex<Option<mpsc::Receiver<NodeId>>>,
     settings: MembershipSettings,
     seeds: Mutex<Vec<SocketAddr>>,
+    /// Members this process has seen running, under whatever identity of its own, and when last.
+    seen: Mutex<BTreeMap<NodeId, (SocketAddr, Instant)>>,
     seed: u64,
 }
 
@@ -49,6 +53,7 @@
             behind_receiver: Mutex::new(Some(behind_receiver)),
             settings: membership_settings,
             seeds: Mutex::new(Vec::new()),
+            seen: Mutex::new(BTreeMap::new()),
             seed,
         }
     }
@@ -145,8 +150,28 @@
             .await;
     }
 
+    /// Members seen running within the time for which dead ones are remembered. Unlike the view
+    /// they outlive a change of this process's own identity.
+    pub(crate) fn seen(&self) -> Vec<(NodeId, SocketAddr)> {
+        let seen = lock(&self.seen);
+        seen.iter()
+            .map(|(id, (address, _))| (*id, *address))
+            .collect()
+    }
+
+    fn note_seen(&self, view: &MembershipView) {
+        let now = Instant::now();
+        let retention = self.settings.dead_retention;
+        let mut seen = lock(&self.seen);
+        for member in view.running() {
+            seen.insert(member.identity.id, (member.identity.peer_address, now));
+        }
+        seen.retain(|_, (_, last)| now.duration_since(*last) < retention);
+    }
+
     fn publish_view(&self) {
         let view = Arc::new(lock(&self.membership).view().clone());
+        self.note_seen(&view);
         self.view.send_replace(view);
     }
 
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -168,14 +168,13 @@
         .running()
         .map(|member| (member.identity.peer_address, member.identity.id))
         .collect();
-    let known = view.members.values().map(|member| &member.identity);
-    known
+    let viewed = view.members.values().map(|member| &member.identity);
+    let known = viewed
         .chain(&state.members().members)
-        .filter(|identity| {
-            let at_address = running.get(&identity.peer_address);
-            at_address.is_none_or(|runs| *runs == identity.id)
-        })
-        .map(|identity| (identity.id, identity.peer_address))
+        .map(|identity| (identity.id, identity.peer_address));
+    known
+        .chain(context.members.seen())
+        .filter(|(id, address)| running.get(address).is_none_or(|runs| runs == id))
         .collect()
 }
 
