Bound a node's requests to itself like those to others

Change: the same timeout holds, with the same meaning (the answer is not known). Ruled out: a timeout in the claim alone, since every request to itself has the same gap.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havenstage_config::ConfigState;
-use havenstage_platform::peer::PeerHandler;
+use havenstage_platform::peer::{PeerError, PeerHandler};
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::{AttemptId, LogOffset, NodeId};
 use havenstage_types::member::{MemberIdentity, MembershipView};
@@ -133,7 +133,8 @@
     ) -> Result<PeerResponseBody, CallError> {
         let request = self.request(body);
         if node == self.node_id() {
-            return self.answer_locally(request).await;
+            let answered = tokio::time::timeout(timeout, self.answer_locally(request)).await;
+            return answered.unwrap_or(Err(CallError::Network(PeerError::NoAnswer)));
         }
         let address = self
             .view()
@@ -201,5 +202,5 @@
     UnknownMember,
     /// The network brought no answer.
     #[error(transparent)]
-    Network(#[from] havenstage_platform::peer::PeerError),
+    Network(#[from] PeerError),
 }
