Admit nothing while neither the machine list nor any other zone answers

Ruled out: holding work up whenever the list does not answer, since the platform's services may be away for long.

--- a/crates/node/src/homes/knowledge.rs
+++ b/crates/node/src/homes/knowledge.rs
@@ -40,7 +40,7 @@
 /// What this node knows about the machine list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ListKnowledge {
-    /// Nothing since the start, or since the node was cut off.
+    /// Nothing since the start, or since neither it nor any other zone answers here.
     Unknown,
     /// It was read; the question was sent at this moment.
     AsOf(Moment),
@@ -48,6 +48,16 @@
     Away,
 }
 
+/// What peers in other zones say while the machine list does not answer here.
+enum PeersWord {
+    /// One has lately read it.
+    Leaving(BTreeSet<SocketAddr>),
+    /// It does not answer them either, or there is no other zone.
+    Away,
+    /// None answers: this node may be the one that is cut off.
+    Silence,
+}
+
 impl Homes {
     /// Waits until enough is known about the engine to admit work to it; `false` when that takes
     /// longer than the asker is ready to wait. An engine without a home here passes.
@@ -100,22 +110,41 @@
         is_read.then(|| lock(&self.leaving_machines).clone())
     }
 
-    /// Reads the machine list, and asks peers as well while it does not answer here: only this
-    /// zone may be cut off from it.
+    /// Reads the machine list, and asks peers while it does not answer here: only this zone may be
+    /// cut off from it.
     async fn read_machine_list(self: &Arc<Self>) {
         let asked_at = self.context.now();
         let machines = self.context.environment.machines.machines();
         let read = timeout(LIST_TIMEOUT, machines);
-        let (read, told) = futures::join!(read, self.ask_peers_if_away());
+        let was_read = matches!(*self.list.borrow(), ListKnowledge::AsOf(_));
+        let (read, told) = if was_read {
+            (read.await, None)
+        } else {
+            let (read, told) = futures::join!(read, self.ask_peers());
+            (read, Some(told))
+        };
         if let Ok(Ok(machines)) = read {
             self.set_leaving_machines(leaving(&machines));
             self.list.send_replace(ListKnowledge::AsOf(asked_at));
             return;
         }
-        if let Some(leaving) = told {
-            self.set_leaving_machines(leaving);
+        let told = match told {
+            Some(told) => told,
+            None => self.ask_peers().await,
+        };
+        let knowledge = self.take_word(told);
+        self.list.send_replace(knowledge);
+    }
+
+    fn take_word(self: &Arc<Self>, told: PeersWord) -> ListKnowledge {
+        match told {
+            PeersWord::Leaving(leaving) => {
+                self.set_leaving_machines(leaving);
+                ListKnowledge::Away
+            }
+            PeersWord::Away => ListKnowledge::Away,
+            PeersWord::Silence => ListKnowledge::Unknown,
         }
-        self.list.send_replace(ListKnowledge::Away);
     }
 
     fn set_leaving_machines(self: &Arc<Self>, leaving: BTreeSet<SocketAddr>) {
@@ -130,19 +159,26 @@
         }
     }
 
-    async fn ask_peers_if_away(&self) -> Option<BTreeSet<SocketAddr>> {
-        if matches!(*self.list.borrow(), ListKnowledge::AsOf(_)) {
-            return None;
+    async fn ask_peers(&self) -> PeersWord {
+        let peers = self.peers_to_ask();
+        if peers.is_empty() {
+            return PeersWord::Away;
         }
-        let asked = self.peers_to_ask().into_iter().map(|peer| {
+        let asked = peers.into_iter().map(|peer| {
             let body = PeerRequestBody::LeavingMachines;
             self.context.call_within(peer, body, LIST_TIMEOUT)
         });
-        let answers = join_all(asked).await;
-        answers.into_iter().find_map(|answer| match answer {
-            Ok(PeerResponseBody::LeavingMachines(leaving)) => leaving,
-            _ => None,
-        })
+        let mut word = PeersWord::Silence;
+        for answer in join_all(asked).await {
+            match answer {
+                Ok(PeerResponseBody::LeavingMachines(Some(leaving))) => {
+                    return PeersWord::Leaving(leaving);
+                }
+                Ok(_) => word = PeersWord::Away,
+                Err(_) => {}
+            }
+        }
+        word
     }
 
     /// A few running members of each other zone.
