Close connections to peers that are not used

Cause: a connection to a peer stayed open for ever. Change: the side that opened a connection closes it after 20 s without a request; it looks when it sends. No request can be lost, since only the side that sends requests closes, and only when none waits and no caller holds it. Ruled out: closing at the server, where a request may be on its way. Checked: the new tests fail when idle connections are kept, and when used ones are closed. Conclusion: connections follow the traffic, not the number of nodes.

--- a/crates/peer-net/src/connection.rs
+++ b/crates/peer-net/src/connection.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -13,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -35,6 +37,7 @@
     queue: mpsc::Sender<Bytes>,
     waiting: Waiting,
     answers_received: Arc<AtomicU64>,
+    last_used: Mutex<Instant>,
     _reader: AbortOnDropHandle<()>,
     _writer: AbortOnDropHandle<()>,
 }
@@ -75,6 +78,7 @@
             queue,
             waiting,
             answers_received,
+            last_used: Mutex::new(Instant::now()),
             _reader: AbortOnDropHandle::new(tokio::spawn(reader)),
             _writer: AbortOnDropHandle::new(tokio::spawn(async move {
                 writer.await;
@@ -88,6 +92,18 @@
         self.queue.is_closed() || with_waiting(&self.waiting, |_| ()).is_none()
     }
 
+    /// Whether no request waits on it and the last one began at least `age` ago.
+    pub(crate) fn is_idle_for(&self, age: Duration) -> bool {
+        let is_unused = with_waiting(&self.waiting, |waiting| waiting.is_empty());
+        is_unused != Some(false) && self.last_used().elapsed() >= age
+    }
+
+    fn last_used(&self) -> MutexGuard<'_, Instant> {
+        self.last_used
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// How many answers have come on this connection.
     pub(crate) fn answers_received(&self) -> u64 {
         self.answers_received.load(Ordering::Relaxed)
@@ -101,6 +117,7 @@
             log::warn!("a peer request cannot be sent: {error}");
             PeerError::NotSent
         })?;
+        *self.last_used() = Instant::now();
         let (sender, answer) = oneshot::channel();
         with_waiting(&self.waiting, |waiting| waiting.insert(id, sender))
             .ok_or(PeerError::NotSent)?;
--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -10,6 +10,6 @@
 mod traffic;
 
 pub use frame::MAX_FRAME_BYTES;
-pub use network::TcpUdpNetwork;
+pub use network::{IDLE_CONNECTION_LIFE, TcpUdpNetwork};
 pub use server::{BindError, PeerServer, PeerServerHandle};
 pub use traffic::{DirectionSnapshot, KindSnapshot, TrafficCounters, TrafficSnapshot};
--- a/crates/peer-net/src/network.rs
+++ b/crates/peer-net/src/network.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -18,6 +18,13 @@
 use crate::connection::Connection;
 use crate::traffic::{Traffic, TrafficCounters};
 
+/// Time without a request after which a connection is closed. Over a day a node asks most others
+/// something, and must not keep a connection to each.
+pub const IDLE_CONNECTION_LIFE: Duration = Duration::from_secs(20);
+
+/// Time between two looks for idle connections.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The place of one peer's connection. The lock is held while connecting, so that requests which
 /// come at once share one attempt.
 type Slot = Arc<AsyncMutex<Option<Arc<Connection>>>>;
@@ -29,6 +36,7 @@
     counters: TrafficCounters,
     next_request: AtomicU64,
     slots: Mutex<BTreeMap<SocketAddr, Slot>>,
+    idle_checked: Mutex<Instant>,
 }
 
 impl TcpUdpNetwork {
@@ -38,18 +46,43 @@
             counters,
             next_request: AtomicU64::new(1),
             slots: Mutex::new(BTreeMap::new()),
+            idle_checked: Mutex::new(Instant::now()),
         }
     }
 
+    /// Connections that are open, or were until a request finds otherwise.
+    pub fn connection_count(&self) -> usize {
+        self.lock_slots().len()
+    }
+
     /// Closes the connection to a peer that is gone for good; requests on it end without answer.
     pub fn forget(&self, address: SocketAddr) {
-        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        slots.remove(&address);
+        self.lock_slots().remove(&address);
     }
 
     fn slot(&self, address: SocketAddr) -> Slot {
-        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        slots.entry(address).or_default().clone()
+        self.lock_slots().entry(address).or_default().clone()
+    }
+
+    fn lock_slots(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Slot>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes idle connections, if it is time to look. Only this side closes them, so no request
+    /// can be on its way on one.
+    fn close_idle(&self) {
+        let now = Instant::now();
+        {
+            let mut checked = self
+                .idle_checked
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            if now - *checked < IDLE_CHECK_INTERVAL {
+                return;
+            }
+            *checked = now;
+        }
+        self.lock_slots().retain(|_, slot| !is_idle(slot));
     }
 
     /// Later requests open a new connection, since this one may have been cut and TCP would wait
@@ -79,6 +112,20 @@
     }
 }
 
+/// Whether nobody uses a slot, nor has for the life of an idle connection. The caller holds the
+/// lock of the slots, so nobody can begin to.
+fn is_idle(slot: &Slot) -> bool {
+    if Arc::strong_count(slot) > 1 {
+        return false;
+    }
+    slot.try_lock().is_ok_and(|current| {
+        current.as_ref().is_none_or(|connection| {
+            let is_held = Arc::strong_count(connection) > 1;
+            !is_held && connection.is_idle_for(IDLE_CONNECTION_LIFE)
+        })
+    })
+}
+
 #[async_trait]
 impl PeerNetwork for TcpUdpNetwork {
     async fn call(
@@ -87,6 +134,7 @@
         request: PeerRequest,
         timeout: Duration,
     ) -> Result<PeerResponse, PeerError> {
+        self.close_idle();
         let deadline = Instant::now() + timeout;
         let connecting = timeout_at(deadline, self.connection(address)).await;
         let connection = connecting.map_err(|_| PeerError::NotSent)??;
@@ -103,6 +151,7 @@
     }
 
     async fn gossip(&self, address: SocketAddr, packet: GossipPacket) {
+        self.close_idle();
         let Ok(bytes) = codec::encode(&packet) else {
             return;
         };
--- a/crates/peer-net/tests/requests.rs
+++ b/crates/peer-net/tests/requests.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use havenstage_peer_net::{
-    BindError, MAX_FRAME_BYTES, PeerServer, PeerServerHandle, TcpUdpNetwork,
+    BindError, IDLE_CONNECTION_LIFE, MAX_FRAME_BYTES, PeerServer, PeerServerHandle, TcpUdpNetwork,
 };
 use havenstage_platform::peer::{PeerError, PeerHandler, PeerNetwork};
 use havenstage_types::gossip::{GossipBody, GossipPacket};
@@ -316,3 +316,62 @@
     let taken = PeerServer::bind(address).await;
     assert!(matches!(taken, Err(BindError::Udp { .. })));
 }
+
+/// Lets so much time pass on the clock that timers see.
+async fn pass(time: Duration) {
+    tokio::time::pause();
+    tokio::time::advance(time).await;
+    tokio::time::resume();
+}
+
+#[tokio::test]
+async fn an_idle_connection_is_closed_and_opened_again_when_needed() {
+    let server = start(23, 1).await;
+    let other = start(23, 1).await;
+    let client = start(23, 1).await;
+    let address = server.server.address();
+    client.expect_answer(address, LogOffset(1)).await;
+    assert_eq!(client.network.connection_count(), 1);
+
+    pass(IDLE_CONNECTION_LIFE / 2).await;
+    client.expect_answer(address, LogOffset(2)).await;
+    pass(IDLE_CONNECTION_LIFE / 2).await;
+    client.network.gossip(other.server.address(), ping(1)).await;
+    assert_eq!(client.network.connection_count(), 1);
+
+    pass(IDLE_CONNECTION_LIFE).await;
+    client.network.gossip(other.server.address(), ping(2)).await;
+    assert_eq!(client.network.connection_count(), 0);
+    client.expect_answer(address, LogOffset(3)).await;
+    assert_eq!(client.network.connection_count(), 1);
+}
+
+#[tokio::test]
+async fn a_connection_is_not_idle_while_a_request_waits_on_it() {
+    let server = start(24, 2).await;
+    let other = start(24, 1).await;
+    let client = start(24, 1).await;
+    let waiting = {
+        let network = client.network.clone();
+        let address = server.server.address();
+        let patience = 100 * IDLE_CONNECTION_LIFE;
+        tokio::spawn(async move { network.call(address, ask(LogOffset(1)), patience).await })
+    };
+    while server
+        .server
+        .counters()
+        .snapshot()
+        .requests
+        .received
+        .messages
+        == 0
+    {
+        tokio::task::yield_now().await;
+    }
+    pass(2 * IDLE_CONNECTION_LIFE).await;
+    client.network.gossip(other.server.address(), ping(1)).await;
+    assert_eq!(client.network.connection_count(), 1);
+    server.barrier.wait().await;
+    let answer = waiting.await.expect("task").expect("answer");
+    assert_eq!(answer.config_offset, LogOffset(1));
+}
