--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -2,16 +2,17 @@
 //! The home is the one place that sends work to an engine its way, so it knows the load exactly.
 
 mod engine_home;
+mod knowledge;
 mod poller;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use havenstage_config::ConfigState;
 use havenstage_membership::ownership;
 use havenstage_placement::admission::{AdmissionAction, AdmissionLimits};
-use havenstage_platform::machine_list::{MachineRole, MachineState};
 use havenstage_types::clock::Moment;
 use havenstage_types::decision::{Decision, EngineStopReason};
 use havenstage_types::engine::EngineEndpoint;
@@ -20,13 +21,15 @@
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, ReleaseRequest,
 };
 use havenstage_types::resource::{EngineDesiredState, EngineSpec};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::context::NodeContext;
 use crate::executor::running::RunningAttempts;
 use crate::locks::lock;
 use crate::node::EngineStatus;
 use engine_home::EngineHome;
+pub(crate) use knowledge::run_machine_list;
+use knowledge::{ListKnowledge, uninformed};
 
 /// Time between two looks at queues whose patience may have passed.
 const TICK: Duration = Duration::from_millis(100);
@@ -36,7 +39,8 @@
     context: Arc<NodeContext>,
     running: Arc<RunningAttempts>,
     engines: Mutex<BTreeMap<EngineName, EngineHome>>,
-    leaving_machines: Mutex<BTreeSet<std::net::SocketAddr>>,
+    leaving_machines: Mutex<BTreeSet<SocketAddr>>,
+    list: watch::Sender<ListKnowledge>,
 }
 
 impl Homes {
@@ -46,11 +50,15 @@
             running,
             engines: Mutex::new(BTreeMap::new()),
             leaving_machines: Mutex::new(BTreeSet::new()),
+            list: knowledge::nothing_known(),
         })
     }
 
     /// Answers an ask for a permit, waiting in the engine's queue if it must.
     pub(crate) async fn admit(&self, request: AdmitRequest) -> PeerResponseBody {
+        if !self.is_informed(&request).await {
+            return uninformed(request.engine);
+        }
         let Some(answer) = self.enqueue(request) else {
             return PeerResponseBody::Failed(PeerFailure::NotOwner);
         };
@@ -214,6 +222,9 @@
         home: &mut EngineHome,
         spec: &EngineSpec,
     ) -> Vec<AdmissionAction> {
+        if !self.context.mechanisms.leaving_is_heeded {
+            return Vec::new();
+        }
         let draining = spec.desired_state == EngineDesiredState::Draining;
         let leaving = lock(&self.leaving_machines).contains(&spec.address);
         let mut actions = home.set_stopped(now, EngineStopReason::Operator, draining);
@@ -248,38 +259,12 @@
 pub(crate) async fn run_ticks(homes: Arc<Homes>) {
     loop {
         tokio::time::sleep(TICK).await;
+        homes.forget_list_if_stale();
         homes.tick();
     }
 }
 
-/// Reads the machine list, for ever.
-pub(crate) async fn run_machine_list(homes: Arc<Homes>) {
-    let interval = Duration::from_millis(homes.context.settings.machine_poll_ms);
-    loop {
-        if let Ok(machines) = homes.context.environment.machines.machines().await {
-            let leaving: BTreeSet<_> = machines
-                .iter()
-                .filter(|machine| machine.role == MachineRole::Engine)
-                .filter(|machine| machine.state == MachineState::Leaving)
-                .map(|machine| machine.address)
-                .collect();
-            let changed = homes.set_leaving_machines(leaving);
-            if changed {
-                homes.reconcile();
-            }
-        }
-        tokio::time::sleep(interval).await;
-    }
-}
-
 impl Homes {
-    fn set_leaving_machines(&self, leaving: BTreeSet<std::net::SocketAddr>) -> bool {
-        let mut known = lock(&self.leaving_machines);
-        let changed = *known != leaving;
-        *known = leaving;
-        changed
-    }
-
     fn drop_dead_holders(&self) {
         let view = self.context.view();
         let dead: Vec<NodeId> = view
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod claim_owner;
+mod claim_service;
 mod config_follower;
 mod config_recorder;
 mod config_store;
@@ -17,10 +18,12 @@
 mod lifecycle;
 mod live;
 mod locks;
+pub mod mechanisms;
 mod member_service;
 pub mod node;
 mod operator;
 mod peer_service;
+mod replicas;
 pub mod settings;
 pub mod spawner;
 mod stream_follower;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::at_most_once::AtMostOnce;
-use crate::claim_owner::{self, ClaimOwner};
+use crate::claim_service::{self, ClaimService};
 use crate::context::NodeContext;
 use crate::environment::Environment;
 use crate::executor::Executor;
@@ -29,6 +29,7 @@
 use crate::jobs::{self, JobFollowers, JobOwners, SampleRunners, TrainerFeed};
 use crate::kept_answers::KeptAnswers;
 use crate::live::LiveService;
+use crate::mechanisms::Mechanisms;
 use crate::settings::NodeSettings;
 use crate::{config_follower, config_recorder, decision_writer, member_service, operator};
 
@@ -38,12 +39,15 @@
 /// Longest time a planned stop waits for its last records to reach the log.
 const STOP_FLUSH: Duration = Duration::from_secs(5);
 
+/// Longest time a planned stop waits until its replica groups have other members.
+const STOP_LEAVE_GROUPS: Duration = Duration::from_secs(15);
+
 /// One node of the system.
 pub struct Node {
     pub(crate) context: Arc<NodeContext>,
     pub(crate) homes: Arc<Homes>,
     pub(crate) running: Arc<RunningAttempts>,
-    pub(crate) claim_owner: Arc<ClaimOwner>,
+    pub(crate) claims: ClaimService,
     pub(crate) kept_answers: KeptAnswers,
     pub(crate) samples: Arc<SampleRunners>,
     live: Arc<LiveService>,
@@ -113,16 +117,27 @@
         settings: NodeSettings,
         identity: MemberIdentity,
         environment: Environment,
+    ) -> Arc<Self> {
+        Self::with_mechanisms(settings, identity, environment, Mechanisms::default())
+    }
+
+    /// [`Node::new`] with some mechanisms off. For the simulator only: without them promises are
+    /// broken, which is what its tests show.
+    pub fn with_mechanisms(
+        settings: NodeSettings,
+        identity: MemberIdentity,
+        environment: Environment,
+        mechanisms: Mechanisms,
     ) -> Arc<Self> {
         let kept_answers = KeptAnswers::new(settings.kept_answer_bytes);
-        let context = NodeContext::new(settings, identity, environment);
+        let context = NodeContext::new(settings, identity, environment, mechanisms);
         let running = Arc::new(RunningAttempts::default());
         let homes = Homes::new(context.clone(), running.clone());
         let executor = Executor::new(context.clone(), homes.clone(), running.clone());
         let at_most_once = AtMostOnce::new(context.clone());
         let followers = JobFollowers::new(context.clone());
         let node = Arc::new(Self {
-            claim_owner: ClaimOwner::new(context.clone()),
+            claims: ClaimService::new(context.clone()),
             kept_answers,
             live: LiveService::new(context.clone(), executor.clone(), at_most_once),
             samples: SampleRunners::new(context.clone(), executor, running.clone()),
@@ -151,7 +166,7 @@
         spawner.spawn(homes::run(self.homes.clone()));
         spawner.spawn(homes::run_ticks(self.homes.clone()));
         spawner.spawn(homes::run_machine_list(self.homes.clone()));
-        spawner.spawn(claim_owner::run(self.claim_owner.clone()));
+        spawner.spawn(claim_service::run(self.claims.clone()));
         spawner.spawn(jobs::run(self.jobs.clone()));
     }
 
@@ -269,11 +284,22 @@
         let environment = &self.context.environment;
         let leave = MembershipInput::Leave;
         self.context.members.input(environment, leave).await;
-        self.context.lifecycle.drained().await;
+        if self.context.mechanisms.stop_waits {
+            self.context.lifecycle.drained().await;
+            self.leave_groups().await;
+        }
         let flush = decision_writer::flush(&self.context);
         if tokio::time::timeout(STOP_FLUSH, flush).await.is_err() {
             let unsent = self.context.decisions.unsent();
             log::warn!(unsent = unsent; "stopped before all decisions were recorded");
         }
     }
+
+    /// Waits until the replica groups this node is a member of have other members.
+    async fn leave_groups(&self) {
+        let left = tokio::time::timeout(STOP_LEAVE_GROUPS, self.claims.left_groups());
+        if left.await.is_err() {
+            log::warn!("stopped while still a member of a replica group");
+        }
+    }
 }
