Keep processes and ctl of tests apart from the one-node deployment

Cause: a test with several nodes needs processes, signals and ctl, but not the deployment of one node.

No assertion changes.

--- a/crates/havenstage/tests/whole_path.rs
+++ b/crates/havenstage/tests/whole_path.rs
@@ -3,15 +3,18 @@
 
 #[path = "support/deployment.rs"]
 mod deployment;
+#[path = "support/process.rs"]
+mod process;
 mod support;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use deployment::{Deployment, Process, Service};
+use deployment::Deployment;
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
+use process::{Process, Service};
 use serde_json::{Value, json};
 use support::{file, havenstage};
 
