--- a/crates/replication/tests/agreement.rs
+++ b/crates/replication/tests/agreement.rs
@@ -11,7 +11,7 @@
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset, NodeId, Term, Zone};
 use havenstage_types::replica::{
-    AppendEntries, AppendResult, EntryPayload, GroupMember, OutageStep, ReplicaGroup,
+    AppendEntries, AppendReply, AppendResult, EntryPayload, GroupMember, OutageStep, ReplicaGroup,
     ReplicaMessage, SequenceEnd, SequencedEntry,
 };
 use rand::{Rng, SeedableRng};
@@ -391,3 +391,37 @@
     assert!(waits[7] >= 2_500, "{waits:?}");
     assert!(waits.iter().all(|wait| *wait <= 5_010), "{waits:?}");
 }
+
+fn reply(term: u64, round: u64, matched: u64) -> Message {
+    ReplicaMessage::AppendReply(AppendReply {
+        term: Term(term),
+        round,
+        result: AppendResult::Matched(EntryIndex(matched)),
+        logged: EntryIndex(0),
+    })
+}
+
+fn committed_by(member: &mut Member, message: Message) -> Vec<EntryIndex> {
+    let from = NodeId(2);
+    let actions = member.handle(Moment(9_000), ReplicaInput::Message { from, message });
+    let committed = actions.into_iter().filter_map(|action| match action {
+        ReplicaAction::Committed { index, .. } => Some(index),
+        _ => None,
+    });
+    committed.collect()
+}
+
+#[test]
+fn entries_of_earlier_terms_are_committed_only_with_one_of_the_leaders_own() {
+    let mut member = member(1, 0);
+    append_result(&mut member, 2, append(1, end(0, 0), &[1]));
+    member.handle(Moment(9_000), ReplicaInput::Tick);
+    let term = Term(2);
+    let granted = true;
+    committed_by(&mut member, ReplicaMessage::PreVoteReply { term, granted });
+    committed_by(&mut member, ReplicaMessage::VoteReply { term, granted });
+    assert!(member.is_leader());
+    assert_eq!(committed_by(&mut member, reply(2, 0, 1)), []);
+    let both = [EntryIndex(1), EntryIndex(2)];
+    assert_eq!(committed_by(&mut member, reply(2, 1, 2)), both);
+}
--- a/crates/simulator/examples/outages/main.rs
+++ b/crates/simulator/examples/outages/main.rs
@@ -1,11 +1,13 @@
 //! Measures outages of the log with claims in the log alone and in replica groups, on the same
-//! seeds: `outages SCENARIO DEPLOYMENT FIRST_SEED END_SEED [SECONDS]`, or `outages latency`.
+//! seeds: `outages SCENARIO DEPLOYMENT FIRST_SEED END_SEED [SECONDS]`, `outages latency`, or
+//! `outages traffic`.
 //!
 //! Scenarios: `down`, `slow`, `answers-lost`, `leader-dies`, `zone-cut`, `zone-cut-first`.
 
 mod latency;
 mod measure;
 mod scenarios;
+mod traffic;
 
 use std::time::Duration;
 
@@ -23,6 +25,10 @@
         latency::print();
         return;
     }
+    if argument(0) == "traffic" {
+        traffic::print();
+        return;
+    }
     let (Some(scenario), Ok(deployment)) = (
         OutageScenario::parse(argument(0)),
         argument(1).parse::<Deployment>(),
--- a/crates/simulator/examples/outages/measure.rs
+++ b/crates/simulator/examples/outages/measure.rs
@@ -252,10 +252,12 @@
     let mut ends: BTreeMap<(String, u64), Option<End>> = BTreeMap::new();
     for event in events {
         match &event.body {
-            EventBody::CallSent(sent) if sent.at_most_once && sent.call.call == 1 => {
-                if (from_ms..until_ms).contains(&event.at_ms) {
-                    ends.insert(name(&sent.call), None);
-                }
+            EventBody::CallSent(sent)
+                if sent.at_most_once
+                    && sent.call.call == 1
+                    && (from_ms..until_ms).contains(&event.at_ms) =>
+            {
+                ends.insert(name(&sent.call), None);
             }
             EventBody::CallAnswered(answered) => note(&mut ends, &answered.call, End::Answered),
             EventBody::CallRefused(refused) => {
