Doubt a group through the log before it is replaced

Change: members see to a leader when another member is missing; whoever misses a majority first appends a doubt, which a living group answers with its next entry; the fold replaces only a group that left a doubt unanswered.

--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -113,6 +113,7 @@
                 members,
                 vouched_by,
             } => self.form_group(offset, *previous, members, vouched_by.is_some()),
+            ClaimRecord::GroupDoubted { generation } => self.doubt_group(*generation),
             ClaimRecord::Batch {
                 generation,
                 first_index,
@@ -202,7 +203,10 @@
                     self.open_loss = None;
                 }
             }
-            EntryPayload::TermStart | EntryPayload::Outage(_) | EntryPayload::Seal { .. } => {}
+            EntryPayload::TermStart
+            | EntryPayload::Outage(_)
+            | EntryPayload::StillInForce
+            | EntryPayload::Seal { .. } => {}
         }
     }
 
--- a/crates/ledger/src/claims/group.rs
+++ b/crates/ledger/src/claims/group.rs
@@ -29,6 +29,8 @@
     pub logged_term: Term,
     /// The last step into or out of answering on a majority alone that the log has.
     pub outage_step: Option<OutageStep>,
+    /// Whether somebody doubts the group and the log has got no entry of it since.
+    pub is_doubted: bool,
 }
 
 impl ClaimGroup {
@@ -40,6 +42,7 @@
             logged: EntryIndex::default(),
             logged_term: Term::default(),
             outage_step: None,
+            is_doubted: false,
         }
     }
 
@@ -65,7 +68,11 @@
     /// A fold that is ahead of the log may not see its group replaced: what it took is lost.
     pub(super) fn check_not_ahead(&self, previous: Option<LogOffset>) -> Result<(), FoldError> {
         match &self.group {
-            Some(group) if Some(group.generation) == previous && group.applied > group.logged => {
+            Some(group)
+                if Some(group.generation) == previous
+                    && group.is_doubted
+                    && group.applied > group.logged =>
+            {
                 Err(FoldError::AheadOfLog {
                     generation: group.generation,
                     logged: group.logged,
@@ -75,7 +82,17 @@
         }
     }
 
-    /// Puts a group in force if the record names the one it replaces. Replacing a group that has
+    /// Notes that a group is doubted.
+    pub(super) fn doubt_group(&mut self, generation: LogOffset) {
+        if let Some(group) = &mut self.group
+            && group.generation == generation
+        {
+            group.is_doubted = true;
+        }
+    }
+
+    /// Puts a group in force if the record names the one it replaces, and that one left a doubt
+    /// unanswered. Replacing a group that has
     /// not sealed itself, and for which nobody vouches, may lose records.
     pub(super) fn form_group(
         &mut self,
@@ -85,7 +102,8 @@
         is_vouched: bool,
     ) {
         let in_force = self.group.as_ref().map(|group| group.generation);
-        if in_force != previous {
+        let may_replace = self.group.as_ref().is_none_or(|group| group.is_doubted);
+        if in_force != previous || !may_replace {
             return;
         }
         if previous.is_some() && !is_vouched {
@@ -125,6 +143,7 @@
         let Some(group) = &mut self.group else {
             return;
         };
+        group.is_doubted = false;
         group.logged = index;
         group.logged_term = entry.term;
         if let EntryPayload::Outage(step) = &entry.payload {
--- a/crates/ledger/tests/claims_groups.rs
+++ b/crates/ledger/tests/claims_groups.rs
@@ -28,6 +28,12 @@
     }
 }
 
+fn doubted(generation: u64) -> ClaimRecord {
+    ClaimRecord::GroupDoubted {
+        generation: LogOffset(generation),
+    }
+}
+
 fn entry(payload: EntryPayload<ClaimCommand>) -> Entry {
     let term = Term(1);
     SequencedEntry { term, payload }
@@ -95,14 +101,29 @@
 fn batches_of_a_replaced_group_are_ignored() {
     let ledger = folded(&[
         formed(None, None),
+        doubted(0),
         formed(Some(0), Some(10)),
         batch(0, 1, vec![claim_entry(1, 1)]),
-        batch(1, 1, vec![claim_entry(1, 2)]),
+        batch(2, 1, vec![claim_entry(1, 2)]),
     ]);
     assert_eq!(holder(&ledger, 1), Some(2));
     assert_eq!(ledger.open_loss(), None);
 }
 
+#[test]
+fn a_group_that_answers_a_doubt_is_not_replaced() {
+    let undoubted = folded(&[formed(None, None), formed(Some(0), None)]);
+    assert_eq!(undoubted.group().unwrap().generation, LogOffset(0));
+    let answered = folded(&[
+        formed(None, None),
+        doubted(0),
+        batch(0, 1, vec![entry(EntryPayload::StillInForce)]),
+        formed(Some(0), None),
+    ]);
+    assert_eq!(answered.group().unwrap().generation, LogOffset(0));
+    assert_eq!(answered.open_loss(), None);
+}
+
 #[test]
 fn of_two_records_that_replace_the_same_group_the_first_counts() {
     let ledger = folded(&[
@@ -136,11 +157,12 @@
 #[test]
 fn after_a_loss_free_keys_are_unknown_until_it_is_settled() {
     let settled = entry(EntryPayload::LossSettled {
-        generation: LogOffset(2),
+        generation: LogOffset(3),
     });
     let mut ledger = folded(&[
         formed(None, None),
         batch(0, 1, vec![claim_entry(1, 1)]),
+        doubted(0),
         formed(Some(0), None),
     ]);
     let verdict = |ledger: &ClaimLedger, name, sequence| {
@@ -151,12 +173,12 @@
         Some(ClaimVerdict::HeldBy(attempt(1)))
     );
     assert_eq!(verdict(&ledger, 2, 5), Some(ClaimVerdict::Unknown));
-    let during = batch(2, 1, vec![claim_entry(2, 5), outcome_entry(3, 6)]);
-    ledger.apply(LogOffset(3), &during).unwrap();
+    let during = batch(3, 1, vec![claim_entry(2, 5), outcome_entry(3, 6)]);
+    ledger.apply(LogOffset(4), &during).unwrap();
     assert_eq!(holder(&ledger, 2), None);
     assert_eq!(verdict(&ledger, 3, 7), Some(ClaimVerdict::Done(failed())));
-    let after = batch(2, 3, vec![settled, claim_entry(2, 8)]);
-    ledger.apply(LogOffset(4), &after).unwrap();
+    let after = batch(3, 3, vec![settled, claim_entry(2, 8)]);
+    ledger.apply(LogOffset(5), &after).unwrap();
     assert_eq!(verdict(&ledger, 2, 8), Some(ClaimVerdict::Granted));
 }
 
@@ -177,7 +199,8 @@
 fn a_member_ahead_of_the_log_cannot_go_on_after_a_loss() {
     let mut ahead = folded(&[formed(None, None)]);
     ahead.apply_entry(LogOffset(0), EntryIndex(1), &claim_entry(1, 1));
-    let replaced = ahead.apply(LogOffset(1), &formed(Some(0), None));
+    ahead.apply(LogOffset(1), &doubted(0)).unwrap();
+    let replaced = ahead.apply(LogOffset(2), &formed(Some(0), None));
     let expected = FoldError::AheadOfLog {
         generation: LogOffset(0),
         logged: EntryIndex(0),
--- a/crates/node/src/replicas/partition.rs
+++ b/crates/node/src/replicas/partition.rs
@@ -328,7 +328,9 @@
         let overview = PartitionOverview {
             group: group.as_ref(),
             open_loss: self.ledger.open_loss(),
+            is_doubted: self.ledger.group().is_some_and(|group| group.is_doubted),
             is_owner: surroundings.is_owner,
+            is_member: replica.is_some(),
             is_leader: self.is_leader(),
             is_log_prompt: replica.is_some_and(|replica| replica.is_log_prompt(now)),
             log_confirmed_at: surroundings.log_confirmed_at,
--- a/crates/node/src/replicas/tending.rs
+++ b/crates/node/src/replicas/tending.rs
@@ -46,6 +46,17 @@
         Some(TendingStep::Form { members }) => {
             append_group(hosted, None, members, None).await;
         }
+        Some(TendingStep::Demand) => {
+            hosted.act(|state, now| ((), state.demand(now)));
+        }
+        Some(TendingStep::AnswerDoubt) => {
+            hosted.act(|state, now| ((), state.input(now, ReplicaInput::Doubted)));
+        }
+        Some(TendingStep::Doubt { generation }) => {
+            let record = ClaimRecord::GroupDoubted { generation };
+            // Should it not arrive, the group is doubted again.
+            let _ = hosted.append(&record).await;
+        }
         Some(TendingStep::Replace { previous, members }) => {
             replace(hosted, &previous, members, &present).await;
         }
--- a/crates/replication/src/action.rs
+++ b/crates/replication/src/action.rs
@@ -31,6 +31,8 @@
     Demand,
     /// The log was read and this group is the one in force.
     LogRead(LogRead),
+    /// Somebody doubts in the log that the group is alive.
+    Doubted,
     /// An append asked for by [`ReplicaAction::WriteBatch`] ended.
     BatchEnded {
         /// Number of the batch.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -155,6 +155,7 @@
             ReplicaInput::Propose { proposal, command } => self.propose(now, proposal, command),
             ReplicaInput::Demand => self.demand(now),
             ReplicaInput::LogRead(read) => self.take_log_read(now, read),
+            ReplicaInput::Doubted => self.answer_doubt(now),
             ReplicaInput::BatchEnded { batch, end } => self.take_batch_end(now, batch, end),
             ReplicaInput::Seal { successor } => self.seal(EntryPayload::Seal { successor }),
             ReplicaInput::SettleLoss { generation } => {
@@ -289,6 +290,14 @@
         index
     }
 
+    /// Any new entry in the log shows that the group is alive; one on its way will do.
+    fn answer_doubt(&mut self, now: Moment) {
+        self.demand(now);
+        if self.sequence.last_index() == self.logged {
+            self.add_as_leader(EntryPayload::StillInForce);
+        }
+    }
+
     fn seal(&mut self, seal: EntryPayload<C>) {
         self.add_as_leader(seal);
     }
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -50,7 +50,9 @@
     /// A leader that has not read the log to its end for this long has the members consent to an
     /// outage, although nobody asked for anything yet.
     pub unread_after: Duration,
-    /// How long a majority must be missing before the group counts as lost.
+    /// How long a majority must be missing before the group is doubted in the log.
+    pub doubt_after: Duration,
+    /// How long a doubt must go unanswered before the group is replaced.
     pub lost_after: Duration,
     /// A grant must be used within this time of being asked for.
     pub grant_validity: Duration,
@@ -79,7 +81,8 @@
             takeover_after: Duration::from_secs(10),
             replace_after: Duration::from_secs(5),
             unread_after: Duration::from_secs(6),
-            lost_after: Duration::from_secs(20),
+            doubt_after: Duration::from_secs(15),
+            lost_after: Duration::from_secs(15),
             grant_validity: Duration::from_secs(120),
             repeat_horizon: Duration::from_secs(60 * 60),
         }
--- a/crates/replication/src/tender.rs
+++ b/crates/replication/src/tender.rs
@@ -17,6 +17,10 @@
     pub open_loss: Option<LogOffset>,
     /// Whether the node owns the partition by its view.
     pub is_owner: bool,
+    /// Whether the group is doubted in the log.
+    pub is_doubted: bool,
+    /// Whether the node is a member of the group.
+    pub is_member: bool,
     /// Whether the node leads the group.
     pub is_leader: bool,
     /// Whether the log takes the group's entries without delay.
@@ -37,6 +41,15 @@
         /// Members of the group.
         members: Vec<GroupMember>,
     },
+    /// See to it that the group this node is a member of has a leader.
+    Demand,
+    /// Have the group that this node is a member of show in the log that it is alive.
+    AnswerDoubt,
+    /// Append a record that doubts the group.
+    Doubt {
+        /// Generation of the group.
+        generation: LogOffset,
+    },
     /// Have the members of the group that still answer leave it for good, and append a record that
     /// forms another; it names a member that vouches, or else says that records may be lost.
     Replace {
@@ -62,6 +75,9 @@
 pub struct GroupTender {
     member_missing_since: Option<Moment>,
     majority_missing_since: Option<Moment>,
+    doubted_since: Option<Moment>,
+    /// When this node last doubted the group.
+    doubted_at: Option<Moment>,
     /// The open loss and when this node first read of it, which is after it was recorded.
     loss_read: Option<(LogOffset, Moment)>,
 }
@@ -79,8 +95,10 @@
             return first_group(now, settings, overview);
         };
         self.note_missing(now, group, overview.present);
+        self.doubted_since = missing_since(self.doubted_since, !overview.is_doubted, now);
         self.settle_loss(now, settings, overview)
             .or_else(|| self.seal(now, settings, overview))
+            .or_else(|| self.serve_group(now, settings, overview))
             .or_else(|| self.replace_lost(now, settings, group, overview))
     }
 
@@ -127,20 +145,60 @@
         Some(TendingStep::Seal { successor })
     }
 
-    fn replace_lost(
+    /// A member answers doubts and, when another member is missing, sees to it that there is a
+    /// leader to replace it.
+    fn serve_group(
         &self,
         now: Moment,
         settings: &ReplicaSettings,
+        overview: &PartitionOverview<'_>,
+    ) -> Option<TendingStep> {
+        if !overview.is_member || self.majority_missing_since.is_some() {
+            return None;
+        }
+        if overview.is_doubted {
+            return Some(TendingStep::AnswerDoubt);
+        }
+        let is_missing = has_lasted(self.member_missing_since, settings.replace_after, now);
+        (is_missing && !overview.is_leader).then_some(TendingStep::Demand)
+    }
+
+    /// A node that cannot reach a majority may itself be the one that is cut off. So it first asks
+    /// through the log, where a group that is alive can answer.
+    fn replace_lost(
+        &mut self,
+        now: Moment,
+        settings: &ReplicaSettings,
         group: &ReplicaGroup,
         overview: &PartitionOverview<'_>,
     ) -> Option<TendingStep> {
-        let is_lost = has_lasted(self.majority_missing_since, settings.lost_after, now);
-        if !is_lost || !overview.is_owner || !is_log_near(now, settings, overview) {
+        let is_missing = has_lasted(self.majority_missing_since, settings.doubt_after, now);
+        if !is_missing || !overview.is_owner || !is_log_near(now, settings, overview) {
+            return None;
+        }
+        let members = overview.candidates?.to_vec();
+        if !overview.is_doubted {
+            return self.doubt(now, settings, group);
+        }
+        let is_lost = has_lasted(self.doubted_since, settings.lost_after, now);
+        let previous = group.clone();
+        is_lost.then_some(TendingStep::Replace { previous, members })
+    }
+
+    /// Doubts the group, but not again soon after it has answered.
+    fn doubt(
+        &mut self,
+        now: Moment,
+        settings: &ReplicaSettings,
+        group: &ReplicaGroup,
+    ) -> Option<TendingStep> {
+        let pause = settings.doubt_after + settings.lost_after;
+        if self.doubted_at.is_some_and(|at| now < at + pause) {
             return None;
         }
-        Some(TendingStep::Replace {
-            previous: group.clone(),
-            members: overview.candidates?.to_vec(),
+        self.doubted_at = Some(now);
+        Some(TendingStep::Doubt {
+            generation: group.generation,
         })
     }
 }
--- a/crates/replication/tests/outages.rs
+++ b/crates/replication/tests/outages.rs
@@ -304,3 +304,26 @@
         world.callers[repeat].granted_after.is_some() || world.callers[frozen].dispatched.is_some()
     );
 }
+
+#[test]
+fn a_zone_that_reaches_only_the_log_takes_nothing_from_a_group_that_lives() {
+    let mut world = World::new(16, 4, support::settings());
+    world.run_until(5 * SECOND);
+    let zone_of = |world: &World, id| world.nodes[&id].member.identity.zone.clone();
+    let cut_off = zone_of(&world, world.leader().unwrap());
+    let ids: Vec<_> = world.nodes.keys().copied().collect();
+    for one in &ids {
+        for other in &ids {
+            let is_cut = zone_of(&world, *one) == cut_off;
+            if is_cut != (zone_of(&world, *other) == cut_off) {
+                world.cuts.insert((*one, *other));
+            }
+        }
+    }
+    add_callers(&mut world, 6 * SECOND, 3 * MINUTE, 200);
+    world.schedule(2 * MINUTE, Fault::Heal);
+    world.run_until(4 * MINUTE);
+    check_nothing_lost(&world);
+    assert_eq!(checks::forced_groups(&world), 0);
+    assert_eq!(checks::count(&world, End::Unknown), 0);
+}
--- a/crates/replication/tests/support/checks.rs
+++ b/crates/replication/tests/support/checks.rs
@@ -149,6 +149,22 @@
     }
 }
 
+/// Groups that replaced one which had not sealed itself.
+pub fn forced_groups(world: &World) -> usize {
+    let mut reader = ClaimLedger::default();
+    let mut forced = 0;
+    for (offset, record) in world.log.read(LogOffset(0), usize::MAX) {
+        let before = reader.group().map(|group| group.generation);
+        reader.apply(offset, &record).unwrap();
+        let after = reader.group().map(|group| group.generation);
+        let is_forming = matches!(record, ClaimRecord::GroupFormed { .. });
+        if is_forming && before.is_some() && before != after {
+            forced += 1;
+        }
+    }
+    forced
+}
+
 /// Entries in the largest batch.
 pub fn largest_batch(world: &World) -> usize {
     let sizes = world.log.records.iter().map(|record| match record {
--- a/crates/replication/tests/support/mod.rs
+++ b/crates/replication/tests/support/mod.rs
@@ -19,7 +19,8 @@
         outage_limit: Duration::from_secs(60),
         grant_validity: Duration::from_secs(10),
         repeat_horizon: Duration::from_secs(40),
-        lost_after: Duration::from_secs(8),
+        doubt_after: Duration::from_secs(5),
+        lost_after: Duration::from_secs(4),
         replace_after: Duration::from_secs(3),
         ..ReplicaSettings::default()
     }
--- a/crates/replication/tests/support/node.rs
+++ b/crates/replication/tests/support/node.rs
@@ -302,7 +302,9 @@
         let overview = PartitionOverview {
             group: group.as_ref(),
             open_loss: self.ledger.open_loss(),
+            is_doubted: self.ledger.group().is_some_and(|group| group.is_doubted),
             is_owner,
+            is_member: replica.is_some(),
             is_leader: replica.is_some_and(Replica::is_leader),
             is_log_prompt: replica.is_some_and(|replica| replica.is_log_prompt(now)),
             log_confirmed_at: self.confirmed_at,
@@ -322,6 +324,15 @@
                     record,
                 }]
             }
+            Some(TendingStep::Demand) => self.input(now, ReplicaInput::Demand),
+            Some(TendingStep::AnswerDoubt) => self.input(now, ReplicaInput::Doubted),
+            Some(TendingStep::Doubt { generation }) => {
+                let record = ClaimRecord::GroupDoubted { generation };
+                vec![Effect::Append {
+                    batch: None,
+                    record,
+                }]
+            }
             Some(TendingStep::Replace { previous, members }) => {
                 vec![Effect::Replace { previous, members }]
             }
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -30,7 +30,7 @@
     },
     /// Hands the partition to a replica group; the group's generation is this record's offset.
     /// From here on claims count only as entries of the group. Applied only if `previous` is the
-    /// generation in force at its offset.
+    /// generation in force at its offset and, if there is one, doubted.
     GroupFormed {
         /// Generation that is replaced; `None` when claims were written to the log directly.
         previous: Option<LogOffset>,
@@ -40,6 +40,12 @@
         /// nothing was acknowledged which the log has not got.
         vouched_by: Option<NodeId>,
     },
+    /// Somebody cannot reach a majority of the group. A group that is alive answers by another batch;
+    /// one that does not may be replaced.
+    GroupDoubted {
+        /// Generation of the group.
+        generation: LogOffset,
+    },
     /// Consecutive committed entries of a group. Ignored when another generation is in force;
     /// entries that were applied before are skipped.
     Batch {
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -66,6 +66,8 @@
     Command(C),
     /// A step into or out of answering on a majority alone.
     Outage(OutageStep),
+    /// The group is alive, although somebody doubts it.
+    StillInForce,
     /// The time has passed in which a request granted by a lost group could still run or be
     /// repeated; keys without a record are free again.
     LossSettled {
