Let a prompt decide a share of its answers' lengths in the emulator; join all measures in a comparison

Cause: starting the longest expected samples first could not be judged while lengths were independent of prompts, and a comparison whose first file runs no training hid the others' step times. Change: prompt_length_share of log-normal lengths (0 as before); rows are the union of all variants'. Ruled out: lengths by prompt alone, since samples of a group differ too.

--- a/crates/bench/src/experiment/table.rs
+++ b/crates/bench/src/experiment/table.rs
@@ -1,6 +1,6 @@
 //! A report as tables for the terminal.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use comfy_table::{Table, presets};
 
@@ -213,17 +213,20 @@
             .map(|variant| variant.name.as_str()),
     );
     let mut table = table(&header);
-    let names: Vec<String> = base.spreads().into_keys().collect();
     let columns: Vec<_> = comparison
         .variants
         .iter()
         .map(|variant| (variant.spreads(), variant.ratios_to(base)))
         .collect();
+    let names: BTreeSet<&String> = columns
+        .iter()
+        .flat_map(|(spreads, _)| spreads.keys())
+        .collect();
     for name in names {
         let mut row = vec![name.clone()];
         for (index, (spreads, ratios)) in columns.iter().enumerate() {
-            let ratio = ratios.get(&name).filter(|_| index > 0);
-            row.push(cell(spreads.get(&name), ratio));
+            let ratio = ratios.get(name).filter(|_| index > 0);
+            row.push(cell(spreads.get(name), ratio));
         }
         table.add_row(row);
     }
@@ -234,6 +237,9 @@
     let Some(spread) = spread else {
         return "-".to_owned();
     };
+    if spread.min == spread.max {
+        return single_cell(spread, ratio);
+    }
     let value = format!("{:.2} ({:.2}..{:.2})", spread.mean, spread.min, spread.max);
     match ratio {
         Some(ratio) => {
@@ -245,3 +251,11 @@
         None => value,
     }
 }
+
+/// A measure that does not vary over the seeds.
+fn single_cell(spread: &Spread, ratio: Option<&Spread>) -> String {
+    match ratio {
+        Some(ratio) => format!("{:.2} x{:.2}", spread.mean, ratio.mean),
+        None => format!("{:.2}", spread.mean),
+    }
+}
--- a/crates/emulator/src/content.rs
+++ b/crates/emulator/src/content.rs
@@ -4,7 +4,7 @@
 use havenstage_types::request::FinishReason;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution, LogNormal, Pareto};
+use rand_distr::{Distribution, LogNormal, Pareto, StandardNormal};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::settings::LengthDistribution;
@@ -68,9 +68,34 @@
         subject: &str,
         lengths: &LengthDistribution,
         max_tokens: u32,
+    ) -> Self {
+        Self::to_prompt(content_seed, subject, "", 0.0, lengths, max_tokens)
+    }
+
+    /// The same for a prompt that decides `prompt_share` of the variance of log-normal lengths.
+    pub fn to_prompt(
+        content_seed: u64,
+        subject: &str,
+        prompt: &str,
+        prompt_share: f64,
+        lengths: &LengthDistribution,
+        max_tokens: u32,
     ) -> Self {
         let subject_seed = xxh3_64_with_seed(subject.as_bytes(), content_seed);
-        let natural_length = draw_length(subject_seed ^ LENGTH_SALT, lengths);
+        let prompt_seed = xxh3_64_with_seed(prompt.as_bytes(), content_seed);
+        let natural_length = match *lengths {
+            LengthDistribution::LogNormal {
+                median_tokens,
+                sigma,
+            } if prompt_share > 0.0 => {
+                let of_prompt = standard_normal(prompt_seed ^ LENGTH_SALT) * prompt_share.sqrt();
+                let rest = (1.0 - prompt_share).max(0.0).sqrt();
+                let of_subject = standard_normal(subject_seed ^ LENGTH_SALT) * rest;
+                let length = median_tokens * (sigma * (of_prompt + of_subject)).exp();
+                (length.round() as u32).max(1)
+            }
+            _ => draw_length(subject_seed ^ LENGTH_SALT, lengths),
+        };
         let finish = if natural_length <= max_tokens {
             FinishReason::Stop
         } else {
@@ -138,6 +163,10 @@
     (hash % u64::from(bound)) as u32
 }
 
+fn standard_normal(seed: u64) -> f64 {
+    StandardNormal.sample(&mut ChaCha8Rng::seed_from_u64(seed))
+}
+
 /// A length of at least one token; `distribution` has passed validation.
 fn draw_length(seed: u64, distribution: &LengthDistribution) -> u32 {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -102,9 +102,11 @@
         let version = self.version.ok_or(SubmitRefusal::NoVersion)?;
         let prompt = content::prompt_tokens(&request.prompt);
         self.check_submit(&request, prompt.len())?;
-        let answer = Answer::new(
+        let answer = Answer::to_prompt(
             self.settings.content_seed,
             &request.subject,
+            &request.prompt,
+            self.settings.prompt_length_share,
             &self.settings.output_length,
             request.max_tokens,
         );
--- a/crates/emulator/src/settings.rs
+++ b/crates/emulator/src/settings.rs
@@ -18,6 +18,9 @@
     pub initial_version: Option<u64>,
     /// Lengths of answers.
     pub output_length: LengthDistribution,
+    /// Share of the variance of log-normal lengths, 0 to 1, that the prompt decides: answers to
+    /// one prompt then have similar lengths.
+    pub prompt_length_share: f64,
     /// Most tokens put out as one chunk.
     pub tokens_per_chunk: u32,
     /// The same for training requests; `None` is as for the others. Larger chunks make long
@@ -132,6 +135,7 @@
                 median_tokens: 200.0,
                 sigma: 1.0,
             },
+            prompt_length_share: 0.0,
             tokens_per_chunk: 8,
             training_tokens_per_chunk: None,
             max_running_requests: 64,
@@ -222,6 +226,7 @@
                 allowed: "at least one block",
             });
         }
+        probability("prompt_length_share", self.prompt_length_share)?;
         probability("kv.event_loss_probability", self.kv.event_loss_probability)?;
         probability("swap.failure_probability", self.swap.failure_probability)?;
         not_negative("kv.transfer_token_us", self.kv.transfer_token_us)?;
