Project the KV use of training by the lengths that finished samples had

Cause: nobody called observe_training_length, so every sample was projected at half of its bound (2048 tokens, where the mean is about 650) and engines short of KV memory ran few at once. Change: a release tells the tokens of a whole answer; the projection of training is a setting: share of the bound, observed mean plus twice the deviation, or observed mean. Ruled out: the cautious estimate for each request, which adds up to far more than they need together.

--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -238,7 +238,7 @@
                 Ok(())
             } => followed,
         };
-        settle(&mut admitted.held, &result);
+        settle(&mut admitted.held, &result, progress);
         result
     }
 
@@ -371,9 +371,9 @@
 }
 
 /// Tells the permit how its execution ended.
-fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>) {
+fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>, progress: &Progress) {
     let Err(failure) = result else {
-        held.ended();
+        held.finished(progress.token_count());
         return;
     };
     if failure.refusal.execution == Execution::NotRun {
--- a/crates/node/src/executor/held_permit.rs
+++ b/crates/node/src/executor/held_permit.rs
@@ -18,6 +18,7 @@
     attempt: AttemptId,
     engine: EngineName,
     end: ReleaseReason,
+    generated_tokens: Option<u32>,
     running_on: Option<EngineEndpoint>,
     given_back: bool,
 }
@@ -38,6 +39,7 @@
             attempt,
             engine,
             end: ReleaseReason::Ended,
+            generated_tokens: None,
             running_on: None,
             given_back: false,
         }
@@ -63,6 +65,12 @@
         self.end = end;
     }
 
+    /// The answer is whole and has this many tokens.
+    pub(super) fn finished(&mut self, generated_tokens: u32) {
+        self.running_on = None;
+        self.generated_tokens = Some(generated_tokens);
+    }
+
     fn cancel(&mut self) {
         let Some(endpoint) = self.running_on.take() else {
             return;
@@ -84,6 +92,7 @@
             attempt: self.attempt,
             engine: self.engine.clone(),
             end: self.end,
+            generated_tokens: self.generated_tokens,
         };
         if self.home == self.context.node_id() {
             self.homes.release(&request);
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -20,7 +20,7 @@
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, ReleaseRequest,
 };
 use havenstage_types::refusal::{Refusal, RefusalReason};
-use havenstage_types::resource::{EngineDesiredState, EngineSpec};
+use havenstage_types::resource::{EngineDesiredState, EngineSpec, PoolSpec};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -204,7 +204,7 @@
         let Some(pool) = state.pool(&spec.pool) else {
             return;
         };
-        let limits = AdmissionLimits::from((pool, spec));
+        let limits = self.limits(pool, spec);
         let now = self.context.now();
         if !engines.contains_key(name) {
             let endpoint = EngineEndpoint {
@@ -229,6 +229,19 @@
         }
     }
 
+    fn limits(
+        &self,
+        pool: &PoolSpec,
+        spec: &EngineSpec,
+    ) -> AdmissionLimits {
+        let tuning = &self.context.settings.placement;
+        let mut limits = AdmissionLimits::from((pool, spec));
+        limits.training_projection = tuning.training_projection;
+        limits.kv_safety_percent = tuning.kv_safety_percent;
+        limits.recovery_successes = tuning.recovery_successes;
+        limits
+    }
+
     /// Applies what the operator and the machine list say about an engine.
     fn stop_or_resume(
         &self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod settings;
 pub mod spawner;
 mod stream_follower;
+pub mod tuning;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::tuning::PlacementTuning;
+
 /// Behaviour of a node. All durations are milliseconds in the settings file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -49,6 +51,8 @@
     pub swap_spread_ms: u64,
     /// Fetches a second that the weight store allows, for spreading swaps.
     pub weight_fetches_per_second: u32,
+    /// Placement, admission and job driving.
+    pub placement: PlacementTuning,
 }
 
 impl Default for NodeSettings {
@@ -74,6 +78,7 @@
             max_executions: 12,
             swap_spread_ms: 1_500,
             weight_fetches_per_second: 200,
+            placement: PlacementTuning::default(),
         }
     }
 }
@@ -159,6 +164,7 @@
                 });
             }
         }
+        self.placement.validate()?;
         if self.log_wait_ms * 3 > self.freshness_bound_ms {
             return Err(InvalidSetting {
                 key: "log_wait_ms",
--- a/crates/placement/src/admission/engine.rs
+++ b/crates/placement/src/admission/engine.rs
@@ -86,6 +86,9 @@
         }
         if let Some(held) = self.permits.remove(request.attempt) {
             self.release_rate.record(now);
+            if let Some(tokens) = request.generated_tokens.filter(|_| !held.is_live) {
+                self.observe_training_length(tokens);
+            }
             self.learn_from_end(&held, request.end, &mut actions);
         }
         actions.extend(self.advance(now));
--- a/crates/placement/src/admission/kv_budget.rs
+++ b/crates/placement/src/admission/kv_budget.rs
@@ -3,7 +3,7 @@
 use havenstage_types::engine::LoadReport;
 use havenstage_types::peer::AdmitRequest;
 
-use super::limits::AdmissionLimits;
+use super::limits::{AdmissionLimits, TrainingProjection};
 use crate::lengths::RunningLength;
 
 /// Projects KV use and remembers what the engine reported.
@@ -56,9 +56,11 @@
     fn expected_training_output(&self, max_new_tokens: u32, limits: &AdmissionLimits) -> u32 {
         let by_share =
             u64::from(max_new_tokens) * u64::from(limits.expected_output_percent.min(100)) / 100;
-        self.training_lengths
-            .cautious()
-            .unwrap_or(by_share as u32)
-            .min(max_new_tokens)
+        let observed = match limits.training_projection {
+            TrainingProjection::ShareOfBound => None,
+            TrainingProjection::ObservedCautious => self.training_lengths.cautious(),
+            TrainingProjection::ObservedMean => self.training_lengths.mean(),
+        };
+        observed.unwrap_or(by_share as u32).min(max_new_tokens)
     }
 }
--- a/crates/placement/src/admission/limits.rs
+++ b/crates/placement/src/admission/limits.rs
@@ -5,8 +5,24 @@
 use havenstage_types::ids::PoolName;
 use havenstage_types::resource::{EngineSpec, PoolSpec};
 
+use serde::{Deserialize, Serialize};
+
 use crate::settings::InvalidSetting;
 
+/// How many tokens a training request is expected to generate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TrainingProjection {
+    /// A fixed share of its upper bound.
+    ShareOfBound,
+    /// The mean of the finished ones and twice their mean deviation.
+    #[default]
+    ObservedCautious,
+    /// The mean of the finished ones: many together need their mean, and the safety share covers
+    /// the rest.
+    ObservedMean,
+}
+
 /// Limits of one engine; taken from the operator's resources, the rest are defaults.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdmissionLimits {
@@ -25,6 +41,8 @@
     /// Share of a training request's upper bound, in percent, that it is expected to generate
     /// until lengths of finished ones are known.
     pub expected_output_percent: u8,
+    /// How the output of training requests is projected.
+    pub training_projection: TrainingProjection,
     /// Whether training gives way when live work waits.
     pub preempt: bool,
     /// Whether queued training starts with the largest `max_new_tokens` instead of the oldest.
@@ -47,6 +65,7 @@
             kv_capacity_tokens: 1_000_000,
             kv_safety_percent: 15,
             expected_output_percent: 50,
+            training_projection: TrainingProjection::default(),
             preempt: true,
             longest_training_first: false,
             max_permit_age: Duration::from_secs(30 * 60),
--- a/crates/placement/src/admission/mod.rs
+++ b/crates/placement/src/admission/mod.rs
@@ -26,4 +26,4 @@
 pub use action::AdmissionAction;
 pub use advance::DISPATCH_WINDOW;
 pub use engine::EngineAdmission;
-pub use limits::AdmissionLimits;
+pub use limits::{AdmissionLimits, TrainingProjection};
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -52,6 +52,7 @@
 
 pub fn release(attempt: AttemptId, end: ReleaseReason) -> ReleaseRequest {
     ReleaseRequest {
+        generated_tokens: None,
         attempt,
         engine: engine(),
         end,
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -165,6 +165,8 @@
     pub engine: EngineName,
     /// How the work ended, as far as the home should know.
     pub end: ReleaseReason,
+    /// Tokens of the whole answer, when it is whole.
+    pub generated_tokens: Option<u32>,
 }
 
 /// How permitted work ended.
