Let training wait one second at one engine before it asks the others again

Cause: a sample that found no place waited up to 20 s in the queue of one engine while slots of others became free. Change: training_patience_ms is 1000 instead of 20000.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -65,7 +65,7 @@
             engine_poll_ms: 1_000,
             machine_poll_ms: 1_500,
             default_deadline_ms: 60_000,
-            training_patience_ms: 20_000,
+            training_patience_ms: 1_000,
             partitions: 16,
             decision_shards: 4,
             recent_decisions: 20_000,
