Place training by load, and assign no more samples than there are slots

Cause: prompts are short beside answers, so a cached prefix saves a sample little while an uneven pool costs the step's end; and a quarter of the assigned samples only asked for places again and again. Change: training ranks engines by load as stragglers do; a job assigns as many samples as its pool has slots. Live calls keep their prefixes.

--- a/crates/node/src/executor/placement.rs
+++ b/crates/node/src/executor/placement.rs
@@ -51,7 +51,7 @@
             zone: self.context.members.identity().zone.clone(),
             class: work.class,
             oldest_version: work.oldest_version,
-            straggler: work.straggler,
+            straggler: work.straggler || self.goes_by_load(work),
         };
         let candidates = self.rank(&work.pool, pool.policy, &request, &engines);
         if candidates.is_empty() {
@@ -60,6 +60,11 @@
         Ok((pool.policy, candidates))
     }
 
+    fn goes_by_load(&self, work: &Work) -> bool {
+        let by_load = self.context.settings.placement.training_by_load;
+        by_load && !work.class.is_live()
+    }
+
     fn rank(
         &self,
         pool: &PoolName,
--- a/crates/node/src/jobs/owner.rs
+++ b/crates/node/src/jobs/owner.rs
@@ -26,9 +26,6 @@
 /// Time after which a job is looked at even if nothing is known to have changed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Samples assigned at once, in percent of the pool's slots.
-const ASSIGNED_PERCENT: usize = 125;
-
 /// A step with fewer open slots than this share (in percent) is near its end.
 const STRAGGLER_PERCENT: u64 = 10;
 
@@ -277,7 +274,8 @@
             .pool(&spec.pool)
             .map_or(0, |pool| pool.max_running_per_engine as usize);
         let slots = state.engines_of_pool(&spec.pool).count() * slots_per_engine;
-        let wanted = slots * ASSIGNED_PERCENT / 100;
+        let percent = self.owners.context.settings.placement.assigned_percent;
+        let wanted = slots * percent as usize / 100;
         wanted.clamp(1, self.owners.context.settings.max_running_samples)
     }
 
--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -31,14 +31,14 @@
 impl Default for PlacementTuning {
     fn default() -> Self {
         Self {
-            training_by_load: false,
+            training_by_load: true,
             training_projection: TrainingProjection::ObservedMean,
             kv_safety_percent: 15,
             recovery_successes: 5,
             live_engines_percent: 0,
             training_on_live_engines_percent: 4,
             live_avoids_swaps: false,
-            assigned_percent: 125,
+            assigned_percent: 100,
         }
     }
 }
