Send live calls past engines that are about to load a version

Change: from the order of a version until the engine reports it, live calls that can still ask another engine are refused by its home; calls that run finish during the fetch. Swaps are spread over 5 s instead of 1.5 s, so that few engines are away at once.

--- a/crates/node/src/homes/poller.rs
+++ b/crates/node/src/homes/poller.rs
@@ -162,13 +162,19 @@
         .order(endpoint, order)
         .await;
     match ordered {
-        Ok(()) => homes.context.decide(
-            endpoint.name.as_str(),
-            Decision::VersionOrdered {
+        Ok(()) => {
+            if homes.context.settings.placement.live_avoids_swaps {
+                homes.with_home(&endpoint.name, |home| {
+                    home.admission.swap_ordered(due.version);
+                    Vec::new()
+                });
+            }
+            let decision = Decision::VersionOrdered {
                 version: due.version,
                 token: due.token.0,
-            },
-        ),
+            };
+            homes.context.decide(endpoint.name.as_str(), decision);
+        }
         Err(EngineError::Fenced { highest }) => {
             log::info!(engine = endpoint.name.as_str(), highest = highest.0; "order fenced off");
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -76,7 +76,7 @@
             snapshot_every: 1_000,
             member_list_after_ms: 3_000,
             max_executions: 12,
-            swap_spread_ms: 1_500,
+            swap_spread_ms: 5_000,
             weight_fetches_per_second: 200,
             placement: PlacementTuning::default(),
         }
--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -37,7 +37,7 @@
             recovery_successes: 5,
             live_engines_percent: 20,
             training_on_live_engines_percent: 4,
-            live_avoids_swaps: false,
+            live_avoids_swaps: true,
             assigned_percent: 100,
         }
     }
--- a/crates/placement/src/admission/advance.rs
+++ b/crates/placement/src/admission/advance.rs
@@ -67,6 +67,12 @@
             && self.permits.running() < self.limits.max_running
             && self.permits.kv_tokens() + kv_tokens <= self.kv_budget_tokens()
             && (request.class.is_live() || self.training_fits())
+            && !self.is_better_elsewhere(request)
+    }
+
+    fn is_better_elsewhere(&self, request: &AdmitRequest) -> bool {
+        let may_ask_others = request.patience.is_zero();
+        self.swapping_to.is_some() && request.class.is_live() && may_ask_others
     }
 
     /// Training keeps off the live reserve, and off an engine under KV pressure unless it is empty.
--- a/crates/placement/src/admission/engine.rs
+++ b/crates/placement/src/admission/engine.rs
@@ -32,6 +32,8 @@
     pub(super) recently_ended: RecentlyEnded,
     pub(super) release_rate: ReleaseRate,
     pub(super) grants: u64,
+    /// Version that was ordered and is not reported yet.
+    pub(super) swapping_to: Option<VersionNumber>,
 }
 
 impl EngineAdmission {
@@ -48,6 +50,7 @@
             recently_ended: RecentlyEnded::default(),
             release_rate: ReleaseRate::default(),
             grants: 0,
+            swapping_to: None,
         }
     }
 
@@ -108,10 +111,22 @@
         self.advance(now)
     }
 
+    /// Notes that a version was ordered on the engine. Until the engine reports it, or reports that
+    /// the swap failed, live work that does not want to wait is sent elsewhere: the engine will
+    /// stand still while it loads.
+    pub fn swap_ordered(&mut self, version: VersionNumber) {
+        self.swapping_to = Some(version);
+    }
+
     /// Takes in what the engine reports about itself.
     pub fn report(&mut self, now: Moment, report: &LoadReport) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
         self.version = report.version;
+        let ended =
+            |version| report.version >= Some(version) || report.failed_swap == Some(version);
+        if self.swapping_to.is_some_and(ended) {
+            self.swapping_to = None;
+        }
         self.kv.observe_report(report);
         self.health.reached();
         if self.health.observe_boot(report.boot) {
