Fill an engine at once after a failure

Cause: after a failure an engine got one request at a time until five had succeeded. Change: recovery_successes is 0; the mechanism stays as a setting.

--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -34,7 +34,7 @@
             training_by_load: true,
             training_projection: TrainingProjection::ObservedMean,
             kv_safety_percent: 15,
-            recovery_successes: 5,
+            recovery_successes: 0,
             live_engines_percent: 20,
             training_on_live_engines_percent: 4,
             live_avoids_swaps: true,
