--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use havenstage_types::clock::Moment;
 use havenstage_types::codec;
@@ -141,6 +142,16 @@
         applied: LogOffset,
         last_named: &MemberList,
     ) -> Result<(), StaleConfig> {
+        let late = self
+            .schedule
+            .next_tick
+            .map_or(Duration::ZERO, |due| now.since(due));
+        if self.is_stall(late) {
+            // Frozen until a moment ago and not ticked since: what was known before may be undone.
+            let mut freshness = self.freshness.clone();
+            freshness.forget_before(now);
+            return freshness.check(now, applied, last_named, self.self_id);
+        }
         self.freshness.check(now, applied, last_named, self.self_id)
     }
 
--- a/crates/node/src/homes.rs
+++ b/crates/node/src/homes.rs
@@ -20,10 +20,11 @@
 use havenstage_types::peer::{
     AdmitRequest, PeerFailure, PeerRequestBody, PeerResponseBody, ReleaseRequest,
 };
-use havenstage_types::resource::{EngineDesiredState, EngineSpec};
+use havenstage_types::resource::{EngineDesiredState, EngineSpec, PoolSpec};
 use tokio::sync::{oneshot, watch};
 
 use crate::context::NodeContext;
+use crate::executor::live_engines_of;
 use crate::executor::running::RunningAttempts;
 use crate::locks::lock;
 use crate::node::EngineStatus;
@@ -190,7 +191,7 @@
         let Some(pool) = state.pool(&spec.pool) else {
             return;
         };
-        let limits = AdmissionLimits::from((pool, spec));
+        let limits = self.limits(state, name, pool, spec);
         let now = self.context.now();
         if !engines.contains_key(name) {
             let endpoint = EngineEndpoint {
@@ -215,6 +216,26 @@
         }
     }
 
+    fn limits(
+        &self,
+        state: &ConfigState,
+        name: &EngineName,
+        pool: &PoolSpec,
+        spec: &EngineSpec,
+    ) -> AdmissionLimits {
+        let tuning = &self.context.settings.placement;
+        let mut limits = AdmissionLimits::from((pool, spec));
+        limits.training_projection = tuning.training_projection;
+        limits.kv_safety_percent = tuning.kv_safety_percent;
+        limits.recovery_successes = tuning.recovery_successes;
+        let for_live = live_engines_of(state, &spec.pool, tuning.live_engines_percent);
+        if for_live.contains(name) {
+            let training = tuning.training_on_live_engines_percent.min(100);
+            limits.live_reserve_percent = limits.live_reserve_percent.max(100 - training);
+        }
+        limits
+    }
+
     /// Applies what the operator and the machine list say about an engine.
     fn stop_or_resume(
         &self,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod settings;
 pub mod spawner;
 mod stream_follower;
+pub mod tuning;
