--- a/crates/simulator/examples/outages/measure.rs
+++ b/crates/simulator/examples/outages/measure.rs
@@ -41,6 +41,9 @@
     unknown: u64,
     ran: u64,
     broken: u64,
+    /// Repeatable requests that began meanwhile, and those served: what the engines could do.
+    repeatable: u64,
+    repeatable_served: u64,
     violations: u64,
     appends: u64,
     bytes: u64,
@@ -51,7 +54,7 @@
 }
 
 impl Figures {
-    pub const HEADER: &'static str = "store    requests served not-run unknown ran broken | violations | claim appends bytes | drain ms, busiest second";
+    pub const HEADER: &'static str = "store    requests served not-run unknown ran broken | repeatable served | violations | claim appends bytes | drain ms, busiest second";
 
     pub fn add(&mut self, other: &Figures) {
         self.requests += other.requests;
@@ -60,6 +63,8 @@
         self.unknown += other.unknown;
         self.ran += other.ran;
         self.broken += other.broken;
+        self.repeatable += other.repeatable;
+        self.repeatable_served += other.repeatable_served;
         self.violations += other.violations;
         self.appends += other.appends;
         self.bytes += other.bytes;
@@ -69,7 +74,7 @@
 
     pub fn row(&self, store: ClaimStore) -> String {
         format!(
-            "{:<8} {} {} {} {} {} {} | {} | {} {} | {} {}",
+            "{:<8} {} {} {} {} {} {} | {} {} | {} | {} {} | {} {}",
             format!("{store:?}"),
             self.requests,
             self.served,
@@ -77,6 +82,8 @@
             self.unknown,
             self.ran,
             self.broken,
+            self.repeatable,
+            self.repeatable_served,
             self.violations,
             self.appends,
             self.bytes,
@@ -248,27 +255,61 @@
     Broken,
 }
 
+/// A logical request: its caller and number.
+type RequestName = (String, u64);
+
+/// How requests that began within a time ended, by whether they must run at most once.
+struct Ends {
+    at_most_once: BTreeMap<RequestName, Option<End>>,
+    repeatable: BTreeMap<RequestName, Option<End>>,
+}
+
+impl Ends {
+    fn note(&mut self, call: &CallId, end: End) {
+        let name = name(call);
+        for ends in [&mut self.at_most_once, &mut self.repeatable] {
+            if let Some(known) = ends.get_mut(&name) {
+                *known = Some(end);
+            }
+        }
+    }
+}
+
 fn count_requests(events: &[HistoryEvent], from_ms: u64, until_ms: u64) -> Figures {
-    let mut ends: BTreeMap<(String, u64), Option<End>> = BTreeMap::new();
+    let mut ends = Ends {
+        at_most_once: BTreeMap::new(),
+        repeatable: BTreeMap::new(),
+    };
     for event in events {
         match &event.body {
             EventBody::CallSent(sent)
-                if sent.at_most_once
-                    && sent.call.call == 1
-                    && (from_ms..until_ms).contains(&event.at_ms) =>
+                if sent.call.call == 1 && (from_ms..until_ms).contains(&event.at_ms) =>
             {
-                ends.insert(name(&sent.call), None);
+                let kind = if sent.at_most_once {
+                    &mut ends.at_most_once
+                } else {
+                    &mut ends.repeatable
+                };
+                kind.insert(name(&sent.call), None);
             }
-            EventBody::CallAnswered(answered) => note(&mut ends, &answered.call, End::Answered),
+            EventBody::CallAnswered(answered) => ends.note(&answered.call, End::Answered),
             EventBody::CallRefused(refused) => {
-                note(&mut ends, &refused.call, End::Refused(refused.execution));
+                ends.note(&refused.call, End::Refused(refused.execution));
             }
-            EventBody::CallBroken(broken) => note(&mut ends, &broken.call, End::Broken),
+            EventBody::CallBroken(broken) => ends.note(&broken.call, End::Broken),
             _ => {}
         }
     }
-    let mut figures = Figures::default();
-    for end in ends.into_values().flatten() {
+    let repeatable = ends.repeatable.values();
+    let served = repeatable
+        .clone()
+        .filter(|end| **end == Some(End::Answered));
+    let mut figures = Figures {
+        repeatable_served: served.count() as u64,
+        repeatable: repeatable.count() as u64,
+        ..Figures::default()
+    };
+    for end in ends.at_most_once.into_values().flatten() {
         figures.requests += 1;
         match end {
             End::Answered => figures.served += 1,
@@ -281,12 +322,6 @@
     figures
 }
 
-fn name(call: &CallId) -> (String, u64) {
+fn name(call: &CallId) -> RequestName {
     (call.caller.as_str().to_owned(), call.request)
 }
-
-fn note(ends: &mut BTreeMap<(String, u64), Option<End>>, call: &CallId, end: End) {
-    if let Some(known) = ends.get_mut(&name(call)) {
-        *known = Some(end);
-    }
-}
