--- a/crates/bench/src/experiment/run.rs
+++ b/crates/bench/src/experiment/run.rs
@@ -26,7 +26,7 @@
 const READY_PATIENCE: Duration = Duration::from_secs(120);
 
 /// Virtual time after the load in which swaps and decision batches come to their end.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+const SETTLE_TIME: Duration = Duration::from_secs(10);
 
 const MILLISECONDS: f64 = 1e3;
 
