--- a/crates/membership/src/freshness.rs
+++ b/crates/membership/src/freshness.rs
@@ -69,6 +69,8 @@
     /// of a later moment; other words say nothing new and are dropped.
     words: BTreeMap<LogOffset, KnownAsOf>,
     heard: BTreeMap<NodeId, Heard>,
+    /// What was known before this moment does not count; `None` when the process was never frozen.
+    not_before: Option<Moment>,
 }
 
 impl Freshness {
@@ -78,9 +80,18 @@
             bound,
             words: BTreeMap::new(),
             heard: BTreeMap::new(),
+            not_before: None,
         }
     }
 
+    /// The process was paused and goes on at `now`: nothing that was asked or known before counts
+    /// any more, since others may have acted on a change in the meantime.
+    pub fn forget_before(&mut self, now: Moment) {
+        self.words.clear();
+        self.heard.clear();
+        self.not_before = Some(now);
+    }
+
     /// The log, asked at `asked_at`, named the end of the configuration stream.
     pub fn log_word(&mut self, asked_at: Moment, end: LogOffset) {
         self.add_word(KnownAsOf::before(asked_at, Duration::ZERO), end);
@@ -93,6 +104,9 @@
 
     /// A member answered a question sent at `asked_at` and has applied `config_offset`.
     pub fn heard_member(&mut self, asked_at: Moment, member: NodeId, config_offset: LogOffset) {
+        if Some(asked_at) < self.not_before {
+            return;
+        }
         let heard = Heard {
             asked_at,
             config_offset,
@@ -166,6 +180,10 @@
     }
 
     fn add_word(&mut self, as_of: KnownAsOf, end: LogOffset) {
+        let not_before = self.not_before;
+        if not_before.is_some_and(|moment| as_of < KnownAsOf::before(moment, Duration::ZERO)) {
+            return;
+        }
         let says_nothing_new = self
             .words
             .range(..=end)
--- a/crates/membership/src/ticks.rs
+++ b/crates/membership/src/ticks.rs
@@ -50,6 +50,11 @@
         self.reconnect(now);
     }
 
+    /// Whether a tick that is so late shows that the process was frozen.
+    pub(crate) fn is_stall(&self, late: Duration) -> bool {
+        late > self.settings.probe_interval
+    }
+
     /// Silence while this process was frozen proves nothing about the others; but they may have
     /// declared it dead, or even have forgotten that they did.
     pub(crate) fn notice_stall(&mut self, now: Moment) {
@@ -58,7 +63,7 @@
             return;
         };
         let stall = now.since(due);
-        if stall <= self.settings.probe_interval {
+        if !self.is_stall(stall) {
             return;
         }
         if stall >= self.settings.dead_retention {
@@ -67,6 +72,7 @@
         }
         self.schedule.next_tick = Some(now);
         self.woken_at = Some(now);
+        self.freshness.forget_before(now);
         self.questions.clear();
         self.roster.extend_suspicions(stall);
         for peer in self.random_peers(WAKE_PINGS, None) {
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -28,6 +28,7 @@
 use crate::mechanisms::Mechanisms;
 use held_permit::HeldPermit;
 use placement::Placer;
+pub(crate) use placement::live_engines_of;
 use progress::Progress;
 use running::{RunningAttempts, StopCause};
 use work::Work;
@@ -238,7 +239,7 @@
                 Ok(())
             } => followed,
         };
-        settle(&mut admitted.held, &result);
+        settle(&mut admitted.held, &result, progress);
         result
     }
 
@@ -371,9 +372,9 @@
 }
 
 /// Tells the permit how its execution ended.
-fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>) {
+fn settle(held: &mut HeldPermit, result: &Result<(), ExecutionFailure>, progress: &Progress) {
     let Err(failure) = result else {
-        held.ended();
+        held.finished(progress.token_count());
         return;
     };
     if failure.refusal.execution == Execution::NotRun {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::tuning::PlacementTuning;
+
 /// Behaviour of a node. All durations are milliseconds in the settings file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -61,6 +63,8 @@
     pub claim_repeat_horizon_ms: u64,
     /// With replicas: memory of one group's entries that wait for the log, in bytes.
     pub claim_memory_bytes: usize,
+    /// Placement, admission and job driving.
+    pub placement: PlacementTuning,
 }
 
 /// Where claims of at-most-once requests are decided.
@@ -84,7 +88,7 @@
             engine_poll_ms: 1_000,
             machine_poll_ms: 1_000,
             default_deadline_ms: 60_000,
-            training_patience_ms: 20_000,
+            training_patience_ms: 1_000,
             partitions: 16,
             decision_shards: 4,
             recent_decisions: 20_000,
@@ -95,12 +99,13 @@
             snapshot_every: 1_000,
             member_list_after_ms: 3_000,
             max_executions: 12,
-            swap_spread_ms: 1_500,
+            swap_spread_ms: 5_000,
             weight_fetches_per_second: 200,
             claim_store: ClaimStore::Log,
             claim_outage_after_ms: 500,
             claim_repeat_horizon_ms: 3_600_000,
             claim_memory_bytes: 16 * 1024 * 1024,
+            placement: PlacementTuning::default(),
         }
     }
 }
@@ -204,6 +209,7 @@
                 });
             }
         }
+        self.placement.validate()?;
         if self.log_wait_ms * 3 > self.freshness_bound_ms {
             return Err(InvalidSetting {
                 key: "log_wait_ms",
