Let fewer than three nodes form smaller groups that answer from the log only

Cause: with two nodes every at-most-once call was refused with replicas. Change: a group that is not full never begins an outage, so replacing it loses nothing, and it grows when there are nodes.

--- a/crates/ledger/src/claims/group.rs
+++ b/crates/ledger/src/claims/group.rs
@@ -106,7 +106,8 @@
         if in_force != previous || !may_replace {
             return;
         }
-        if previous.is_some() && !is_vouched {
+        let replaced = self.group.as_ref().map(ClaimGroup::description);
+        if replaced.is_some_and(|group| group.is_full()) && !is_vouched {
             self.open_loss = Some(offset);
         }
         self.group = Some(ClaimGroup::new(offset, members));
--- a/crates/replication/src/group.rs
+++ b/crates/replication/src/group.rs
@@ -1,14 +1,11 @@
 //! Which nodes should form a group.
 
 use havenstage_types::member::Member;
-use havenstage_types::replica::GroupMember;
-
-/// Members of a group.
-pub const GROUP_SIZE: usize = 3;
+use havenstage_types::replica::{FULL_GROUP, GroupMember};
 
 /// Chooses the members of a new group from the nodes in order of preference: one a zone as far as
-/// the zones go, then the next ones. `None` when there are too few nodes for a majority to outlive
-/// one of them.
+/// the zones go, then the next ones. There are fewer than [`FULL_GROUP`] only if there are fewer
+/// nodes; `None` when there is none at all.
 pub fn choose_members<'view>(
     ranked: impl IntoIterator<Item = &'view Member>,
 ) -> Option<Vec<GroupMember>> {
@@ -17,7 +14,7 @@
     for member in ranked {
         let zone = &member.identity.zone;
         let is_new_zone = chosen.iter().all(|other| other.zone != *zone);
-        let list = if is_new_zone && chosen.len() < GROUP_SIZE {
+        let list = if is_new_zone && chosen.len() < FULL_GROUP {
             &mut chosen
         } else {
             &mut passed_over
@@ -28,7 +25,7 @@
             peer_address: member.identity.peer_address,
         });
     }
-    let missing = GROUP_SIZE - chosen.len();
+    let missing = FULL_GROUP - chosen.len();
     chosen.extend(passed_over.into_iter().take(missing));
-    (chosen.len() == GROUP_SIZE).then_some(chosen)
+    (!chosen.is_empty()).then_some(chosen)
 }
--- a/crates/replication/src/outage.rs
+++ b/crates/replication/src/outage.rs
@@ -111,7 +111,7 @@
         let is_open = self.outage.is_open();
         let step = match self.outage.last_step() {
             _ if is_open && self.is_log_calm(now) => OutageStep::Ended,
-            _ if !is_open && is_late => OutageStep::Begun,
+            _ if !is_open && is_late && self.group.is_full() => OutageStep::Begun,
             Some((begun, OutageStep::Begun)) if self.has_everybody(begun) => OutageStep::Agreed,
             _ => return,
         };
--- a/crates/replication/src/tender.rs
+++ b/crates/replication/src/tender.rs
@@ -29,7 +29,7 @@
     pub log_confirmed_at: Option<Moment>,
     /// Members of the group that run and stay.
     pub present: &'a [NodeId],
-    /// Members a new group should have; `None` when there are too few nodes.
+    /// Members a new group should have; `None` when there are no nodes.
     pub candidates: Option<&'a [GroupMember]>,
 }
 
@@ -97,7 +97,7 @@
         self.note_missing(now, group, overview.present);
         self.doubted_since = missing_since(self.doubted_since, !overview.is_doubted, now);
         self.settle_loss(now, settings, overview)
-            .or_else(|| self.seal(now, settings, overview))
+            .or_else(|| self.seal(now, settings, group, overview))
             .or_else(|| self.serve_group(now, settings, overview))
             .or_else(|| self.replace_lost(now, settings, group, overview))
     }
@@ -129,19 +129,23 @@
         (is_over && overview.is_leader).then_some(TendingStep::SettleLoss { generation })
     }
 
-    /// A sealed group serves nobody until the log has taken its end, so it is sealed only while the
-    /// log is prompt.
+    /// Replaces missing members, and grows a group that is not full. A sealed group serves nobody
+    /// until the log has taken its end, so it is sealed only while the log is prompt.
     fn seal(
         &self,
         now: Moment,
         settings: &ReplicaSettings,
+        group: &ReplicaGroup,
         overview: &PartitionOverview<'_>,
     ) -> Option<TendingStep> {
+        let candidates = overview.candidates?;
         let is_missing = has_lasted(self.member_missing_since, settings.replace_after, now);
-        if !is_missing || !overview.is_leader || !overview.is_log_prompt {
+        let can_replace = is_missing && candidates.len() >= group.members.len();
+        let can_grow = candidates.len() > group.members.len();
+        if !(can_replace || can_grow) || !overview.is_leader || !overview.is_log_prompt {
             return None;
         }
-        let successor = overview.candidates?.to_vec();
+        let successor = candidates.to_vec();
         Some(TendingStep::Seal { successor })
     }
 
--- a/crates/replication/tests/agreement.rs
+++ b/crates/replication/tests/agreement.rs
@@ -377,12 +377,12 @@
     let mut waits = Vec::new();
     for _ in 0..8 {
         let failed_at = now;
-        let batch = loop {
-            match batch_at(&mut member, now) {
-                Some(batch) => break batch,
-                None => now += 10,
-            }
-        };
+        let mut batch = batch_at(&mut member, now);
+        while batch.is_none() && now < 100_000 {
+            now += 10;
+            batch = batch_at(&mut member, now);
+        }
+        let batch = batch.unwrap();
         waits.push(now - failed_at);
         let end = BatchEnd::Failed;
         member.handle(Moment(now), ReplicaInput::BatchEnded { batch, end });
--- a/crates/replication/tests/outages.rs
+++ b/crates/replication/tests/outages.rs
@@ -327,3 +327,21 @@
     assert_eq!(checks::forced_groups(&world), 0);
     assert_eq!(checks::count(&world, End::Unknown), 0);
 }
+
+#[test]
+fn two_nodes_serve_while_the_log_is_there_and_lose_nothing() {
+    let mut world = World::new(17, 0, support::settings());
+    world.start_node(0);
+    world.start_node(1);
+    let before = add_callers(&mut world, 5 * SECOND, 18 * SECOND, 200);
+    world.schedule(20 * SECOND, crash(Target::Leader));
+    world.schedule(50 * SECOND, Fault::Log(LogMode::Down));
+    let in_outage = add_callers(&mut world, 55 * SECOND, 70 * SECOND, 500);
+    world.schedule(80 * SECOND, Fault::Log(LogMode::Up));
+    let after = add_callers(&mut world, 90 * SECOND, 100 * SECOND, 200);
+    world.run_until(3 * MINUTE);
+    check_nothing_lost(&world);
+    assert_eq!(checks::count(&world, End::Unknown), 0);
+    assert_eq!(checks::count(&world, End::Served), before + after);
+    assert_eq!(checks::count(&world, End::NotRun), in_outage);
+}
--- a/crates/types/src/replica.rs
+++ b/crates/types/src/replica.rs
@@ -16,6 +16,10 @@
     pub leader: Option<NodeId>,
 }
 
+/// Members of a full group. A smaller one, where there are too few nodes, never answers without the
+/// log, since it would not outlive one of them.
+pub const FULL_GROUP: usize = 3;
+
 /// One member of a group. A process that restarts has another id and is no member any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupMember {
@@ -42,6 +46,11 @@
         self.members.len() / 2 + 1
     }
 
+    /// Whether a majority outlives one member, so that the group may answer without the log.
+    pub fn is_full(&self) -> bool {
+        self.members.len() >= FULL_GROUP
+    }
+
     /// The member with this identity.
     pub fn member(&self, id: NodeId) -> Option<&GroupMember> {
         self.members.iter().find(|member| member.id == id)
