--- /dev/null
+++ b/crates/gateway/src/backends.rs
@@ -0,0 +1,244 @@
+//! Back ends as this node uses them: who is listed, who is fast, who is avoided, and the
+//! connections kept to each.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use havenstage_http_link::{Link, LinkSettings};
+use havenstage_rollout::Millis;
+use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
+use havenstage_rollout::health::HealthBoard;
+use havenstage_rollout::ids::{BackendId, ModelName, PoolName, Version};
+use tokio::sync::Notify;
+
+/// Longest time for a connection to a back end to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time a connection to a back end rests before it is not used again.
+const KEEP_IDLE: Duration = Duration::from_secs(9);
+/// Most resting connections to one back end.
+const MOST_IDLE: usize = 8;
+/// Weight of the newest gap between events in a back end's mean.
+const NEWEST_GAP_WEIGHT: f64 = 0.1;
+
+/// A back end chosen for a request. While it is held, the request counts as in flight there.
+pub struct ChosenBackend {
+    /// Its id.
+    pub id: BackendId,
+    /// Connections to it.
+    pub link: Link,
+    backends: Arc<Backends>,
+}
+
+impl Drop for ChosenBackend {
+    fn drop(&mut self) {
+        self.backends.lock().release(&self.id);
+    }
+}
+
+/// All back ends.
+pub struct Backends {
+    inner: Mutex<BackendsInner>,
+    work: Arc<Notify>,
+}
+
+/// What is behind the lock.
+#[derive(Default)]
+pub struct BackendsInner {
+    /// Entries of the list.
+    pub list: BackendList,
+    /// What was seen of each.
+    pub health: HealthBoard,
+    links: HashMap<BackendId, Link>,
+    in_flight: HashMap<BackendId, u32>,
+    versions: HashMap<(BackendId, ModelName), Version>,
+    event_gap_ms: HashMap<BackendId, f64>,
+}
+
+impl Backends {
+    /// No back ends yet; changes of the list wake `work`.
+    pub fn new(work: Arc<Notify>) -> Arc<Self> {
+        Arc::new(Self {
+            inner: Mutex::new(BackendsInner::default()),
+            work,
+        })
+    }
+
+    /// The state.
+    pub fn lock(&self) -> MutexGuard<'_, BackendsInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a change of the list.
+    pub fn apply(&self, change: BackendChange) {
+        self.lock().apply(change);
+        self.work.notify_one();
+    }
+
+    /// Replaces the list.
+    pub fn replace(&self, entries: BTreeMap<BackendId, BackendRecord>) {
+        self.lock().replace(entries);
+        self.work.notify_one();
+    }
+
+    /// Takes a back end for a call to a pool: one that is not avoided and not in `tried` if there is
+    /// one, then the one with the least work for its speed; `draw` breaks ties.
+    pub fn choose_for_call(
+        self: &Arc<Self>,
+        pool: &PoolName,
+        tried: &[BackendId],
+        now: Millis,
+        draw: u64,
+    ) -> Option<ChosenBackend> {
+        let id = self.lock().best_for_call(pool, tried, now, draw)?;
+        self.take(&id)
+    }
+
+    /// Takes a certain back end, if it is listed.
+    pub fn take(self: &Arc<Self>, id: &BackendId) -> Option<ChosenBackend> {
+        let link = self.lock().hold(id)?;
+        Some(ChosenBackend {
+            id: id.clone(),
+            link,
+            backends: self.clone(),
+        })
+    }
+}
+
+impl BackendsInner {
+    fn apply(&mut self, change: BackendChange) {
+        let id = change.id.clone();
+        if let Some(record) = &change.record {
+            let moved = self
+                .links
+                .get(&id)
+                .is_some_and(|link| link.address() != record.address);
+            if moved {
+                self.links.remove(&id);
+            }
+            // The list lags behind what was seen, but a back end that went back says so here.
+            for (model, version) in &record.models {
+                let known = self
+                    .versions
+                    .entry((id.clone(), model.clone()))
+                    .or_insert(*version);
+                *known = (*known).max(*version);
+            }
+        }
+        self.list.apply(change);
+        if self.list.get(&id).is_none() {
+            self.forget_unlisted();
+        }
+    }
+
+    fn replace(&mut self, entries: BTreeMap<BackendId, BackendRecord>) {
+        self.list.replace(BTreeMap::new());
+        for (id, record) in entries {
+            self.apply(BackendChange {
+                id,
+                record: Some(record),
+            });
+        }
+        self.forget_unlisted();
+    }
+
+    fn forget_unlisted(&mut self) {
+        let list = &self.list;
+        self.links.retain(|id, _| list.get(id).is_some());
+        self.health.retain(|id| list.get(id).is_some());
+        self.versions.retain(|(id, _), _| list.get(id).is_some());
+        self.event_gap_ms.retain(|id, _| list.get(id).is_some());
+    }
+
+    fn best_for_call(
+        &self,
+        pool: &PoolName,
+        tried: &[BackendId],
+        now: Millis,
+        draw: u64,
+    ) -> Option<BackendId> {
+        let ready: Vec<&BackendId> = self.list.ready_in(pool).map(|(id, _)| id).collect();
+        let count = ready.len().max(1);
+        let offset = (draw % count as u64) as usize;
+        let rotated = (0..ready.len()).map(|at| ready[(at + offset) % count]);
+        rotated
+            .min_by(|left, right| {
+                let rank = |id: &BackendId| {
+                    (
+                        tried.contains(id),
+                        self.health.is_avoided(id, now),
+                        self.load_for_call(id),
+                    )
+                };
+                let (left, right) = (rank(left), rank(right));
+                (left.0, left.1)
+                    .cmp(&(right.0, right.1))
+                    .then(left.2.total_cmp(&right.2))
+            })
+            .cloned()
+    }
+
+    fn load_for_call(&self, id: &BackendId) -> f64 {
+        let busy = f64::from(self.in_flight(id));
+        // Mean times are compared coarsely, so that noise does not send all calls to one.
+        let slowness = (self.health.mean_ms(id).unwrap_or(0.0) / 40.0).floor();
+        (busy + 1.0) * (slowness + 1.0)
+    }
+
+    fn hold(&mut self, id: &BackendId) -> Option<Link> {
+        let address = self.list.get(id)?.address;
+        *self.in_flight.entry(id.clone()).or_default() += 1;
+        Some(self.link(id, address))
+    }
+
+    fn link(&mut self, id: &BackendId, address: SocketAddr) -> Link {
+        let settings = LinkSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            keep_idle: KEEP_IDLE,
+            most_idle: MOST_IDLE,
+        };
+        self.links
+            .entry(id.clone())
+            .or_insert_with(|| Link::new(address, settings))
+            .clone()
+    }
+
+    fn release(&mut self, id: &BackendId) {
+        if let Some(count) = self.in_flight.get_mut(id) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(id);
+            }
+        }
+    }
+
+    /// Requests of this node that run there.
+    pub fn in_flight(&self, id: &BackendId) -> u32 {
+        self.in_flight.get(id).copied().unwrap_or(0)
+    }
+
+    /// The newest version that a back end is known to have.
+    pub fn version(&self, id: &BackendId, model: &ModelName) -> Version {
+        self.versions
+            .get(&(id.clone(), model.clone()))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// A back end was seen to have a version, which may be older than thought.
+    pub fn saw_version(&mut self, id: &BackendId, model: &ModelName, version: Version) {
+        self.versions.insert((id.clone(), model.clone()), version);
+    }
+
+    /// Two events of a stream came so far apart.
+    pub fn saw_event_gap(&mut self, id: &BackendId, gap_ms: f64) {
+        let mean = self.event_gap_ms.entry(id.clone()).or_insert(gap_ms);
+        *mean += NEWEST_GAP_WEIGHT * (gap_ms - *mean);
+    }
+
+    /// Mean time between two events of a stream.
+    pub fn event_gap_ms(&self, id: &BackendId) -> Option<f64> {
+        self.event_gap_ms.get(id).copied()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/batches.rs
@@ -0,0 +1,292 @@
+//! Callers' calls on batches: handing one in, reading its results, reading an item, ending it.
+//!
+//! A call is answered only from the shared log: accepted means appended, and "there is none" means
+//! that the log was asked after the call came in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_rollout::batch::Submission;
+use havenstage_rollout::fold::BatchState;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BatchId, ItemId};
+use havenstage_rollout::record::BatchRecord;
+use http::StatusCode;
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::edge::{LogError, ResultPage};
+use crate::partition::Partition;
+
+/// Most bytes of a page of results.
+const PAGE_BYTES: usize = 1_000_000;
+/// Age of a node's knowledge that is still good enough to say that nothing is new.
+const FRESH_ENOUGH: Duration = Duration::from_millis(400);
+/// Time for which an append that was certainly not done is repeated.
+const REPEAT_NOT_DONE: Duration = Duration::from_millis(600);
+/// Time for which an append is repeated whose outcome is not known.
+const REPEAT_UNKNOWN: Duration = Duration::from_millis(3_500);
+/// Pause between two appends of the same records.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time that a reader may wait.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The answer to a call on batches.
+#[derive(Debug, Clone)]
+pub struct BatchAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the body is in the gateway's own format, not the caller's bytes.
+    pub is_own_format: bool,
+}
+
+impl BatchAnswer {
+    /// An answer without a body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self {
+            status,
+            body: Bytes::new(),
+            is_own_format: false,
+        }
+    }
+}
+
+/// Hands in a batch.
+pub async fn submit(context: &Arc<Context>, submission: Submission) -> BatchAnswer {
+    if let Err(error) = submission.validate() {
+        warn!(event = "batch_refused", batch = submission.id.as_str(), status = 400u16,
+            reason = error.to_string().as_str(); "");
+        return BatchAnswer::empty(StatusCode::BAD_REQUEST);
+    }
+    let id = submission.id.clone();
+    let items = submission.items.len();
+    let partition = context.partition_of(&id);
+    if partition.lock().state.batch(&id).is_some() {
+        info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
+        return BatchAnswer::empty(StatusCode::ACCEPTED);
+    }
+    let record = BatchRecord::Submitted(Arc::new(submission));
+    let appended = append(context, partition, &record).await;
+    let status = match appended {
+        AppendOutcome::Done => StatusCode::ACCEPTED,
+        AppendOutcome::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        AppendOutcome::NotDone => StatusCode::SERVICE_UNAVAILABLE,
+        AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    info!(event = "batch_submitted", batch = id.as_str(), partition = partition.id.partition,
+        items = items, status = status.as_u16(); "");
+    BatchAnswer::empty(status)
+}
+
+/// Reads results from a position on; waits up to `wait` for one.
+pub async fn read(
+    context: &Arc<Context>,
+    id: &BatchId,
+    from: usize,
+    wait: Duration,
+) -> BatchAnswer {
+    let partition = context.partition_of(id);
+    let until = Instant::now() + wait.min(LONGEST_WAIT);
+    loop {
+        let changed = partition.changed();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        let waits_on = Instant::now() < until;
+        match look(context, partition, id, from) {
+            Found::Page(answer) => return answer,
+            Found::NothingNew { closed } if closed || !waits_on => {
+                if let Some(answer) = confirmed_nothing(context, partition, id, from).await {
+                    return answer;
+                }
+            }
+            Found::NothingNew { .. } => {
+                let _ = tokio::time::timeout_at(until, changed).await;
+            }
+            Found::NoBatch => match confirm_now(context, partition).await {
+                Err(answer) => return answer,
+                Ok(()) if partition.lock().state.batch(id).is_none() => {
+                    info!(event = "batch_not_found", batch = id.as_str(), status = 404u16; "");
+                    return BatchAnswer::empty(StatusCode::NOT_FOUND);
+                }
+                Ok(()) => {}
+            },
+        }
+    }
+}
+
+enum Found {
+    NoBatch,
+    NothingNew { closed: bool },
+    Page(BatchAnswer),
+}
+
+fn look(context: &Context, partition: &Partition, id: &BatchId, from: usize) -> Found {
+    let inner = partition.lock();
+    let Some(batch) = inner.state.batch(id) else {
+        return Found::NoBatch;
+    };
+    if from >= batch.listed.len() {
+        return Found::NothingNew {
+            closed: batch.is_closed(),
+        };
+    }
+    Found::Page(page(context, batch, from))
+}
+
+fn page(context: &Context, batch: &BatchState, from: usize) -> BatchAnswer {
+    let mut bytes = 0;
+    let mut results = Vec::new();
+    for (item, result) in batch.results_from(from) {
+        bytes += context.dialect.result_bytes(result);
+        if bytes > PAGE_BYTES && !results.is_empty() {
+            break;
+        }
+        results.push((item, result));
+    }
+    let next = from + results.len();
+    let page = ResultPage {
+        total: batch.items.len(),
+        next,
+        results,
+    };
+    BatchAnswer {
+        status: StatusCode::OK,
+        body: context.dialect.write_results(&page),
+        is_own_format: true,
+    }
+}
+
+/// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
+async fn confirmed_nothing(
+    context: &Context,
+    partition: &Partition,
+    id: &BatchId,
+    from: usize,
+) -> Option<BatchAnswer> {
+    let confirmed = partition
+        .confirm(context.log.as_ref(), context.clock, FRESH_ENOUGH)
+        .await;
+    if confirmed.is_err() {
+        return Some(BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let inner = partition.lock();
+    let batch = inner.state.batch(id)?;
+    (from >= batch.listed.len()).then(|| page(context, batch, from))
+}
+
+async fn confirm_now(context: &Context, partition: &Partition) -> Result<(), BatchAnswer> {
+    partition
+        .confirm(context.log.as_ref(), context.clock, Duration::ZERO)
+        .await
+        .map_err(|error| {
+            warn!(event = "read_refused", partition = partition.id.partition,
+            reason = error.to_string().as_str(), status = 503u16; "");
+            BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
+        })
+}
+
+/// Reads the body of an item that is not listed yet.
+pub async fn item_body(context: &Arc<Context>, id: &BatchId, item: &ItemId) -> BatchAnswer {
+    let partition = context.partition_of(id);
+    if let Some(answer) = known_body(partition, id, item) {
+        return answer;
+    }
+    if let Err(answer) = confirm_now(context, partition).await {
+        return answer;
+    }
+    known_body(partition, id, item).unwrap_or_else(|| BatchAnswer::empty(StatusCode::NOT_FOUND))
+}
+
+fn known_body(partition: &Partition, id: &BatchId, item: &ItemId) -> Option<BatchAnswer> {
+    let inner = partition.lock();
+    let spec = inner.state.batch(id)?.item(item)?.spec.clone()?;
+    Some(BatchAnswer {
+        status: StatusCode::OK,
+        body: spec.body.clone(),
+        is_own_format: false,
+    })
+}
+
+/// Ends a batch.
+pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
+    let partition = context.partition_of(id);
+    if partition.lock().state.batch(id).is_none() {
+        if let Err(answer) = confirm_now(context, partition).await {
+            return answer;
+        }
+    }
+    let ended = partition.lock().state.batch(id).map(|batch| batch.ended);
+    let status = match ended {
+        None => StatusCode::NOT_FOUND,
+        Some(true) => StatusCode::OK,
+        Some(false) => match append(
+            context,
+            partition,
+            &BatchRecord::Ended { batch: id.clone() },
+        )
+        .await
+        {
+            AppendOutcome::Done => StatusCode::OK,
+            AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
+            AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        },
+    };
+    info!(event = "batch_end", batch = id.as_str(), status = status.as_u16(); "");
+    BatchAnswer::empty(status)
+}
+
+enum AppendOutcome {
+    Done,
+    NotDone,
+    Unknown,
+    TooLarge,
+}
+
+/// Appends a record, again if need be: the fold takes it once.
+async fn append(context: &Context, partition: &Partition, record: &BatchRecord) -> AppendOutcome {
+    let encoded = record.encode();
+    if encoded.len() + FRAMING_ALLOWANCE > context.settings.log.call_bytes {
+        return AppendOutcome::TooLarge;
+    }
+    let records = framing::split(&encoded, context.settings.log.record_bytes);
+    let began = Instant::now();
+    let mut is_unknown = false;
+    loop {
+        match context.log.append(partition.id, records.clone()).await {
+            Ok(_) => return AppendOutcome::Done,
+            Err(error) => {
+                is_unknown |= !error.is_not_done();
+                let limit = if is_unknown {
+                    REPEAT_UNKNOWN
+                } else {
+                    REPEAT_NOT_DONE
+                };
+                if began.elapsed() >= limit {
+                    report_append(partition, error, is_unknown);
+                    return outcome_of_failure(is_unknown);
+                }
+            }
+        }
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Bytes that framing adds to a record of the largest allowed size, at most.
+const FRAMING_ALLOWANCE: usize = 256;
+
+fn outcome_of_failure(is_unknown: bool) -> AppendOutcome {
+    if is_unknown {
+        AppendOutcome::Unknown
+    } else {
+        AppendOutcome::NotDone
+    }
+}
+
+fn report_append(partition: &Partition, error: LogError, is_unknown: bool) {
+    warn!(event = "append_failed", partition = partition.id.partition,
+        reason = error.to_string().as_str(), may_be_done = is_unknown; "");
+}
--- /dev/null
+++ b/crates/gateway/src/calls.rs
@@ -0,0 +1,453 @@
+//! Calls passed through whole: a back end is chosen, the call is sent, and its answer is returned
+//! unchanged. A call goes to another back end only where its kind allows or where it did not run.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use havenstage_http_link::{Answer, LinkError, WholeAnswer};
+use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::route::{RequestKind, Route};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use log::info;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::backends::ChosenBackend;
+use crate::context::Context;
+
+/// Longest body of an answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Share of the objective after which a repeatable call is also sent to a second back end.
+const HEDGE_SHARE: f64 = 0.5;
+/// Share of the objective after which a call that nobody took is refused.
+const REFUSE_SHARE: f64 = 0.2;
+/// Pause before back ends that all turned a call away are asked again.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(8);
+/// Least time that a send must have left to be worth it.
+const LEAST_SEND_TIME: Duration = Duration::from_millis(5);
+/// Time after which a refused caller may come back.
+const COME_BACK: Duration = Duration::from_millis(50);
+
+/// A call, read whole.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Its request id.
+    pub id: HeaderValue,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers that go along, without those of the connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// How a call ended.
+pub enum CallOutcome {
+    /// A back end answered; the answer is passed on as it is.
+    Answered(WholeAnswer),
+    /// A back end answers with a stream.
+    Streaming(Box<StreamingAnswer>),
+    /// It did not run and will not; its caller may come back after the pause.
+    Refused {
+        /// When to come back.
+        come_back: Duration,
+    },
+    /// It may have run, and no answer can be given.
+    Failed {
+        /// Status to answer with.
+        status: StatusCode,
+    },
+}
+
+/// How a call ended, and how often back ends failed at it on the way.
+pub struct Executed {
+    /// How it ended.
+    pub outcome: CallOutcome,
+    /// Answers of back ends that they failed.
+    pub server_errors: u32,
+}
+
+/// A stream that a back end has begun.
+pub struct StreamingAnswer {
+    /// The answer.
+    pub answer: Answer,
+    /// Where it runs.
+    pub backend: ChosenBackend,
+}
+
+/// How one send ended.
+enum SendOutcome {
+    Answered(WholeAnswer),
+    Streaming(Box<StreamingAnswer>),
+    NotRun,
+    MayHaveRun,
+}
+
+struct Sent {
+    backend: BackendId,
+    outcome: SendOutcome,
+}
+
+type SendFuture<'a> = Pin<Box<dyn Future<Output = Sent> + Send + 'a>>;
+
+/// Passes a call on by its route and returns how it ended.
+pub async fn execute(context: &Arc<Context>, route: &Route, call: Call) -> Executed {
+    let began = Instant::now();
+    let Some(pool) = route.pool_for(xxh3_64(call.id.as_bytes())) else {
+        return Executed {
+            outcome: refused(),
+            server_errors: 0,
+        };
+    };
+    let mut progress = CallProgress::new(context, route, &call, pool, began);
+    let outcome = progress.run().await;
+    progress.report(&outcome);
+    Executed {
+        outcome,
+        server_errors: progress.server_errors,
+    }
+}
+
+fn refused() -> CallOutcome {
+    CallOutcome::Refused {
+        come_back: COME_BACK,
+    }
+}
+
+struct CallProgress<'a> {
+    context: &'a Arc<Context>,
+    route: &'a Route,
+    call: &'a Call,
+    pool: &'a PoolName,
+    began: Instant,
+    ends: Instant,
+    running: FuturesUnordered<SendFuture<'a>>,
+    tried: Vec<BackendId>,
+    sends: u32,
+    may_have_run: u32,
+    server_errors: u32,
+    last_failure: Option<WholeAnswer>,
+}
+
+impl<'a> CallProgress<'a> {
+    fn new(
+        context: &'a Arc<Context>,
+        route: &'a Route,
+        call: &'a Call,
+        pool: &'a PoolName,
+        began: Instant,
+    ) -> Self {
+        let timeout = began + Duration::from_millis(route.timeout_ms);
+        Self {
+            context,
+            route,
+            call,
+            pool,
+            began,
+            ends: call.deadline.min(timeout),
+            running: FuturesUnordered::new(),
+            tried: Vec::new(),
+            sends: 0,
+            may_have_run: 0,
+            server_errors: 0,
+            last_failure: None,
+        }
+    }
+
+    async fn run(&mut self) -> CallOutcome {
+        loop {
+            if self.running.is_empty() {
+                if let Some(outcome) = self.begin_or_give_up().await {
+                    return outcome;
+                }
+            }
+            let hedge_at = self.hedge_at();
+            tokio::select! {
+                Some(sent) = self.running.next(), if !self.running.is_empty() => {
+                    if let Some(outcome) = self.take(sent) {
+                        return outcome;
+                    }
+                }
+                () = tokio::time::sleep_until(hedge_at), if self.may_hedge() => {
+                    self.begin();
+                }
+                () = tokio::time::sleep_until(self.ends) => return self.out_of_time(),
+            }
+        }
+    }
+
+    /// Starts a send when none is running, or answers how the call ends instead.
+    async fn begin_or_give_up(&mut self) -> Option<CallOutcome> {
+        if Instant::now() + LEAST_SEND_TIME >= self.ends {
+            return Some(self.out_of_time());
+        }
+        if self.may_have_run > 0 && !self.may_run_again() {
+            return Some(self.ended_in_failure());
+        }
+        if self.may_have_run == 0 && self.began.elapsed() > self.refuse_after() {
+            return Some(refused());
+        }
+        if !self.begin() {
+            tokio::time::sleep(TURNED_AWAY_PAUSE).await;
+        }
+        None
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.route.kind.may_repeat() && self.may_have_run < self.route.attempts.max(1)
+    }
+
+    fn refuse_after(&self) -> Duration {
+        Duration::from_secs_f64(self.route.objective_ms as f64 * REFUSE_SHARE / 1_000.0)
+    }
+
+    fn hedge_at(&self) -> Instant {
+        let share = self.route.objective_ms as f64 * HEDGE_SHARE / 1_000.0;
+        self.began + Duration::from_secs_f64(share)
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.route.kind == RequestKind::Repeatable
+            && self.running.len() == 1
+            && self.may_have_run + 1 < self.route.attempts.max(1)
+    }
+
+    /// Sends the call to one more back end; false if there is none to be had.
+    fn begin(&mut self) -> bool {
+        let (now, draw) = (self.context.now(), self.context.draw());
+        let backends = &self.context.backends;
+        let Some(chosen) = backends.choose_for_call(self.pool, &self.tried, now, draw) else {
+            return false;
+        };
+        if self.tried.contains(&chosen.id) && !self.running.is_empty() {
+            return false;
+        }
+        self.sends += 1;
+        let is_again = self.tried.contains(&chosen.id);
+        self.tried.push(chosen.id.clone());
+        let pause = if is_again {
+            TURNED_AWAY_PAUSE
+        } else {
+            Duration::ZERO
+        };
+        let (context, call, ends) = (self.context, self.call, self.ends);
+        self.running.push(Box::pin(async move {
+            tokio::time::sleep(pause).await;
+            send(context, chosen, call, ends).await
+        }));
+        true
+    }
+
+    fn take(&mut self, sent: Sent) -> Option<CallOutcome> {
+        match sent.outcome {
+            SendOutcome::Answered(answer) if answer.status.is_server_error() => {
+                self.may_have_run += 1;
+                self.server_errors += 1;
+                self.last_failure = Some(answer);
+                None
+            }
+            SendOutcome::Answered(answer) => Some(CallOutcome::Answered(answer)),
+            SendOutcome::Streaming(streaming) => Some(CallOutcome::Streaming(streaming)),
+            SendOutcome::NotRun => None,
+            SendOutcome::MayHaveRun => {
+                self.may_have_run += 1;
+                None
+            }
+        }
+    }
+
+    fn ended_in_failure(&mut self) -> CallOutcome {
+        match self.last_failure.take() {
+            Some(answer) => CallOutcome::Answered(answer),
+            None => CallOutcome::Failed {
+                status: StatusCode::BAD_GATEWAY,
+            },
+        }
+    }
+
+    fn out_of_time(&mut self) -> CallOutcome {
+        let nothing_ran = self.may_have_run == 0 && self.running.is_empty();
+        match self.last_failure.take() {
+            Some(answer) => CallOutcome::Answered(answer),
+            None if nothing_ran => refused(),
+            None => CallOutcome::Failed {
+                status: StatusCode::GATEWAY_TIMEOUT,
+            },
+        }
+    }
+
+    fn report(&self, outcome: &CallOutcome) {
+        let (name, status) = match outcome {
+            CallOutcome::Answered(answer) => ("answered", answer.status.as_u16()),
+            CallOutcome::Streaming(streaming) => ("streaming", streaming.answer.status().as_u16()),
+            CallOutcome::Refused { .. } => ("refused", 503),
+            CallOutcome::Failed { status } => ("failed", status.as_u16()),
+        };
+        let request = String::from_utf8_lossy(self.call.id.as_bytes());
+        let tried = join_ids(&self.tried);
+        let took_ms = self.began.elapsed().as_millis() as u64;
+        let left_ms = self
+            .ends
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
+        let routes = self.context.routes().map_or(0, |table| table.version());
+        crate::metrics::call_ended(name, took_ms);
+        info!(event = "call", request = request.as_ref(), route = self.route.name.as_str(),
+            routes_version = routes, outcome = name, status = status, backends = tried.as_str(),
+            sends = self.sends, may_have_run = self.may_have_run, took_ms = took_ms,
+            left_ms = left_ms; "");
+    }
+}
+
+fn join_ids(ids: &[BackendId]) -> String {
+    let texts: Vec<&str> = ids.iter().map(BackendId::as_str).collect();
+    texts.join(",")
+}
+
+async fn send(context: &Arc<Context>, chosen: ChosenBackend, call: &Call, ends: Instant) -> Sent {
+    let backend = chosen.id.clone();
+    let began = Instant::now();
+    let left = ends.saturating_duration_since(began);
+    let request = backend_request(context, &chosen, call, left);
+    let answer = chosen.link.send(request, left).await;
+    let outcome = read_answer(context, chosen, call, answer).await;
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    match &outcome {
+        SendOutcome::Answered(answer) if answer.status.is_success() => {
+            let took = began.elapsed().as_millis() as u64;
+            backends.health.answered(&backend, Some(took));
+        }
+        SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
+            backends.health.answered(&backend, None);
+        }
+        SendOutcome::NotRun | SendOutcome::MayHaveRun => backends.health.failed(&backend, now),
+    }
+    drop(backends);
+    Sent { backend, outcome }
+}
+
+fn backend_request(
+    context: &Context,
+    chosen: &ChosenBackend,
+    call: &Call,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let names = context.dialect.headers();
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let mut headers = call.headers.clone();
+    headers.insert(names.request_id.clone(), call.id.clone());
+    headers.insert(
+        names.deadline_ms.clone(),
+        HeaderValue::from(left.as_millis().max(1) as u64),
+    );
+    if let Ok(id) = HeaderValue::from_str(chosen.id.as_str()) {
+        headers.insert(names.expected_backend.clone(), id);
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+async fn read_answer(
+    context: &Context,
+    chosen: ChosenBackend,
+    call: &Call,
+    answer: Result<Answer, LinkError>,
+) -> SendOutcome {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) if error.is_unsent() => return SendOutcome::NotRun,
+        Err(_) => return SendOutcome::MayHaveRun,
+    };
+    let names = context.dialect.headers();
+    let is_ours = answer.headers().get(&names.request_id) == Some(&call.id);
+    if context
+        .dialect
+        .is_not_run(answer.status(), answer.headers())
+    {
+        return not_run_unless_foreign(context, answer, &call.id).await;
+    }
+    if !is_ours {
+        return SendOutcome::MayHaveRun;
+    }
+    if answer.status().is_success() && !answer.headers().contains_key(&names.signature) {
+        return SendOutcome::MayHaveRun;
+    }
+    if answer.status().is_success() && is_event_stream(answer.headers()) {
+        return SendOutcome::Streaming(Box::new(StreamingAnswer {
+            answer,
+            backend: chosen,
+        }));
+    }
+    match answer.whole(MOST_ANSWER_BYTES).await {
+        Ok(whole) => SendOutcome::Answered(whole),
+        Err(_) => SendOutcome::MayHaveRun,
+    }
+}
+
+/// An answer "not run" counts only if it does not name another request.
+async fn not_run_unless_foreign(
+    context: &Context,
+    answer: Answer,
+    id: &HeaderValue,
+) -> SendOutcome {
+    let named = answer.headers().get(&context.dialect.headers().request_id);
+    if named.is_some_and(|named| named != id) {
+        return SendOutcome::MayHaveRun;
+    }
+    // Read to the end, so that the connection is kept.
+    let _ = answer.whole(MOST_ANSWER_BYTES).await;
+    SendOutcome::NotRun
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Such headers without a name in the library.
+const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// Removes headers that concern one connection only, and the length, which is set anew.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+    for name in MORE_CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,160 @@
+//! What all parts of a gateway node share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::ids::{BatchId, ModelName, NodeId, Version, partition_of};
+use havenstage_rollout::orders::OrderState;
+use havenstage_rollout::route::{RouteTable, RoutingConfig};
+use std::collections::BTreeMap;
+use tokio::sync::Notify;
+
+use crate::backends::Backends;
+use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
+use crate::ownership::Ownership;
+use crate::partition::Partition;
+use crate::settings::Settings;
+
+/// Shared by all parts of a node.
+pub struct Context {
+    /// Settings.
+    pub settings: Settings,
+    /// This life of the node's process.
+    pub node: NodeId,
+    /// Steady clock.
+    pub clock: SteadyClock,
+    /// The shared log.
+    pub log: Arc<dyn SharedLog>,
+    /// The directories.
+    pub directory: Arc<dyn Directory>,
+    /// The dialect of callers and back ends.
+    pub dialect: Arc<dyn Dialect>,
+    /// Back ends.
+    pub backends: Arc<Backends>,
+    /// Partitions of batches.
+    pub partitions: Vec<Partition>,
+    /// Partitions this node owns.
+    pub ownership: Ownership,
+    /// Orders given by anyone.
+    pub orders: Mutex<OrderState>,
+    /// Wakes when something about orders or versions changed.
+    pub orders_changed: Notify,
+    /// Wakes the task that runs items.
+    pub work: Arc<Notify>,
+    /// Set once the node was told to stop.
+    pub stopping: AtomicBool,
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    named: Mutex<BTreeMap<ModelName, Version>>,
+    draws: AtomicU64,
+    last_contact: AtomicU64,
+}
+
+impl Context {
+    /// A context that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        node: NodeId,
+        log: Arc<dyn SharedLog>,
+        directory: Arc<dyn Directory>,
+        dialect: Arc<dyn Dialect>,
+    ) -> Arc<Self> {
+        let work = Arc::new(Notify::new());
+        let partitions = (0..settings.log.partitions)
+            .map(|partition| StreamPartition {
+                stream: LogStream::Batches,
+                partition,
+            })
+            .map(|id| Partition::new(id, work.clone()))
+            .collect();
+        Arc::new(Self {
+            settings,
+            node,
+            clock: SteadyClock::start(),
+            log,
+            directory,
+            dialect,
+            backends: Backends::new(work.clone()),
+            partitions,
+            ownership: Ownership::new(work.clone()),
+            orders: Mutex::new(OrderState::default()),
+            orders_changed: Notify::new(),
+            work,
+            last_contact: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            routes: RwLock::new(None),
+            named: Mutex::new(BTreeMap::new()),
+            draws: AtomicU64::new(rand::random()),
+        })
+    }
+
+    /// Milliseconds on the steady clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The partition that holds a batch.
+    pub fn partition_of(&self, batch: &BatchId) -> &Partition {
+        &self.partitions[partition_of(batch, self.settings.log.partitions) as usize]
+    }
+
+    /// The routes in force, once a configuration is known.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is; answers whether it is new.
+    pub fn set_routes(&self, config: RoutingConfig) -> bool {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let is_newer = routes
+            .as_ref()
+            .is_none_or(|table| table.version() < config.version);
+        if is_newer {
+            *routes = Some(Arc::new(RouteTable::new(config)));
+        }
+        is_newer
+    }
+
+    /// A trainer named a version.
+    pub fn name_version(&self, model: ModelName, version: Version) -> bool {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = named.entry(model).or_insert(0);
+        let is_newer = *known < version;
+        *known = (*known).max(version);
+        drop(named);
+        self.orders_changed.notify_one();
+        is_newer
+    }
+
+    /// The newest named version of each model.
+    pub fn named_versions(&self) -> BTreeMap<ModelName, Version> {
+        self.named
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// A number that differs from call to call.
+    pub fn draw(&self) -> u64 {
+        self.draws.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The log or a directory answered.
+    pub fn saw_contact(&self) {
+        self.last_contact.fetch_max(self.now(), Ordering::Relaxed);
+    }
+
+    /// Milliseconds since the log or a directory last answered.
+    pub fn contact_age(&self) -> Millis {
+        self.now()
+            .saturating_sub(self.last_contact.load(Ordering::Relaxed))
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/coordinator.rs
@@ -0,0 +1,418 @@
+//! Gives orders to load versions, while this node holds the lease for orders.
+//!
+//! Each order is written down before it is given. A new holder gives its first order only when it
+//! has read all orders before its own term and the last of them is older than the lease bound.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BackendId, ModelName, Version};
+use havenstage_rollout::orders::{
+    OrderRecord, OrderTarget, PlannedOrder, assign_homes, plan_orders,
+};
+use havenstage_rollout::route::Pool;
+use http::StatusCode;
+use log::{info, warn};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::edge::{BackendReport, LogError, VersionOrder};
+use crate::followers::ORDERS;
+use crate::metrics;
+
+/// Pause between two looks at what is to be ordered.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Time a back end has to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time a back end has to answer a question.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after an order before a back end is first asked whether it is done.
+const FIRST_QUESTION: Duration = Duration::from_millis(900);
+/// Time between two questions.
+const QUESTION_PAUSE: Duration = Duration::from_millis(150);
+/// Time after which an order is taken for lost.
+const ORDER_LOST_AFTER: Duration = Duration::from_millis(4_000);
+/// Time that a back end is left alone after it failed to answer.
+const AVOID_MS: Millis = 1_000;
+
+/// Gives orders until the process ends.
+pub struct Coordinator {
+    context: Arc<Context>,
+    term: Option<Term>,
+    /// Orders that each back end has taken, as it last reported.
+    taken: BTreeMap<BackendId, u64>,
+    under_way: BTreeMap<BackendId, Millis>,
+    avoided_until: BTreeMap<BackendId, Millis>,
+    ended: UnboundedReceiver<OrderEnded>,
+    ended_sender: UnboundedSender<OrderEnded>,
+}
+
+/// The right to give orders, as long as the lease holds.
+#[derive(Debug, Clone, Copy)]
+struct Term {
+    fence: u64,
+    offset: u64,
+    since: Millis,
+}
+
+struct OrderEnded {
+    backend: BackendId,
+    report: Option<BackendReport>,
+}
+
+impl Coordinator {
+    /// A coordinator without a term.
+    pub fn new(context: Arc<Context>) -> Self {
+        let (ended_sender, ended) = mpsc::unbounded_channel();
+        Self {
+            context,
+            term: None,
+            taken: BTreeMap::new(),
+            under_way: BTreeMap::new(),
+            avoided_until: BTreeMap::new(),
+            ended,
+            ended_sender,
+        }
+    }
+
+    /// Works until the process ends.
+    pub async fn run(mut self) {
+        let context = self.context.clone();
+        loop {
+            tokio::select! {
+                Some(ended) = self.ended.recv() => self.take_ended(ended),
+                () = context.orders_changed.notified() => {}
+                () = tokio::time::sleep(LOOK_PAUSE), if self.term.is_some() => {}
+                () = tokio::time::sleep(LOOK_PAUSE * 5) => {}
+            }
+            if !self.holds_lease() {
+                self.drop_term();
+            } else if self.term.is_none() {
+                self.begin_term().await;
+            } else if self.may_order() {
+                self.order_next().await;
+            }
+        }
+    }
+
+    fn holds_lease(&self) -> bool {
+        !self.context.is_stopping() && self.context.ownership.holds(ORDERS, self.context.now())
+    }
+
+    fn drop_term(&mut self) {
+        if let Some(term) = self.term.take() {
+            info!(event = "order_term_ended", fence = term.fence; "");
+        }
+        self.under_way.clear();
+        self.taken.clear();
+    }
+
+    async fn begin_term(&mut self) {
+        let record = OrderRecord::Term {
+            holder: self.context.node.clone(),
+        };
+        match append(&self.context, &record).await {
+            Ok(offset) => {
+                let term = Term {
+                    fence: offset + 1,
+                    offset,
+                    since: self.context.now(),
+                };
+                info!(event = "order_term_begun", fence = term.fence; "");
+                self.term = Some(term);
+            }
+            Err(error) => {
+                warn!(event = "order_term_failed", reason = error.to_string().as_str(); "");
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        }
+    }
+
+    /// Whether all earlier orders are known and the last of another holder is long enough ago.
+    fn may_order(&self) -> bool {
+        let Some(term) = self.term else { return false };
+        let now = self.context.now();
+        let orders = self
+            .context
+            .orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let bounds = &self.context.settings.bounds;
+        let knows_all = orders.has_read(term.offset);
+        let is_quiet = orders
+            .last_by_other()
+            .is_none_or(|last| now.saturating_sub(last) > bounds.order_lease_ms);
+        let is_awake = now.saturating_sub(term.since) >= bounds.order_thaw_ms;
+        knows_all && is_quiet && is_awake
+    }
+
+    async fn order_next(&mut self) {
+        let Some(table) = self.context.routes() else {
+            return;
+        };
+        let named = self.context.named_versions();
+        for pool in table.pools_with_models() {
+            for order in self.plan(pool, &named) {
+                self.give(order).await;
+            }
+        }
+    }
+
+    fn plan(&self, pool: &Pool, named: &BTreeMap<ModelName, Version>) -> Vec<PlannedOrder> {
+        let targets = self.targets(pool);
+        let weights: BTreeMap<ModelName, f64> = pool
+            .models
+            .iter()
+            .map(|model| (model.clone(), self.weight(model)))
+            .collect();
+        let homes = assign_homes(&targets, &weights, named);
+        plan_orders(
+            &targets,
+            named,
+            &homes,
+            self.context.settings.tuning.loads_at_once,
+        )
+    }
+
+    /// Share of the back ends that a model needs: the work of its newest batch.
+    fn weight(&self, model: &ModelName) -> f64 {
+        let mut newest: Option<(u64, f64)> = None;
+        for partition in &self.context.partitions {
+            let inner = partition.lock();
+            for batch in inner
+                .state
+                .batches()
+                .filter(|b| b.model.as_ref() == Some(model))
+            {
+                let step = batch.step.unwrap_or(0);
+                if newest.is_none_or(|(known, _)| known < step) {
+                    let tokens: u64 = batch
+                        .items
+                        .iter()
+                        .map(|item| u64::from(item.expected_tokens))
+                        .sum();
+                    newest = Some((step, tokens as f64));
+                }
+            }
+        }
+        newest.map_or(1.0, |(_, tokens)| tokens.max(1.0))
+    }
+
+    fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
+        let now = self.context.now();
+        let running = running_items(&self.context);
+        let orders = self
+            .context
+            .orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let backends = self.context.backends.lock();
+        let lost_ms = ORDER_LOST_AFTER.as_millis() as Millis;
+        let mut targets = Vec::new();
+        for (id, _) in backends.list.ready_in(&pool.name) {
+            let pending = orders
+                .pending(id)
+                .is_some_and(|order| now.saturating_sub(order.since) < lost_ms);
+            let models = pool.models.iter();
+            targets.push(OrderTarget {
+                backend: id.clone(),
+                models: models
+                    .map(|m| (m.clone(), backends.version(id, m)))
+                    .collect(),
+                running: running.get(id).copied().unwrap_or(0),
+                loading: pending || self.under_way.contains_key(id),
+                avoided: self.avoided_until.get(id).is_some_and(|until| *until > now),
+            });
+        }
+        targets
+    }
+
+    async fn give(&mut self, order: PlannedOrder) {
+        let Some(term) = self.term else { return };
+        let record = OrderRecord::Ordered {
+            holder: self.context.node.clone(),
+            backend: order.backend.clone(),
+            model: order.model.clone(),
+            version: order.version,
+        };
+        if let Err(error) = append(&self.context, &record).await {
+            warn!(event = "order_not_written", backend = order.backend.as_str(),
+                reason = error.to_string().as_str(); "");
+            tokio::time::sleep(LOOK_PAUSE).await;
+            return;
+        }
+        self.under_way
+            .insert(order.backend.clone(), self.context.now());
+        let version_order = VersionOrder {
+            model: order.model.clone(),
+            version: order.version,
+            holder: self.context.node.to_string(),
+            fence: term.fence,
+            expected_orders: self.taken.get(&order.backend).copied(),
+        };
+        let context = self.context.clone();
+        let sender = self.ended_sender.clone();
+        tokio::spawn(async move {
+            let report = carry_out(&context, &order.backend, &version_order).await;
+            let _ = sender.send(OrderEnded {
+                backend: order.backend,
+                report,
+            });
+            context.orders_changed.notify_one();
+        });
+    }
+
+    fn take_ended(&mut self, ended: OrderEnded) {
+        self.under_way.remove(&ended.backend);
+        match ended.report {
+            Some(report) => {
+                self.taken.insert(ended.backend, report.orders_taken);
+            }
+            None => {
+                self.taken.remove(&ended.backend);
+                self.avoided_until
+                    .insert(ended.backend, self.context.now() + AVOID_MS);
+            }
+        }
+    }
+}
+
+fn running_items(context: &Context) -> BTreeMap<BackendId, u32> {
+    let mut running = BTreeMap::new();
+    for partition in &context.partitions {
+        let inner = partition.lock();
+        for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+            let open = batch.items.iter().filter(|item| item.result.is_none());
+            for backend in open.filter_map(|item| item.backend.clone()) {
+                *running.entry(backend).or_default() += 1;
+            }
+        }
+    }
+    running
+}
+
+async fn append(context: &Context, record: &OrderRecord) -> Result<u64, LogError> {
+    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
+    context
+        .log
+        .append(ORDERS, records)
+        .await
+        .map(|appended| appended.offset)
+}
+
+/// Gives an order and waits until the back end has the version; the report says that it has.
+async fn carry_out(
+    context: &Arc<Context>,
+    backend: &BackendId,
+    order: &VersionOrder,
+) -> Option<BackendReport> {
+    let began = Instant::now();
+    let status = send_order(context, backend, order).await;
+    let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
+    info!(event = "order_given", backend = backend.as_str(), model = order.model.as_str(),
+        version = order.version, fence = order.fence, status = status_text.as_str(),
+        expected_orders = format!("{:?}", order.expected_orders).as_str(); "");
+    metrics::order_answered(match status.map(|status| status.as_u16()) {
+        Some(200) => "holds",
+        Some(202) => "accepted",
+        Some(_) => "refused",
+        None => "unanswered",
+    });
+    let first_question = match status {
+        Some(StatusCode::ACCEPTED) => FIRST_QUESTION,
+        Some(StatusCode::OK) => Duration::ZERO,
+        _ => QUESTION_PAUSE,
+    };
+    tokio::time::sleep(first_question).await;
+    loop {
+        let report = ask(context, backend).await;
+        let version = report
+            .as_ref()
+            .and_then(|report| report.models.get(&order.model).copied());
+        if let (Some(report), Some(version)) = (report, version) {
+            if version >= order.version && !report.busy {
+                note_loaded(context, backend, &order.model, version, began).await;
+                return Some(report);
+            }
+            // Refused for its count of orders: the next try knows the count.
+            if status == Some(StatusCode::CONFLICT) && !report.busy {
+                note_loaded(context, backend, &order.model, version, began).await;
+                return Some(report);
+            }
+        }
+        if began.elapsed() >= ORDER_LOST_AFTER || !is_listed(context, backend) {
+            return None;
+        }
+        tokio::time::sleep(QUESTION_PAUSE).await;
+    }
+}
+
+fn is_listed(context: &Context, backend: &BackendId) -> bool {
+    context.backends.lock().list.get(backend).is_some()
+}
+
+async fn send_order(
+    context: &Arc<Context>,
+    backend: &BackendId,
+    order: &VersionOrder,
+) -> Option<StatusCode> {
+    let chosen = context.backends.take(backend)?;
+    let names = context.dialect.headers();
+    let mut request = context.dialect.order_request(order);
+    let expected = http::HeaderValue::from_str(backend.as_str()).ok()?;
+    request
+        .headers_mut()
+        .insert(names.expected_backend.clone(), expected);
+    if !context.ownership.holds(ORDERS, context.now()) {
+        return None;
+    }
+    let answer = chosen.link.send(request, ORDER_TIMEOUT).await.ok()?;
+    let status = answer.status();
+    let _ = tokio::time::timeout(ORDER_TIMEOUT, answer.whole(MOST_ANSWER_BYTES)).await;
+    Some(status)
+}
+
+/// Longest answer to an order or a question.
+const MOST_ANSWER_BYTES: usize = 1024 * 1024;
+
+async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
+    let chosen = context.backends.take(backend)?;
+    let names = context.dialect.headers();
+    let mut request = context.dialect.report_request();
+    let expected = http::HeaderValue::from_str(backend.as_str()).ok()?;
+    request
+        .headers_mut()
+        .insert(names.expected_backend.clone(), expected);
+    let answer = chosen.link.send(request, REPORT_TIMEOUT).await.ok()?;
+    if answer.status() != StatusCode::OK {
+        return None;
+    }
+    let body = tokio::time::timeout(REPORT_TIMEOUT, answer.whole(MOST_ANSWER_BYTES));
+    context.dialect.read_report(&body.await.ok()?.ok()?.body)
+}
+
+async fn note_loaded(
+    context: &Arc<Context>,
+    backend: &BackendId,
+    model: &ModelName,
+    version: Version,
+    began: Instant,
+) {
+    let took_ms = began.elapsed().as_millis() as u64;
+    info!(event = "version_loaded", backend = backend.as_str(), model = model.as_str(),
+        version = version, took_ms = took_ms; "");
+    context.backends.lock().saw_version(backend, model, version);
+    let record = OrderRecord::Loaded {
+        backend: backend.clone(),
+        model: model.clone(),
+        version,
+    };
+    if let Err(error) = append(context, &record).await {
+        warn!(event = "order_not_written", backend = backend.as_str(),
+            reason = error.to_string().as_str(); "");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge.rs
@@ -0,0 +1,336 @@
+//! What the gateway needs of its surroundings, as traits: the shared log, the directory that
+//! operators and back ends write to, and the dialect in which callers and back ends speak.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use havenstage_rollout::Millis;
+use havenstage_rollout::backend::BackendChange;
+use havenstage_rollout::batch::Submission;
+use havenstage_rollout::fold::ItemResult;
+use havenstage_rollout::ids::{BatchId, ItemId, ModelName, Version};
+use havenstage_rollout::route::RoutingConfig;
+use http::header::HeaderName;
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use thiserror::Error;
+
+/// The streams that nodes write to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum LogStream {
+    /// Batches and their results.
+    Batches,
+    /// Orders to back ends.
+    Orders,
+}
+
+/// A partition of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StreamPartition {
+    /// The stream.
+    pub stream: LogStream,
+    /// Number of the partition, from 0.
+    pub partition: u32,
+}
+
+/// Why a call to the log or the directory failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum LogError {
+    /// It could not be reached; nothing was done.
+    #[error("the log cannot be reached")]
+    Unreachable,
+    /// It refused the call; nothing was done.
+    #[error("the log refused the call with status {0}")]
+    Refused(u16),
+    /// No answer came; the call may have been done, or may be done later.
+    #[error("no answer came from the log")]
+    Unknown,
+    /// The records asked for are gone; `first` is the oldest one kept.
+    #[error("records before {first} are gone")]
+    HistoryDropped {
+        /// Offset of the oldest record kept.
+        first: u64,
+    },
+    /// The answer could not be understood.
+    #[error("the log answered with something unreadable")]
+    Unreadable,
+}
+
+impl LogError {
+    /// Whether it is certain that nothing was done and nothing will be.
+    pub fn is_not_done(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Refused(_))
+    }
+}
+
+/// An append that was acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Appended {
+    /// Offset of the first record.
+    pub offset: u64,
+    /// End of the partition after it.
+    pub end: u64,
+}
+
+/// Records read from a partition.
+#[derive(Debug, Clone)]
+pub struct LogPage {
+    /// Offset of the first of `records`.
+    pub from: u64,
+    /// End of the partition when it was read.
+    pub end: u64,
+    /// The records.
+    pub records: Vec<Bytes>,
+}
+
+/// A member's call to the group that deals out partitions.
+#[derive(Debug, Clone)]
+pub struct JoinRequest {
+    /// The member.
+    pub member: String,
+    /// Time after which a silent member is taken for gone.
+    pub ttl: Duration,
+    /// The last generation heard; 0 at first.
+    pub generation: u64,
+}
+
+/// What the group answers a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Membership {
+    /// Rises with every change.
+    pub generation: u64,
+    /// Partitions that belong to the member.
+    pub partitions: Vec<StreamPartition>,
+}
+
+/// The shared log.
+#[async_trait]
+pub trait SharedLog: Send + Sync {
+    /// Appends records to a partition, all or nothing.
+    async fn append(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError>;
+
+    /// Reads records from an offset on; waits up to `wait` for one.
+    async fn read(
+        &self,
+        partition: StreamPartition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<LogPage, LogError>;
+
+    /// Joins the group of nodes, or stays in it.
+    async fn join(&self, request: JoinRequest) -> Result<Membership, LogError>;
+
+    /// Leaves the group.
+    async fn leave(&self, member: &str) -> Result<(), LogError>;
+}
+
+/// The directories that others write and nodes follow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DirectoryKind {
+    /// Configuration and named versions, by operators and trainers.
+    Operators,
+    /// Back ends, by themselves.
+    Backends,
+}
+
+/// One entry of a directory.
+#[derive(Debug, Clone)]
+pub enum DirectoryEntry {
+    /// The configuration of routes.
+    Routing(RoutingConfig),
+    /// A trainer named a version of a model.
+    NamedVersion {
+        /// The model.
+        model: ModelName,
+        /// The version.
+        version: Version,
+    },
+    /// A back end's entry changed.
+    Backend(BackendChange),
+    /// An entry that could not be read; the text names it.
+    Unreadable(String),
+}
+
+/// Entries of a directory, as a listing or as changes.
+#[derive(Debug, Clone)]
+pub struct DirectoryPage {
+    /// The entries, in the order they were written.
+    pub entries: Vec<DirectoryEntry>,
+    /// Offset from which later changes can be read.
+    pub next: u64,
+}
+
+/// The directories.
+#[async_trait]
+pub trait Directory: Send + Sync {
+    /// The newest of all entries.
+    async fn list(&self, kind: DirectoryKind) -> Result<DirectoryPage, LogError>;
+
+    /// Changes from an offset on; waits up to `wait` for one.
+    async fn changes(
+        &self,
+        kind: DirectoryKind,
+        from: u64,
+        wait: Duration,
+    ) -> Result<DirectoryPage, LogError>;
+}
+
+/// Names of headers.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// Id of a request; answers of back ends carry it too.
+    pub request_id: HeaderName,
+    /// Milliseconds that remain for a request.
+    pub deadline_ms: HeaderName,
+    /// The only back end that may run a request.
+    pub expected_backend: HeaderName,
+    /// Set on an answer that says that the request did not run.
+    pub not_run: HeaderName,
+    /// A back end's signature on its answer.
+    pub signature: HeaderName,
+    /// Version of the weights, on answers and in events.
+    pub weight_version: HeaderName,
+    /// How urgent a back end is to take a request, 0 to 9.
+    pub urgency: HeaderName,
+    /// Last event that a resumed stream already has.
+    pub last_event_id: HeaderName,
+    /// How long a reader wants to wait.
+    pub wait_ms: HeaderName,
+}
+
+/// A call that concerns batches and goes by a path of its own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BatchCall {
+    /// Read results from a position on.
+    Read {
+        /// Batch.
+        batch: BatchId,
+        /// Position of the first result wanted.
+        from: usize,
+    },
+    /// Read the body of an item.
+    ItemBody {
+        /// Batch.
+        batch: BatchId,
+        /// Item.
+        item: ItemId,
+    },
+    /// End the batch.
+    End {
+        /// Batch.
+        batch: BatchId,
+    },
+    /// One of these paths, but not a call that can be understood.
+    Malformed,
+}
+
+/// A page of results for a reader.
+#[derive(Debug)]
+pub struct ResultPage<'a> {
+    /// Items of the batch.
+    pub total: usize,
+    /// Position after the last result of the page.
+    pub next: usize,
+    /// The results.
+    pub results: Vec<(&'a ItemId, &'a ItemResult)>,
+}
+
+/// An order to load a version.
+#[derive(Debug, Clone)]
+pub struct VersionOrder {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: Version,
+    /// Name of the holder of the lease.
+    pub holder: String,
+    /// The holder's fencing token.
+    pub fence: u64,
+    /// Orders the back end must have taken so far, if known.
+    pub expected_orders: Option<u64>,
+}
+
+/// What a back end reports of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendReport {
+    /// Versions of its models.
+    pub models: std::collections::BTreeMap<ModelName, Version>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders it has taken.
+    pub orders_taken: u64,
+}
+
+/// A submission that cannot be read; the text says why.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("not a batch: {0}")]
+pub struct UnreadableSubmission(pub String);
+
+/// The dialect of callers and back ends.
+pub trait Dialect: Send + Sync {
+    /// Names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Whether a request on the readiness address asks for readiness.
+    fn is_readiness_call(&self, method: &Method, path: &str) -> bool;
+
+    /// The call on batches that a path names, if it is one.
+    fn batch_call(&self, method: &Method, uri: &Uri) -> Option<BatchCall>;
+
+    /// Reads a batch that is handed in.
+    fn read_submission(
+        &self,
+        batch: BatchId,
+        host: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Submission, UnreadableSubmission>;
+
+    /// Bytes that a result takes in a page, at most.
+    fn result_bytes(&self, result: &ItemResult) -> usize;
+
+    /// Writes a page of results.
+    fn write_results(&self, page: &ResultPage<'_>) -> Bytes;
+
+    /// Content type of bodies that the gateway writes itself.
+    fn content_type(&self) -> &'static str;
+
+    /// The request that gives an order.
+    fn order_request(&self, order: &VersionOrder) -> Request<Full<Bytes>>;
+
+    /// The request that asks a back end for its report.
+    fn report_request(&self) -> Request<Full<Bytes>>;
+
+    /// Reads a report.
+    fn read_report(&self, body: &[u8]) -> Option<BackendReport>;
+
+    /// Tokens that one event of a pool's back ends may hold.
+    fn is_not_run(&self, status: StatusCode, headers: &http::HeaderMap) -> bool {
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&self.headers().not_run)
+    }
+}
+
+/// Steady clock of the process.
+#[derive(Debug, Clone, Copy)]
+pub struct SteadyClock {
+    start: tokio::time::Instant,
+}
+
+impl SteadyClock {
+    /// A clock that starts at 1,000 ms, so that "long ago" can be expressed.
+    pub fn start() -> Self {
+        Self {
+            start: tokio::time::Instant::now() - Duration::from_secs(1),
+        }
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/live.rs
@@ -0,0 +1,134 @@
+//! An item that this node works on.
+
+use std::sync::Arc;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::batch::Item;
+use havenstage_rollout::fold::ItemState;
+use havenstage_rollout::ids::{BackendId, RunId};
+use havenstage_rollout::record::{BatchRecord, OutputEvent};
+use tokio::task::AbortHandle;
+
+use super::run::ItemKey;
+
+/// A task that ends when it is dropped.
+#[derive(Debug)]
+pub struct OwnedTask(pub AbortHandle);
+
+impl Drop for OwnedTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// What is being done about an item.
+#[derive(Debug)]
+pub enum Phase {
+    /// It waits for a place.
+    Waiting,
+    /// It runs on a back end.
+    Running {
+        /// Where.
+        backend: BackendId,
+        /// Since when.
+        since: Millis,
+        /// The run.
+        task: OwnedTask,
+    },
+    /// Its output is whole and its reward call is under way.
+    Scoring {
+        /// The call.
+        task: OwnedTask,
+    },
+    /// Its end waits to be written down.
+    Finishing,
+}
+
+/// An item that this node works on.
+#[derive(Debug)]
+pub struct LiveItem {
+    /// What it asks for.
+    pub spec: Arc<Item>,
+    /// Partition of its batch.
+    pub partition: u32,
+    /// What is being done.
+    pub phase: Phase,
+    /// The current or last run.
+    pub run: RunId,
+    /// Events that run was given to go on from.
+    pub resumed_from: u32,
+    /// Events there, written down or not.
+    pub events: u32,
+    /// Answers of back ends that they failed at it.
+    pub failures: u32,
+    /// Since when this node works on it.
+    pub since: Millis,
+    base: u32,
+    chain: Vec<RunId>,
+    unsent: Vec<OutputEvent>,
+}
+
+impl LiveItem {
+    /// An item as the log tells of it; nothing is done yet.
+    pub fn new(state: &ItemState, spec: Arc<Item>, partition: u32, now: Millis) -> Self {
+        let events = state.events.len() as u32;
+        Self {
+            spec,
+            partition,
+            phase: Phase::Waiting,
+            run: RunId(0),
+            resumed_from: events,
+            events,
+            failures: 0,
+            since: now,
+            base: events,
+            chain: Vec::new(),
+            unsent: Vec::new(),
+        }
+    }
+
+    /// Begins a run that goes on from the events there.
+    pub fn begin_run(&mut self) -> RunId {
+        let run = RunId(rand::random());
+        self.run = run;
+        self.chain.push(run);
+        self.resumed_from = self.events;
+        run
+    }
+
+    /// Adds an event of the current run.
+    pub fn add_event(&mut self, event: OutputEvent) {
+        self.events += 1;
+        self.unsent.push(event);
+    }
+
+    /// The record of the events that are not written down yet, if there are any.
+    pub fn take_progress(&mut self, key: &ItemKey) -> Option<BatchRecord> {
+        if self.unsent.is_empty() {
+            return None;
+        }
+        let events = std::mem::take(&mut self.unsent);
+        Some(BatchRecord::Progress {
+            batch: key.batch.clone(),
+            item: key.item.clone(),
+            run: self.run,
+            resumed_from: self.resumed_from,
+            from: self.events - events.len() as u32,
+            events,
+        })
+    }
+
+    /// Whether the log holds output of somebody else that this node's work does not continue.
+    pub fn is_overtaken(&self, state: &ItemState) -> bool {
+        let is_ours = state.run.is_some_and(|run| self.chain.contains(&run));
+        !is_ours && state.events.len() as u32 != self.base
+    }
+
+    /// Where it runs, if it runs.
+    pub fn running_on(&self) -> Option<&BackendId> {
+        match &self.phase {
+            Phase::Running { backend, .. } => Some(backend),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/plan.rs
@@ -0,0 +1,356 @@
+//! Gives waiting items their places.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::fold::{BatchState, ItemState};
+use havenstage_rollout::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, PoolName, Version};
+use havenstage_rollout::record::{GiveUpReason, OutputEvent};
+use havenstage_rollout::route::{Pool, Route, RouteTable};
+use havenstage_rollout::schedule::{self, Candidate, WaitingItem};
+use log::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::live::Phase;
+use super::run::ItemKey;
+use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
+use crate::context::Context;
+
+/// Urgency at back ends of items that their step needs.
+const NEEDED_URGENCY: u8 = 4;
+/// Urgency at back ends of items that their step can do without.
+const OPTIONAL_URGENCY: u8 = 7;
+/// Time after which an order of which nothing was heard no longer keeps items away.
+const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
+/// Gap between events of a back end whose speed is not known yet.
+const USUAL_GAP_MS: f64 = 30.0;
+
+/// Work of this node in one pool.
+#[derive(Default)]
+struct PoolWork {
+    waiting: Vec<WaitingItem>,
+}
+
+impl Engine {
+    /// Gives waiting items places, and gives up those that are too late.
+    pub(super) fn plan(&mut self) {
+        let Some(table) = self.context.routes() else {
+            return;
+        };
+        let now = self.context.now();
+        let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
+        let mut too_late = Vec::new();
+        for partition in self.caught_up.clone() {
+            self.note_carried(partition);
+            let inner = self.context.partitions[partition as usize].lock();
+            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+                let Some(route) = table.batch_route(&batch.host, &batch.path) else {
+                    continue;
+                };
+                let Some(pool) = route.pool_for(xxh3_64(batch.id.as_str().as_bytes())) else {
+                    continue;
+                };
+                if is_too_late(route, batch, now) {
+                    too_late.extend(self.open_items(batch));
+                    continue;
+                }
+                let tokens_per_event = tokens_per_event(&table, pool);
+                let waiting = self.waiting_items(batch, tokens_per_event);
+                work.entry(pool.clone())
+                    .or_default()
+                    .waiting
+                    .extend(waiting);
+            }
+        }
+        for key in too_late {
+            if self.prepare(&key, now).is_some() {
+                self.give_up(&key, GiveUpReason::TooLate);
+            }
+        }
+        for (pool, work) in work {
+            self.place(&table, &pool, work, now);
+        }
+    }
+
+    fn note_carried(&mut self, partition: u32) {
+        let inner = self.context.partitions[partition as usize].lock();
+        let new: Vec<(BatchId, Vec<ItemId>)> = inner
+            .state
+            .batches()
+            .filter(|batch| !self.carried.contains_key(&batch.id))
+            .map(|batch| {
+                (
+                    batch.id.clone(),
+                    batch.items.iter().map(|item| item.id.clone()).collect(),
+                )
+            })
+            .collect();
+        drop(inner);
+        for (batch, items) in new {
+            let carried = carried_items(&self.context, &batch, items);
+            self.carried.insert(batch, carried);
+        }
+    }
+
+    fn open_items(&self, batch: &BatchState) -> Vec<ItemKey> {
+        let open = batch.items.iter().filter(|item| item.result.is_none());
+        open.map(|item| ItemKey {
+            batch: batch.id.clone(),
+            item: item.id.clone(),
+        })
+        .filter(|key| {
+            let phase = self.items.get(key).map(|item| &item.phase);
+            !matches!(phase, Some(Phase::Finishing))
+        })
+        .collect()
+    }
+
+    fn waiting_items(&self, batch: &BatchState, tokens_per_event: u32) -> Vec<WaitingItem> {
+        let none = HashSet::new();
+        let carried = self.carried.get(&batch.id).unwrap_or(&none);
+        let optional = schedule::optional_items(batch, carried, tokens_per_event);
+        let mut waiting = Vec::new();
+        for item in batch.items.iter().filter(|item| item.result.is_none()) {
+            let key = ItemKey {
+                batch: batch.id.clone(),
+                item: item.id.clone(),
+            };
+            let live = self.items.get(&key);
+            if live.is_some_and(|live| !matches!(live.phase, Phase::Waiting)) {
+                continue;
+            }
+            waiting.push(WaitingItem {
+                batch: batch.id.clone(),
+                item: item.id.clone(),
+                optional: optional.contains(&item.id),
+                expected_tokens: remaining(item, events_of(live, item), tokens_per_event),
+                since: batch.first_seen,
+                model: batch.model.clone(),
+                minimum_version: batch.minimum_version,
+                group: item.group.clone(),
+            });
+        }
+        waiting
+    }
+
+    fn place(&mut self, table: &RouteTable, pool: &PoolName, mut work: PoolWork, now: Millis) {
+        if work.waiting.is_empty() {
+            return;
+        }
+        let mut candidates = self.candidates(table.pool(pool), pool, now);
+        schedule::sort_waiting(&mut work.waiting);
+        for item in &work.waiting {
+            let Some(chosen) = schedule::choose(item, &candidates) else {
+                continue;
+            };
+            let backend = chosen.backend.clone();
+            for candidate in candidates.iter_mut().filter(|c| c.backend == backend) {
+                candidate.running += 1;
+                candidate.groups.extend(item.group.clone());
+            }
+            self.begin(item, &backend, now);
+        }
+    }
+
+    fn begin(&mut self, item: &WaitingItem, backend: &BackendId, now: Millis) {
+        let key = ItemKey {
+            batch: item.batch.clone(),
+            item: item.item.clone(),
+        };
+        let is_first_start = !self.items.contains_key(&key);
+        if self.prepare(&key, now).is_none() {
+            return;
+        }
+        if is_first_start && self.take_from_earlier_batch(&key, item) {
+            return;
+        }
+        let urgency = if item.optional {
+            OPTIONAL_URGENCY
+        } else {
+            NEEDED_URGENCY
+        };
+        self.start(&key, backend, urgency);
+    }
+
+    /// Takes over what an earlier batch has of the item; true if that is its whole output.
+    fn take_from_earlier_batch(&mut self, key: &ItemKey, waiting: &WaitingItem) -> bool {
+        if self.items.get(key).is_none_or(|item| item.events > 0) {
+            return false;
+        }
+        let is_carried = self
+            .carried
+            .get(&key.batch)
+            .is_some_and(|ids| ids.contains(&key.item));
+        if !is_carried {
+            return false;
+        }
+        let Some(kept) = kept_output(&self.context, key, waiting.minimum_version) else {
+            return false;
+        };
+        info!(event = "output_kept", request = key.item.as_str(), batch = key.batch.as_str(),
+            events = kept.events.len(), is_whole = kept.is_whole; "");
+        self.take_kept_output(key, kept.events);
+        if kept.is_whole {
+            self.text_is_whole(key);
+        }
+        kept.is_whole
+    }
+
+    fn candidates(&self, pool: Option<&Pool>, name: &PoolName, now: Millis) -> Vec<Candidate> {
+        let elsewhere = self.running_elsewhere();
+        let groups = self.groups_by_backend();
+        let own = self.running_here();
+        let orders = self
+            .context
+            .orders
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let backends = self.context.backends.lock();
+        let gaps: Vec<f64> = backends
+            .list
+            .ready_in(name)
+            .filter_map(|(id, _)| backends.event_gap_ms(id))
+            .collect();
+        let usual_gap = median(gaps).unwrap_or(USUAL_GAP_MS);
+        let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
+        let mut candidates = Vec::new();
+        for (id, record) in backends.list.ready_in(name) {
+            let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
+            let is_loading = orders
+                .pending(id)
+                .is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS);
+            if is_paused || is_loading {
+                continue;
+            }
+            let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
+            let gap = backends.event_gap_ms(id).unwrap_or(usual_gap).max(1.0);
+            candidates.push(Candidate {
+                backend: id.clone(),
+                running: own.get(id).copied().unwrap_or(0)
+                    + elsewhere.get(id).copied().unwrap_or(0),
+                slots: record.slots,
+                speed: (usual_gap / gap).clamp(0.1, 2.0),
+                models: models
+                    .iter()
+                    .map(versions)
+                    .collect::<BTreeMap<ModelName, Version>>(),
+                groups: groups.get(id).cloned().unwrap_or_default(),
+            });
+        }
+        candidates
+    }
+
+    fn running_here(&self) -> HashMap<BackendId, u32> {
+        let mut running = HashMap::new();
+        for backend in self.items.values().filter_map(|item| item.running_on()) {
+            *running.entry(backend.clone()).or_default() += 1;
+        }
+        running
+    }
+
+    fn groups_by_backend(&self) -> HashMap<BackendId, HashSet<GroupId>> {
+        let mut groups: HashMap<BackendId, HashSet<GroupId>> = HashMap::new();
+        for item in self.items.values() {
+            if let (Some(backend), Some(group)) = (item.running_on(), &item.spec.group) {
+                groups
+                    .entry(backend.clone())
+                    .or_default()
+                    .insert(group.clone());
+            }
+        }
+        groups
+    }
+
+    /// Items that run for other owners, as the log tells.
+    fn running_elsewhere(&self) -> HashMap<BackendId, u32> {
+        let mut running = HashMap::new();
+        for partition in &self.context.partitions {
+            if self.caught_up.contains(&partition.id.partition) {
+                continue;
+            }
+            let inner = partition.lock();
+            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+                let open = batch.items.iter().filter(|item| item.result.is_none());
+                for backend in open.filter_map(|item| item.backend.clone()) {
+                    *running.entry(backend).or_default() += 1;
+                }
+            }
+        }
+        running
+    }
+}
+
+fn is_too_late(route: &Route, batch: &BatchState, now: Millis) -> bool {
+    let limit = route.give_up_after_ms.unwrap_or(DEFAULT_GIVE_UP_MS);
+    now.saturating_sub(batch.first_seen) > limit
+}
+
+fn tokens_per_event(table: &RouteTable, pool: &PoolName) -> u32 {
+    table
+        .pool(pool)
+        .map_or(1, |pool| pool.tokens_per_event.max(1))
+}
+
+fn remaining(item: &ItemState, events: u32, tokens_per_event: u32) -> u32 {
+    let made = events * tokens_per_event;
+    if made < item.expected_tokens {
+        item.expected_tokens - made
+    } else {
+        made.max(1)
+    }
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied()
+}
+
+/// Items of a batch that another batch holds too.
+fn carried_items(context: &Context, batch: &BatchId, items: Vec<ItemId>) -> HashSet<ItemId> {
+    let mut carried = HashSet::new();
+    for partition in &context.partitions {
+        let inner = partition.lock();
+        for other in inner.state.batches().filter(|other| other.id != *batch) {
+            carried.extend(
+                items
+                    .iter()
+                    .filter(|item| other.item(item).is_some())
+                    .cloned(),
+            );
+        }
+    }
+    carried
+}
+
+struct KeptOutput {
+    events: Vec<OutputEvent>,
+    is_whole: bool,
+}
+
+/// The longest output that another batch has of the item, if all its versions are allowed.
+fn kept_output(context: &Context, key: &ItemKey, minimum: Version) -> Option<KeptOutput> {
+    let mut best: Option<KeptOutput> = None;
+    for partition in &context.partitions {
+        let inner = partition.lock();
+        for other in inner.state.batches().filter(|other| other.id != key.batch) {
+            let Some(item) = other.item(&key.item) else {
+                continue;
+            };
+            let (events, is_whole) = match &item.result {
+                Some(result) => (&result.events, !result.events.is_empty()),
+                None => (&item.events, false),
+            };
+            let is_allowed = events.iter().all(|event| event.version >= minimum);
+            let is_better = best
+                .as_ref()
+                .is_none_or(|best| events.len() > best.events.len());
+            if is_allowed && is_better && !events.is_empty() {
+                best = Some(KeptOutput {
+                    events: events.clone(),
+                    is_whole,
+                });
+            }
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/gateway/src/engine/run.rs
@@ -0,0 +1,340 @@
+//! One run of an item on a back end, and the reward call of an item.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_http_link::{Answer, LinkError};
+use havenstage_rollout::batch::{Item, RewardCall};
+use havenstage_rollout::event_stream::EventReader;
+use havenstage_rollout::ids::{BackendId, BatchId, ItemId, RunId, Version};
+use havenstage_rollout::record::OutputEvent;
+use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+use crate::backends::ChosenBackend;
+use crate::calls::{self, Call, CallOutcome};
+use crate::context::Context;
+
+/// Longest time for the head of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Longest time without an event.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time a reward call has.
+const REWARD_DEADLINE: Duration = Duration::from_millis(2_000);
+/// Pause before a reward call is made again.
+const REWARD_PAUSE: Duration = Duration::from_millis(20);
+
+/// An item of a batch.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ItemKey {
+    /// Batch.
+    pub batch: BatchId,
+    /// Item.
+    pub item: ItemId,
+}
+
+/// What a run tells the engine.
+#[derive(Debug)]
+pub struct RunMessage {
+    /// The item.
+    pub key: ItemKey,
+    /// The run.
+    pub run: RunId,
+    /// What happened.
+    pub news: RunNews,
+}
+
+/// What happened in a run.
+#[derive(Debug)]
+pub enum RunNews {
+    /// One more event.
+    Event(OutputEvent),
+    /// The run ended.
+    Ended(RunEnd),
+    /// The reward call ended.
+    Scored(ScoreEnd),
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The output is whole.
+    Whole,
+    /// The back end did not run it.
+    NotRun,
+    /// The back end could not be reached.
+    Unreachable,
+    /// The stream broke off, fell silent, or brought something else.
+    Broken,
+    /// The back end failed.
+    Failed,
+    /// The back end said that it can never be done.
+    Impossible,
+    /// The back end's weights are older than allowed.
+    VersionTooOld(Version),
+}
+
+impl RunEnd {
+    /// Name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::NotRun => "not_run",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Failed => "failed",
+            Self::Impossible => "impossible",
+            Self::VersionTooOld(_) => "version_too_old",
+        }
+    }
+}
+
+/// How a reward call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ScoreEnd {
+    /// It was answered with this signature.
+    Score(String),
+    /// Back ends failed at it as often as its route allows.
+    AttemptsUsed,
+}
+
+/// A run to be made.
+pub struct RunOrder {
+    /// The item.
+    pub key: ItemKey,
+    /// The run.
+    pub run: RunId,
+    /// What to send.
+    pub spec: Arc<Item>,
+    /// Host that selects the route.
+    pub host: String,
+    /// Events already there.
+    pub resumed_from: u32,
+    /// Oldest version that may make an event.
+    pub minimum_version: Version,
+    /// When the item may be given up.
+    pub deadline: Instant,
+    /// How urgent the back end is to take it.
+    pub urgency: u8,
+}
+
+/// Makes a run and tells the engine of each event and of the end.
+pub async fn make_run(
+    context: Arc<Context>,
+    backend: ChosenBackend,
+    order: RunOrder,
+    news: UnboundedSender<RunMessage>,
+) {
+    let end = run_to_end(&context, &backend, &order, &news).await;
+    drop(backend);
+    // The engine is gone only when the process ends.
+    let _ = news.send(RunMessage {
+        key: order.key,
+        run: order.run,
+        news: RunNews::Ended(end),
+    });
+}
+
+async fn run_to_end(
+    context: &Context,
+    backend: &ChosenBackend,
+    order: &RunOrder,
+    news: &UnboundedSender<RunMessage>,
+) -> RunEnd {
+    let Some(request) = item_request(context, &backend.id, order) else {
+        return RunEnd::Impossible;
+    };
+    let answer = match backend.link.send(request, HEAD_TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(error) if error.is_unsent() => return RunEnd::Unreachable,
+        Err(_) => return RunEnd::Broken,
+    };
+    match check_head(context, order, &answer) {
+        Ok(version) => read_events(context, backend, order, answer, version, news).await,
+        Err(end) => {
+            // Read to the end, so that the connection is kept.
+            let rest = answer.whole(MOST_REFUSAL_BYTES);
+            let _ = tokio::time::timeout(HEAD_TIMEOUT, rest).await;
+            end
+        }
+    }
+}
+
+/// Longest body of a refusal that is read.
+const MOST_REFUSAL_BYTES: usize = 64 * 1024;
+
+fn item_request(
+    context: &Context,
+    backend: &BackendId,
+    order: &RunOrder,
+) -> Option<Request<Full<Bytes>>> {
+    let names = context.dialect.headers();
+    let left = order.deadline.saturating_duration_since(Instant::now());
+    let mut request = Request::new(Full::new(order.spec.body.clone()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = order.spec.path.parse::<Uri>().ok()?;
+    let headers = request.headers_mut();
+    for header in &order.spec.headers {
+        let name = HeaderName::try_from(header.name.as_str()).ok()?;
+        headers.insert(name, HeaderValue::from_str(&header.value).ok()?);
+    }
+    calls::remove_connection_headers(headers);
+    headers.insert(HOST, HeaderValue::from_str(&order.host).ok()?);
+    let id = HeaderValue::from_str(order.key.item.as_str()).ok()?;
+    headers.insert(names.request_id.clone(), id);
+    let deadline_ms = left.as_millis().max(1) as u64;
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(deadline_ms));
+    let expected = HeaderValue::from_str(backend.as_str()).ok()?;
+    headers.insert(names.expected_backend.clone(), expected);
+    headers.insert(
+        names.urgency.clone(),
+        HeaderValue::from(u64::from(order.urgency)),
+    );
+    if order.resumed_from > 0 {
+        headers.insert(
+            names.last_event_id.clone(),
+            HeaderValue::from(order.resumed_from),
+        );
+    }
+    Some(request)
+}
+
+/// The version that the stream begins with, or how the run ends.
+fn check_head(context: &Context, order: &RunOrder, answer: &Answer) -> Result<Version, RunEnd> {
+    let names = context.dialect.headers();
+    if context
+        .dialect
+        .is_not_run(answer.status(), answer.headers())
+    {
+        return Err(RunEnd::NotRun);
+    }
+    let id = answer.headers().get(&names.request_id);
+    if id.is_none_or(|id| id.as_bytes() != order.key.item.as_str().as_bytes()) {
+        return Err(RunEnd::Broken);
+    }
+    match answer.status() {
+        StatusCode::UNPROCESSABLE_ENTITY => return Err(RunEnd::Impossible),
+        status if status.is_success() => {}
+        StatusCode::INTERNAL_SERVER_ERROR => return Err(RunEnd::Failed),
+        _ => return Err(RunEnd::Broken),
+    }
+    let version = read_version(answer.headers(), &names.weight_version).unwrap_or(0);
+    if version < order.minimum_version {
+        return Err(RunEnd::VersionTooOld(version));
+    }
+    Ok(version)
+}
+
+fn read_version(headers: &HeaderMap, name: &HeaderName) -> Option<Version> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+async fn read_events(
+    context: &Context,
+    backend: &ChosenBackend,
+    order: &RunOrder,
+    mut answer: Answer,
+    mut version: Version,
+    news: &UnboundedSender<RunMessage>,
+) -> RunEnd {
+    let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
+    let mut count = u64::from(order.resumed_from);
+    let mut last_event = Instant::now();
+    let is_framed = answer.is_framed();
+    loop {
+        let bytes = match tokio::time::timeout(EVENT_TIMEOUT, answer.next_bytes()).await {
+            Ok(Ok(Some(bytes))) => bytes,
+            Ok(Ok(None)) if is_framed => return RunEnd::Whole,
+            // An end that is not marked may be a break: a resumed run will tell.
+            Ok(Ok(None)) => return RunEnd::Broken,
+            Ok(Err(LinkError::Broken | _)) | Err(_) => return RunEnd::Broken,
+        };
+        reader.push(&bytes);
+        while let Some(event) = reader.next_event() {
+            count += 1;
+            if event.id.is_some_and(|id| id != count) {
+                return RunEnd::Broken;
+            }
+            version = event.version.unwrap_or(version);
+            if version < order.minimum_version {
+                return RunEnd::VersionTooOld(version);
+            }
+            let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
+            last_event = Instant::now();
+            context.backends.lock().saw_event_gap(&backend.id, gap_ms);
+            let event = OutputEvent {
+                version,
+                data: event.data,
+            };
+            let message = RunMessage {
+                key: order.key.clone(),
+                run: order.run,
+                news: RunNews::Event(event),
+            };
+            if news.send(message).is_err() {
+                return RunEnd::Broken;
+            }
+        }
+    }
+}
+
+/// Makes the reward call of an item until it is answered or has failed too often.
+pub async fn score(
+    context: Arc<Context>,
+    key: ItemKey,
+    run: RunId,
+    reward: RewardCall,
+    news: UnboundedSender<RunMessage>,
+) {
+    let end = score_to_end(&context, &reward).await;
+    let _ = news.send(RunMessage {
+        key,
+        run,
+        news: RunNews::Scored(end),
+    });
+}
+
+async fn score_to_end(context: &Arc<Context>, reward: &RewardCall) -> ScoreEnd {
+    let mut failures = 0;
+    loop {
+        let routes = context.routes();
+        let route = routes
+            .as_ref()
+            .and_then(|table| table.find(&reward.host, &reward.path));
+        if let (Some(route), Some(call)) = (route, reward_call(context, reward)) {
+            let executed = calls::execute(context, route, call).await;
+            failures += executed.server_errors;
+            if let CallOutcome::Answered(answer) = executed.outcome {
+                let signature = answer.headers.get(&context.dialect.headers().signature);
+                let score = signature.and_then(|value| value.to_str().ok());
+                if let (true, Some(score)) = (answer.status.is_success(), score) {
+                    return ScoreEnd::Score(score.to_owned());
+                }
+            }
+            if failures >= route.attempts.max(1) {
+                return ScoreEnd::AttemptsUsed;
+            }
+        }
+        tokio::time::sleep(REWARD_PAUSE).await;
+    }
+}
+
+fn reward_call(context: &Context, reward: &RewardCall) -> Option<Call> {
+    let names = context.dialect.headers();
+    let id = HeaderValue::from_str(&reward.id).ok()?;
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(&reward.host).ok()?);
+    headers.insert(names.request_id.clone(), id.clone());
+    Some(Call {
+        id,
+        method: Method::POST,
+        uri: reward.path.parse().ok()?,
+        headers,
+        body: reward.body.clone(),
+        deadline: Instant::now() + REWARD_DEADLINE,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/followers.rs
@@ -0,0 +1,235 @@
+//! Tasks that follow the directories and the streams, so that the node's knowledge stays fresh.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use havenstage_rollout::backend::BackendChange;
+use havenstage_rollout::framing::Joiner;
+use havenstage_rollout::orders::{OrderRecord, OrderState};
+use log::{info, warn};
+
+use crate::context::Context;
+use crate::edge::{
+    DirectoryEntry, DirectoryKind, DirectoryPage, LogError, LogStream, StreamPartition,
+};
+
+/// Pause after which a failed call is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Calls that must fail in a row before a dependency counts as lost.
+const FAILURES_UNTIL_LOST: u32 = 2;
+
+/// Tells once when a dependency is lost, and once when it is back.
+struct Dependency {
+    name: String,
+    failures: u32,
+}
+
+impl Dependency {
+    fn new(name: impl Into<String>) -> Self {
+        Self {
+            name: name.into(),
+            failures: 0,
+        }
+    }
+
+    fn works(&mut self) {
+        if self.failures >= FAILURES_UNTIL_LOST {
+            info!(event = "dependency_regained", dependency = self.name.as_str(),
+                failures = self.failures; "");
+        }
+        self.failures = 0;
+    }
+
+    fn fails(&mut self, error: LogError) {
+        self.failures += 1;
+        if self.failures == FAILURES_UNTIL_LOST {
+            warn!(event = "dependency_lost", dependency = self.name.as_str(),
+                reason = error.to_string().as_str(); "");
+        }
+    }
+}
+
+/// Follows a directory: a listing first, then changes; a listing again when changes are lost.
+pub async fn follow_directory(context: Arc<Context>, kind: DirectoryKind) {
+    let mut dependency = Dependency::new(format!("directory {kind:?}"));
+    let wait = context.settings.read_wait();
+    let mut next: Option<u64> = None;
+    loop {
+        let answer = match next {
+            None => context.directory.list(kind).await,
+            Some(from) => context.directory.changes(kind, from, wait).await,
+        };
+        match answer {
+            Ok(page) => {
+                dependency.works();
+                context.saw_contact();
+                let is_listing = next.is_none();
+                next = Some(page.next);
+                take_directory_page(&context, kind, page, is_listing);
+            }
+            Err(LogError::HistoryDropped { .. }) => next = None,
+            Err(error) => {
+                dependency.fails(error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_directory_page(
+    context: &Context,
+    kind: DirectoryKind,
+    page: DirectoryPage,
+    is_listing: bool,
+) {
+    let mut listed = BTreeMap::new();
+    for entry in page.entries {
+        match entry {
+            DirectoryEntry::Routing(config) => {
+                let version = config.version;
+                if context.set_routes(config) {
+                    info!(event = "routes_in_force", version = version; "");
+                }
+            }
+            DirectoryEntry::NamedVersion { model, version } => {
+                if context.name_version(model.clone(), version) {
+                    info!(event = "version_named", model = model.as_str(), version = version; "");
+                }
+            }
+            DirectoryEntry::Backend(BackendChange {
+                id,
+                record: Some(record),
+            }) if is_listing => {
+                listed.insert(id, record);
+            }
+            DirectoryEntry::Backend(change) => {
+                report_backend(&change);
+                context.backends.apply(change);
+            }
+            DirectoryEntry::Unreadable(name) => {
+                warn!(event = "entry_unreadable", entry = name.as_str(); "");
+            }
+        }
+    }
+    if is_listing && kind == DirectoryKind::Backends {
+        info!(event = "backends_listed", count = listed.len(); "");
+        context.backends.replace(listed);
+    }
+    context.orders_changed.notify_one();
+}
+
+fn report_backend(change: &BackendChange) {
+    let state = match &change.record {
+        None => "removed",
+        Some(record) if record.draining => "draining",
+        Some(_) => return,
+    };
+    info!(event = "backend_leaves", backend = change.id.as_str(), state = state; "");
+}
+
+/// Follows a partition of batches.
+pub async fn follow_partition(context: Arc<Context>, partition: usize) {
+    let partition = &context.partitions[partition];
+    let mut dependency = Dependency::new(format!("partition {}", partition.id.partition));
+    let wait = context.settings.read_wait();
+    loop {
+        let asked = context.now();
+        let from = partition.lock().next;
+        match context.log.read(partition.id, from, wait).await {
+            Ok(page) => {
+                dependency.works();
+                context.saw_contact();
+                let outcome = partition.take_page(page, asked, context.now());
+                if outcome.unreadable > 0 {
+                    warn!(event = "records_unreadable", partition = partition.id.partition,
+                        count = outcome.unreadable; "");
+                }
+            }
+            Err(LogError::HistoryDropped { first }) => partition.skip_to(first),
+            Err(error) => {
+                dependency.fails(error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+        forget_old_batches(&context, partition);
+    }
+}
+
+/// Kept longer than promised, since nodes see a batch at different times.
+const RETENTION_SLACK_MS: u64 = 10_000;
+
+fn forget_old_batches(context: &Context, partition: &crate::partition::Partition) {
+    let retention = (context.settings.bounds.retention_s * 1_000.0) as u64 + RETENTION_SLACK_MS;
+    if let Some(before) = context.now().checked_sub(retention) {
+        partition.lock().state.forget_before(before);
+    }
+}
+
+/// The only partition of orders in use.
+pub const ORDERS: StreamPartition = StreamPartition {
+    stream: LogStream::Orders,
+    partition: 0,
+};
+
+/// Follows the stream of orders.
+pub async fn follow_orders(context: Arc<Context>) {
+    let mut dependency = Dependency::new("orders");
+    let wait = context.settings.read_wait();
+    let mut joiner = Joiner::default();
+    let mut next = 0;
+    loop {
+        match context.log.read(ORDERS, next, wait).await {
+            Ok(page) => {
+                dependency.works();
+                context.saw_contact();
+                let now = context.now();
+                let read_to = page.from + page.records.len() as u64;
+                for value in page
+                    .records
+                    .into_iter()
+                    .filter_map(|record| joiner.push(record))
+                {
+                    match OrderRecord::decode(&value) {
+                        Ok(record) => take_order(&context, record, now),
+                        Err(error) => warn!(event = "order_unreadable",
+                            reason = error.to_string().as_str(); ""),
+                    }
+                }
+                if read_to != next {
+                    lock_orders(&context).read_to(read_to);
+                    next = read_to;
+                    context.orders_changed.notify_one();
+                    context.work.notify_one();
+                }
+            }
+            Err(LogError::HistoryDropped { first }) => next = first,
+            Err(error) => {
+                dependency.fails(error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_order(context: &Context, record: OrderRecord, now: u64) {
+    if let OrderRecord::Loaded {
+        backend,
+        model,
+        version,
+    } = &record
+    {
+        context
+            .backends
+            .lock()
+            .saw_version(backend, model, *version);
+    }
+    lock_orders(context).apply(record, &context.node, now);
+}
+
+fn lock_orders(context: &Context) -> MutexGuard<'_, OrderState> {
+    context
+        .orders
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,20 @@
+//! A node of the rollout service on a shared log: it passes calls on, keeps batches and runs their
+//! items, rolls out versions, and holds nothing that must outlive its process.
+//!
+//! The decisions are in `havenstage_rollout`; this crate joins them to the traits in [`edge`].
+
+pub mod backends;
+pub mod batches;
+pub mod calls;
+pub mod context;
+pub mod coordinator;
+pub mod edge;
+pub mod engine;
+pub mod followers;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod ownership;
+pub mod partition;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,67 @@
+//! Counters and latency histograms, served as text.
+
+use std::net::SocketAddr;
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use thiserror::Error;
+
+/// Bounds of the latency histograms, in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 12] = [
+    1.0, 5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 2_000.0, 8_000.0, 30_000.0,
+];
+
+/// Metrics cannot be collected.
+#[derive(Debug, Error)]
+#[error("metrics cannot be collected at {address}: {reason}")]
+pub struct MetricsError {
+    /// Address they would be served on.
+    pub address: SocketAddr,
+    /// Why.
+    pub reason: String,
+}
+
+/// Starts collecting; the handle renders what was collected.
+pub fn start(address: SocketAddr) -> Result<PrometheusHandle, MetricsError> {
+    let failed = |reason: String| MetricsError { address, reason };
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_ms".into()), &LATENCY_BOUNDS_MS)
+        .map_err(|error| failed(error.to_string()))?
+        .install_recorder()
+        .map_err(|error| failed(error.to_string()))
+}
+
+/// A call ended.
+pub fn call_ended(outcome: &'static str, took_ms: u64) {
+    counter!("gateway_calls_total", "outcome" => outcome).increment(1);
+    histogram!("gateway_call_ms", "outcome" => outcome).record(took_ms as f64);
+}
+
+/// A call on batches ended.
+pub fn batch_call_ended(kind: &'static str, status: u16, took_ms: u64) {
+    counter!("gateway_batch_calls_total", "kind" => kind, "status" => status.to_string())
+        .increment(1);
+    histogram!("gateway_batch_call_ms", "kind" => kind).record(took_ms as f64);
+}
+
+/// A run of an item ended.
+pub fn run_ended(outcome: &'static str, took_ms: u64) {
+    counter!("gateway_runs_total", "outcome" => outcome).increment(1);
+    histogram!("gateway_run_ms", "outcome" => outcome).record(took_ms as f64);
+}
+
+/// Results were written to the log, or not.
+pub fn results_written(outcome: &'static str, took_ms: u64) {
+    counter!("gateway_appends_total", "outcome" => outcome).increment(1);
+    histogram!("gateway_append_ms", "outcome" => outcome).record(took_ms as f64);
+}
+
+/// An order was answered.
+pub fn order_answered(outcome: &'static str) {
+    counter!("gateway_orders_total", "outcome" => outcome).increment(1);
+}
+
+/// Items that run on this node now.
+pub fn items_running(count: usize) {
+    gauge!("gateway_items_running").set(count as f64);
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,143 @@
+//! Puts a node together, runs it, and stops it in order.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use havenstage_rollout::ids::NodeId;
+use log::info;
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::coordinator::Coordinator;
+use crate::edge::{Dialect, Directory, DirectoryKind, SharedLog};
+use crate::engine::Engine;
+use crate::metrics::{self, MetricsError};
+use crate::server::{self, InFlight, ListenError};
+use crate::settings::Settings;
+use crate::{followers, ownership};
+
+/// Time from the signal to stop until connections are closed, so that callers' entry has noticed
+/// that the node is not ready.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the process would be killed at which it ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(600);
+/// Pause between two looks at whether requests are still in flight.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a node is put together from.
+pub struct Surroundings {
+    /// The shared log.
+    pub log: Arc<dyn SharedLog>,
+    /// The directories.
+    pub directory: Arc<dyn Directory>,
+    /// The dialect of callers and back ends.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// A node cannot run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address cannot be listened on.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// Metrics cannot be collected.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    /// Signals cannot be received.
+    #[error("signals cannot be received: {0}")]
+    Signals(std::io::Error),
+}
+
+/// Runs a node until it is told to stop. `reload` is called when the settings may have changed.
+pub async fn run(
+    settings: Settings,
+    surroundings: Surroundings,
+    reload: impl Fn(),
+) -> Result<(), NodeError> {
+    let life: u32 = rand::random();
+    let node = NodeId::from(format!("{}-{life:08x}", settings.node));
+    let listen = settings.listen.clone();
+    let callers = server::listen("callers'", listen.callers).await?;
+    let ready = server::listen("readiness", listen.ready).await?;
+    let context = Context::new(
+        settings,
+        node,
+        surroundings.log,
+        surroundings.directory,
+        surroundings.dialect,
+    );
+    if let Some(address) = listen.metrics {
+        let handle = metrics::start(address)?;
+        let listener = server::listen("metrics", address).await?;
+        tokio::spawn(server::serve_metrics(handle, listener));
+    }
+    let in_flight = Arc::new(InFlight::default());
+    let (close, closing) = watch::channel(false);
+    start_followers(&context);
+    tokio::spawn(server::serve_readiness(context.clone(), ready));
+    tokio::spawn(server::serve_callers(
+        context.clone(),
+        callers,
+        in_flight.clone(),
+        closing,
+    ));
+    tokio::spawn(Engine::new(context.clone()).run());
+    tokio::spawn(Coordinator::new(context.clone()).run());
+    let membership = tokio::spawn(ownership::keep_membership(context.clone()));
+    info!(event = "started", node = context.node.as_str(),
+        zone = context.settings.zone.as_str(), version = env!("CARGO_PKG_VERSION"); "");
+    wait_for_stop(reload).await?;
+    membership.abort();
+    stop(&context, &in_flight, &close).await;
+    Ok(())
+}
+
+fn start_followers(context: &Arc<Context>) {
+    tokio::spawn(followers::follow_directory(
+        context.clone(),
+        DirectoryKind::Operators,
+    ));
+    tokio::spawn(followers::follow_directory(
+        context.clone(),
+        DirectoryKind::Backends,
+    ));
+    tokio::spawn(followers::follow_orders(context.clone()));
+    for partition in 0..context.partitions.len() {
+        tokio::spawn(followers::follow_partition(context.clone(), partition));
+    }
+}
+
+async fn wait_for_stop(reload: impl Fn()) -> Result<(), NodeError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hang_up.recv() => reload(),
+        }
+    }
+}
+
+/// Hands over the work, lets callers' entry notice, and waits for requests in flight.
+async fn stop(context: &Context, in_flight: &InFlight, close: &watch::Sender<bool>) {
+    let began = Instant::now();
+    context.stopping.store(true, Ordering::Relaxed);
+    let grace = Duration::from_secs_f64(context.settings.bounds.stop_grace_s);
+    let ends = began + grace.saturating_sub(END_MARGIN);
+    info!(event = "stopping", in_flight = in_flight.count(); "");
+    ownership::leave(context).await;
+    tokio::time::sleep_until((began + NOTICE_TIME).min(ends)).await;
+    close.send_replace(true);
+    tokio::time::sleep(LOOK_PAUSE).await;
+    while in_flight.count() > 0 && Instant::now() < ends {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+    let took_ms = began.elapsed().as_millis() as u64;
+    info!(event = "stopped", in_flight = in_flight.count(), took_ms = took_ms; "");
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,447 @@
+//! The HTTP servers of a node: callers, readiness, metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use havenstage_http_link::WholeAnswer;
+use havenstage_rollout::ids::BatchId;
+use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
+use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::request::Parts;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{info, warn};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::batches::{self, BatchAnswer};
+use crate::calls::{self, Call, CallOutcome, StreamingAnswer};
+use crate::context::Context;
+use crate::edge::BatchCall;
+use crate::metrics;
+
+/// Age of the last answer of the log up to which a node calls itself ready.
+const READY_CONTACT_MS: u64 = 2_500;
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which callers that found no configuration may come back.
+const COME_BACK: Duration = Duration::from_millis(100);
+/// Deadline of a call that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Smallest buffer that the HTTP library accepts for a head.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+
+type Body = UnsyncBoxBody<Bytes, StreamBroken>;
+
+/// The back end's stream broke off, so the caller's answer must not look whole.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the back end's stream broke off")]
+pub struct StreamBroken;
+
+/// Requests that callers wait for now.
+#[derive(Debug, Default)]
+pub struct InFlight(AtomicUsize);
+
+impl InFlight {
+    /// How many.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+struct InFlightGuard(Arc<InFlight>);
+
+impl InFlightGuard {
+    fn new(in_flight: &Arc<InFlight>) -> Self {
+        in_flight.0.fetch_add(1, Ordering::Relaxed);
+        Self(in_flight.clone())
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// An address cannot be listened on.
+#[derive(Debug, Error)]
+#[error("{purpose} address {address} cannot be listened on: {source}")]
+pub struct ListenError {
+    /// What it is for.
+    pub purpose: &'static str,
+    /// The address.
+    pub address: SocketAddr,
+    /// Why.
+    pub source: std::io::Error,
+}
+
+/// Listens on an address.
+pub async fn listen(
+    purpose: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, ListenError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| ListenError {
+        purpose,
+        address,
+        source,
+    })
+}
+
+/// Serves callers; `closing` turns true when kept connections are to be closed.
+pub async fn serve_callers(
+    context: Arc<Context>,
+    listener: TcpListener,
+    in_flight: Arc<InFlight>,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let context = context.clone();
+        let in_flight = in_flight.clone();
+        let closing = closing.clone();
+        tokio::spawn(async move { serve_caller(context, stream, in_flight, closing).await });
+    }
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            // A connection works without this, only less promptly.
+            let _ = stream.set_nodelay(true);
+            Some(stream)
+        }
+        Err(error) => {
+            warn!(event = "accept_failed", reason = error.to_string().as_str(); "");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            None
+        }
+    }
+}
+
+async fn serve_caller(
+    context: Arc<Context>,
+    stream: TcpStream,
+    in_flight: Arc<InFlight>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let limits = context
+        .routes()
+        .map_or_else(CallerLimits::default, |table| table.limits());
+    let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
+    let service = service_fn(|request: Request<Incoming>| {
+        let guard = InFlightGuard::new(&in_flight);
+        let context = context.clone();
+        async move {
+            let response = handle(&context, request).await;
+            Ok::<_, Infallible>(hold_until_sent(response, guard))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A caller that breaks off needs no word.
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Counts the request as in flight until its answer's body is sent.
+fn hold_until_sent(response: Response<Body>, guard: InFlightGuard) -> Response<Body> {
+    response.map(|body| {
+        body.map_frame(move |frame| {
+            let _held = &guard;
+            frame
+        })
+        .boxed_unsync()
+    })
+}
+
+async fn handle(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+    let began = Instant::now();
+    let (head, body) = request.into_parts();
+    if let Some(call) = context.dialect.batch_call(&head.method, &head.uri) {
+        return handle_batch_call(context, &head, call, began).await;
+    }
+    let Some(table) = context.routes() else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, COME_BACK);
+    };
+    let host = host_of(&head).unwrap_or_default();
+    let Some(route) = table.find(&host, head.uri.path()).cloned() else {
+        info!(event = "no_route", request = request_id(context, &head).as_str(),
+            host = host.as_str(), path = head.uri.path(), routes_version = table.version(); "");
+        return plain(StatusCode::NOT_FOUND);
+    };
+    let Some(id) = head
+        .headers
+        .get(&context.dialect.headers().request_id)
+        .cloned()
+    else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let body = match read_body(body, table.limits().body_bytes).await {
+        Ok(body) => body,
+        Err(status) => return plain(status),
+    };
+    if route.kind == RequestKind::Batch {
+        return handle_submission(context, &head, &id, &host, body, began).await;
+    }
+    handle_call(context, &route, head, id, body, began).await
+}
+
+fn request_id(context: &Context, head: &Parts) -> String {
+    let id = head.headers.get(&context.dialect.headers().request_id);
+    id.and_then(|id| id.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn host_of(head: &Parts) -> Option<String> {
+    let named = head.uri.host().map(str::to_owned);
+    named.or_else(|| Some(head.headers.get(HOST)?.to_str().ok()?.to_owned()))
+}
+
+async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, StatusCode> {
+    let read = Limited::new(body, most_bytes).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+// Batches.
+
+async fn handle_submission(
+    context: &Arc<Context>,
+    head: &Parts,
+    id: &HeaderValue,
+    host: &str,
+    body: Bytes,
+    began: Instant,
+) -> Response<Body> {
+    if head.method != Method::POST {
+        return plain(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let Ok(id) = id.to_str() else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let path = head.uri.path();
+    let read = context
+        .dialect
+        .read_submission(BatchId::from(id), host, path, &body);
+    let answer = match read {
+        Ok(submission) => batches::submit(context, submission).await,
+        Err(error) => {
+            warn!(event = "batch_refused", batch = id, status = 400u16,
+                reason = error.to_string().as_str(); "");
+            BatchAnswer::empty(StatusCode::BAD_REQUEST)
+        }
+    };
+    batch_response(context, "submit", answer, began)
+}
+
+async fn handle_batch_call(
+    context: &Arc<Context>,
+    head: &Parts,
+    call: BatchCall,
+    began: Instant,
+) -> Response<Body> {
+    match call {
+        BatchCall::Read { batch, from } => {
+            let wait = header_ms(&head.headers, &context.dialect.headers().wait_ms);
+            let answer = batches::read(context, &batch, from, wait.unwrap_or_default()).await;
+            batch_response(context, "read", answer, began)
+        }
+        BatchCall::ItemBody { batch, item } => {
+            let answer = batches::item_body(context, &batch, &item).await;
+            batch_response(context, "item", answer, began)
+        }
+        BatchCall::End { batch } => {
+            batch_response(context, "end", batches::end(context, &batch).await, began)
+        }
+        BatchCall::Malformed => plain(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn batch_response(
+    context: &Context,
+    kind: &'static str,
+    answer: BatchAnswer,
+    began: Instant,
+) -> Response<Body> {
+    let took_ms = began.elapsed().as_millis() as u64;
+    metrics::batch_call_ended(kind, answer.status.as_u16(), took_ms);
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+        return refuse(answer.status, COME_BACK);
+    }
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = answer.status;
+    if answer.is_own_format {
+        let content_type = HeaderValue::from_static(context.dialect.content_type());
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+// Calls.
+
+async fn handle_call(
+    context: &Arc<Context>,
+    route: &Route,
+    head: Parts,
+    id: HeaderValue,
+    body: Bytes,
+    began: Instant,
+) -> Response<Body> {
+    let names = context.dialect.headers();
+    let wait = header_ms(&head.headers, &names.deadline_ms).unwrap_or(DEFAULT_DEADLINE);
+    let mut headers = head.headers;
+    calls::remove_connection_headers(&mut headers);
+    headers.remove(&names.expected_backend);
+    let call = Call {
+        id: id.clone(),
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        deadline: began + wait,
+    };
+    match calls::execute(context, route, call).await.outcome {
+        CallOutcome::Answered(answer) => pass_on(answer),
+        CallOutcome::Streaming(streaming) => pass_on_stream(*streaming),
+        CallOutcome::Refused { come_back } => refuse(StatusCode::SERVICE_UNAVAILABLE, come_back),
+        CallOutcome::Failed { status } => plain(status),
+    }
+}
+
+fn pass_on(answer: WholeAnswer) -> Response<Body> {
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = answer.status;
+    let mut headers = answer.headers;
+    calls::remove_connection_headers(&mut headers);
+    *response.headers_mut() = headers;
+    response
+}
+
+fn pass_on_stream(streaming: StreamingAnswer) -> Response<Body> {
+    let status = streaming.answer.status();
+    let mut headers = streaming.answer.headers().clone();
+    calls::remove_connection_headers(&mut headers);
+    let frames = stream::unfold(Some(streaming), |state| async move {
+        let mut streaming = state?;
+        match streaming.answer.next_bytes().await {
+            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(streaming))),
+            Ok(None) if streaming.answer.is_framed() => None,
+            Ok(None) | Err(_) => Some((Err(StreamBroken), None)),
+        }
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn header_ms(headers: &HeaderMap, name: &http::HeaderName) -> Option<Duration> {
+    let milliseconds: u64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(milliseconds))
+}
+
+fn whole_body(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn plain(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// A refusal that tells the caller when to come back, in seconds with fractions.
+fn refuse(status: StatusCode, come_back: Duration) -> Response<Body> {
+    let mut response = plain(status);
+    let seconds = format!("{:.3}", come_back.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+// Readiness and metrics.
+
+/// Whether the node takes requests.
+pub fn is_ready(context: &Context) -> bool {
+    let has_routes = context.routes().is_some();
+    has_routes && !context.is_stopping() && context.contact_age() < READY_CONTACT_MS
+}
+
+/// Serves readiness.
+pub async fn serve_readiness(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let is_asked = context
+                    .dialect
+                    .is_readiness_call(request.method(), request.uri().path());
+                let status = match (is_asked, is_ready(&context)) {
+                    (false, _) => StatusCode::NOT_FOUND,
+                    (true, true) => StatusCode::OK,
+                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                async move { Ok::<_, Infallible>(plain(status)) }
+            });
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Serves metrics as text.
+pub async fn serve_metrics(
+    handle: metrics_exporter_prometheus::PrometheusHandle,
+    listener: TcpListener,
+) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let text = Bytes::from(handle.render());
+                async move { Ok::<_, Infallible>(Response::new(whole_body(text))) }
+            });
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,220 @@
+//! Settings of a gateway node, as a TOML file. Unknown keys are passed over, so that one file may
+//! serve several versions of the program.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// All settings.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: String,
+    /// Zone it stands in.
+    pub zone: String,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// The shared log.
+    pub log: LogSettings,
+    /// Times that the surroundings promise or ask for.
+    pub bounds: BoundSettings,
+    /// Choices of the operator.
+    #[serde(default)]
+    pub tuning: TuningSettings,
+}
+
+/// Addresses to listen on.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ListenSettings {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Readiness.
+    pub ready: SocketAddr,
+    /// Metrics; none are served without it.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The shared log.
+#[derive(Debug, Clone, Deserialize)]
+pub struct LogSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Partitions of each stream.
+    pub partitions: u32,
+    /// Most bytes of a record.
+    pub record_bytes: usize,
+    /// Most bytes of a call.
+    pub call_bytes: usize,
+    /// Reading calls a second that all nodes may make together.
+    pub reads_per_s: u32,
+    /// Shortest time after which a silent member is taken for gone.
+    pub shortest_lease_ms: u64,
+}
+
+/// Times that the surroundings promise or ask for.
+#[derive(Debug, Clone, Deserialize)]
+pub struct BoundSettings {
+    /// Seconds from the signal to stop until the process is killed.
+    pub stop_grace_s: f64,
+    /// Milliseconds that must lie between the orders of two holders.
+    pub order_lease_ms: u64,
+    /// Milliseconds after a thaw in which a node gives no orders.
+    pub order_thaw_ms: u64,
+    /// Seconds that a batch can be read after it was handed in.
+    pub retention_s: f64,
+}
+
+/// Choices of the operator.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub struct TuningSettings {
+    /// Milliseconds that a reading call waits for a record.
+    pub read_wait_ms: u64,
+    /// Milliseconds between two appends of results.
+    pub flush_ms: u64,
+    /// Milliseconds after which progress is written though no item has ended.
+    pub progress_ms: u64,
+    /// Milliseconds of a membership's lease.
+    pub lease_ms: u64,
+    /// Loads of weights that may be under way together.
+    pub loads_at_once: usize,
+    /// Log lines a second.
+    pub log_lines_per_s: u32,
+}
+
+impl Default for TuningSettings {
+    fn default() -> Self {
+        Self {
+            read_wait_ms: 1_500,
+            flush_ms: 40,
+            progress_ms: 250,
+            lease_ms: 1_800,
+            loads_at_once: 2,
+            log_lines_per_s: 200,
+        }
+    }
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is not TOML of the expected shape.
+    #[error("{}: {source}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// Where and why.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is outside its range.
+    #[error("{}: {key} is {value}, allowed is {allowed}", path.display())]
+    OutOfRange {
+        /// The file.
+        path: PathBuf,
+        /// The key.
+        key: &'static str,
+        /// The value.
+        value: String,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Reads and checks a text; `path` is only named in errors.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|source| SettingsError::Malformed {
+            path: path.to_owned(),
+            source: Box::new(source),
+        })?;
+        settings.validate(path)?;
+        Ok(settings)
+    }
+
+    fn validate(&self, path: &Path) -> Result<(), SettingsError> {
+        let at_least_one = "at least 1";
+        let whole_numbers = [
+            ("log.partitions", u64::from(self.log.partitions)),
+            ("log.record_bytes", self.log.record_bytes as u64),
+            ("log.call_bytes", self.log.call_bytes as u64),
+            ("log.reads_per_s", u64::from(self.log.reads_per_s)),
+            ("tuning.read_wait_ms", self.tuning.read_wait_ms),
+            ("tuning.flush_ms", self.tuning.flush_ms),
+            ("tuning.progress_ms", self.tuning.progress_ms),
+            ("tuning.lease_ms", self.tuning.lease_ms),
+            ("tuning.loads_at_once", self.tuning.loads_at_once as u64),
+            (
+                "tuning.log_lines_per_s",
+                u64::from(self.tuning.log_lines_per_s),
+            ),
+        ];
+        for (key, value) in whole_numbers {
+            if value == 0 {
+                return Err(out_of_range(path, key, &value, at_least_one));
+            }
+        }
+        let seconds = [
+            ("bounds.stop_grace_s", self.bounds.stop_grace_s),
+            ("bounds.retention_s", self.bounds.retention_s),
+        ];
+        for (key, value) in seconds {
+            if !(value.is_finite() && value >= 0.0) {
+                return Err(out_of_range(
+                    path,
+                    key,
+                    &value,
+                    "a number of seconds, 0 or more",
+                ));
+            }
+        }
+        if self.node.is_empty() {
+            return Err(out_of_range(path, "node", &self.node, "a name"));
+        }
+        Ok(())
+    }
+
+    /// The lease of the membership, no shorter than the log allows.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.tuning.lease_ms.max(self.log.shortest_lease_ms))
+    }
+
+    /// How long a reading call waits for a record.
+    pub fn read_wait(&self) -> Duration {
+        Duration::from_millis(self.tuning.read_wait_ms)
+    }
+}
+
+fn out_of_range(
+    path: &Path,
+    key: &'static str,
+    value: &dyn std::fmt::Display,
+    allowed: &'static str,
+) -> SettingsError {
+    SettingsError::OutOfRange {
+        path: path.to_owned(),
+        key,
+        value: value.to_string(),
+        allowed,
+    }
+}
--- /dev/null
+++ b/crates/http-link/src/connection.rs
@@ -0,0 +1,71 @@
+//! One connection and the task that drives it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::error::LinkError;
+
+/// Time after which the system gives up a connection whose peer acknowledges nothing.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest buffer for what is read from a connection.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// A connection that carries one exchange at a time. Dropping it closes the socket.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) idle_since: Instant,
+    pub(crate) keep_for: Duration,
+    driver: AbortHandle,
+}
+
+impl Connection {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        timeout: Duration,
+        keep_for: Duration,
+    ) -> Result<Self, LinkError> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(timeout, connect)
+            .await
+            .map_err(|_| LinkError::NotConnected)?
+            .map_err(|_| LinkError::NotConnected)?;
+        // A connection works without either option, only less promptly.
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| LinkError::NotConnected)?;
+        let driver = tokio::spawn(async move {
+            // The exchange under way sees the error itself.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            idle_since: Instant::now(),
+            keep_for,
+            driver: driver.abort_handle(),
+        })
+    }
+
+    /// Whether it may carry another exchange.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.idle_since.elapsed() < self.keep_for
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/http-link/src/lib.rs
@@ -0,0 +1,12 @@
+//! Kept HTTP/1.1 connections to one address, with errors that say whether a request can have
+//! reached the server. Dropping an answer before its end closes its connection, which cancels the
+//! request at a server that watches for that.
+
+mod answer;
+mod connection;
+mod error;
+mod link;
+
+pub use answer::{Answer, WholeAnswer};
+pub use error::LinkError;
+pub use link::{Link, LinkSettings, LinkTraffic};
--- /dev/null
+++ b/crates/rollout/src/ids.rs
@@ -0,0 +1,87 @@
+//! Identifiers. Each is text chosen by its issuer and cheap to clone.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The identifier's text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&self.0, formatter)
+            }
+        }
+    };
+}
+
+text_id!(
+    /// A batch of items, as its submitter named it.
+    BatchId
+);
+text_id!(
+    /// An item; unique within its batch, and the request id of its runs.
+    ItemId
+);
+text_id!(
+    /// Items of one group share a prompt and are consumed together.
+    GroupId
+);
+text_id!(
+    /// One incarnation of a back end.
+    BackendId
+);
+text_id!(
+    /// A pool of back ends that serve the same thing.
+    PoolName
+);
+text_id!(
+    /// A model whose weights are versioned.
+    ModelName
+);
+text_id!(
+    /// One life of a node's process.
+    NodeId
+);
+
+/// One run of an item on a back end; unique among all nodes and lives.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct RunId(pub u64);
+
+/// A number of weights of a model; a higher one is newer.
+pub type Version = u64;
+
+/// The partition that holds a batch, by the hash of its id.
+pub fn partition_of(batch: &BatchId, partitions: u32) -> u32 {
+    let hash = xxhash_rust::xxh3::xxh3_64(batch.as_str().as_bytes());
+    (hash % u64::from(partitions.max(1))) as u32
+}
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of the rollout service on a shared log, as state machines without I/O: which route a
+//! call takes, what a partition of batches holds, which back end runs which item, and which back
+//! end loads which version next. Time is passed in as milliseconds on a steady clock.
+
+pub mod backend;
+pub mod batch;
+pub mod event_stream;
+pub mod fold;
+pub mod framing;
+pub mod health;
+pub mod ids;
+pub mod orders;
+pub mod record;
+pub mod route;
+pub mod schedule;
+
+/// Milliseconds on the process's steady clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/rollout/src/record.rs
@@ -0,0 +1,124 @@
+//! Records of a partition of batches. Each may be appended more than once, and late: the fold
+//! (`crate::fold`) ignores every repetition.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::batch::Submission;
+use crate::ids::{BackendId, BatchId, ItemId, RunId, Version};
+
+/// One event of an item's output.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutputEvent {
+    /// Version of the weights that made it.
+    pub version: Version,
+    /// Its data.
+    pub data: Bytes,
+}
+
+/// Why an item was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GiveUpReason {
+    /// A back end said that it can never be done.
+    Impossible,
+    /// Runs or reward calls failed as often as the route allows.
+    AttemptsUsed,
+    /// It was not done within the time the route allows.
+    TooLate,
+}
+
+/// How an item ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Its output is whole; `score` is the signature of its reward call.
+    Completed {
+        /// Signature of the reward call, if the item has one.
+        score: Option<String>,
+    },
+    /// It was given up.
+    GivenUp(GiveUpReason),
+}
+
+/// A record of a partition.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BatchRecord {
+    /// A batch was accepted.
+    Submitted(Arc<Submission>),
+    /// A run of an item began on a back end.
+    Started {
+        /// Batch.
+        batch: BatchId,
+        /// Item.
+        item: ItemId,
+        /// The run.
+        run: RunId,
+        /// Where it runs.
+        backend: BackendId,
+    },
+    /// More output of a run.
+    Progress {
+        /// Batch.
+        batch: BatchId,
+        /// Item.
+        item: ItemId,
+        /// The run.
+        run: RunId,
+        /// Events the run was given to go on from.
+        resumed_from: u32,
+        /// Events before the first of `events`.
+        from: u32,
+        /// The new events.
+        events: Vec<OutputEvent>,
+    },
+    /// An item is done.
+    Finished {
+        /// Batch.
+        batch: BatchId,
+        /// Item.
+        item: ItemId,
+        /// The run that finished it.
+        run: RunId,
+        /// Events the run was given to go on from.
+        resumed_from: u32,
+        /// Events of the whole output.
+        events: u32,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The caller ended the batch.
+    Ended {
+        /// Batch.
+        batch: BatchId,
+    },
+}
+
+/// A record that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("not a record of a partition: {0}")]
+pub struct UnreadableRecord(postcard::Error);
+
+impl BatchRecord {
+    /// The batch it concerns.
+    pub fn batch(&self) -> &BatchId {
+        match self {
+            Self::Submitted(submission) => &submission.id,
+            Self::Started { batch, .. }
+            | Self::Progress { batch, .. }
+            | Self::Finished { batch, .. }
+            | Self::Ended { batch } => batch,
+        }
+    }
+
+    /// The bytes kept in the log.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a record holds only plain data")
+    }
+
+    /// Reads the bytes of the log.
+    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableRecord> {
+        postcard::from_bytes(bytes).map_err(UnreadableRecord)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/schedule.rs
@@ -0,0 +1,165 @@
+//! Which item runs next, and on which back end.
+//!
+//! Items of the groups that the trainer waits for go first; of the others, groups with the
+//! shortest longest item come first, since a step needs only some of them. Within a rank the
+//! longest expected item starts first, so that it does not end last.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::Millis;
+use crate::fold::BatchState;
+use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, Version};
+
+/// An item that waits for a place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WaitingItem {
+    /// Batch.
+    pub batch: BatchId,
+    /// Item.
+    pub item: ItemId,
+    /// Whether its step can be whole without it.
+    pub optional: bool,
+    /// Tokens still expected.
+    pub expected_tokens: u32,
+    /// When its batch was first seen.
+    pub since: Millis,
+    /// Model it needs.
+    pub model: Option<ModelName>,
+    /// Oldest version it may run on.
+    pub minimum_version: Version,
+    /// Group, to place items with the same prompt together.
+    pub group: Option<GroupId>,
+}
+
+/// A place that an item may take.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The back end.
+    pub backend: BackendId,
+    /// Items that run there now, of all nodes.
+    pub running: u32,
+    /// Items it runs at a time.
+    pub slots: u32,
+    /// Its speed relative to the others; 1 is usual.
+    pub speed: f64,
+    /// Versions of its models.
+    pub models: BTreeMap<ModelName, Version>,
+    /// Groups whose prompt it holds.
+    pub groups: HashSet<GroupId>,
+}
+
+impl Candidate {
+    /// Whether it has a free place and new enough weights for the item.
+    pub fn accepts(&self, item: &WaitingItem) -> bool {
+        self.running < self.slots && self.has_version_for(item)
+    }
+
+    fn has_version_for(&self, item: &WaitingItem) -> bool {
+        match &item.model {
+            Some(model) => self
+                .models
+                .get(model)
+                .is_some_and(|v| *v >= item.minimum_version),
+            None => true,
+        }
+    }
+
+    fn cost_for(&self, item: &WaitingItem) -> f64 {
+        let crowd = f64::from(self.running + 1);
+        let reread = match &item.group {
+            Some(group) if !self.groups.contains(group) => PROMPT_READ_COST,
+            _ => 0.0,
+        };
+        // A batch step takes a base time and a little more for each running item.
+        (1.0 + STEP_COST_PER_ITEM * crowd) / self.speed + reread
+    }
+}
+
+/// Growth of a step's time with each item that runs beside.
+const STEP_COST_PER_ITEM: f64 = 0.033;
+/// Cost of reading a prompt again, in the same unit.
+const PROMPT_READ_COST: f64 = 0.05;
+
+/// Orders waiting items: needed before optional, older batches first, longest first.
+pub fn sort_waiting(waiting: &mut [WaitingItem]) {
+    waiting.sort_by(|left, right| {
+        (
+            left.optional,
+            left.since,
+            std::cmp::Reverse(left.expected_tokens),
+            &left.item,
+        )
+            .cmp(&(
+                right.optional,
+                right.since,
+                std::cmp::Reverse(right.expected_tokens),
+                &right.item,
+            ))
+    });
+}
+
+/// The best place for an item, or none.
+pub fn choose<'a>(item: &WaitingItem, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+    let fitting = candidates
+        .iter()
+        .filter(|candidate| candidate.accepts(item));
+    fitting.min_by(|left, right| {
+        let order = left.cost_for(item).total_cmp(&right.cost_for(item));
+        order.then_with(|| left.backend.cmp(&right.backend))
+    })
+}
+
+/// Items of a batch whose step can be whole without them. Groups carried over from an earlier batch
+/// are always needed; of the others as many as are still missing, the shortest first.
+pub fn optional_items(
+    batch: &BatchState,
+    carried: &HashSet<ItemId>,
+    tokens_per_event: u32,
+) -> HashSet<ItemId> {
+    let groups = group_summaries(batch, carried, tokens_per_event);
+    if batch.desired_groups == 0 || groups.is_empty() {
+        return HashSet::new();
+    }
+    let mut open: Vec<&GroupSummary> = groups.values().filter(|group| !group.carried).collect();
+    open.sort_by_key(|group| (!group.whole, group.longest_remaining, group.first_at));
+    let carried_groups = groups.values().filter(|group| group.carried).count();
+    let needed = (batch.desired_groups as usize).saturating_sub(carried_groups);
+    let surplus = open.iter().skip(needed).filter(|group| !group.whole);
+    surplus
+        .flat_map(|group| group.items.iter().cloned())
+        .collect()
+}
+
+struct GroupSummary {
+    first_at: usize,
+    carried: bool,
+    whole: bool,
+    longest_remaining: u32,
+    items: Vec<ItemId>,
+}
+
+fn group_summaries(
+    batch: &BatchState,
+    carried: &HashSet<ItemId>,
+    tokens_per_event: u32,
+) -> HashMap<GroupId, GroupSummary> {
+    let mut groups: HashMap<GroupId, GroupSummary> = HashMap::new();
+    for (at, item) in batch.items.iter().enumerate() {
+        let Some(group) = &item.group else { continue };
+        let summary = groups.entry(group.clone()).or_insert_with(|| GroupSummary {
+            first_at: at,
+            carried: false,
+            whole: true,
+            longest_remaining: 0,
+            items: Vec::new(),
+        });
+        summary.carried |= carried.contains(&item.id);
+        if item.result.is_none() {
+            summary.whole = false;
+            let remaining = item.remaining_tokens(tokens_per_event);
+            summary.longest_remaining = summary.longest_remaining.max(remaining);
+            summary.items.push(item.id.clone());
+        }
+    }
+    groups
+}
