Reset connections at close, so that an abandoned request cannot arrive later

Back ends were cut off from 26 to 30 s; the item's stream fell silent, it was sent again over a kept connection into the cut, and was cancelled at the end of its batch. The close left the request's bytes to be sent again after the cut had healed. Change: connections close with a reset, which takes unacknowledged bytes back.

--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -38,9 +38,12 @@
             .await
             .map_err(|_| LinkError::NotConnected)?
             .map_err(|_| LinkError::NotConnected)?;
-        // A connection works without either option, only less promptly.
+        // A connection works without these options, only less promptly.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let socket = SockRef::from(&stream);
+        // Closing resets: bytes that a partition holds up must not arrive after they were given up.
+        let _ = socket.set_linger(Some(Duration::ZERO));
+        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
