--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use havenstage_rollout::batch::Submission;
-use havenstage_rollout::fold::BatchState;
+use havenstage_rollout::fold::{BatchState, PartitionState};
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, ItemId};
 use havenstage_rollout::record::BatchRecord;
@@ -18,7 +18,10 @@
 
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
-use crate::partition::Partition;
+use crate::stream_view::StreamView;
+
+/// A partition of batches.
+type BatchView = StreamView<PartitionState>;
 
 /// Most bytes of a page of results.
 const PAGE_BYTES: usize = 1_000_000;
@@ -69,7 +72,12 @@
         info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
         return BatchAnswer::empty(StatusCode::ACCEPTED);
     }
-    let record = BatchRecord::Submitted(Arc::new(submission));
+    // A node that stops leaves the batch to the others.
+    let owner = (!context.is_stopping()).then(|| context.node.clone());
+    let record = BatchRecord::Submitted {
+        submission: Arc::new(submission),
+        owner,
+    };
     let appended = append(context, partition, &record).await;
     let status = match appended {
         AppendOutcome::Done => StatusCode::ACCEPTED,
@@ -124,7 +132,7 @@
     Page(BatchAnswer),
 }
 
-fn look(context: &Context, partition: &Partition, id: &BatchId, from: usize) -> Found {
+fn look(context: &Context, partition: &BatchView, id: &BatchId, from: usize) -> Found {
     let inner = partition.lock();
     let Some(batch) = inner.state.batch(id) else {
         return Found::NoBatch;
@@ -163,7 +171,7 @@
 /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
 async fn confirmed_nothing(
     context: &Context,
-    partition: &Partition,
+    partition: &BatchView,
     id: &BatchId,
     from: usize,
 ) -> Option<BatchAnswer> {
@@ -178,7 +186,7 @@
     (from >= batch.listed.len()).then(|| page(context, batch, from))
 }
 
-async fn confirm_now(context: &Context, partition: &Partition) -> Result<(), BatchAnswer> {
+async fn confirm_now(context: &Context, partition: &BatchView) -> Result<(), BatchAnswer> {
     partition
         .confirm(context.log.as_ref(), context.clock, Duration::ZERO)
         .await
@@ -201,7 +209,7 @@
     known_body(partition, id, item).unwrap_or_else(|| BatchAnswer::empty(StatusCode::NOT_FOUND))
 }
 
-fn known_body(partition: &Partition, id: &BatchId, item: &ItemId) -> Option<BatchAnswer> {
+fn known_body(partition: &BatchView, id: &BatchId, item: &ItemId) -> Option<BatchAnswer> {
     let inner = partition.lock();
     let spec = inner.state.batch(id)?.item(item)?.spec.clone()?;
     Some(BatchAnswer {
@@ -223,17 +231,19 @@
     let status = match ended {
         None => StatusCode::NOT_FOUND,
         Some(true) => StatusCode::OK,
-        Some(false) => match append(
-            context,
-            partition,
-            &BatchRecord::Ended { batch: id.clone() },
-        )
-        .await
-        {
-            AppendOutcome::Done => StatusCode::OK,
-            AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
-            AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-        },
+        Some(false) => {
+            match append(
+                context,
+                partition,
+                &BatchRecord::Ended { batch: id.clone() },
+            )
+            .await
+            {
+                AppendOutcome::Done => StatusCode::OK,
+                AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
+                AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+            }
+        }
     };
     info!(event = "batch_end", batch = id.as_str(), status = status.as_u16(); "");
     BatchAnswer::empty(status)
@@ -247,7 +257,7 @@
 }
 
 /// Appends a record, again if need be: the fold takes it once.
-async fn append(context: &Context, partition: &Partition, record: &BatchRecord) -> AppendOutcome {
+async fn append(context: &Context, partition: &BatchView, record: &BatchRecord) -> AppendOutcome {
     let encoded = record.encode();
     if encoded.len() + FRAMING_ALLOWANCE > context.settings.log.call_bytes {
         return AppendOutcome::TooLarge;
@@ -286,7 +296,7 @@
     }
 }
 
-fn report_append(partition: &Partition, error: LogError, is_unknown: bool) {
+fn report_append(partition: &BatchView, error: LogError, is_unknown: bool) {
     warn!(event = "append_failed", partition = partition.id.partition,
         reason = error.to_string().as_str(), may_be_done = is_unknown; "");
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BatchId, ModelName, NodeId, Version, partition_of};
 use havenstage_rollout::orders::OrderState;
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
@@ -12,9 +13,14 @@
 
 use crate::backends::Backends;
 use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
-use crate::ownership::Ownership;
-use crate::partition::Partition;
 use crate::settings::Settings;
+use crate::stream_view::StreamView;
+
+/// The only partition of orders in use.
+pub const ORDERS: StreamPartition = StreamPartition {
+    stream: LogStream::Orders,
+    partition: 0,
+};
 
 /// Shared by all parts of a node.
 pub struct Context {
@@ -33,17 +39,19 @@
     /// Back ends.
     pub backends: Arc<Backends>,
     /// Partitions of batches.
-    pub partitions: Vec<Partition>,
-    /// Partitions this node owns.
-    pub ownership: Ownership,
+    pub partitions: Vec<StreamView<PartitionState>>,
     /// Orders given by anyone.
-    pub orders: Mutex<OrderState>,
-    /// Wakes when something about orders or versions changed.
-    pub orders_changed: Notify,
+    pub orders: StreamView<OrderState>,
+    /// Wakes the task that gives orders.
+    pub orders_changed: Arc<Notify>,
     /// Wakes the task that runs items.
     pub work: Arc<Notify>,
     /// Set once the node was told to stop.
     pub stopping: AtomicBool,
+    /// Set when batches are to be released.
+    pub releasing: AtomicBool,
+    /// Set once all batches were released.
+    pub released: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
     named: Mutex<BTreeMap<ModelName, Version>>,
     draws: AtomicU64,
@@ -60,28 +68,34 @@
         dialect: Arc<dyn Dialect>,
     ) -> Arc<Self> {
         let work = Arc::new(Notify::new());
+        let orders_changed = Arc::new(Notify::new());
         let partitions = (0..settings.log.partitions)
             .map(|partition| StreamPartition {
                 stream: LogStream::Batches,
                 partition,
             })
-            .map(|id| Partition::new(id, work.clone()))
+            .map(|id| StreamView::new(id, PartitionState::default(), work.clone()))
             .collect();
         Arc::new(Self {
             settings,
-            node,
+            node: node.clone(),
             clock: SteadyClock::start(),
             log,
             directory,
             dialect,
             backends: Backends::new(work.clone()),
             partitions,
-            ownership: Ownership::new(work.clone()),
-            orders: Mutex::new(OrderState::default()),
-            orders_changed: Notify::new(),
+            orders: StreamView::new(
+                ORDERS,
+                OrderState::new(node.machine.clone()),
+                orders_changed.clone(),
+            ),
+            orders_changed,
             work,
             last_contact: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            releasing: AtomicBool::new(false),
+            released: AtomicBool::new(false),
             routes: RwLock::new(None),
             named: Mutex::new(BTreeMap::new()),
             draws: AtomicU64::new(rand::random()),
@@ -94,7 +108,7 @@
     }
 
     /// The partition that holds a batch.
-    pub fn partition_of(&self, batch: &BatchId) -> &Partition {
+    pub fn partition_of(&self, batch: &BatchId) -> &StreamView<PartitionState> {
         &self.partitions[partition_of(batch, self.settings.log.partitions) as usize]
     }
 
@@ -137,6 +151,15 @@
             .clone()
     }
 
+    /// Whether this node runs items of any batch.
+    pub fn holds_batches(&self) -> bool {
+        self.partitions.iter().any(|view| {
+            let inner = view.lock();
+            let mut open = inner.state.batches().filter(|batch| !batch.is_closed());
+            open.any(|batch| batch.lease.is_held_by(&self.node))
+        })
+    }
+
     /// A number that differs from call to call.
     pub fn draw(&self) -> u64 {
         self.draws.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,15 +1,17 @@
 //! Gives orders to load versions, while this node holds the lease for orders.
 //!
-//! Each order is written down before it is given. A new holder gives its first order only when it
-//! has read all orders before its own term and the last of them is older than the lease bound.
+//! Each order is written down before it is given. The fold of the log says who holds the lease; a
+//! holder relies on it only for a while after each answered sign of life. A new holder gives its
+//! first order only when the last one of another machine is older than the lease bound.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
+use havenstage_rollout::lease::{ClaimTiming, Term};
 use havenstage_rollout::orders::{
     OrderRecord, OrderTarget, PlannedOrder, assign_homes, plan_orders,
 };
@@ -18,14 +20,18 @@
 use log::{info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::context::Context;
+use crate::context::{Context, ORDERS};
 use crate::edge::{BackendReport, LogError, VersionOrder};
-use crate::followers::ORDERS;
 use crate::metrics;
 
 /// Pause between two looks at what is to be ordered.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two looks at the lease when another node holds it.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// Share of the silence after which others claim in which the holder relies on its lease.
+const RELIABLE_SHARE: f64 = 0.7;
 /// Time a back end has to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time a back end has to answer a question.
@@ -42,7 +48,7 @@
 /// Gives orders until the process ends.
 pub struct Coordinator {
     context: Arc<Context>,
-    term: Option<Term>,
+    lease: Option<HeldLease>,
     /// Orders that each back end has taken, as it last reported.
     taken: BTreeMap<BackendId, u64>,
     under_way: BTreeMap<BackendId, Millis>,
@@ -53,10 +59,11 @@
 
 /// The right to give orders, as long as the lease holds.
 #[derive(Debug, Clone, Copy)]
-struct Term {
-    fence: u64,
-    offset: u64,
+struct HeldLease {
+    term: Term,
     since: Millis,
+    kept_at: Millis,
+    reliable_until: Millis,
 }
 
 struct OrderEnded {
@@ -70,7 +77,7 @@
         let (ended_sender, ended) = mpsc::unbounded_channel();
         Self {
             context,
-            term: None,
+            lease: None,
             taken: BTreeMap::new(),
             under_way: BTreeMap::new(),
             avoided_until: BTreeMap::new(),
@@ -83,71 +90,142 @@
     pub async fn run(mut self) {
         let context = self.context.clone();
         loop {
+            let pause = if self.lease.is_some() {
+                LOOK_PAUSE
+            } else {
+                IDLE_PAUSE
+            };
             tokio::select! {
                 Some(ended) = self.ended.recv() => self.take_ended(ended),
                 () = context.orders_changed.notified() => {}
-                () = tokio::time::sleep(LOOK_PAUSE), if self.term.is_some() => {}
-                () = tokio::time::sleep(LOOK_PAUSE * 5) => {}
+                () = tokio::time::sleep(pause) => {}
             }
-            if !self.holds_lease() {
-                self.drop_term();
-            } else if self.term.is_none() {
-                self.begin_term().await;
-            } else if self.may_order() {
-                self.order_next().await;
+            self.follow_lease();
+            if context.is_stopping() {
+                self.release().await;
+            } else if self.lease.is_some() {
+                self.keep_lease().await;
+                if self.may_order() {
+                    self.order_next().await;
+                }
+            } else if self.claimable_term().is_some() {
+                self.claim().await;
             }
         }
     }
 
-    fn holds_lease(&self) -> bool {
-        !self.context.is_stopping() && self.context.ownership.holds(ORDERS, self.context.now())
+    /// Believes the log about who holds the lease.
+    fn follow_lease(&mut self) {
+        let inner = self.context.orders.lock();
+        let lease = inner.state.lease();
+        let term = lease.is_held_by(&self.context.node).then(|| lease.term());
+        drop(inner);
+        let now = self.context.now();
+        match (term, self.lease) {
+            (Some(term), None) if !self.context.is_stopping() => {
+                info!(event = "order_lease_held", term = term; "");
+                // Not reliable until a sign of life was answered.
+                self.lease = Some(HeldLease {
+                    term,
+                    since: now,
+                    kept_at: 0,
+                    reliable_until: 0,
+                });
+            }
+            (None, Some(lease)) => {
+                info!(event = "order_lease_lost", term = lease.term; "");
+                self.lease = None;
+                self.under_way.clear();
+                self.taken.clear();
+            }
+            _ => {}
+        }
     }
 
-    fn drop_term(&mut self) {
-        if let Some(term) = self.term.take() {
-            info!(event = "order_term_ended", fence = term.fence; "");
-        }
-        self.under_way.clear();
-        self.taken.clear();
+    /// The current term, if this node may claim the lease now.
+    fn claimable_term(&self) -> Option<Term> {
+        let view = &self.context.orders;
+        let readable_since = view.readable_since();
+        let inner = view.lock();
+        let lease = inner.state.lease();
+        let text = format!("{} {}", self.context.node, lease.term());
+        let tuning = &self.context.settings.tuning;
+        let timing = ClaimTiming {
+            silence_ms: tuning.silence_ms,
+            spread_ms: xxh3_64(text.as_bytes()) % tuning.spread_ms.max(1),
+        };
+        let at = lease.claimable_at(&self.context.node, readable_since, &timing);
+        (self.context.now() >= at).then(|| lease.term())
     }
 
-    async fn begin_term(&mut self) {
-        let record = OrderRecord::Term {
-            holder: self.context.node.clone(),
+    /// Claims the lease if the log, read to its end, still shows no sign of its holder.
+    async fn claim(&mut self) {
+        let (log, clock) = (self.context.log.clone(), self.context.clock);
+        let view = &self.context.orders;
+        if view
+            .confirm(log.as_ref(), clock, Duration::ZERO)
+            .await
+            .is_err()
+        {
+            view.read_failed();
+            return;
+        }
+        let Some(term) = self.claimable_term() else {
+            return;
         };
-        match append(&self.context, &record).await {
-            Ok(offset) => {
-                let term = Term {
-                    fence: offset + 1,
-                    offset,
-                    since: self.context.now(),
-                };
-                info!(event = "order_term_begun", fence = term.fence; "");
-                self.term = Some(term);
-            }
-            Err(error) => {
-                warn!(event = "order_term_failed", reason = error.to_string().as_str(); "");
-                tokio::time::sleep(LOOK_PAUSE).await;
+        let holder = self.context.node.clone();
+        let record = OrderRecord::Claimed {
+            term: term + 1,
+            holder,
+        };
+        if let Err(error) = append(&self.context, &record).await {
+            warn!(event = "order_claim_failed", reason = error.to_string().as_str(); "");
+        }
+        // Whether the claim counts is seen in the log.
+        let _ = view.confirm(log.as_ref(), clock, Duration::ZERO).await;
+    }
+
+    /// Gives a sign of life when one is due; its answer is what the lease rests on.
+    async fn keep_lease(&mut self) {
+        let Some(lease) = self.lease else { return };
+        let tuning = &self.context.settings.tuning;
+        let sent = self.context.now();
+        if sent.saturating_sub(lease.kept_at) < tuning.keep_ms {
+            return;
+        }
+        let reliable_ms = (tuning.silence_ms as f64 * RELIABLE_SHARE) as Millis;
+        let outcome = append(&self.context, &OrderRecord::Kept { term: lease.term }).await;
+        if let Some(lease) = &mut self.lease {
+            lease.kept_at = sent;
+            if outcome.is_ok() {
+                lease.reliable_until = sent + reliable_ms;
             }
         }
     }
 
-    /// Whether all earlier orders are known and the last of another holder is long enough ago.
+    async fn release(&mut self) {
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        let record = OrderRecord::Released { term: lease.term };
+        if let Err(error) = append(&self.context, &record).await {
+            warn!(event = "order_release_failed", reason = error.to_string().as_str(); "");
+        }
+        info!(event = "order_lease_released", term = lease.term; "");
+    }
+
+    /// Whether the lease holds and the last order of another machine is long enough ago.
     fn may_order(&self) -> bool {
-        let Some(term) = self.term else { return false };
+        let Some(lease) = self.lease else {
+            return false;
+        };
         let now = self.context.now();
-        let orders = self
-            .context
-            .orders
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
         let bounds = &self.context.settings.bounds;
-        let knows_all = orders.has_read(term.offset);
-        let is_quiet = orders
-            .last_by_other()
-            .is_none_or(|last| now.saturating_sub(last) > bounds.order_lease_ms);
-        let is_awake = now.saturating_sub(term.since) >= bounds.order_thaw_ms;
-        knows_all && is_quiet && is_awake
+        let last_by_other = self.context.orders.lock().state.last_by_other();
+        let is_quiet =
+            last_by_other.is_none_or(|last| now.saturating_sub(last) > bounds.order_lease_ms);
+        let is_awake = now.saturating_sub(lease.since) >= bounds.order_thaw_ms;
+        now < lease.reliable_until && is_quiet && is_awake
     }
 
     async fn order_next(&mut self) {
@@ -205,16 +283,13 @@
     fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
         let now = self.context.now();
         let running = running_items(&self.context);
-        let orders = self
-            .context
-            .orders
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
         let lost_ms = ORDER_LOST_AFTER.as_millis() as Millis;
         let mut targets = Vec::new();
         for (id, _) in backends.list.ready_in(&pool.name) {
             let pending = orders
+                .state
                 .pending(id)
                 .is_some_and(|order| now.saturating_sub(order.since) < lost_ms);
             let models = pool.models.iter();
@@ -232,7 +307,7 @@
     }
 
     async fn give(&mut self, order: PlannedOrder) {
-        let Some(term) = self.term else { return };
+        let Some(lease) = self.lease else { return };
         let record = OrderRecord::Ordered {
             holder: self.context.node.clone(),
             backend: order.backend.clone(),
@@ -251,13 +326,14 @@
             model: order.model.clone(),
             version: order.version,
             holder: self.context.node.to_string(),
-            fence: term.fence,
+            fence: lease.term,
             expected_orders: self.taken.get(&order.backend).copied(),
         };
         let context = self.context.clone();
         let sender = self.ended_sender.clone();
+        let until = lease.reliable_until;
         tokio::spawn(async move {
-            let report = carry_out(&context, &order.backend, &version_order).await;
+            let report = carry_out(&context, &order.backend, &version_order, until).await;
             let _ = sender.send(OrderEnded {
                 backend: order.backend,
                 report,
@@ -309,9 +385,10 @@
     context: &Arc<Context>,
     backend: &BackendId,
     order: &VersionOrder,
+    reliable_until: Millis,
 ) -> Option<BackendReport> {
     let began = Instant::now();
-    let status = send_order(context, backend, order).await;
+    let status = send_order(context, backend, order, reliable_until).await;
     let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
     info!(event = "order_given", backend = backend.as_str(), model = order.model.as_str(),
         version = order.version, fence = order.fence, status = status_text.as_str(),
@@ -359,6 +436,7 @@
     context: &Arc<Context>,
     backend: &BackendId,
     order: &VersionOrder,
+    reliable_until: Millis,
 ) -> Option<StatusCode> {
     let chosen = context.backends.take(backend)?;
     let names = context.dialect.headers();
@@ -367,7 +445,7 @@
     request
         .headers_mut()
         .insert(names.expected_backend.clone(), expected);
-    if !context.ownership.holds(ORDERS, context.now()) {
+    if context.now() >= reliable_until {
         return None;
     }
     let answer = chosen.link.send(request, ORDER_TIMEOUT).await.ok()?;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -84,26 +84,6 @@
     pub records: Vec<Bytes>,
 }
 
-/// A member's call to the group that deals out partitions.
-#[derive(Debug, Clone)]
-pub struct JoinRequest {
-    /// The member.
-    pub member: String,
-    /// Time after which a silent member is taken for gone.
-    pub ttl: Duration,
-    /// The last generation heard; 0 at first.
-    pub generation: u64,
-}
-
-/// What the group answers a member.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Membership {
-    /// Rises with every change.
-    pub generation: u64,
-    /// Partitions that belong to the member.
-    pub partitions: Vec<StreamPartition>,
-}
-
 /// The shared log.
 #[async_trait]
 pub trait SharedLog: Send + Sync {
@@ -121,12 +101,6 @@
         from: u64,
         wait: Duration,
     ) -> Result<LogPage, LogError>;
-
-    /// Joins the group of nodes, or stays in it.
-    async fn join(&self, request: JoinRequest) -> Result<Membership, LogError>;
-
-    /// Leaves the group.
-    async fn leave(&self, member: &str) -> Result<(), LogError>;
 }
 
 /// The directories that others write and nodes follow.
@@ -309,7 +283,7 @@
     /// Reads a report.
     fn read_report(&self, body: &[u8]) -> Option<BackendReport>;
 
-    /// Tokens that one event of a pool's back ends may hold.
+    /// Whether an answer says that the request did not run.
     fn is_not_run(&self, status: StatusCode, headers: &http::HeaderMap) -> bool {
         status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&self.headers().not_run)
     }
--- /dev/null
+++ b/crates/gateway/src/engine/leases.rs
@@ -0,0 +1,197 @@
+//! Keeps, claims and releases the leases of batches.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BatchId, NodeId};
+use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::record::BatchRecord;
+use log::info;
+use tokio::sync::mpsc::UnboundedSender;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::run::ItemKey;
+use super::{Engine, TaskEnded};
+use crate::context::Context;
+
+/// A batch whose lease this node holds.
+struct HeldBatch {
+    partition: u32,
+    batch: BatchId,
+    term: Term,
+}
+
+/// What a look at the open batches calls for.
+#[derive(Default)]
+struct LeaseWork {
+    held: Vec<HeldBatch>,
+    claimable: Vec<(u32, BatchId)>,
+}
+
+impl Engine {
+    /// Signs of life for batches held, claims for batches without a holder, releases at the end.
+    pub(super) fn follow_leases(&mut self) {
+        let now = self.context.now();
+        let work = self.lease_work(now);
+        if self.context.releasing.load(Ordering::Relaxed) {
+            self.release_all(work.held);
+            return;
+        }
+        self.kept_at
+            .retain(|batch, _| work.held.iter().any(|held| held.batch == *batch));
+        for held in work.held {
+            self.keep(held, now);
+        }
+        if self.context.is_stopping() {
+            return;
+        }
+        for (partition, batch) in work.claimable {
+            if self.claiming.insert(batch.clone()) {
+                let sender = self.ended_sender.clone();
+                tokio::spawn(claim(self.context.clone(), partition, batch, sender));
+            }
+        }
+    }
+
+    fn lease_work(&self, now: Millis) -> LeaseWork {
+        let mut work = LeaseWork::default();
+        for view in &self.context.partitions {
+            let readable_since = view.readable_since();
+            let inner = view.lock();
+            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+                let partition = view.id.partition;
+                let (id, lease) = (&batch.id, &batch.lease);
+                let timing = claim_timing(&self.context, id, lease.term());
+                if lease.is_held_by(&self.context.node) {
+                    let term = lease.term();
+                    work.held.push(HeldBatch {
+                        partition,
+                        batch: id.clone(),
+                        term,
+                    });
+                } else if now >= lease.claimable_at(&self.context.node, readable_since, &timing) {
+                    work.claimable.push((partition, id.clone()));
+                }
+            }
+        }
+        work
+    }
+
+    fn keep(&mut self, held: HeldBatch, now: Millis) {
+        let keep_ms = self.context.settings.tuning.keep_ms;
+        let kept_at = self.kept_at.get(&held.batch).copied();
+        let is_due = kept_at.is_none_or(|kept| now.saturating_sub(kept) >= keep_ms);
+        if is_due && self.outbox(held.partition).is_empty() {
+            self.kept_at.insert(held.batch.clone(), now);
+            let record = BatchRecord::Kept {
+                batch: held.batch,
+                term: held.term,
+            };
+            self.push(held.partition, &record);
+            self.outbox(held.partition).is_urgent = true;
+        }
+    }
+
+    fn release_all(&mut self, held: Vec<HeldBatch>) {
+        if !self.has_released {
+            self.has_released = true;
+            info!(event = "batches_released", count = held.len(); "");
+            for HeldBatch {
+                partition,
+                batch,
+                term,
+            } in held
+            {
+                self.stop_items_of(&batch);
+                self.push(partition, &BatchRecord::Released { batch, term });
+                self.outbox(partition).is_urgent = true;
+            }
+        }
+        if self.outboxes.values().all(|outbox| outbox.is_empty()) {
+            self.context.released.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn stop_items_of(&mut self, batch: &BatchId) {
+        let keys: Vec<ItemKey> = self
+            .items
+            .keys()
+            .filter(|key| key.batch == *batch)
+            .cloned()
+            .collect();
+        for key in keys {
+            self.stop_item(&key);
+        }
+    }
+}
+
+/// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
+fn claim_timing(context: &Context, batch: &BatchId, term: Term) -> ClaimTiming {
+    let tuning = &context.settings.tuning;
+    let text = format!("{} {batch} {term}", context.node);
+    ClaimTiming {
+        silence_ms: tuning.silence_ms,
+        spread_ms: xxh3_64(text.as_bytes()) % tuning.spread_ms.max(1),
+    }
+}
+
+async fn claim(
+    context: Arc<Context>,
+    partition: u32,
+    batch: BatchId,
+    sender: UnboundedSender<TaskEnded>,
+) {
+    claim_once(&context, partition, &batch).await;
+    // The engine is gone only when the process ends.
+    let _ = sender.send(TaskEnded::Claim { batch });
+}
+
+/// Claims a batch if the log, read to its end, still shows no sign of its holder.
+async fn claim_once(context: &Context, partition: u32, batch: &BatchId) {
+    let view = &context.partitions[partition as usize];
+    let log = context.log.as_ref();
+    if view
+        .confirm(log, context.clock, Duration::ZERO)
+        .await
+        .is_err()
+    {
+        view.read_failed();
+        return;
+    }
+    let Some((term, former)) = claimable(context, partition, batch) else {
+        return;
+    };
+    let owner = context.node.clone();
+    let record = BatchRecord::Claimed {
+        batch: batch.clone(),
+        term: term + 1,
+        owner,
+    };
+    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
+    let appended = context.log.append(view.id, records).await;
+    let outcome = appended.map_or_else(|error| error.to_string(), |_| "written".to_owned());
+    let former = former.map_or("none".to_owned(), |former| former.to_string());
+    info!(event = "batch_claimed", batch = batch.as_str(), term = term + 1,
+        former = former.as_str(), outcome = outcome.as_str(); "");
+    // Whether the claim counts is seen in the log.
+    let _ = view.confirm(log, context.clock, Duration::ZERO).await;
+}
+
+/// The current term and holder, if this node may claim the batch now.
+fn claimable(context: &Context, partition: u32, batch: &BatchId) -> Option<(Term, Option<NodeId>)> {
+    let view = &context.partitions[partition as usize];
+    let readable_since = view.readable_since();
+    let inner = view.lock();
+    let state = inner
+        .state
+        .batch(batch)
+        .filter(|batch| !batch.is_closed())?;
+    let timing = claim_timing(context, batch, state.lease.term());
+    let at = state
+        .lease
+        .claimable_at(&context.node, readable_since, &timing);
+    (context.now() >= at).then(|| (state.lease.term(), state.lease.holder().cloned()))
+}
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -1,8 +1,9 @@
-//! Runs the items of the batches in the partitions that this node owns.
+//! Runs the items of the batches whose leases this node holds.
 //!
 //! One task holds all state. Runs and reward calls are tasks that report to it; what they bring is
 //! appended to the log in groups, and only the log's fold decides what counts.
 
+mod leases;
 mod live;
 mod outbox;
 mod plan;
@@ -28,7 +29,7 @@
 use run::{ItemKey, RunEnd, RunMessage, RunNews, RunOrder, ScoreEnd};
 
 /// Pause between two looks at the work when nothing runs.
-const IDLE_PAUSE: Duration = Duration::from_millis(500);
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// First pause of a back end that turned an item away.
 const TURNED_AWAY_PAUSE_MS: Millis = 60;
 /// First pause of a back end that failed at an item; doubles with each further failure.
@@ -43,8 +44,9 @@
     context: Arc<Context>,
     items: BTreeMap<ItemKey, LiveItem>,
     outboxes: BTreeMap<u32, Outbox>,
-    caught_up: BTreeSet<u32>,
-    catching_up: BTreeSet<u32>,
+    claiming: HashSet<BatchId>,
+    kept_at: HashMap<BatchId, Millis>,
+    has_released: bool,
     pauses: HashMap<BackendId, Pause>,
     carried: HashMap<BatchId, HashSet<ItemId>>,
     news: UnboundedReceiver<RunMessage>,
@@ -68,9 +70,8 @@
         is_done: bool,
         took_ms: u64,
     },
-    CaughtUp {
-        partition: u32,
-        is_done: bool,
+    Claim {
+        batch: BatchId,
     },
 }
 
@@ -83,8 +84,9 @@
             context,
             items: BTreeMap::new(),
             outboxes: BTreeMap::new(),
-            caught_up: BTreeSet::new(),
-            catching_up: BTreeSet::new(),
+            claiming: HashSet::new(),
+            kept_at: HashMap::new(),
+            has_released: false,
             pauses: HashMap::new(),
             carried: HashMap::new(),
             news,
@@ -111,8 +113,8 @@
             }
             if self.needs_plan {
                 self.needs_plan = false;
-                self.follow_ownership();
                 self.follow_log();
+                self.follow_leases();
                 self.plan();
                 metrics::items_running(self.items.len());
             }
@@ -129,42 +131,7 @@
         }
     }
 
-    // Ownership and the log.
-
-    fn follow_ownership(&mut self) {
-        let owned: BTreeSet<u32> = self
-            .context
-            .ownership
-            .owned(LogStream::Batches)
-            .into_iter()
-            .map(|id| id.partition)
-            .collect();
-        let lost: Vec<u32> = self.caught_up.difference(&owned).copied().collect();
-        for partition in lost {
-            self.caught_up.remove(&partition);
-            self.hand_over(partition);
-        }
-        for partition in owned {
-            if !self.caught_up.contains(&partition) && self.catching_up.insert(partition) {
-                self.catch_up(partition);
-            }
-        }
-    }
-
-    /// Writes down what is there of a partition's items and stops working on them.
-    fn hand_over(&mut self, partition: u32) {
-        let keys: Vec<ItemKey> = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.partition == partition)
-            .map(|(key, _)| key.clone())
-            .collect();
-        info!(event = "partition_handed_over", partition = partition, items = keys.len(); "");
-        for key in keys {
-            self.stop_item(&key);
-        }
-        self.outbox(partition).is_urgent = true;
-    }
+    // The log.
 
     fn stop_item(&mut self, key: &ItemKey) {
         if let Some(mut item) = self.items.remove(key)
@@ -174,31 +141,10 @@
         }
     }
 
-    fn catch_up(&mut self, partition: u32) {
-        let context = self.context.clone();
-        let sender = self.ended_sender.clone();
-        tokio::spawn(async move {
-            let state = &context.partitions[partition as usize];
-            let log = context.log.as_ref();
-            let is_done = state
-                .confirm(log, context.clock, Duration::ZERO)
-                .await
-                .is_ok();
-            let _ = sender.send(TaskEnded::CaughtUp { partition, is_done });
-        });
-    }
-
     fn take_ended(&mut self, ended: TaskEnded) {
         match ended {
-            TaskEnded::CaughtUp { partition, is_done } => {
-                self.catching_up.remove(&partition);
-                let id = StreamPartition {
-                    stream: LogStream::Batches,
-                    partition,
-                };
-                if is_done && self.context.ownership.owns(id) {
-                    self.caught_up.insert(partition);
-                }
+            TaskEnded::Claim { batch } => {
+                self.claiming.remove(&batch);
                 self.needs_plan = true;
             }
             TaskEnded::Append {
@@ -214,12 +160,16 @@
         }
     }
 
-    /// Drops items that the log shows as done, ended, or continued by another node.
+    /// Drops items that the log shows as done, ended, or taken over by another node.
     fn follow_log(&mut self) {
         let mut gone = Vec::new();
         for (key, item) in &self.items {
             let inner = self.context.partitions[item.partition as usize].lock();
             let batch = inner.state.batch(&key.batch).filter(|batch| !batch.ended);
+            if batch.is_some_and(|batch| !batch.lease.is_held_by(&self.context.node)) {
+                gone.push((key.clone(), "lease_lost"));
+                continue;
+            }
             let state = batch.and_then(|batch| batch.item(&key.item));
             match state {
                 Some(state) if state.result.is_none() && !item.is_overtaken(state) => {}
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -34,16 +34,19 @@
 impl Engine {
     /// Gives waiting items places, and gives up those that are too late.
     pub(super) fn plan(&mut self) {
+        if self.has_released {
+            return;
+        }
         let Some(table) = self.context.routes() else {
             return;
         };
         let now = self.context.now();
         let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         let mut too_late = Vec::new();
-        for partition in self.caught_up.clone() {
+        for partition in 0..self.context.partitions.len() {
             self.note_carried(partition);
-            let inner = self.context.partitions[partition as usize].lock();
-            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+            let inner = self.context.partitions[partition].lock();
+            for batch in inner.state.batches().filter(|batch| self.is_own(batch)) {
                 let Some(route) = table.batch_route(&batch.host, &batch.path) else {
                     continue;
                 };
@@ -72,12 +75,17 @@
         }
     }
 
-    fn note_carried(&mut self, partition: u32) {
-        let inner = self.context.partitions[partition as usize].lock();
+    /// Whether this node runs the batch's items.
+    fn is_own(&self, batch: &BatchState) -> bool {
+        !batch.is_closed() && batch.lease.is_held_by(&self.context.node)
+    }
+
+    fn note_carried(&mut self, partition: usize) {
+        let inner = self.context.partitions[partition].lock();
         let new: Vec<(BatchId, Vec<ItemId>)> = inner
             .state
             .batches()
-            .filter(|batch| !self.carried.contains_key(&batch.id))
+            .filter(|batch| self.is_own(batch) && !self.carried.contains_key(&batch.id))
             .map(|batch| {
                 (
                     batch.id.clone(),
@@ -200,11 +208,7 @@
         let elsewhere = self.running_elsewhere();
         let groups = self.groups_by_backend();
         let own = self.running_here();
-        let orders = self
-            .context
-            .orders
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
         let gaps: Vec<f64> = backends
             .list
@@ -217,6 +221,7 @@
         for (id, record) in backends.list.ready_in(name) {
             let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
             let is_loading = orders
+                .state
                 .pending(id)
                 .is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS);
             if is_paused || is_loading {
@@ -265,11 +270,9 @@
     fn running_elsewhere(&self) -> HashMap<BackendId, u32> {
         let mut running = HashMap::new();
         for partition in &self.context.partitions {
-            if self.caught_up.contains(&partition.id.partition) {
-                continue;
-            }
             let inner = partition.lock();
-            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+            let open = inner.state.batches().filter(|batch| !batch.is_closed());
+            for batch in open.filter(|batch| !batch.lease.is_held_by(&self.context.node)) {
                 let open = batch.items.iter().filter(|item| item.result.is_none());
                 for backend in open.filter_map(|item| item.backend.clone()) {
                     *running.entry(backend).or_default() += 1;
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -1,18 +1,16 @@
 //! Tasks that follow the directories and the streams, so that the node's knowledge stays fresh.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_rollout::backend::BackendChange;
-use havenstage_rollout::framing::Joiner;
-use havenstage_rollout::orders::{OrderRecord, OrderState};
+use havenstage_rollout::fold::PartitionState;
 use log::{info, warn};
 
 use crate::context::Context;
-use crate::edge::{
-    DirectoryEntry, DirectoryKind, DirectoryPage, LogError, LogStream, StreamPartition,
-};
+use crate::edge::{DirectoryEntry, DirectoryKind, DirectoryPage, LogError};
+use crate::stream_view::{StreamState, StreamView};
 
 /// Pause after which a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -128,108 +126,60 @@
     info!(event = "backend_leaves", backend = change.id.as_str(), state = state; "");
 }
 
-/// Follows a partition of batches.
-pub async fn follow_partition(context: Arc<Context>, partition: usize) {
-    let partition = &context.partitions[partition];
-    let mut dependency = Dependency::new(format!("partition {}", partition.id.partition));
-    let wait = context.settings.read_wait();
+/// Follows a partition of batches, and forgets batches that are past their retention.
+pub async fn follow_batches(context: Arc<Context>, partition: usize) {
+    let view = &context.partitions[partition];
+    let mut dependency = Dependency::new(format!("partition {}", view.id.partition));
     loop {
-        let asked = context.now();
-        let from = partition.lock().next;
-        match context.log.read(partition.id, from, wait).await {
-            Ok(page) => {
-                dependency.works();
-                context.saw_contact();
-                let outcome = partition.take_page(page, asked, context.now());
-                if outcome.unreadable > 0 {
-                    warn!(event = "records_unreadable", partition = partition.id.partition,
-                        count = outcome.unreadable; "");
-                }
-            }
-            Err(LogError::HistoryDropped { first }) => partition.skip_to(first),
-            Err(error) => {
-                dependency.fails(error);
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
-        forget_old_batches(&context, partition);
+        read_once(&context, view, &mut dependency).await;
+        forget_old_batches(&context, view);
     }
 }
 
-/// Kept longer than promised, since nodes see a batch at different times.
-const RETENTION_SLACK_MS: u64 = 10_000;
-
-fn forget_old_batches(context: &Context, partition: &crate::partition::Partition) {
-    let retention = (context.settings.bounds.retention_s * 1_000.0) as u64 + RETENTION_SLACK_MS;
-    if let Some(before) = context.now().checked_sub(retention) {
-        partition.lock().state.forget_before(before);
-    }
-}
-
-/// The only partition of orders in use.
-pub const ORDERS: StreamPartition = StreamPartition {
-    stream: LogStream::Orders,
-    partition: 0,
-};
-
 /// Follows the stream of orders.
 pub async fn follow_orders(context: Arc<Context>) {
     let mut dependency = Dependency::new("orders");
-    let wait = context.settings.read_wait();
-    let mut joiner = Joiner::default();
-    let mut next = 0;
     loop {
-        match context.log.read(ORDERS, next, wait).await {
-            Ok(page) => {
-                dependency.works();
-                context.saw_contact();
-                let now = context.now();
-                let read_to = page.from + page.records.len() as u64;
-                for value in page
-                    .records
-                    .into_iter()
-                    .filter_map(|record| joiner.push(record))
-                {
-                    match OrderRecord::decode(&value) {
-                        Ok(record) => take_order(&context, record, now),
-                        Err(error) => warn!(event = "order_unreadable",
-                            reason = error.to_string().as_str(); ""),
-                    }
-                }
-                if read_to != next {
-                    lock_orders(&context).read_to(read_to);
-                    next = read_to;
-                    context.orders_changed.notify_one();
-                    context.work.notify_one();
-                }
-            }
-            Err(LogError::HistoryDropped { first }) => next = first,
-            Err(error) => {
-                dependency.fails(error);
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
+        read_once(&context, &context.orders, &mut dependency).await;
     }
 }
 
-fn take_order(context: &Context, record: OrderRecord, now: u64) {
-    if let OrderRecord::Loaded {
-        backend,
-        model,
-        version,
-    } = &record
+async fn read_once<S: StreamState>(
+    context: &Context,
+    view: &StreamView<S>,
+    dependency: &mut Dependency,
+) {
+    let asked = context.now();
+    let from = view.lock().next;
+    match context
+        .log
+        .read(view.id, from, context.settings.read_wait())
+        .await
     {
-        context
-            .backends
-            .lock()
-            .saw_version(backend, model, *version);
+        Ok(page) => {
+            dependency.works();
+            context.saw_contact();
+            let outcome = view.take_page(page, asked, context.now());
+            if outcome.unreadable > 0 {
+                warn!(event = "records_unreadable", dependency = dependency.name.as_str(),
+                    count = outcome.unreadable; "");
+            }
+        }
+        Err(LogError::HistoryDropped { first }) => view.skip_to(first),
+        Err(error) => {
+            view.read_failed();
+            dependency.fails(error);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
-    lock_orders(context).apply(record, &context.node, now);
 }
 
-fn lock_orders(context: &Context) -> MutexGuard<'_, OrderState> {
-    context
-        .orders
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
+/// Kept longer than promised, since nodes see a batch at different times.
+const RETENTION_SLACK_MS: u64 = 10_000;
+
+fn forget_old_batches(context: &Context, view: &StreamView<PartitionState>) {
+    let retention = (context.settings.bounds.retention_s * 1_000.0) as u64 + RETENTION_SLACK_MS;
+    if let Some(before) = context.now().checked_sub(retention) {
+        view.lock().state.forget_before(before);
+    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
-pub mod ownership;
-pub mod partition;
 pub mod server;
 pub mod settings;
+pub mod stream_view;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use havenstage_rollout::ids::NodeId;
+use havenstage_rollout::ids::{MachineName, NodeId};
 use log::info;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,16 +15,18 @@
 use crate::coordinator::Coordinator;
 use crate::edge::{Dialect, Directory, DirectoryKind, SharedLog};
 use crate::engine::Engine;
+use crate::followers;
 use crate::metrics::{self, MetricsError};
 use crate::server::{self, InFlight, ListenError};
 use crate::settings::Settings;
-use crate::{followers, ownership};
 
 /// Time from the signal to stop until connections are closed, so that callers' entry has noticed
 /// that the node is not ready.
 const NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the process would be killed at which it ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(600);
+/// Share of the time to stop in which the node goes on with its batches.
+const WORK_SHARE: f64 = 0.7;
 /// Pause between two looks at whether requests are still in flight.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -58,8 +60,11 @@
     surroundings: Surroundings,
     reload: impl Fn(),
 ) -> Result<(), NodeError> {
-    let life: u32 = rand::random();
-    let node = NodeId::from(format!("{}-{life:08x}", settings.node));
+    let machine = MachineName::from(settings.node.as_str());
+    let node = NodeId {
+        machine,
+        life: rand::random(),
+    };
     let listen = settings.listen.clone();
     let callers = server::listen("callers'", listen.callers).await?;
     let ready = server::listen("readiness", listen.ready).await?;
@@ -87,11 +92,9 @@
     ));
     tokio::spawn(Engine::new(context.clone()).run());
     tokio::spawn(Coordinator::new(context.clone()).run());
-    let membership = tokio::spawn(ownership::keep_membership(context.clone()));
-    info!(event = "started", node = context.node.as_str(),
+    info!(event = "started", node = context.node.to_string().as_str(),
         zone = context.settings.zone.as_str(), version = env!("CARGO_PKG_VERSION"); "");
     wait_for_stop(reload).await?;
-    membership.abort();
     stop(&context, &in_flight, &close).await;
     Ok(())
 }
@@ -107,7 +110,7 @@
     ));
     tokio::spawn(followers::follow_orders(context.clone()));
     for partition in 0..context.partitions.len() {
-        tokio::spawn(followers::follow_partition(context.clone(), partition));
+        tokio::spawn(followers::follow_batches(context.clone(), partition));
     }
 }
 
@@ -124,20 +127,29 @@
     }
 }
 
-/// Hands over the work, lets callers' entry notice, and waits for requests in flight.
+/// Lets the work come to its end, lets callers' entry notice, and waits for requests in flight.
 async fn stop(context: &Context, in_flight: &InFlight, close: &watch::Sender<bool>) {
     let began = Instant::now();
     context.stopping.store(true, Ordering::Relaxed);
+    context.orders_changed.notify_one();
     let grace = Duration::from_secs_f64(context.settings.bounds.stop_grace_s);
     let ends = began + grace.saturating_sub(END_MARGIN);
+    let releases = began + grace.mul_f64(WORK_SHARE);
     info!(event = "stopping", in_flight = in_flight.count(); "");
-    ownership::leave(context).await;
     tokio::time::sleep_until((began + NOTICE_TIME).min(ends)).await;
     close.send_replace(true);
-    tokio::time::sleep(LOOK_PAUSE).await;
-    while in_flight.count() > 0 && Instant::now() < ends {
+    while context.holds_batches() && Instant::now() < releases {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+    context.releasing.store(true, Ordering::Relaxed);
+    context.work.notify_one();
+    while !is_done(context, in_flight) && Instant::now() < ends {
         tokio::time::sleep(LOOK_PAUSE).await;
     }
     let took_ms = began.elapsed().as_millis() as u64;
     info!(event = "stopped", in_flight = in_flight.count(), took_ms = took_ms; "");
 }
+
+fn is_done(context: &Context, in_flight: &InFlight) -> bool {
+    in_flight.count() == 0 && context.released.load(Ordering::Relaxed)
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -51,8 +51,6 @@
     pub call_bytes: usize,
     /// Reading calls a second that all nodes may make together.
     pub reads_per_s: u32,
-    /// Shortest time after which a silent member is taken for gone.
-    pub shortest_lease_ms: u64,
 }
 
 /// Times that the surroundings promise or ask for.
@@ -78,8 +76,12 @@
     pub flush_ms: u64,
     /// Milliseconds after which progress is written though no item has ended.
     pub progress_ms: u64,
-    /// Milliseconds of a membership's lease.
-    pub lease_ms: u64,
+    /// Milliseconds between two signs of life of the holder of a lease.
+    pub keep_ms: u64,
+    /// Milliseconds without a sign of life after which others claim a lease.
+    pub silence_ms: u64,
+    /// Milliseconds over which claims of several nodes are spread.
+    pub spread_ms: u64,
     /// Loads of weights that may be under way together.
     pub loads_at_once: usize,
     /// Log lines a second.
@@ -92,7 +94,9 @@
             read_wait_ms: 1_500,
             flush_ms: 40,
             progress_ms: 250,
-            lease_ms: 1_800,
+            keep_ms: 300,
+            silence_ms: 1_300,
+            spread_ms: 300,
             loads_at_once: 2,
             log_lines_per_s: 200,
         }
@@ -162,7 +166,8 @@
             ("tuning.read_wait_ms", self.tuning.read_wait_ms),
             ("tuning.flush_ms", self.tuning.flush_ms),
             ("tuning.progress_ms", self.tuning.progress_ms),
-            ("tuning.lease_ms", self.tuning.lease_ms),
+            ("tuning.keep_ms", self.tuning.keep_ms),
+            ("tuning.silence_ms", self.tuning.silence_ms),
             ("tuning.loads_at_once", self.tuning.loads_at_once as u64),
             (
                 "tuning.log_lines_per_s",
@@ -194,11 +199,6 @@
         Ok(())
     }
 
-    /// The lease of the membership, no shorter than the log allows.
-    pub fn lease(&self) -> Duration {
-        Duration::from_millis(self.tuning.lease_ms.max(self.log.shortest_lease_ms))
-    }
-
     /// How long a reading call waits for a record.
     pub fn read_wait(&self) -> Duration {
         Duration::from_millis(self.tuning.read_wait_ms)
--- a/crates/gateway/src/partition.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -1,4 +1,4 @@
-//! One partition of batches as this node knows it, and how fresh that knowledge is.
+//! One partition of a stream as this node knows it, and how fresh that knowledge is.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -6,53 +6,90 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::framing::Joiner;
+use havenstage_rollout::orders::{OrderRecord, OrderState};
 use havenstage_rollout::record::BatchRecord;
 use tokio::sync::Notify;
 
 use crate::edge::{LogError, LogPage, SharedLog, SteadyClock, StreamPartition};
 
-/// State of a partition, shared by its follower, readers and the owner's work.
-pub struct Partition {
-    /// Which one it is.
+/// A state that is a fold over the records of a partition.
+pub trait StreamState {
+    /// Takes the next record's bytes; false if they cannot be read.
+    fn take(&mut self, bytes: &[u8], now: Millis) -> bool;
+}
+
+impl StreamState for PartitionState {
+    fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
+        let record = BatchRecord::decode(bytes);
+        record.map(|record| self.apply(record, now)).is_ok()
+    }
+}
+
+impl StreamState for OrderState {
+    fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
+        let record = OrderRecord::decode(bytes);
+        record.map(|record| self.apply(record, now)).is_ok()
+    }
+}
+
+/// A partition's state, shared by its follower and all that look at it.
+pub struct StreamView<S> {
+    /// Which partition it is.
     pub id: StreamPartition,
-    inner: Mutex<Inner>,
+    inner: Mutex<ViewInner<S>>,
     changed: Notify,
-    work: Arc<Notify>,
+    wakes: Arc<Notify>,
 }
 
 /// What is behind the lock.
-pub struct Inner {
+pub struct ViewInner<S> {
     /// The fold.
-    pub state: PartitionState,
+    pub state: S,
     /// Offset of the next record to be read.
     pub next: u64,
     joiner: Joiner,
     confirmed: Option<Millis>,
+    last_success: Millis,
+    readable_since: Millis,
 }
 
-impl Partition {
-    /// A partition of which nothing was read yet; changes wake `work`, the owner's task, too.
-    pub fn new(id: StreamPartition, work: Arc<Notify>) -> Self {
-        let inner = Inner {
-            state: PartitionState::default(),
+/// Time between two successful reads up to which nothing can have been missed.
+const LONGEST_GAP_MS: Millis = 2_500;
+
+/// What a page brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PageOutcome {
+    /// Records taken.
+    pub applied: usize,
+    /// Records that could not be read.
+    pub unreadable: usize,
+}
+
+impl<S: StreamState> StreamView<S> {
+    /// A partition of which nothing was read yet; changes wake `wakes`, the task that acts on them.
+    pub fn new(id: StreamPartition, state: S, wakes: Arc<Notify>) -> Self {
+        let inner = ViewInner {
+            state,
             next: 0,
             joiner: Joiner::default(),
             confirmed: None,
+            last_success: 0,
+            readable_since: 0,
         };
         Self {
             id,
             inner: Mutex::new(inner),
             changed: Notify::new(),
-            work,
+            wakes,
         }
     }
 
     /// The state.
-    pub fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub fn lock(&self) -> MutexGuard<'_, ViewInner<S>> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Wakes at the next change. Created before looking, so that no change is missed.
+    /// Wakes at the next change.
     pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
         self.changed.notified()
     }
@@ -60,6 +97,10 @@
     /// Takes a page that was asked for at `asked`.
     pub fn take_page(&self, page: LogPage, asked: Millis, now: Millis) -> PageOutcome {
         let mut inner = self.lock();
+        if now.saturating_sub(inner.last_success) > LONGEST_GAP_MS {
+            inner.readable_since = now;
+        }
+        inner.last_success = now;
         let mut outcome = PageOutcome {
             applied: 0,
             unreadable: 0,
@@ -74,12 +115,10 @@
             let Some(value) = inner.joiner.push(record) else {
                 continue;
             };
-            match BatchRecord::decode(&value) {
-                Ok(record) => {
-                    inner.state.apply(record, now);
-                    outcome.applied += 1;
-                }
-                Err(_) => outcome.unreadable += 1,
+            if inner.state.take(&value, now) {
+                outcome.applied += 1;
+            } else {
+                outcome.unreadable += 1;
             }
         }
         if inner.next >= page.end {
@@ -88,11 +127,21 @@
         drop(inner);
         if outcome.applied > 0 {
             self.changed.notify_waiters();
-            self.work.notify_one();
+            self.wakes.notify_one();
         }
         outcome
     }
 
+    /// A read failed: what was not seen until the next success may have been there.
+    pub fn read_failed(&self) {
+        self.lock().last_success = 0;
+    }
+
+    /// Since when the log could be read without a gap.
+    pub fn readable_since(&self) -> Millis {
+        self.lock().readable_since
+    }
+
     /// Skips records that the log no longer has.
     pub fn skip_to(&self, first: u64) {
         let mut inner = self.lock();
@@ -129,12 +178,3 @@
         Ok(())
     }
 }
-
-/// What a page brought.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PageOutcome {
-    /// Records taken.
-    pub applied: usize,
-    /// Records that could not be read.
-    pub unreadable: usize,
-}
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -9,7 +9,8 @@
 
 use crate::Millis;
 use crate::batch::{Item, Submission};
-use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, RunId, Version};
+use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, NodeId, RunId, Version};
+use crate::lease::LeaseState;
 use crate::record::{BatchRecord, Outcome, OutputEvent};
 
 /// An item and what is kept of its output.
@@ -87,6 +88,8 @@
     pub ended: bool,
     /// When this node first saw it.
     pub first_seen: Millis,
+    /// Who runs its items.
+    pub lease: LeaseState,
     index: HashMap<ItemId, usize>,
 }
 
@@ -104,7 +107,7 @@
 }
 
 impl BatchState {
-    fn new(submission: &Submission, now: Millis) -> Self {
+    fn new(submission: &Submission, owner: Option<NodeId>, now: Millis) -> Self {
         let items: Vec<ItemState> = submission.items.iter().map(new_item).collect();
         let index = items
             .iter()
@@ -123,6 +126,7 @@
             listed: Vec::new(),
             ended: false,
             first_seen: now,
+            lease: LeaseState::new(owner, now),
             index,
         }
     }
@@ -185,7 +189,14 @@
     /// Takes the next record of the log.
     pub fn apply(&mut self, record: BatchRecord, now: Millis) -> FoldOutcome {
         let applied = match record {
-            BatchRecord::Submitted(submission) => self.submitted(&submission, now),
+            BatchRecord::Submitted { submission, owner } => self.submitted(&submission, owner, now),
+            BatchRecord::Claimed { batch, term, owner } => {
+                self.lease(&batch, |lease| lease.claim(term, owner, now))
+            }
+            BatchRecord::Kept { batch, term } => self.lease(&batch, |lease| lease.keep(term, now)),
+            BatchRecord::Released { batch, term } => {
+                self.lease(&batch, |lease| lease.release(term, now))
+            }
             BatchRecord::Started {
                 batch,
                 item,
@@ -244,12 +255,20 @@
         self.batches.retain(|_, batch| batch.first_seen >= before);
     }
 
-    fn submitted(&mut self, submission: &Submission, now: Millis) -> bool {
+    fn lease(&mut self, batch: &BatchId, change: impl FnOnce(&mut LeaseState) -> bool) -> bool {
+        self.batches
+            .get_mut(batch)
+            .is_some_and(|batch| change(&mut batch.lease))
+    }
+
+    fn submitted(&mut self, submission: &Submission, owner: Option<NodeId>, now: Millis) -> bool {
         if self.batches.contains_key(&submission.id) {
             return false;
         }
-        self.batches
-            .insert(submission.id.clone(), BatchState::new(submission, now));
+        self.batches.insert(
+            submission.id.clone(),
+            BatchState::new(submission, owner, now),
+        );
         true
     }
 
--- a/crates/rollout/src/ids.rs
+++ b/crates/rollout/src/ids.rs
@@ -69,10 +69,25 @@
     ModelName
 );
 text_id!(
-    /// One life of a node's process.
-    NodeId
+    /// The machine a node runs on; outlives the node's process.
+    MachineName
 );
 
+/// One life of a node's process.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct NodeId {
+    /// The machine.
+    pub machine: MachineName,
+    /// Drawn anew at each start.
+    pub life: u32,
+}
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}-{:08x}", self.machine, self.life)
+    }
+}
+
 /// One run of an item on a back end; unique among all nodes and lives.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct RunId(pub u64);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod framing;
 pub mod health;
 pub mod ids;
+pub mod lease;
 pub mod orders;
 pub mod record;
 pub mod route;
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -9,16 +9,29 @@
 use thiserror::Error;
 
 use crate::Millis;
-use crate::ids::{BackendId, ModelName, NodeId, Version};
+use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
+use crate::lease::{LeaseState, Term};
 
 /// A record of the stream of orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderRecord {
-    /// A node took over; the record's offset is its fencing token.
-    Term {
-        /// The node's life.
+    /// A node claims the lease; the term is its fencing token.
+    Claimed {
+        /// The claimed term; counts only if it follows the current one.
+        term: Term,
+        /// The new holder.
         holder: NodeId,
     },
+    /// The holder is alive.
+    Kept {
+        /// The holder's term.
+        term: Term,
+    },
+    /// The holder gives the lease up.
+    Released {
+        /// The holder's term.
+        term: Term,
+    },
     /// An order is about to be given.
     Ordered {
         /// Who gives it.
@@ -70,36 +83,46 @@
 }
 
 /// What the stream of orders tells.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OrderState {
+    own_machine: MachineName,
+    lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
     loaded: BTreeMap<(BackendId, ModelName), Version>,
     last_by_other: Option<Millis>,
-    read_to: u64,
 }
 
 impl OrderState {
-    /// All records before this offset were taken.
-    pub fn read_to(&mut self, offset: u64) {
-        self.read_to = self.read_to.max(offset);
-    }
-
-    /// Whether the record at an offset, and so all before it, were taken.
-    pub fn has_read(&self, offset: u64) -> bool {
-        self.read_to > offset
+    /// No orders yet, as the machine `own_machine` sees it.
+    pub fn new(own_machine: MachineName) -> Self {
+        Self {
+            own_machine,
+            lease: LeaseState::default(),
+            pending: BTreeMap::new(),
+            loaded: BTreeMap::new(),
+            last_by_other: None,
+        }
     }
 
-    /// Takes the next record, read at `now` by the node `own`.
-    pub fn apply(&mut self, record: OrderRecord, own: &NodeId, now: Millis) {
+    /// Takes the next record.
+    pub fn apply(&mut self, record: OrderRecord, now: Millis) {
         match record {
-            OrderRecord::Term { .. } => {}
+            OrderRecord::Claimed { term, holder } => {
+                self.lease.claim(term, holder, now);
+            }
+            OrderRecord::Kept { term } => {
+                self.lease.keep(term, now);
+            }
+            OrderRecord::Released { term } => {
+                self.lease.release(term, now);
+            }
             OrderRecord::Ordered {
                 holder,
                 backend,
                 model,
                 version,
             } => {
-                if holder != *own {
+                if holder.machine != self.own_machine {
                     self.last_by_other = Some(now);
                 }
                 self.pending.insert(
@@ -121,6 +144,11 @@
         }
     }
 
+    /// Who gives orders.
+    pub fn lease(&self) -> &LeaseState {
+        &self.lease
+    }
+
     fn loaded_by(&mut self, backend: &BackendId, model: ModelName, version: Version) {
         let done = self
             .pending
@@ -151,7 +179,7 @@
         self.loaded.get(&(backend.clone(), model.clone())).copied()
     }
 
-    /// When the last order of another node was seen.
+    /// When the last order of another machine was seen.
     pub fn last_by_other(&self) -> Option<Millis> {
         self.last_by_other
     }
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -8,7 +8,8 @@
 use thiserror::Error;
 
 use crate::batch::Submission;
-use crate::ids::{BackendId, BatchId, ItemId, RunId, Version};
+use crate::ids::{BackendId, BatchId, ItemId, NodeId, RunId, Version};
+use crate::lease::Term;
 
 /// One event of an item's output.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,7 +47,35 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BatchRecord {
     /// A batch was accepted.
-    Submitted(Arc<Submission>),
+    Submitted {
+        /// The batch.
+        submission: Arc<Submission>,
+        /// The node that runs it from the start; `None` if any may.
+        owner: Option<NodeId>,
+    },
+    /// A node takes a batch over.
+    Claimed {
+        /// Batch.
+        batch: BatchId,
+        /// The claimed term; counts only if it follows the current one.
+        term: Term,
+        /// The new owner.
+        owner: NodeId,
+    },
+    /// The owner is alive.
+    Kept {
+        /// Batch.
+        batch: BatchId,
+        /// The owner's term.
+        term: Term,
+    },
+    /// The owner gives the batch up.
+    Released {
+        /// Batch.
+        batch: BatchId,
+        /// The owner's term.
+        term: Term,
+    },
     /// A run of an item began on a back end.
     Started {
         /// Batch.
@@ -104,8 +133,11 @@
     /// The batch it concerns.
     pub fn batch(&self) -> &BatchId {
         match self {
-            Self::Submitted(submission) => &submission.id,
-            Self::Started { batch, .. }
+            Self::Submitted { submission, .. } => &submission.id,
+            Self::Claimed { batch, .. }
+            | Self::Kept { batch, .. }
+            | Self::Released { batch, .. }
+            | Self::Started { batch, .. }
             | Self::Progress { batch, .. }
             | Self::Finished { batch, .. }
             | Self::Ended { batch } => batch,
--- a/crates/simulator/src/faults/injector.rs
+++ b/crates/simulator/src/faults/injector.rs
@@ -187,10 +187,12 @@
             Fault::CutZones { one, other } => {
                 Cut::both_ways(zone_side(one), zone_side(other)).to_vec()
             }
-            Fault::CutZonesOneWay { from, to } => vec![Cut {
-                from: zone_side(from),
-                to: zone_side(to),
-            }],
+            Fault::CutZonesOneWay { from, to } => {
+                vec![Cut {
+                    from: zone_side(from),
+                    to: zone_side(to),
+                }]
+            }
             Fault::IsolateZone { zone } => self.isolation(zone),
             Fault::IsolateZoneFromAll { zone } => {
                 let mut cuts = self.isolation(zone);
