Load every second version, judge quiet per back end, read a sign of life back before trusting it

Cause 1: with three models on nine back ends all 27 loads per round need 12 s at two at once, a round lasts 4 s. Change: where work may be one version old, half of a model's back ends load each version. Change: quiet is judged for each back end, and signs of life in the log tell how old an order read at a start is at least. Change: a sign of life counts once it is read back under the same term.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,8 +1,8 @@
 //! Gives orders to load versions, while this node holds the lease for orders.
 //!
 //! Each order is written down before it is given. The fold of the log says who holds the lease; a
-//! holder relies on it only for a while after each answered sign of life. A new holder gives its
-//! first order only when the last one of another machine is older than the lease bound.
+//! holder relies on it only for a while after each answered sign of life. A new holder gives a
+//! back end an order only when the last one of another machine there is older than the lease bound.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use havenstage_rollout::lease::{ClaimTiming, Term};
 use havenstage_rollout::orders::{
-    OrderRecord, OrderTarget, PlannedOrder, assign_homes, plan_orders,
+    OrderRecord, OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
 };
 use havenstage_rollout::route::Pool;
 use http::StatusCode;
@@ -66,6 +66,15 @@
     reliable_until: Millis,
 }
 
+/// What a model's back ends have to do.
+#[derive(Debug, Clone, Copy)]
+struct ModelWork {
+    /// Tokens of its newest batch: its share of the back ends.
+    weight: f64,
+    /// How many versions behind the step's own its tokens may be.
+    allowed_age: u64,
+}
+
 struct OrderEnded {
     backend: BackendId,
     report: Option<BackendReport>,
@@ -194,15 +203,43 @@
             return;
         }
         let reliable_ms = (tuning.silence_ms as f64 * RELIABLE_SHARE) as Millis;
-        let outcome = append(&self.context, &OrderRecord::Kept { term: lease.term }).await;
+        let after_ms = if lease.kept_at == 0 {
+            0
+        } else {
+            sent - lease.kept_at
+        };
+        let record = OrderRecord::Kept {
+            term: lease.term,
+            after_ms,
+        };
+        let is_current = self.is_kept(&record, lease.term).await;
         if let Some(lease) = &mut self.lease {
             lease.kept_at = sent;
-            if outcome.is_ok() {
+            if is_current {
                 lease.reliable_until = sent + reliable_ms;
             }
         }
     }
 
+    /// Whether a sign of life counts: it was written, and no newer term stands before it. That the
+    /// log took it proves nothing by itself, as it takes those of a former holder too.
+    async fn is_kept(&self, record: &OrderRecord, term: Term) -> bool {
+        let Ok(offset) = append(&self.context, record).await else {
+            return false;
+        };
+        let (log, view) = (self.context.log.as_ref(), &self.context.orders);
+        if view
+            .confirm(log, self.context.clock, Duration::ZERO)
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        let inner = view.lock();
+        let lease = inner.state.lease();
+        inner.next > offset && lease.term() == term && lease.is_held_by(&self.context.node)
+    }
+
     async fn release(&mut self) {
         let Some(lease) = self.lease.take() else {
             return;
@@ -214,18 +251,15 @@
         info!(event = "order_lease_released", term = lease.term; "");
     }
 
-    /// Whether the lease holds and the last order of another machine is long enough ago.
+    /// Whether the lease certainly holds.
     fn may_order(&self) -> bool {
         let Some(lease) = self.lease else {
             return false;
         };
         let now = self.context.now();
-        let bounds = &self.context.settings.bounds;
-        let last_by_other = self.context.orders.lock().state.last_by_other();
-        let is_quiet =
-            last_by_other.is_none_or(|last| now.saturating_sub(last) > bounds.order_lease_ms);
-        let is_awake = now.saturating_sub(lease.since) >= bounds.order_thaw_ms;
-        now < lease.reliable_until && is_quiet && is_awake
+        let is_awake =
+            now.saturating_sub(lease.since) >= self.context.settings.bounds.order_thaw_ms;
+        now < lease.reliable_until && is_awake
     }
 
     async fn order_next(&mut self) {
@@ -242,23 +276,33 @@
 
     fn plan(&self, pool: &Pool, named: &BTreeMap<ModelName, Version>) -> Vec<PlannedOrder> {
         let targets = self.targets(pool);
-        let weights: BTreeMap<ModelName, f64> = pool
+        let work: BTreeMap<ModelName, ModelWork> = pool
             .models
             .iter()
-            .map(|model| (model.clone(), self.weight(model)))
+            .map(|model| (model.clone(), self.work_of(model)))
+            .collect();
+        let weights = work
+            .iter()
+            .map(|(model, work)| (model.clone(), work.weight))
             .collect();
         let homes = assign_homes(&targets, &weights, named);
-        plan_orders(
-            &targets,
-            named,
-            &homes,
-            self.context.settings.tuning.loads_at_once,
-        )
+        let demand = work.iter().filter_map(|(model, work)| {
+            let named = *named.get(model)?;
+            Some((
+                model.clone(),
+                VersionDemand {
+                    named,
+                    allowed_age: work.allowed_age,
+                },
+            ))
+        });
+        let at_once = self.context.settings.tuning.loads_at_once;
+        plan_orders(&targets, &demand.collect(), &homes, at_once)
     }
 
-    /// Share of the back ends that a model needs: the work of its newest batch.
-    fn weight(&self, model: &ModelName) -> f64 {
-        let mut newest: Option<(u64, f64)> = None;
+    /// What the newest batch of a model tells of its work.
+    fn work_of(&self, model: &ModelName) -> ModelWork {
+        let mut newest: Option<(u64, ModelWork)> = None;
         for partition in &self.context.partitions {
             let inner = partition.lock();
             for batch in inner
@@ -267,17 +311,31 @@
                 .filter(|b| b.model.as_ref() == Some(model))
             {
                 let step = batch.step.unwrap_or(0);
-                if newest.is_none_or(|(known, _)| known < step) {
+                if newest.as_ref().is_none_or(|(known, _)| *known < step) {
                     let tokens: u64 = batch
                         .items
                         .iter()
                         .map(|item| u64::from(item.expected_tokens))
                         .sum();
-                    newest = Some((step, tokens as f64));
+                    let allowed_age = step.saturating_sub(batch.minimum_version);
+                    let weight = (tokens as f64).max(1.0);
+                    newest = Some((
+                        step,
+                        ModelWork {
+                            weight,
+                            allowed_age,
+                        },
+                    ));
                 }
             }
         }
-        newest.map_or(1.0, |(_, tokens)| tokens.max(1.0))
+        newest.map_or(
+            ModelWork {
+                weight: 1.0,
+                allowed_age: 0,
+            },
+            |(_, work)| work,
+        )
     }
 
     fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
@@ -286,12 +344,18 @@
         let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
         let lost_ms = ORDER_LOST_AFTER.as_millis() as Millis;
+        let quiet_ms = self.context.settings.bounds.order_lease_ms;
         let mut targets = Vec::new();
         for (id, _) in backends.list.ready_in(&pool.name) {
             let pending = orders
                 .state
                 .pending(id)
                 .is_some_and(|order| now.saturating_sub(order.since) < lost_ms);
+            let is_quiet = orders
+                .state
+                .quiet_ms(id, now)
+                .is_none_or(|quiet| quiet > quiet_ms);
+            let is_left_alone = self.avoided_until.get(id).is_some_and(|until| *until > now);
             let models = pool.models.iter();
             targets.push(OrderTarget {
                 backend: id.clone(),
@@ -300,7 +364,7 @@
                     .collect(),
                 running: running.get(id).copied().unwrap_or(0),
                 loading: pending || self.under_way.contains_key(id),
-                avoided: self.avoided_until.get(id).is_some_and(|until| *until > now),
+                avoided: is_left_alone || !is_quiet,
             });
         }
         targets
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -26,6 +26,8 @@
     Kept {
         /// The holder's term.
         term: Term,
+        /// Milliseconds since the holder sent its last sign of life; 0 at the first.
+        after_ms: Millis,
     },
     /// The holder gives the lease up.
     Released {
@@ -89,7 +91,16 @@
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
     loaded: BTreeMap<(BackendId, ModelName), Version>,
-    last_by_other: Option<Millis>,
+    last_by_other: BTreeMap<BackendId, SeenOrder>,
+    /// Time that has certainly passed between the first record and the newest.
+    log_time: Millis,
+}
+
+/// When an order was seen, on two clocks.
+#[derive(Debug, Clone, Copy)]
+struct SeenOrder {
+    read_at: Millis,
+    log_time: Millis,
 }
 
 impl OrderState {
@@ -100,7 +111,8 @@
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
             loaded: BTreeMap::new(),
-            last_by_other: None,
+            last_by_other: BTreeMap::new(),
+            log_time: 0,
         }
     }
 
@@ -110,8 +122,10 @@
             OrderRecord::Claimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
-            OrderRecord::Kept { term } => {
-                self.lease.keep(term, now);
+            OrderRecord::Kept { term, after_ms } => {
+                if self.lease.keep(term, now) {
+                    self.log_time += after_ms;
+                }
             }
             OrderRecord::Released { term } => {
                 self.lease.release(term, now);
@@ -123,7 +137,11 @@
                 version,
             } => {
                 if holder.machine != self.own_machine {
-                    self.last_by_other = Some(now);
+                    let seen = SeenOrder {
+                        read_at: now,
+                        log_time: self.log_time,
+                    };
+                    self.last_by_other.insert(backend.clone(), seen);
                 }
                 self.pending.insert(
                     backend,
@@ -179,15 +197,20 @@
         self.loaded.get(&(backend.clone(), model.clone())).copied()
     }
 
-    /// When the last order of another machine was seen.
-    pub fn last_by_other(&self) -> Option<Millis> {
-        self.last_by_other
+    /// Time that has certainly passed since another machine gave a back end an order; `None` if none
+    /// did. A reader that has just started reads old orders only now, but the signs of life behind
+    /// them tell how old they are at least.
+    pub fn quiet_ms(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
+        let seen = self.last_by_other.get(backend)?;
+        let by_own_clock = now.saturating_sub(seen.read_at);
+        Some(by_own_clock.max(self.log_time - seen.log_time))
     }
 
     /// Forgets back ends that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&BackendId) -> bool) {
         self.pending.retain(|backend, _| keep(backend));
         self.loaded.retain(|(backend, _), _| keep(backend));
+        self.last_by_other.retain(|backend, _| keep(backend));
     }
 }
 
@@ -217,43 +240,83 @@
     pub version: Version,
 }
 
-/// The next orders: at most `at_once` loads are under way together, and a model's oldest back ends
-/// come first, those with the least work before others.
+/// What is asked of a model's back ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionDemand {
+    /// The newest named version.
+    pub named: Version,
+    /// How many versions behind the newest one the work at hand may be.
+    pub allowed_age: u64,
+}
+
+/// The next orders: at most `at_once` loads are under way together.
+///
+/// Back ends that are too old for the work at hand come first: they run nothing anyway. Of the
+/// others only so many load that the next version finds a share of them new enough; where the work
+/// may be one version old, that is every second one, so that each loads every second version and
+/// half of them serve without a pause.
 pub fn plan_orders(
     targets: &[OrderTarget],
-    named: &BTreeMap<ModelName, Version>,
+    demand: &BTreeMap<ModelName, VersionDemand>,
     homes: &BTreeMap<BackendId, ModelName>,
     at_once: usize,
 ) -> Vec<PlannedOrder> {
     let loading = targets.iter().filter(|target| target.loading).count();
-    let mut wanted: Vec<(Version, u32, PlannedOrder)> = Vec::new();
-    for target in targets
-        .iter()
-        .filter(|target| !target.loading && !target.avoided)
-    {
-        let Some(model) = homes.get(&target.backend) else {
-            continue;
-        };
-        let Some(version) = named.get(model) else {
-            continue;
-        };
-        let has = target.models.get(model).copied().unwrap_or(0);
-        if has < *version {
-            let order = PlannedOrder {
-                backend: target.backend.clone(),
-                model: model.clone(),
-                version: *version,
-            };
-            wanted.push((has, target.running, order));
-        }
+    let mut wanted = Vec::new();
+    for (model, demand) in demand {
+        let at_home: Vec<&OrderTarget> = targets
+            .iter()
+            .filter(|target| homes.get(&target.backend) == Some(model))
+            .collect();
+        wanted.extend(wanted_loads(&at_home, model, *demand));
     }
-    wanted.sort_by(|left, right| {
-        (left.0, left.1, &left.2.backend).cmp(&(right.0, right.1, &right.2.backend))
-    });
+    wanted.sort_by_key(|load| (!load.is_too_old, load.running));
+    let free = at_once.saturating_sub(loading);
     wanted
         .into_iter()
-        .map(|(_, _, order)| order)
-        .take(at_once.saturating_sub(loading))
+        .map(|load| load.order)
+        .take(free)
+        .collect()
+}
+
+struct WantedLoad {
+    is_too_old: bool,
+    running: u32,
+    order: PlannedOrder,
+}
+
+fn wanted_loads(
+    at_home: &[&OrderTarget],
+    model: &ModelName,
+    demand: VersionDemand,
+) -> Vec<WantedLoad> {
+    let has = |target: &OrderTarget| target.models.get(model).copied().unwrap_or(0);
+    let oldest = demand.named.saturating_sub(demand.allowed_age);
+    let share = at_home.len().div_ceil(demand.allowed_age as usize + 1);
+    let current = at_home
+        .iter()
+        .filter(|t| t.loading || has(t) >= demand.named)
+        .count();
+    let mut behind: Vec<&&OrderTarget> = at_home
+        .iter()
+        .filter(|t| !t.loading && !t.avoided && has(t) < demand.named)
+        .collect();
+    behind.sort_by_key(|target| (has(target) >= oldest, target.running, has(target)));
+    let missing = share.saturating_sub(current);
+    let chosen = behind
+        .into_iter()
+        .enumerate()
+        .filter(|(at, t)| *at < missing || has(t) < oldest);
+    chosen
+        .map(|(_, target)| WantedLoad {
+            is_too_old: has(target) < oldest,
+            running: target.running,
+            order: PlannedOrder {
+                backend: target.backend.clone(),
+                model: model.clone(),
+                version: demand.named,
+            },
+        })
         .collect()
 }
 
--- /dev/null
+++ b/crates/rollout/tests/schedule.rs
@@ -0,0 +1,98 @@
+//! Which item runs next, and where.
+
+mod support;
+
+use std::collections::{BTreeMap, HashSet};
+
+use havenstage_rollout::fold::PartitionState;
+use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName};
+use havenstage_rollout::schedule::{Candidate, WaitingItem, choose, optional_items, sort_waiting};
+use support::{backend, item, submitted};
+
+fn waiting(id: &str, optional: bool, expected_tokens: u32) -> WaitingItem {
+    WaitingItem {
+        batch: BatchId::from("batch"),
+        item: ItemId::from(id),
+        optional,
+        expected_tokens,
+        since: 0,
+        model: Some(ModelName::from("model")),
+        minimum_version: 3,
+        group: Some(GroupId::from("group")),
+    }
+}
+
+fn candidate(id: &str, running: u32, version: u64, speed: f64) -> Candidate {
+    Candidate {
+        backend: backend(id),
+        running,
+        slots: 8,
+        speed,
+        models: BTreeMap::from([(ModelName::from("model"), version)]),
+        groups: HashSet::new(),
+    }
+}
+
+fn chosen(candidates: &[Candidate]) -> Option<String> {
+    choose(&waiting("item", false, 10), candidates).map(|chosen| chosen.backend.to_string())
+}
+
+#[test]
+fn needed_items_go_first_and_the_longest_of_them() {
+    let mut items = [
+        waiting("short", false, 5),
+        waiting("optional", true, 500),
+        waiting("long", false, 50),
+    ];
+    sort_waiting(&mut items);
+    let order: Vec<&str> = items.iter().map(|item| item.item.as_str()).collect();
+    assert_eq!(order, ["long", "short", "optional"]);
+}
+
+#[test]
+fn a_full_or_outdated_back_end_is_not_chosen() {
+    assert_eq!(
+        chosen(&[candidate("full", 8, 3, 1.0), candidate("old", 0, 2, 1.0)]),
+        None
+    );
+    let with_room = [candidate("full", 8, 3, 1.0), candidate("room", 7, 3, 1.0)];
+    assert_eq!(chosen(&with_room).as_deref(), Some("room"));
+}
+
+#[test]
+fn a_slow_back_end_is_chosen_only_for_want_of_others() {
+    let both = [candidate("slow", 0, 3, 0.3), candidate("usual", 6, 3, 1.0)];
+    assert_eq!(chosen(&both).as_deref(), Some("usual"));
+    assert_eq!(chosen(&both[..1]).as_deref(), Some("slow"));
+}
+
+#[test]
+fn a_prompt_that_is_there_breaks_a_tie() {
+    let mut with_prompt = candidate("with", 1, 3, 1.0);
+    with_prompt.groups.insert(GroupId::from("group"));
+    let both = [candidate("alone", 1, 3, 1.0), with_prompt];
+    assert_eq!(chosen(&both).as_deref(), Some("with"));
+}
+
+#[test]
+fn groups_with_the_longest_items_are_optional_unless_carried_over() {
+    let mut state = PartitionState::default();
+    let items = vec![
+        item("a", "short", 10),
+        item("b", "middle", 20),
+        item("c", "long", 30),
+    ];
+    state.apply(submitted("batch", items, None), 0);
+    let batch = state.batch(&BatchId::from("batch")).unwrap();
+    let optional = optional_items(batch, &HashSet::new(), 1);
+    assert_eq!(
+        optional,
+        HashSet::from([ItemId::from("b"), ItemId::from("c")])
+    );
+    let carried = HashSet::from([ItemId::from("c")]);
+    let optional = optional_items(batch, &carried, 1);
+    assert_eq!(
+        optional,
+        HashSet::from([ItemId::from("a"), ItemId::from("b")])
+    );
+}
