Test the gateway on loopback with a log, a back end and a dialect of its own

Cause: calls, batches and orders had tests of their state machines only. Shown failing first: a_former_holder_gives_no_order_before_it_has_read_the_log fails (4 orders instead of 2) when the answer to a sign of life is trusted. Ruled out: paused time, which jumps while sockets are waited for.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! Puts a node together, runs it, and stops it in order.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -49,17 +51,58 @@
     /// Metrics cannot be collected.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
+    /// The address listened on cannot be told.
+    #[error("the callers' address cannot be told: {0}")]
+    Address(std::io::Error),
     /// Signals cannot be received.
     #[error("signals cannot be received: {0}")]
     Signals(std::io::Error),
 }
 
+/// A node at work.
+pub struct RunningNode {
+    context: Arc<Context>,
+    callers: SocketAddr,
+    in_flight: Arc<InFlight>,
+    close: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+impl RunningNode {
+    /// What its parts share.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Where it listens for callers.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Lets the work come to its end, then ends the node.
+    pub async fn stop(mut self) {
+        stop(&self.context, &self.in_flight, &self.close).await;
+        self.tasks.shutdown().await;
+    }
+}
+
 /// Runs a node until it is told to stop. `reload` is called when the settings may have changed.
 pub async fn run(
     settings: Settings,
     surroundings: Surroundings,
     reload: impl Fn(),
 ) -> Result<(), NodeError> {
+    let running = start(settings, surroundings).await?;
+    wait_for_stop(reload).await?;
+    running.stop().await;
+    Ok(())
+}
+
+/// Starts a node.
+pub async fn start(
+    settings: Settings,
+    surroundings: Surroundings,
+) -> Result<RunningNode, NodeError> {
     let machine = MachineName::from(settings.node.as_str());
     let node = NodeId {
         machine,
@@ -67,50 +110,55 @@
     };
     let listen = settings.listen.clone();
     let callers = server::listen("callers'", listen.callers).await?;
+    let callers_address = callers.local_addr().map_err(NodeError::Address)?;
     let ready = server::listen("readiness", listen.ready).await?;
-    let context = Context::new(
-        settings,
-        node,
-        surroundings.log,
-        surroundings.directory,
-        surroundings.dialect,
-    );
+    let Surroundings {
+        log,
+        directory,
+        dialect,
+    } = surroundings;
+    let context = Context::new(settings, node, log, directory, dialect);
+    let mut tasks = JoinSet::new();
     if let Some(address) = listen.metrics {
         let handle = metrics::start(address)?;
         let listener = server::listen("metrics", address).await?;
-        tokio::spawn(server::serve_metrics(handle, listener));
+        tasks.spawn(server::serve_metrics(handle, listener));
     }
     let in_flight = Arc::new(InFlight::default());
     let (close, closing) = watch::channel(false);
-    start_followers(&context);
-    tokio::spawn(server::serve_readiness(context.clone(), ready));
-    tokio::spawn(server::serve_callers(
+    start_followers(&context, &mut tasks);
+    tasks.spawn(server::serve_readiness(context.clone(), ready));
+    tasks.spawn(server::serve_callers(
         context.clone(),
         callers,
         in_flight.clone(),
         closing,
     ));
-    tokio::spawn(Engine::new(context.clone()).run());
-    tokio::spawn(Coordinator::new(context.clone()).run());
+    tasks.spawn(Engine::new(context.clone()).run());
+    tasks.spawn(Coordinator::new(context.clone()).run());
     info!(event = "started", node = context.node.to_string().as_str(),
         zone = context.settings.zone.as_str(), version = env!("CARGO_PKG_VERSION"); "");
-    wait_for_stop(reload).await?;
-    stop(&context, &in_flight, &close).await;
-    Ok(())
+    Ok(RunningNode {
+        context,
+        callers: callers_address,
+        in_flight,
+        close,
+        tasks,
+    })
 }
 
-fn start_followers(context: &Arc<Context>) {
-    tokio::spawn(followers::follow_directory(
+fn start_followers(context: &Arc<Context>, tasks: &mut JoinSet<()>) {
+    tasks.spawn(followers::follow_directory(
         context.clone(),
         DirectoryKind::Operators,
     ));
-    tokio::spawn(followers::follow_directory(
+    tasks.spawn(followers::follow_directory(
         context.clone(),
         DirectoryKind::Backends,
     ));
-    tokio::spawn(followers::follow_orders(context.clone()));
+    tasks.spawn(followers::follow_orders(context.clone()));
     for partition in 0..context.partitions.len() {
-        tokio::spawn(followers::follow_batches(context.clone(), partition));
+        tasks.spawn(followers::follow_batches(context.clone(), partition));
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/batches.rs
@@ -0,0 +1,293 @@
+//! Batches: accepted once, run whole, read alike at every node, and kept through faults.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use http::Method;
+use support::caller::{results, send, submit, text, wait_for_results};
+use support::deployment::{Deployment, TestNode, wait_until};
+use support::dialect::write_batch;
+use support::log::LogFaults;
+
+const ITEMS: [(&str, &str); 4] = [("i1", "g1"), ("i2", "g1"), ("i3", "g2"), ("i4", "g2")];
+
+fn whole_text(item: &str) -> String {
+    (1..=4)
+        .map(|event| format!("{item}.{event}"))
+        .collect::<Vec<_>>()
+        .join("/")
+}
+
+fn assert_all_whole(lines: &[String]) {
+    let items: BTreeSet<&str> = lines
+        .iter()
+        .map(|line| line.split('|').next().unwrap())
+        .collect();
+    assert_eq!(items.len(), ITEMS.len(), "{lines:?}");
+    for line in lines {
+        let fields: Vec<&str> = line.split('|').collect();
+        assert_eq!(fields[1], "completed", "{line}");
+        assert_eq!(fields[2], whole_text(fields[0]), "{line}");
+    }
+}
+
+#[tokio::test]
+async fn a_batch_is_run_and_read_alike_at_every_node() {
+    let deployment = Deployment::start(2, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    assert_eq!(
+        submit(first.callers, "batch", &write_batch(1, &ITEMS, true)).await,
+        202
+    );
+    let lines = wait_for_results(second.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+    assert!(
+        lines
+            .iter()
+            .all(|line| line.ends_with("|signed by application-0")),
+        "{lines:?}"
+    );
+    assert_eq!(
+        wait_for_results(first.callers, "batch", ITEMS.len()).await,
+        lines
+    );
+    assert_eq!(results(second.callers, "batch", 2).await.1, lines[2..]);
+    let rewards = deployment.applications[0].seen();
+    assert_eq!(rewards.len(), ITEMS.len(), "one reward call for each item");
+}
+
+#[tokio::test]
+async fn a_batch_handed_in_again_elsewhere_is_taken_once() {
+    let deployment = Deployment::start(1, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    let body = write_batch(1, &ITEMS, false);
+    assert_eq!(submit(first.callers, "batch", &body).await, 202);
+    assert_eq!(submit(second.callers, "batch", &body).await, 202);
+    let lines = wait_for_results(second.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+    assert!(deployment.engines[0].runs().values().all(|runs| *runs == 1));
+}
+
+#[tokio::test]
+async fn bad_batches_are_refused_at_once_and_leave_nothing() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    let twice = write_batch(1, &[("i1", "g"), ("i1", "g")], false);
+    for body in [
+        "no number",
+        "1\n",
+        "1\nan item with too few words",
+        twice.as_str(),
+    ] {
+        assert_eq!(submit(node.callers, "bad", body).await, 400, "{body:?}");
+    }
+    assert_eq!(results(node.callers, "bad", 0).await.0, 404);
+    let too_large = write_batch(1, &[("i1", &"g".repeat(70_000))], false);
+    assert_eq!(submit(node.callers, "bad", &too_large).await, 413);
+}
+
+#[tokio::test]
+async fn a_refusal_means_that_nothing_runs() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        503
+    );
+    node.set_faults(LogFaults::default());
+    assert_eq!(results(node.callers, "batch", 0).await.0, 404);
+    assert!(deployment.engines[0].seen().is_empty());
+}
+
+/// An append without an answer may have been done, so it must not be called "not run".
+#[tokio::test]
+async fn a_lost_answer_of_the_log_is_no_refusal() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    node.set_faults(LogFaults {
+        loses_answers: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        504
+    );
+    node.set_faults(LogFaults::default());
+    let lines = wait_for_results(node.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+}
+
+#[tokio::test]
+async fn a_node_that_cannot_ask_the_log_does_not_say_that_there_is_none() {
+    let deployment = Deployment::start(1, 1).await;
+    let (first, cut) = (deployment.node("a").await, deployment.node("b").await);
+    cut.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(
+        submit(first.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    assert_eq!(results(cut.callers, "batch", 0).await.0, 503);
+    assert_eq!(results(cut.callers, "unknown", 0).await.0, 503);
+    cut.set_faults(LogFaults::default());
+    assert_eq!(results(cut.callers, "unknown", 0).await.0, 404);
+}
+
+#[tokio::test]
+async fn bodies_are_read_until_the_batch_ends() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(30));
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    let body = send(node.callers, Method::GET, "/results/batch?item=i2", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(
+        (body.status.as_u16(), text(&body).as_str()),
+        (200, "body of i2")
+    );
+    for _ in 0..2 {
+        let ended = send(node.callers, Method::DELETE, "/results/batch", &[], "")
+            .await
+            .unwrap();
+        assert_eq!(ended.status, 200);
+    }
+    let view = node.context().partition_of(&"batch".into());
+    wait_until("the end is known", || {
+        view.lock()
+            .state
+            .batch(&"batch".into())
+            .is_some_and(|batch| batch.ended)
+    })
+    .await;
+    let body = send(node.callers, Method::GET, "/results/batch?item=i2", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(body.status, 404);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_is_resumed_without_gap_or_repetition() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = deployment.node("a").await;
+    for engine in &deployment.engines {
+        engine.behave(|told| told.breaks_after = Some(1));
+    }
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    assert_all_whole(&wait_for_results(node.callers, "batch", ITEMS.len()).await);
+}
+
+#[tokio::test]
+async fn an_engine_with_outdated_weights_makes_no_output() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = deployment.node("a").await;
+    deployment.engines[1].behave(|told| told.version = 2);
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(2, &ITEMS, false)).await,
+        202
+    );
+    // The list says that both engines have version 1; nothing runs until one is seen to have 2.
+    for id in ["engine-0", "engine-1"] {
+        node.context()
+            .backends
+            .lock()
+            .saw_version(&id.into(), &"model".into(), 2);
+    }
+    let lines = wait_for_results(node.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+    assert!(lines.iter().all(|line| line.contains("|{2}|")), "{lines:?}");
+}
+
+async fn running_batch(deployment: &Deployment, node: &TestNode) {
+    for engine in &deployment.engines {
+        engine.behave(|told| told.event_pause = Duration::from_millis(150));
+    }
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    let view = node.context().partition_of(&"batch".into());
+    wait_until("some output is written down", || {
+        let inner = view.lock();
+        let batch = inner.state.batch(&"batch".into());
+        batch.is_some_and(|batch| batch.items.iter().all(|item| !item.events.is_empty()))
+    })
+    .await;
+}
+
+/// Another node claims the batch and goes on with the output that was written down.
+#[tokio::test]
+async fn a_batch_outlives_the_node_that_runs_it() {
+    let deployment = Deployment::start(2, 1).await;
+    let (mut first, second) = (deployment.node("a").await, deployment.node("b").await);
+    running_batch(&deployment, &first).await;
+    first.kill();
+    assert_all_whole(&wait_for_results(second.callers, "batch", ITEMS.len()).await);
+    let resumed = |seen: &support::backend::Seen| seen.header("last-event-id").is_some();
+    let was_resumed = deployment
+        .engines
+        .iter()
+        .any(|engine| engine.seen().iter().any(resumed));
+    assert!(was_resumed, "no run went on from the output that was kept");
+}
+
+#[tokio::test]
+async fn all_nodes_may_die_after_the_batch_was_accepted() {
+    let deployment = Deployment::start(2, 1).await;
+    let (mut first, mut second) = (deployment.node("a").await, deployment.node("b").await);
+    assert_eq!(
+        submit(first.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    first.kill();
+    second.kill();
+    let restarted = deployment.node("c").await;
+    assert_all_whole(&wait_for_results(restarted.callers, "batch", ITEMS.len()).await);
+}
+
+/// An owner that is cut off goes on, loses its lease, and wakes: one output stands, without mixing.
+#[tokio::test]
+async fn an_owner_that_lost_its_lease_changes_nothing() {
+    let deployment = Deployment::start(2, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    running_batch(&deployment, &first).await;
+    first.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    let lines = wait_for_results(second.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+    first.set_faults(LogFaults::default());
+    assert_eq!(
+        wait_for_results(first.callers, "batch", ITEMS.len()).await,
+        lines
+    );
+    assert_eq!(
+        wait_for_results(second.callers, "batch", ITEMS.len()).await,
+        lines
+    );
+}
+
+#[tokio::test]
+async fn a_node_that_stops_hands_its_batches_over() {
+    let deployment = Deployment::start(2, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    running_batch(&deployment, &first).await;
+    first.stop().await;
+    assert_all_whole(&wait_for_results(second.callers, "batch", ITEMS.len()).await);
+}
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,148 @@
+//! Calls passed through: what reaches the caller, what reaches back ends, and how often.
+
+mod support;
+
+use http::Method;
+use support::backend::CallBehaviour;
+use support::caller::{call, send, text};
+use support::deployment::{APPLICATIONS, Deployment, listed, wait_until};
+
+#[tokio::test]
+async fn a_call_is_passed_on_whole() {
+    let deployment = Deployment::start(0, 1).await;
+    let node = deployment.node("a").await;
+    let headers = [
+        ("x-id", "call-1"),
+        ("x-deadline", "4000"),
+        ("x-other", "kept"),
+    ];
+    let answer = send(
+        node.callers,
+        Method::PUT,
+        "/calls/some/path?with=query",
+        &headers,
+        "the body",
+    );
+    let answer = answer.await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(text(&answer), "application-0 answers call-1");
+    assert_eq!(answer.headers["x-signature"], "signed by application-0");
+    assert!(
+        !answer.headers.contains_key("keep-alive"),
+        "it concerns the other connection"
+    );
+    let seen = deployment.applications[0].seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].body, "the body");
+    assert_eq!(seen[0].header("x-other"), Some("kept"));
+    assert_eq!(seen[0].header("host"), Some("host.test"));
+    assert_eq!(seen[0].header("x-expected"), Some("application-0"));
+    let left: u64 = seen[0].header("x-deadline").unwrap().parse().unwrap();
+    assert!(left <= 3_000, "{left} ms are more than the route allows");
+}
+
+#[tokio::test]
+async fn no_route_is_404_and_no_configuration_is_503() {
+    let deployment = Deployment::start(0, 1).await;
+    let node = deployment.node("a").await;
+    assert_eq!(
+        call(node.callers, "call", "/unknown/path").await.status,
+        404
+    );
+    let empty = support::log::MemoryLog::new();
+    let ignorant = support::deployment::TestNode::start(&empty, "b").await;
+    let answer = call(ignorant.callers, "call", "/calls/path").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+async fn outcome(behaviour: CallBehaviour, path: &str) -> (u16, String, usize) {
+    let deployment = Deployment::start(0, 2).await;
+    let node = deployment.node("a").await;
+    for backend in &deployment.applications {
+        backend.behave(|told| told.call = behaviour);
+    }
+    let answer = call(node.callers, "call", path).await;
+    let sent = deployment
+        .applications
+        .iter()
+        .map(|backend| backend.seen().len())
+        .sum();
+    (answer.status.as_u16(), text(&answer), sent)
+}
+
+#[tokio::test]
+async fn a_repeatable_call_is_sent_again_after_a_break() {
+    let (status, _, sent) = outcome(CallBehaviour::Break, "/calls/path").await;
+    assert_eq!((status, sent), (502, 3), "as often as its route allows");
+}
+
+#[tokio::test]
+async fn a_call_that_runs_at_most_once_is_not_sent_again_after_a_break() {
+    let (status, _, sent) = outcome(CallBehaviour::Break, "/once/path").await;
+    assert_eq!((status, sent), (502, 1));
+}
+
+/// "Not run" may be said only if it is true: after a break the call may have run.
+#[tokio::test]
+async fn only_a_call_that_did_not_run_is_refused_as_such() {
+    let (status, _, sent) = outcome(CallBehaviour::NotRun, "/once/path").await;
+    assert_eq!(status, 503);
+    assert!(
+        sent >= 2,
+        "back ends that turn a call away are followed by others"
+    );
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let (status, text, _) = outcome(CallBehaviour::ForeignAnswer, "/calls/path").await;
+    assert_eq!((status, text.as_str()), (502, ""));
+}
+
+#[tokio::test]
+async fn an_answer_that_ends_early_is_never_passed_on() {
+    let (status, text, _) = outcome(CallBehaviour::CutShort, "/calls/path").await;
+    assert_eq!((status, text.as_str()), (502, ""));
+}
+
+#[tokio::test]
+async fn the_last_failure_of_a_back_end_is_passed_on_as_it_is() {
+    let (status, text, sent) = outcome(CallBehaviour::Fail, "/calls/path").await;
+    assert_eq!((status, sent), (500, 3));
+    assert!(text.starts_with("application-"), "{text}");
+}
+
+#[tokio::test]
+async fn a_silent_back_end_is_followed_by_another() {
+    let deployment = Deployment::start(0, 2).await;
+    let node = deployment.node("a").await;
+    deployment.applications[0].behave(|told| told.call = CallBehaviour::Silent);
+    for at in 0..4 {
+        let answer = call(node.callers, &format!("call-{at}"), "/calls/path").await;
+        assert_eq!(text(&answer), format!("application-1 answers call-{at}"));
+    }
+}
+
+#[tokio::test]
+async fn a_draining_back_end_gets_no_more_calls() {
+    let deployment = Deployment::start(0, 2).await;
+    let node = deployment.node("a").await;
+    deployment
+        .log
+        .write_backends(listed(&deployment.applications[0], APPLICATIONS, true));
+    let id = havenstage_rollout::ids::BackendId::from("application-0");
+    wait_until("the node knows that it drains", || {
+        node.context()
+            .backends
+            .lock()
+            .list
+            .get(&id)
+            .is_some_and(|record| record.draining)
+    })
+    .await;
+    for at in 0..6 {
+        call(node.callers, &format!("call-{at}"), "/calls/path").await;
+    }
+    assert!(deployment.applications[0].seen().is_empty());
+}
--- /dev/null
+++ b/crates/gateway/tests/orders.rs
@@ -0,0 +1,139 @@
+//! Orders to load versions: one holder at a time, whatever the log does to it.
+
+mod support;
+
+use std::time::Duration;
+
+use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_rollout::ids::{MachineName, ModelName};
+use support::deployment::{Deployment, TestNode, wait_until};
+use support::log::{LogFaults, MemoryLog};
+
+fn name_version(log: &MemoryLog, version: u64) {
+    let model = ModelName::from("model");
+    log.write_operators(DirectoryEntry::NamedVersion { model, version });
+}
+
+fn holder(node: &TestNode) -> Option<MachineName> {
+    let inner = node.context().orders.lock();
+    inner
+        .state
+        .lease()
+        .holder()
+        .map(|holder| holder.machine.clone())
+}
+
+fn version_of(order: &str) -> u64 {
+    order.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+fn fence_of(order: &str) -> u64 {
+    order.split(' ').nth(3).unwrap().parse().unwrap()
+}
+
+async fn wait_for_version(deployment: &Deployment, version: u64) {
+    wait_until("all engines were ordered to load the version", || {
+        let engines = deployment.engines.iter();
+        engines.map(|e| e.orders()).all(|orders| {
+            orders
+                .last()
+                .is_some_and(|order| version_of(order) == version)
+        })
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_named_version_is_rolled_out_once() {
+    let deployment = Deployment::start(3, 1).await;
+    let (_first, _second) = (deployment.node("a").await, deployment.node("b").await);
+    name_version(&deployment.log, 2);
+    wait_for_version(&deployment, 2).await;
+    for engine in &deployment.engines {
+        assert_eq!(engine.orders().len(), 1, "{:?}", engine.orders());
+    }
+}
+
+#[tokio::test]
+async fn another_node_takes_over_with_a_higher_fence() {
+    let deployment = Deployment::start(2, 1).await;
+    let (mut first, mut second) = (deployment.node("a").await, deployment.node("b").await);
+    name_version(&deployment.log, 2);
+    wait_for_version(&deployment, 2).await;
+    let is_first = holder(&first) == Some(MachineName::from("a"));
+    if is_first {
+        first.kill()
+    } else {
+        second.kill()
+    };
+    name_version(&deployment.log, 3);
+    wait_for_version(&deployment, 3).await;
+    for engine in &deployment.engines {
+        let fences: Vec<u64> = engine
+            .orders()
+            .iter()
+            .map(|order| fence_of(order))
+            .collect();
+        assert!(
+            fences.windows(2).all(|pair| pair[0] < pair[1]),
+            "{fences:?}"
+        );
+    }
+}
+
+/// A holder is cut off and another takes over. As the cut heals, the former holder's appends work
+/// before its reads do: the log takes its sign of life, which must not count for a lease.
+#[tokio::test]
+async fn a_former_holder_gives_no_order_before_it_has_read_the_log() {
+    let deployment = Deployment::start(2, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    wait_until("a node holds the lease", || holder(&first).is_some()).await;
+    let (former, next) = match holder(&first) == Some(MachineName::from("a")) {
+        true => (&first, &second),
+        false => (&second, &first),
+    };
+    former.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    let taken_over = next.context().node.machine.clone();
+    wait_until("the other node holds the lease", || {
+        holder(next) == Some(taken_over.clone())
+    })
+    .await;
+    name_version(&deployment.log, 2);
+    wait_for_version(&deployment, 2).await;
+    let before: usize = deployment
+        .engines
+        .iter()
+        .map(|engine| engine.orders().len())
+        .sum();
+    // The former holder knows of version 3, and its next sign of life is answered.
+    next.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    former.set_faults(LogFaults {
+        reads_hang: true,
+        ..LogFaults::default()
+    });
+    name_version(&deployment.log, 3);
+    wait_until("the former holder knows version 3", || {
+        former
+            .context()
+            .named_versions()
+            .values()
+            .any(|version| *version == 3)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let after: usize = deployment
+        .engines
+        .iter()
+        .map(|engine| engine.orders().len())
+        .sum();
+    assert_eq!(
+        before, after,
+        "an order was given under a term that had passed"
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/support/backend.rs
@@ -0,0 +1,284 @@
+//! A back end on loopback that does as it is told and remembers what it was asked.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+type Body = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Events of each item's output.
+pub const EVENTS: u32 = 4;
+
+/// How a back end behaves.
+#[derive(Debug, Clone)]
+pub struct Behaviour {
+    /// Version of the weights.
+    pub version: u64,
+    /// Pause before each event.
+    pub event_pause: Duration,
+    /// The connection breaks after so many events of a run.
+    pub breaks_after: Option<u32>,
+    /// Answer to calls.
+    pub call: CallBehaviour,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallBehaviour {
+    Answer,
+    NotRun,
+    Fail,
+    /// The connection closes after the request was read.
+    Break,
+    /// The answer names another request.
+    ForeignAnswer,
+    /// The answer ends before its told length.
+    CutShort,
+    /// No answer comes.
+    Silent,
+}
+
+/// A request as the back end saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// A back end.
+pub struct StandInBackend {
+    pub id: String,
+    pub address: SocketAddr,
+    behaviour: Mutex<Behaviour>,
+    seen: Mutex<Vec<Seen>>,
+    orders: Mutex<Vec<String>>,
+}
+
+impl StandInBackend {
+    pub async fn start(id: &str) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let behaviour = Behaviour {
+            version: 1,
+            event_pause: Duration::from_millis(5),
+            breaks_after: None,
+            call: CallBehaviour::Answer,
+        };
+        let backend = Arc::new(Self {
+            id: id.to_owned(),
+            address: listener.local_addr().unwrap(),
+            behaviour: Mutex::new(behaviour),
+            seen: Mutex::default(),
+            orders: Mutex::default(),
+        });
+        tokio::spawn(serve(backend.clone(), listener));
+        backend
+    }
+
+    pub fn behave(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.behaviour.lock().unwrap());
+    }
+
+    /// Requests for calls and items, in the order they came.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Orders, in the order they came, as `model version holder fence`.
+    pub fn orders(&self) -> Vec<String> {
+        self.orders.lock().unwrap().clone()
+    }
+
+    /// How often each item was sent here.
+    pub fn runs(&self) -> HashMap<String, usize> {
+        let mut runs = HashMap::new();
+        for seen in self
+            .seen()
+            .iter()
+            .filter(|seen| seen.path.starts_with("/items/"))
+        {
+            *runs.entry(seen.path.clone()).or_default() += 1;
+        }
+        runs
+    }
+
+    fn behaviour(&self) -> Behaviour {
+        self.behaviour.lock().unwrap().clone()
+    }
+}
+
+async fn serve(backend: Arc<StandInBackend>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let backend = backend.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(backend.clone(), request));
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Ends the connection without an answer.
+#[derive(Debug)]
+struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("broken off")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+async fn answer(
+    backend: Arc<StandInBackend>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Broken> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
+    let path = head.uri.path().to_owned();
+    match path.as_str() {
+        "/order" => return Ok(take_order(&backend, &body)),
+        "/report" => {
+            return Ok(whole(
+                StatusCode::OK,
+                backend.behaviour().version.to_string(),
+            ));
+        }
+        _ => {}
+    }
+    let expected = head
+        .headers
+        .get("x-expected")
+        .and_then(|value| value.to_str().ok());
+    if expected.is_some_and(|expected| expected != backend.id) {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, String::new()));
+    }
+    let seen = Seen {
+        path: path.clone(),
+        headers: head.headers,
+        body,
+    };
+    backend.seen.lock().unwrap().push(seen.clone());
+    if path.starts_with("/items/") {
+        return Ok(run_item(&backend.behaviour(), &seen));
+    }
+    run_call(&backend, &seen).await
+}
+
+fn take_order(backend: &StandInBackend, body: &Bytes) -> Response<Body> {
+    let order = String::from_utf8(body.to_vec()).unwrap();
+    let version = order.split(' ').nth(1).unwrap().parse().unwrap();
+    backend.behave(|behaviour| behaviour.version = version);
+    backend.orders.lock().unwrap().push(order);
+    whole(StatusCode::OK, String::new())
+}
+
+async fn run_call(backend: &StandInBackend, seen: &Seen) -> Result<Response<Body>, Broken> {
+    let behaviour = backend.behaviour().call;
+    let text = format!(
+        "{} answers {}",
+        backend.id,
+        seen.header("x-id").unwrap_or_default()
+    );
+    let mut response = match behaviour {
+        CallBehaviour::Break => return Err(Broken),
+        CallBehaviour::Silent => {
+            std::future::pending::<Infallible>().await;
+            return Err(Broken);
+        }
+        CallBehaviour::NotRun => whole(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        CallBehaviour::Fail => whole(StatusCode::INTERNAL_SERVER_ERROR, text),
+        CallBehaviour::CutShort => cut_short(),
+        CallBehaviour::Answer | CallBehaviour::ForeignAnswer => whole(StatusCode::OK, text),
+    };
+    let headers = response.headers_mut();
+    match behaviour {
+        CallBehaviour::NotRun => {
+            headers.insert("x-not-run", "1".parse().unwrap());
+        }
+        CallBehaviour::ForeignAnswer => {
+            headers.insert("x-id", "another".parse().unwrap());
+        }
+        _ => {
+            headers.insert("x-id", seen.headers["x-id"].clone());
+        }
+    }
+    headers.insert(
+        "x-signature",
+        format!("signed by {}", backend.id).parse().unwrap(),
+    );
+    headers.insert("keep-alive", "timeout=7".parse().unwrap());
+    Ok(response)
+}
+
+fn cut_short() -> Response<Body> {
+    let parts = [
+        Ok(Frame::data(Bytes::from_static(b"half"))),
+        Err(std::io::Error::other("cut short")),
+    ];
+    Response::new(StreamBody::new(stream::iter(parts)).boxed_unsync())
+}
+
+/// Each event's data names the item and the event, so that gaps and repetitions show.
+fn run_item(behaviour: &Behaviour, seen: &Seen) -> Response<Body> {
+    let item = seen.path.trim_start_matches("/items/").to_owned();
+    let from: u32 = seen
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let (pause, breaks_after) = (behaviour.event_pause, behaviour.breaks_after);
+    let frames = stream::unfold(from, move |at| {
+        let item = item.clone();
+        async move {
+            if at >= EVENTS {
+                return None;
+            }
+            if breaks_after.is_some_and(|count| at - from >= count) {
+                // Lets the events before it reach the reader.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                return Some((Err(std::io::Error::other("broken off")), EVENTS));
+            }
+            tokio::time::sleep(pause).await;
+            let event = format!("id: {}\ndata: {item}.{}\n\n", at + 1, at + 1);
+            Some((Ok(Frame::data(Bytes::from(event))), at + 1))
+        }
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert("x-id", seen.headers["x-id"].clone());
+    headers.insert("x-version", behaviour.version.into());
+    headers.insert("x-signature", "signed".parse().unwrap());
+    response
+}
+
+fn whole(status: StatusCode, text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text))
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/tests/support/caller.rs
@@ -0,0 +1,93 @@
+//! A caller with a connection for each request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_http_link::{Link, LinkError, LinkSettings, WholeAnswer};
+use http::{Method, Request};
+use http_body_util::Full;
+
+use super::dialect::HOST;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn link(address: SocketAddr) -> Link {
+    Link::new(
+        address,
+        LinkSettings {
+            connect_timeout: PATIENCE,
+            keep_idle: PATIENCE,
+            most_idle: 0,
+        },
+    )
+}
+
+pub async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<WholeAnswer, LinkError> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into())).unwrap();
+    link(address)
+        .send(request, PATIENCE)
+        .await?
+        .whole(1 << 20)
+        .await
+}
+
+pub async fn call(address: SocketAddr, id: &str, path: &str) -> WholeAnswer {
+    let headers = [("x-id", id), ("x-deadline", "5000")];
+    send(address, Method::POST, path, &headers, "call")
+        .await
+        .unwrap()
+}
+
+pub async fn submit(address: SocketAddr, batch: &str, body: &str) -> u16 {
+    let headers = [("x-id", batch)];
+    let answer = send(
+        address,
+        Method::POST,
+        "/batches/b",
+        &headers,
+        body.to_owned(),
+    )
+    .await;
+    answer.unwrap().status.as_u16()
+}
+
+pub fn text(answer: &WholeAnswer) -> String {
+    String::from_utf8(answer.body.to_vec()).unwrap()
+}
+
+/// Lines of the results from a position on.
+pub async fn results(address: SocketAddr, batch: &str, from: usize) -> (u16, Vec<String>) {
+    let path = format!("/results/{batch}?from={from}");
+    let answer = send(address, Method::GET, &path, &[("x-wait", "200")], "")
+        .await
+        .unwrap();
+    let lines = text(&answer).lines().skip(1).map(str::to_owned).collect();
+    (answer.status.as_u16(), lines)
+}
+
+/// Reads until so many results are there.
+pub async fn wait_for_results(address: SocketAddr, batch: &str, count: usize) -> Vec<String> {
+    let until = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        let (_, lines) = results(address, batch, 0).await;
+        if lines.len() >= count {
+            return lines;
+        }
+        let left = until.saturating_duration_since(tokio::time::Instant::now());
+        assert!(!left.is_zero(), "only {lines:?} of {count} results came");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/deployment.rs
@@ -0,0 +1,237 @@
+//! Nodes on loopback around one log.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_gateway::context::Context;
+use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_gateway::node::{self, RunningNode, Surroundings};
+use havenstage_gateway::settings::Settings;
+use havenstage_rollout::backend::{BackendChange, BackendRecord};
+use havenstage_rollout::ids::{BackendId, ModelName, PoolName};
+use havenstage_rollout::route::{
+    CallerLimits, Pool, RequestKind, Route, RoutingConfig, WeightedPool,
+};
+
+use tokio::runtime::{Builder, Runtime};
+
+use super::backend::StandInBackend;
+use super::dialect::{HOST, MODEL, TestDialect};
+use super::log::{LogFaults, MemoryLog, NodeLog, Versions};
+
+pub const ENGINES: &str = "engines";
+pub const APPLICATIONS: &str = "applications";
+
+/// A node under test.
+pub struct TestNode {
+    running: Option<RunningNode>,
+    runtime: Option<Runtime>,
+    context: Arc<Context>,
+    pub log: Arc<NodeLog>,
+    pub callers: SocketAddr,
+}
+
+impl TestNode {
+    pub async fn start(shared: &Arc<MemoryLog>, name: &str) -> Self {
+        let log = NodeLog::new(shared);
+        let surroundings = Surroundings {
+            log: log.clone(),
+            directory: log.clone(),
+            dialect: TestDialect::new(),
+        };
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let settings = settings(name);
+        let started = runtime.spawn(async move { node::start(settings, surroundings).await });
+        let running = started.await.unwrap().unwrap();
+        let (callers, context) = (running.callers_address(), running.context().clone());
+        Self {
+            running: Some(running),
+            runtime: Some(runtime),
+            context,
+            log,
+            callers,
+        }
+    }
+
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Ends the node at once with all its connections, as a kill of its process does.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops the node in order.
+    pub async fn stop(mut self) {
+        if let (Some(running), Some(runtime)) = (self.running.take(), &self.runtime) {
+            runtime.spawn(running.stop()).await.unwrap();
+        }
+    }
+
+    pub fn set_faults(&self, faults: LogFaults) {
+        self.log.set_faults(faults);
+    }
+
+    /// Waits until the node knows the routes and so many back ends.
+    pub async fn knows(&self, backends: usize) {
+        wait_until("the node knows its surroundings", || {
+            let context = self.context();
+            context.routes().is_some() && context.backends.lock().list.len() == backends
+        })
+        .await;
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub async fn wait_until(what: &str, is_so: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if is_so() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("waited in vain: {what}");
+}
+
+pub fn settings(name: &str) -> Settings {
+    let text = format!(
+        r#"
+        node = "{name}"
+        zone = "zone"
+        [listen]
+        callers = "127.0.0.1:0"
+        ready = "127.0.0.1:0"
+        [log]
+        address = "127.0.0.1:1"
+        partitions = 2
+        record_bytes = 512
+        call_bytes = 65536
+        reads_per_s = 1000
+        [bounds]
+        stop_grace_s = 5.0
+        order_lease_ms = 500
+        order_thaw_ms = 50
+        retention_s = 60.0
+        [tuning]
+        read_wait_ms = 200
+        flush_ms = 5
+        progress_ms = 20
+        keep_ms = 100
+        silence_ms = 600
+        spread_ms = 50
+        "#
+    );
+    Settings::parse(Path::new("test settings"), &text).unwrap()
+}
+
+pub fn route(name: &str, prefix: &str, kind: RequestKind, pool: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind,
+        timeout_ms: 3_000,
+        objective_ms: 1_000,
+        attempts: 3,
+        priority: 0,
+        pools: vec![WeightedPool {
+            pool: PoolName::from(pool),
+            weight: 1,
+        }],
+        give_up_after_ms: Some(30_000),
+        single_version: false,
+    }
+}
+
+pub fn routing(version: u64) -> RoutingConfig {
+    let pool = |name: &str, models: Vec<ModelName>| Pool {
+        name: PoolName::from(name),
+        connections: 100,
+        models,
+        tokens_per_event: 1,
+    };
+    RoutingConfig {
+        version,
+        routes: vec![
+            route("calls", "/calls/", RequestKind::Repeatable, APPLICATIONS),
+            route("once", "/once/", RequestKind::AtMostOnce, APPLICATIONS),
+            route("batches", "/batches/", RequestKind::Batch, ENGINES),
+        ],
+        pools: vec![
+            pool(ENGINES, vec![ModelName::from(MODEL)]),
+            pool(APPLICATIONS, Vec::new()),
+        ],
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn listed(backend: &StandInBackend, pool: &str, draining: bool) -> DirectoryEntry {
+    let record = BackendRecord {
+        pool: PoolName::from(pool),
+        address: backend.address,
+        zone: "zone".to_owned(),
+        slots: 8,
+        draining,
+        models: Versions::from([(ModelName::from(MODEL), 1)]),
+    };
+    let id = BackendId::from(backend.id.as_str());
+    DirectoryEntry::Backend(BackendChange {
+        id,
+        record: Some(record),
+    })
+}
+
+/// A log with routes, back ends of both pools, and no node yet.
+pub struct Deployment {
+    pub log: Arc<MemoryLog>,
+    pub engines: Vec<Arc<StandInBackend>>,
+    pub applications: Vec<Arc<StandInBackend>>,
+}
+
+impl Deployment {
+    pub async fn start(engines: usize, applications: usize) -> Self {
+        let log = MemoryLog::new();
+        log.write_operators(DirectoryEntry::Routing(routing(1)));
+        let mut deployment = Self {
+            log,
+            engines: Vec::new(),
+            applications: Vec::new(),
+        };
+        for at in 0..engines {
+            let backend = StandInBackend::start(&format!("engine-{at}")).await;
+            deployment
+                .log
+                .write_backends(listed(&backend, ENGINES, false));
+            deployment.engines.push(backend);
+        }
+        for at in 0..applications {
+            let backend = StandInBackend::start(&format!("application-{at}")).await;
+            deployment
+                .log
+                .write_backends(listed(&backend, APPLICATIONS, false));
+            deployment.applications.push(backend);
+        }
+        deployment
+    }
+
+    pub async fn node(&self, name: &str) -> TestNode {
+        let node = TestNode::start(&self.log, name).await;
+        node.knows(self.engines.len() + self.applications.len())
+            .await;
+        node
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/log.rs
@@ -0,0 +1,227 @@
+//! A shared log and directories in memory, with faults for each node that uses them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use havenstage_gateway::edge::{
+    Appended, Directory, DirectoryEntry, DirectoryKind, DirectoryPage, LogError, LogPage,
+    SharedLog, StreamPartition,
+};
+use tokio::sync::Notify;
+
+/// What all nodes share.
+#[derive(Default)]
+pub struct MemoryLog {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    partitions: HashMap<StreamPartition, Vec<Bytes>>,
+    operators: Vec<DirectoryEntry>,
+    backends: Vec<DirectoryEntry>,
+}
+
+/// How the log treats one node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LogFaults {
+    /// Calls do not reach it.
+    pub is_cut: bool,
+    /// Reads of the stream of orders or of batches get no answer.
+    pub reads_hang: bool,
+    /// Appends are done, and their answers lost.
+    pub loses_answers: bool,
+    /// Appends are refused; nothing is done.
+    pub refuses_appends: bool,
+}
+
+/// One node's way to the log.
+pub struct NodeLog {
+    shared: Arc<MemoryLog>,
+    faults: Mutex<LogFaults>,
+}
+
+/// How long a call that gets no answer takes.
+const NO_ANSWER: Duration = Duration::from_millis(300);
+
+impl MemoryLog {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    pub fn write_operators(&self, entry: DirectoryEntry) {
+        self.state.lock().unwrap().operators.push(entry);
+        self.changed.notify_waiters();
+    }
+
+    pub fn write_backends(&self, entry: DirectoryEntry) {
+        self.state.lock().unwrap().backends.push(entry);
+        self.changed.notify_waiters();
+    }
+
+    pub fn records(&self, partition: StreamPartition) -> Vec<Bytes> {
+        self.state
+            .lock()
+            .unwrap()
+            .partitions
+            .get(&partition)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    fn append_now(&self, partition: StreamPartition, records: Vec<Bytes>) -> Appended {
+        let mut state = self.state.lock().unwrap();
+        let kept = state.partitions.entry(partition).or_default();
+        let offset = kept.len() as u64;
+        kept.extend(records);
+        let end = kept.len() as u64;
+        drop(state);
+        self.changed.notify_waiters();
+        Appended { offset, end }
+    }
+
+    async fn wait_for<T>(&self, wait: Duration, look: impl Fn(&State) -> Option<T>) -> Option<T> {
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if let Some(found) = look(&self.state.lock().unwrap()) {
+                return Some(found);
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return None;
+            }
+        }
+    }
+}
+
+impl NodeLog {
+    pub fn new(shared: &Arc<MemoryLog>) -> Arc<Self> {
+        Arc::new(Self {
+            shared: shared.clone(),
+            faults: Mutex::default(),
+        })
+    }
+
+    pub fn set_faults(&self, faults: LogFaults) {
+        *self.faults.lock().unwrap() = faults;
+    }
+
+    fn faults(&self) -> LogFaults {
+        *self.faults.lock().unwrap()
+    }
+
+    async fn check_reachable(&self) -> Result<(), LogError> {
+        if self.faults().is_cut {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            return Err(LogError::Unreachable);
+        }
+        Ok(())
+    }
+
+    async fn check_readable(&self) -> Result<(), LogError> {
+        self.check_reachable().await?;
+        if self.faults().reads_hang {
+            tokio::time::sleep(NO_ANSWER).await;
+            return Err(LogError::Unknown);
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl SharedLog for NodeLog {
+    async fn append(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError> {
+        self.check_reachable().await?;
+        if self.faults().refuses_appends {
+            return Err(LogError::Refused(503));
+        }
+        let appended = self.shared.append_now(partition, records);
+        if self.faults().loses_answers {
+            tokio::time::sleep(NO_ANSWER).await;
+            return Err(LogError::Unknown);
+        }
+        Ok(appended)
+    }
+
+    async fn read(
+        &self,
+        partition: StreamPartition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        self.check_readable().await?;
+        let page = |state: &State| {
+            let records = state
+                .partitions
+                .get(&partition)
+                .cloned()
+                .unwrap_or_default();
+            let end = records.len() as u64;
+            LogPage {
+                from,
+                end,
+                records: records.into_iter().skip(from as usize).collect(),
+            }
+        };
+        let found = self.shared.wait_for(wait, |state| {
+            let page = page(state);
+            (!page.records.is_empty()).then_some(page)
+        });
+        let found = found.await;
+        // A fault that began while the call waited takes its answer too.
+        self.check_readable().await?;
+        Ok(found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap())))
+    }
+}
+
+fn entries(state: &State, kind: DirectoryKind) -> &Vec<DirectoryEntry> {
+    match kind {
+        DirectoryKind::Operators => &state.operators,
+        DirectoryKind::Backends => &state.backends,
+    }
+}
+
+#[async_trait]
+impl Directory for NodeLog {
+    async fn list(&self, kind: DirectoryKind) -> Result<DirectoryPage, LogError> {
+        self.check_reachable().await?;
+        let state = self.shared.state.lock().unwrap();
+        let entries = entries(&state, kind).clone();
+        let next = entries.len() as u64;
+        Ok(DirectoryPage { entries, next })
+    }
+
+    async fn changes(
+        &self,
+        kind: DirectoryKind,
+        from: u64,
+        wait: Duration,
+    ) -> Result<DirectoryPage, LogError> {
+        self.check_reachable().await?;
+        let found = self.shared.wait_for(wait, |state| {
+            let new: Vec<_> = entries(state, kind)
+                .iter()
+                .skip(from as usize)
+                .cloned()
+                .collect();
+            (!new.is_empty()).then_some(new)
+        });
+        let entries = found.await.unwrap_or_default();
+        self.check_reachable().await?;
+        let next = from + entries.len() as u64;
+        Ok(DirectoryPage { entries, next })
+    }
+}
+
+/// Versions of models, as back ends state them.
+pub type Versions = BTreeMap<havenstage_rollout::ids::ModelName, u64>;
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the surroundings of a node, and a small deployment on loopback.
+#![allow(dead_code)]
+
+pub mod backend;
+pub mod caller;
+pub mod deployment;
+pub mod dialect;
+pub mod log;
