Take no version for no old one; settle orders by asking; know versions from the stream of orders

A stream that broke off after its last event is resumed with nothing to come; that answer names no version, which was read as version 0, and the back end was taken for outdated until its next entry in the list. Change: no version told is no version. Test: a_run_that_finds_its_output_whole_names_no_version, seen failing first. Orders name the count they expect. Cause 3: other nodes learnt of loaded versions from the list only, up to 1.2 s late. Change: from the stream of orders.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -94,12 +94,7 @@
     MayHaveRun,
 }
 
-struct Sent {
-    backend: BackendId,
-    outcome: SendOutcome,
-}
-
-type SendFuture<'a> = Pin<Box<dyn Future<Output = Sent> + Send + 'a>>;
+type SendFuture<'a> = Pin<Box<dyn Future<Output = SendOutcome> + Send + 'a>>;
 
 /// Passes a call on by its route and returns how it ended.
 pub async fn execute(context: &Arc<Context>, route: &Route, call: Call) -> Executed {
@@ -249,8 +244,8 @@
         true
     }
 
-    fn take(&mut self, sent: Sent) -> Option<CallOutcome> {
-        match sent.outcome {
+    fn take(&mut self, sent: SendOutcome) -> Option<CallOutcome> {
+        match sent {
             SendOutcome::Answered(answer) if answer.status.is_server_error() => {
                 self.may_have_run += 1;
                 self.server_errors += 1;
@@ -315,7 +310,12 @@
     texts.join(",")
 }
 
-async fn send(context: &Arc<Context>, chosen: ChosenBackend, call: &Call, ends: Instant) -> Sent {
+async fn send(
+    context: &Arc<Context>,
+    chosen: ChosenBackend,
+    call: &Call,
+    ends: Instant,
+) -> SendOutcome {
     let backend = chosen.id.clone();
     let began = Instant::now();
     let left = ends.saturating_duration_since(began);
@@ -335,7 +335,7 @@
         SendOutcome::NotRun | SendOutcome::MayHaveRun => backends.health.failed(&backend, now),
     }
     drop(backends);
-    Sent { backend, outcome }
+    outcome
 }
 
 fn backend_request(
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -132,6 +132,15 @@
         is_newer
     }
 
+    /// Believes what the stream of orders tells of versions.
+    pub fn note_observed_versions(&self) {
+        let observed = self.orders.lock().state.take_observed();
+        let mut backends = self.backends.lock();
+        for seen in observed {
+            backends.saw_version(&seen.backend, &seen.model, seen.version);
+        }
+    }
+
     /// A trainer named a version.
     pub fn name_version(&self, model: ModelName, version: Version) -> bool {
         let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -4,27 +4,25 @@
 //! holder relies on it only for a while after each answered sign of life. A new holder gives a
 //! back end an order only when the last one of another machine there is older than the lease bound.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use havenstage_rollout::lease::{ClaimTiming, Term};
 use havenstage_rollout::orders::{
     OrderRecord, OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
 };
 use havenstage_rollout::route::Pool;
-use http::StatusCode;
 use log::{info, warn};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::context::{Context, ORDERS};
-use crate::edge::{BackendReport, LogError, VersionOrder};
-use crate::metrics;
+use crate::context::Context;
+use crate::edge::BackendReport;
+use crate::order_run::{self, Order, OrderStart, append};
 
 /// Pause between two looks at what is to be ordered.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
@@ -32,16 +30,6 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Share of the silence after which others claim in which the holder relies on its lease.
 const RELIABLE_SHARE: f64 = 0.7;
-/// Time a back end has to answer an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time a back end has to answer a question.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time after an order before a back end is first asked whether it is done.
-const FIRST_QUESTION: Duration = Duration::from_millis(900);
-/// Time between two questions.
-const QUESTION_PAUSE: Duration = Duration::from_millis(150);
-/// Time after which an order is taken for lost.
-const ORDER_LOST_AFTER: Duration = Duration::from_millis(4_000);
 /// Time that a back end is left alone after it failed to answer.
 const AVOID_MS: Millis = 1_000;
 
@@ -51,8 +39,10 @@
     lease: Option<HeldLease>,
     /// Orders that each back end has taken, as it last reported.
     taken: BTreeMap<BackendId, u64>,
-    under_way: BTreeMap<BackendId, Millis>,
+    under_way: BTreeSet<BackendId>,
     avoided_until: BTreeMap<BackendId, Millis>,
+    /// Until when the lease is relied on; read right before each order is sent.
+    reliable_until: Arc<AtomicU64>,
     ended: UnboundedReceiver<OrderEnded>,
     ended_sender: UnboundedSender<OrderEnded>,
 }
@@ -63,7 +53,6 @@
     term: Term,
     since: Millis,
     kept_at: Millis,
-    reliable_until: Millis,
 }
 
 /// What a model's back ends have to do.
@@ -88,7 +77,8 @@
             context,
             lease: None,
             taken: BTreeMap::new(),
-            under_way: BTreeMap::new(),
+            under_way: BTreeSet::new(),
+            reliable_until: Arc::new(AtomicU64::new(0)),
             avoided_until: BTreeMap::new(),
             ended,
             ended_sender,
@@ -138,13 +128,13 @@
                     term,
                     since: now,
                     kept_at: 0,
-                    reliable_until: 0,
                 });
+                self.settle_pending();
             }
             (None, Some(lease)) => {
                 info!(event = "order_lease_lost", term = lease.term; "");
                 self.lease = None;
-                self.under_way.clear();
+                self.reliable_until.store(0, Ordering::Relaxed);
                 self.taken.clear();
             }
             _ => {}
@@ -216,7 +206,8 @@
         if let Some(lease) = &mut self.lease {
             lease.kept_at = sent;
             if is_current {
-                lease.reliable_until = sent + reliable_ms;
+                self.reliable_until
+                    .store(sent + reliable_ms, Ordering::Relaxed);
             }
         }
     }
@@ -244,6 +235,7 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
+        self.reliable_until.store(0, Ordering::Relaxed);
         let record = OrderRecord::Released { term: lease.term };
         if let Err(error) = append(&self.context, &record).await {
             warn!(event = "order_release_failed", reason = error.to_string().as_str(); "");
@@ -259,7 +251,7 @@
         let now = self.context.now();
         let is_awake =
             now.saturating_sub(lease.since) >= self.context.settings.bounds.order_thaw_ms;
-        now < lease.reliable_until && is_awake
+        now < self.reliable_until.load(Ordering::Relaxed) && is_awake
     }
 
     async fn order_next(&mut self) {
@@ -269,7 +261,7 @@
         let named = self.context.named_versions();
         for pool in table.pools_with_models() {
             for order in self.plan(pool, &named) {
-                self.give(order).await;
+                self.give(order);
             }
         }
     }
@@ -341,16 +333,12 @@
     fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
         let now = self.context.now();
         let running = running_items(&self.context);
+        self.context.note_observed_versions();
         let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
-        let lost_ms = ORDER_LOST_AFTER.as_millis() as Millis;
         let quiet_ms = self.context.settings.bounds.order_lease_ms;
         let mut targets = Vec::new();
         for (id, _) in backends.list.ready_in(&pool.name) {
-            let pending = orders
-                .state
-                .pending(id)
-                .is_some_and(|order| now.saturating_sub(order.since) < lost_ms);
             let is_quiet = orders
                 .state
                 .quiet_ms(id, now)
@@ -363,46 +351,66 @@
                     .map(|m| (m.clone(), backends.version(id, m)))
                     .collect(),
                 running: running.get(id).copied().unwrap_or(0),
-                loading: pending || self.under_way.contains_key(id),
+                loading: self.under_way.contains(id),
                 avoided: is_left_alone || !is_quiet,
             });
         }
         targets
     }
 
-    async fn give(&mut self, order: PlannedOrder) {
+    fn give(&mut self, order: PlannedOrder) {
         let Some(lease) = self.lease else { return };
-        let record = OrderRecord::Ordered {
-            holder: self.context.node.clone(),
-            backend: order.backend.clone(),
-            model: order.model.clone(),
+        let order = Order {
+            backend: order.backend,
+            model: order.model,
             version: order.version,
+            fence: lease.term,
+            expected_orders: None,
         };
-        if let Err(error) = append(&self.context, &record).await {
-            warn!(event = "order_not_written", backend = order.backend.as_str(),
-                reason = error.to_string().as_str(); "");
-            tokio::time::sleep(LOOK_PAUSE).await;
+        let expected_orders = self.taken.get(&order.backend).copied();
+        self.follow(
+            Order {
+                expected_orders,
+                ..order
+            },
+            OrderStart::Give,
+        );
+    }
+
+    /// Asks about orders that an earlier holder gave.
+    fn settle_pending(&mut self) {
+        let pending: Vec<Order> = self
+            .context
+            .orders
+            .lock()
+            .state
+            .all_pending()
+            .map(|(backend, order)| Order {
+                backend: backend.clone(),
+                model: order.model.clone(),
+                version: order.version,
+                fence: 0,
+                expected_orders: None,
+            })
+            .collect();
+        for order in pending {
+            self.follow(order, OrderStart::Settle);
+        }
+    }
+
+    fn follow(&mut self, order: Order, start: OrderStart) {
+        if !self.under_way.insert(order.backend.clone()) {
             return;
         }
-        self.under_way
-            .insert(order.backend.clone(), self.context.now());
-        let version_order = VersionOrder {
-            model: order.model.clone(),
-            version: order.version,
-            holder: self.context.node.to_string(),
-            fence: lease.term,
-            expected_orders: self.taken.get(&order.backend).copied(),
-        };
-        let context = self.context.clone();
-        let sender = self.ended_sender.clone();
-        let until = lease.reliable_until;
+        let (context, sender) = (self.context.clone(), self.ended_sender.clone());
+        let reliable_until = self.reliable_until.clone();
         tokio::spawn(async move {
-            let report = carry_out(&context, &order.backend, &version_order, until).await;
+            let report = order_run::follow(&context, &order, start, &reliable_until).await;
+            // The coordinator is gone only when the process ends.
             let _ = sender.send(OrderEnded {
                 backend: order.backend,
                 report,
             });
-            context.orders_changed.notify_one();
         });
     }
 
@@ -410,6 +418,11 @@
         self.under_way.remove(&ended.backend);
         match ended.report {
             Some(report) => {
+                let mut backends = self.context.backends.lock();
+                for (model, version) in &report.models {
+                    backends.saw_version(&ended.backend, model, *version);
+                }
+                drop(backends);
                 self.taken.insert(ended.backend, report.orders_taken);
             }
             None => {
@@ -434,127 +447,3 @@
     }
     running
 }
-
-async fn append(context: &Context, record: &OrderRecord) -> Result<u64, LogError> {
-    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
-    context
-        .log
-        .append(ORDERS, records)
-        .await
-        .map(|appended| appended.offset)
-}
-
-/// Gives an order and waits until the back end has the version; the report says that it has.
-async fn carry_out(
-    context: &Arc<Context>,
-    backend: &BackendId,
-    order: &VersionOrder,
-    reliable_until: Millis,
-) -> Option<BackendReport> {
-    let began = Instant::now();
-    let status = send_order(context, backend, order, reliable_until).await;
-    let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
-    info!(event = "order_given", backend = backend.as_str(), model = order.model.as_str(),
-        version = order.version, fence = order.fence, status = status_text.as_str(),
-        expected_orders = format!("{:?}", order.expected_orders).as_str(); "");
-    metrics::order_answered(match status.map(|status| status.as_u16()) {
-        Some(200) => "holds",
-        Some(202) => "accepted",
-        Some(_) => "refused",
-        None => "unanswered",
-    });
-    let first_question = match status {
-        Some(StatusCode::ACCEPTED) => FIRST_QUESTION,
-        Some(StatusCode::OK) => Duration::ZERO,
-        _ => QUESTION_PAUSE,
-    };
-    tokio::time::sleep(first_question).await;
-    loop {
-        let report = ask(context, backend).await;
-        let version = report
-            .as_ref()
-            .and_then(|report| report.models.get(&order.model).copied());
-        if let (Some(report), Some(version)) = (report, version) {
-            if version >= order.version && !report.busy {
-                note_loaded(context, backend, &order.model, version, began).await;
-                return Some(report);
-            }
-            // Refused for its count of orders: the next try knows the count.
-            if status == Some(StatusCode::CONFLICT) && !report.busy {
-                note_loaded(context, backend, &order.model, version, began).await;
-                return Some(report);
-            }
-        }
-        if began.elapsed() >= ORDER_LOST_AFTER || !is_listed(context, backend) {
-            return None;
-        }
-        tokio::time::sleep(QUESTION_PAUSE).await;
-    }
-}
-
-fn is_listed(context: &Context, backend: &BackendId) -> bool {
-    context.backends.lock().list.get(backend).is_some()
-}
-
-async fn send_order(
-    context: &Arc<Context>,
-    backend: &BackendId,
-    order: &VersionOrder,
-    reliable_until: Millis,
-) -> Option<StatusCode> {
-    let chosen = context.backends.take(backend)?;
-    let names = context.dialect.headers();
-    let mut request = context.dialect.order_request(order);
-    let expected = http::HeaderValue::from_str(backend.as_str()).ok()?;
-    request
-        .headers_mut()
-        .insert(names.expected_backend.clone(), expected);
-    if context.now() >= reliable_until {
-        return None;
-    }
-    let answer = chosen.link.send(request, ORDER_TIMEOUT).await.ok()?;
-    let status = answer.status();
-    let _ = tokio::time::timeout(ORDER_TIMEOUT, answer.whole(MOST_ANSWER_BYTES)).await;
-    Some(status)
-}
-
-/// Longest answer to an order or a question.
-const MOST_ANSWER_BYTES: usize = 1024 * 1024;
-
-async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
-    let chosen = context.backends.take(backend)?;
-    let names = context.dialect.headers();
-    let mut request = context.dialect.report_request();
-    let expected = http::HeaderValue::from_str(backend.as_str()).ok()?;
-    request
-        .headers_mut()
-        .insert(names.expected_backend.clone(), expected);
-    let answer = chosen.link.send(request, REPORT_TIMEOUT).await.ok()?;
-    if answer.status() != StatusCode::OK {
-        return None;
-    }
-    let body = tokio::time::timeout(REPORT_TIMEOUT, answer.whole(MOST_ANSWER_BYTES));
-    context.dialect.read_report(&body.await.ok()?.ok()?.body)
-}
-
-async fn note_loaded(
-    context: &Arc<Context>,
-    backend: &BackendId,
-    model: &ModelName,
-    version: Version,
-    began: Instant,
-) {
-    let took_ms = began.elapsed().as_millis() as u64;
-    info!(event = "version_loaded", backend = backend.as_str(), model = model.as_str(),
-        version = version, took_ms = took_ms; "");
-    context.backends.lock().saw_version(backend, model, version);
-    let record = OrderRecord::Loaded {
-        backend: backend.clone(),
-        model: model.clone(),
-        version,
-    };
-    if let Err(error) = append(context, &record).await {
-        warn!(event = "order_not_written", backend = backend.as_str(),
-            reason = error.to_string().as_str(); "");
-    }
-}
--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -33,12 +33,12 @@
         /// Since when.
         since: Millis,
         /// The run.
-        task: OwnedTask,
+        _task: OwnedTask,
     },
     /// Its output is whole and its reward call is under way.
     Scoring {
         /// The call.
-        task: OwnedTask,
+        _task: OwnedTask,
     },
     /// Its end waits to be written down.
     Finishing,
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -311,7 +311,7 @@
                     self.news_sender.clone(),
                 ));
                 item.phase = Phase::Scoring {
-                    task: OwnedTask(task.abort_handle()),
+                    _task: OwnedTask(task.abort_handle()),
                 };
             }
         }
@@ -393,7 +393,7 @@
         item.phase = Phase::Running {
             backend: backend_id.clone(),
             since: now,
-            task: OwnedTask(task.abort_handle()),
+            _task: OwnedTask(task.abort_handle()),
         };
         info!(event = "run_started", request = key.item.as_str(), batch = key.batch.as_str(),
             backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -203,8 +203,13 @@
     Some(request)
 }
 
-/// The version that the stream begins with, or how the run ends.
-fn check_head(context: &Context, order: &RunOrder, answer: &Answer) -> Result<Version, RunEnd> {
+/// The version that the stream begins with, if it is told, or how the run ends. A stream that has
+/// nothing to add to what is there names no version.
+fn check_head(
+    context: &Context,
+    order: &RunOrder,
+    answer: &Answer,
+) -> Result<Option<Version>, RunEnd> {
     let names = context.dialect.headers();
     if context
         .dialect
@@ -222,11 +227,10 @@
         StatusCode::INTERNAL_SERVER_ERROR => return Err(RunEnd::Failed),
         _ => return Err(RunEnd::Broken),
     }
-    let version = read_version(answer.headers(), &names.weight_version).unwrap_or(0);
-    if version < order.minimum_version {
-        return Err(RunEnd::VersionTooOld(version));
+    match read_version(answer.headers(), &names.weight_version) {
+        Some(version) if version < order.minimum_version => Err(RunEnd::VersionTooOld(version)),
+        version => Ok(version),
     }
-    Ok(version)
 }
 
 fn read_version(headers: &HeaderMap, name: &HeaderName) -> Option<Version> {
@@ -238,7 +242,7 @@
     backend: &ChosenBackend,
     order: &RunOrder,
     mut answer: Answer,
-    mut version: Version,
+    mut version: Option<Version>,
     news: &UnboundedSender<RunMessage>,
 ) -> RunEnd {
     let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
@@ -259,15 +263,17 @@
             if event.id.is_some_and(|id| id != count) {
                 return RunEnd::Broken;
             }
-            version = event.version.unwrap_or(version);
-            if version < order.minimum_version {
-                return RunEnd::VersionTooOld(version);
+            version = event.version.or(version);
+            let made_by = version.unwrap_or(0);
+            if made_by < order.minimum_version {
+                // Without a word of the version it is not known to be allowed.
+                return version.map_or(RunEnd::Broken, RunEnd::VersionTooOld);
             }
             let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
             last_event = Instant::now();
             context.backends.lock().saw_event_gap(&backend.id, gap_ms);
             let event = OutputEvent {
-                version,
+                version: made_by,
                 data: event.data,
             };
             let message = RunMessage {
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -141,6 +141,8 @@
     let mut dependency = Dependency::new("orders");
     loop {
         read_once(&context, &context.orders, &mut dependency).await;
+        context.note_observed_versions();
+        context.work.notify_one();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod order_run;
 pub mod server;
 pub mod settings;
 pub mod stream_view;
--- /dev/null
+++ b/crates/gateway/src/order_run.rs
@@ -0,0 +1,219 @@
+//! One order to a back end: written down, given under the lease, and followed until the back end was
+//! asked what came of it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use havenstage_http_link::WholeAnswer;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BackendId, ModelName, Version};
+use havenstage_rollout::orders::OrderRecord;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::context::{Context, ORDERS};
+use crate::edge::{BackendReport, LogError, VersionOrder};
+use crate::metrics;
+
+/// Time a back end has to answer an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time a back end has to answer a question.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after an accepted order before its back end is first asked whether it is done.
+const FIRST_QUESTION: Duration = Duration::from_millis(900);
+/// Time between two questions.
+const QUESTION_PAUSE: Duration = Duration::from_millis(150);
+/// Reports lag: one that shows an idle back end with its old version counts only so long after an
+/// order that was accepted.
+const ACCEPTED_SHOWS_AFTER: Duration = Duration::from_millis(1_800);
+/// The same after an order that was refused or not answered.
+const OTHERS_SHOW_AFTER: Duration = Duration::from_millis(500);
+/// Time after which nothing more is expected of an order.
+const GIVEN_UP_AFTER: Duration = Duration::from_millis(4_000);
+/// Questions without an answer after which the back end is left alone.
+const MOST_UNANSWERED: u32 = 3;
+/// Longest answer to an order or a question.
+const MOST_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// An order.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The back end.
+    pub backend: BackendId,
+    /// The model.
+    pub model: ModelName,
+    /// The version to load.
+    pub version: Version,
+    /// The fencing token.
+    pub fence: u64,
+    /// Orders that the back end has taken so far, if known.
+    pub expected_orders: Option<u64>,
+}
+
+/// Where to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderStart {
+    /// The order is to be given.
+    Give,
+    /// It was given by an earlier holder; only its outcome is asked for.
+    Settle,
+}
+
+/// Follows an order to its end. The report is the back end's last word, `None` if it has none.
+pub async fn follow(
+    context: &Arc<Context>,
+    order: &Order,
+    start: OrderStart,
+    reliable_until: &AtomicU64,
+) -> Option<BackendReport> {
+    let began = Instant::now();
+    let mut status = None;
+    if start == OrderStart::Give {
+        let expected_orders = match order.expected_orders {
+            Some(count) => count,
+            None => ask(context, &order.backend).await?.orders_taken,
+        };
+        write_down(context, order).await.ok()?;
+        status = give(context, order, expected_orders, reliable_until).await;
+    }
+    let report = settle(context, order, status, began).await;
+    let record = match &report {
+        Some(report) => OrderRecord::Observed {
+            backend: order.backend.clone(),
+            model: order.model.clone(),
+            version: report.models.get(&order.model).copied().unwrap_or(0),
+        },
+        None => OrderRecord::Withdrawn {
+            backend: order.backend.clone(),
+        },
+    };
+    info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
+        version = order.version, outcome = format!("{record:?}").as_str(),
+        took_ms = began.elapsed().as_millis() as u64; "");
+    if let Err(error) = append(context, &record).await {
+        warn!(event = "order_not_written", backend = order.backend.as_str(),
+            reason = error.to_string().as_str(); "");
+    }
+    report
+}
+
+/// Appends a record to the stream of orders; answers its offset.
+pub async fn append(context: &Context, record: &OrderRecord) -> Result<u64, LogError> {
+    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
+    context
+        .log
+        .append(ORDERS, records)
+        .await
+        .map(|appended| appended.offset)
+}
+
+async fn write_down(context: &Context, order: &Order) -> Result<(), LogError> {
+    let record = OrderRecord::Ordered {
+        holder: context.node.clone(),
+        backend: order.backend.clone(),
+        model: order.model.clone(),
+        version: order.version,
+    };
+    let written = append(context, &record).await;
+    if let Err(error) = &written {
+        warn!(event = "order_not_written", backend = order.backend.as_str(),
+            reason = error.to_string().as_str(); "");
+    }
+    written.map(|_| ())
+}
+
+async fn give(
+    context: &Arc<Context>,
+    order: &Order,
+    expected_orders: u64,
+    reliable_until: &AtomicU64,
+) -> Option<StatusCode> {
+    let request = context.dialect.order_request(&VersionOrder {
+        model: order.model.clone(),
+        version: order.version,
+        holder: context.node.to_string(),
+        fence: order.fence,
+        expected_orders: Some(expected_orders),
+    });
+    let is_reliable = context.now() < reliable_until.load(Ordering::Relaxed);
+    let answer = match is_reliable {
+        true => exchange(context, &order.backend, request, ORDER_TIMEOUT).await,
+        false => None,
+    };
+    let status = answer.map(|answer| answer.status);
+    let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
+    info!(event = "order_given", backend = order.backend.as_str(), model = order.model.as_str(),
+        version = order.version, fence = order.fence, expected_orders = expected_orders,
+        lease_held = is_reliable, status = status_text.as_str(); "");
+    metrics::order_answered(match status.map(|status| status.as_u16()) {
+        Some(200) => "holds",
+        Some(202) => "accepted",
+        Some(_) => "refused",
+        None => "unanswered",
+    });
+    status
+}
+
+/// Asks the back end until it carries out no order and its report cannot be from before this one.
+async fn settle(
+    context: &Arc<Context>,
+    order: &Order,
+    status: Option<StatusCode>,
+    began: Instant,
+) -> Option<BackendReport> {
+    let (first_question, shows_after) = match status {
+        Some(StatusCode::ACCEPTED) => (FIRST_QUESTION, ACCEPTED_SHOWS_AFTER),
+        _ => (Duration::ZERO, OTHERS_SHOW_AFTER),
+    };
+    let sent = Instant::now();
+    tokio::time::sleep(first_question).await;
+    let mut unanswered = 0;
+    loop {
+        match ask(context, &order.backend).await {
+            Some(report) if !report.busy => {
+                let version = report.models.get(&order.model).copied().unwrap_or(0);
+                if version >= order.version || sent.elapsed() >= shows_after {
+                    return Some(report);
+                }
+            }
+            Some(_) => {}
+            None => unanswered += 1,
+        }
+        let is_listed = context.backends.lock().list.get(&order.backend).is_some();
+        let is_over = began.elapsed() >= GIVEN_UP_AFTER || unanswered >= MOST_UNANSWERED;
+        if is_over || !is_listed {
+            return None;
+        }
+        tokio::time::sleep(QUESTION_PAUSE).await;
+    }
+}
+
+async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
+    let request = context.dialect.report_request();
+    let answer = exchange(context, backend, request, REPORT_TIMEOUT).await?;
+    let is_good = answer.status == StatusCode::OK;
+    is_good
+        .then(|| context.dialect.read_report(&answer.body))
+        .flatten()
+}
+
+async fn exchange(
+    context: &Arc<Context>,
+    backend: &BackendId,
+    mut request: Request<Full<bytes::Bytes>>,
+    timeout: Duration,
+) -> Option<WholeAnswer> {
+    let chosen = context.backends.take(backend)?;
+    let expected = HeaderValue::from_str(backend.as_str()).ok()?;
+    request
+        .headers_mut()
+        .insert(context.dialect.headers().expected_backend.clone(), expected);
+    let exchange = async {
+        let answer = chosen.link.send(request, timeout).await?;
+        answer.whole(MOST_ANSWER_BYTES).await
+    };
+    tokio::time::timeout(timeout, exchange).await.ok()?.ok()
+}
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -192,6 +192,30 @@
     assert_all_whole(&wait_for_results(node.callers, "batch", ITEMS.len()).await);
 }
 
+/// A stream that breaks off after its last event is resumed with nothing left to come: the answer
+/// names no version, and must not be taken for one of outdated weights.
+#[tokio::test]
+async fn a_run_that_finds_its_output_whole_names_no_version() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = deployment.node("a").await;
+    for engine in &deployment.engines {
+        engine.behave(|told| told.breaks_after = Some(support::backend::EVENTS));
+    }
+    assert_eq!(
+        submit(node.callers, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    assert_all_whole(&wait_for_results(node.callers, "batch", ITEMS.len()).await);
+    for id in ["engine-0", "engine-1"] {
+        let version = node
+            .context()
+            .backends
+            .lock()
+            .version(&id.into(), &"model".into());
+        assert_eq!(version, 1, "{id} is still known to have version 1");
+    }
+}
+
 #[tokio::test]
 async fn an_engine_with_outdated_weights_makes_no_output() {
     let deployment = Deployment::start(2, 1).await;
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -253,14 +253,14 @@
     let frames = stream::unfold(from, move |at| {
         let item = item.clone();
         async move {
-            if at >= EVENTS {
-                return None;
-            }
             if breaks_after.is_some_and(|count| at - from >= count) {
                 // Lets the events before it reach the reader.
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 return Some((Err(std::io::Error::other("broken off")), EVENTS));
             }
+            if at >= EVENTS {
+                return None;
+            }
             tokio::time::sleep(pause).await;
             let event = format!("id: {}\ndata: {item}.{}\n\n", at + 1, at + 1);
             Some((Ok(Frame::data(Bytes::from(event))), at + 1))
@@ -269,7 +269,9 @@
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let headers = response.headers_mut();
     headers.insert("x-id", seen.headers["x-id"].clone());
-    headers.insert("x-version", behaviour.version.into());
+    if from < EVENTS {
+        headers.insert("x-version", behaviour.version.into());
+    }
     headers.insert("x-signature", "signed".parse().unwrap());
     response
 }
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -45,8 +45,8 @@
         /// The version to load.
         version: Version,
     },
-    /// The back end was seen to have the version.
-    Loaded {
+    /// The back end was asked: it carries out no order, and has this version.
+    Observed {
         /// The back end.
         backend: BackendId,
         /// The model.
@@ -54,6 +54,11 @@
         /// The version it has.
         version: Version,
     },
+    /// Nothing more is expected of the order that the back end was given.
+    Withdrawn {
+        /// The back end.
+        backend: BackendId,
+    },
 }
 
 /// A record that cannot be read.
@@ -84,13 +89,24 @@
     pub since: Millis,
 }
 
+/// A version that a back end was seen to have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ObservedVersion {
+    /// The back end.
+    pub backend: BackendId,
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: Version,
+}
+
 /// What the stream of orders tells.
 #[derive(Debug)]
 pub struct OrderState {
     own_machine: MachineName,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
-    loaded: BTreeMap<(BackendId, ModelName), Version>,
+    observed: Vec<ObservedVersion>,
     last_by_other: BTreeMap<BackendId, SeenOrder>,
     /// Time that has certainly passed between the first record and the newest.
     log_time: Millis,
@@ -110,7 +126,7 @@
             own_machine,
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
-            loaded: BTreeMap::new(),
+            observed: Vec::new(),
             last_by_other: BTreeMap::new(),
             log_time: 0,
         }
@@ -152,12 +168,20 @@
                     },
                 );
             }
-            OrderRecord::Loaded {
+            OrderRecord::Observed {
                 backend,
                 model,
                 version,
             } => {
-                self.loaded_by(&backend, model, version);
+                self.pending.remove(&backend);
+                self.observed.push(ObservedVersion {
+                    backend,
+                    model,
+                    version,
+                });
+            }
+            OrderRecord::Withdrawn { backend } => {
+                self.pending.remove(&backend);
             }
         }
     }
@@ -167,19 +191,9 @@
         &self.lease
     }
 
-    fn loaded_by(&mut self, backend: &BackendId, model: ModelName, version: Version) {
-        let done = self
-            .pending
-            .get(backend)
-            .is_some_and(|order| order.model == model && order.version <= version);
-        if done {
-            self.pending.remove(backend);
-        }
-        let known = self
-            .loaded
-            .entry((backend.clone(), model))
-            .or_insert(version);
-        *known = (*known).max(version);
+    /// Versions that were observed since the last call.
+    pub fn take_observed(&mut self) -> Vec<ObservedVersion> {
+        std::mem::take(&mut self.observed)
     }
 
     /// The order a back end is carrying out.
@@ -192,11 +206,6 @@
         self.pending.iter()
     }
 
-    /// Newest version of a model that a back end was seen to have.
-    pub fn loaded(&self, backend: &BackendId, model: &ModelName) -> Option<Version> {
-        self.loaded.get(&(backend.clone(), model.clone())).copied()
-    }
-
     /// Time that has certainly passed since another machine gave a back end an order; `None` if none
     /// did. A reader that has just started reads old orders only now, but the signs of life behind
     /// them tell how old they are at least.
@@ -209,7 +218,6 @@
     /// Forgets back ends that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&BackendId) -> bool) {
         self.pending.retain(|backend, _| keep(backend));
-        self.loaded.retain(|(backend, _), _| keep(backend));
         self.last_by_other.retain(|backend, _| keep(backend));
     }
 }
