Move running items from slow back ends to free places on faster ones

Change: schedule::relocations, a pure choice (1.6 times faster at least, after 400 ms, longest first), and a mean gap between events that lapses after 3 s. Tests: rollout/tests/schedule.rs.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -21,6 +21,8 @@
 const MOST_IDLE: usize = 8;
 /// Weight of the newest gap between events in a back end's mean.
 const NEWEST_GAP_WEIGHT: f64 = 0.1;
+/// Time after which a mean gap says nothing any more.
+const GAP_VALID_MS: Millis = 3_000;
 
 /// A back end chosen for a request. While it is held, the request counts as in flight there.
 pub struct ChosenBackend {
@@ -53,7 +55,14 @@
     links: HashMap<BackendId, Link>,
     in_flight: HashMap<BackendId, u32>,
     versions: HashMap<(BackendId, ModelName), Version>,
-    event_gap_ms: HashMap<BackendId, f64>,
+    event_gaps: HashMap<BackendId, EventGap>,
+}
+
+/// Mean time between two events of a stream.
+#[derive(Debug, Clone, Copy)]
+struct EventGap {
+    mean_ms: f64,
+    seen: Millis,
 }
 
 impl Backends {
@@ -148,7 +157,7 @@
         self.links.retain(|id, _| list.get(id).is_some());
         self.health.retain(|id| list.get(id).is_some());
         self.versions.retain(|(id, _), _| list.get(id).is_some());
-        self.event_gap_ms.retain(|id, _| list.get(id).is_some());
+        self.event_gaps.retain(|id, _| list.get(id).is_some());
     }
 
     fn best_for_call(
@@ -232,13 +241,23 @@
     }
 
     /// Two events of a stream came so far apart.
-    pub fn saw_event_gap(&mut self, id: &BackendId, gap_ms: f64) {
-        let mean = self.event_gap_ms.entry(id.clone()).or_insert(gap_ms);
-        *mean += NEWEST_GAP_WEIGHT * (gap_ms - *mean);
+    pub fn saw_event_gap(&mut self, id: &BackendId, gap_ms: f64, now: Millis) {
+        let gap = EventGap {
+            mean_ms: gap_ms,
+            seen: now,
+        };
+        let gap = self.event_gaps.entry(id.clone()).or_insert(gap);
+        if now.saturating_sub(gap.seen) > GAP_VALID_MS {
+            gap.mean_ms = gap_ms;
+        }
+        gap.mean_ms += NEWEST_GAP_WEIGHT * (gap_ms - gap.mean_ms);
+        gap.seen = now;
     }
 
-    /// Mean time between two events of a stream.
-    pub fn event_gap_ms(&self, id: &BackendId) -> Option<f64> {
-        self.event_gap_ms.get(id).copied()
+    /// Mean time between two events of a stream, if any came lately: a back end that was slow and
+    /// has had no work since may have recovered.
+    pub fn event_gap_ms(&self, id: &BackendId, now: Millis) -> Option<f64> {
+        let gap = self.event_gaps.get(id)?;
+        (now.saturating_sub(gap.seen) <= GAP_VALID_MS).then_some(gap.mean_ms)
     }
 }
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -7,7 +7,7 @@
 use havenstage_rollout::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, PoolName, Version};
 use havenstage_rollout::record::{GiveUpReason, OutputEvent};
 use havenstage_rollout::route::{Pool, Route, RouteTable};
-use havenstage_rollout::schedule::{self, Candidate, WaitingItem};
+use havenstage_rollout::schedule::{self, Candidate, Relocation, RunningItem, WaitingItem};
 use log::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -29,6 +29,7 @@
 #[derive(Default)]
 struct PoolWork {
     waiting: Vec<WaitingItem>,
+    running: Vec<RunningItem>,
 }
 
 impl Engine {
@@ -58,11 +59,8 @@
                     continue;
                 }
                 let tokens_per_event = tokens_per_event(&table, pool);
-                let waiting = self.waiting_items(batch, tokens_per_event);
-                work.entry(pool.clone())
-                    .or_default()
-                    .waiting
-                    .extend(waiting);
+                let pool_work = work.entry(pool.clone()).or_default();
+                self.collect_items(batch, tokens_per_event, now, pool_work);
             }
         }
         for key in too_late {
@@ -113,21 +111,23 @@
         .collect()
     }
 
-    fn waiting_items(&self, batch: &BatchState, tokens_per_event: u32) -> Vec<WaitingItem> {
+    fn collect_items(
+        &self,
+        batch: &BatchState,
+        tokens_per_event: u32,
+        now: Millis,
+        work: &mut PoolWork,
+    ) {
         let none = HashSet::new();
         let carried = self.carried.get(&batch.id).unwrap_or(&none);
         let optional = schedule::optional_items(batch, carried, tokens_per_event);
-        let mut waiting = Vec::new();
         for item in batch.items.iter().filter(|item| item.result.is_none()) {
             let key = ItemKey {
                 batch: batch.id.clone(),
                 item: item.id.clone(),
             };
             let live = self.items.get(&key);
-            if live.is_some_and(|live| !matches!(live.phase, Phase::Waiting)) {
-                continue;
-            }
-            waiting.push(WaitingItem {
+            let item = WaitingItem {
                 batch: batch.id.clone(),
                 item: item.id.clone(),
                 optional: optional.contains(&item.id),
@@ -136,13 +136,21 @@
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
                 group: item.group.clone(),
-            });
+            };
+            match live.map(|live| &live.phase) {
+                None | Some(Phase::Waiting) => work.waiting.push(item),
+                Some(Phase::Running { backend, since, .. }) => work.running.push(RunningItem {
+                    item,
+                    backend: backend.clone(),
+                    running_ms: now.saturating_sub(*since),
+                }),
+                Some(Phase::Scoring { .. } | Phase::Finishing) => {}
+            }
         }
-        waiting
     }
 
     fn place(&mut self, table: &RouteTable, pool: &PoolName, mut work: PoolWork, now: Millis) {
-        if work.waiting.is_empty() {
+        if work.waiting.is_empty() && work.running.is_empty() {
             return;
         }
         let mut candidates = self.candidates(table.pool(pool), pool, now);
@@ -158,6 +166,31 @@
             }
             self.begin(item, &backend, now);
         }
+        for relocation in schedule::relocations(work.running, candidates) {
+            self.relocate(&relocation);
+        }
+    }
+
+    /// Lets an item go on at a faster back end, from the output that is there.
+    fn relocate(&mut self, relocation: &Relocation) {
+        let item = &relocation.item;
+        let key = ItemKey {
+            batch: item.batch.clone(),
+            item: item.item.clone(),
+        };
+        let Some(live) = self.items.get_mut(&key) else {
+            return;
+        };
+        info!(event = "item_relocated", request = key.item.as_str(), batch = key.batch.as_str(),
+            from = live.running_on().map_or("", BackendId::as_str), to = relocation.to.as_str(),
+            events = live.events; "");
+        // Ends the run and resets its connection.
+        live.phase = Phase::Waiting;
+        let partition = live.partition;
+        if let Some(progress) = live.take_progress(&key) {
+            self.push(partition, &progress);
+        }
+        self.start(&key, &relocation.to, urgency(item));
     }
 
     fn begin(&mut self, item: &WaitingItem, backend: &BackendId, now: Millis) {
@@ -172,12 +205,7 @@
         if is_first_start && self.take_from_earlier_batch(&key, item) {
             return;
         }
-        let urgency = if item.optional {
-            OPTIONAL_URGENCY
-        } else {
-            NEEDED_URGENCY
-        };
-        self.start(&key, backend, urgency);
+        self.start(&key, backend, urgency(item));
     }
 
     /// Takes over what an earlier batch has of the item; true if that is its whole output.
@@ -213,7 +241,7 @@
         let gaps: Vec<f64> = backends
             .list
             .ready_in(name)
-            .filter_map(|(id, _)| backends.event_gap_ms(id))
+            .filter_map(|(id, _)| backends.event_gap_ms(id, now))
             .collect();
         let usual_gap = median(gaps).unwrap_or(USUAL_GAP_MS);
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
@@ -228,7 +256,7 @@
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
-            let gap = backends.event_gap_ms(id).unwrap_or(usual_gap).max(1.0);
+            let gap = backends.event_gap_ms(id, now).unwrap_or(usual_gap).max(1.0);
             candidates.push(Candidate {
                 backend: id.clone(),
                 running: own.get(id).copied().unwrap_or(0)
@@ -283,6 +311,14 @@
     }
 }
 
+fn urgency(item: &WaitingItem) -> u8 {
+    if item.optional {
+        OPTIONAL_URGENCY
+    } else {
+        NEEDED_URGENCY
+    }
+}
+
 fn is_too_late(route: &Route, batch: &BatchState, now: Millis) -> bool {
     let limit = route.give_up_after_ms.unwrap_or(DEFAULT_GIVE_UP_MS);
     now.saturating_sub(batch.first_seen) > limit
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -271,7 +271,11 @@
             }
             let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
             last_event = Instant::now();
-            context.backends.lock().saw_event_gap(&backend.id, gap_ms);
+            let now = context.now();
+            context
+                .backends
+                .lock()
+                .saw_event_gap(&backend.id, gap_ms, now);
             let event = OutputEvent {
                 version: made_by,
                 data: event.data,
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -75,6 +75,72 @@
     }
 }
 
+/// An item that runs and may be moved to a faster back end.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunningItem {
+    /// The item, with the version and model it needs.
+    pub item: WaitingItem,
+    /// Where it runs.
+    pub backend: BackendId,
+    /// For how long.
+    pub running_ms: Millis,
+}
+
+/// A move of a running item.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Relocation {
+    /// The item.
+    pub item: WaitingItem,
+    /// Where it goes on.
+    pub to: BackendId,
+}
+
+/// How much faster another back end must be for a move to pay.
+const WORTHWHILE_SPEED_UP: f64 = 1.6;
+/// Time that an item runs before it may be moved.
+const SETTLING_MS: Millis = 400;
+
+/// Moves of items from slow back ends to free places on faster ones, the longest items first.
+pub fn relocations(
+    mut running: Vec<RunningItem>,
+    mut candidates: Vec<Candidate>,
+) -> Vec<Relocation> {
+    running.retain(|running| running.running_ms >= SETTLING_MS);
+    running.sort_by_key(|running| std::cmp::Reverse(running.item.expected_tokens));
+    let mut moves = Vec::new();
+    for RunningItem { item, backend, .. } in running {
+        let Some(from) = candidates.iter().position(|c| c.backend == backend) else {
+            continue;
+        };
+        let Some(to) = best_target(&item, &candidates, from) else {
+            continue;
+        };
+        candidates[from].running = candidates[from].running.saturating_sub(1);
+        candidates[to].running += 1;
+        moves.push(Relocation {
+            to: candidates[to].backend.clone(),
+            item,
+        });
+    }
+    moves
+}
+
+fn best_target(item: &WaitingItem, candidates: &[Candidate], from: usize) -> Option<usize> {
+    let rate = |candidate: &Candidate, beside: u32| {
+        candidate.speed / (1.0 + STEP_COST_PER_ITEM * f64::from(candidate.running + beside))
+    };
+    let needed = rate(&candidates[from], 0) * WORTHWHILE_SPEED_UP;
+    let fitting = candidates
+        .iter()
+        .enumerate()
+        .filter(|(at, c)| *at != from && c.accepts(item));
+    fitting
+        .map(|(at, candidate)| (at, rate(candidate, 1)))
+        .filter(|(_, rate)| *rate > needed)
+        .max_by(|left, right| left.1.total_cmp(&right.1))
+        .map(|(at, _)| at)
+}
+
 /// Growth of a step's time with each item that runs beside.
 const STEP_COST_PER_ITEM: f64 = 0.033;
 /// Cost of reading a prompt again, in the same unit.
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -6,7 +6,9 @@
 
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName};
-use havenstage_rollout::schedule::{Candidate, WaitingItem, choose, optional_items, sort_waiting};
+use havenstage_rollout::schedule::{
+    Candidate, RunningItem, WaitingItem, choose, optional_items, relocations, sort_waiting,
+};
 use support::{backend, item, submitted};
 
 fn waiting(id: &str, optional: bool, expected_tokens: u32) -> WaitingItem {
@@ -96,3 +98,60 @@
         HashSet::from([ItemId::from("a"), ItemId::from("b")])
     );
 }
+
+fn running(id: &str, backend_id: &str, expected_tokens: u32, running_ms: u64) -> RunningItem {
+    let item = waiting(id, false, expected_tokens);
+    RunningItem {
+        item,
+        backend: backend(backend_id),
+        running_ms,
+    }
+}
+
+fn moved(running: Vec<RunningItem>, candidates: Vec<Candidate>) -> Vec<(String, String)> {
+    let moves = relocations(running, candidates);
+    moves
+        .into_iter()
+        .map(|m| (m.item.item.to_string(), m.to.to_string()))
+        .collect()
+}
+
+#[test]
+fn items_leave_a_slow_back_end_for_free_places() {
+    let items = vec![
+        running("short", "slow", 5, 900),
+        running("long", "slow", 90, 900),
+    ];
+    let candidates = vec![candidate("slow", 2, 3, 0.3), candidate("free", 7, 3, 1.0)];
+    assert_eq!(
+        moved(items, candidates),
+        [("long".to_owned(), "free".to_owned())]
+    );
+}
+
+#[test]
+fn a_small_gain_a_fresh_start_and_old_weights_move_nothing() {
+    let item = || vec![running("item", "here", 50, 900)];
+    assert!(
+        moved(
+            item(),
+            vec![candidate("here", 4, 3, 0.8), candidate("other", 0, 3, 1.0)]
+        )
+        .is_empty()
+    );
+    assert!(
+        moved(
+            item(),
+            vec![candidate("here", 4, 3, 0.2), candidate("old", 0, 2, 1.0)]
+        )
+        .is_empty()
+    );
+    let fresh = vec![running("item", "here", 50, 100)];
+    assert!(
+        moved(
+            fresh,
+            vec![candidate("here", 4, 3, 0.2), candidate("other", 0, 3, 1.0)]
+        )
+        .is_empty()
+    );
+}
