--- a/crates/bench/src/scale/clients.rs
+++ b/crates/bench/src/scale/clients.rs
@@ -7,11 +7,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use havenstage_platform::engine::{ChunkStream, EngineClient, EngineError};
-use havenstage_platform::log_service::{LogError, LogService, ReadBatch};
-use havenstage_platform::machine_list::{Machine, MachineList, MachineListError};
-use havenstage_platform::scorer::{ScoreRequest, Scorer, ScorerError};
-use havenstage_platform::weight_store::{WeightStore, WeightStoreError};
+use havenstage_edge::engine::{ChunkStream, EngineClient, EngineError};
+use havenstage_edge::log_service::{LogError, LogService, ReadBatch};
+use havenstage_edge::machine_list::{Machine, MachineList, MachineListError};
+use havenstage_edge::scorer::{ScoreRequest, Scorer, ScorerError};
+use havenstage_edge::weight_store::{WeightStore, WeightStoreError};
 use havenstage_platform_http::engine::OpenAiEngineClient;
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_platform_http::log_service::HttpLogService;
--- a/crates/bench/src/scale/error.rs
+++ b/crates/bench/src/scale/error.rs
@@ -1,7 +1,7 @@
 //! Why a scale run failed.
 
+use havenstage_edge::log_service::LogError;
 use havenstage_peer_net::BindError;
-use havenstage_platform::log_service::LogError;
 use havenstage_standin::StandinError;
 use havenstage_types::codec::CodecError;
 use havenstage_types::config::ChangeError;
--- a/crates/bench/src/scale/network.rs
+++ b/crates/bench/src/scale/network.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use havenstage_edge::peer::{PeerError, PeerNetwork};
 use havenstage_peer_net::TcpUdpNetwork;
-use havenstage_platform::peer::{PeerError, PeerNetwork};
 use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::{PeerRequest, PeerResponse};
--- a/crates/bench/src/scale/platform.rs
+++ b/crates/bench/src/scale/platform.rs
@@ -4,9 +4,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use havenstage_edge::log_service::LogService;
+use havenstage_edge::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_emulator::{EngineSettings, settings::LengthDistribution};
-use havenstage_platform::log_service::LogService;
-use havenstage_platform::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_platform_http::log_service::HttpLogService;
 use havenstage_standin::Running;
--- a/crates/bench/src/scale/traffic.rs
+++ b/crates/bench/src/scale/traffic.rs
@@ -82,9 +82,7 @@
             PeerRequestBody::Release(_) => Self::Release,
             PeerRequestBody::Claim(_)
             | PeerRequestBody::AbandonClaim { .. }
-            | PeerRequestBody::CompleteClaim { .. }
-            | PeerRequestBody::Replica(_)
-            | PeerRequestBody::RetireReplica { .. } => Self::Claim,
+            | PeerRequestBody::CompleteClaim { .. } => Self::Claim,
             PeerRequestBody::KeepAnswer { .. } | PeerRequestBody::FetchAnswer { .. } => {
                 Self::KeptAnswer
             }
--- a/crates/havenstage/src/commands/demo/platform.rs
+++ b/crates/havenstage/src/commands/demo/platform.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_edge::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_emulator::EngineSettings;
 use havenstage_emulator::settings::{LengthDistribution, SwapSettings};
-use havenstage_platform::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_simulator::deployment::{DeploymentSettings, PoolSettings};
 use havenstage_standin::Running;
 use havenstage_standin::engine::{EngineStandin, EngineStandinSettings};
--- a/crates/havenstage/src/commands/node/mod.rs
+++ b/crates/havenstage/src/commands/node/mod.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_edge::peer::PeerNetwork;
 use havenstage_http_api::serve;
 use havenstage_node::environment::{Environment, NodeClock};
 use havenstage_node::node::Node;
 use havenstage_node::spawner::TaskSpawner;
 use havenstage_peer_net::PeerServer;
-use havenstage_platform::peer::PeerNetwork;
 use havenstage_platform_http::engine::OpenAiEngineClient;
 use havenstage_platform_http::http_client::HttpClient;
 use havenstage_platform_http::log_service::HttpLogService;
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -13,30 +13,22 @@
 //!   only when it has not dispatched and never will.
 //! * Only the holder's first outcome counts.
 //!
-//! While a replica group is in force (see [`ClaimGroup`]) only its entries count, in the order of
-//! their indexes. A member of the group applies them as they are committed, ahead of the log.
-//! After a group was lost, a free key is answered [`ClaimVerdict::Unknown`] until the loss is
-//! settled.
-//!
 //! At-most-once horizon: a key is forgotten [`ClaimLedgerSettings::retention_records`] records
 //! after its claim or outcome. Up to there no second attempt is granted a key whose holder did not
 //! abandon; a repeat that comes later runs again. A holder that was granted but has not dispatched
 //! must not dispatch once that many records have followed its claim.
 
 mod entry;
-mod group;
 mod retention;
 mod settings;
 
 use std::collections::BTreeMap;
 
-use havenstage_types::claim::{Claim, ClaimCommand, ClaimOutcome, ClaimRecord, ClaimVerdict};
-use havenstage_types::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset};
-use havenstage_types::replica::{EntryPayload, SequencedEntry};
+use havenstage_types::claim::{Claim, ClaimOutcome, ClaimRecord, ClaimVerdict};
+use havenstage_types::ids::{AttemptId, IdempotencyKey, LogOffset};
 use serde::{Deserialize, Serialize};
 
 use self::entry::KeyEntry;
-pub use self::group::ClaimGroup;
 use self::retention::{RecordNumber, RetentionQueue};
 pub use self::settings::{ClaimLedgerSettings, InvalidClaimLedgerSettings};
 use crate::error::FoldError;
@@ -49,9 +41,6 @@
     position: StreamPosition,
     /// Number of the next record that counts for retention.
     next_number: RecordNumber,
-    group: Option<ClaimGroup>,
-    /// Generation that replaced a group which may have had records outside the log.
-    open_loss: Option<LogOffset>,
     keys: BTreeMap<IdempotencyKey, KeyEntry>,
     remembered: RetentionQueue,
     answers: RetentionQueue,
@@ -87,39 +76,13 @@
         self.position.next()
     }
 
-    /// The replica group in force; `None` while claims are written to the log directly.
-    pub fn group(&self) -> Option<&ClaimGroup> {
-        self.group.as_ref()
-    }
-
-    /// Generation whose forming revealed that records may be lost, until that is settled.
-    pub fn open_loss(&self) -> Option<LogOffset> {
-        self.open_loss
-    }
-
     /// Applies the record at `offset`. A record applied before is ignored; a record beyond the
-    /// next offset is a [`FoldError::Gap`]. [`FoldError::AheadOfLog`] means that this fold took
-    /// entries of a lost group from its members which the log never got: it must start anew.
+    /// next offset is a [`FoldError::Gap`].
     pub fn apply(&mut self, offset: LogOffset, record: &ClaimRecord) -> Result<(), FoldError> {
-        if let ClaimRecord::GroupFormed { previous, .. } = record {
-            self.check_not_ahead(*previous)?;
-        }
         if self.position.advance(offset)? == Arrival::Duplicate {
             return Ok(());
         }
         match record {
-            ClaimRecord::GroupFormed {
-                previous,
-                members,
-                vouched_by,
-            } => self.form_group(offset, *previous, members, vouched_by.is_some()),
-            ClaimRecord::GroupDoubted { generation } => self.doubt_group(*generation),
-            ClaimRecord::Batch {
-                generation,
-                first_index,
-                entries,
-            } => self.apply_batch(offset, *generation, *first_index, entries),
-            _ if self.group.is_some() => {}
             ClaimRecord::Claim(claim) => self.claim(claim),
             ClaimRecord::Abandon { key, attempt } => self.abandon(key, *attempt),
             ClaimRecord::Outcome {
@@ -131,27 +94,9 @@
         Ok(())
     }
 
-    /// Applies a committed entry of the group in force before the log has it. Returns `false` when
-    /// it is not the next entry of that group.
-    pub fn apply_entry(
-        &mut self,
-        generation: LogOffset,
-        index: EntryIndex,
-        entry: &SequencedEntry<ClaimCommand>,
-    ) -> bool {
-        let is_next = self
-            .group
-            .as_mut()
-            .is_some_and(|group| group.generation == generation && group.take_if_next(index));
-        if is_next {
-            self.apply_payload(&entry.payload);
-        }
-        is_next
-    }
-
     /// Moves past a record that cannot be decoded; it changes nothing else.
     pub fn skip(&mut self, offset: LogOffset) -> Result<(), FoldError> {
-        if self.position.advance(offset)? == Arrival::New && self.group.is_none() {
+        if self.position.advance(offset)? == Arrival::New {
             self.count_record();
         }
         Ok(())
@@ -168,12 +113,7 @@
         attempt: AttemptId,
         fingerprint: u64,
     ) -> Option<ClaimVerdict> {
-        let entry = self.keys.get(key);
-        let is_held = entry.is_some_and(|entry| entry.holder.is_some());
-        if self.open_loss.is_some() && !is_held {
-            return Some(ClaimVerdict::Unknown);
-        }
-        entry?.verdict(attempt, fingerprint)
+        self.keys.get(key)?.verdict(attempt, fingerprint)
     }
 
     /// The attempt that holds the key, finished or not.
@@ -187,37 +127,10 @@
         self.keys.len()
     }
 
-    fn apply_payload(&mut self, payload: &EntryPayload<ClaimCommand>) {
-        match payload {
-            EntryPayload::Command(ClaimCommand::Claim(claim)) => self.claim(claim),
-            EntryPayload::Command(ClaimCommand::Abandon { key, attempt }) => {
-                self.abandon(key, *attempt);
-            }
-            EntryPayload::Command(ClaimCommand::Outcome {
-                key,
-                attempt,
-                outcome,
-            }) => self.complete(key, *attempt, outcome),
-            EntryPayload::LossSettled { generation } => {
-                if self.open_loss == Some(*generation) {
-                    self.open_loss = None;
-                }
-            }
-            EntryPayload::TermStart
-            | EntryPayload::Outage(_)
-            | EntryPayload::StillInForce
-            | EntryPayload::Seal { .. } => {}
-        }
-    }
-
     fn claim(&mut self, claim: &Claim) {
         let number = self.count_record();
         let entry = self.keys.entry(claim.key.clone()).or_default();
-        if self.open_loss.is_some() {
-            entry.claim_after_loss(number, claim);
-        } else {
-            entry.claim(number, claim);
-        }
+        entry.claim(number, claim);
         self.remembered.push(number, &claim.key, claim.attempt);
     }
 
@@ -230,13 +143,8 @@
 
     fn complete(&mut self, key: &IdempotencyKey, attempt: AttemptId, outcome: &ClaimOutcome) {
         let number = self.count_record();
-        let is_kept = if self.open_loss.is_some() {
-            let entry = self.keys.entry(key.clone()).or_default();
-            entry.complete_after_loss(number, attempt, outcome)
-        } else {
-            let entry = self.keys.get_mut(key);
-            entry.is_some_and(|entry| entry.complete(number, attempt, outcome))
-        };
+        let entry = self.keys.get_mut(key);
+        let is_kept = entry.is_some_and(|entry| entry.complete(number, attempt, outcome));
         if !is_kept {
             return;
         }
--- a/crates/ledger/src/claims/entry.rs
+++ b/crates/ledger/src/claims/entry.rs
@@ -13,8 +13,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Holder {
     pub(super) attempt: AttemptId,
-    /// `None` when the claim was lost with its group and only the outcome is known.
-    fingerprint: Option<u64>,
+    fingerprint: u64,
     outcome: Option<ClaimOutcome>,
     /// Number of the claim or, once there is one, of the outcome; retention counts from here.
     recorded_at: RecordNumber,
@@ -42,7 +41,7 @@
             None => {
                 self.holder = Some(Holder {
                     attempt: claim.attempt,
-                    fingerprint: Some(claim.fingerprint),
+                    fingerprint: claim.fingerprint,
                     outcome: None,
                     recorded_at: number,
                 });
@@ -80,34 +79,6 @@
         true
     }
 
-    /// Closes an attempt that asks for a free key while records of the key may be lost.
-    pub(super) fn claim_after_loss(&mut self, number: RecordNumber, claim: &Claim) {
-        if self.holder.is_some() {
-            self.claim(number, claim);
-        } else {
-            self.close(number, claim.attempt);
-        }
-    }
-
-    /// Keeps an outcome whose claim was lost with its group; returns whether the key was free.
-    pub(super) fn complete_after_loss(
-        &mut self,
-        number: RecordNumber,
-        attempt: AttemptId,
-        outcome: &ClaimOutcome,
-    ) -> bool {
-        if self.holder.is_some() {
-            return self.complete(number, attempt, outcome);
-        }
-        self.holder = Some(Holder {
-            attempt,
-            fingerprint: None,
-            outcome: Some(outcome.clone()),
-            recorded_at: number,
-        });
-        true
-    }
-
     /// Forgets what the record `number` said about `attempt`, unless a later record renewed it.
     pub(super) fn forget(&mut self, number: RecordNumber, attempt: AttemptId) {
         if self
@@ -137,7 +108,7 @@
         let Some(holder) = &self.holder else {
             return self.is_closed(attempt).then_some(ClaimVerdict::Abandoned);
         };
-        if holder.fingerprint.is_some_and(|held| held != fingerprint) {
+        if holder.fingerprint != fingerprint {
             return Some(ClaimVerdict::KeyReused);
         }
         if let Some(outcome) = &holder.outcome {
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the folds.
 
-use havenstage_types::ids::{EntryIndex, LogOffset};
+use havenstage_types::ids::LogOffset;
 use thiserror::Error;
 
 /// Why a record could not be applied. The fold's state is unchanged.
@@ -14,12 +14,4 @@
         /// Offset of the record given.
         found: LogOffset,
     },
-    /// The fold took entries of a lost group ahead of the log, and the log never got them.
-    #[error("holds entries of the lost group {generation} beyond {logged} that the log lacks")]
-    AheadOfLog {
-        /// Generation of the lost group.
-        generation: LogOffset,
-        /// Last entry of the group that is in the log.
-        logged: EntryIndex,
-    },
 }
--- a/crates/node/src/at_most_once.rs
+++ b/crates/node/src/at_most_once.rs
@@ -1,13 +1,13 @@
 //! The claimant's side of at-most-once requests: claims the key through the partition's owner
 //! before anything is dispatched, and records what came of it.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_membership::ownership;
 use havenstage_placement::retry::{Backoff, BackoffSettings};
 use havenstage_types::claim::{Claim, ClaimOutcome, ClaimVerdict};
-use havenstage_types::ids::{AttemptId, IdempotencyKey, Partition};
+use havenstage_types::ids::{AttemptId, IdempotencyKey};
 use havenstage_types::member::MemberState;
 use havenstage_types::peer::{PeerFailure, PeerRequestBody, PeerResponseBody};
 use havenstage_types::refusal::{Refusal, RefusalReason};
@@ -16,9 +16,6 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::context::NodeContext;
-use crate::locks::lock;
-use crate::replicas::routes::GroupRoutes;
-use crate::settings::ClaimStore;
 
 /// How long a claim is tried while the log or the owner does not answer. After it the caller is
 /// told at once that nothing ran.
@@ -30,22 +27,15 @@
 /// Longest wait for one try at recording an outcome or an abandonment.
 const RECORD_PATIENCE: Duration = Duration::from_secs(6);
 
-/// How long a claim is tried with replica groups, which may have to elect a leader.
-const REPLICA_CLAIM_PATIENCE: Duration = Duration::from_secs(10);
-
 /// Pause before asking again about a key that another attempt holds.
 const HELD_POLL: Duration = Duration::from_millis(200);
 
-/// Nodes asked in a row because the one before pointed there.
-const MAX_REDIRECTS: u32 = 3;
-
 /// Tries to hand an outcome or an abandonment to the partition's owner.
 const RECORD_TRIES: u32 = 40;
 
 /// Claims keys and records outcomes.
 pub(crate) struct AtMostOnce {
     context: Arc<NodeContext>,
-    routes: Mutex<GroupRoutes>,
 }
 
 /// Leave to dispatch.
@@ -53,8 +43,6 @@
 pub(crate) struct Grant {
     /// Attempt that may dispatch.
     pub(crate) attempt: AttemptId,
-    /// Until when, if the leave lapses.
-    pub(crate) dispatch_by: Option<Instant>,
 }
 
 /// What a claim led to.
@@ -86,10 +74,7 @@
 
 impl AtMostOnce {
     pub(crate) fn new(context: Arc<NodeContext>) -> Arc<Self> {
-        Arc::new(Self {
-            context,
-            routes: Mutex::default(),
-        })
+        Arc::new(Self { context })
     }
 
     /// Claims the request's key. Every refusal is true: an attempt that is not granted is never
@@ -100,32 +85,16 @@
         deadline: Instant,
     ) -> Result<Claimed, Refusal> {
         let mut backoff = Backoff::new(BackoffSettings::default(), self.context.next_seed());
-        let mut give_up_at = deadline.min(Instant::now() + self.patience());
+        let mut give_up_at = deadline.min(Instant::now() + CLAIM_PATIENCE);
         let mut attempt = self.context.next_attempt();
         if !self.context.mechanisms.claims {
-            return Ok(Claimed::Granted(Grant {
-                attempt,
-                dispatch_by: None,
-            }));
+            return Ok(Claimed::Granted(Grant { attempt }));
         }
         // Whether a claim of `attempt` may be in the log without having been read back.
         let mut uncertain = false;
         loop {
-            let asked_at = Instant::now();
             match self.ask(request, attempt, give_up_at).await {
-                Ok(ClaimVerdict::Granted) => {
-                    let dispatch_by = self.grant_validity().map(|validity| asked_at + validity);
-                    return Ok(Claimed::Granted(Grant {
-                        attempt,
-                        dispatch_by,
-                    }));
-                }
-                Ok(ClaimVerdict::Unknown) => {
-                    if uncertain {
-                        self.abandon(request, attempt);
-                    }
-                    return Err(Refusal::unknown(RefusalReason::OutcomeUnknown));
-                }
+                Ok(ClaimVerdict::Granted) => return Ok(Claimed::Granted(Grant { attempt })),
                 Ok(ClaimVerdict::Done(outcome)) => return answered(outcome),
                 Ok(ClaimVerdict::KeyReused) => {
                     return Err(Refusal::not_run(RefusalReason::KeyReused, None));
@@ -137,7 +106,7 @@
                     self.check_holder(holder, deadline)?;
                     attempt = self.context.next_attempt();
                     tokio::time::sleep(HELD_POLL).await;
-                    give_up_at = deadline.min(Instant::now() + self.patience());
+                    give_up_at = deadline.min(Instant::now() + CLAIM_PATIENCE);
                 }
                 Ok(ClaimVerdict::Abandoned) => attempt = self.context.next_attempt(),
                 Err(reason) if Instant::now() >= give_up_at => {
@@ -189,24 +158,6 @@
         }
     }
 
-    fn has_replicas(&self) -> bool {
-        self.context.settings.claim_store == ClaimStore::Replicas
-    }
-
-    fn patience(&self) -> Duration {
-        if self.has_replicas() {
-            REPLICA_CLAIM_PATIENCE
-        } else {
-            CLAIM_PATIENCE
-        }
-    }
-
-    /// A grant of a replica group lapses, so that it cannot outlive the group by much.
-    fn grant_validity(&self) -> Option<Duration> {
-        let validity = self.context.settings.replica_settings().grant_validity;
-        self.has_replicas().then_some(validity)
-    }
-
     /// Asks whoever decides about the key; the answer must come by then.
     async fn call_decider(
         &self,
@@ -215,52 +166,12 @@
         by: Instant,
     ) -> Option<PeerResponseBody> {
         let partition = ownership::partition_of(key, self.context.settings.partitions);
-        if self.has_replicas() {
-            return self.call_group(partition, body, by).await;
-        }
         let owner = ownership::owner_of_partition(&self.context.view(), partition)?;
         let call = self.context.call_within(owner, body, call_timeout(by));
         let answer = call.await;
         answer.ok()
     }
 
-    /// Asks the partition's group, following at once where an answer points.
-    async fn call_group(
-        &self,
-        partition: Partition,
-        body: PeerRequestBody,
-        by: Instant,
-    ) -> Option<PeerResponseBody> {
-        for _ in 0..MAX_REDIRECTS {
-            let view = self.context.view();
-            let target = lock(&self.routes).target(&view, partition)?;
-            let timeout = call_timeout(by);
-            let call = self.context.call_member(&target, body.clone(), timeout);
-            let answer = call.await;
-            let mut routes = lock(&self.routes);
-            match answer {
-                Ok(PeerResponseBody::Route(route)) => {
-                    if !routes.learn(partition, route) {
-                        return None;
-                    }
-                }
-                Ok(PeerResponseBody::Failed(PeerFailure::NotOwner)) | Err(_) => {
-                    routes.failed(partition, target.id);
-                    return None;
-                }
-                Ok(answer @ PeerResponseBody::Failed(_)) => {
-                    routes.failed(partition, target.id);
-                    return Some(answer);
-                }
-                Ok(answer) => {
-                    routes.succeeded(partition, target.id);
-                    return Some(answer);
-                }
-            }
-        }
-        None
-    }
-
     /// Records that the attempt will never dispatch; tried in the background.
     pub(crate) fn abandon(self: &Arc<Self>, request: &CallerRequest, attempt: AttemptId) {
         let service = self.clone();
--- a/crates/node/src/claim_owner.rs
+++ b/crates/node/src/claim_owner.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_edge::log_service::LogError;
 use havenstage_ledger::claims::ClaimLedger;
 use havenstage_membership::ownership;
-use havenstage_platform::log_service::LogError;
 use havenstage_types::claim::{Claim, ClaimOutcome, ClaimRecord, ClaimVerdict};
 use havenstage_types::codec;
 use havenstage_types::ids::{AttemptId, IdempotencyKey, LogOffset, Partition, streams};
--- a/crates/node/src/config_follower.rs
+++ b/crates/node/src/config_follower.rs
@@ -52,7 +52,7 @@
 /// The newest record of the snapshot stream, found through the stream's end.
 async fn last_snapshot(
     context: &NodeContext,
-) -> Result<Option<ConfigSnapshot>, havenstage_platform::log_service::LogError> {
+) -> Result<Option<ConfigSnapshot>, havenstage_edge::log_service::LogError> {
     let stream = streams::config_snapshots();
     let log = &context.environment.log;
     let no_wait = Duration::ZERO;
@@ -74,7 +74,7 @@
 async fn follow_once(
     context: &NodeContext,
     wait: Duration,
-) -> Result<(), havenstage_platform::log_service::LogError> {
+) -> Result<(), havenstage_edge::log_service::LogError> {
     let asked_at = context.now();
     let batch = context
         .environment
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use havenstage_config::ConfigState;
-use havenstage_platform::peer::{PeerError, PeerHandler};
+use havenstage_edge::peer::{PeerError, PeerHandler};
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::{AttemptId, LogOffset, NodeId};
 use havenstage_types::member::{MemberIdentity, MembershipView};
 use havenstage_types::peer::{PeerRequest, PeerRequestBody, PeerResponse, PeerResponseBody};
 use havenstage_types::refusal::RefusalReason;
-use havenstage_types::replica::GroupMember;
 
 use crate::config_store::ConfigStore;
 use crate::decision_log::DecisionLog;
@@ -145,21 +144,6 @@
         self.call_address(node, address, request, timeout).await
     }
 
-    /// Sends a request to a member of a replica group, which the view need not know any more.
-    pub(crate) async fn call_member(
-        &self,
-        member: &GroupMember,
-        body: PeerRequestBody,
-        timeout: Duration,
-    ) -> Result<PeerResponseBody, CallError> {
-        let request = self.request(body);
-        if member.id == self.node_id() {
-            return self.answer_locally(request).await;
-        }
-        self.call_address(member.id, member.peer_address, request, timeout)
-            .await
-    }
-
     fn request(&self, body: PeerRequestBody) -> PeerRequest {
         PeerRequest {
             from: self.node_id(),
--- a/crates/node/src/environment.rs
+++ b/crates/node/src/environment.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use havenstage_platform::engine::EngineClient;
-use havenstage_platform::log_service::LogService;
-use havenstage_platform::machine_list::MachineList;
-use havenstage_platform::peer::PeerNetwork;
-use havenstage_platform::scorer::Scorer;
-use havenstage_platform::weight_store::WeightStore;
+use havenstage_edge::engine::EngineClient;
+use havenstage_edge::log_service::LogService;
+use havenstage_edge::machine_list::MachineList;
+use havenstage_edge::peer::PeerNetwork;
+use havenstage_edge::scorer::Scorer;
+use havenstage_edge::weight_store::WeightStore;
 use havenstage_types::clock::Moment;
 use tokio::time::Instant;
 
--- a/crates/node/src/executor.rs
+++ b/crates/node/src/executor.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use futures::{FutureExt, StreamExt};
-use havenstage_platform::engine::{ChunkStream, EngineError};
+use havenstage_edge::engine::{ChunkStream, EngineError};
 use havenstage_types::decision::{CandidateScore, Decision};
 use havenstage_types::engine::{EngineEndpoint, GenerateRequest, TokenChunk};
 use havenstage_types::ids::{AttemptId, EngineName, NodeId};
--- a/crates/node/src/executor/work.rs
+++ b/crates/node/src/executor/work.rs
@@ -21,8 +21,6 @@
     pub(crate) max_tokens: u32,
     pub(crate) class: PriorityClass,
     pub(crate) deadline: Instant,
-    /// Until when it may be dispatched, if that is earlier.
-    pub(crate) dispatch_by: Option<Instant>,
     /// Longest wait in an engine's queue.
     pub(crate) queue_patience: Duration,
     /// Oldest version it may run on.
@@ -34,17 +32,13 @@
 impl Work {
     /// Time it may wait in a queue now.
     pub(crate) fn patience(&self) -> Duration {
-        let end = self
-            .dispatch_by
-            .map_or(self.deadline, |by| by.min(self.deadline));
-        let left = end.saturating_duration_since(Instant::now());
+        let left = self.deadline.saturating_duration_since(Instant::now());
         self.queue_patience.min(left)
     }
 
     /// Whether it may no longer be dispatched.
     pub(crate) fn is_too_late(&self) -> bool {
-        let now = Instant::now();
-        now >= self.deadline || self.dispatch_by.is_some_and(|by| now >= by)
+        Instant::now() >= self.deadline
     }
 
     /// Estimated tokens to be held before the first new one.
--- a/crates/node/src/homes/knowledge.rs
+++ b/crates/node/src/homes/knowledge.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use havenstage_platform::machine_list::{Machine, MachineRole, MachineState};
+use havenstage_edge::machine_list::{Machine, MachineRole, MachineState};
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::{EngineName, NodeId, Zone};
 use havenstage_types::peer::{AdmitRequest, PeerRequestBody, PeerResponseBody};
--- a/crates/node/src/homes/poller.rs
+++ b/crates/node/src/homes/poller.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use havenstage_config::PublishedVersion;
+use havenstage_edge::engine::EngineError;
 use havenstage_placement::rollout_waves::{WaveSettings, swap_delay};
-use havenstage_platform::engine::EngineError;
 use havenstage_types::clock::Moment;
 use havenstage_types::decision::Decision;
 use havenstage_types::engine::{EngineAction, EngineEndpoint, EngineOrder, LoadReport};
--- a/crates/node/src/jobs/sample_run.rs
+++ b/crates/node/src/jobs/sample_run.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_edge::scorer::ScoreRequest;
 use havenstage_ledger::staleness::StalenessBound;
 use havenstage_placement::retry::{Backoff, BackoffSettings};
-use havenstage_platform::scorer::ScoreRequest;
 use havenstage_types::decision::Decision;
 use havenstage_types::engine::TokenChunk;
 use havenstage_types::ids::{AttemptId, VersionNumber};
@@ -174,7 +174,6 @@
             max_tokens: self.assignment.max_tokens,
             class: PriorityClass::Training,
             deadline: Instant::now() + EXECUTION_DEADLINE,
-            dispatch_by: None,
             queue_patience: Duration::from_millis(self.context.settings.training_patience_ms),
             oldest_version: self
                 .newest_version()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod at_most_once;
 mod claim_owner;
-mod claim_service;
 mod config_follower;
 mod config_recorder;
 mod config_store;
@@ -23,7 +22,6 @@
 pub mod node;
 mod operator;
 mod peer_service;
-mod replicas;
 pub mod settings;
 pub mod spawner;
 mod stream_follower;
--- a/crates/node/src/live.rs
+++ b/crates/node/src/live.rs
@@ -249,12 +249,7 @@
             && lock(&self.retry_budget).try_retry(self.context.now())
     }
 
-    async fn run_at_most_once(
-        &self,
-        request: CallerRequest,
-        mut work: Work,
-        mut sender: AnswerSender,
-    ) {
+    async fn run_at_most_once(&self, request: CallerRequest, work: Work, mut sender: AnswerSender) {
         let claimed = match self.at_most_once.claim(&request, work.deadline).await {
             Ok(claimed) => claimed,
             Err(refusal) => return self.give_up(&request, sender, refusal),
@@ -264,7 +259,6 @@
             Claimed::Answered(answer) => return sender.replay(answer),
         };
         let attempt = grant.attempt;
-        work.dispatch_by = grant.dispatch_by;
         match self.run_once(&work, attempt, &mut sender).await {
             Ok(answer) => {
                 sender.send(AnswerEvent::Finished(answer.summary.clone()));
@@ -333,7 +327,6 @@
         max_tokens: request.max_tokens,
         class: request.class,
         deadline,
-        dispatch_by: None,
         queue_patience: deadline.saturating_duration_since(Instant::now()),
         oldest_version: None,
         straggler: false,
--- a/crates/node/src/member_service.rs
+++ b/crates/node/src/member_service.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, RwLock};
 
+use havenstage_edge::machine_list::MachineRole;
 use havenstage_membership::freshness::StaleConfig;
 use havenstage_membership::{Membership, MembershipAction, MembershipInput, MembershipSettings};
-use havenstage_platform::machine_list::MachineRole;
 use havenstage_types::clock::Moment;
 use havenstage_types::config::MemberList;
 use havenstage_types::gossip::GossipPacket;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_edge::peer::PeerHandler;
 use havenstage_membership::MembershipInput;
-use havenstage_platform::peer::PeerHandler;
 use havenstage_types::config::{ChangeError, ChangeOutcome, ConfigChange, InForce};
 use havenstage_types::decision::DecisionRecord;
 use havenstage_types::ids::{
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::at_most_once::AtMostOnce;
-use crate::claim_service::{self, ClaimService};
+use crate::claim_owner::{self, ClaimOwner};
 use crate::context::NodeContext;
 use crate::environment::Environment;
 use crate::executor::Executor;
@@ -39,15 +39,12 @@
 /// Longest time a planned stop waits for its last records to reach the log.
 const STOP_FLUSH: Duration = Duration::from_secs(5);
 
-/// Longest time a planned stop waits until its replica groups have other members.
-const STOP_LEAVE_GROUPS: Duration = Duration::from_secs(15);
-
 /// One node of the system.
 pub struct Node {
     pub(crate) context: Arc<NodeContext>,
     pub(crate) homes: Arc<Homes>,
     pub(crate) running: Arc<RunningAttempts>,
-    pub(crate) claims: ClaimService,
+    pub(crate) claims: Arc<ClaimOwner>,
     pub(crate) kept_answers: KeptAnswers,
     pub(crate) samples: Arc<SampleRunners>,
     live: Arc<LiveService>,
@@ -137,7 +134,7 @@
         let at_most_once = AtMostOnce::new(context.clone());
         let followers = JobFollowers::new(context.clone());
         let node = Arc::new(Self {
-            claims: ClaimService::new(context.clone()),
+            claims: ClaimOwner::new(context.clone()),
             kept_answers,
             live: LiveService::new(context.clone(), executor.clone(), at_most_once),
             samples: SampleRunners::new(context.clone(), executor, running.clone()),
@@ -166,7 +163,7 @@
         spawner.spawn(homes::run(self.homes.clone()));
         spawner.spawn(homes::run_ticks(self.homes.clone()));
         spawner.spawn(homes::run_machine_list(self.homes.clone()));
-        spawner.spawn(claim_service::run(self.claims.clone()));
+        spawner.spawn(claim_owner::run(self.claims.clone()));
         spawner.spawn(jobs::run(self.jobs.clone()));
     }
 
@@ -286,7 +283,6 @@
         self.context.members.input(environment, leave).await;
         if self.context.mechanisms.stop_waits {
             self.context.lifecycle.drained().await;
-            self.leave_groups().await;
         }
         let flush = decision_writer::flush(&self.context);
         if tokio::time::timeout(STOP_FLUSH, flush).await.is_err() {
@@ -294,12 +290,4 @@
             log::warn!(unsent = unsent; "stopped before all decisions were recorded");
         }
     }
-
-    /// Waits until the replica groups this node is a member of have other members.
-    async fn leave_groups(&self) {
-        let left = tokio::time::timeout(STOP_LEAVE_GROUPS, self.claims.left_groups());
-        if left.await.is_err() {
-            log::warn!("stopped while still a member of a replica group");
-        }
-    }
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use havenstage_platform::log_service::LogError;
+use havenstage_edge::log_service::LogError;
 use havenstage_types::codec;
 use havenstage_types::config::{
     ChangeError, ChangeOutcome, ConfigChange, ConfigRecord, InForce, Precondition,
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use havenstage_platform::peer::PeerHandler;
+use havenstage_edge::peer::PeerHandler;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::ids::LogOffset;
 use havenstage_types::peer::{PeerRequest, PeerRequestBody, PeerResponse, PeerResponseBody};
@@ -75,9 +75,6 @@
             PeerRequestBody::LeavingMachines => {
                 PeerResponseBody::LeavingMachines(self.homes.leaving_machines())
             }
-            body @ (PeerRequestBody::Replica(_) | PeerRequestBody::RetireReplica { .. }) => {
-                self.claims.answer_member(body)
-            }
         }
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use havenstage_replication::ReplicaSettings;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -54,30 +53,10 @@
     pub swap_spread_ms: u64,
     /// Fetches a second that the weight store allows, for spreading swaps.
     pub weight_fetches_per_second: u32,
-    /// Where claims of at-most-once requests are decided; the same on every node.
-    pub claim_store: ClaimStore,
-    /// With replicas: the log counts as away when it has not taken a committed claim for this long.
-    pub claim_outage_after_ms: u64,
-    /// With replicas: how long callers may repeat a request. It bounds what can be promised after
-    /// a group was lost during an outage.
-    pub claim_repeat_horizon_ms: u64,
-    /// With replicas: memory of one group's entries that wait for the log, in bytes.
-    pub claim_memory_bytes: usize,
     /// Placement, admission and job driving.
     pub placement: PlacementTuning,
 }
 
-/// Where claims of at-most-once requests are decided.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ClaimStore {
-    /// In the log alone: while it is away such requests are refused as not run.
-    #[default]
-    Log,
-    /// In replica groups of nodes, which go on while the log is away.
-    Replicas,
-}
-
 impl Default for NodeSettings {
     fn default() -> Self {
         Self {
@@ -101,10 +80,6 @@
             max_executions: 12,
             swap_spread_ms: 5_000,
             weight_fetches_per_second: 200,
-            claim_store: ClaimStore::Log,
-            claim_outage_after_ms: 500,
-            claim_repeat_horizon_ms: 3_600_000,
-            claim_memory_bytes: 16 * 1024 * 1024,
             placement: PlacementTuning::default(),
         }
     }
@@ -181,24 +156,6 @@
                 1,
                 1_000_000,
             ),
-            (
-                "claim_outage_after_ms",
-                self.claim_outage_after_ms,
-                10,
-                60_000,
-            ),
-            (
-                "claim_repeat_horizon_ms",
-                self.claim_repeat_horizon_ms,
-                1_000,
-                86_400_000,
-            ),
-            (
-                "claim_memory_bytes",
-                self.claim_memory_bytes as u64,
-                65_536,
-                1 << 30,
-            ),
         ];
         for (key, value, lowest, highest) in ranges {
             if value < lowest || value > highest {
@@ -220,16 +177,6 @@
         Ok(())
     }
 
-    /// Settings of replica groups.
-    pub fn replica_settings(&self) -> ReplicaSettings {
-        ReplicaSettings {
-            outage_after: Duration::from_millis(self.claim_outage_after_ms),
-            repeat_horizon: Duration::from_millis(self.claim_repeat_horizon_ms),
-            memory_budget_bytes: self.claim_memory_bytes,
-            ..ReplicaSettings::default()
-        }
-    }
-
     /// [`Self::freshness_bound_ms`] as a duration.
     pub fn freshness_bound(&self) -> Duration {
         Duration::from_millis(self.freshness_bound_ms)
@@ -262,9 +209,6 @@
         "decision_shards" => "1 to 1024",
         "recent_decisions" => "1 to 10000000",
         "commit_batch" => "1 to 4096",
-        "claim_outage_after_ms" => "10 to 60000",
-        "claim_repeat_horizon_ms" => "1000 to 86400000",
-        "claim_memory_bytes" => "65536 to 1073741824",
         "kept_answer_bytes" => "0 to 1073741824",
         "snapshot_every" => "10 to 1000000",
         "member_list_after_ms" => "100 to 600000",
--- a/crates/node/src/stream_follower.rs
+++ b/crates/node/src/stream_follower.rs
@@ -3,8 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use havenstage_platform::log_service::LogError;
-use havenstage_types::clock::Moment;
+use havenstage_edge::log_service::LogError;
 use havenstage_types::ids::{LogOffset, StreamName};
 use havenstage_types::peer::RawRecord;
 use tokio::sync::watch;
@@ -38,8 +37,6 @@
     stream: StreamName,
     fold: Mutex<F>,
     progress: watch::Sender<FollowProgress>,
-    /// When the last read that reached the stream's end was sent.
-    confirmed_at: watch::Sender<Option<Moment>>,
 }
 
 impl<F: StreamFold> StreamFollower<F> {
@@ -48,7 +45,6 @@
             stream,
             fold: Mutex::new(fold),
             progress: watch::Sender::new(FollowProgress::default()),
-            confirmed_at: watch::Sender::new(None),
         })
     }
 
@@ -67,11 +63,6 @@
         self.progress.subscribe()
     }
 
-    /// When the last read that reached the stream's end was sent; changes with every such read.
-    pub(crate) fn confirmations(&self) -> watch::Receiver<Option<Moment>> {
-        self.confirmed_at.subscribe()
-    }
-
     /// Whether the end has been reached once.
     pub(crate) fn is_caught_up(&self) -> bool {
         self.progress.borrow().caught_up
@@ -107,7 +98,6 @@
         } else {
             Duration::ZERO
         };
-        let asked_at = context.now();
         let batch = context
             .environment
             .log
@@ -130,9 +120,6 @@
             *progress = updated;
             changed
         });
-        if caught_up {
-            self.confirmed_at.send_replace(Some(asked_at));
-        }
         Ok(())
     }
 }
--- a/crates/peer-net/src/connection.rs
+++ b/crates/peer-net/src/connection.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use havenstage_platform::peer::PeerError;
+use havenstage_edge::peer::PeerError;
 use havenstage_types::codec;
 use havenstage_types::peer::{PeerRequest, PeerResponse};
 use tokio::net::TcpStream;
--- a/crates/peer-net/src/network.rs
+++ b/crates/peer-net/src/network.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use havenstage_platform::peer::{PeerError, PeerNetwork};
+use havenstage_edge::peer::{PeerError, PeerNetwork};
 use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::{PeerRequest, PeerResponse};
--- a/crates/peer-net/src/server.rs
+++ b/crates/peer-net/src/server.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use havenstage_platform::peer::PeerHandler;
+use havenstage_edge::peer::PeerHandler;
 use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::PeerResponse;
--- a/crates/peer-net/tests/requests.rs
+++ b/crates/peer-net/tests/requests.rs
@@ -6,10 +6,10 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use havenstage_edge::peer::{PeerError, PeerHandler, PeerNetwork};
 use havenstage_peer_net::{
     BindError, IDLE_CONNECTION_LIFE, MAX_FRAME_BYTES, PeerServer, PeerServerHandle, TcpUdpNetwork,
 };
-use havenstage_platform::peer::{PeerError, PeerHandler, PeerNetwork};
 use havenstage_types::gossip::{GossipBody, GossipPacket};
 use havenstage_types::ids::{LogOffset, NodeId};
 use havenstage_types::peer::{
--- a/crates/platform-http/src/engine.rs
+++ b/crates/platform-http/src/engine.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt, stream};
-use havenstage_platform::engine::{ChunkStream, EngineClient, EngineError};
+use havenstage_edge::engine::{ChunkStream, EngineClient, EngineError};
 use havenstage_types::engine::{
     EngineEndpoint, EngineOrder, GenerateRequest, LoadReport, TokenChunk,
 };
--- a/crates/platform-http/src/log_service.rs
+++ b/crates/platform-http/src/log_service.rs
@@ -8,7 +8,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use havenstage_platform::log_service::{LogError, LogService, ReadBatch};
+use havenstage_edge::log_service::{LogError, LogService, ReadBatch};
 use havenstage_types::ids::{LogOffset, StreamName};
 use havenstage_types::peer::RawRecord;
 use http::StatusCode;
--- a/crates/platform-http/src/machine_list.rs
+++ b/crates/platform-http/src/machine_list.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use havenstage_platform::machine_list::{Machine, MachineList, MachineListError};
+use havenstage_edge::machine_list::{Machine, MachineList, MachineListError};
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 
--- a/crates/platform-http/src/scorer.rs
+++ b/crates/platform-http/src/scorer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use havenstage_platform::scorer::{ScoreRequest, Scorer, ScorerError};
+use havenstage_edge::scorer::{ScoreRequest, Scorer, ScorerError};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
--- a/crates/platform-http/src/weight_store.rs
+++ b/crates/platform-http/src/weight_store.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use havenstage_platform::weight_store::{WeightStore, WeightStoreError};
+use havenstage_edge::weight_store::{WeightStore, WeightStoreError};
 use havenstage_types::ids::{ModelName, VersionNumber};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
--- a/crates/platform-http/tests/engine_errors.rs
+++ b/crates/platform-http/tests/engine_errors.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use havenstage_platform::engine::{EngineClient, EngineError};
+use havenstage_edge::engine::{EngineClient, EngineError};
 use havenstage_platform_http::engine::{CompletionChunk, CompletionRequest, OpenAiEngineClient};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_types::engine::{EngineEndpoint, GenerateRequest, TokenChunk};
--- a/crates/simulator/src/faults/injector.rs
+++ b/crates/simulator/src/faults/injector.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use havenstage_edge::machine_list::{MachineRole, MachineState};
 use havenstage_history::event::engine::{BackEndLeaving, BackEndReturned, LeavingOrigin};
 use havenstage_history::event::fault::{FaultBegan, FaultEnded, FaultKind};
 use havenstage_history::event::{EventBody, EventSource};
-use havenstage_platform::machine_list::{MachineRole, MachineState};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
--- a/crates/simulator/src/world/engine_client.rs
+++ b/crates/simulator/src/world/engine_client.rs
@@ -6,8 +6,8 @@
 
 use async_trait::async_trait;
 use futures::stream::{self, StreamExt};
+use havenstage_edge::engine::{ChunkStream, EngineClient, EngineError};
 use havenstage_emulator::OrderRefusal;
-use havenstage_platform::engine::{ChunkStream, EngineClient, EngineError};
 use havenstage_types::engine::{EngineEndpoint, EngineOrder, GenerateRequest, LoadReport};
 use havenstage_types::ids::AttemptId;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/simulator/src/world/log.rs
+++ b/crates/simulator/src/world/log.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use havenstage_platform::log_service::{LogError, LogService, ReadBatch};
+use havenstage_edge::log_service::{LogError, LogService, ReadBatch};
 use havenstage_types::ids::{LogOffset, StreamName, streams};
 use havenstage_types::peer::RawRecord;
 use serde::{Deserialize, Serialize};
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -32,6 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_edge::machine_list::{MachineRole, MachineState};
 use havenstage_emulator::InvalidEngineSettings;
 use havenstage_history::event::node::{NodeEvent, NodeExited, NodeStarted};
 use havenstage_history::event::{EventBody, EventSource};
@@ -39,7 +40,6 @@
 use havenstage_node::node::Node;
 use havenstage_node::settings::InvalidSetting;
 use havenstage_node::spawner::TaskSpawner;
-use havenstage_platform::machine_list::{MachineRole, MachineState};
 use havenstage_types::ids::NodeId;
 use havenstage_types::member::MemberIdentity;
 use thiserror::Error;
--- a/crates/simulator/src/world/peers.rs
+++ b/crates/simulator/src/world/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use havenstage_platform::peer::{PeerError, PeerHandler, PeerNetwork};
+use havenstage_edge::peer::{PeerError, PeerHandler, PeerNetwork};
 use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::{PeerRequest, PeerResponse};
--- a/crates/simulator/src/world/services.rs
+++ b/crates/simulator/src/world/services.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use havenstage_platform::machine_list::{
+use havenstage_edge::machine_list::{
     Machine, MachineList, MachineListError, MachineRole, MachineState,
 };
-use havenstage_platform::scorer::{ScoreRequest, Scorer, ScorerError};
-use havenstage_platform::weight_store::{WeightStore, WeightStoreError};
+use havenstage_edge::scorer::{ScoreRequest, Scorer, ScorerError};
+use havenstage_edge::weight_store::{WeightStore, WeightStoreError};
 use havenstage_types::ids::{ModelName, VersionNumber};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/standin/src/machine_list.rs
+++ b/crates/standin/src/machine_list.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use havenstage_platform::machine_list::{Machine, MachineState};
+use havenstage_edge::machine_list::{Machine, MachineState};
 use havenstage_platform_http::machine_list::MACHINES_PATH;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
--- a/crates/standin/src/scorer.rs
+++ b/crates/standin/src/scorer.rs
@@ -9,7 +9,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use axum::{Json, Router};
-use havenstage_platform::scorer::ScoreRequest;
+use havenstage_edge::scorer::ScoreRequest;
 use havenstage_platform_http::scorer::{SCORE_PATH, ScoreAnswer};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use havenstage_edge::engine::{EngineClient, EngineError};
 use havenstage_emulator::settings::LengthDistribution;
 use havenstage_emulator::{EngineSettings, ExecutionOutcome};
-use havenstage_platform::engine::{EngineClient, EngineError};
 use havenstage_platform_http::engine::OpenAiEngineClient;
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_standin::engine::{EngineMisbehaviour, EngineStandinSettings};
--- a/crates/standin/tests/log_service.rs
+++ b/crates/standin/tests/log_service.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havenstage_platform::log_service::{LogError, LogService};
+use havenstage_edge::log_service::{LogError, LogService};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_platform_http::log_service::HttpLogService;
 use havenstage_standin::Running;
--- a/crates/standin/tests/machine_list_tags.rs
+++ b/crates/standin/tests/machine_list_tags.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use havenstage_platform::machine_list::{Machine, MachineList, MachineRole, MachineState};
+use havenstage_edge::machine_list::{Machine, MachineList, MachineRole, MachineState};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_platform_http::machine_list::HttpMachineList;
 use havenstage_standin::Running;
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havenstage_platform::machine_list::{
+use havenstage_edge::machine_list::{
     Machine, MachineList, MachineListError, MachineRole, MachineState,
 };
-use havenstage_platform::scorer::{ScoreRequest, Scorer, ScorerError};
-use havenstage_platform::weight_store::{WeightStore, WeightStoreError};
+use havenstage_edge::scorer::{ScoreRequest, Scorer, ScorerError};
+use havenstage_edge::weight_store::{WeightStore, WeightStoreError};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_platform_http::machine_list::HttpMachineList;
 use havenstage_platform_http::scorer::HttpScorer;
--- a/crates/standin/tests/support/engines.rs
+++ b/crates/standin/tests/support/engines.rs
@@ -1,8 +1,8 @@
 //! An engine stand-in with its client.
 
 use futures::StreamExt;
+use havenstage_edge::engine::{EngineClient, EngineError};
 use havenstage_emulator::EngineSettings;
-use havenstage_platform::engine::{EngineClient, EngineError};
 use havenstage_platform_http::engine::OpenAiEngineClient;
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
 use havenstage_standin::Running;
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -2,9 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{AttemptId, EntryIndex, IdempotencyKey, LogOffset, NodeId, RequestId};
+use crate::ids::{AttemptId, IdempotencyKey, RequestId};
 use crate::refusal::Refusal;
-use crate::replica::{GroupMember, SequencedEntry};
 use crate::request::WholeAnswer;
 
 /// One record of a claim stream.
@@ -28,57 +27,6 @@
         /// Answer or failure.
         outcome: ClaimOutcome,
     },
-    /// Hands the partition to a replica group; the group's generation is this record's offset.
-    /// From here on claims count only as entries of the group. Applied only if `previous` is the
-    /// generation in force at its offset and, if there is one, doubted.
-    GroupFormed {
-        /// Generation that is replaced; `None` when claims were written to the log directly.
-        previous: Option<LogOffset>,
-        /// Members of the new group.
-        members: Vec<GroupMember>,
-        /// A member of the replaced group that vouched, before it left the group for good, that
-        /// nothing was acknowledged which the log has not got.
-        vouched_by: Option<NodeId>,
-    },
-    /// Somebody cannot reach a majority of the group. A group that is alive answers by another batch;
-    /// one that does not may be replaced.
-    GroupDoubted {
-        /// Generation of the group.
-        generation: LogOffset,
-    },
-    /// Consecutive committed entries of a group. Ignored when another generation is in force;
-    /// entries that were applied before are skipped.
-    Batch {
-        /// Generation of the group.
-        generation: LogOffset,
-        /// Index of the first entry.
-        first_index: EntryIndex,
-        /// The entries.
-        entries: Vec<SequencedEntry<ClaimCommand>>,
-    },
-}
-
-/// What a replica group agrees on about claims; the same three matters as in [`ClaimRecord`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimCommand {
-    /// The attempt asks to run the request.
-    Claim(Claim),
-    /// The attempt gives up and will never dispatch.
-    Abandon {
-        /// Key of the request.
-        key: IdempotencyKey,
-        /// Attempt given up.
-        attempt: AttemptId,
-    },
-    /// What came of the attempt.
-    Outcome {
-        /// Key of the request.
-        key: IdempotencyKey,
-        /// Attempt that ran.
-        attempt: AttemptId,
-        /// Answer or failure.
-        outcome: ClaimOutcome,
-    },
 }
 
 /// An attempt's wish to run a request.
@@ -116,7 +64,4 @@
     Abandoned,
     /// The key was used for a request with another fingerprint.
     KeyReused,
-    /// A replica group was lost with records that may not have reached the log. Nobody can tell
-    /// whether a request with this key ran.
-    Unknown,
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -123,22 +123,6 @@
     /// Partition of the idempotency key space.
     Partition
 );
-number_type!(
-    /// Election term of a replica group; at most one member leads in a term.
-    Term
-);
-number_type!(
-    /// Position of an entry in a replica group's sequence; the first entry has index 1.
-    EntryIndex
-);
-
-impl EntryIndex {
-    /// The index after this one.
-    pub fn next(self) -> Self {
-        Self(self.0 + 1)
-    }
-}
-
 /// Bits of a node's identity. JSON readers keep integers of this size exactly.
 const NODE_ID_BITS: u32 = 53;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod member;
 pub mod peer;
 pub mod refusal;
-pub mod replica;
 pub mod request;
 pub mod resource;
 pub mod version;
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -7,15 +7,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::claim::{Claim, ClaimCommand, ClaimOutcome, ClaimVerdict};
+use crate::claim::{Claim, ClaimOutcome, ClaimVerdict};
 use crate::config::ConfigSnapshot;
 use crate::decision::DecisionRecord;
 use crate::ids::{
-    AttemptId, EngineName, IdempotencyKey, LogOffset, NodeId, Partition, PoolName, SampleId,
-    VersionNumber,
+    AttemptId, EngineName, IdempotencyKey, LogOffset, NodeId, PoolName, SampleId, VersionNumber,
 };
 use crate::refusal::Refusal;
-use crate::replica::{GroupRoute, ReplicaEnvelope, ReplicaGroup, ReplicaMessage};
 use crate::request::WholeAnswer;
 use crate::resource::PriorityClass;
 use crate::version::VersionSegments;
@@ -91,18 +89,6 @@
     ConfigOffset,
     /// Asks which engines' machines are leaving, for a node that cannot read the machine list.
     LeavingMachines,
-    /// A message from one member of a replica group to another.
-    Replica(Box<ReplicaEnvelope<ClaimCommand>>),
-    /// Asks a member to leave its group for good, and whether it vouches that nothing was
-    /// acknowledged which the log has not got.
-    RetireReplica {
-        /// Partition of the group.
-        partition: Partition,
-        /// The group.
-        group: ReplicaGroup,
-        /// Member that is meant.
-        member: NodeId,
-    },
 }
 
 /// Asks for a permit.
@@ -258,15 +244,6 @@
     Done,
     /// The node could not do it.
     Failed(PeerFailure),
-    /// Another node should be asked: a member of the group.
-    Route(GroupRoute),
-    /// Messages of the member back to the sender.
-    Replica(Vec<ReplicaMessage<ClaimCommand>>),
-    /// The member has left its group for good.
-    ReplicaRetired {
-        /// Whether it vouches that nothing was acknowledged which the log has not got.
-        vouches: bool,
-    },
 }
 
 /// A log record with its offset, not decoded.
