Give the next batch of a route to the node that ran the last one

Change: the batch names as its first owner the holder of the route's last batch if a sign of it was seen within 0.7 s; owners give signs for 4 s after a batch has closed. Calls prefer a back end with a resting connection among equals. Ruled out: giving all batches to the holder of the orders lease (one loss would stall everything).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -174,16 +174,20 @@
         rotated
             .min_by(|left, right| {
                 let rank = |id: &BackendId| {
+                    let needs_connection = !self.links.get(id).is_some_and(Link::has_idle);
+                    let is_avoided = self.health.is_avoided(id, now);
                     (
                         tried.contains(id),
-                        self.health.is_avoided(id, now),
+                        is_avoided,
                         self.load_for_call(id),
+                        needs_connection,
                     )
                 };
                 let (left, right) = (rank(left), rank(right));
-                (left.0, left.1)
-                    .cmp(&(right.0, right.1))
+                let order = (left.0, left.1).cmp(&(right.0, right.1));
+                order
                     .then(left.2.total_cmp(&right.2))
+                    .then(left.3.cmp(&right.3))
             })
             .cloned()
     }
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_rollout::Millis;
 use havenstage_rollout::batch::Submission;
 use havenstage_rollout::fold::{BatchState, PartitionState};
 use havenstage_rollout::framing;
-use havenstage_rollout::ids::{BatchId, ItemId};
+use havenstage_rollout::ids::{BatchId, ItemId, NodeId};
 use havenstage_rollout::record::BatchRecord;
 use http::StatusCode;
 use log::{info, warn};
@@ -72,8 +73,7 @@
         info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
         return BatchAnswer::empty(StatusCode::ACCEPTED);
     }
-    // A node that stops leaves the batch to the others.
-    let owner = (!context.is_stopping()).then(|| context.node.clone());
+    let owner = first_owner(context, &submission);
     let record = BatchRecord::Submitted {
         submission: Arc::new(submission),
         owner,
@@ -90,6 +90,44 @@
     BatchAnswer::empty(status)
 }
 
+/// Age of a sign of life up to which its node is taken to be alive.
+const ALIVE_MS: Millis = 700;
+
+/// The node that runs the batch from the start: the one that ran the route's last batch, if it was
+/// seen a moment ago, since it has connections to the back ends; else this one. A node that stops
+/// leaves the batch to the others.
+fn first_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
+    last_owner(context, submission)
+        .or_else(|| (!context.is_stopping()).then(|| context.node.clone()))
+}
+
+fn last_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
+    let now = context.now();
+    let table = context.routes()?;
+    let route = table.batch_route(&submission.host, &submission.path)?;
+    let mut newest: Option<(Millis, Option<NodeId>)> = None;
+    for view in &context.partitions {
+        let inner = view.lock();
+        let of_route = inner.state.batches().filter(|batch| {
+            let other = table.batch_route(&batch.host, &batch.path);
+            other.is_some_and(|other| Arc::ptr_eq(other, route))
+        });
+        for batch in of_route {
+            if newest
+                .as_ref()
+                .is_none_or(|(seen, _)| *seen <= batch.first_seen)
+            {
+                let is_alive = now.saturating_sub(batch.lease.seen()) <= ALIVE_MS;
+                let holder = batch.lease.holder().filter(|_| is_alive);
+                newest = Some((batch.first_seen, holder.cloned()));
+            }
+        }
+    }
+    newest?
+        .1
+        .filter(|owner| *owner != context.node || !context.is_stopping())
+}
+
 /// Reads results from a position on; waits up to `wait` for one.
 pub async fn read(
     context: &Arc<Context>,
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, NodeId};
 use havenstage_rollout::lease::{ClaimTiming, Term};
@@ -61,7 +62,7 @@
         for view in &self.context.partitions {
             let readable_since = view.readable_since();
             let inner = view.lock();
-            for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+            for batch in inner.state.batches().filter(|batch| is_kept(batch, now)) {
                 let partition = view.id.partition;
                 let (id, lease) = (&batch.id, &batch.lease);
                 let timing = claim_timing(&self.context, id, lease.term());
@@ -72,7 +73,9 @@
                         batch: id.clone(),
                         term,
                     });
-                } else if now >= lease.claimable_at(&self.context.node, readable_since, &timing) {
+                } else if !batch.is_closed()
+                    && now >= lease.claimable_at(&self.context.node, readable_since, &timing)
+                {
                     work.claimable.push((partition, id.clone()));
                 }
             }
@@ -128,6 +131,17 @@
     }
 }
 
+/// Time after a batch closed in which its owner still gives signs of life, so that the next batch of
+/// the route can be given to it.
+const LINGER_MS: Millis = 4_000;
+
+/// Whether the batch's owner gives signs of life.
+fn is_kept(batch: &BatchState, now: Millis) -> bool {
+    batch
+        .closed_at
+        .is_none_or(|closed_at| now.saturating_sub(closed_at) < LINGER_MS)
+}
+
 /// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
 fn claim_timing(context: &Context, batch: &BatchId, term: Term) -> ClaimTiming {
     let tuning = &context.settings.tuning;
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -102,9 +102,9 @@
         }
     }
 
-    /// Closes all resting connections.
-    pub fn close_idle(&self) {
-        self.shared.lock_idle().clear();
+    /// Whether a resting connection may be used.
+    pub fn has_idle(&self) -> bool {
+        self.shared.lock_idle().iter().any(Connection::is_usable)
     }
 
     async fn open(&self, deadline: Instant) -> Result<Connection, LinkError> {
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -88,6 +88,8 @@
     pub ended: bool,
     /// When this node first saw it.
     pub first_seen: Millis,
+    /// When this node first saw that nothing was left to be done.
+    pub closed_at: Option<Millis>,
     /// Who runs its items.
     pub lease: LeaseState,
     index: HashMap<ItemId, usize>,
@@ -126,6 +128,7 @@
             listed: Vec::new(),
             ended: false,
             first_seen: now,
+            closed_at: None,
             lease: LeaseState::new(owner, now),
             index,
         }
@@ -149,6 +152,12 @@
         })
     }
 
+    fn note_if_closed(&mut self, now: Millis) {
+        if self.closed_at.is_none() && self.is_closed() {
+            self.closed_at = Some(now);
+        }
+    }
+
     fn end(&mut self) {
         self.ended = true;
         for item in &mut self.items {
@@ -229,9 +238,9 @@
                     resumed_from,
                     events,
                 };
-                self.finished(&batch, &item, last, outcome)
+                self.finished(&batch, &item, last, outcome, now)
             }
-            BatchRecord::Ended { batch } => self.ended(&batch),
+            BatchRecord::Ended { batch } => self.ended(&batch, now),
         };
         if applied {
             FoldOutcome::Applied
@@ -285,6 +294,7 @@
         item: &ItemId,
         last: RunPosition,
         outcome: Outcome,
+        now: Millis,
     ) -> bool {
         let Some(batch) = self.batches.get_mut(batch) else {
             return false;
@@ -302,13 +312,15 @@
         state.result = Some(result_of(state, outcome));
         state.spec = None;
         batch.listed.push(at);
+        batch.note_if_closed(now);
         true
     }
 
-    fn ended(&mut self, batch: &BatchId) -> bool {
+    fn ended(&mut self, batch: &BatchId, now: Millis) -> bool {
         match self.batches.get_mut(batch) {
             Some(batch) if !batch.ended => {
                 batch.end();
+                batch.note_if_closed(now);
                 true
             }
             _ => false,
--- a/crates/rollout/src/lease.rs
+++ b/crates/rollout/src/lease.rs
@@ -40,6 +40,11 @@
         self.holder.as_ref()
     }
 
+    /// When a sign of the holder was last seen.
+    pub fn seen(&self) -> Millis {
+        self.seen
+    }
+
     /// Whether a node holds it.
     pub fn is_held_by(&self, node: &NodeId) -> bool {
         self.holder.as_ref() == Some(node)
