Pass streams on, resumable ones within one answer; tell why each send of a call failed

Cause: a stream was relayed without going on elsewhere; a call's line named its back ends but not what each of them did, and a caller that left was not told of at all. Change: relay.rs; outcomes of all sends in the call's line; lines for streams that break off or go on, and for callers that left.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -80,6 +80,14 @@
 
 /// A stream that a back end has begun.
 pub struct StreamingAnswer {
+    /// The call, for a run that goes on elsewhere.
+    pub call: Call,
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// Back ends it was sent to so far.
+    pub sends: u32,
+    /// When it must be over.
+    pub ends: Instant,
     /// The answer.
     pub answer: Answer,
     /// Where it runs.
@@ -89,9 +97,14 @@
 /// How one send ended.
 enum SendOutcome {
     Answered(WholeAnswer),
-    Streaming(Box<StreamingAnswer>),
-    NotRun,
-    MayHaveRun,
+    Streaming(Box<StartedStream>),
+    NotRun(&'static str),
+    MayHaveRun(&'static str),
+}
+
+struct StartedStream {
+    answer: Answer,
+    backend: ChosenBackend,
 }
 
 type SendFuture<'a> = Pin<Box<dyn Future<Output = SendOutcome> + Send + 'a>>;
@@ -133,6 +146,8 @@
     may_have_run: u32,
     server_errors: u32,
     last_failure: Option<WholeAnswer>,
+    outcomes: Vec<&'static str>,
+    is_reported: bool,
 }
 
 impl<'a> CallProgress<'a> {
@@ -157,6 +172,8 @@
             may_have_run: 0,
             server_errors: 0,
             last_failure: None,
+            outcomes: Vec::new(),
+            is_reported: false,
         }
     }
 
@@ -245,6 +262,7 @@
     }
 
     fn take(&mut self, sent: SendOutcome) -> Option<CallOutcome> {
+        self.outcomes.push(outcome_name(&sent));
         match sent {
             SendOutcome::Answered(answer) if answer.status.is_server_error() => {
                 self.may_have_run += 1;
@@ -253,9 +271,18 @@
                 None
             }
             SendOutcome::Answered(answer) => Some(CallOutcome::Answered(answer)),
-            SendOutcome::Streaming(streaming) => Some(CallOutcome::Streaming(streaming)),
-            SendOutcome::NotRun => None,
-            SendOutcome::MayHaveRun => {
+            SendOutcome::Streaming(started) => {
+                Some(CallOutcome::Streaming(Box::new(StreamingAnswer {
+                    call: self.call.clone(),
+                    pool: self.pool.clone(),
+                    sends: self.sends,
+                    ends: self.ends,
+                    answer: started.answer,
+                    backend: started.backend,
+                })))
+            }
+            SendOutcome::NotRun(_) => None,
+            SendOutcome::MayHaveRun(_) => {
                 self.may_have_run += 1;
                 None
             }
@@ -282,15 +309,21 @@
         }
     }
 
-    fn report(&self, outcome: &CallOutcome) {
+    fn report(&mut self, outcome: &CallOutcome) {
         let (name, status) = match outcome {
             CallOutcome::Answered(answer) => ("answered", answer.status.as_u16()),
             CallOutcome::Streaming(streaming) => ("streaming", streaming.answer.status().as_u16()),
             CallOutcome::Refused { .. } => ("refused", 503),
             CallOutcome::Failed { status } => ("failed", status.as_u16()),
         };
+        self.write_line(name, status);
+    }
+
+    fn write_line(&mut self, name: &'static str, status: u16) {
+        self.is_reported = true;
         let request = String::from_utf8_lossy(self.call.id.as_bytes());
         let tried = join_ids(&self.tried);
+        let sends = self.outcomes.join(",");
         let took_ms = self.began.elapsed().as_millis() as u64;
         let left_ms = self
             .ends
@@ -300,11 +333,29 @@
         crate::metrics::call_ended(name, took_ms);
         info!(event = "call", request = request.as_ref(), route = self.route.name.as_str(),
             routes_version = routes, outcome = name, status = status, backends = tried.as_str(),
-            sends = self.sends, may_have_run = self.may_have_run, took_ms = took_ms,
+            sends = sends.as_str(), may_have_run = self.may_have_run, took_ms = took_ms,
             left_ms = left_ms; "");
     }
 }
 
+impl Drop for CallProgress<'_> {
+    /// A call that is dropped before it ended was given up by its caller.
+    fn drop(&mut self) {
+        if !self.is_reported {
+            self.write_line("caller_left", 0);
+        }
+    }
+}
+
+fn outcome_name(outcome: &SendOutcome) -> &'static str {
+    match outcome {
+        SendOutcome::Answered(answer) if answer.status.is_server_error() => "failed",
+        SendOutcome::Answered(_) => "answered",
+        SendOutcome::Streaming(_) => "streaming",
+        SendOutcome::NotRun(reason) | SendOutcome::MayHaveRun(reason) => reason,
+    }
+}
+
 fn join_ids(ids: &[BackendId]) -> String {
     let texts: Vec<&str> = ids.iter().map(BackendId::as_str).collect();
     texts.join(",")
@@ -332,13 +383,16 @@
         SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
             backends.health.answered(&backend, None);
         }
-        SendOutcome::NotRun | SendOutcome::MayHaveRun => backends.health.failed(&backend, now),
+        SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {
+            backends.health.failed(&backend, now)
+        }
     }
     drop(backends);
     outcome
 }
 
-fn backend_request(
+/// The call as it goes to a back end, with the time that is left.
+pub fn backend_request(
     context: &Context,
     chosen: &ChosenBackend,
     call: &Call,
@@ -369,8 +423,9 @@
 ) -> SendOutcome {
     let answer = match answer {
         Ok(answer) => answer,
-        Err(error) if error.is_unsent() => return SendOutcome::NotRun,
-        Err(_) => return SendOutcome::MayHaveRun,
+        Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
+        Err(LinkError::TimedOut) => return SendOutcome::MayHaveRun("silent"),
+        Err(_) => return SendOutcome::MayHaveRun("broken"),
     };
     let names = context.dialect.headers();
     let is_ours = answer.headers().get(&names.request_id) == Some(&call.id);
@@ -381,20 +436,20 @@
         return not_run_unless_foreign(context, answer, &call.id).await;
     }
     if !is_ours {
-        return SendOutcome::MayHaveRun;
+        return SendOutcome::MayHaveRun("foreign_answer");
     }
     if answer.status().is_success() && !answer.headers().contains_key(&names.signature) {
-        return SendOutcome::MayHaveRun;
+        return SendOutcome::MayHaveRun("unsigned");
     }
     if answer.status().is_success() && is_event_stream(answer.headers()) {
-        return SendOutcome::Streaming(Box::new(StreamingAnswer {
+        return SendOutcome::Streaming(Box::new(StartedStream {
             answer,
             backend: chosen,
         }));
     }
     match answer.whole(MOST_ANSWER_BYTES).await {
         Ok(whole) => SendOutcome::Answered(whole),
-        Err(_) => SendOutcome::MayHaveRun,
+        Err(_) => SendOutcome::MayHaveRun("cut_short"),
     }
 }
 
@@ -406,11 +461,11 @@
 ) -> SendOutcome {
     let named = answer.headers().get(&context.dialect.headers().request_id);
     if named.is_some_and(|named| named != id) {
-        return SendOutcome::MayHaveRun;
+        return SendOutcome::MayHaveRun("foreign_answer");
     }
     // Read to the end, so that the connection is kept.
     let _ = answer.whole(MOST_ANSWER_BYTES).await;
-    SendOutcome::NotRun
+    SendOutcome::NotRun("turned_away")
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod node;
 pub mod order_run;
+pub mod relay;
 pub mod server;
 pub mod settings;
 pub mod stream_view;
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,169 @@
+//! Passes a stream of events on as it comes. A resumable one goes on at another back end, within the
+//! same answer, after the last event that was passed on whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_http_link::{Answer, LinkError};
+use havenstage_rollout::event_stream::EventReader;
+use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::route::{RequestKind, Route};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use log::info;
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::backends::ChosenBackend;
+use crate::calls::{self, Call, StreamingAnswer};
+use crate::context::Context;
+
+/// Silence after which a resumable stream goes on elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The back end's stream broke off, so the caller's answer must not look whole.
+#[derive(Debug, Clone, Copy, Error)]
+#[error("the back end's stream broke off")]
+pub struct StreamBroken;
+
+/// A stream that is being passed on.
+pub struct Relay {
+    context: Arc<Context>,
+    call: Call,
+    pool: havenstage_rollout::ids::PoolName,
+    status: StatusCode,
+    headers: HeaderMap,
+    current: Option<Current>,
+    reader: EventReader,
+    last_event: Option<u64>,
+    tried: Vec<BackendId>,
+    resumes_left: u32,
+    is_resumable: bool,
+    ends: Instant,
+}
+
+struct Current {
+    answer: Answer,
+    backend: ChosenBackend,
+}
+
+impl Relay {
+    /// Begins with the answer of the first back end, whose head the caller gets.
+    pub fn new(context: Arc<Context>, route: &Route, streaming: StreamingAnswer) -> Self {
+        let mut headers = streaming.answer.headers().clone();
+        calls::remove_connection_headers(&mut headers);
+        let version_field = context.dialect.headers().weight_version.as_str().to_owned();
+        let is_resumable = route.kind == RequestKind::Stream { resumable: true };
+        let asked_from = streaming
+            .call
+            .headers
+            .get(&context.dialect.headers().last_event_id);
+        Self {
+            last_event: asked_from.and_then(|id| id.to_str().ok()?.parse().ok()),
+            call: streaming.call,
+            pool: streaming.pool,
+            status: streaming.answer.status(),
+            headers,
+            reader: EventReader::new(&version_field),
+            tried: vec![streaming.backend.id.clone()],
+            resumes_left: route.attempts.saturating_sub(streaming.sends),
+            is_resumable,
+            ends: streaming.ends,
+            current: Some(Current {
+                answer: streaming.answer,
+                backend: streaming.backend,
+            }),
+            context,
+        }
+    }
+
+    /// Status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// Headers of the answer.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
+    /// The next bytes for the caller; `None` at the end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        loop {
+            if let Some(event) = self.reader.next_event() {
+                self.last_event = event.id.or(self.last_event);
+                return Some(Ok(event.raw));
+            }
+            let current = self.current.as_mut()?;
+            match read(&mut current.answer, self.is_resumable).await {
+                Ok(Some(bytes)) if self.is_resumable => self.reader.push(&bytes),
+                Ok(Some(bytes)) => return Some(Ok(bytes)),
+                Ok(None) if current.answer.is_framed() && self.reader.rest().is_empty() => {
+                    self.current = None;
+                    return None;
+                }
+                Ok(None) | Err(_) => {
+                    if !self.resume().await {
+                        self.current = None;
+                        return Some(Err(StreamBroken));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on at another back end; false if that cannot be done.
+    async fn resume(&mut self) -> bool {
+        let from = self
+            .current
+            .take()
+            .map(|current| current.backend.id.clone());
+        while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.ends {
+            self.resumes_left -= 1;
+            let (now, draw) = (self.context.now(), self.context.draw());
+            let backends = &self.context.backends;
+            let Some(backend) = backends.choose_for_call(&self.pool, &self.tried, now, draw) else {
+                break;
+            };
+            self.tried.push(backend.id.clone());
+            if let Some(answer) = self.ask_to_go_on(&backend).await {
+                self.report("resumed", from.as_ref(), Some(&backend.id));
+                let version_field = self.context.dialect.headers().weight_version.as_str();
+                self.reader = EventReader::new(version_field);
+                self.current = Some(Current { answer, backend });
+                return true;
+            }
+        }
+        self.report("broken_off", from.as_ref(), None);
+        false
+    }
+
+    async fn ask_to_go_on(&self, backend: &ChosenBackend) -> Option<Answer> {
+        let names = self.context.dialect.headers();
+        let left = self.ends.saturating_duration_since(Instant::now());
+        let mut request = calls::backend_request(&self.context, backend, &self.call, left);
+        if let Some(last_event) = self.last_event {
+            let headers = request.headers_mut();
+            headers.insert(names.last_event_id.clone(), HeaderValue::from(last_event));
+        }
+        let answer = backend.link.send(request, SILENCE.min(left)).await.ok()?;
+        let is_ours = answer.headers().get(&names.request_id) == Some(&self.call.id);
+        (answer.status().is_success() && is_ours).then_some(answer)
+    }
+
+    fn report(&self, outcome: &'static str, from: Option<&BackendId>, to: Option<&BackendId>) {
+        let request = String::from_utf8_lossy(self.call.id.as_bytes());
+        info!(event = "stream", request = request.as_ref(), outcome = outcome,
+            from = from.map_or("", BackendId::as_str), to = to.map_or("", BackendId::as_str),
+            last_event = self.last_event, resumes_left = self.resumes_left; "");
+    }
+}
+
+async fn read(answer: &mut Answer, is_resumable: bool) -> Result<Option<Bytes>, LinkError> {
+    if !is_resumable {
+        // Silence gives no grounds for ending an answer that cannot go on elsewhere.
+        return answer.next_bytes().await;
+    }
+    let read = tokio::time::timeout(SILENCE, answer.next_bytes()).await;
+    read.unwrap_or(Err(LinkError::TimedOut))
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -27,10 +27,11 @@
 use tokio::time::Instant;
 
 use crate::batches::{self, BatchAnswer};
-use crate::calls::{self, Call, CallOutcome, StreamingAnswer};
+use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
 use crate::edge::BatchCall;
 use crate::metrics;
+use crate::relay::{Relay, StreamBroken};
 
 /// Age of the last answer of the log up to which a node calls itself ready.
 const READY_CONTACT_MS: u64 = 2_500;
@@ -45,11 +46,6 @@
 
 type Body = UnsyncBoxBody<Bytes, StreamBroken>;
 
-/// The back end's stream broke off, so the caller's answer must not look whole.
-#[derive(Debug, Clone, Copy, Error)]
-#[error("the back end's stream broke off")]
-pub struct StreamBroken;
-
 /// Requests that callers wait for now.
 #[derive(Debug, Default)]
 pub struct InFlight(AtomicUsize);
@@ -330,7 +326,9 @@
     };
     match calls::execute(context, route, call).await.outcome {
         CallOutcome::Answered(answer) => pass_on(answer),
-        CallOutcome::Streaming(streaming) => pass_on_stream(*streaming),
+        CallOutcome::Streaming(streaming) => {
+            pass_on_stream(Relay::new(context.clone(), route, *streaming))
+        }
         CallOutcome::Refused { come_back } => refuse(StatusCode::SERVICE_UNAVAILABLE, come_back),
         CallOutcome::Failed { status } => plain(status),
     }
@@ -345,17 +343,11 @@
     response
 }
 
-fn pass_on_stream(streaming: StreamingAnswer) -> Response<Body> {
-    let status = streaming.answer.status();
-    let mut headers = streaming.answer.headers().clone();
-    calls::remove_connection_headers(&mut headers);
-    let frames = stream::unfold(Some(streaming), |state| async move {
-        let mut streaming = state?;
-        match streaming.answer.next_bytes().await {
-            Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(streaming))),
-            Ok(None) if streaming.answer.is_framed() => None,
-            Ok(None) | Err(_) => Some((Err(StreamBroken), None)),
-        }
+fn pass_on_stream(relay: Relay) -> Response<Body> {
+    let (status, headers) = (relay.status(), relay.headers().clone());
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
     });
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     *response.status_mut() = status;
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -182,7 +182,7 @@
         body,
     };
     backend.seen.lock().unwrap().push(seen.clone());
-    if path.starts_with("/items/") {
+    if path.starts_with("/items/") || path.starts_with("/streams/") {
         return Ok(run_item(&backend.behaviour(), &seen));
     }
     run_call(&backend, &seen).await
@@ -244,7 +244,7 @@
 
 /// Each event's data names the item and the event, so that gaps and repetitions show.
 fn run_item(behaviour: &Behaviour, seen: &Seen) -> Response<Body> {
-    let item = seen.path.trim_start_matches("/items/").to_owned();
+    let item = seen.path.rsplit('/').next().unwrap_or_default().to_owned();
     let from: u32 = seen
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
@@ -273,6 +273,7 @@
         headers.insert("x-version", behaviour.version.into());
     }
     headers.insert("x-signature", "signed".parse().unwrap());
+    headers.insert("content-type", "text/event-stream".parse().unwrap());
     response
 }
 
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -170,6 +170,18 @@
             route("calls", "/calls/", RequestKind::Repeatable, APPLICATIONS),
             route("once", "/once/", RequestKind::AtMostOnce, APPLICATIONS),
             route("batches", "/batches/", RequestKind::Batch, ENGINES),
+            route(
+                "streams",
+                "/streams/",
+                RequestKind::Stream { resumable: true },
+                ENGINES,
+            ),
+            route(
+                "unresumable",
+                "/streams/once/",
+                RequestKind::Stream { resumable: false },
+                ENGINES,
+            ),
         ],
         pools: vec![
             pool(ENGINES, vec![ModelName::from(MODEL)]),
--- a/crates/rollout/src/event_stream.rs
+++ b/crates/rollout/src/event_stream.rs
@@ -1,6 +1,6 @@
 //! Reads a back end's stream of events piece by piece.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 use crate::ids::Version;
 
@@ -13,6 +13,8 @@
     pub version: Option<Version>,
     /// Its data; several data lines are joined by line feeds.
     pub data: Bytes,
+    /// All its bytes as they came, with the empty line that ends it.
+    pub raw: Bytes,
 }
 
 /// Splits bytes into events. Bytes of an event that is not whole yet stay here.
@@ -36,12 +38,16 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes that are not part of a whole event yet.
+    pub fn rest(&self) -> &[u8] {
+        &self.buffer
+    }
+
     /// The next whole event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         loop {
             let end = event_end(&self.buffer)?;
-            let raw = self.buffer.split_to(end.start).freeze();
-            self.buffer.advance(end.length);
+            let raw = self.buffer.split_to(end.start + end.length).freeze();
             if let Some(event) = self.read_event(&raw) {
                 return Some(event);
             }
@@ -53,6 +59,7 @@
             id: None,
             version: None,
             data: Bytes::new(),
+            raw: raw.clone(),
         };
         let mut any = false;
         for line in raw.split(|byte| *byte == b'\n') {
--- a/crates/rollout/tests/event_stream.rs
+++ b/crates/rollout/tests/event_stream.rs
@@ -26,6 +26,7 @@
     assert_eq!(ids, [Some(1), Some(2), Some(3)]);
     let versions: Vec<Option<u64>> = events.iter().map(|event| event.version).collect();
     assert_eq!(versions, [None, Some(7), None]);
+    assert_eq!(&events[2].raw[..], b"id: 3\ndata: three\ndata: more\n\n");
 }
 
 proptest! {
