--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -260,10 +260,9 @@
 /// Ends a batch.
 pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
     let partition = context.partition_of(id);
-    if partition.lock().state.batch(id).is_none() {
-        if let Err(answer) = confirm_now(context, partition).await {
-            return answer;
-        }
+    let is_unknown = partition.lock().state.batch(id).is_none();
+    if is_unknown && let Err(answer) = confirm_now(context, partition).await {
+        return answer;
     }
     let ended = partition.lock().state.batch(id).map(|batch| batch.ended);
     let status = match ended {
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -9,21 +9,19 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use havenstage_http_link::{Answer, LinkError, WholeAnswer};
+use havenstage_http_link::{Answer, WholeAnswer};
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::route::{RequestKind, Route};
-use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Request, StatusCode, Uri};
-use http_body_util::Full;
+use http::header::{HeaderMap, HeaderValue};
+use http::{Method, StatusCode, Uri};
 use log::info;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::backends::ChosenBackend;
 use crate::context::Context;
+use crate::send::{SendOutcome, send};
 
-/// Longest body of an answer that is read whole before it is passed on.
-const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Share of the objective after which a repeatable call is also sent to a second back end.
 const HEDGE_SHARE: f64 = 0.5;
 /// Share of the objective after which a call that nobody took is refused.
@@ -94,19 +92,6 @@
     pub backend: ChosenBackend,
 }
 
-/// How one send ended.
-enum SendOutcome {
-    Answered(WholeAnswer),
-    Streaming(Box<StartedStream>),
-    NotRun(&'static str),
-    MayHaveRun(&'static str),
-}
-
-struct StartedStream {
-    answer: Answer,
-    backend: ChosenBackend,
-}
-
 type SendFuture<'a> = Pin<Box<dyn Future<Output = SendOutcome> + Send + 'a>>;
 
 /// Passes a call on by its route and returns how it ended.
@@ -179,10 +164,10 @@
 
     async fn run(&mut self) -> CallOutcome {
         loop {
-            if self.running.is_empty() {
-                if let Some(outcome) = self.begin_or_give_up().await {
-                    return outcome;
-                }
+            if self.running.is_empty()
+                && let Some(outcome) = self.begin_or_give_up().await
+            {
+                return outcome;
             }
             let hedge_at = self.hedge_at();
             tokio::select! {
@@ -360,149 +345,3 @@
     let texts: Vec<&str> = ids.iter().map(BackendId::as_str).collect();
     texts.join(",")
 }
-
-async fn send(
-    context: &Arc<Context>,
-    chosen: ChosenBackend,
-    call: &Call,
-    ends: Instant,
-) -> SendOutcome {
-    let backend = chosen.id.clone();
-    let began = Instant::now();
-    let left = ends.saturating_duration_since(began);
-    let request = backend_request(context, &chosen, call, left);
-    let answer = chosen.link.send(request, left).await;
-    let outcome = read_answer(context, chosen, call, answer).await;
-    let now = context.now();
-    let mut backends = context.backends.lock();
-    match &outcome {
-        SendOutcome::Answered(answer) if answer.status.is_success() => {
-            let took = began.elapsed().as_millis() as u64;
-            backends.health.answered(&backend, Some(took));
-        }
-        SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
-            backends.health.answered(&backend, None);
-        }
-        SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {
-            backends.health.failed(&backend, now)
-        }
-    }
-    drop(backends);
-    outcome
-}
-
-/// The call as it goes to a back end, with the time that is left.
-pub fn backend_request(
-    context: &Context,
-    chosen: &ChosenBackend,
-    call: &Call,
-    left: Duration,
-) -> Request<Full<Bytes>> {
-    let names = context.dialect.headers();
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    let mut headers = call.headers.clone();
-    headers.insert(names.request_id.clone(), call.id.clone());
-    headers.insert(
-        names.deadline_ms.clone(),
-        HeaderValue::from(left.as_millis().max(1) as u64),
-    );
-    if let Ok(id) = HeaderValue::from_str(chosen.id.as_str()) {
-        headers.insert(names.expected_backend.clone(), id);
-    }
-    *request.headers_mut() = headers;
-    request
-}
-
-async fn read_answer(
-    context: &Context,
-    chosen: ChosenBackend,
-    call: &Call,
-    answer: Result<Answer, LinkError>,
-) -> SendOutcome {
-    let answer = match answer {
-        Ok(answer) => answer,
-        Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
-        Err(LinkError::TimedOut) => return SendOutcome::MayHaveRun("silent"),
-        Err(_) => return SendOutcome::MayHaveRun("broken"),
-    };
-    let names = context.dialect.headers();
-    let is_ours = answer.headers().get(&names.request_id) == Some(&call.id);
-    if context
-        .dialect
-        .is_not_run(answer.status(), answer.headers())
-    {
-        return not_run_unless_foreign(context, answer, &call.id).await;
-    }
-    if !is_ours {
-        return SendOutcome::MayHaveRun("foreign_answer");
-    }
-    if answer.status().is_success() && !answer.headers().contains_key(&names.signature) {
-        return SendOutcome::MayHaveRun("unsigned");
-    }
-    if answer.status().is_success() && is_event_stream(answer.headers()) {
-        return SendOutcome::Streaming(Box::new(StartedStream {
-            answer,
-            backend: chosen,
-        }));
-    }
-    match answer.whole(MOST_ANSWER_BYTES).await {
-        Ok(whole) => SendOutcome::Answered(whole),
-        Err(_) => SendOutcome::MayHaveRun("cut_short"),
-    }
-}
-
-/// An answer "not run" counts only if it does not name another request.
-async fn not_run_unless_foreign(
-    context: &Context,
-    answer: Answer,
-    id: &HeaderValue,
-) -> SendOutcome {
-    let named = answer.headers().get(&context.dialect.headers().request_id);
-    if named.is_some_and(|named| named != id) {
-        return SendOutcome::MayHaveRun("foreign_answer");
-    }
-    // Read to the end, so that the connection is kept.
-    let _ = answer.whole(MOST_ANSWER_BYTES).await;
-    SendOutcome::NotRun("turned_away")
-}
-
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let value = headers
-        .get(header::CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
-    value.is_some_and(|value| value.starts_with("text/event-stream"))
-}
-
-/// Headers that concern one connection only.
-const CONNECTION_HEADERS: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-/// Such headers without a name in the library.
-const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
-
-/// Removes headers that concern one connection only, and the length, which is set anew.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
-    for name in MORE_CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(header::CONTENT_LENGTH);
-    headers.remove(header::EXPECT);
-}
--- /dev/null
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -0,0 +1,133 @@
+//! What the models' back ends have to do, and which orders follow from it.
+
+use std::collections::BTreeMap;
+
+use havenstage_rollout::ids::{BackendId, ModelName, Version};
+use havenstage_rollout::orders::{
+    OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
+};
+use havenstage_rollout::route::Pool;
+
+use super::Coordinator;
+use crate::context::Context;
+
+/// What a model's back ends have to do.
+#[derive(Debug, Clone, Copy)]
+struct ModelWork {
+    /// Tokens of its newest batch: its share of the back ends.
+    weight: f64,
+    /// How many versions behind the step's own its tokens may be.
+    allowed_age: u64,
+}
+
+impl Coordinator {
+    pub(super) fn plan(
+        &self,
+        pool: &Pool,
+        named: &BTreeMap<ModelName, Version>,
+    ) -> Vec<PlannedOrder> {
+        let targets = self.targets(pool);
+        let work: BTreeMap<ModelName, ModelWork> = pool
+            .models
+            .iter()
+            .map(|model| (model.clone(), self.work_of(model)))
+            .collect();
+        let weights = work
+            .iter()
+            .map(|(model, work)| (model.clone(), work.weight))
+            .collect();
+        let homes = assign_homes(&targets, &weights, named);
+        let demand = work.iter().filter_map(|(model, work)| {
+            let named = *named.get(model)?;
+            Some((
+                model.clone(),
+                VersionDemand {
+                    named,
+                    allowed_age: work.allowed_age,
+                },
+            ))
+        });
+        let at_once = self.context.settings.tuning.loads_at_once;
+        plan_orders(&targets, &demand.collect(), &homes, at_once)
+    }
+
+    /// What the newest batch of a model tells of its work.
+    fn work_of(&self, model: &ModelName) -> ModelWork {
+        let mut newest: Option<(u64, ModelWork)> = None;
+        for partition in &self.context.partitions {
+            let inner = partition.lock();
+            for batch in inner
+                .state
+                .batches()
+                .filter(|b| b.model.as_ref() == Some(model))
+            {
+                let step = batch.step.unwrap_or(0);
+                if newest.as_ref().is_none_or(|(known, _)| *known < step) {
+                    let tokens: u64 = batch
+                        .items
+                        .iter()
+                        .map(|item| u64::from(item.expected_tokens))
+                        .sum();
+                    let allowed_age = step.saturating_sub(batch.minimum_version);
+                    let weight = (tokens as f64).max(1.0);
+                    newest = Some((
+                        step,
+                        ModelWork {
+                            weight,
+                            allowed_age,
+                        },
+                    ));
+                }
+            }
+        }
+        newest.map_or(
+            ModelWork {
+                weight: 1.0,
+                allowed_age: 0,
+            },
+            |(_, work)| work,
+        )
+    }
+
+    pub(super) fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
+        let now = self.context.now();
+        let running = running_items(&self.context);
+        self.context.note_observed_versions();
+        let orders = self.context.orders.lock();
+        let backends = self.context.backends.lock();
+        let quiet_ms = self.context.settings.bounds.order_lease_ms;
+        let mut targets = Vec::new();
+        for (id, _) in backends.list.ready_in(&pool.name) {
+            let is_quiet = orders
+                .state
+                .quiet_ms(id, now)
+                .is_none_or(|quiet| quiet > quiet_ms);
+            let is_left_alone = self.avoided_until.get(id).is_some_and(|until| *until > now);
+            let models = pool.models.iter();
+            targets.push(OrderTarget {
+                backend: id.clone(),
+                models: models
+                    .map(|m| (m.clone(), backends.version(id, m)))
+                    .collect(),
+                running: running.get(id).copied().unwrap_or(0),
+                loading: self.under_way.contains(id),
+                avoided: is_left_alone || !is_quiet,
+            });
+        }
+        targets
+    }
+}
+
+fn running_items(context: &Context) -> BTreeMap<BackendId, u32> {
+    let mut running = BTreeMap::new();
+    for partition in &context.partitions {
+        let inner = partition.lock();
+        for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
+            let open = batch.items.iter().filter(|item| item.result.is_none());
+            for backend in open.filter_map(|item| item.backend.clone()) {
+                *running.entry(backend).or_default() += 1;
+            }
+        }
+    }
+    running
+}
--- /dev/null
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -0,0 +1,159 @@
+//! The lease for orders: who holds it, and until when its holder relies on it.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::orders::OrderRecord;
+use log::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Coordinator, HeldLease};
+use crate::order_run::append;
+
+/// Share of the silence after which others claim in which the holder relies on its lease.
+const RELIABLE_SHARE: f64 = 0.7;
+
+impl Coordinator {
+    /// Believes the log about who holds the lease.
+    pub(super) fn follow_lease(&mut self) {
+        let inner = self.context.orders.lock();
+        let lease = inner.state.lease();
+        let term = lease.is_held_by(&self.context.node).then(|| lease.term());
+        drop(inner);
+        let now = self.context.now();
+        match (term, self.lease) {
+            (Some(term), None) if !self.context.is_stopping() => {
+                info!(event = "order_lease_held", term = term; "");
+                // Not reliable until a sign of life was answered.
+                self.lease = Some(HeldLease {
+                    term,
+                    since: now,
+                    kept_at: 0,
+                });
+                self.settle_pending();
+            }
+            (None, Some(lease)) => {
+                info!(event = "order_lease_lost", term = lease.term; "");
+                self.lease = None;
+                self.reliable_until.store(0, Ordering::Relaxed);
+                self.taken.clear();
+            }
+            _ => {}
+        }
+    }
+
+    /// The current term, if this node may claim the lease now.
+    pub(super) fn claimable_term(&self) -> Option<Term> {
+        let view = &self.context.orders;
+        let readable_since = view.readable_since();
+        let inner = view.lock();
+        let lease = inner.state.lease();
+        let text = format!("{} {}", self.context.node, lease.term());
+        let tuning = &self.context.settings.tuning;
+        let timing = ClaimTiming {
+            silence_ms: tuning.silence_ms,
+            spread_ms: xxh3_64(text.as_bytes()) % tuning.spread_ms.max(1),
+        };
+        let at = lease.claimable_at(&self.context.node, readable_since, &timing);
+        (self.context.now() >= at).then(|| lease.term())
+    }
+
+    /// Claims the lease if the log, read to its end, still shows no sign of its holder.
+    pub(super) async fn claim(&mut self) {
+        let (log, clock) = (self.context.log.clone(), self.context.clock);
+        let view = &self.context.orders;
+        if view
+            .confirm(log.as_ref(), clock, Duration::ZERO)
+            .await
+            .is_err()
+        {
+            view.read_failed();
+            return;
+        }
+        let Some(term) = self.claimable_term() else {
+            return;
+        };
+        let holder = self.context.node.clone();
+        let record = OrderRecord::Claimed {
+            term: term + 1,
+            holder,
+        };
+        if let Err(error) = append(&self.context, &record).await {
+            warn!(event = "order_claim_failed", reason = error.to_string().as_str(); "");
+        }
+        // Whether the claim counts is seen in the log.
+        let _ = view.confirm(log.as_ref(), clock, Duration::ZERO).await;
+    }
+
+    /// Gives a sign of life when one is due; its answer is what the lease rests on.
+    pub(super) async fn keep_lease(&mut self) {
+        let Some(lease) = self.lease else { return };
+        let tuning = &self.context.settings.tuning;
+        let sent = self.context.now();
+        if sent.saturating_sub(lease.kept_at) < tuning.keep_ms {
+            return;
+        }
+        let reliable_ms = (tuning.silence_ms as f64 * RELIABLE_SHARE) as Millis;
+        let after_ms = if lease.kept_at == 0 {
+            0
+        } else {
+            sent - lease.kept_at
+        };
+        let record = OrderRecord::Kept {
+            term: lease.term,
+            after_ms,
+        };
+        let is_current = self.is_kept(&record, lease.term).await;
+        if let Some(lease) = &mut self.lease {
+            lease.kept_at = sent;
+            if is_current {
+                self.reliable_until
+                    .store(sent + reliable_ms, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Whether a sign of life counts: it was written, and no newer term stands before it. That the
+    /// log took it proves nothing by itself, as it takes those of a former holder too.
+    pub(super) async fn is_kept(&self, record: &OrderRecord, term: Term) -> bool {
+        let Ok(offset) = append(&self.context, record).await else {
+            return false;
+        };
+        let (log, view) = (self.context.log.as_ref(), &self.context.orders);
+        if view
+            .confirm(log, self.context.clock, Duration::ZERO)
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        let inner = view.lock();
+        let lease = inner.state.lease();
+        inner.next > offset && lease.term() == term && lease.is_held_by(&self.context.node)
+    }
+
+    pub(super) async fn release(&mut self) {
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        self.reliable_until.store(0, Ordering::Relaxed);
+        let record = OrderRecord::Released { term: lease.term };
+        if let Err(error) = append(&self.context, &record).await {
+            warn!(event = "order_release_failed", reason = error.to_string().as_str(); "");
+        }
+        info!(event = "order_lease_released", term = lease.term; "");
+    }
+
+    /// Whether the lease certainly holds.
+    pub(super) fn may_order(&self) -> bool {
+        let Some(lease) = self.lease else {
+            return false;
+        };
+        let now = self.context.now();
+        let is_awake =
+            now.saturating_sub(lease.since) >= self.context.settings.bounds.order_thaw_ms;
+        now < self.reliable_until.load(Ordering::Relaxed) && is_awake
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -0,0 +1,189 @@
+//! Gives orders to load versions, while this node holds the lease for orders.
+//!
+//! Each order is written down before it is given. The fold of the log says who holds the lease; a
+//! holder relies on it only for a while after each answered sign of life. A new holder gives a
+//! back end an order only when the last one of another machine there is older than the lease bound.
+
+mod demand;
+mod lease;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::lease::Term;
+use havenstage_rollout::orders::PlannedOrder;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+use crate::context::Context;
+use crate::edge::BackendReport;
+use crate::order_run::{self, Order, OrderStart};
+
+/// Pause between two looks at what is to be ordered.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two looks at the lease when another node holds it.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// Time that a back end is left alone after it failed to answer.
+const AVOID_MS: Millis = 1_000;
+
+/// Gives orders until the process ends.
+pub struct Coordinator {
+    context: Arc<Context>,
+    lease: Option<HeldLease>,
+    /// Orders that each back end has taken, as it last reported.
+    taken: BTreeMap<BackendId, u64>,
+    under_way: BTreeSet<BackendId>,
+    avoided_until: BTreeMap<BackendId, Millis>,
+    /// Until when the lease is relied on; read right before each order is sent.
+    reliable_until: Arc<AtomicU64>,
+    ended: UnboundedReceiver<OrderEnded>,
+    ended_sender: UnboundedSender<OrderEnded>,
+}
+
+/// The right to give orders, as long as the lease holds.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    term: Term,
+    since: Millis,
+    kept_at: Millis,
+}
+
+struct OrderEnded {
+    backend: BackendId,
+    report: Option<BackendReport>,
+}
+
+impl Coordinator {
+    /// A coordinator without a term.
+    pub fn new(context: Arc<Context>) -> Self {
+        let (ended_sender, ended) = mpsc::unbounded_channel();
+        Self {
+            context,
+            lease: None,
+            taken: BTreeMap::new(),
+            under_way: BTreeSet::new(),
+            reliable_until: Arc::new(AtomicU64::new(0)),
+            avoided_until: BTreeMap::new(),
+            ended,
+            ended_sender,
+        }
+    }
+
+    /// Works until the process ends.
+    pub async fn run(mut self) {
+        let context = self.context.clone();
+        loop {
+            let pause = if self.lease.is_some() {
+                LOOK_PAUSE
+            } else {
+                IDLE_PAUSE
+            };
+            tokio::select! {
+                Some(ended) = self.ended.recv() => self.take_ended(ended),
+                () = context.orders_changed.notified() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+            self.follow_lease();
+            if context.is_stopping() {
+                self.release().await;
+            } else if self.lease.is_some() {
+                self.keep_lease().await;
+                if self.may_order() {
+                    self.order_next().await;
+                }
+            } else if self.claimable_term().is_some() {
+                self.claim().await;
+            }
+        }
+    }
+
+    async fn order_next(&mut self) {
+        let Some(table) = self.context.routes() else {
+            return;
+        };
+        let named = self.context.named_versions();
+        for pool in table.pools_with_models() {
+            for order in self.plan(pool, &named) {
+                self.give(order);
+            }
+        }
+    }
+
+    fn give(&mut self, order: PlannedOrder) {
+        let Some(lease) = self.lease else { return };
+        let order = Order {
+            backend: order.backend,
+            model: order.model,
+            version: order.version,
+            fence: lease.term,
+            expected_orders: None,
+        };
+        let expected_orders = self.taken.get(&order.backend).copied();
+        self.follow(
+            Order {
+                expected_orders,
+                ..order
+            },
+            OrderStart::Give,
+        );
+    }
+
+    /// Asks about orders that an earlier holder gave.
+    fn settle_pending(&mut self) {
+        let pending: Vec<Order> = self
+            .context
+            .orders
+            .lock()
+            .state
+            .all_pending()
+            .map(|(backend, order)| Order {
+                backend: backend.clone(),
+                model: order.model.clone(),
+                version: order.version,
+                fence: 0,
+                expected_orders: None,
+            })
+            .collect();
+        for order in pending {
+            self.follow(order, OrderStart::Settle);
+        }
+    }
+
+    fn follow(&mut self, order: Order, start: OrderStart) {
+        if !self.under_way.insert(order.backend.clone()) {
+            return;
+        }
+        let (context, sender) = (self.context.clone(), self.ended_sender.clone());
+        let reliable_until = self.reliable_until.clone();
+        tokio::spawn(async move {
+            let report = order_run::follow(&context, &order, start, &reliable_until).await;
+            // The coordinator is gone only when the process ends.
+            let _ = sender.send(OrderEnded {
+                backend: order.backend,
+                report,
+            });
+        });
+    }
+
+    fn take_ended(&mut self, ended: OrderEnded) {
+        self.under_way.remove(&ended.backend);
+        match ended.report {
+            Some(report) => {
+                let mut backends = self.context.backends.lock();
+                for (model, version) in &report.models {
+                    backends.saw_version(&ended.backend, model, *version);
+                }
+                drop(backends);
+                self.taken.insert(ended.backend, report.orders_taken);
+            }
+            None => {
+                self.taken.remove(&ended.backend);
+                self.avoided_until
+                    .insert(ended.backend, self.context.now() + AVOID_MS);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -18,6 +18,7 @@
 use crate::backends::ChosenBackend;
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
+use crate::send;
 
 /// Longest time for the head of an answer.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -182,7 +183,7 @@
         let name = HeaderName::try_from(header.name.as_str()).ok()?;
         headers.insert(name, HeaderValue::from_str(&header.value).ok()?);
     }
-    calls::remove_connection_headers(headers);
+    send::remove_connection_headers(headers);
     headers.insert(HOST, HeaderValue::from_str(&order.host).ok()?);
     let id = HeaderValue::from_str(order.key.item.as_str()).ok()?;
     headers.insert(names.request_id.clone(), id);
--- /dev/null
+++ b/crates/gateway/src/engine/start.rs
@@ -0,0 +1,118 @@
+//! Starts runs of items, with the output that is kept of them.
+
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::fold::BatchState;
+use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::record::{BatchRecord, OutputEvent};
+use log::info;
+use tokio::time::Instant;
+
+use super::live::{LiveItem, OwnedTask, Phase};
+use super::run::{self, ItemKey, RunOrder};
+use super::{DEFAULT_GIVE_UP_MS, Engine};
+
+/// What a run needs to know of its batch.
+pub(super) struct StartOfRun {
+    host: String,
+    minimum_version: u64,
+    deadline: Instant,
+    batch_age_ms: Millis,
+}
+
+impl Engine {
+    pub(super) fn start(&mut self, key: &ItemKey, backend_id: &BackendId, urgency: u8) {
+        let Some(backend) = self.context.backends.take(backend_id) else {
+            return;
+        };
+        let now = self.context.now();
+        let Some(start) = self.prepare(key, now) else {
+            return;
+        };
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        let run = item.begin_run();
+        let order = RunOrder {
+            key: key.clone(),
+            run,
+            spec: item.spec.clone(),
+            host: start.host,
+            resumed_from: item.resumed_from,
+            minimum_version: start.minimum_version,
+            deadline: start.deadline,
+            urgency,
+        };
+        let partition = item.partition;
+        let resumed_from = item.resumed_from;
+        let sender = self.news_sender.clone();
+        let task = tokio::spawn(run::make_run(self.context.clone(), backend, order, sender));
+        item.phase = Phase::Running {
+            backend: backend_id.clone(),
+            since: now,
+            _task: OwnedTask(task.abort_handle()),
+        };
+        info!(event = "run_started", request = key.item.as_str(), batch = key.batch.as_str(),
+            backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
+            minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms; "");
+        self.push(
+            partition,
+            &BatchRecord::Started {
+                batch: key.batch.clone(),
+                item: key.item.clone(),
+                run,
+                backend: backend_id.clone(),
+            },
+        );
+    }
+
+    /// Makes the item one that this node works on, with the output that is kept of it.
+    pub(super) fn prepare(&mut self, key: &ItemKey, now: Millis) -> Option<StartOfRun> {
+        let partition = self.context.partition_of(&key.batch);
+        let inner = partition.lock();
+        let batch = inner.state.batch(&key.batch)?;
+        let state = batch.item(&key.item)?;
+        let give_up_ms = self.give_up_ms(batch);
+        let age = now.saturating_sub(batch.first_seen);
+        let left = Duration::from_millis(give_up_ms.saturating_sub(age));
+        let start = StartOfRun {
+            host: batch.host.clone(),
+            minimum_version: batch.minimum_version,
+            deadline: Instant::now() + left,
+            batch_age_ms: age,
+        };
+        if !self.items.contains_key(key) {
+            let spec = state.spec.clone()?;
+            let item = LiveItem::new(state, spec, partition.id.partition, now);
+            drop(inner);
+            self.items.insert(key.clone(), item);
+        }
+        Some(start)
+    }
+
+    pub(super) fn give_up_ms(&self, batch: &BatchState) -> Millis {
+        let routes = self.context.routes();
+        let route = routes
+            .as_ref()
+            .and_then(|table| table.batch_route(&batch.host, &batch.path));
+        route
+            .and_then(|route| route.give_up_after_ms)
+            .unwrap_or(DEFAULT_GIVE_UP_MS)
+    }
+
+    /// Takes over output that an earlier batch kept of the same item.
+    pub(super) fn take_kept_output(&mut self, key: &ItemKey, kept: Vec<OutputEvent>) {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        item.begin_run();
+        for event in kept {
+            item.add_event(event);
+        }
+        let partition = item.partition;
+        if let Some(progress) = item.take_progress(key) {
+            self.push(partition, &progress);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/writing.rs
@@ -0,0 +1,93 @@
+//! Writes progress and ends of items down, in groups.
+
+use std::collections::BTreeSet;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::record::BatchRecord;
+use log::warn;
+use tokio::time::Instant;
+
+use super::outbox::{AppendLimits, Outbox};
+use super::{Engine, TaskEnded};
+use crate::edge::{LogStream, StreamPartition};
+
+impl Engine {
+    pub(super) fn write_down(&mut self) {
+        let now = self.context.now();
+        let tuning = &self.context.settings.tuning;
+        let (flush_ms, progress_ms) = (tuning.flush_ms, tuning.progress_ms);
+        let partitions: BTreeSet<u32> = self
+            .items
+            .values()
+            .map(|item| item.partition)
+            .chain(self.outboxes.keys().copied())
+            .collect();
+        for partition in partitions {
+            let outbox = self.outbox(partition);
+            let age = now.saturating_sub(outbox.last_append);
+            let is_due = age >= progress_ms || (outbox.is_urgent && age >= flush_ms);
+            if is_due {
+                self.collect_progress(partition);
+                self.append(partition, now);
+            }
+        }
+    }
+
+    pub(super) fn collect_progress(&mut self, partition: u32) {
+        let mut records = Vec::new();
+        for (key, item) in &mut self.items {
+            if item.partition == partition {
+                records.extend(item.take_progress(key));
+            }
+        }
+        for record in records {
+            self.push(partition, &record);
+        }
+    }
+
+    pub(super) fn append(&mut self, partition: u32, now: Millis) {
+        let outbox = self.outbox(partition);
+        if !outbox.may_begin(now) {
+            return;
+        }
+        let records = outbox.begin(now);
+        let context = self.context.clone();
+        let sender = self.ended_sender.clone();
+        tokio::spawn(async move {
+            let id = StreamPartition {
+                stream: LogStream::Batches,
+                partition,
+            };
+            let began = Instant::now();
+            let appended = context.log.append(id, records).await;
+            let took_ms = began.elapsed().as_millis() as u64;
+            if let Err(error) = &appended {
+                warn!(event = "results_not_written", partition = partition, took_ms = took_ms,
+                    reason = error.to_string().as_str(); "");
+            }
+            let is_done = appended.is_ok();
+            let _ = sender.send(TaskEnded::Append {
+                partition,
+                is_done,
+                took_ms,
+            });
+        });
+    }
+
+    pub(super) fn push(&mut self, partition: u32, record: &BatchRecord) {
+        if !self.outbox(partition).push(record) {
+            warn!(event = "record_too_large", batch = record.batch().as_str(); "");
+        }
+    }
+
+    pub(super) fn outbox(&mut self, partition: u32) -> &mut Outbox {
+        let log = &self.context.settings.log;
+        let limits = AppendLimits {
+            record_bytes: log.record_bytes,
+            call_bytes: log.call_bytes,
+        };
+        self.outboxes
+            .entry(partition)
+            .or_insert_with(|| Outbox::new(limits))
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod order_run;
 pub mod relay;
+pub mod send;
 pub mod server;
 pub mod settings;
 pub mod stream_view;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,8 +15,9 @@
 use tokio::time::Instant;
 
 use crate::backends::ChosenBackend;
-use crate::calls::{self, Call, StreamingAnswer};
+use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
+use crate::send;
 
 /// Silence after which a resumable stream goes on elsewhere.
 const SILENCE: Duration = Duration::from_millis(1_000);
@@ -51,7 +52,7 @@
     /// Begins with the answer of the first back end, whose head the caller gets.
     pub fn new(context: Arc<Context>, route: &Route, streaming: StreamingAnswer) -> Self {
         let mut headers = streaming.answer.headers().clone();
-        calls::remove_connection_headers(&mut headers);
+        send::remove_connection_headers(&mut headers);
         let version_field = context.dialect.headers().weight_version.as_str().to_owned();
         let is_resumable = route.kind == RequestKind::Stream { resumable: true };
         let asked_from = streaming
@@ -141,7 +142,7 @@
     async fn ask_to_go_on(&self, backend: &ChosenBackend) -> Option<Answer> {
         let names = self.context.dialect.headers();
         let left = self.ends.saturating_duration_since(Instant::now());
-        let mut request = calls::backend_request(&self.context, backend, &self.call, left);
+        let mut request = send::backend_request(&self.context, backend, &self.call, left);
         if let Some(last_event) = self.last_event {
             let headers = request.headers_mut();
             headers.insert(names.last_event_id.clone(), HeaderValue::from(last_event));
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,179 @@
+//! One send of a call to one back end, and what its answer proves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_http_link::{Answer, LinkError, WholeAnswer};
+use http::Request;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use crate::backends::ChosenBackend;
+use crate::calls::Call;
+use crate::context::Context;
+
+/// Longest body of an answer that is read whole before it is passed on.
+const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// How one send ended.
+pub(crate) enum SendOutcome {
+    Answered(WholeAnswer),
+    Streaming(Box<StartedStream>),
+    NotRun(&'static str),
+    MayHaveRun(&'static str),
+}
+
+/// A stream that a back end has begun.
+pub(crate) struct StartedStream {
+    pub(crate) answer: Answer,
+    pub(crate) backend: ChosenBackend,
+}
+
+/// Sends a call to a back end and judges the back end by what comes.
+pub(crate) async fn send(
+    context: &Arc<Context>,
+    chosen: ChosenBackend,
+    call: &Call,
+    ends: Instant,
+) -> SendOutcome {
+    let backend = chosen.id.clone();
+    let began = Instant::now();
+    let left = ends.saturating_duration_since(began);
+    let request = backend_request(context, &chosen, call, left);
+    let answer = chosen.link.send(request, left).await;
+    let outcome = read_answer(context, chosen, call, answer).await;
+    let now = context.now();
+    let mut backends = context.backends.lock();
+    match &outcome {
+        SendOutcome::Answered(answer) if answer.status.is_success() => {
+            let took = began.elapsed().as_millis() as u64;
+            backends.health.answered(&backend, Some(took));
+        }
+        SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
+            backends.health.answered(&backend, None);
+        }
+        SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {
+            backends.health.failed(&backend, now)
+        }
+    }
+    drop(backends);
+    outcome
+}
+
+/// The call as it goes to a back end, with the time that is left.
+pub fn backend_request(
+    context: &Context,
+    chosen: &ChosenBackend,
+    call: &Call,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let names = context.dialect.headers();
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let mut headers = call.headers.clone();
+    headers.insert(names.request_id.clone(), call.id.clone());
+    headers.insert(
+        names.deadline_ms.clone(),
+        HeaderValue::from(left.as_millis().max(1) as u64),
+    );
+    if let Ok(id) = HeaderValue::from_str(chosen.id.as_str()) {
+        headers.insert(names.expected_backend.clone(), id);
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+async fn read_answer(
+    context: &Context,
+    chosen: ChosenBackend,
+    call: &Call,
+    answer: Result<Answer, LinkError>,
+) -> SendOutcome {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
+        Err(LinkError::TimedOut) => return SendOutcome::MayHaveRun("silent"),
+        Err(_) => return SendOutcome::MayHaveRun("broken"),
+    };
+    let names = context.dialect.headers();
+    let is_ours = answer.headers().get(&names.request_id) == Some(&call.id);
+    if context
+        .dialect
+        .is_not_run(answer.status(), answer.headers())
+    {
+        return not_run_unless_foreign(context, answer, &call.id).await;
+    }
+    if !is_ours {
+        return SendOutcome::MayHaveRun("foreign_answer");
+    }
+    if answer.status().is_success() && !answer.headers().contains_key(&names.signature) {
+        return SendOutcome::MayHaveRun("unsigned");
+    }
+    if answer.status().is_success() && is_event_stream(answer.headers()) {
+        return SendOutcome::Streaming(Box::new(StartedStream {
+            answer,
+            backend: chosen,
+        }));
+    }
+    match answer.whole(MOST_ANSWER_BYTES).await {
+        Ok(whole) => SendOutcome::Answered(whole),
+        Err(_) => SendOutcome::MayHaveRun("cut_short"),
+    }
+}
+
+/// An answer "not run" counts only if it does not name another request.
+async fn not_run_unless_foreign(
+    context: &Context,
+    answer: Answer,
+    id: &HeaderValue,
+) -> SendOutcome {
+    let named = answer.headers().get(&context.dialect.headers().request_id);
+    if named.is_some_and(|named| named != id) {
+        return SendOutcome::MayHaveRun("foreign_answer");
+    }
+    // Read to the end, so that the connection is kept.
+    let _ = answer.whole(MOST_ANSWER_BYTES).await;
+    SendOutcome::NotRun("turned_away")
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Such headers without a name in the library.
+const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+
+/// Removes headers that concern one connection only, and the length, which is set anew.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+    for name in MORE_CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -32,6 +32,7 @@
 use crate::edge::BatchCall;
 use crate::metrics;
 use crate::relay::{Relay, StreamBroken};
+use crate::send;
 
 /// Age of the last answer of the log up to which a node calls itself ready.
 const READY_CONTACT_MS: u64 = 2_500;
@@ -314,7 +315,7 @@
     let names = context.dialect.headers();
     let wait = header_ms(&head.headers, &names.deadline_ms).unwrap_or(DEFAULT_DEADLINE);
     let mut headers = head.headers;
-    calls::remove_connection_headers(&mut headers);
+    send::remove_connection_headers(&mut headers);
     headers.remove(&names.expected_backend);
     let call = Call {
         id: id.clone(),
@@ -338,7 +339,7 @@
     let mut response = Response::new(whole_body(answer.body));
     *response.status_mut() = answer.status;
     let mut headers = answer.headers;
-    calls::remove_connection_headers(&mut headers);
+    send::remove_connection_headers(&mut headers);
     *response.headers_mut() = headers;
     response
 }
