Keep results of single-version routes to one version; drop ends that were not taken

Cause: a route may ask that all events of a result come from one version; runs were resumed under any allowed one, and orders always let runs go on. Change: items are bound to the version of their first event; output whose version is gone is dropped by a record that a late copy cannot repeat, and made anew; pools of such routes load when their runs have ended. Items of a split route are shared by their own hash. An end that was written down and is not in the log after 3 s makes its item begin again instead of lying for good. Tests: a_result_of_a_single_version_route_comes_from_one_version, dropped_output_is_begun_anew, an_item_bound_to_a_version_runs_on_no_other.

--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -13,13 +13,14 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::lease::Term;
 use havenstage_rollout::orders::PlannedOrder;
+use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::context::Context;
-use crate::edge::BackendReport;
+use crate::edge::{BackendReport, LoadMode};
 use crate::order_run::{self, Order, OrderStart};
 
 /// Pause between two looks at what is to be ordered.
@@ -106,18 +107,20 @@
         };
         let named = self.context.named_versions();
         for pool in table.pools_with_models() {
+            let mode = load_mode(&table, &pool.name);
             for order in self.plan(pool, &named) {
-                self.give(order);
+                self.give(order, mode);
             }
         }
     }
 
-    fn give(&mut self, order: PlannedOrder) {
+    fn give(&mut self, order: PlannedOrder, mode: LoadMode) {
         let Some(lease) = self.lease else { return };
         let order = Order {
             backend: order.backend,
             model: order.model,
             version: order.version,
+            mode,
             fence: lease.term,
             expected_orders: None,
         };
@@ -143,6 +146,7 @@
                 backend: backend.clone(),
                 model: order.model.clone(),
                 version: order.version,
+                mode: LoadMode::Retain,
                 fence: 0,
                 expected_orders: None,
             })
@@ -187,3 +191,12 @@
         }
     }
 }
+
+/// Where results must come from one version, running requests end before a load.
+fn load_mode(table: &RouteTable, pool: &PoolName) -> LoadMode {
+    if table.has_single_version_routes(pool) {
+        LoadMode::Wait
+    } else {
+        LoadMode::Retain
+    }
+}
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -214,6 +214,15 @@
     pub results: Vec<(&'a ItemId, &'a ItemResult)>,
 }
 
+/// What becomes of running requests while a version is loaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadMode {
+    /// They end first.
+    Wait,
+    /// They go on under the new version.
+    Retain,
+}
+
 /// An order to load a version.
 #[derive(Debug, Clone)]
 pub struct VersionOrder {
@@ -221,6 +230,8 @@
     pub model: ModelName,
     /// The version.
     pub version: Version,
+    /// What becomes of running requests.
+    pub mode: LoadMode,
     /// Name of the holder of the lease.
     pub holder: String,
     /// The holder's fencing token.
--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -5,7 +5,7 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch::Item;
 use havenstage_rollout::fold::ItemState;
-use havenstage_rollout::ids::{BackendId, RunId};
+use havenstage_rollout::ids::{BackendId, RunId, Version};
 use havenstage_rollout::record::{BatchRecord, OutputEvent};
 use tokio::task::AbortHandle;
 
@@ -41,7 +41,10 @@
         _task: OwnedTask,
     },
     /// Its end waits to be written down.
-    Finishing,
+    Finishing {
+        /// Since when.
+        since: Millis,
+    },
 }
 
 /// An item that this node works on.
@@ -59,6 +62,8 @@
     pub resumed_from: u32,
     /// Events there, written down or not.
     pub events: u32,
+    /// Version that made the first event.
+    pub made_by: Option<Version>,
     /// Answers of back ends that they failed at it.
     pub failures: u32,
     /// Since when this node works on it.
@@ -72,13 +77,15 @@
     /// An item as the log tells of it; nothing is done yet.
     pub fn new(state: &ItemState, spec: Arc<Item>, partition: u32, now: Millis) -> Self {
         let events = state.events.len() as u32;
+        let run = state.run.unwrap_or(RunId(0));
         Self {
             spec,
             partition,
             phase: Phase::Waiting,
-            run: RunId(0),
+            run,
             resumed_from: events,
             events,
+            made_by: state.events.first().map(|event| event.version),
             failures: 0,
             since: now,
             base: events,
@@ -99,6 +106,7 @@
     /// Adds an event of the current run.
     pub fn add_event(&mut self, event: OutputEvent) {
         self.events += 1;
+        self.made_by.get_or_insert(event.version);
         self.unsent.push(event);
     }
 
@@ -118,6 +126,19 @@
         })
     }
 
+    /// Drops the output, which must be written down as far as it goes.
+    pub fn restart(&mut self, key: &ItemKey) -> BatchRecord {
+        let record = BatchRecord::Restarted {
+            batch: key.batch.clone(),
+            item: key.item.clone(),
+            run: self.run,
+            events: self.events,
+        };
+        self.events = 0;
+        self.made_by = None;
+        record
+    }
+
     /// Whether the log holds output of somebody else that this node's work does not continue.
     pub fn is_overtaken(&self, state: &ItemState) -> bool {
         let is_ours = state.run.is_some_and(|run| self.chain.contains(&run));
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -24,12 +24,14 @@
 
 use crate::context::Context;
 use crate::metrics;
-use live::LiveItem;
+use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
 
 /// Pause between two looks at the work when nothing runs.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// Time after which an end that was written down must be seen in the log.
+const END_SEEN_AFTER_MS: Millis = 3_000;
 /// Time that a route without a bound of its own gives an item.
 const DEFAULT_GIVE_UP_MS: Millis = 60_000;
 
@@ -133,6 +135,18 @@
         }
     }
 
+    /// Whether an end was written down long enough ago to be seen, if it had counted.
+    fn was_not_taken(&self, item: &LiveItem, confirmed: Option<Millis>) -> bool {
+        let Phase::Finishing { since } = &item.phase else {
+            return false;
+        };
+        let is_written = self
+            .outboxes
+            .get(&item.partition)
+            .is_none_or(Outbox::is_empty);
+        is_written && confirmed.is_some_and(|at| at > since + END_SEEN_AFTER_MS)
+    }
+
     fn take_ended(&mut self, ended: TaskEnded) {
         match ended {
             TaskEnded::Claim { batch } => {
@@ -157,6 +171,7 @@
         let mut gone = Vec::new();
         for (key, item) in &self.items {
             let inner = self.context.partitions[item.partition as usize].lock();
+            let confirmed = inner.confirmed_at();
             let batch = inner.state.batch(&key.batch).filter(|batch| !batch.ended);
             if batch.is_some_and(|batch| !batch.lease.is_held_by(&self.context.node)) {
                 gone.push((key.clone(), "lease_lost"));
@@ -164,6 +179,9 @@
             }
             let state = batch.and_then(|batch| batch.item(&key.item));
             match state {
+                Some(state) if state.result.is_none() && self.was_not_taken(item, confirmed) => {
+                    gone.push((key.clone(), "end_not_taken"));
+                }
                 Some(state) if state.result.is_none() && !item.is_overtaken(state) => {}
                 Some(state) if state.result.is_none() => gone.push((key.clone(), "overtaken")),
                 Some(_) => gone.push((key.clone(), "listed")),
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -11,7 +11,7 @@
 use log::info;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::live::Phase;
+use super::live::{LiveItem, Phase};
 use super::run::ItemKey;
 use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
 use crate::context::Context;
@@ -51,16 +51,11 @@
                 let Some(route) = table.batch_route(&batch.host, &batch.path) else {
                     continue;
                 };
-                let Some(pool) = route.pool_for(xxh3_64(batch.id.as_str().as_bytes())) else {
-                    continue;
-                };
                 if is_too_late(route, batch, now) {
                     too_late.extend(self.open_items(batch));
                     continue;
                 }
-                let tokens_per_event = tokens_per_event(&table, pool);
-                let pool_work = work.entry(pool.clone()).or_default();
-                self.collect_items(batch, tokens_per_event, now, pool_work);
+                self.collect_items(batch, route, &table, now, &mut work);
             }
         }
         for key in too_late {
@@ -106,7 +101,7 @@
         })
         .filter(|key| {
             let phase = self.items.get(key).map(|item| &item.phase);
-            !matches!(phase, Some(Phase::Finishing))
+            !matches!(phase, Some(Phase::Finishing { .. }))
         })
         .collect()
     }
@@ -114,14 +109,24 @@
     fn collect_items(
         &self,
         batch: &BatchState,
-        tokens_per_event: u32,
+        route: &Route,
+        table: &RouteTable,
         now: Millis,
-        work: &mut PoolWork,
+        work: &mut BTreeMap<PoolName, PoolWork>,
     ) {
         let none = HashSet::new();
         let carried = self.carried.get(&batch.id).unwrap_or(&none);
+        let tokens_per_event = route
+            .pools
+            .first()
+            .map_or(1, |first| tokens_per_event(table, &first.pool));
         let optional = schedule::optional_items(batch, carried, tokens_per_event);
         for item in batch.items.iter().filter(|item| item.result.is_none()) {
+            let hash = xxh3_64(item.id.as_str().as_bytes());
+            let Some(pool) = route.pool_for(hash) else {
+                continue;
+            };
+            let work = work.entry(pool.clone()).or_default();
             let key = ItemKey {
                 batch: batch.id.clone(),
                 item: item.id.clone(),
@@ -135,6 +140,7 @@
                 since: batch.first_seen,
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
+                exact_version: made_by(live, item).filter(|_| route.single_version),
                 group: item.group.clone(),
             };
             match live.map(|live| &live.phase) {
@@ -144,7 +150,7 @@
                     backend: backend.clone(),
                     running_ms: now.saturating_sub(*since),
                 }),
-                Some(Phase::Scoring { .. } | Phase::Finishing) => {}
+                Some(Phase::Scoring { .. } | Phase::Finishing { .. }) => {}
             }
         }
     }
@@ -157,6 +163,7 @@
         schedule::sort_waiting(&mut work.waiting);
         for item in &work.waiting {
             let Some(chosen) = schedule::choose(item, &candidates) else {
+                self.restart_if_version_is_gone(item, pool, now);
                 continue;
             };
             let backend = chosen.backend.clone();
@@ -171,6 +178,25 @@
         }
     }
 
+    /// An item that is bound to a version which no back end has any more begins anew.
+    fn restart_if_version_is_gone(&mut self, item: &WaitingItem, pool: &PoolName, now: Millis) {
+        let (Some(exact), Some(model)) = (item.exact_version, &item.model) else {
+            return;
+        };
+        let backends = self.context.backends.lock();
+        let mut ready = backends.list.ready_in(pool);
+        let is_there = ready.any(|(id, _)| backends.version(id, model) == exact);
+        drop(ready);
+        drop(backends);
+        let key = ItemKey {
+            batch: item.batch.clone(),
+            item: item.item.clone(),
+        };
+        if !is_there && self.prepare(&key, now).is_some() {
+            self.restart(&key);
+        }
+    }
+
     /// Lets an item go on at a faster back end, from the output that is there.
     fn relocate(&mut self, relocation: &Relocation) {
         let item = &relocation.item;
@@ -220,7 +246,14 @@
         if !is_carried {
             return false;
         }
-        let Some(kept) = kept_output(&self.context, key, waiting.minimum_version) else {
+        let is_single = self
+            .context
+            .partition_of(&key.batch)
+            .lock()
+            .state
+            .batch(&key.batch)
+            .is_some_and(|batch| self.is_single_version(batch));
+        let Some(kept) = kept_output(&self.context, key, waiting.minimum_version, is_single) else {
             return false;
         };
         info!(event = "output_kept", request = key.item.as_str(), batch = key.batch.as_str(),
@@ -330,6 +363,14 @@
         .map_or(1, |pool| pool.tokens_per_event.max(1))
 }
 
+/// Version that made the first event there.
+fn made_by(live: Option<&LiveItem>, state: &ItemState) -> Option<Version> {
+    match live {
+        Some(live) => live.made_by,
+        None => state.events.first().map(|event| event.version),
+    }
+}
+
 fn remaining(item: &ItemState, events: u32, tokens_per_event: u32) -> u32 {
     let made = events * tokens_per_event;
     if made < item.expected_tokens {
@@ -367,7 +408,12 @@
 }
 
 /// The longest output that another batch has of the item, if all its versions are allowed.
-fn kept_output(context: &Context, key: &ItemKey, minimum: Version) -> Option<KeptOutput> {
+fn kept_output(
+    context: &Context,
+    key: &ItemKey,
+    minimum: Version,
+    is_single: bool,
+) -> Option<KeptOutput> {
     let mut best: Option<KeptOutput> = None;
     for partition in &context.partitions {
         let inner = partition.lock();
@@ -379,7 +425,10 @@
                 Some(result) => (&result.events, !result.events.is_empty()),
                 None => (&item.events, false),
             };
-            let is_allowed = events.iter().all(|event| event.version >= minimum);
+            let first = events.first().map(|event| event.version);
+            let is_allowed = events.iter().all(|event| {
+                event.version >= minimum && (!is_single || Some(event.version) == first)
+            });
             let is_better = best
                 .as_ref()
                 .is_none_or(|best| events.len() > best.events.len());
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -75,8 +75,8 @@
     Failed,
     /// The back end said that it can never be done.
     Impossible,
-    /// The back end's weights are older than allowed.
-    VersionTooOld(Version),
+    /// The back end's weights are not of a version that is allowed.
+    WrongVersion(Version),
 }
 
 impl RunEnd {
@@ -89,7 +89,7 @@
             Self::Broken => "broken",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
-            Self::VersionTooOld(_) => "version_too_old",
+            Self::WrongVersion(_) => "wrong_version",
         }
     }
 }
@@ -103,6 +103,25 @@
     AttemptsUsed,
 }
 
+/// Which versions may make an item's events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionRule {
+    /// The oldest one.
+    pub minimum: Version,
+    /// Whether all events must come from one version.
+    pub is_single: bool,
+    /// The version of the events already there.
+    pub made_by: Option<Version>,
+}
+
+impl VersionRule {
+    /// Whether a version may make the next event; `before` made the last one of this run.
+    fn allows(&self, version: Version, before: Option<Version>) -> bool {
+        let bound = before.or(self.made_by).filter(|_| self.is_single);
+        version >= self.minimum && bound.is_none_or(|bound| bound == version)
+    }
+}
+
 /// A run to be made.
 pub struct RunOrder {
     /// The item.
@@ -115,8 +134,8 @@
     pub host: String,
     /// Events already there.
     pub resumed_from: u32,
-    /// Oldest version that may make an event.
-    pub minimum_version: Version,
+    /// Versions that may make an event.
+    pub versions: VersionRule,
     /// When the item may be given up.
     pub deadline: Instant,
     /// How urgent the back end is to take it.
@@ -229,7 +248,9 @@
         _ => return Err(RunEnd::Broken),
     }
     match read_version(answer.headers(), &names.weight_version) {
-        Some(version) if version < order.minimum_version => Err(RunEnd::VersionTooOld(version)),
+        Some(version) if !order.versions.allows(version, None) => {
+            Err(RunEnd::WrongVersion(version))
+        }
         version => Ok(version),
     }
 }
@@ -264,11 +285,12 @@
             if event.id.is_some_and(|id| id != count) {
                 return RunEnd::Broken;
             }
+            let before = version;
             version = event.version.or(version);
             let made_by = version.unwrap_or(0);
-            if made_by < order.minimum_version {
+            if !order.versions.allows(made_by, before) {
                 // Without a word of the version it is not known to be allowed.
-                return version.map_or(RunEnd::Broken, RunEnd::VersionTooOld);
+                return version.map_or(RunEnd::Broken, RunEnd::WrongVersion);
             }
             let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
             last_event = Instant::now();
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -57,7 +57,7 @@
             RunEnd::Whole => self.text_is_whole(key),
             RunEnd::Impossible => self.give_up(key, GiveUpReason::Impossible),
             RunEnd::Failed => self.run_failed(key),
-            RunEnd::NotRun | RunEnd::Unreachable | RunEnd::Broken | RunEnd::VersionTooOld(_) => {}
+            RunEnd::NotRun | RunEnd::Unreachable | RunEnd::Broken | RunEnd::WrongVersion(_) => {}
         }
     }
 
@@ -77,7 +77,7 @@
                 let pause = self.pauses.entry(backend.clone()).or_default();
                 pause.until = pause.until.max(now + TURNED_AWAY_PAUSE_MS);
             }
-            RunEnd::VersionTooOld(version) => {
+            RunEnd::WrongVersion(version) => {
                 if let Some(model) = self.model_of(key) {
                     self.context
                         .backends
@@ -166,7 +166,7 @@
         let Some(item) = self.items.get_mut(key) else {
             return;
         };
-        item.phase = Phase::Finishing;
+        item.phase = Phase::Finishing { since: now };
         let partition = item.partition;
         let outcome_name = match &outcome {
             Outcome::Completed { .. } => "completed",
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -10,13 +10,14 @@
 use tokio::time::Instant;
 
 use super::live::{LiveItem, OwnedTask, Phase};
-use super::run::{self, ItemKey, RunOrder};
+use super::run::{self, ItemKey, RunOrder, VersionRule};
 use super::{DEFAULT_GIVE_UP_MS, Engine};
 
 /// What a run needs to know of its batch.
 pub(super) struct StartOfRun {
     host: String,
     minimum_version: u64,
+    is_single_version: bool,
     deadline: Instant,
     batch_age_ms: Millis,
 }
@@ -40,7 +41,11 @@
             spec: item.spec.clone(),
             host: start.host,
             resumed_from: item.resumed_from,
-            minimum_version: start.minimum_version,
+            versions: VersionRule {
+                minimum: start.minimum_version,
+                is_single: start.is_single_version,
+                made_by: item.made_by,
+            },
             deadline: start.deadline,
             urgency,
         };
@@ -79,6 +84,7 @@
         let start = StartOfRun {
             host: batch.host.clone(),
             minimum_version: batch.minimum_version,
+            is_single_version: self.is_single_version(batch),
             deadline: Instant::now() + left,
             batch_age_ms: age,
         };
@@ -101,6 +107,31 @@
             .unwrap_or(DEFAULT_GIVE_UP_MS)
     }
 
+    /// Whether every event of a result must come from the same version.
+    pub(super) fn is_single_version(&self, batch: &BatchState) -> bool {
+        let routes = self.context.routes();
+        let route = routes
+            .as_ref()
+            .and_then(|table| table.batch_route(&batch.host, &batch.path));
+        route.is_some_and(|route| route.single_version)
+    }
+
+    /// Drops the output of an item whose version no back end has any more.
+    pub(super) fn restart(&mut self, key: &ItemKey) {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        let partition = item.partition;
+        info!(event = "item_restarted", request = key.item.as_str(), batch = key.batch.as_str(),
+            events = item.events, version = item.made_by; "");
+        let progress = item.take_progress(key);
+        let record = item.restart(key);
+        if let Some(progress) = progress {
+            self.push(partition, &progress);
+        }
+        self.push(partition, &record);
+    }
+
     /// Takes over output that an earlier batch kept of the same item.
     pub(super) fn take_kept_output(&mut self, key: &ItemKey, kept: Vec<OutputEvent>) {
         let Some(item) = self.items.get_mut(key) else {
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::context::{Context, ORDERS};
-use crate::edge::{BackendReport, LogError, VersionOrder};
+use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
 use crate::metrics;
 
 /// Time a back end has to answer an order.
@@ -47,6 +47,8 @@
     pub model: ModelName,
     /// The version to load.
     pub version: Version,
+    /// What becomes of running requests.
+    pub mode: LoadMode,
     /// The fencing token.
     pub fence: u64,
     /// Orders that the back end has taken so far, if known.
@@ -134,6 +136,7 @@
     let request = context.dialect.order_request(&VersionOrder {
         model: order.model.clone(),
         version: order.version,
+        mode: order.mode,
         holder: context.node.to_string(),
         fence: order.fence,
         expected_orders: Some(expected_orders),
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -53,6 +53,13 @@
     readable_since: Millis,
 }
 
+impl<S> ViewInner<S> {
+    /// When the question was asked whose answer last showed that nothing is missing here.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed
+    }
+}
+
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
@@ -148,11 +155,6 @@
         inner.next = inner.next.max(first);
     }
 
-    /// When the question was asked whose answer last showed that nothing is missing here.
-    pub fn confirmed_at(&self) -> Option<Millis> {
-        self.lock().confirmed
-    }
-
     /// Makes sure that all that was in the log `most_age` ago is known here.
     pub async fn confirm(
         &self,
@@ -162,6 +164,7 @@
     ) -> Result<(), LogError> {
         let oldest = clock.now().saturating_sub(most_age.as_millis() as Millis);
         while self
+            .lock()
             .confirmed_at()
             .is_none_or(|confirmed| confirmed < oldest)
         {
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::Method;
-use support::caller::{results, send, submit, text, wait_for_results};
+use support::caller::{results, send, submit, submit_to, text, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
 use support::log::LogFaults;
@@ -254,6 +254,43 @@
     .await;
 }
 
+async fn change_version_amid_output(path: &str) -> Vec<String> {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(80));
+    assert_eq!(
+        submit_to(node.callers, path, "batch", &write_batch(1, &ITEMS, false)).await,
+        202
+    );
+    let view = node.context().partition_of(&"batch".into());
+    wait_until("some output is written down", || {
+        let inner = view.lock();
+        let batch = inner.state.batch(&"batch".into());
+        batch.is_some_and(|batch| batch.items.iter().all(|item| !item.events.is_empty()))
+    })
+    .await;
+    deployment.engines[0].behave(|told| told.version = 2);
+    let lines = wait_for_results(node.callers, "batch", ITEMS.len()).await;
+    assert_all_whole(&lines);
+    lines
+}
+
+#[tokio::test]
+async fn a_result_names_all_versions_that_made_it() {
+    let lines = change_version_amid_output("/batches/b").await;
+    assert!(
+        lines.iter().all(|line| line.contains("|{1, 2}|")),
+        "{lines:?}"
+    );
+}
+
+/// Output that cannot be gone on with under its own version is made anew under one version.
+#[tokio::test]
+async fn a_result_of_a_single_version_route_comes_from_one_version() {
+    let lines = change_version_amid_output("/batches/single/b").await;
+    assert!(lines.iter().all(|line| line.contains("|{2}|")), "{lines:?}");
+}
+
 /// Another node claims the batch and goes on with the output that was written down.
 #[tokio::test]
 async fn a_batch_outlives_the_node_that_runs_it() {
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -183,7 +183,7 @@
     };
     backend.seen.lock().unwrap().push(seen.clone());
     if path.starts_with("/items/") || path.starts_with("/streams/") {
-        return Ok(run_item(&backend.behaviour(), &seen));
+        return Ok(run_item(&backend, &seen));
     }
     run_call(&backend, &seen).await
 }
@@ -243,27 +243,34 @@
 }
 
 /// Each event's data names the item and the event, so that gaps and repetitions show.
-fn run_item(behaviour: &Behaviour, seen: &Seen) -> Response<Body> {
+fn run_item(backend: &Arc<StandInBackend>, seen: &Seen) -> Response<Body> {
+    let behaviour = backend.behaviour();
     let item = seen.path.rsplit('/').next().unwrap_or_default().to_owned();
     let from: u32 = seen
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
     let (pause, breaks_after) = (behaviour.event_pause, behaviour.breaks_after);
-    let frames = stream::unfold(from, move |at| {
-        let item = item.clone();
+    let backend = backend.clone();
+    let frames = stream::unfold((from, behaviour.version), move |(at, version)| {
+        let (item, backend) = (item.clone(), backend.clone());
         async move {
             if breaks_after.is_some_and(|count| at - from >= count) {
                 // Lets the events before it reach the reader.
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                return Some((Err(std::io::Error::other("broken off")), EVENTS));
+                return Some((Err(std::io::Error::other("broken off")), (EVENTS, version)));
             }
             if at >= EVENTS {
                 return None;
             }
             tokio::time::sleep(pause).await;
-            let event = format!("id: {}\ndata: {item}.{}\n\n", at + 1, at + 1);
-            Some((Ok(Frame::data(Bytes::from(event))), at + 1))
+            let now_version = backend.behaviour().version;
+            let change = match now_version == version {
+                true => String::new(),
+                false => format!("x-version: {now_version}\n"),
+            };
+            let event = format!("{change}id: {}\ndata: {item}.{}\n\n", at + 1, at + 1);
+            Some((Ok(Frame::data(Bytes::from(event))), (at + 1, now_version)))
         }
     });
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -53,15 +53,12 @@
 }
 
 pub async fn submit(address: SocketAddr, batch: &str, body: &str) -> u16 {
+    submit_to(address, "/batches/b", batch, body).await
+}
+
+pub async fn submit_to(address: SocketAddr, path: &str, batch: &str, body: &str) -> u16 {
     let headers = [("x-id", batch)];
-    let answer = send(
-        address,
-        Method::POST,
-        "/batches/b",
-        &headers,
-        body.to_owned(),
-    )
-    .await;
+    let answer = send(address, Method::POST, path, &headers, body.to_owned()).await;
     answer.unwrap().status.as_u16()
 }
 
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -157,6 +157,14 @@
     }
 }
 
+fn single_version_route() -> Route {
+    let route = route("single", "/batches/single/", RequestKind::Batch, ENGINES);
+    Route {
+        single_version: true,
+        ..route
+    }
+}
+
 pub fn routing(version: u64) -> RoutingConfig {
     let pool = |name: &str, models: Vec<ModelName>| Pool {
         name: PoolName::from(name),
@@ -170,6 +178,7 @@
             route("calls", "/calls/", RequestKind::Repeatable, APPLICATIONS),
             route("once", "/once/", RequestKind::AtMostOnce, APPLICATIONS),
             route("batches", "/batches/", RequestKind::Batch, ENGINES),
+            single_version_route(),
             route(
                 "streams",
                 "/streams/",
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -225,6 +225,14 @@
             } => self
                 .open_item(&batch, &item)
                 .is_some_and(|state| continue_output(state, run, resumed_from, from, events)),
+            BatchRecord::Restarted {
+                batch,
+                item,
+                run,
+                events,
+            } => self
+                .open_item(&batch, &item)
+                .is_some_and(|state| drop_output(state, run, events)),
             BatchRecord::Finished {
                 batch,
                 item,
@@ -328,6 +336,16 @@
     }
 }
 
+/// Drops the output if it is exactly the one that is meant; a late copy finds another.
+fn drop_output(state: &mut ItemState, run: RunId, events: u32) -> bool {
+    let is_meant = state.run == Some(run) && state.events.len() as u32 == events;
+    if is_meant {
+        state.events.clear();
+        state.run = None;
+    }
+    is_meant
+}
+
 /// Where a run stands when it says that the output is whole.
 struct RunPosition {
     run: RunId,
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -102,6 +102,18 @@
         /// The new events.
         events: Vec<OutputEvent>,
     },
+    /// The output so far is dropped, because no back end can go on with it: a result that must come
+    /// from one version, whose version is gone.
+    Restarted {
+        /// Batch.
+        batch: BatchId,
+        /// Item.
+        item: ItemId,
+        /// The run whose output is dropped.
+        run: RunId,
+        /// Events that are dropped.
+        events: u32,
+    },
     /// An item is done.
     Finished {
         /// Batch.
@@ -139,6 +151,7 @@
             | Self::Released { batch, .. }
             | Self::Started { batch, .. }
             | Self::Progress { batch, .. }
+            | Self::Restarted { batch, .. }
             | Self::Finished { batch, .. }
             | Self::Ended { batch } => batch,
         }
--- a/crates/rollout/src/route.rs
+++ b/crates/rollout/src/route.rs
@@ -203,7 +203,15 @@
         pools
     }
 
-    /// Whether some route of that name and host prefix is of the kind `Batch`.
+    /// Whether a pool serves batches whose results must come from one version each.
+    pub fn has_single_version_routes(&self, pool: &PoolName) -> bool {
+        let mut routes = self.by_host.values().flatten();
+        routes.any(|route| {
+            route.single_version && route.pools.iter().any(|weighted| weighted.pool == *pool)
+        })
+    }
+
+    /// The route of a host and path, if it takes batches.
     pub fn batch_route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.find(host, path)
             .filter(|route| route.kind == RequestKind::Batch)
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -27,10 +27,22 @@
     pub model: Option<ModelName>,
     /// Oldest version it may run on.
     pub minimum_version: Version,
+    /// The only version it may run on, where its output so far binds it to one.
+    pub exact_version: Option<Version>,
     /// Group, to place items with the same prompt together.
     pub group: Option<GroupId>,
 }
 
+impl WaitingItem {
+    /// Whether it may run on a version.
+    pub fn allows(&self, version: Version) -> bool {
+        match self.exact_version {
+            Some(exact) => version == exact,
+            None => version >= self.minimum_version,
+        }
+    }
+}
+
 /// A place that an item may take.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -55,13 +67,12 @@
     }
 
     fn has_version_for(&self, item: &WaitingItem) -> bool {
-        match &item.model {
-            Some(model) => self
-                .models
-                .get(model)
-                .is_some_and(|v| *v >= item.minimum_version),
-            None => true,
-        }
+        let Some(model) = &item.model else {
+            return true;
+        };
+        self.models
+            .get(model)
+            .is_some_and(|version| item.allows(*version))
     }
 
     fn cost_for(&self, item: &WaitingItem) -> f64 {
--- a/crates/rollout/tests/fold.rs
+++ b/crates/rollout/tests/fold.rs
@@ -179,3 +179,23 @@
         }
     }
 }
+
+#[test]
+fn dropped_output_is_begun_anew_and_a_late_copy_drops_nothing() {
+    let mut state = state_with_item();
+    state.apply(progress(1, 0, 0, &["old"]), 1);
+    let restarted = BatchRecord::Restarted {
+        batch: BatchId::from("batch"),
+        item: ItemId::from("item"),
+        run: havenstage_rollout::ids::RunId(1),
+        events: 1,
+    };
+    assert_eq!(state.apply(restarted.clone(), 2), FoldOutcome::Applied);
+    assert_eq!(
+        state.apply(progress(1, 0, 1, &["late"]), 3),
+        FoldOutcome::Ignored
+    );
+    state.apply(progress(2, 0, 0, &["new"]), 4);
+    assert_eq!(state.apply(restarted, 5), FoldOutcome::Ignored);
+    assert_eq!(texts(&state), ["new"]);
+}
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -20,6 +20,7 @@
         since: 0,
         model: Some(ModelName::from("model")),
         minimum_version: 3,
+        exact_version: None,
         group: Some(GroupId::from("group")),
     }
 }
@@ -155,3 +156,15 @@
         .is_empty()
     );
 }
+
+#[test]
+fn an_item_bound_to_a_version_runs_on_no_other() {
+    let mut bound = waiting("item", false, 10);
+    bound.exact_version = Some(4);
+    let both = [candidate("newer", 0, 5, 1.0), candidate("same", 5, 4, 1.0)];
+    assert_eq!(
+        choose(&bound, &both).map(|c| c.backend.clone()),
+        Some(backend("same"))
+    );
+    assert!(choose(&bound, &both[..1]).is_none());
+}
