--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -164,10 +164,10 @@
 
     async fn run(&mut self) -> CallOutcome {
         loop {
-            if self.running.is_empty()
-                && let Some(outcome) = self.begin_or_give_up().await
-            {
-                return outcome;
+            while self.running.is_empty() {
+                if let Some(outcome) = self.begin_or_give_up().await {
+                    return outcome;
+                }
             }
             let hedge_at = self.hedge_at();
             tokio::select! {
@@ -308,6 +308,8 @@
         self.is_reported = true;
         let request = String::from_utf8_lossy(self.call.id.as_bytes());
         let tried = join_ids(&self.tried);
+        self.outcomes
+            .extend(std::iter::repeat_n("under_way", self.running.len()));
         let sends = self.outcomes.join(",");
         let took_ms = self.began.elapsed().as_millis() as u64;
         let left_ms = self
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::PartitionState;
@@ -22,6 +23,9 @@
     partition: 0,
 };
 
+/// Time that a call waits for the first configuration; callers want an answer soon.
+const ROUTES_PATIENCE: Duration = Duration::from_millis(35);
+
 /// Shared by all parts of a node.
 pub struct Context {
     /// Settings.
@@ -53,6 +57,7 @@
     /// Set once all batches were released.
     pub released: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
+    routes_known: Notify,
     named: Mutex<BTreeMap<ModelName, Version>>,
     draws: AtomicU64,
     last_contact: AtomicU64,
@@ -97,6 +102,7 @@
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
             routes: RwLock::new(None),
+            routes_known: Notify::new(),
             named: Mutex::new(BTreeMap::new()),
             draws: AtomicU64::new(rand::random()),
         })
@@ -120,6 +126,18 @@
             .clone()
     }
 
+    /// The routes in force; a node that has just started waits a moment for them.
+    pub async fn routes_soon(&self) -> Option<Arc<RouteTable>> {
+        let known = self.routes_known.notified();
+        tokio::pin!(known);
+        known.as_mut().enable();
+        if let Some(table) = self.routes() {
+            return Some(table);
+        }
+        let _ = tokio::time::timeout(ROUTES_PATIENCE, known).await;
+        self.routes()
+    }
+
     /// Puts a configuration in force unless a newer one is; answers whether it is new.
     pub fn set_routes(&self, config: RoutingConfig) -> bool {
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
@@ -129,6 +147,8 @@
         if is_newer {
             *routes = Some(Arc::new(RouteTable::new(config)));
         }
+        drop(routes);
+        self.routes_known.notify_waiters();
         is_newer
     }
 
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -155,8 +155,13 @@
     }
 
     pub(super) fn give_up(&mut self, key: &ItemKey, reason: GiveUpReason) {
+        let reward = self
+            .items
+            .get(key)
+            .and_then(|item| item.spec.reward.as_ref());
         warn!(event = "item_given_up", request = key.item.as_str(), batch = key.batch.as_str(),
-            reason = format!("{reason:?}").as_str(); "");
+            reason = format!("{reason:?}").as_str(),
+            reward_call = reward.map_or("", |reward| reward.id.as_str()); "");
         self.finish(key, Outcome::GivenUp(reason));
     }
 
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -20,6 +20,8 @@
 const QUEUE_LINES: usize = 4_096;
 /// Pause in which lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
+/// Bytes that are written together: what a pipe takes whole, so that lines are not torn.
+const WRITE_BYTES: usize = 4_096;
 /// Seconds whose budget may be used at once.
 const BURST_SECONDS: f64 = 5.0;
 const TIMESTAMP: &str = "%Y-%m-%dT%H:%M:%S%.3f%:z";
@@ -46,15 +48,23 @@
         thread::sleep(GATHER);
         let mut text = first;
         while let Ok(line) = receiver.try_recv() {
+            if text.len() + line.len() > WRITE_BYTES {
+                write_now(&text);
+                text.clear();
+            }
             text.push_str(&line);
         }
-        let mut output = io::stdout().lock();
-        // Nothing can be told of a failure to write a log line.
-        let _ = output.write_all(text.as_bytes());
-        let _ = output.flush();
+        write_now(&text);
     }
 }
 
+fn write_now(text: &str) {
+    let mut output = io::stdout().lock();
+    // Nothing can be told of a failure to write a log line.
+    let _ = output.write_all(text.as_bytes());
+    let _ = output.flush();
+}
+
 /// Lines that may be written, refilled with time.
 #[derive(Debug)]
 pub struct Budget {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -180,7 +180,9 @@
     if let Some(call) = context.dialect.batch_call(&head.method, &head.uri) {
         return handle_batch_call(context, &head, call, began).await;
     }
-    let Some(table) = context.routes() else {
+    let Some(table) = context.routes_soon().await else {
+        info!(event = "no_configuration", request = request_id(context, &head).as_str(),
+            contact_age_ms = context.contact_age(), status = 503u16; "");
         return refuse(StatusCode::SERVICE_UNAVAILABLE, COME_BACK);
     };
     let host = host_of(&head).unwrap_or_default();
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -113,6 +113,19 @@
     assert!(text.starts_with("application-"), "{text}");
 }
 
+/// A call that no back end can take is refused, not held until its time is over.
+#[tokio::test]
+async fn a_call_without_back_ends_is_refused() {
+    let deployment = Deployment::start(0, 0).await;
+    let node = deployment.node("a").await;
+    let headers = [("x-id", "call"), ("x-deadline", "3600000")];
+    let answer = send(node.callers, Method::POST, "/patient/path", &headers, "")
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
 #[tokio::test]
 async fn a_silent_back_end_is_followed_by_another() {
     let deployment = Deployment::start(0, 2).await;
--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -106,7 +106,7 @@
     assert_eq!(given_up["reason"], "AttemptsUsed");
     // The output was whole; its reward call is the one that failed, as its own line says.
     assert_eq!(lines("run_ended", "given-up-item")[0]["outcome"], "whole");
-    let reward = &lines("call", "reward-of-given-up-item")[0];
+    let reward = &lines("call", &given_up["reward_call"])[0];
     assert_eq!(reward["sends"], "failed,failed,failed");
 }
 
@@ -149,5 +149,6 @@
     .await;
     let line = &lines("call", "left-call")[0];
     assert_eq!(line["outcome"], "caller_left");
+    assert_eq!(line["sends"], "under_way");
     assert_eq!(line["backends"], "application-0");
 }
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -157,6 +157,20 @@
     }
 }
 
+/// A route whose calls may be held for an hour.
+fn patient_route() -> Route {
+    let route = route(
+        "patient",
+        "/patient/",
+        RequestKind::Repeatable,
+        APPLICATIONS,
+    );
+    Route {
+        timeout_ms: 3_600_000,
+        ..route
+    }
+}
+
 fn single_version_route() -> Route {
     let route = route("single", "/batches/single/", RequestKind::Batch, ENGINES);
     Route {
@@ -178,6 +192,7 @@
             route("calls", "/calls/", RequestKind::Repeatable, APPLICATIONS),
             route("once", "/once/", RequestKind::AtMostOnce, APPLICATIONS),
             route("batches", "/batches/", RequestKind::Batch, ENGINES),
+            patient_route(),
             single_version_route(),
             route(
                 "streams",
