Pace reads by the number of machines

Change: nodes say in the log that they started; among more than 40 machines a node waits between two reads of a stream that nobody asks it about, so that paced reads stay within half of the limit; nodes that run batches and partitions that are asked about are read at once; leases are claimed later by the same wait, and further spread. Tests: rollout/tests/pacing.rs.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -79,6 +79,7 @@
         owner,
     };
     let appended = append(context, partition, &record).await;
+    partition.want(context.now());
     let status = match appended {
         AppendOutcome::Done => StatusCode::ACCEPTED,
         AppendOutcome::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -136,6 +137,7 @@
     wait: Duration,
 ) -> BatchAnswer {
     let partition = context.partition_of(id);
+    partition.want(context.now());
     let until = Instant::now() + wait.min(LONGEST_WAIT);
     loop {
         let changed = partition.changed();
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -8,6 +8,7 @@
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BatchId, ModelName, NodeId, Version, partition_of};
 use havenstage_rollout::orders::OrderState;
+use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
 use std::collections::BTreeMap;
 use tokio::sync::Notify;
@@ -26,6 +27,9 @@
 /// Time that a call waits for the first configuration; callers want an answer soon.
 const ROUTES_PATIENCE: Duration = Duration::from_millis(35);
 
+/// Time after running a batch in which a node reads all streams at once.
+const BUSY_MS: Millis = 5_000;
+
 /// Shared by all parts of a node.
 pub struct Context {
     /// Settings.
@@ -61,6 +65,7 @@
     named: Mutex<BTreeMap<ModelName, Version>>,
     draws: AtomicU64,
     last_contact: AtomicU64,
+    busy_until: AtomicU64,
 }
 
 impl Context {
@@ -98,6 +103,7 @@
             orders_changed,
             work,
             last_contact: AtomicU64::new(0),
+            busy_until: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
@@ -189,6 +195,27 @@
         })
     }
 
+    /// How often this node reads, among all machines that ever joined.
+    pub fn pace(&self) -> Pace {
+        let machines = self.orders.lock().state.machine_count();
+        pacing::pace(
+            machines,
+            self.partitions.len() + 1,
+            self.settings.log.reads_per_s,
+        )
+    }
+
+    /// Whether this node runs batches, or ran one a moment ago.
+    pub fn is_busy(&self) -> bool {
+        self.busy_until.load(Ordering::Relaxed) > self.now()
+    }
+
+    /// This node runs batches at this moment.
+    pub fn note_busy(&self) {
+        self.busy_until
+            .fetch_max(self.now() + BUSY_MS, Ordering::Relaxed);
+    }
+
     /// A number that differs from call to call.
     pub fn draw(&self) -> u64 {
         self.draws.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::lease::Term;
 use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Coordinator, HeldLease};
+use crate::engine::leases::claim_timing_of;
 use crate::order_run::append;
 
 /// Share of the silence after which others claim in which the holder relies on its lease.
@@ -48,14 +48,10 @@
     pub(super) fn claimable_term(&self) -> Option<Term> {
         let view = &self.context.orders;
         let readable_since = view.readable_since();
+        let term = view.lock().state.lease().term();
+        let timing = claim_timing_of(&self.context, &format!("{} {term}", self.context.node));
         let inner = view.lock();
         let lease = inner.state.lease();
-        let text = format!("{} {}", self.context.node, lease.term());
-        let tuning = &self.context.settings.tuning;
-        let timing = ClaimTiming {
-            silence_ms: tuning.silence_ms,
-            spread_ms: xxh3_64(text.as_bytes()) % tuning.spread_ms.max(1),
-        };
         let at = lease.claimable_at(&self.context.node, readable_since, &timing);
         (self.context.now() >= at).then(|| lease.term())
     }
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -41,6 +41,9 @@
             self.release_all(work.held);
             return;
         }
+        if !work.held.is_empty() {
+            self.context.note_busy();
+        }
         self.kept_at
             .retain(|batch, _| work.held.iter().any(|held| held.batch == *batch));
         for held in work.held {
@@ -144,11 +147,18 @@
 
 /// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
 fn claim_timing(context: &Context, batch: &BatchId, term: Term) -> ClaimTiming {
-    let tuning = &context.settings.tuning;
     let text = format!("{} {batch} {term}", context.node);
+    claim_timing_of(context, &text)
+}
+
+/// When a node may claim a lease, by a text that differs from node to node and from term to term.
+pub fn claim_timing_of(context: &Context, text: &str) -> ClaimTiming {
+    let tuning = &context.settings.tuning;
+    let pace = context.pace();
+    let spread_ms = (tuning.spread_ms * pace.spread_factor).max(1);
     ClaimTiming {
-        silence_ms: tuning.silence_ms,
-        spread_ms: xxh3_64(text.as_bytes()) % tuning.spread_ms.max(1),
+        silence_ms: tuning.silence_ms + pace.gap_ms,
+        spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
     }
 }
 
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -3,7 +3,7 @@
 //! One task holds all state. Runs and reward calls are tasks that report to it; what they bring is
 //! appended to the log in groups, and only the log's fold decides what counts.
 
-mod leases;
+pub mod leases;
 mod live;
 mod outbox;
 mod plan;
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -6,10 +6,12 @@
 
 use havenstage_rollout::backend::BackendChange;
 use havenstage_rollout::fold::PartitionState;
+use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
 
 use crate::context::Context;
 use crate::edge::{DirectoryEntry, DirectoryKind, DirectoryPage, LogError};
+use crate::order_run::append;
 use crate::stream_view::{StreamState, StreamView};
 
 /// Pause after which a failed call is repeated.
@@ -136,8 +138,19 @@
     }
 }
 
+/// Says in the log that a node started here, so that all know how many machines read.
+async fn announce(context: &Context) {
+    let record = OrderRecord::Joined {
+        machine: context.node.machine.clone(),
+    };
+    while append(context, &record).await.is_err() {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
 /// Follows the stream of orders.
 pub async fn follow_orders(context: Arc<Context>) {
+    announce(&context).await;
     let mut dependency = Dependency::new("orders");
     loop {
         read_once(&context, &context.orders, &mut dependency).await;
@@ -151,13 +164,21 @@
     view: &StreamView<S>,
     dependency: &mut Dependency,
 ) {
+    let gap_ms = if context.is_busy() {
+        0
+    } else {
+        context.pace().gap_ms
+    };
+    view.wait_between_reads(Duration::from_millis(gap_ms), context.now())
+        .await;
+    let wait = context
+        .settings
+        .read_wait()
+        .max(Duration::from_millis(gap_ms * 2));
+    view.lock().usual_gap_ms = gap_ms + wait.as_millis() as u64;
     let asked = context.now();
     let from = view.lock().next;
-    match context
-        .log
-        .read(view.id, from, context.settings.read_wait())
-        .await
-    {
+    match context.log.read(view.id, from, wait).await {
         Ok(page) => {
             dependency.works();
             context.saw_contact();
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -1,5 +1,6 @@
 //! One partition of a stream as this node knows it, and how fresh that knowledge is.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     pub id: StreamPartition,
     inner: Mutex<ViewInner<S>>,
     changed: Notify,
+    wanted: Notify,
+    wanted_until: AtomicU64,
     wakes: Arc<Notify>,
 }
 
@@ -51,6 +54,8 @@
     confirmed: Option<Millis>,
     last_success: Millis,
     readable_since: Millis,
+    /// Time between two reads that is nothing unusual.
+    pub usual_gap_ms: Millis,
 }
 
 impl<S> ViewInner<S> {
@@ -63,6 +68,9 @@
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
+/// Time for which a partition that was asked about is read without waits.
+const WANTED_MS: Millis = 3_000;
+
 /// What a page brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PageOutcome {
@@ -82,11 +90,14 @@
             confirmed: None,
             last_success: 0,
             readable_since: 0,
+            usual_gap_ms: 0,
         };
         Self {
             id,
             inner: Mutex::new(inner),
             changed: Notify::new(),
+            wanted: Notify::new(),
+            wanted_until: AtomicU64::new(0),
             wakes,
         }
     }
@@ -101,10 +112,27 @@
         self.changed.notified()
     }
 
+    /// Somebody asks about this partition: it is read without waits for a while.
+    pub fn want(&self, now: Millis) {
+        self.wanted_until
+            .fetch_max(now + WANTED_MS, Ordering::Relaxed);
+        self.wanted.notify_one();
+    }
+
+    /// Waits between two reads, unless somebody asks about this partition.
+    pub async fn wait_between_reads(&self, gap: Duration, now: Millis) {
+        if gap.is_zero() || self.wanted_until.load(Ordering::Relaxed) > now {
+            return;
+        }
+        // A wish ends the wait early.
+        let _ = tokio::time::timeout(gap, self.wanted.notified()).await;
+    }
+
     /// Takes a page that was asked for at `asked`.
     pub fn take_page(&self, page: LogPage, asked: Millis, now: Millis) -> PageOutcome {
         let mut inner = self.lock();
-        if now.saturating_sub(inner.last_success) > LONGEST_GAP_MS {
+        let longest_gap = LONGEST_GAP_MS + inner.usual_gap_ms;
+        if now.saturating_sub(inner.last_success) > longest_gap {
             inner.readable_since = now;
         }
         inner.last_success = now;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod lease;
 pub mod orders;
+pub mod pacing;
 pub mod record;
 pub mod route;
 pub mod schedule;
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -3,7 +3,7 @@
 //! One node holds the lease for orders. It writes an order down before it gives it, so that its
 //! successor knows when the last one can have been given.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -15,6 +15,11 @@
 /// A record of the stream of orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderRecord {
+    /// A node started on a machine.
+    Joined {
+        /// The machine.
+        machine: MachineName,
+    },
     /// A node claims the lease; the term is its fencing token.
     Claimed {
         /// The claimed term; counts only if it follows the current one.
@@ -104,6 +109,7 @@
 #[derive(Debug)]
 pub struct OrderState {
     own_machine: MachineName,
+    machines: BTreeSet<MachineName>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
     observed: Vec<ObservedVersion>,
@@ -124,6 +130,7 @@
     pub fn new(own_machine: MachineName) -> Self {
         Self {
             own_machine,
+            machines: BTreeSet::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
             observed: Vec::new(),
@@ -135,6 +142,9 @@
     /// Takes the next record.
     pub fn apply(&mut self, record: OrderRecord, now: Millis) {
         match record {
+            OrderRecord::Joined { machine } => {
+                self.machines.insert(machine);
+            }
             OrderRecord::Claimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
@@ -186,6 +196,11 @@
         }
     }
 
+    /// Machines that ever had a node.
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Who gives orders.
     pub fn lease(&self) -> &LeaseState {
         &self.lease
--- /dev/null
+++ b/crates/rollout/tests/pacing.rs
@@ -0,0 +1,24 @@
+//! All nodes together keep within the log's limit.
+
+use havenstage_rollout::pacing::pace;
+
+const STREAMS: usize = 9;
+const READS_PER_S: u32 = 2_000;
+
+#[test]
+fn few_machines_read_at_once() {
+    let pace = pace(12, STREAMS, READS_PER_S);
+    assert_eq!((pace.gap_ms, pace.spread_factor), (0, 1));
+}
+
+#[test]
+fn many_machines_use_half_of_the_limit_at_most() {
+    for machines in [41, 100, 300, 414, 1_000] {
+        let gap_ms = pace(machines, STREAMS, READS_PER_S).gap_ms;
+        let reads_per_s = (machines * STREAMS) as f64 * 1_000.0 / gap_ms as f64;
+        assert!(
+            reads_per_s <= f64::from(READS_PER_S) * 0.51,
+            "{machines}: {reads_per_s}"
+        );
+    }
+}
