Count running items and remaining tokens in one place each

Cause: the engine and the coordinator counted running items with the same loop, and the plan repeated the fold's estimate of remaining tokens. Change: context::running_items, ItemState::remaining_after; no change of what is computed. Tests of gateway and rollout pass.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::fold::PartitionState;
-use havenstage_rollout::ids::{BatchId, ModelName, NodeId, Version, partition_of};
+use havenstage_rollout::fold::{BatchState, PartitionState};
+use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, Version, partition_of};
 use havenstage_rollout::orders::OrderState;
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
@@ -237,3 +237,25 @@
         self.stopping.load(Ordering::Relaxed)
     }
 }
+
+/// Items that run on each back end as the log tells, in open batches that `counts` takes.
+pub fn running_items(
+    context: &Context,
+    counts: impl Fn(&BatchState) -> bool,
+) -> BTreeMap<BackendId, u32> {
+    let mut running = BTreeMap::new();
+    for view in &context.partitions {
+        let inner = view.lock();
+        let open = inner
+            .state
+            .batches()
+            .filter(|batch| !batch.is_closed() && counts(batch));
+        for batch in open {
+            let unfinished = batch.items.iter().filter(|item| item.result.is_none());
+            for backend in unfinished.filter_map(|item| item.backend.clone()) {
+                *running.entry(backend).or_default() += 1;
+            }
+        }
+    }
+    running
+}
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use havenstage_rollout::ids::{BackendId, ModelName, Version};
+use havenstage_rollout::ids::{ModelName, Version};
 use havenstage_rollout::orders::{
     OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
 };
 use havenstage_rollout::route::Pool;
 
 use super::Coordinator;
-use crate::context::Context;
+use crate::context::running_items;
 
 /// What a model's back ends have to do.
 #[derive(Debug, Clone, Copy)]
@@ -91,7 +91,7 @@
 
     pub(super) fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
         let now = self.context.now();
-        let running = running_items(&self.context);
+        let running = running_items(&self.context, |_| true);
         self.context.note_observed_versions();
         let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
@@ -117,17 +117,3 @@
         targets
     }
 }
-
-fn running_items(context: &Context) -> BTreeMap<BackendId, u32> {
-    let mut running = BTreeMap::new();
-    for partition in &context.partitions {
-        let inner = partition.lock();
-        for batch in inner.state.batches().filter(|batch| !batch.is_closed()) {
-            let open = batch.items.iter().filter(|item| item.result.is_none());
-            for backend in open.filter_map(|item| item.backend.clone()) {
-                *running.entry(backend).or_default() += 1;
-            }
-        }
-    }
-    running
-}
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -14,7 +14,7 @@
 use super::live::{LiveItem, Phase};
 use super::run::ItemKey;
 use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
-use crate::context::Context;
+use crate::context::{Context, running_items};
 
 /// Urgency at back ends of items that their step needs.
 const NEEDED_URGENCY: u8 = 4;
@@ -136,7 +136,7 @@
                 batch: batch.id.clone(),
                 item: item.id.clone(),
                 optional: optional.contains(&item.id),
-                expected_tokens: remaining(item, events_of(live, item), tokens_per_event),
+                expected_tokens: item.remaining_after(events_of(live, item), tokens_per_event),
                 since: batch.first_seen,
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
@@ -266,7 +266,8 @@
     }
 
     fn candidates(&self, pool: Option<&Pool>, name: &PoolName, now: Millis) -> Vec<Candidate> {
-        let elsewhere = self.running_elsewhere();
+        let own_node = &self.context.node;
+        let elsewhere = running_items(&self.context, |batch| !batch.lease.is_held_by(own_node));
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let orders = self.context.orders.lock();
@@ -326,22 +327,6 @@
         }
         groups
     }
-
-    /// Items that run for other owners, as the log tells.
-    fn running_elsewhere(&self) -> HashMap<BackendId, u32> {
-        let mut running = HashMap::new();
-        for partition in &self.context.partitions {
-            let inner = partition.lock();
-            let open = inner.state.batches().filter(|batch| !batch.is_closed());
-            for batch in open.filter(|batch| !batch.lease.is_held_by(&self.context.node)) {
-                let open = batch.items.iter().filter(|item| item.result.is_none());
-                for backend in open.filter_map(|item| item.backend.clone()) {
-                    *running.entry(backend).or_default() += 1;
-                }
-            }
-        }
-        running
-    }
 }
 
 fn urgency(item: &WaitingItem) -> u8 {
@@ -371,15 +356,6 @@
     }
 }
 
-fn remaining(item: &ItemState, events: u32, tokens_per_event: u32) -> u32 {
-    let made = events * tokens_per_event;
-    if made < item.expected_tokens {
-        item.expected_tokens - made
-    } else {
-        made.max(1)
-    }
-}
-
 fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied()
