Know a holder by its signs of life when its claim is no longer kept

Cause: found by reading. A node that starts later finds signs of life of a term whose claim is gone; the fold ignored them, took the lease for free, and the node would have claimed term 1, read it back under its own term, and given orders with a fence far below the holder's. Change: signs of life name their holder, and one of a later term than known is believed; a claim counts if its term is higher. Test: a_holder_whose_claim_is_gone_is_known_by_its_signs (does not compile before the change, whose signs named no holder). Tests of gateway and rollout pass.

--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -97,8 +97,10 @@
         } else {
             sent - lease.kept_at
         };
+        let holder = self.context.node.clone();
         let record = OrderRecord::Kept {
             term: lease.term,
+            holder,
             after_ms,
         };
         let is_current = self.is_kept(&record, lease.term).await;
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -92,9 +92,11 @@
         let is_due = kept_at.is_none_or(|kept| now.saturating_sub(kept) >= keep_ms);
         if is_due && self.outbox(held.partition).is_empty() {
             self.kept_at.insert(held.batch.clone(), now);
+            let owner = self.context.node.clone();
             let record = BatchRecord::Kept {
                 batch: held.batch,
                 term: held.term,
+                owner,
             };
             self.push(held.partition, &record);
             self.outbox(held.partition).is_urgent = true;
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -207,7 +207,9 @@
             BatchRecord::Claimed { batch, term, owner } => {
                 self.lease(&batch, |lease| lease.claim(term, owner, now))
             }
-            BatchRecord::Kept { batch, term } => self.lease(&batch, |lease| lease.keep(term, now)),
+            BatchRecord::Kept { batch, term, owner } => {
+                self.lease(&batch, |lease| lease.keep(term, &owner, now))
+            }
             BatchRecord::Released { batch, term } => {
                 self.lease(&batch, |lease| lease.release(term, now))
             }
--- a/crates/rollout/src/lease.rs
+++ b/crates/rollout/src/lease.rs
@@ -1,6 +1,6 @@
-//! Leases kept in a log. The log's order decides who holds one: a claim counts only if its term
-//! follows the current one, so of several claims the first wins, and a claim that is appended late
-//! changes nothing.
+//! Leases kept in a log. The log's order decides who holds one: a claim counts only if its term is
+//! higher than the current one, so of several claims of a term the first wins, and a claim that is
+//! appended late changes nothing.
 //!
 //! Time never decides who the holder is. It decides when others claim: after they have seen no sign
 //! of the holder for a while, on their own steady clocks, and in a log that they have read to its
@@ -50,9 +50,10 @@
         self.holder.as_ref() == Some(node)
     }
 
-    /// Takes a claim; answers whether it counts.
+    /// Takes a claim; answers whether it counts: a claimant names the term after the newest that it
+    /// knows, so of several claims of a term the first counts, and a late one does not.
     pub fn claim(&mut self, term: Term, holder: NodeId, now: Millis) -> bool {
-        let counts = term == self.term + 1;
+        let counts = term > self.term;
         if counts {
             *self = Self {
                 term,
@@ -63,9 +64,13 @@
         counts
     }
 
-    /// Takes a sign of life; answers whether it counts.
-    pub fn keep(&mut self, term: Term, now: Millis) -> bool {
-        let counts = term == self.term && self.holder.is_some();
+    /// Takes a sign of life; answers whether it counts. One of a later term than known is from a
+    /// holder whose claim lies before the oldest record that is kept.
+    pub fn keep(&mut self, term: Term, holder: &NodeId, now: Millis) -> bool {
+        if term > self.term {
+            return self.claim(term, holder.clone(), now);
+        }
+        let counts = term == self.term && self.is_held_by(holder);
         if counts {
             self.seen = now;
         }
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -22,7 +22,7 @@
     },
     /// A node claims the lease; the term is its fencing token.
     Claimed {
-        /// The claimed term; counts only if it follows the current one.
+        /// The claimed term; counts only if it is higher than the current one.
         term: Term,
         /// The new holder.
         holder: NodeId,
@@ -31,6 +31,8 @@
     Kept {
         /// The holder's term.
         term: Term,
+        /// The holder.
+        holder: NodeId,
         /// Milliseconds since the holder sent its last sign of life; 0 at the first.
         after_ms: Millis,
     },
@@ -148,8 +150,12 @@
             OrderRecord::Claimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
-            OrderRecord::Kept { term, after_ms } => {
-                if self.lease.keep(term, now) {
+            OrderRecord::Kept {
+                term,
+                holder,
+                after_ms,
+            } => {
+                if self.lease.keep(term, &holder, now) {
                     self.log_time += after_ms;
                 }
             }
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -57,7 +57,7 @@
     Claimed {
         /// Batch.
         batch: BatchId,
-        /// The claimed term; counts only if it follows the current one.
+        /// The claimed term; counts only if it is higher than the current one.
         term: Term,
         /// The new owner.
         owner: NodeId,
@@ -68,6 +68,8 @@
         batch: BatchId,
         /// The owner's term.
         term: Term,
+        /// The owner.
+        owner: NodeId,
     },
     /// The owner gives the batch up.
     Released {
--- a/crates/rollout/tests/lease.rs
+++ b/crates/rollout/tests/lease.rs
@@ -29,7 +29,7 @@
     let mut lease = LeaseState::default();
     lease.claim(1, node("a", 1), 0);
     lease.claim(2, node("b", 1), 5_000);
-    assert!(!lease.keep(1, 9_000));
+    assert!(!lease.keep(1, &node("a", 1), 9_000));
     assert!(!lease.release(1, 9_000));
     assert_eq!(lease.claimable_at(&node("c", 1), 0, &TIMING), 6_100);
 }
@@ -38,7 +38,7 @@
 fn a_lease_is_claimed_after_silence_only() {
     let mut lease = LeaseState::new(Some(node("a", 1)), 0);
     assert_eq!(lease.claimable_at(&node("b", 1), 0, &TIMING), 1_100);
-    assert!(lease.keep(0, 900));
+    assert!(lease.keep(0, &node("a", 1), 900));
     assert_eq!(lease.claimable_at(&node("b", 1), 0, &TIMING), 2_000);
 }
 
@@ -62,3 +62,17 @@
     assert!(lease.release(0, 400));
     assert_eq!(lease.claimable_at(&node("b", 1), 0, &TIMING), 450);
 }
+
+/// The log keeps its records for some minutes only; a node that starts later finds the holder's
+/// signs of life, but not its claim.
+#[test]
+fn a_holder_whose_claim_is_gone_is_known_by_its_signs() {
+    let mut lease = LeaseState::default();
+    assert!(lease.keep(57, &node("a", 1), 100));
+    assert!(lease.is_held_by(&node("a", 1)));
+    assert!(
+        !lease.claim(1, node("b", 1), 200),
+        "a claim by one who did not know the term"
+    );
+    assert!(lease.claim(58, node("b", 1), 300));
+}
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -129,6 +129,14 @@
     assert_eq!(homes[&backend("b")], model("m"));
 }
 
+fn kept(machine: &str, term: u64, after_ms: u64) -> OrderRecord {
+    OrderRecord::Kept {
+        term,
+        holder: node(machine, 1),
+        after_ms,
+    }
+}
+
 fn ordered(machine: &str, back_end: &str) -> OrderRecord {
     OrderRecord::Ordered {
         holder: node(machine, 1),
@@ -163,30 +171,12 @@
         },
         1_000,
     );
-    state.apply(
-        OrderRecord::Kept {
-            term: 1,
-            after_ms: 0,
-        },
-        1_000,
-    );
+    state.apply(kept("b", 1, 0), 1_000);
     state.apply(ordered("b", "x"), 1_000);
     for _ in 0..10 {
-        state.apply(
-            OrderRecord::Kept {
-                term: 1,
-                after_ms: 300,
-            },
-            1_000,
-        );
+        state.apply(kept("b", 1, 300), 1_000);
     }
-    state.apply(
-        OrderRecord::Kept {
-            term: 7,
-            after_ms: 9_000,
-        },
-        1_000,
-    );
+    state.apply(kept("a", 0, 9_000), 1_000);
     assert_eq!(state.quiet_ms(&backend("x"), 1_000), Some(3_000));
 }
 
