Read listings page by page, and come back later when the log is asked too much

All nodes list 3,000 back ends in seven pages at once; a refused page (429) began the listing again, and refused calls came back after 150 ms each. Change: a refused page is asked for again; after refusals for too many calls the pause doubles up to 2.4 s, not alike on all nodes. Test: a_node_starts_though_pages_of_its_listings_are_refused, seen failing when a refused page begins the listing again.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -57,7 +57,15 @@
     Unreadable,
 }
 
+/// Status by which the log says that too many calls are made.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 impl LogError {
+    /// Whether the log refused the call because too many are made.
+    pub fn is_throttled(self) -> bool {
+        self == Self::Refused(TOO_MANY_REQUESTS)
+    }
+
     /// Whether it is certain that nothing was done and nothing will be.
     pub fn is_not_done(self) -> bool {
         matches!(self, Self::Unreachable | Self::Refused(_))
@@ -130,7 +138,7 @@
     Unreadable(String),
 }
 
-/// Entries of a directory, as a listing or as changes.
+/// Entries of a directory that changed.
 #[derive(Debug, Clone)]
 pub struct DirectoryPage {
     /// The entries, in the order they were written.
@@ -139,11 +147,23 @@
     pub next: u64,
 }
 
+/// One page of a listing; pages are no snapshot.
+#[derive(Debug, Clone)]
+pub struct ListingPage {
+    /// The entries.
+    pub entries: Vec<DirectoryEntry>,
+    /// Offset from which changes since this page can be read.
+    pub end: u64,
+    /// Where the next page begins, if there is one.
+    pub more: Option<String>,
+}
+
 /// The directories.
 #[async_trait]
 pub trait Directory: Send + Sync {
-    /// The newest of all entries.
-    async fn list(&self, kind: DirectoryKind) -> Result<DirectoryPage, LogError>;
+    /// A page of the newest of all entries, from where an earlier page said.
+    async fn list(&self, kind: DirectoryKind, after: Option<&str>)
+    -> Result<ListingPage, LogError>;
 
     /// Changes from an offset on; waits up to `wait` for one.
     async fn changes(
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -4,18 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havenstage_rollout::backend::BackendChange;
+use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::fold::PartitionState;
+use havenstage_rollout::ids::BackendId;
 use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
 
 use crate::context::Context;
-use crate::edge::{DirectoryEntry, DirectoryKind, DirectoryPage, LogError};
+use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
 use crate::order_run::append;
 use crate::stream_view::{StreamState, StreamView};
 
 /// Pause after which a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Doublings of the pause after refusals of a log that is asked too much.
+const MOST_DOUBLINGS: u32 = 4;
 /// Calls that must fail in a row before a dependency counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
@@ -41,6 +44,19 @@
         self.failures = 0;
     }
 
+    /// Notes a failure and waits before the next call; longer with each refusal of a log that is
+    /// asked too much, and not all nodes alike.
+    async fn pause_after(&mut self, error: LogError) {
+        self.fails(error);
+        let doublings = if error.is_throttled() {
+            self.failures.min(MOST_DOUBLINGS)
+        } else {
+            0
+        };
+        let pause = RETRY_PAUSE * (1 << doublings);
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+
     fn fails(&mut self, error: LogError) {
         self.failures += 1;
         if self.failures == FAILURES_UNTIL_LOST {
@@ -56,67 +72,90 @@
     let wait = context.settings.read_wait();
     let mut next: Option<u64> = None;
     loop {
-        let answer = match next {
-            None => context.directory.list(kind).await,
-            Some(from) => context.directory.changes(kind, from, wait).await,
+        let Some(from) = next else {
+            next = Some(read_listing(&context, kind, &mut dependency).await);
+            continue;
         };
-        match answer {
+        match context.directory.changes(kind, from, wait).await {
             Ok(page) => {
                 dependency.works();
                 context.saw_contact();
-                let is_listing = next.is_none();
                 next = Some(page.next);
-                take_directory_page(&context, kind, page, is_listing);
+                for entry in page.entries {
+                    take_entry(&context, entry, None);
+                }
+                context.orders_changed.notify_one();
             }
             Err(LogError::HistoryDropped { .. }) => next = None,
-            Err(error) => {
-                dependency.fails(error);
-                tokio::time::sleep(RETRY_PAUSE).await;
+            Err(error) => dependency.pause_after(error).await,
+        }
+    }
+}
+
+/// Reads a listing page by page; a page that fails is asked for again. Answers the offset from which
+/// changes must be read: the end that the first page named, since pages are no snapshot.
+async fn read_listing(context: &Context, kind: DirectoryKind, dependency: &mut Dependency) -> u64 {
+    let mut listed = BTreeMap::new();
+    let mut first_end = None;
+    let mut after: Option<String> = None;
+    loop {
+        match context.directory.list(kind, after.as_deref()).await {
+            Ok(page) => {
+                dependency.works();
+                context.saw_contact();
+                let end = *first_end.get_or_insert(page.end);
+                for entry in page.entries {
+                    take_entry(context, entry, Some(&mut listed));
+                }
+                after = page.more;
+                if after.is_none() {
+                    if kind == DirectoryKind::Backends {
+                        info!(event = "backends_listed", count = listed.len(); "");
+                        context.backends.replace(listed);
+                    }
+                    context.orders_changed.notify_one();
+                    return end;
+                }
             }
+            Err(error) => dependency.pause_after(error).await,
         }
     }
 }
 
-fn take_directory_page(
+/// Takes an entry; back ends of a listing are gathered, since they replace the whole list.
+fn take_entry(
     context: &Context,
-    kind: DirectoryKind,
-    page: DirectoryPage,
-    is_listing: bool,
+    entry: DirectoryEntry,
+    listed: Option<&mut BTreeMap<BackendId, BackendRecord>>,
 ) {
-    let mut listed = BTreeMap::new();
-    for entry in page.entries {
-        match entry {
-            DirectoryEntry::Routing(config) => {
-                let version = config.version;
-                if context.set_routes(config) {
-                    info!(event = "routes_in_force", version = version; "");
-                }
+    match entry {
+        DirectoryEntry::Routing(config) => {
+            let version = config.version;
+            if context.set_routes(config) {
+                info!(event = "routes_in_force", version = version; "");
             }
-            DirectoryEntry::NamedVersion { model, version } => {
-                if context.name_version(model.clone(), version) {
-                    info!(event = "version_named", model = model.as_str(), version = version; "");
-                }
+        }
+        DirectoryEntry::NamedVersion { model, version } => {
+            if context.name_version(model.clone(), version) {
+                info!(event = "version_named", model = model.as_str(), version = version; "");
+            }
+        }
+        DirectoryEntry::Backend(change) => match (listed, change.record.clone()) {
+            (Some(listed), Some(record)) => {
+                listed.insert(change.id, record);
             }
-            DirectoryEntry::Backend(BackendChange {
-                id,
-                record: Some(record),
-            }) if is_listing => {
-                listed.insert(id, record);
+            (Some(listed), None) => {
+                listed.remove(&change.id);
             }
-            DirectoryEntry::Backend(change) => {
+            (None, _) => {
                 report_backend(&change);
                 context.backends.apply(change);
             }
-            DirectoryEntry::Unreadable(name) => {
-                warn!(event = "entry_unreadable", entry = name.as_str(); "");
-            }
+        },
+        DirectoryEntry::Unreadable(name) => {
+            warn!(event = "entry_unreadable", entry = name.as_str(); "");
         }
     }
-    if is_listing && kind == DirectoryKind::Backends {
-        info!(event = "backends_listed", count = listed.len(); "");
-        context.backends.replace(listed);
-    }
-    context.orders_changed.notify_one();
 }
 
 fn report_backend(change: &BackendChange) {
@@ -191,8 +230,7 @@
         Err(LogError::HistoryDropped { first }) => view.skip_to(first),
         Err(error) => {
             view.read_failed();
-            dependency.fails(error);
-            tokio::time::sleep(RETRY_PAUSE).await;
+            dependency.pause_after(error).await;
         }
     }
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -5,7 +5,8 @@
 use http::Method;
 use support::backend::CallBehaviour;
 use support::caller::{call, send, text};
-use support::deployment::{APPLICATIONS, Deployment, listed, wait_until};
+use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, wait_until};
+use support::log::{LogFaults, NodeLog};
 
 #[tokio::test]
 async fn a_call_is_passed_on_whole() {
@@ -113,6 +114,21 @@
     assert!(text.starts_with("application-"), "{text}");
 }
 
+/// When many nodes start at once the log refuses many of their calls: a refused page of a listing
+/// must not make the node begin the listing again.
+#[tokio::test]
+async fn a_node_starts_though_pages_of_its_listings_are_refused() {
+    let deployment = Deployment::start(0, 6).await;
+    let faults = LogFaults {
+        throttles_listings: true,
+        ..LogFaults::default()
+    };
+    let log = NodeLog::with_faults(&deployment.log, faults);
+    let node = TestNode::start_with(log, "a").await;
+    node.knows(6).await;
+    assert_eq!(call(node.callers, "call", "/calls/path").await.status, 200);
+}
+
 /// A call that no back end can take is refused, not held until its time is over.
 #[tokio::test]
 async fn a_call_without_back_ends_is_refused() {
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -35,7 +35,10 @@
 
 impl TestNode {
     pub async fn start(shared: &Arc<MemoryLog>, name: &str) -> Self {
-        let log = NodeLog::new(shared);
+        Self::start_with(NodeLog::new(shared), name).await
+    }
+
+    pub async fn start_with(log: Arc<NodeLog>, name: &str) -> Self {
         let surroundings = Surroundings {
             log: log.clone(),
             directory: log.clone(),
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -1,14 +1,15 @@
 //! A shared log and directories in memory, with faults for each node that uses them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use havenstage_gateway::edge::{
-    Appended, Directory, DirectoryEntry, DirectoryKind, DirectoryPage, LogError, LogPage,
-    SharedLog, StreamPartition,
+    Appended, Directory, DirectoryEntry, DirectoryKind, DirectoryPage, ListingPage, LogError,
+    LogPage, SharedLog, StreamPartition,
 };
 use tokio::sync::Notify;
 
@@ -37,12 +38,15 @@
     pub loses_answers: bool,
     /// Appends are refused; nothing is done.
     pub refuses_appends: bool,
+    /// Every second page of a listing is refused because too many calls are made.
+    pub throttles_listings: bool,
 }
 
 /// One node's way to the log.
 pub struct NodeLog {
     shared: Arc<MemoryLog>,
     faults: Mutex<LogFaults>,
+    listings: AtomicU64,
 }
 
 /// How long a call that gets no answer takes.
@@ -102,12 +106,25 @@
 
 impl NodeLog {
     pub fn new(shared: &Arc<MemoryLog>) -> Arc<Self> {
+        Self::with_faults(shared, LogFaults::default())
+    }
+
+    pub fn with_faults(shared: &Arc<MemoryLog>, faults: LogFaults) -> Arc<Self> {
         Arc::new(Self {
             shared: shared.clone(),
-            faults: Mutex::default(),
+            faults: Mutex::new(faults),
+            listings: AtomicU64::new(0),
         })
     }
 
+    fn refuses_next_listing(&self) -> bool {
+        self.faults().throttles_listings
+            && self
+                .listings
+                .fetch_add(1, Ordering::Relaxed)
+                .is_multiple_of(2)
+    }
+
     pub fn set_faults(&self, faults: LogFaults) {
         *self.faults.lock().unwrap() = faults;
     }
@@ -193,12 +210,26 @@
 
 #[async_trait]
 impl Directory for NodeLog {
-    async fn list(&self, kind: DirectoryKind) -> Result<DirectoryPage, LogError> {
+    /// One entry a page, so that listings of several pages are read.
+    async fn list(
+        &self,
+        kind: DirectoryKind,
+        after: Option<&str>,
+    ) -> Result<ListingPage, LogError> {
         self.check_reachable().await?;
+        if self.refuses_next_listing() {
+            return Err(LogError::Refused(429));
+        }
         let state = self.shared.state.lock().unwrap();
-        let entries = entries(&state, kind).clone();
-        let next = entries.len() as u64;
-        Ok(DirectoryPage { entries, next })
+        let entries = entries(&state, kind);
+        let from: usize = after.map_or(0, |after| after.parse().unwrap());
+        let page: Vec<DirectoryEntry> = entries.iter().skip(from).take(1).cloned().collect();
+        let more = (from + 1 < entries.len()).then(|| (from + 1).to_string());
+        Ok(ListingPage {
+            entries: page,
+            end: entries.len() as u64,
+            more,
+        })
     }
 
     async fn changes(
