Read directories before batches at a start, and pace directories too

By arithmetic: 300 nodes that read 5 MB of batches each at 80 MB a second take 19 s, and the listings of 3,000 back ends compete with them; every change of a back end wakes 300 readers. Change: batches are followed once routes and back ends are known; among many machines a directory is read at most every 0.7 s.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,7 +11,7 @@
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
 use std::collections::BTreeMap;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::backends::Backends;
 use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
@@ -66,6 +66,7 @@
     draws: AtomicU64,
     last_contact: AtomicU64,
     busy_until: AtomicU64,
+    backends_listed: watch::Sender<bool>,
 }
 
 impl Context {
@@ -104,6 +105,7 @@
             work,
             last_contact: AtomicU64::new(0),
             busy_until: AtomicU64::new(0),
+            backends_listed: watch::Sender::new(false),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
@@ -216,6 +218,22 @@
             .fetch_max(self.now() + BUSY_MS, Ordering::Relaxed);
     }
 
+    /// The back ends have been listed.
+    pub fn note_backends_listed(&self) {
+        self.backends_listed.send_replace(true);
+    }
+
+    /// Waits until the back ends have been listed and routes are known.
+    pub async fn directories_known(&self) {
+        // The sender lives as long as `self`.
+        let _ = self
+            .backends_listed
+            .subscribe()
+            .wait_for(|is_listed| *is_listed)
+            .await;
+        while self.routes_soon().await.is_none() {}
+    }
+
     /// A number that differs from call to call.
     pub fn draw(&self) -> u64 {
         self.draws.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -19,6 +19,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Doublings of the pause after refusals of a log that is asked too much.
 const MOST_DOUBLINGS: u32 = 4;
+/// Longest wait between two reads of a directory.
+const LONGEST_DIRECTORY_GAP: Duration = Duration::from_millis(700);
 /// Calls that must fail in a row before a dependency counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
@@ -85,6 +87,7 @@
                     take_entry(&context, entry, None);
                 }
                 context.orders_changed.notify_one();
+                tokio::time::sleep(directory_gap(&context)).await;
             }
             Err(LogError::HistoryDropped { .. }) => next = None,
             Err(error) => dependency.pause_after(error).await,
@@ -92,6 +95,12 @@
     }
 }
 
+/// Wait between two reads of a directory: none among few machines, and never so long that a change
+/// comes late.
+fn directory_gap(context: &Context) -> Duration {
+    Duration::from_millis(context.pace().gap_ms).min(LONGEST_DIRECTORY_GAP)
+}
+
 /// Reads a listing page by page; a page that fails is asked for again. Answers the offset from which
 /// changes must be read: the end that the first page named, since pages are no snapshot.
 async fn read_listing(context: &Context, kind: DirectoryKind, dependency: &mut Dependency) -> u64 {
@@ -112,6 +121,7 @@
                     if kind == DirectoryKind::Backends {
                         info!(event = "backends_listed", count = listed.len(); "");
                         context.backends.replace(listed);
+                        context.note_backends_listed();
                     }
                     context.orders_changed.notify_one();
                     return end;
@@ -170,6 +180,8 @@
 /// Follows a partition of batches, and forgets batches that are past their retention.
 pub async fn follow_batches(context: Arc<Context>, partition: usize) {
     let view = &context.partitions[partition];
+    // Calls need the directories only; where all nodes start at once, batches come after them.
+    context.directories_known().await;
     let mut dependency = Dependency::new(format!("partition {}", view.id.partition));
     loop {
         read_once(&context, view, &mut dependency).await;
