Keep the lease of an owner that always writes; claim nothing while the log cannot be read

Change: signs of life are written unless the last append failed; nothing is claimed while the last read of the partition failed, and the follower, which pauses, finds out when it can be read again.

--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -77,7 +77,9 @@
                         term,
                     });
                 } else if !batch.is_closed()
-                    && now >= lease.claimable_at(&self.context.node, readable_since, &timing)
+                    && readable_since.is_some_and(|since| {
+                        now >= lease.claimable_at(&self.context.node, since, &timing)
+                    })
                 {
                     work.claimable.push((partition, id.clone()));
                 }
@@ -90,7 +92,7 @@
         let keep_ms = self.context.settings.tuning.keep_ms;
         let kept_at = self.kept_at.get(&held.batch).copied();
         let is_due = kept_at.is_none_or(|kept| now.saturating_sub(kept) >= keep_ms);
-        if is_due && self.outbox(held.partition).is_empty() {
+        if is_due && !self.outbox(held.partition).is_failing() {
             self.kept_at.insert(held.batch.clone(), now);
             let owner = self.context.node.clone();
             let record = BatchRecord::Kept {
@@ -209,7 +211,7 @@
 /// The current term and holder, if this node may claim the batch now.
 fn claimable(context: &Context, partition: u32, batch: &BatchId) -> Option<(Term, Option<NodeId>)> {
     let view = &context.partitions[partition as usize];
-    let readable_since = view.readable_since();
+    let readable_since = view.readable_since()?;
     let inner = view.lock();
     let state = inner
         .state
--- a/crates/gateway/src/engine/outbox.rs
+++ b/crates/gateway/src/engine/outbox.rs
@@ -30,6 +30,7 @@
     waiting: VecDeque<Vec<Bytes>>,
     under_way: Option<Vec<Bytes>>,
     not_before: Millis,
+    is_failing: bool,
     /// When the last append began.
     pub last_append: Millis,
     /// Whether a waiting record should not wait for more.
@@ -44,6 +45,7 @@
             waiting: VecDeque::new(),
             under_way: None,
             not_before: 0,
+            is_failing: false,
             last_append: 0,
             is_urgent: false,
         }
@@ -64,6 +66,11 @@
         self.waiting.is_empty() && self.under_way.is_none()
     }
 
+    /// Whether the last append failed. More signs of life would only pile up behind it.
+    pub fn is_failing(&self) -> bool {
+        self.is_failing
+    }
+
     /// Whether records wait and none is under way.
     pub fn may_begin(&self, now: Millis) -> bool {
         !self.waiting.is_empty() && self.under_way.is_none() && now >= self.not_before
@@ -92,6 +99,7 @@
         let Some(call) = self.under_way.take() else {
             return;
         };
+        self.is_failing = !is_done;
         if !is_done {
             self.waiting.push_front(call);
             self.not_before = now + REPEAT_PAUSE_MS;
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -172,9 +172,10 @@
         self.lock().last_success = 0;
     }
 
-    /// Since when the log could be read without a gap.
-    pub fn readable_since(&self) -> Millis {
-        self.lock().readable_since
+    /// Since when the log could be read without a gap; `None` if the last read failed.
+    pub fn readable_since(&self) -> Option<Millis> {
+        let inner = self.lock();
+        (inner.last_success > 0).then_some(inner.readable_since)
     }
 
     /// Skips records that the log no longer has.
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -38,6 +38,10 @@
     pub loses_answers: bool,
     /// Appends are refused; nothing is done.
     pub refuses_appends: bool,
+    /// Reads are refused at once; nothing is told.
+    pub refuses_reads: bool,
+    /// Appends take a while.
+    pub slow_appends: bool,
     /// Every second page of a listing is refused because too many calls are made.
     pub throttles_listings: bool,
 }
@@ -47,8 +51,12 @@
     shared: Arc<MemoryLog>,
     faults: Mutex<LogFaults>,
     listings: AtomicU64,
+    reads: AtomicU64,
 }
 
+/// How long a slow append takes.
+const SLOW_APPEND: Duration = Duration::from_millis(120);
+
 /// How long a call that gets no answer takes.
 const NO_ANSWER: Duration = Duration::from_millis(300);
 
@@ -114,6 +122,7 @@
             shared: shared.clone(),
             faults: Mutex::new(faults),
             listings: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
         })
     }
 
@@ -125,6 +134,11 @@
                 .is_multiple_of(2)
     }
 
+    /// Reading calls that the node has made of partitions.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+
     pub fn set_faults(&self, faults: LogFaults) {
         *self.faults.lock().unwrap() = faults;
     }
@@ -147,6 +161,9 @@
             tokio::time::sleep(NO_ANSWER).await;
             return Err(LogError::Unknown);
         }
+        if self.faults().refuses_reads {
+            return Err(LogError::Refused(503));
+        }
         Ok(())
     }
 }
@@ -162,6 +179,9 @@
         if self.faults().refuses_appends {
             return Err(LogError::Refused(503));
         }
+        if self.faults().slow_appends {
+            tokio::time::sleep(SLOW_APPEND).await;
+        }
         let appended = self.shared.append_now(partition, records);
         if self.faults().loses_answers {
             tokio::time::sleep(NO_ANSWER).await;
@@ -176,6 +196,7 @@
         from: u64,
         wait: Duration,
     ) -> Result<LogPage, LogError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
         self.check_readable().await?;
         let page = |state: &State| {
             let records = state
