Follow all batches only among few machines, at their owners and at the holder of orders

Owners tell in the stream of orders which routes they serve, so that any node hands them the next batch. Weighed: the store's consumer group to deal watchers of partitions (more calls; trainers ask about every open batch twice a second anyway); forwarding readers' calls to owners (a protocol of its own, needed at 380 nodes at the latest). Tests: many_machines.rs (4); a_node_knows_only_... was seen failing with the mechanism off.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -103,30 +103,12 @@
 }
 
 fn last_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
-    let now = context.now();
+    let since = context.now().saturating_sub(ALIVE_MS);
     let table = context.routes()?;
     let route = table.batch_route(&submission.host, &submission.path)?;
-    let mut newest: Option<(Millis, Option<NodeId>)> = None;
-    for view in &context.partitions {
-        let inner = view.lock();
-        let of_route = inner.state.batches().filter(|batch| {
-            let other = table.batch_route(&batch.host, &batch.path);
-            other.is_some_and(|other| Arc::ptr_eq(other, route))
-        });
-        for batch in of_route {
-            if newest
-                .as_ref()
-                .is_none_or(|(seen, _)| *seen <= batch.first_seen)
-            {
-                let is_alive = now.saturating_sub(batch.lease.seen()) <= ALIVE_MS;
-                let holder = batch.lease.holder().filter(|_| is_alive);
-                newest = Some((batch.first_seen, holder.cloned()));
-            }
-        }
-    }
-    newest?
-        .1
-        .filter(|owner| *owner != context.node || !context.is_stopping())
+    let orders = context.orders.lock();
+    let owner = orders.state.serving(&route.name, since)?;
+    (*owner != context.node || !context.is_stopping()).then(|| owner.clone())
 }
 
 /// Reads results from a position on; waits up to `wait` for one.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,7 +11,7 @@
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
 use std::collections::BTreeMap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::backends::Backends;
 use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
@@ -29,6 +29,10 @@
 
 /// Time after running a batch in which a node reads all streams at once.
 const BUSY_MS: Millis = 5_000;
+/// Streams that every node follows: orders and two directories.
+const ALWAYS_FOLLOWED: usize = 3;
+/// Reads of batches that lie far behind, at one time: they share the node's link with its answers.
+const CATCH_UP_READS: usize = 4;
 
 /// Shared by all parts of a node.
 pub struct Context {
@@ -50,6 +54,8 @@
     pub partitions: Vec<StreamView<PartitionState>>,
     /// Orders given by anyone.
     pub orders: StreamView<OrderState>,
+    /// Turns for reading batches that lie far behind.
+    pub catch_up: Semaphore,
     /// Wakes the task that gives orders.
     pub orders_changed: Arc<Notify>,
     /// Wakes the task that runs items.
@@ -67,6 +73,7 @@
     last_contact: AtomicU64,
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
+    follows_all: watch::Sender<bool>,
 }
 
 impl Context {
@@ -103,9 +110,11 @@
             ),
             orders_changed,
             work,
+            catch_up: Semaphore::new(CATCH_UP_READS),
             last_contact: AtomicU64::new(0),
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
+            follows_all: watch::Sender::new(false),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
@@ -200,11 +209,46 @@
     /// How often this node reads, among all machines that ever joined.
     pub fn pace(&self) -> Pace {
         let machines = self.orders.lock().state.machine_count();
-        pacing::pace(
-            machines,
-            self.partitions.len() + 1,
-            self.settings.log.reads_per_s,
-        )
+        pacing::pace(machines, ALWAYS_FOLLOWED, self.settings.log.reads_per_s)
+    }
+
+    /// Decides whether this node follows all batches: among few machines each does; among many only
+    /// those that run batches or give orders, and the others follow what they are asked about.
+    pub fn choose_what_to_follow(&self) {
+        let orders = self.orders.lock();
+        let is_known = orders.confirmed_at().is_some();
+        let are_few = is_known && !pacing::are_many(orders.state.machine_count());
+        let gives_orders = orders.state.lease().is_held_by(&self.node);
+        drop(orders);
+        let follows_all = are_few || gives_orders || self.is_busy();
+        self.follows_all.send_if_modified(|before| {
+            let is_changed = *before != follows_all;
+            *before = follows_all;
+            is_changed
+        });
+    }
+
+    /// Waits until this node follows a partition of batches.
+    pub async fn wait_until_followed(&self, view: &StreamView<PartitionState>) {
+        let mut follows_all = self.follows_all.subscribe();
+        while !*follows_all.borrow_and_update() && !view.is_wanted(self.now()) {
+            tokio::select! {
+                // The sender lives as long as `self`.
+                _ = follows_all.changed() => {}
+                () = view.wait_until_wanted() => {}
+            }
+        }
+    }
+
+    /// Whether this node follows a partition of batches, as far as the log lets it.
+    pub fn is_followed(&self, view: &StreamView<PartitionState>) -> bool {
+        *self.follows_all.borrow() || view.is_wanted(self.now())
+    }
+
+    /// Whether all batches are known up to this time.
+    pub fn knows_all_batches(&self) -> bool {
+        let now = self.now();
+        self.partitions.iter().all(|view| !view.is_behind(now))
     }
 
     /// Whether this node runs batches, or ran one a moment ago.
@@ -262,7 +306,11 @@
     counts: impl Fn(&BatchState) -> bool,
 ) -> BTreeMap<BackendId, u32> {
     let mut running = BTreeMap::new();
-    for view in &context.partitions {
+    let followed = context
+        .partitions
+        .iter()
+        .filter(|view| context.is_followed(view));
+    for view in followed {
         let inner = view.lock();
         let open = inner
             .state
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -47,7 +47,7 @@
     /// The current term, if this node may claim the lease now.
     pub(super) fn claimable_term(&self) -> Option<Term> {
         let view = &self.context.orders;
-        let readable_since = view.readable_since()?;
+        let readable_since = view.readable_since(self.context.now())?;
         let term = view.lock().state.lease().term();
         let timing = claim_timing_of(&self.context, &format!("{} {term}", self.context.node));
         let inner = view.lock();
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -1,5 +1,6 @@
 //! Keeps, claims and releases the leases of batches.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, NodeId};
 use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
 use log::info;
 use tokio::sync::mpsc::UnboundedSender;
@@ -17,6 +19,7 @@
 use super::run::ItemKey;
 use super::{Engine, TaskEnded};
 use crate::context::Context;
+use crate::order_run::append;
 
 /// A batch whose lease this node holds.
 struct HeldBatch {
@@ -37,6 +40,7 @@
     pub(super) fn follow_leases(&mut self) {
         let now = self.context.now();
         let work = self.lease_work(now);
+        self.serve_routes(&work.held, now);
         if self.context.releasing.load(Ordering::Relaxed) {
             self.release_all(work.held);
             return;
@@ -63,7 +67,7 @@
     fn lease_work(&self, now: Millis) -> LeaseWork {
         let mut work = LeaseWork::default();
         for view in &self.context.partitions {
-            let readable_since = view.readable_since();
+            let readable_since = view.readable_since(now);
             let inner = view.lock();
             for batch in inner.state.batches().filter(|batch| is_kept(batch, now)) {
                 let partition = view.id.partition;
@@ -88,6 +92,35 @@
         work
     }
 
+    /// Tells all nodes which routes this node runs batches of, so that they hand it the next ones.
+    fn serve_routes(&mut self, held: &[HeldBatch], now: Millis) {
+        let keep_ms = self.context.settings.tuning.keep_ms;
+        let is_due = now.saturating_sub(self.served_at) >= keep_ms;
+        if held.is_empty() || !is_due || self.context.is_stopping() {
+            return;
+        }
+        let Some(table) = self.context.routes() else {
+            return;
+        };
+        let routes: BTreeSet<String> = held
+            .iter()
+            .filter_map(|held| {
+                let inner = self.context.partitions[held.partition as usize].lock();
+                let batch = inner.state.batch(&held.batch)?;
+                let route = table.batch_route(&batch.host, &batch.path)?;
+                Some(route.name.clone())
+            })
+            .collect();
+        self.served_at = now;
+        let record = OrderRecord::Serves {
+            node: self.context.node.clone(),
+            routes: routes.into_iter().collect(),
+        };
+        let context = self.context.clone();
+        // One that is lost is followed by the next.
+        tokio::spawn(async move { append(&context, &record).await });
+    }
+
     fn keep(&mut self, held: HeldBatch, now: Millis) {
         let keep_ms = self.context.settings.tuning.keep_ms;
         let kept_at = self.kept_at.get(&held.batch).copied();
@@ -211,7 +244,7 @@
 /// The current term and holder, if this node may claim the batch now.
 fn claimable(context: &Context, partition: u32, batch: &BatchId) -> Option<(Term, Option<NodeId>)> {
     let view = &context.partitions[partition as usize];
-    let readable_since = view.readable_since()?;
+    let readable_since = view.readable_since(context.now())?;
     let inner = view.lock();
     let state = inner
         .state
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -42,9 +42,10 @@
     outboxes: BTreeMap<u32, Outbox>,
     claiming: HashSet<BatchId>,
     kept_at: HashMap<BatchId, Millis>,
+    served_at: Millis,
     has_released: bool,
     pauses: HashMap<BackendId, Pause>,
-    carried: HashMap<BatchId, HashSet<ItemId>>,
+    carried: HashMap<BatchId, Carried>,
     news: UnboundedReceiver<RunMessage>,
     news_sender: UnboundedSender<RunMessage>,
     ended: UnboundedReceiver<TaskEnded>,
@@ -52,6 +53,14 @@
     needs_plan: bool,
 }
 
+/// Items of a batch that an earlier batch holds too.
+#[derive(Debug)]
+struct Carried {
+    items: HashSet<ItemId>,
+    /// Whether all earlier batches were known.
+    is_final: bool,
+}
+
 /// A back end that gets no items for a while.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pause {
@@ -82,6 +91,7 @@
             outboxes: BTreeMap::new(),
             claiming: HashSet::new(),
             kept_at: HashMap::new(),
+            served_at: 0,
             has_released: false,
             pauses: HashMap::new(),
             carried: HashMap::new(),
@@ -111,6 +121,7 @@
                 self.needs_plan = false;
                 self.follow_log();
                 self.follow_leases();
+                self.context.choose_what_to_follow();
                 self.plan();
                 metrics::items_running(self.items.len());
             }
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -13,7 +13,7 @@
 
 use super::live::{LiveItem, Phase};
 use super::run::ItemKey;
-use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
+use super::{Carried, DEFAULT_GIVE_UP_MS, Engine, events_of};
 use crate::context::{Context, running_items};
 
 /// Urgency at back ends of items that their step needs.
@@ -78,7 +78,7 @@
         let new: Vec<(BatchId, Vec<ItemId>)> = inner
             .state
             .batches()
-            .filter(|batch| self.is_own(batch) && !self.carried.contains_key(&batch.id))
+            .filter(|batch| self.is_own(batch) && !self.knows_carried(&batch.id))
             .map(|batch| {
                 (
                     batch.id.clone(),
@@ -87,12 +87,20 @@
             })
             .collect();
         drop(inner);
+        let is_final = self.context.knows_all_batches();
         for (batch, items) in new {
-            let carried = carried_items(&self.context, &batch, items);
-            self.carried.insert(batch, carried);
+            let items = carried_items(&self.context, &batch, items);
+            self.carried.insert(batch, Carried { items, is_final });
         }
     }
 
+    /// Whether all earlier batches were looked through for this one's items.
+    fn knows_carried(&self, batch: &BatchId) -> bool {
+        self.carried
+            .get(batch)
+            .is_some_and(|carried| carried.is_final)
+    }
+
     fn open_items(&self, batch: &BatchState) -> Vec<ItemKey> {
         let open = batch.items.iter().filter(|item| item.result.is_none());
         open.map(|item| ItemKey {
@@ -115,7 +123,10 @@
         work: &mut BTreeMap<PoolName, PoolWork>,
     ) {
         let none = HashSet::new();
-        let carried = self.carried.get(&batch.id).unwrap_or(&none);
+        let carried = self
+            .carried
+            .get(&batch.id)
+            .map_or(&none, |carried| &carried.items);
         let tokens_per_event = route
             .pools
             .first()
@@ -242,7 +253,7 @@
         let is_carried = self
             .carried
             .get(&key.batch)
-            .is_some_and(|ids| ids.contains(&key.item));
+            .is_some_and(|carried| carried.items.contains(&key.item));
         if !is_carried {
             return false;
         }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -184,11 +184,40 @@
     context.directories_known().await;
     let mut dependency = Dependency::new(format!("partition {}", view.id.partition));
     loop {
+        context.wait_until_followed(view).await;
+        catch_up(&context, view, &mut dependency).await;
         read_once(&context, view, &mut dependency).await;
         forget_old_batches(&context, view);
     }
 }
 
+/// Reads what lies far behind, a few partitions at a time.
+async fn catch_up(
+    context: &Context,
+    view: &StreamView<PartitionState>,
+    dependency: &mut Dependency,
+) {
+    while view.is_behind(context.now()) {
+        // Never closed.
+        let Ok(turn) = context.catch_up.acquire().await else {
+            return;
+        };
+        let log = context.log.as_ref();
+        let confirmed = view.confirm(log, context.clock, Duration::ZERO).await;
+        drop(turn);
+        match confirmed {
+            Ok(()) => {
+                dependency.works();
+                context.saw_contact();
+            }
+            Err(error) => {
+                view.read_failed();
+                dependency.pause_after(error).await;
+            }
+        }
+    }
+}
+
 /// Says in the log that a node started here, so that all know how many machines read.
 async fn announce(context: &Context) {
     let record = OrderRecord::Joined {
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -42,6 +42,8 @@
     wanted: Notify,
     wanted_until: AtomicU64,
     wakes: Arc<Notify>,
+    /// Held while a question is asked, so that all who wait for its answer share one call.
+    confirming: tokio::sync::Mutex<()>,
 }
 
 /// What is behind the lock.
@@ -54,6 +56,8 @@
     confirmed: Option<Millis>,
     last_success: Millis,
     readable_since: Millis,
+    is_caught_up: bool,
+    failed: Option<FailedRead>,
     /// Time between two reads that is nothing unusual.
     pub usual_gap_ms: Millis,
 }
@@ -63,13 +67,26 @@
     pub fn confirmed_at(&self) -> Option<Millis> {
         self.confirmed
     }
+
+    fn is_current(&self, now: Millis) -> bool {
+        let longest_gap = LONGEST_GAP_MS + self.usual_gap_ms;
+        self.last_success > 0 && now.saturating_sub(self.last_success) <= longest_gap
+    }
+}
+
+/// The last read that failed.
+#[derive(Debug, Clone, Copy)]
+struct FailedRead {
+    at: Millis,
+    error: LogError,
 }
 
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
-/// Time for which a partition that was asked about is read without waits.
-const WANTED_MS: Millis = 3_000;
+/// Time for which a partition that was asked about is followed, and read without waits: long enough
+/// to see that an owner is silent and to claim its batch.
+const WANTED_MS: Millis = 5_000;
 
 /// What a page brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,6 +107,8 @@
             confirmed: None,
             last_success: 0,
             readable_since: 0,
+            is_caught_up: false,
+            failed: None,
             usual_gap_ms: 0,
         };
         Self {
@@ -99,6 +118,7 @@
             wanted: Notify::new(),
             wanted_until: AtomicU64::new(0),
             wakes,
+            confirming: tokio::sync::Mutex::new(()),
         }
     }
 
@@ -119,9 +139,19 @@
         self.wanted.notify_one();
     }
 
+    /// Whether somebody asked about this partition a moment ago.
+    pub fn is_wanted(&self, now: Millis) -> bool {
+        self.wanted_until.load(Ordering::Relaxed) > now
+    }
+
+    /// Waits until somebody asks about this partition.
+    pub async fn wait_until_wanted(&self) {
+        self.wanted.notified().await;
+    }
+
     /// Waits between two reads, unless somebody asks about this partition.
     pub async fn wait_between_reads(&self, gap: Duration, now: Millis) {
-        if gap.is_zero() || self.wanted_until.load(Ordering::Relaxed) > now {
+        if gap.is_zero() || self.is_wanted(now) {
             return;
         }
         // A wish ends the wait early.
@@ -131,8 +161,7 @@
     /// Takes a page that was asked for at `asked`.
     pub fn take_page(&self, page: LogPage, asked: Millis, now: Millis) -> PageOutcome {
         let mut inner = self.lock();
-        let longest_gap = LONGEST_GAP_MS + inner.usual_gap_ms;
-        if now.saturating_sub(inner.last_success) > longest_gap {
+        if !inner.is_current(now) {
             inner.readable_since = now;
         }
         inner.last_success = now;
@@ -156,7 +185,8 @@
                 outcome.unreadable += 1;
             }
         }
-        if inner.next >= page.end {
+        inner.is_caught_up = inner.next >= page.end;
+        if inner.is_caught_up {
             inner.confirmed = Some(inner.confirmed.unwrap_or(0).max(asked));
         }
         drop(inner);
@@ -172,10 +202,21 @@
         self.lock().last_success = 0;
     }
 
-    /// Since when the log could be read without a gap; `None` if the last read failed.
-    pub fn readable_since(&self) -> Option<Millis> {
+    /// Whether the partition is read at this time, without a gap.
+    pub fn is_current(&self, now: Millis) -> bool {
+        self.lock().is_current(now)
+    }
+
+    /// Whether there is more to be read than what comes in as it is written.
+    pub fn is_behind(&self, now: Millis) -> bool {
+        let inner = self.lock();
+        !inner.is_caught_up || !inner.is_current(now)
+    }
+
+    /// Since when the log could be read without a gap; `None` if it is not read at this time.
+    pub fn readable_since(&self, now: Millis) -> Option<Millis> {
         let inner = self.lock();
-        (inner.last_success > 0).then_some(inner.readable_since)
+        inner.is_current(now).then_some(inner.readable_since)
     }
 
     /// Skips records that the log no longer has.
@@ -184,19 +225,25 @@
         inner.next = inner.next.max(first);
     }
 
-    /// Makes sure that all that was in the log `most_age` ago is known here.
+    /// Makes sure that all that was in the log `most_age` ago is known here. Those who ask at the same
+    /// time share a call and its failure.
     pub async fn confirm(
         &self,
         log: &dyn SharedLog,
         clock: SteadyClock,
         most_age: Duration,
     ) -> Result<(), LogError> {
-        let oldest = clock.now().saturating_sub(most_age.as_millis() as Millis);
-        while self
-            .lock()
-            .confirmed_at()
-            .is_none_or(|confirmed| confirmed < oldest)
-        {
+        let began = clock.now();
+        let oldest = began.saturating_sub(most_age.as_millis() as Millis);
+        let is_known = |inner: &ViewInner<S>| inner.confirmed.is_some_and(|at| at >= oldest);
+        if is_known(&self.lock()) {
+            return Ok(());
+        }
+        let _turn = self.confirming.lock().await;
+        if let Some(failed) = self.lock().failed.filter(|failed| failed.at > began) {
+            return Err(failed.error);
+        }
+        while !is_known(&self.lock()) {
             let from = self.lock().next;
             let asked = clock.now();
             match log.read(self.id, from, Duration::ZERO).await {
@@ -204,7 +251,11 @@
                     self.take_page(page, asked, clock.now());
                 }
                 Err(LogError::HistoryDropped { first }) => self.skip_to(first),
-                Err(error) => return Err(error),
+                Err(error) => {
+                    let at = clock.now();
+                    self.lock().failed = Some(FailedRead { at, error });
+                    return Err(error);
+                }
             }
         }
         Ok(())
--- /dev/null
+++ b/crates/gateway/tests/many_machines.rs
@@ -0,0 +1,145 @@
+//! Among many machines a node reads only the batches that it runs or is asked about.
+
+mod support;
+
+use std::time::Duration;
+
+use havenstage_gateway::context::{Context, ORDERS};
+use havenstage_gateway::edge::SharedLog;
+use havenstage_rollout::ids::MachineName;
+use havenstage_rollout::orders::OrderRecord;
+use support::caller::{submit, wait_for_results};
+use support::deployment::{Deployment, TestNode, wait_until};
+use support::dialect::write_batch;
+use support::log::NodeLog;
+
+const ITEMS: [(&str, &str); 4] = [("i1", "g1"), ("i2", "g1"), ("i3", "g2"), ("i4", "g2")];
+const BATCHES: [&str; 3] = ["first", "second", "third"];
+const MACHINES: usize = 60;
+/// Callers that ask at the same time.
+const ASKERS: usize = 50;
+
+async fn deployment_of_many_machines() -> Deployment {
+    let deployment = Deployment::start(2, 1).await;
+    let joined = (0..MACHINES).map(|at| {
+        let machine = MachineName::from(format!("machine-{at}"));
+        OrderRecord::Joined { machine }.encode().into()
+    });
+    let log = NodeLog::new(&deployment.log);
+    let records = joined
+        .flat_map(|record: bytes::Bytes| havenstage_rollout::framing::split(&record, 512))
+        .collect();
+    log.append(ORDERS, records).await.unwrap();
+    deployment
+}
+
+fn knows(context: &Context, batch: &str) -> bool {
+    let view = context.partition_of(&batch.into());
+    let inner = view.lock();
+    inner.state.batch(&batch.into()).is_some()
+}
+
+fn knows_who_gives_orders(node: &TestNode) -> bool {
+    node.context()
+        .orders
+        .lock()
+        .state
+        .lease()
+        .holder()
+        .is_some()
+}
+
+fn gives_orders(node: &TestNode) -> bool {
+    let orders = node.context().orders.lock();
+    orders.state.lease().is_held_by(&node.context().node)
+}
+
+/// A node that has nothing to do with batches; the one that gives orders must know them all.
+async fn bystander<'a>(nodes: &'a [&'a TestNode]) -> &'a TestNode {
+    wait_until("it is known who gives orders", || {
+        nodes.iter().all(|node| knows_who_gives_orders(node))
+    })
+    .await;
+    nodes.iter().find(|node| !gives_orders(node)).unwrap()
+}
+
+#[tokio::test]
+async fn a_node_knows_only_batches_that_it_runs_or_is_asked_about() {
+    let deployment = deployment_of_many_machines().await;
+    let owner = deployment.node("owner").await;
+    let (one, two) = (deployment.node("one").await, deployment.node("two").await);
+    let nodes = [&one, &two];
+    let bystander = bystander(&nodes).await;
+    for batch in BATCHES {
+        let body = write_batch(1, &ITEMS, false);
+        assert_eq!(submit(owner.callers, batch, &body).await, 202);
+        wait_for_results(owner.callers, batch, ITEMS.len()).await;
+    }
+    // Longer than a node among so many machines waits between two reads.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert!(
+        BATCHES
+            .iter()
+            .all(|batch| !knows(bystander.context(), batch))
+    );
+    let lines = wait_for_results(bystander.callers, BATCHES[0], ITEMS.len()).await;
+    assert_eq!(lines.len(), ITEMS.len());
+    assert!(knows(bystander.context(), BATCHES[0]));
+}
+
+/// Whoever asks about a batch makes a node follow it, and that node claims it once its owner is gone.
+#[tokio::test]
+async fn a_batch_of_a_dead_owner_goes_on_where_it_is_asked_about() {
+    let deployment = deployment_of_many_machines().await;
+    let mut owner = deployment.node("owner").await;
+    let other = deployment.node("other").await;
+    for engine in &deployment.engines {
+        engine.behave(|told| told.event_pause = Duration::from_millis(150));
+    }
+    let body = write_batch(1, &ITEMS, false);
+    assert_eq!(submit(owner.callers, "batch", &body).await, 202);
+    wait_until("the batch runs", || {
+        deployment.engines.iter().any(|e| !e.seen().is_empty())
+    })
+    .await;
+    owner.kill();
+    let lines = wait_for_results(other.callers, "batch", ITEMS.len()).await;
+    assert_eq!(lines.len(), ITEMS.len());
+}
+
+/// The owner of a route's last batch runs the next one, whichever node it is handed in at.
+#[tokio::test]
+async fn a_route_stays_with_its_owner() {
+    let deployment = deployment_of_many_machines().await;
+    let (owner, other) = (
+        deployment.node("owner").await,
+        deployment.node("other").await,
+    );
+    let body = write_batch(1, &ITEMS, false);
+    assert_eq!(submit(owner.callers, "first", &body).await, 202);
+    wait_until("the other node knows who runs the route", || {
+        let orders = other.context().orders.lock();
+        orders.state.serving("batches", 0) == Some(&owner.context().node)
+    })
+    .await;
+    assert_eq!(submit(other.callers, "second", &body).await, 202);
+    wait_for_results(other.callers, "second", ITEMS.len()).await;
+    let view = other.context().partition_of(&"second".into());
+    let inner = view.lock();
+    let lease = &inner.state.batch(&"second".into()).unwrap().lease;
+    assert!(lease.is_held_by(&owner.context().node));
+}
+
+/// Readers that ask at the same time share the questions to the log.
+#[tokio::test]
+async fn questions_to_the_log_are_shared() {
+    let deployment = deployment_of_many_machines().await;
+    let log = NodeLog::new(&deployment.log);
+    let node = deployment.node("node").await;
+    let context = node.context().clone();
+    let view = context.partition_of(&"batch".into());
+    let ask = || view.confirm(log.as_ref(), context.clock, Duration::ZERO);
+    let answers = futures::future::join_all((0..ASKERS).map(|_| ask())).await;
+    assert!(answers.iter().all(Result::is_ok));
+    assert!(log.reads() <= 2, "{} reads", log.reads());
+}
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -20,6 +20,13 @@
         /// The machine.
         machine: MachineName,
     },
+    /// A node runs batches of some routes; it has connections to their back ends.
+    Serves {
+        /// The node.
+        node: NodeId,
+        /// Names of the routes.
+        routes: Vec<String>,
+    },
     /// A node claims the lease; the term is its fencing token.
     Claimed {
         /// The claimed term; counts only if it is higher than the current one.
@@ -112,6 +119,7 @@
 pub struct OrderState {
     own_machine: MachineName,
     machines: BTreeSet<MachineName>,
+    serving: BTreeMap<String, Serving>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
     observed: Vec<ObservedVersion>,
@@ -120,6 +128,13 @@
     log_time: Millis,
 }
 
+/// The node that last told that it runs batches of a route.
+#[derive(Debug, Clone)]
+struct Serving {
+    node: NodeId,
+    seen: Millis,
+}
+
 /// When an order was seen, on two clocks.
 #[derive(Debug, Clone, Copy)]
 struct SeenOrder {
@@ -133,6 +148,7 @@
         Self {
             own_machine,
             machines: BTreeSet::new(),
+            serving: BTreeMap::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
             observed: Vec::new(),
@@ -147,6 +163,15 @@
             OrderRecord::Joined { machine } => {
                 self.machines.insert(machine);
             }
+            OrderRecord::Serves { node, routes } => {
+                for route in routes {
+                    let serving = Serving {
+                        node: node.clone(),
+                        seen: now,
+                    };
+                    self.serving.insert(route, serving);
+                }
+            }
             OrderRecord::Claimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
@@ -207,6 +232,12 @@
         self.machines.len()
     }
 
+    /// The node that runs batches of a route, if it said so since `since`.
+    pub fn serving(&self, route: &str, since: Millis) -> Option<&NodeId> {
+        let serving = self.serving.get(route)?;
+        (serving.seen >= since).then_some(&serving.node)
+    }
+
     /// Who gives orders.
     pub fn lease(&self) -> &LeaseState {
         &self.lease
