Load weights on as many back ends together as a fifth of the pool

Cause: two loads under way together, whatever the pool's size. Ruled out: processor (--no-cpu alike), room at the engines (a third of the places in use). Sites of 8 and 9 engines keep a limit of 2.

--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -47,7 +47,7 @@
                 },
             ))
         });
-        let at_once = self.context.settings.tuning.loads_at_once;
+        let at_once = self.load_limit.allowed(targets.len());
         plan_orders(&targets, &demand.collect(), &homes, at_once)
     }
 
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::lease::Term;
+use havenstage_rollout::load_limit::LoadLimit;
 use havenstage_rollout::orders::PlannedOrder;
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -40,6 +41,7 @@
     taken: BTreeMap<BackendId, u64>,
     under_way: BTreeSet<BackendId>,
     avoided_until: BTreeMap<BackendId, Millis>,
+    load_limit: LoadLimit,
     /// Until when the lease is relied on; read right before each order is sent.
     reliable_until: Arc<AtomicU64>,
     ended: UnboundedReceiver<OrderEnded>,
@@ -57,13 +59,25 @@
 struct OrderEnded {
     backend: BackendId,
     report: Option<BackendReport>,
+    /// The load that was ordered, if the back end has its version now.
+    load: Option<EndedLoad>,
+}
+
+/// A load that ended well.
+#[derive(Debug, Clone, Copy)]
+struct EndedLoad {
+    took_ms: Millis,
+    /// Orders under way when it was given, itself among them.
+    together: usize,
 }
 
 impl Coordinator {
     /// A coordinator without a term.
     pub fn new(context: Arc<Context>) -> Self {
         let (ended_sender, ended) = mpsc::unbounded_channel();
+        let load_limit = LoadLimit::new(context.settings.tuning.loads_at_once);
         Self {
+            load_limit,
             context,
             lease: None,
             taken: BTreeMap::new(),
@@ -175,19 +189,31 @@
             return;
         }
         let (context, sender) = (self.context.clone(), self.ended_sender.clone());
+        let (began, together) = (context.now(), self.under_way.len());
         let reliable_until = self.reliable_until.clone();
         tokio::spawn(async move {
             let report = order_run::follow(&context, &order, start, &reliable_until).await;
+            let has_version = report
+                .as_ref()
+                .and_then(|report| report.models.get(&order.model))
+                .is_some_and(|version| *version >= order.version);
+            let took_ms = context.now().saturating_sub(began);
+            let load = (start == OrderStart::Give && has_version)
+                .then_some(EndedLoad { took_ms, together });
             // The coordinator is gone only when the process ends.
             let _ = sender.send(OrderEnded {
                 backend: order.backend,
                 report,
+                load,
             });
         });
     }
 
     fn take_ended(&mut self, ended: OrderEnded) {
         self.under_way.remove(&ended.backend);
+        if let Some(load) = ended.load {
+            self.load_limit.loaded(load.took_ms, load.together);
+        }
         match ended.report {
             Some(report) => {
                 let mut backends = self.context.backends.lock();
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod ids;
 pub mod lease;
+pub mod load_limit;
 pub mod orders;
 pub mod pacing;
 pub mod record;
