Follow only what a node runs or is asked about, however few machines

Cause: two ways of following stood side by side, one up to 40 machines and one beyond. Change: the threshold is gone; owners and the holder of orders follow all batches, others those that they are asked about. Up to 40 machines still read without pauses.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -212,15 +212,13 @@
         pacing::pace(machines, ALWAYS_FOLLOWED, self.settings.log.reads_per_s)
     }
 
-    /// Decides whether this node follows all batches: among few machines each does; among many only
-    /// those that run batches or give orders, and the others follow what they are asked about.
+    /// Decides whether this node follows all batches: those that run batches or give orders do; the
+    /// others follow what they are asked about.
     pub fn choose_what_to_follow(&self) {
         let orders = self.orders.lock();
-        let is_known = orders.confirmed_at().is_some();
-        let are_few = is_known && !pacing::are_many(orders.state.machine_count());
         let gives_orders = orders.state.lease().is_held_by(&self.node);
         drop(orders);
-        let follows_all = are_few || gives_orders || self.is_busy();
+        let follows_all = gives_orders || self.is_busy();
         self.follows_all.send_if_modified(|before| {
             let is_changed = *before != follows_all;
             *before = follows_all;
--- a/crates/gateway/tests/many_machines.rs
+++ b/crates/gateway/tests/following.rs
@@ -1,4 +1,4 @@
-//! Among many machines a node reads only the batches that it runs or is asked about.
+//! A node reads only the batches that it runs or is asked about.
 
 mod support;
 
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::lease::Term;
-use support::caller::{submit, wait_for_results};
+use support::caller::{results, submit, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
 use support::log::LogFaults;
@@ -60,6 +60,8 @@
     let deployment = Deployment::start(2, 1).await;
     let (mut first, second) = (deployment.node("a").await, deployment.node("b").await);
     submit_slow_batch(&deployment, &first, Duration::from_millis(300)).await;
+    // Whoever is asked about a batch follows it.
+    results(second.callers, "batch", 0).await;
     wait_until("the other node knows the batch", || term(&second).is_some()).await;
     first.kill();
     second.set_faults(LogFaults {
--- a/crates/rollout/src/pacing.rs
+++ b/crates/rollout/src/pacing.rs
@@ -22,15 +22,10 @@
     pub spread_factor: u64,
 }
 
-/// Whether there are too many machines for each to read all that is written.
-pub fn are_many(machines: usize) -> bool {
-    machines > UNPACED_MACHINES
-}
-
 /// The pace that keeps `machines`, each reading `streams`, within their share of `reads_per_s`.
 pub fn pace(machines: usize, streams: usize, reads_per_s: u32) -> Pace {
     let spread_factor = (machines as u64 / SPREAD_MACHINES).max(1);
-    if !are_many(machines) {
+    if machines <= UNPACED_MACHINES {
         return Pace {
             gap_ms: 0,
             spread_factor,
