--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -23,6 +23,8 @@
 #[derive(Default)]
 struct State {
     partitions: HashMap<StreamPartition, Vec<Bytes>>,
+    /// Offset of the oldest record kept; 0 where none is named.
+    first_kept: HashMap<StreamPartition, u64>,
     operators: Vec<DirectoryEntry>,
     backends: Vec<DirectoryEntry>,
 }
@@ -85,6 +87,13 @@
             .unwrap_or_default()
     }
 
+    /// Drops all records of a partition so far.
+    pub fn drop_history(&self, partition: StreamPartition) {
+        let mut state = self.state.lock().unwrap();
+        let end = state.partitions.get(&partition).map_or(0, Vec::len) as u64;
+        state.first_kept.insert(partition, end);
+    }
+
     fn append_now(&self, partition: StreamPartition, records: Vec<Bytes>) -> Appended {
         let mut state = self.state.lock().unwrap();
         let kept = state.partitions.entry(partition).or_default();
@@ -96,6 +105,15 @@
         Appended { offset, end }
     }
 
+    fn check_kept(&self, partition: StreamPartition, from: u64) -> Result<(), LogError> {
+        let state = self.state.lock().unwrap();
+        let first = state.first_kept.get(&partition).copied().unwrap_or(0);
+        if from < first {
+            return Err(LogError::HistoryDropped { first });
+        }
+        Ok(())
+    }
+
     async fn wait_for<T>(&self, wait: Duration, look: impl Fn(&State) -> Option<T>) -> Option<T> {
         let until = tokio::time::Instant::now() + wait;
         loop {
@@ -198,6 +216,7 @@
     ) -> Result<LogPage, LogError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
         self.check_readable().await?;
+        self.shared.check_kept(partition, from)?;
         let page = |state: &State| {
             let records = state
                 .partitions
