--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use havenstage_rollout::ids::{ModelName, Version};
-use havenstage_rollout::orders::{
+use havenstage_rollout::order_plan::{
     OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
 };
 use havenstage_rollout::route::Pool;
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -16,7 +16,7 @@
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::lease::Term;
 use havenstage_rollout::load_limit::LoadLimit;
-use havenstage_rollout::orders::PlannedOrder;
+use havenstage_rollout::order_plan::PlannedOrder;
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
--- /dev/null
+++ b/crates/rollout/tests/order_plan.rs
@@ -0,0 +1,128 @@
+//! Which back end is ordered to load which version.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use havenstage_rollout::ids::{BackendId, ModelName};
+use havenstage_rollout::order_plan::{OrderTarget, VersionDemand, assign_homes, plan_orders};
+use support::backend;
+
+fn model(name: &str) -> ModelName {
+    ModelName::from(name)
+}
+
+fn target(id: &str, version: u64, running: u32) -> OrderTarget {
+    OrderTarget {
+        backend: backend(id),
+        models: BTreeMap::from([(model("m"), version)]),
+        running,
+        loading: false,
+        avoided: false,
+    }
+}
+
+fn plan(targets: &[OrderTarget], named: u64, allowed_age: u64, at_once: usize) -> Vec<String> {
+    let homes: BTreeMap<BackendId, ModelName> = targets
+        .iter()
+        .map(|target| (target.backend.clone(), model("m")))
+        .collect();
+    let demand = BTreeMap::from([(model("m"), VersionDemand { named, allowed_age })]);
+    let orders = plan_orders(targets, &demand, &homes, at_once);
+    assert!(orders.iter().all(|order| order.version == named));
+    orders
+        .iter()
+        .map(|order| order.backend.to_string())
+        .collect()
+}
+
+#[test]
+fn only_so_many_load_at_once() {
+    let mut targets = vec![target("a", 1, 0), target("b", 1, 0), target("c", 1, 0)];
+    assert_eq!(plan(&targets, 2, 0, 2), ["a", "b"]);
+    targets[0].loading = true;
+    assert_eq!(plan(&targets, 2, 0, 2), ["b"]);
+    targets[1].loading = true;
+    assert!(plan(&targets, 2, 0, 2).is_empty());
+}
+
+#[test]
+fn the_idle_load_before_the_busy() {
+    let targets = [target("a", 1, 5), target("b", 1, 0), target("c", 1, 3)];
+    assert_eq!(plan(&targets, 2, 0, 3), ["b", "c", "a"]);
+}
+
+#[test]
+fn where_work_may_be_one_version_old_half_go_on_serving() {
+    let targets = [
+        target("a", 4, 0),
+        target("b", 4, 0),
+        target("c", 3, 0),
+        target("d", 3, 0),
+    ];
+    assert_eq!(
+        plan(&targets, 5, 1, 4),
+        ["c", "d"],
+        "those at 4 still serve step 5"
+    );
+}
+
+#[test]
+fn all_that_are_too_old_load_even_if_half_are_new() {
+    let targets = [
+        target("a", 5, 0),
+        target("b", 5, 0),
+        target("c", 3, 0),
+        target("d", 4, 0),
+    ];
+    assert_eq!(plan(&targets, 5, 1, 4), ["c"]);
+}
+
+#[test]
+fn enough_are_made_new_for_the_next_version() {
+    let targets = [
+        target("a", 4, 2),
+        target("b", 4, 0),
+        target("c", 4, 1),
+        target("d", 4, 3),
+    ];
+    assert_eq!(plan(&targets, 5, 1, 4), ["b", "c"]);
+}
+
+#[test]
+fn an_avoided_back_end_gets_no_order() {
+    let mut targets = vec![target("a", 1, 0)];
+    targets[0].avoided = true;
+    assert!(plan(&targets, 2, 0, 2).is_empty());
+}
+
+#[test]
+fn back_ends_are_shared_by_the_models_work() {
+    let models = |version| BTreeMap::from([(model("m"), version), (model("n"), 1)]);
+    let targets: Vec<OrderTarget> = ["a", "b", "c", "d", "e", "f"]
+        .into_iter()
+        .map(|id| OrderTarget {
+            models: models(1),
+            ..target(id, 1, 0)
+        })
+        .collect();
+    let weights = BTreeMap::from([(model("m"), 200.0), (model("n"), 100.0)]);
+    let named = BTreeMap::from([(model("m"), 2), (model("n"), 2)]);
+    let homes = assign_homes(&targets, &weights, &named);
+    let count = |name: &str| homes.values().filter(|home| **home == model(name)).count();
+    assert_eq!((count("m"), count("n")), (4, 2));
+}
+
+#[test]
+fn a_back_end_stays_with_the_model_it_is_newest_for() {
+    let with = |id: &str, m, n| OrderTarget {
+        models: BTreeMap::from([(model("m"), m), (model("n"), n)]),
+        ..target(id, 1, 0)
+    };
+    let targets = [with("a", 1, 7), with("b", 7, 1)];
+    let weights = BTreeMap::from([(model("m"), 1.0), (model("n"), 1.0)]);
+    let named = BTreeMap::from([(model("m"), 8), (model("n"), 8)]);
+    let homes = assign_homes(&targets, &weights, &named);
+    assert_eq!(homes[&backend("a")], model("n"));
+    assert_eq!(homes[&backend("b")], model("m"));
+}
