Take batches of replaced owners over at once; start optional items by length

Logs of a closing fault: all processes start again at 38.6 s, the batches of the owner, itself started again, are claimed at 40.8 s, since claims wait for 1.3 s of silence. And in most steps the item that ended last was one of the groups that the step "can do without": they started last, at 2.4 to 3.3 s, stayed open, came again in a later step, which then lasted as long as they did.

Change: a process names itself in its Joined record, so that all know which processes are gone; the batch of such an owner may be claimed at once. Waiting items start in the order of their expected length, whether their step needs them or not. Log lines tell a batch's step, the groups it waits for and what was read; run_started tells group and expected tokens.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -68,6 +68,8 @@
     }
     let id = submission.id.clone();
     let items = submission.items.len();
+    let (step, minimum_version) = (submission.step, submission.minimum_version);
+    let desired_groups = submission.desired_groups;
     let partition = context.partition_of(&id);
     if partition.lock().state.batch(&id).is_some() {
         info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
@@ -87,7 +89,8 @@
         AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
     };
     info!(event = "batch_submitted", batch = id.as_str(), partition = partition.id.partition,
-        items = items, status = status.as_u16(); "");
+        items = items, step = step, desired_groups = desired_groups,
+        minimum_version = minimum_version, status = status.as_u16(); "");
     BatchAnswer::empty(status)
 }
 
@@ -120,14 +123,19 @@
 ) -> BatchAnswer {
     let partition = context.partition_of(id);
     partition.want(context.now());
-    let until = Instant::now() + wait.min(LONGEST_WAIT);
+    let asked = Instant::now();
+    let until = asked + wait.min(LONGEST_WAIT);
     loop {
         let changed = partition.changed();
         tokio::pin!(changed);
         changed.as_mut().enable();
         let waits_on = Instant::now() < until;
         match look(context, partition, id, from) {
-            Found::Page(answer) => return answer,
+            Found::Page { answer, next } => {
+                info!(event = "results_read", batch = id.as_str(), from = from, next = next,
+                    waited_ms = asked.elapsed().as_millis() as u64; "");
+                return answer;
+            }
             Found::NothingNew { closed } if closed || !waits_on => {
                 if let Some(answer) = confirmed_nothing(context, partition, id, from).await {
                     return answer;
@@ -151,7 +159,7 @@
 enum Found {
     NoBatch,
     NothingNew { closed: bool },
-    Page(BatchAnswer),
+    Page { answer: BatchAnswer, next: usize },
 }
 
 fn look(context: &Context, partition: &BatchView, id: &BatchId, from: usize) -> Found {
@@ -164,10 +172,12 @@
             closed: batch.is_closed(),
         };
     }
-    Found::Page(page(context, batch, from))
+    let (answer, next) = page(context, batch, from);
+    Found::Page { answer, next }
 }
 
-fn page(context: &Context, batch: &BatchState, from: usize) -> BatchAnswer {
+/// The page of results from a position on, and the position after it.
+fn page(context: &Context, batch: &BatchState, from: usize) -> (BatchAnswer, usize) {
     let mut bytes = 0;
     let mut results = Vec::new();
     for (item, result) in batch.results_from(from) {
@@ -183,11 +193,12 @@
         next,
         results,
     };
-    BatchAnswer {
+    let answer = BatchAnswer {
         status: StatusCode::OK,
         body: context.dialect.write_results(&page),
         is_own_format: true,
-    }
+    };
+    (answer, next)
 }
 
 /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
@@ -205,7 +216,7 @@
     }
     let inner = partition.lock();
     let batch = inner.state.batch(id)?;
-    (from >= batch.listed.len()).then(|| page(context, batch, from))
+    (from >= batch.listed.len()).then(|| page(context, batch, from).0)
 }
 
 async fn confirm_now(context: &Context, partition: &BatchView) -> Result<(), BatchAnswer> {
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -9,7 +9,7 @@
 use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, NodeId};
-use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::lease::{ClaimTiming, LeaseState, Term};
 use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
 use log::info;
@@ -72,7 +72,7 @@
             for batch in inner.state.batches().filter(|batch| is_kept(batch, now)) {
                 let partition = view.id.partition;
                 let (id, lease) = (&batch.id, &batch.lease);
-                let timing = claim_timing(&self.context, id, lease.term());
+                let timing = claim_timing(&self.context, id, lease);
                 if lease.is_held_by(&self.context.node) {
                     let term = lease.term();
                     work.held.push(HeldBatch {
@@ -183,9 +183,17 @@
 }
 
 /// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
-fn claim_timing(context: &Context, batch: &BatchId, term: Term) -> ClaimTiming {
-    let text = format!("{} {batch} {term}", context.node);
-    claim_timing_of(context, &text)
+fn claim_timing(context: &Context, batch: &BatchId, lease: &LeaseState) -> ClaimTiming {
+    let text = format!("{} {batch} {}", context.node, lease.term());
+    let orders = context.orders.lock();
+    let is_holder_gone = lease
+        .holder()
+        .is_some_and(|holder| orders.state.is_replaced(holder));
+    drop(orders);
+    ClaimTiming {
+        is_holder_gone,
+        ..claim_timing_of(context, &text)
+    }
 }
 
 /// When a node may claim a lease, by a text that differs from node to node and from term to term.
@@ -196,6 +204,7 @@
     ClaimTiming {
         silence_ms: tuning.silence_ms + pace.gap_ms,
         spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
+        is_holder_gone: false,
     }
 }
 
@@ -250,7 +259,7 @@
         .state
         .batch(batch)
         .filter(|batch| !batch.is_closed())?;
-    let timing = claim_timing(context, batch, state.lease.term());
+    let timing = claim_timing(context, batch, &state.lease);
     let at = state
         .lease
         .claimable_at(&context.node, readable_since, &timing);
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -4,7 +4,7 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::BatchState;
-use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::ids::{BackendId, GroupId};
 use havenstage_rollout::record::{BatchRecord, OutputEvent};
 use log::info;
 use tokio::time::Instant;
@@ -51,6 +51,8 @@
         };
         let partition = item.partition;
         let resumed_from = item.resumed_from;
+        let group = item.spec.group.clone();
+        let expected_tokens = item.spec.expected_tokens;
         let sender = self.news_sender.clone();
         let task = tokio::spawn(run::make_run(self.context.clone(), backend, order, sender));
         item.phase = Phase::Running {
@@ -60,6 +62,7 @@
         };
         info!(event = "run_started", request = key.item.as_str(), batch = key.batch.as_str(),
             backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
+            group = group.as_ref().map_or("", GroupId::as_str), expected_tokens = expected_tokens,
             minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms; "");
         self.push(
             partition,
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -221,7 +221,7 @@
 /// Says in the log that a node started here, so that all know how many machines read.
 async fn announce(context: &Context) {
     let record = OrderRecord::Joined {
-        machine: context.node.machine.clone(),
+        node: context.node.clone(),
     };
     while append(context, &record).await.is_err() {
         tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod lease;
 pub mod load_limit;
+pub mod machine_lives;
 pub mod order_plan;
 pub mod orders;
 pub mod pacing;
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -3,7 +3,7 @@
 //! One node holds the lease for orders. It writes an order down before it gives it, so that its
 //! successor knows when the last one can have been given.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -11,14 +11,15 @@
 use crate::Millis;
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::lease::{LeaseState, Term};
+use crate::machine_lives::MachineLives;
 
 /// A record of the stream of orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderRecord {
     /// A node started on a machine.
     Joined {
-        /// The machine.
-        machine: MachineName,
+        /// This life of the node.
+        node: NodeId,
     },
     /// A node runs batches of some routes; it has connections to their back ends.
     Serves {
@@ -118,7 +119,7 @@
 #[derive(Debug)]
 pub struct OrderState {
     own_machine: MachineName,
-    machines: BTreeSet<MachineName>,
+    lives: MachineLives,
     serving: BTreeMap<String, Serving>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
@@ -147,7 +148,7 @@
     pub fn new(own_machine: MachineName) -> Self {
         Self {
             own_machine,
-            machines: BTreeSet::new(),
+            lives: MachineLives::default(),
             serving: BTreeMap::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
@@ -160,9 +161,7 @@
     /// Takes the next record.
     pub fn apply(&mut self, record: OrderRecord, now: Millis) {
         match record {
-            OrderRecord::Joined { machine } => {
-                self.machines.insert(machine);
-            }
+            OrderRecord::Joined { node } => self.lives.joined(node),
             OrderRecord::Serves { node, routes } => {
                 for route in routes {
                     let serving = Serving {
@@ -229,7 +228,12 @@
 
     /// Machines that ever had a node.
     pub fn machine_count(&self) -> usize {
-        self.machines.len()
+        self.lives.machine_count()
+    }
+
+    /// Whether a node's process is known to be gone, since another one started on its machine.
+    pub fn is_replaced(&self, node: &NodeId) -> bool {
+        self.lives.is_replaced(node)
     }
 
     /// The node that runs batches of a route, if it said so since `since`.
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,8 +1,8 @@
 //! Which item runs next, and on which back end.
 //!
-//! Items of the groups that the trainer waits for go first; of the others, groups with the
-//! shortest longest item come first, since a step needs only some of them. Within a rank the
-//! longest expected item starts first, so that it does not end last.
+//! The longest expected item starts first, so that it does not end last, also if its step can do
+//! without it: a group that is left open comes again in a later step, which needs it and then lasts
+//! as long as its longest item.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -157,17 +157,15 @@
 /// Cost of reading a prompt again, in the same unit.
 const PROMPT_READ_COST: f64 = 0.05;
 
-/// Orders waiting items: needed before optional, older batches first, longest first.
+/// Orders waiting items: older batches first, longest first.
 pub fn sort_waiting(waiting: &mut [WaitingItem]) {
     waiting.sort_by(|left, right| {
         (
-            left.optional,
             left.since,
             std::cmp::Reverse(left.expected_tokens),
             &left.item,
         )
             .cmp(&(
-                right.optional,
                 right.since,
                 std::cmp::Reverse(right.expected_tokens),
                 &right.item,
