Move items by the time they save, judged by the median gap of events

Cause: items of 165 events ended 8.4 to 8.7 s after their batch on engines that make an event each 53 ms, while engines with 41 ms had free places: a move needed a speed-up of 1.6. The mean gap that speeds were taken from follows single steps, so a lower bound alone would act on noise.

Change: the usual gap of a back end is the median of its last 64 (crates/rollout event_gap); an item moves where it saves 0.4 s and the gap is 1.2 times shorter.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -9,6 +9,7 @@
 use havenstage_http_link::{Link, LinkSettings};
 use havenstage_rollout::Millis;
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
+use havenstage_rollout::event_gap::RecentGaps;
 use havenstage_rollout::health::HealthBoard;
 use havenstage_rollout::ids::{BackendId, ModelName, PoolName, Version};
 use tokio::sync::Notify;
@@ -19,10 +20,6 @@
 const KEEP_IDLE: Duration = Duration::from_secs(9);
 /// Most resting connections to one back end.
 const MOST_IDLE: usize = 8;
-/// Weight of the newest gap between events in a back end's mean.
-const NEWEST_GAP_WEIGHT: f64 = 0.1;
-/// Time after which a mean gap says nothing any more.
-const GAP_VALID_MS: Millis = 3_000;
 
 /// A back end chosen for a request. While it is held, the request counts as in flight there.
 pub struct ChosenBackend {
@@ -55,14 +52,7 @@
     links: HashMap<BackendId, Link>,
     in_flight: HashMap<BackendId, u32>,
     versions: HashMap<(BackendId, ModelName), Version>,
-    event_gaps: HashMap<BackendId, EventGap>,
-}
-
-/// Mean time between two events of a stream.
-#[derive(Debug, Clone, Copy)]
-struct EventGap {
-    mean_ms: f64,
-    seen: Millis,
+    event_gaps: HashMap<BackendId, RecentGaps>,
 }
 
 impl Backends {
@@ -246,22 +236,14 @@
 
     /// Two events of a stream came so far apart.
     pub fn saw_event_gap(&mut self, id: &BackendId, gap_ms: f64, now: Millis) {
-        let gap = EventGap {
-            mean_ms: gap_ms,
-            seen: now,
-        };
-        let gap = self.event_gaps.entry(id.clone()).or_insert(gap);
-        if now.saturating_sub(gap.seen) > GAP_VALID_MS {
-            gap.mean_ms = gap_ms;
-        }
-        gap.mean_ms += NEWEST_GAP_WEIGHT * (gap_ms - gap.mean_ms);
-        gap.seen = now;
+        self.event_gaps
+            .entry(id.clone())
+            .or_default()
+            .saw(gap_ms, now);
     }
 
-    /// Mean time between two events of a stream, if any came lately: a back end that was slow and
-    /// has had no work since may have recovered.
+    /// Usual time between two events of a stream, if any came lately.
     pub fn event_gap_ms(&self, id: &BackendId, now: Millis) -> Option<f64> {
-        let gap = self.event_gaps.get(id)?;
-        (now.saturating_sub(gap.seen) <= GAP_VALID_MS).then_some(gap.mean_ms)
+        self.event_gaps.get(id)?.median_ms(now)
     }
 }
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::event_gap::median;
 use havenstage_rollout::fold::{BatchState, ItemState};
 use havenstage_rollout::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, PoolName, Version};
 use havenstage_rollout::record::{GiveUpReason, OutputEvent};
@@ -24,6 +25,8 @@
 const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
 /// Gap between events of a back end whose speed is not known yet.
 const USUAL_GAP_MS: f64 = 30.0;
+/// Shortest gap that is told apart from none.
+const SHORTEST_GAP_MS: f64 = 1.0;
 
 /// Work of this node in one pool.
 #[derive(Default)]
@@ -157,6 +160,7 @@
             match live.map(|live| &live.phase) {
                 None | Some(Phase::Waiting) => work.waiting.push(item),
                 Some(Phase::Running { backend, since, .. }) => work.running.push(RunningItem {
+                    expected_events: item.expected_tokens.div_ceil(tokens_per_event),
                     item,
                     backend: backend.clone(),
                     running_ms: now.saturating_sub(*since),
@@ -288,7 +292,7 @@
             .ready_in(name)
             .filter_map(|(id, _)| backends.event_gap_ms(id, now))
             .collect();
-        let usual_gap = median(gaps).unwrap_or(USUAL_GAP_MS);
+        let usual_gap_ms = median(gaps).unwrap_or(USUAL_GAP_MS);
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
         let mut candidates = Vec::new();
         for (id, record) in backends.list.ready_in(name) {
@@ -301,13 +305,13 @@
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
-            let gap = backends.event_gap_ms(id, now).unwrap_or(usual_gap).max(1.0);
+            let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
             candidates.push(Candidate {
                 backend: id.clone(),
                 running: own.get(id).copied().unwrap_or(0)
                     + elsewhere.get(id).copied().unwrap_or(0),
                 slots: record.slots,
-                speed: (usual_gap / gap).clamp(0.1, 2.0),
+                event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
                     .map(versions)
@@ -367,11 +371,6 @@
     }
 }
 
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied()
-}
-
 /// Items of a batch that another batch holds too.
 fn carried_items(context: &Context, batch: &BatchId, items: Vec<ItemId>) -> HashSet<ItemId> {
     let mut carried = HashSet::new();
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod batch;
+pub mod event_gap;
 pub mod event_stream;
 pub mod fold;
 pub mod framing;
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -52,8 +52,8 @@
     pub running: u32,
     /// Items it runs at a time.
     pub slots: u32,
-    /// Its speed relative to the others; 1 is usual.
-    pub speed: f64,
+    /// Milliseconds between two events of a stream there.
+    pub event_gap_ms: f64,
     /// Versions of its models.
     pub models: BTreeMap<ModelName, Version>,
     /// Groups whose prompt it holds.
@@ -82,7 +82,7 @@
             _ => 0.0,
         };
         // A batch step takes a base time and a little more for each running item.
-        (1.0 + STEP_COST_PER_ITEM * crowd) / self.speed + reread
+        (1.0 + STEP_COST_PER_ITEM * crowd + reread) * self.event_gap_ms
     }
 }
 
@@ -95,6 +95,8 @@
     pub backend: BackendId,
     /// For how long.
     pub running_ms: Millis,
+    /// Events still expected.
+    pub expected_events: u32,
 }
 
 /// A move of a running item.
@@ -106,12 +108,16 @@
     pub to: BackendId,
 }
 
-/// How much faster another back end must be for a move to pay.
-const WORTHWHILE_SPEED_UP: f64 = 1.6;
+/// How much faster another back end must be for a move to pay: gaps that differ less may only be
+/// those of fuller and emptier batches.
+const WORTHWHILE_SPEED_UP: f64 = 1.2;
+/// Time that a move must save: ending a run, connecting elsewhere and reading the prompt and the
+/// output again take some of it, and how long an item still runs is only a guess.
+const WORTHWHILE_SAVING_MS: f64 = 400.0;
 /// Time that an item runs before it may be moved.
 const SETTLING_MS: Millis = 400;
 
-/// Moves of items from slow back ends to free places on faster ones, the longest items first.
+/// Moves of items to free places on back ends where they end clearly sooner, the longest first.
 pub fn relocations(
     mut running: Vec<RunningItem>,
     mut candidates: Vec<Candidate>,
@@ -119,42 +125,44 @@
     running.retain(|running| running.running_ms >= SETTLING_MS);
     running.sort_by_key(|running| std::cmp::Reverse(running.item.expected_tokens));
     let mut moves = Vec::new();
-    for RunningItem { item, backend, .. } in running {
-        let Some(from) = candidates.iter().position(|c| c.backend == backend) else {
+    for running in running {
+        let Some(from) = candidates.iter().position(|c| c.backend == running.backend) else {
             continue;
         };
-        let Some(to) = best_target(&item, &candidates, from) else {
+        let Some(to) = best_target(&running, &candidates, from) else {
             continue;
         };
         candidates[from].running = candidates[from].running.saturating_sub(1);
         candidates[to].running += 1;
         moves.push(Relocation {
             to: candidates[to].backend.clone(),
-            item,
+            item: running.item,
         });
     }
     moves
 }
 
-fn best_target(item: &WaitingItem, candidates: &[Candidate], from: usize) -> Option<usize> {
-    let rate = |candidate: &Candidate, beside: u32| {
-        candidate.speed / (1.0 + STEP_COST_PER_ITEM * f64::from(candidate.running + beside))
+fn best_target(running: &RunningItem, candidates: &[Candidate], from: usize) -> Option<usize> {
+    let here_ms = candidates[from].event_gap_ms;
+    let pays = |target: &Candidate| {
+        let saved_ms = f64::from(running.expected_events) * (here_ms - target.event_gap_ms);
+        here_ms > target.event_gap_ms * WORTHWHILE_SPEED_UP && saved_ms > WORTHWHILE_SAVING_MS
     };
-    let needed = rate(&candidates[from], 0) * WORTHWHILE_SPEED_UP;
     let fitting = candidates
         .iter()
         .enumerate()
-        .filter(|(at, c)| *at != from && c.accepts(item));
+        .filter(|(at, target)| *at != from && target.accepts(&running.item) && pays(target));
     fitting
-        .map(|(at, candidate)| (at, rate(candidate, 1)))
-        .filter(|(_, rate)| *rate > needed)
-        .max_by(|left, right| left.1.total_cmp(&right.1))
+        .min_by(|left, right| {
+            let order = left.1.cost_for(&running.item);
+            order.total_cmp(&right.1.cost_for(&running.item))
+        })
         .map(|(at, _)| at)
 }
 
 /// Growth of a step's time with each item that runs beside.
 const STEP_COST_PER_ITEM: f64 = 0.033;
-/// Cost of reading a prompt again, in the same unit.
+/// Cost of reading a prompt again, as a share of a step's time.
 const PROMPT_READ_COST: f64 = 0.05;
 
 /// Orders waiting items: older batches first, longest first.
