Write results after 40 ms and progress after 300 ms

Cause: from an item's end to its listing pass up to 100 ms, and a killed owner's batches go on from up to 500 ms before; both delay each step, and 12 steps instead of 13 are asked where a chain of steps is a second late.

Change: the defaults of tuning.flush_ms and tuning.progress_ms.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -92,8 +92,8 @@
     fn default() -> Self {
         Self {
             read_wait_ms: 1_500,
-            flush_ms: 100,
-            progress_ms: 500,
+            flush_ms: 40,
+            progress_ms: 300,
             keep_ms: 300,
             silence_ms: 1_300,
             spread_ms: 300,
