Start the items that are expected to end last first, across batches

Change: waiting items are ordered by age of their batch plus expected time left; the time of a token comes from the median gap of the pool's back ends.

--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -175,7 +175,10 @@
             return;
         }
         let mut candidates = self.candidates(table.pool(pool), pool, now);
-        schedule::sort_waiting(&mut work.waiting);
+        let gaps_ms = candidates.iter().map(|candidate| candidate.event_gap_ms);
+        let usual_gap_ms = median(gaps_ms.collect()).unwrap_or(USUAL_GAP_MS);
+        let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
+        schedule::sort_waiting(&mut work.waiting, now, token_ms);
         for item in &work.waiting {
             let Some(chosen) = schedule::choose(item, &candidates) else {
                 self.restart_if_version_is_gone(item, pool, now);
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,7 +1,6 @@
 //! Which item runs next, and on which back end.
 //!
-//! The longest expected item starts first, so that it does not end last, also if its step can do
-//! without it: a group that is left open comes again in a later step, which needs it and then lasts
+//! The item that is expected to end last starts first, also if its step can do without it: a group that is left open comes again in a later step, which needs it and then lasts
 //! as long as its longest item.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -165,19 +164,17 @@
 /// Cost of reading a prompt again, as a share of a step's time.
 const PROMPT_READ_COST: f64 = 0.05;
 
-/// Orders waiting items: older batches first, longest first.
-pub fn sort_waiting(waiting: &mut [WaitingItem]) {
+/// Orders waiting items by when they are expected to end, counted from their batch's begin, if they
+/// start now: the latest first, since it decides how long its step lasts. So a long item of a new
+/// batch goes before a short one of an older batch, and of equally long ones the older batch's.
+pub fn sort_waiting(waiting: &mut [WaitingItem], now: Millis, token_ms: f64) {
+    let end_ms = |item: &WaitingItem| {
+        let age_ms = now.saturating_sub(item.since) as f64;
+        age_ms + f64::from(item.expected_tokens) * token_ms
+    };
     waiting.sort_by(|left, right| {
-        (
-            left.since,
-            std::cmp::Reverse(left.expected_tokens),
-            &left.item,
-        )
-            .cmp(&(
-                right.since,
-                std::cmp::Reverse(right.expected_tokens),
-                &right.item,
-            ))
+        let order = end_ms(right).total_cmp(&end_ms(left));
+        order.then_with(|| left.item.cmp(&right.item))
     });
 }
 
