Run nothing twice after the log was away, and nothing for a batch whose end may be unread

Two faults found in logs, each with a test that failed first.

An owner whose reads succeed but lie behind went on starting items. It now starts none from knowledge older than two thirds of bounds.end_in_force_ms, unless the log cannot be read at all.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -151,11 +151,14 @@
         let Phase::Finishing { since } = &item.phase else {
             return false;
         };
-        let is_written = self
-            .outboxes
-            .get(&item.partition)
-            .is_none_or(Outbox::is_empty);
-        is_written && confirmed.is_some_and(|at| at > since + END_SEEN_AFTER_MS)
+        let written = match self.outboxes.get(&item.partition) {
+            Some(outbox) => outbox.all_written_at(),
+            None => Some(0),
+        };
+        // It may have waited long to be written, while the log was away.
+        written
+            .zip(confirmed)
+            .is_some_and(|(written, confirmed)| confirmed > written.max(*since) + END_SEEN_AFTER_MS)
     }
 
     fn take_ended(&mut self, ended: TaskEnded) {
--- a/crates/gateway/src/engine/outbox.rs
+++ b/crates/gateway/src/engine/outbox.rs
@@ -35,6 +35,8 @@
     pub last_append: Millis,
     /// Whether a waiting record should not wait for more.
     pub is_urgent: bool,
+    /// When an append was last answered as done.
+    written: Millis,
 }
 
 impl Outbox {
@@ -48,6 +50,7 @@
             is_failing: false,
             last_append: 0,
             is_urgent: false,
+            written: 0,
         }
     }
 
@@ -66,6 +69,11 @@
         self.waiting.is_empty() && self.under_way.is_none()
     }
 
+    /// When all that was pushed so far was written; `None` while some of it is not.
+    pub fn all_written_at(&self) -> Option<Millis> {
+        self.is_empty().then_some(self.written)
+    }
+
     /// Whether the last append failed. More signs of life would only pile up behind it.
     pub fn is_failing(&self) -> bool {
         self.is_failing
@@ -100,7 +108,9 @@
             return;
         };
         self.is_failing = !is_done;
-        if !is_done {
+        if is_done {
+            self.written = now;
+        } else {
             self.waiting.push_front(call);
             self.not_before = now + REPEAT_PAUSE_MS;
             self.is_urgent = true;
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -47,7 +47,12 @@
         let now = self.context.now();
         let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         let mut too_late = Vec::new();
+        let most_age_ms = self.context.settings.bounds.end_in_force_ms * 2 / 3;
         for partition in 0..self.context.partitions.len() {
+            // An end that is not read yet must not be in force when an item arrives.
+            if !self.context.partitions[partition].may_be_acted_on(now, most_age_ms) {
+                continue;
+            }
             self.note_carried(partition);
             let inner = self.context.partitions[partition].lock();
             for batch in inner.state.batches().filter(|batch| self.is_own(batch)) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -64,6 +64,14 @@
     pub order_thaw_ms: u64,
     /// Seconds that a batch can be read after it was handed in.
     pub retention_s: f64,
+    /// Milliseconds after the end of a batch was acknowledged from which on none of its items may
+    /// reach a back end.
+    #[serde(default = "default_end_in_force_ms")]
+    pub end_in_force_ms: u64,
+}
+
+fn default_end_in_force_ms() -> u64 {
+    3_000
 }
 
 /// Choices of the operator.
@@ -163,6 +171,7 @@
             ("log.record_bytes", self.log.record_bytes as u64),
             ("log.call_bytes", self.log.call_bytes as u64),
             ("log.reads_per_s", u64::from(self.log.reads_per_s)),
+            ("bounds.end_in_force_ms", self.bounds.end_in_force_ms),
             ("tuning.read_wait_ms", self.tuning.read_wait_ms),
             ("tuning.flush_ms", self.tuning.flush_ms),
             ("tuning.progress_ms", self.tuning.progress_ms),
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -207,6 +207,15 @@
         self.lock().is_current(now)
     }
 
+    /// Whether what is known here may be acted on: it is at most `most_age` old, or the log cannot be
+    /// read, so that nobody here can know more.
+    pub fn may_be_acted_on(&self, now: Millis, most_age: Millis) -> bool {
+        let inner = self.lock();
+        let is_readable = inner.last_success > 0;
+        let oldest = now.saturating_sub(most_age);
+        !is_readable || inner.confirmed.is_some_and(|at| at >= oldest)
+    }
+
     /// Whether there is more to be read than what comes in as it is written.
     pub fn is_behind(&self, now: Millis) -> bool {
         let inner = self.lock();
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -44,6 +44,8 @@
     pub refuses_reads: bool,
     /// Appends take a while.
     pub slow_appends: bool,
+    /// How long answers to reads are on their way.
+    pub read_delay: Duration,
     /// Every second page of a listing is refused because too many calls are made.
     pub throttles_listings: bool,
 }
@@ -237,7 +239,9 @@
         let found = found.await;
         // A fault that began while the call waited takes its answer too.
         self.check_readable().await?;
-        Ok(found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap())))
+        let page = found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap()));
+        tokio::time::sleep(self.faults().read_delay).await;
+        Ok(page)
     }
 }
 
--- a/crates/gateway/tests/troubles.rs
+++ b/crates/gateway/tests/troubles.rs
@@ -7,7 +7,8 @@
 
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::backend::BackendChange;
-use support::caller::{call, results, submit, wait_for_results};
+use http::Method;
+use support::caller::{call, results, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, listed, wait_until};
 use support::dialect::write_batch;
 use support::log::LogFaults;
@@ -100,3 +101,68 @@
     assert_eq!(lines, results(first.callers, "new", 0).await.1);
     assert_eq!(results(first.callers, "old", 0).await.1.len(), ITEMS.len());
 }
+
+/// Items end while the log takes no records. Once it does again, what was made is written down and
+/// listed, and nothing is made a second time.
+#[tokio::test]
+async fn items_that_ended_while_nothing_could_be_written_run_once() {
+    let deployment = Deployment::start(2, 1).await;
+    let node = deployment.node("a").await;
+    let body = write_batch(1, &ITEMS, false);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    wait_until("all items ran", || runs(&deployment) >= ITEMS.len()).await;
+    // Longer than an end that was written down may take to be seen.
+    tokio::time::sleep(Duration::from_millis(5_000)).await;
+    node.set_faults(LogFaults {
+        read_delay: Duration::from_millis(150),
+        ..LogFaults::default()
+    });
+    let lines = wait_for_results(node.callers, "batch", ITEMS.len()).await;
+    assert!(
+        lines.iter().all(|line| line.contains("|completed|")),
+        "{lines:?}"
+    );
+    assert_eq!(runs(&deployment), ITEMS.len());
+}
+
+/// An owner learns of the end of its batch late, as answers of the log take long. It may not send
+/// items once the end is in force.
+#[tokio::test]
+async fn an_owner_whose_knowledge_is_old_sends_no_items() {
+    const MANY_ITEMS: usize = 60;
+    let deployment = Deployment::start(1, 1).await;
+    let (owner, other) = (deployment.node("a").await, deployment.node("b").await);
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(400));
+    let names: Vec<String> = (0..MANY_ITEMS).map(|at| format!("i{at}")).collect();
+    let items: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "g")).collect();
+    let body = write_batch(1, &items, false);
+    assert_eq!(submit(owner.callers, "batch", &body).await, 202);
+    wait_until("items run", || runs(&deployment) > 0).await;
+    owner.set_faults(LogFaults {
+        read_delay: Duration::from_secs(20),
+        ..LogFaults::default()
+    });
+    let ended = send(other.callers, Method::DELETE, "/results/batch", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(ended.status, 200);
+    let in_force = owner.context().settings.bounds.end_in_force_ms;
+    tokio::time::sleep(Duration::from_millis(in_force)).await;
+    let before = runs(&deployment);
+    assert!(
+        before < MANY_ITEMS,
+        "all items ran before the end was in force"
+    );
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(runs(&deployment), before);
+}
+
+/// Items sent to engines, again or not.
+fn runs(deployment: &Deployment) -> usize {
+    let engines = deployment.engines.iter();
+    engines.flat_map(|engine| engine.runs().into_values()).sum()
+}
