--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -17,7 +17,6 @@
 use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
-use crate::watched_log::{Contact, Watched};
 
 /// The only partition of orders in use.
 pub const ORDERS: StreamPartition = StreamPartition {
@@ -55,8 +54,6 @@
     pub partitions: Vec<StreamView<PartitionState>>,
     /// Orders given by anyone.
     pub orders: StreamView<OrderState>,
-    /// When the log or a directory last answered.
-    pub contact: Arc<Contact>,
     /// Turns for reading batches that lie far behind.
     pub catch_up: Semaphore,
     /// Wakes the task that gives orders.
@@ -73,6 +70,7 @@
     routes_known: Notify,
     named: Mutex<BTreeMap<ModelName, Version>>,
     draws: AtomicU64,
+    last_contact: AtomicU64,
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
     follows_all: watch::Sender<bool>,
@@ -96,15 +94,12 @@
             })
             .map(|id| StreamView::new(id, PartitionState::default(), work.clone()))
             .collect();
-        let clock = SteadyClock::start();
-        let contact = Arc::new(Contact::new(clock));
         Arc::new(Self {
             settings,
             node: node.clone(),
-            clock,
-            log: Arc::new(Watched::new(log, contact.clone())),
-            directory: Arc::new(Watched::new(directory, contact.clone())),
-            contact,
+            clock: SteadyClock::start(),
+            log,
+            directory,
             dialect,
             backends: Backends::new(work.clone()),
             partitions,
@@ -116,6 +111,7 @@
             orders_changed,
             work,
             catch_up: Semaphore::new(CATCH_UP_READS),
+            last_contact: AtomicU64::new(0),
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
             follows_all: watch::Sender::new(false),
@@ -285,6 +281,17 @@
         self.draws.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// The log or a directory answered.
+    pub fn saw_contact(&self) {
+        self.last_contact.fetch_max(self.now(), Ordering::Relaxed);
+    }
+
+    /// Milliseconds since the log or a directory last answered.
+    pub fn contact_age(&self) -> Millis {
+        self.now()
+            .saturating_sub(self.last_contact.load(Ordering::Relaxed))
+    }
+
     /// Whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -64,6 +64,8 @@
     pub events: u32,
     /// Version that made the first event.
     pub made_by: Option<Version>,
+    /// How often it was moved to another back end.
+    pub moves: u32,
     /// Answers of back ends that they failed at it.
     pub failures: u32,
     /// Since when this node works on it.
@@ -86,6 +88,7 @@
             resumed_from: events,
             events,
             made_by: state.events.first().map(|event| event.version),
+            moves: 0,
             failures: 0,
             since: now,
             base: events,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -162,15 +162,20 @@
                 exact_version: made_by(live, item).filter(|_| route.single_version),
                 group: item.group.clone(),
             };
-            match live.map(|live| &live.phase) {
-                None | Some(Phase::Waiting) => work.waiting.push(item),
-                Some(Phase::Running { backend, since, .. }) => work.running.push(RunningItem {
+            let Some(live) = live else {
+                work.waiting.push(item);
+                continue;
+            };
+            match &live.phase {
+                Phase::Waiting => work.waiting.push(item),
+                Phase::Running { backend, since, .. } => work.running.push(RunningItem {
                     expected_events: item.expected_tokens.div_ceil(tokens_per_event),
                     item,
                     backend: backend.clone(),
                     running_ms: now.saturating_sub(*since),
+                    moves: live.moves,
                 }),
-                Some(Phase::Scoring { .. } | Phase::Finishing { .. }) => {}
+                Phase::Scoring { .. } | Phase::Finishing { .. } => {}
             }
         }
     }
@@ -235,6 +240,7 @@
             events = live.events; "");
         // Ends the run and resets its connection.
         live.phase = Phase::Waiting;
+        live.moves += 1;
         let partition = live.partition;
         if let Some(progress) = live.take_progress(&key) {
             self.push(partition, &progress);
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -81,6 +81,7 @@
         match context.directory.changes(kind, from, wait).await {
             Ok(page) => {
                 dependency.works();
+                context.saw_contact();
                 next = Some(page.next);
                 for entry in page.entries {
                     take_entry(&context, entry, None);
@@ -110,6 +111,7 @@
         match context.directory.list(kind, after.as_deref()).await {
             Ok(page) => {
                 dependency.works();
+                context.saw_contact();
                 let end = *first_end.get_or_insert(page.end);
                 for entry in page.entries {
                     take_entry(context, entry, Some(&mut listed));
@@ -206,6 +208,7 @@
         match confirmed {
             Ok(()) => {
                 dependency.works();
+                context.saw_contact();
             }
             Err(error) => {
                 view.read_failed();
@@ -258,6 +261,7 @@
     match context.log.read(view.id, from, wait).await {
         Ok(page) => {
             dependency.works();
+            context.saw_contact();
             let outcome = view.take_page(page, asked, context.now());
             if outcome.unreadable > 0 {
                 warn!(event = "records_unreadable", dependency = dependency.name.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,4 +20,3 @@
 pub mod server;
 pub mod settings;
 pub mod stream_view;
-pub mod watched_log;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -182,7 +182,7 @@
     }
     let Some(table) = context.routes_soon().await else {
         info!(event = "no_configuration", request = request_id(context, &head).as_str(),
-            contact_age_ms = context.contact.age(), status = 503u16; "");
+            contact_age_ms = context.contact_age(), status = 503u16; "");
         return refuse(StatusCode::SERVICE_UNAVAILABLE, COME_BACK);
     };
     let host = host_of(&head).unwrap_or_default();
@@ -390,7 +390,7 @@
 /// Whether the node takes requests.
 pub fn is_ready(context: &Context) -> bool {
     let has_routes = context.routes().is_some();
-    has_routes && !context.is_stopping() && context.contact.age() < READY_CONTACT_MS
+    has_routes && !context.is_stopping() && context.contact_age() < READY_CONTACT_MS
 }
 
 /// Serves readiness.
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -96,6 +96,17 @@
     pub running_ms: Millis,
     /// Events still expected.
     pub expected_events: u32,
+    /// How often it was moved already.
+    pub moves: u32,
+}
+
+impl RunningItem {
+    /// Whether it ran long enough where it is to be moved. The time doubles with each move: where
+    /// many back ends are slow or short of memory, each looks better than the one before it.
+    fn is_settled(&self) -> bool {
+        let doublings = self.moves.min(MOST_SETTLING_DOUBLINGS);
+        self.running_ms >= SETTLING_MS << doublings
+    }
 }
 
 /// A move of a running item.
@@ -115,13 +126,15 @@
 const WORTHWHILE_SAVING_MS: f64 = 400.0;
 /// Time that an item runs before it may be moved.
 const SETTLING_MS: Millis = 400;
+/// Doublings of that time, at most.
+const MOST_SETTLING_DOUBLINGS: u32 = 4;
 
 /// Moves of items to free places on back ends where they end clearly sooner, the longest first.
 pub fn relocations(
     mut running: Vec<RunningItem>,
     mut candidates: Vec<Candidate>,
 ) -> Vec<Relocation> {
-    running.retain(|running| running.running_ms >= SETTLING_MS);
+    running.retain(RunningItem::is_settled);
     running.sort_by_key(|running| std::cmp::Reverse(running.item.expected_tokens));
     let mut moves = Vec::new();
     for running in running {
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -130,6 +130,7 @@
         backend: backend(backend_id),
         running_ms,
         expected_events: expected_tokens,
+        moves: 0,
     }
 }
 
@@ -215,3 +216,17 @@
     let candidates = vec![candidate("full", 8, 3, 0.9), candidate("empty", 0, 3, 1.0)];
     assert!(moved(item, candidates).is_empty());
 }
+
+#[test]
+fn an_item_that_was_moved_often_stays_longer() {
+    let candidates = || vec![candidate("slow", 4, 3, 0.3), candidate("free", 0, 3, 1.0)];
+    let item = |moves, running_ms| {
+        let mut item = running("item", "slow", 90, running_ms);
+        item.moves = moves;
+        vec![item]
+    };
+    assert_eq!(moved(item(0, 400), candidates()).len(), 1);
+    assert!(moved(item(2, 1_500), candidates()).is_empty());
+    assert_eq!(moved(item(2, 1_600), candidates()).len(), 1);
+    assert_eq!(moved(item(40, 6_400), candidates()).len(), 1);
+}
