--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,7 +1,7 @@
 //! Which item runs next, and on which back end.
 //!
-//! The item that is expected to end last starts first, also if its step can do without it: a group that is left open comes again in a later step, which needs it and then lasts
-//! as long as its longest item.
+//! The item that is expected to end last starts first, also if its step can do without it: a group
+//! that is left open comes again in a later step, which then lasts as long as its longest item.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
