--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -14,6 +14,8 @@
 mod resources;
 pub mod run;
 pub mod settings;
+mod settings_check;
+mod settings_file;
 pub mod table;
 mod trainer;
 
--- a/crates/bench/src/experiment/settings.rs
+++ b/crates/bench/src/experiment/settings.rs
@@ -1,22 +1,11 @@
-//! The experiment file; every field names its unit.
+//! What an experiment file says; every field names its unit.
 
-use std::fs;
-use std::path::Path;
 use std::time::Duration;
 
 use havenstage_emulator::EngineSettings;
 use havenstage_node::settings::NodeSettings;
 use havenstage_types::resource::PolicyName;
 use serde::{Deserialize, Serialize};
-use toml::{Table, Value};
-
-use super::error::ExperimentError;
-
-/// Key by which a file names the one it is laid over.
-const BASE_KEY: &str = "base";
-
-/// Files in a chain of bases, at most.
-const MAX_BASES: u32 = 8;
 
 /// A whole experiment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -295,173 +284,7 @@
     }
 }
 
-impl Experiment {
-    /// Reads an experiment file. A file may name another one as its `base`, relative to itself, and
-    /// then holds only what differs; tables are merged, lists replaced.
-    ///
-    /// # Errors
-    /// When a file cannot be read, or is not a valid experiment.
-    pub fn read(path: &Path) -> Result<Self, ExperimentError> {
-        let parse_error = |source| ExperimentError::Parse {
-            path: path.to_owned(),
-            source: Box::new(source),
-        };
-        let table = read_table(path, MAX_BASES)?;
-        let experiment: Self = table.try_into().map_err(parse_error)?;
-        experiment.validate()?;
-        Ok(experiment)
-    }
-
-    /// Checks the ranges that are not checked by the engines' and nodes' own settings.
-    ///
-    /// # Errors
-    /// The first setting out of range.
-    pub fn validate(&self) -> Result<(), ExperimentError> {
-        within("scale_percent", self.scale_percent, 1, 100)?;
-        within("nodes_per_zone", self.nodes_per_zone, 1, 1_000)?;
-        positive("duration_s", self.duration_s)?;
-        self.job.validate()?;
-        positive("trainer.train_s", self.trainer.train_s)?;
-        within(
-            "trainer.steps_per_version",
-            self.trainer.steps_per_version,
-            1,
-            1_000,
-        )?;
-        within("trainer.batch", self.trainer.batch, 1, 65_536)?;
-        self.live.iter().try_for_each(LiveSettings::validate)?;
-        for fault in &self.faults {
-            not_negative("faults.at_s", fault.at_s)?;
-            positive("faults.for_s", fault.for_s)?;
-        }
-        self.fault_rates.validate()
-    }
-}
-
-impl JobSettings {
-    fn validate(&self) -> Result<(), ExperimentError> {
-        within("job.prompts", self.prompts, 1, 1_000_000)?;
-        within("job.own_words", self.own_words, 1, 1_000_000)?;
-        within("job.group_size", self.group_size, 1, 65_536)?;
-        within("job.samples_per_step", self.samples_per_step, 1, 1_000_000)?;
-        within("job.max_tokens", self.max_tokens, 1, 1_000_000)?;
-        within("job.steps", self.steps, 1, 1_000_000)?;
-        within("job.steps_ahead", self.steps_ahead, 1, 256)?;
-        if !self.samples_per_step.is_multiple_of(self.group_size) {
-            return Err(ExperimentError::OutOfRange {
-                setting: "job.samples_per_step",
-                value: self.samples_per_step.to_string(),
-                allowed: "a multiple of job.group_size",
-            });
-        }
-        Ok(())
-    }
-}
-
-impl LiveSettings {
-    fn validate(&self) -> Result<(), ExperimentError> {
-        positive("live.rate_per_s", self.rate_per_s)?;
-        positive("live.deadline_s", self.deadline_s)?;
-        within("live.prefixes", self.prefixes, 1, 1_000_000)?;
-        within("live.max_tokens", self.max_tokens, 1, 1_000_000)?;
-        let Some(burst) = &self.burst else {
-            return Ok(());
-        };
-        positive("live.burst.every_s", burst.every_s)?;
-        not_negative("live.burst.length_s", burst.length_s)?;
-        positive("live.burst.factor", burst.factor)
-    }
-}
-
-impl FaultRates {
-    fn validate(&self) -> Result<(), ExperimentError> {
-        let rates = [
-            self.engine_crashes_per_hour,
-            self.node_crashes_per_hour,
-            self.swap_failures_per_hour,
-        ];
-        for rate in rates {
-            not_negative("fault_rates", rate)?;
-        }
-        positive("fault_rates.for_s", self.for_s)
-    }
-}
-
-/// The table of a file laid over that of its base.
-fn read_table(path: &Path, bases_left: u32) -> Result<Table, ExperimentError> {
-    let text = fs::read_to_string(path).map_err(|source| ExperimentError::File {
-        path: path.to_owned(),
-        source,
-    })?;
-    let mut own: Table = toml::from_str(&text).map_err(|source| ExperimentError::Parse {
-        path: path.to_owned(),
-        source: Box::new(source),
-    })?;
-    let Some(base) = own.remove(BASE_KEY) else {
-        return Ok(own);
-    };
-    let base = base.as_str().unwrap_or_default().to_owned();
-    if bases_left == 0 {
-        return Err(ExperimentError::OutOfRange {
-            setting: BASE_KEY,
-            value: base,
-            allowed: "a chain of at most 8 files",
-        });
-    }
-    let base_path = path.parent().unwrap_or(Path::new(".")).join(base);
-    let mut merged = read_table(&base_path, bases_left - 1)?;
-    lay_over(&mut merged, own);
-    Ok(merged)
-}
-
-fn lay_over(base: &mut Table, own: Table) {
-    for (key, value) in own {
-        match (base.get_mut(&key), value) {
-            (Some(Value::Table(below)), Value::Table(above)) => lay_over(below, above),
-            (_, value) => {
-                base.insert(key, value);
-            }
-        }
-    }
-}
-
 /// Seconds of a settings file as a duration.
 pub(super) fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.max(0.0))
 }
-
-fn within<T: PartialOrd + ToString>(
-    setting: &'static str,
-    value: T,
-    lowest: T,
-    highest: T,
-) -> Result<(), ExperimentError> {
-    let holds = value >= lowest && value <= highest;
-    require(holds, setting, value, "at least 1, within reason")
-}
-
-fn positive(setting: &'static str, value: f64) -> Result<(), ExperimentError> {
-    let holds = value > 0.0 && value.is_finite();
-    require(holds, setting, value, "above 0")
-}
-
-fn not_negative(setting: &'static str, value: f64) -> Result<(), ExperimentError> {
-    let holds = value >= 0.0 && value.is_finite();
-    require(holds, setting, value, "0 or more")
-}
-
-fn require(
-    holds: bool,
-    setting: &'static str,
-    value: impl ToString,
-    allowed: &'static str,
-) -> Result<(), ExperimentError> {
-    if holds {
-        return Ok(());
-    }
-    Err(ExperimentError::OutOfRange {
-        setting,
-        value: value.to_string(),
-        allowed,
-    })
-}
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -121,102 +121,115 @@
     from: usize,
     wait: Duration,
 ) -> BatchAnswer {
-    let partition = context.partition_of(id);
-    partition.want(context.now());
-    let asked = Instant::now();
-    let until = asked + wait.min(LONGEST_WAIT);
-    loop {
-        let changed = partition.changed();
-        tokio::pin!(changed);
-        changed.as_mut().enable();
-        let waits_on = Instant::now() < until;
-        match look(context, partition, id, from) {
-            Found::Page { answer, next } => {
-                info!(event = "results_read", batch = id.as_str(), from = from, next = next,
-                    waited_ms = asked.elapsed().as_millis() as u64; "");
-                return answer;
-            }
-            Found::NothingNew { closed } if closed || !waits_on => {
-                if let Some(answer) = confirmed_nothing(context, partition, id, from).await {
-                    return answer;
-                }
-            }
-            Found::NothingNew { .. } => {
-                let _ = tokio::time::timeout_at(until, changed).await;
-            }
-            Found::NoBatch => match confirm_now(context, partition).await {
-                Err(answer) => return answer,
-                Ok(()) if partition.lock().state.batch(id).is_none() => {
-                    info!(event = "batch_not_found", batch = id.as_str(), status = 404u16; "");
-                    return BatchAnswer::empty(StatusCode::NOT_FOUND);
-                }
-                Ok(()) => {}
-            },
-        }
-    }
+    let call = ReadCall {
+        context,
+        partition: context.partition_of(id),
+        id,
+        from,
+        asked: Instant::now(),
+    };
+    call.answer(wait.min(LONGEST_WAIT)).await
+}
+
+/// A call for results.
+struct ReadCall<'a> {
+    context: &'a Context,
+    partition: &'a BatchView,
+    id: &'a BatchId,
+    from: usize,
+    asked: Instant,
 }
 
 enum Found {
     NoBatch,
     NothingNew { closed: bool },
-    Page { answer: BatchAnswer, next: usize },
+    Page(BatchAnswer),
 }
 
-fn look(context: &Context, partition: &BatchView, id: &BatchId, from: usize) -> Found {
-    let inner = partition.lock();
-    let Some(batch) = inner.state.batch(id) else {
-        return Found::NoBatch;
-    };
-    if from >= batch.listed.len() {
-        return Found::NothingNew {
-            closed: batch.is_closed(),
+impl ReadCall<'_> {
+    async fn answer(&self, wait: Duration) -> BatchAnswer {
+        self.partition.want(self.context.now());
+        let until = self.asked + wait;
+        loop {
+            let changed = self.partition.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let waits_on = Instant::now() < until;
+            match self.look() {
+                Found::Page(answer) => return answer,
+                Found::NothingNew { closed } if closed || !waits_on => {
+                    if let Some(answer) = self.confirmed_nothing().await {
+                        return answer;
+                    }
+                }
+                Found::NothingNew { .. } => {
+                    let _ = tokio::time::timeout_at(until, changed).await;
+                }
+                Found::NoBatch => match confirm_now(self.context, self.partition).await {
+                    Err(answer) => return answer,
+                    Ok(()) if self.partition.lock().state.batch(self.id).is_none() => {
+                        info!(event = "batch_not_found", batch = self.id.as_str(),
+                            status = 404u16; "");
+                        return BatchAnswer::empty(StatusCode::NOT_FOUND);
+                    }
+                    Ok(()) => {}
+                },
+            }
+        }
+    }
+
+    fn look(&self) -> Found {
+        let inner = self.partition.lock();
+        let Some(batch) = inner.state.batch(self.id) else {
+            return Found::NoBatch;
         };
+        if self.from >= batch.listed.len() {
+            return Found::NothingNew {
+                closed: batch.is_closed(),
+            };
+        }
+        Found::Page(self.page(batch))
     }
-    let (answer, next) = page(context, batch, from);
-    Found::Page { answer, next }
-}
 
-/// The page of results from a position on, and the position after it.
-fn page(context: &Context, batch: &BatchState, from: usize) -> (BatchAnswer, usize) {
-    let mut bytes = 0;
-    let mut results = Vec::new();
-    for (item, result) in batch.results_from(from) {
-        bytes += context.dialect.result_bytes(result);
-        if bytes > PAGE_BYTES && !results.is_empty() {
-            break;
+    fn page(&self, batch: &BatchState) -> BatchAnswer {
+        let dialect = &self.context.dialect;
+        let mut bytes = 0;
+        let mut results = Vec::new();
+        for (item, result) in batch.results_from(self.from) {
+            bytes += dialect.result_bytes(result);
+            if bytes > PAGE_BYTES && !results.is_empty() {
+                break;
+            }
+            results.push((item, result));
+        }
+        let page = ResultPage {
+            total: batch.items.len(),
+            next: self.from + results.len(),
+            results,
+        };
+        info!(event = "results_read", batch = self.id.as_str(), from = self.from,
+            next = page.next, waited_ms = self.asked.elapsed().as_millis() as u64; "");
+        BatchAnswer {
+            status: StatusCode::OK,
+            body: dialect.write_results(&page),
+            is_own_format: true,
         }
-        results.push((item, result));
     }
-    let next = from + results.len();
-    let page = ResultPage {
-        total: batch.items.len(),
-        next,
-        results,
-    };
-    let answer = BatchAnswer {
-        status: StatusCode::OK,
-        body: context.dialect.write_results(&page),
-        is_own_format: true,
-    };
-    (answer, next)
-}
 
-/// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
-async fn confirmed_nothing(
-    context: &Context,
-    partition: &BatchView,
-    id: &BatchId,
-    from: usize,
-) -> Option<BatchAnswer> {
-    let confirmed = partition
-        .confirm(context.log.as_ref(), context.clock, FRESH_ENOUGH)
-        .await;
-    if confirmed.is_err() {
-        return Some(BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE));
+    /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
+    async fn confirmed_nothing(&self) -> Option<BatchAnswer> {
+        let log = self.context.log.as_ref();
+        let confirmed = self
+            .partition
+            .confirm(log, self.context.clock, FRESH_ENOUGH)
+            .await;
+        if confirmed.is_err() {
+            return Some(BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let inner = self.partition.lock();
+        let batch = inner.state.batch(self.id)?;
+        (self.from >= batch.listed.len()).then(|| self.page(batch))
     }
-    let inner = partition.lock();
-    let batch = inner.state.batch(id)?;
-    (from >= batch.listed.len()).then(|| page(context, batch, from).0)
 }
 
 async fn confirm_now(context: &Context, partition: &BatchView) -> Result<(), BatchAnswer> {
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -23,6 +23,9 @@
 const OPTIONAL_URGENCY: u8 = 7;
 /// Time after which an order of which nothing was heard no longer keeps items away.
 const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
+/// Share of the time after which an end is in force up to which knowledge of a batch is acted on; the
+/// rest is for an item's way to its back end.
+const ACT_ON_SHARE: f64 = 2.0 / 3.0;
 /// Gap between events of a back end whose speed is not known yet.
 const USUAL_GAP_MS: f64 = 30.0;
 /// Shortest gap that is told apart from none.
@@ -47,7 +50,8 @@
         let now = self.context.now();
         let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         let mut too_late = Vec::new();
-        let most_age_ms = self.context.settings.bounds.end_in_force_ms * 2 / 3;
+        let end_in_force_ms = self.context.settings.bounds.end_in_force_ms as f64;
+        let most_age_ms = (end_in_force_ms * ACT_ON_SHARE) as Millis;
         for partition in 0..self.context.partitions.len() {
             // An end that is not read yet must not be in force when an item arrives.
             if !self.context.partitions[partition].may_be_acted_on(now, most_age_ms) {
@@ -184,9 +188,8 @@
         if work.waiting.is_empty() && work.running.is_empty() {
             return;
         }
-        let mut candidates = self.candidates(table.pool(pool), pool, now);
-        let gaps_ms = candidates.iter().map(|candidate| candidate.event_gap_ms);
-        let usual_gap_ms = median(gaps_ms.collect()).unwrap_or(USUAL_GAP_MS);
+        let usual_gap_ms = self.usual_gap_ms(pool, now);
+        let mut candidates = self.candidates(table.pool(pool), pool, usual_gap_ms, now);
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
         schedule::sort_waiting(&mut work.waiting, now, token_ms);
         for item in &work.waiting {
@@ -294,19 +297,27 @@
         kept.is_whole
     }
 
-    fn candidates(&self, pool: Option<&Pool>, name: &PoolName, now: Millis) -> Vec<Candidate> {
+    /// Gap between events that is usual among a pool's back ends.
+    fn usual_gap_ms(&self, pool: &PoolName, now: Millis) -> f64 {
+        let backends = self.context.backends.lock();
+        let ready = backends.list.ready_in(pool);
+        let gaps_ms = ready.filter_map(|(id, _)| backends.event_gap_ms(id, now));
+        median(gaps_ms.collect()).unwrap_or(USUAL_GAP_MS)
+    }
+
+    fn candidates(
+        &self,
+        pool: Option<&Pool>,
+        name: &PoolName,
+        usual_gap_ms: f64,
+        now: Millis,
+    ) -> Vec<Candidate> {
         let own_node = &self.context.node;
         let elsewhere = running_items(&self.context, |batch| !batch.lease.is_held_by(own_node));
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
-        let gaps: Vec<f64> = backends
-            .list
-            .ready_in(name)
-            .filter_map(|(id, _)| backends.event_gap_ms(id, now))
-            .collect();
-        let usual_gap_ms = median(gaps).unwrap_or(USUAL_GAP_MS);
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
         let mut candidates = Vec::new();
         for (id, record) in backends.list.ready_in(name) {
