--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -9,9 +9,11 @@
 use bytes::Bytes;
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch::Submission;
+use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::fold::{BatchState, PartitionState};
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, ItemId, NodeId};
+use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
 use http::StatusCode;
 use log::{info, warn};
@@ -19,7 +21,7 @@
 
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
-use crate::stream_view::StreamView;
+use crate::stream_view::{StreamState, StreamView};
 
 /// A partition of batches.
 type BatchView = StreamView<PartitionState>;
@@ -71,27 +73,47 @@
     let (step, minimum_version) = (submission.step, submission.minimum_version);
     let desired_groups = submission.desired_groups;
     let partition = context.partition_of(&id);
-    if partition.lock().state.batch(&id).is_some() {
+    if is_accepted(context, &id) {
         info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
         return BatchAnswer::empty(StatusCode::ACCEPTED);
     }
+    let status = write_down(context, submission).await;
+    info!(event = "batch_submitted", batch = id.as_str(), partition = partition.id.to_string().as_str(),
+        items = items, step = step, desired_groups = desired_groups,
+        minimum_version = minimum_version, status = status.as_u16(); "");
+    BatchAnswer::empty(status)
+}
+
+/// Whether a batch is known to be there whole: its items, and the notice of it to all nodes.
+fn is_accepted(context: &Context, batch: &BatchId) -> bool {
+    let is_noticed = context.orders.lock().state.index().batch(batch).is_some();
+    let partition = context.partition_of(batch);
+    is_noticed && partition.lock().state.batch(batch).is_some()
+}
+
+/// Appends a batch to its partition, and the notice of it to the stream that all nodes read; both must
+/// be there before it is accepted. "Not run" is true if its items were certainly not appended: a
+/// notice without them runs nothing.
+async fn write_down(context: &Arc<Context>, submission: Submission) -> StatusCode {
     let owner = first_owner(context, &submission);
+    let notice = OrderRecord::Accepted(BatchNotice::of(&submission, owner.clone()));
+    let partition = context.partition_of(&submission.id);
     let record = BatchRecord::Submitted {
         submission: Arc::new(submission),
         owner,
     };
-    let appended = append(context, partition, &record).await;
-    partition.want(context.now());
-    let status = match appended {
-        AppendOutcome::Done => StatusCode::ACCEPTED,
-        AppendOutcome::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        AppendOutcome::NotDone => StatusCode::SERVICE_UNAVAILABLE,
-        AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-    };
-    info!(event = "batch_submitted", batch = id.as_str(), partition = partition.id.partition,
-        items = items, step = step, desired_groups = desired_groups,
-        minimum_version = minimum_version, status = status.as_u16(); "");
-    BatchAnswer::empty(status)
+    let (record, notice) = (record.encode(), notice.encode());
+    let items = append(context, partition, &record);
+    let notice = append(context, &context.orders, &notice);
+    let (items, notice) = tokio::join!(items, notice);
+    // Its owner hears of it at once if it is this node.
+    context.orders.want(context.now());
+    match (items, notice) {
+        (AppendOutcome::Done, AppendOutcome::Done) => StatusCode::ACCEPTED,
+        (AppendOutcome::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (AppendOutcome::NotDone, _) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::GATEWAY_TIMEOUT,
+    }
 }
 
 /// Age of a sign of life up to which its node is taken to be alive.
@@ -148,7 +170,9 @@
 
 impl ReadCall<'_> {
     async fn answer(&self, wait: Duration) -> BatchAnswer {
-        self.partition.want(self.context.now());
+        if !wait.is_zero() {
+            self.context.want(self.id);
+        }
         let until = self.asked + wait;
         loop {
             let changed = self.partition.changed();
@@ -237,7 +261,7 @@
         .confirm(context.log.as_ref(), context.clock, Duration::ZERO)
         .await
         .map_err(|error| {
-            warn!(event = "read_refused", partition = partition.id.partition,
+            warn!(event = "read_refused", partition = partition.id.to_string().as_str(),
             reason = error.to_string().as_str(), status = 503u16; "");
             BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
         })
@@ -280,7 +304,7 @@
             match append(
                 context,
                 partition,
-                &BatchRecord::Ended { batch: id.clone() },
+                &BatchRecord::Ended { batch: id.clone() }.encode(),
             )
             .await
             {
@@ -302,12 +326,15 @@
 }
 
 /// Appends a record, again if need be: the fold takes it once.
-async fn append(context: &Context, partition: &BatchView, record: &BatchRecord) -> AppendOutcome {
-    let encoded = record.encode();
+async fn append<S: StreamState>(
+    context: &Context,
+    partition: &StreamView<S>,
+    encoded: &[u8],
+) -> AppendOutcome {
     if encoded.len() + FRAMING_ALLOWANCE > context.settings.log.call_bytes {
         return AppendOutcome::TooLarge;
     }
-    let records = framing::split(&encoded, context.settings.log.record_bytes);
+    let records = framing::split(encoded, context.settings.log.record_bytes);
     let began = Instant::now();
     let mut is_unknown = false;
     loop {
@@ -341,7 +368,7 @@
     }
 }
 
-fn report_append(partition: &BatchView, error: LogError, is_unknown: bool) {
-    warn!(event = "append_failed", partition = partition.id.partition,
+fn report_append<S: StreamState>(partition: &StreamView<S>, error: LogError, is_unknown: bool) {
+    warn!(event = "append_failed", partition = partition.id.to_string().as_str(),
         reason = error.to_string().as_str(), may_be_done = is_unknown; "");
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,17 +5,19 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::fold::{BatchState, PartitionState};
+use havenstage_rollout::batch_index::BatchNotice;
+use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, Version, partition_of};
+use havenstage_rollout::occupancy::Occupancy;
 use havenstage_rollout::orders::OrderState;
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
-use std::collections::BTreeMap;
-use tokio::sync::{Notify, Semaphore, watch};
+use std::collections::{BTreeMap, BTreeSet};
+use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
 use crate::backends::Backends;
 use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
-use crate::settings::Settings;
+use crate::settings::{LogSettings, Settings};
 use crate::stream_view::StreamView;
 
 /// The only partition of orders in use.
@@ -23,6 +25,11 @@
     stream: LogStream::Orders,
     partition: 0,
 };
+/// The only partition of occupancy in use.
+pub const OCCUPANCY: StreamPartition = StreamPartition {
+    stream: LogStream::Occupancy,
+    partition: 0,
+};
 
 /// Time that a call waits for the first configuration; callers want an answer soon.
 const ROUTES_PATIENCE: Duration = Duration::from_millis(35);
@@ -31,6 +38,10 @@
 const BUSY_MS: Millis = 5_000;
 /// Streams that every node follows: orders and two directories.
 const ALWAYS_FOLLOWED: usize = 3;
+/// Batches of a trainer that its owner follows: a step may carry items of the ones before it.
+const FOLLOWED_OF_TRAINER: usize = 4;
+/// Age up to which a node's word on the places that it takes counts.
+const OCCUPANCY_COUNTS_MS: Millis = 2_500;
 /// Reads of batches that lie far behind, at one time: they share the node's link with its answers.
 const CATCH_UP_READS: usize = 4;
 
@@ -54,6 +65,8 @@
     pub partitions: Vec<StreamView<PartitionState>>,
     /// Orders given by anyone.
     pub orders: StreamView<OrderState>,
+    /// Places taken on back ends, as the nodes that run batches tell.
+    pub occupancy: StreamView<Occupancy>,
     /// Turns for reading batches that lie far behind.
     pub catch_up: Semaphore,
     /// Wakes the task that gives orders.
@@ -73,7 +86,10 @@
     last_contact: AtomicU64,
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
-    follows_all: watch::Sender<bool>,
+    takes_part: watch::Sender<bool>,
+    needed: Mutex<BTreeSet<usize>>,
+    follow_requests: mpsc::UnboundedSender<usize>,
+    new_follow_requests: Mutex<Option<mpsc::UnboundedReceiver<usize>>>,
 }
 
 impl Context {
@@ -87,11 +103,8 @@
     ) -> Arc<Self> {
         let work = Arc::new(Notify::new());
         let orders_changed = Arc::new(Notify::new());
-        let partitions = (0..settings.log.partitions)
-            .map(|partition| StreamPartition {
-                stream: LogStream::Batches,
-                partition,
-            })
+        let (follow_requests, new_follow_requests) = mpsc::unbounded_channel();
+        let partitions = batch_partitions(&settings.log)
             .map(|id| StreamView::new(id, PartitionState::default(), work.clone()))
             .collect();
         Arc::new(Self {
@@ -108,13 +121,17 @@
                 OrderState::new(node.machine.clone()),
                 orders_changed.clone(),
             ),
+            occupancy: StreamView::new(OCCUPANCY, Occupancy::default(), work.clone()),
             orders_changed,
             work,
             catch_up: Semaphore::new(CATCH_UP_READS),
             last_contact: AtomicU64::new(0),
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
-            follows_all: watch::Sender::new(false),
+            takes_part: watch::Sender::new(false),
+            needed: Mutex::default(),
+            follow_requests,
+            new_follow_requests: Mutex::new(Some(new_follow_requests)),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
@@ -132,7 +149,19 @@
 
     /// The partition that holds a batch.
     pub fn partition_of(&self, batch: &BatchId) -> &StreamView<PartitionState> {
-        &self.partitions[partition_of(batch, self.settings.log.partitions) as usize]
+        &self.partitions[self.partition_index(batch)]
+    }
+
+    /// Index in `partitions` of the one that holds a batch.
+    pub fn partition_index(&self, batch: &BatchId) -> usize {
+        partition_of(batch, self.partitions.len() as u32) as usize
+    }
+
+    /// Whether this node holds the lease of a batch, as far as it has read the batch's partition.
+    pub fn holds(&self, batch: &BatchId) -> bool {
+        let inner = self.partition_of(batch).lock();
+        let state = inner.state.batch(batch);
+        state.is_some_and(|state| state.lease.is_held_by(&self.node))
     }
 
     /// The routes in force, once a configuration is known.
@@ -199,11 +228,15 @@
 
     /// Whether this node runs items of any batch.
     pub fn holds_batches(&self) -> bool {
-        self.partitions.iter().any(|view| {
-            let inner = view.lock();
-            let mut open = inner.state.batches().filter(|batch| !batch.is_closed());
-            open.any(|batch| batch.lease.is_held_by(&self.node))
-        })
+        let open = self.open_batches();
+        open.iter().any(|notice| self.holds(&notice.batch))
+    }
+
+    /// The batches of which something is left to be done.
+    fn open_batches(&self) -> Vec<BatchNotice> {
+        let orders = self.orders.lock();
+        let open = orders.state.index().open();
+        open.map(|batch| batch.notice.clone()).collect()
     }
 
     /// How often this node reads, among all machines that ever joined.
@@ -212,41 +245,110 @@
         pacing::pace(machines, ALWAYS_FOLLOWED, self.settings.log.reads_per_s)
     }
 
-    /// Decides whether this node follows all batches: those that run batches or give orders do; the
-    /// others follow what they are asked about.
+    /// Decides which partitions of batches this node needs: those of the batches that it runs, or
+    /// that are given to it, and of the same trainers' batches before them.
     pub fn choose_what_to_follow(&self) {
+        let own = self.own_batches();
         let orders = self.orders.lock();
         let gives_orders = orders.state.lease().is_held_by(&self.node);
+        let needed: BTreeSet<usize> = own
+            .iter()
+            .flat_map(|notice| {
+                orders
+                    .state
+                    .index()
+                    .newest_like(notice, FOLLOWED_OF_TRAINER)
+            })
+            .chain(own.iter())
+            .map(|notice| self.partition_index(&notice.batch))
+            .collect();
         drop(orders);
-        let follows_all = gives_orders || self.is_busy();
-        self.follows_all.send_if_modified(|before| {
-            let is_changed = *before != follows_all;
-            *before = follows_all;
+        let takes_part = gives_orders || self.is_busy();
+        self.takes_part.send_if_modified(|before| {
+            let is_changed = *before != takes_part;
+            *before = takes_part;
             is_changed
         });
+        self.set_needed(needed);
+    }
+
+    /// Open batches that this node runs, or that were given to it.
+    fn own_batches(&self) -> Vec<BatchNotice> {
+        let orders = self.orders.lock();
+        let open: Vec<(BatchNotice, bool)> = orders
+            .state
+            .index()
+            .open()
+            .map(|batch| (batch.notice.clone(), batch.owner.is_held_by(&self.node)))
+            .collect();
+        drop(orders);
+        let own = open
+            .into_iter()
+            .filter(|(notice, is_given)| *is_given || self.holds(&notice.batch));
+        own.map(|(notice, _)| notice).collect()
     }
 
-    /// Waits until this node follows a partition of batches.
-    pub async fn wait_until_followed(&self, view: &StreamView<PartitionState>) {
-        let mut follows_all = self.follows_all.subscribe();
-        while !*follows_all.borrow_and_update() && !view.is_wanted(self.now()) {
-            tokio::select! {
-                // The sender lives as long as `self`.
-                _ = follows_all.changed() => {}
-                () = view.wait_until_wanted() => {}
-            }
+    fn set_needed(&self, needed: BTreeSet<usize>) {
+        let mut before = self.needed.lock().unwrap_or_else(PoisonError::into_inner);
+        for index in before.difference(&needed) {
+            self.partitions[*index].set_needed(false);
         }
+        for index in needed.difference(&before) {
+            self.partitions[*index].set_needed(true);
+            self.request_follower(*index);
+        }
+        *before = needed;
+    }
+
+    /// Partitions of batches that this node's own work needs, by index.
+    pub fn needed_partitions(&self) -> Vec<usize> {
+        let needed = self.needed.lock().unwrap_or_else(PoisonError::into_inner);
+        needed.iter().copied().collect()
+    }
+
+    /// Somebody waits for news of a batch: its partition is followed for a while.
+    pub fn want(&self, batch: &BatchId) {
+        let index = self.partition_index(batch);
+        self.partitions[index].want(self.now());
+        self.request_follower(index);
+    }
+
+    fn request_follower(&self, index: usize) {
+        if self.partitions[index].begin_following() {
+            // The receiver is gone only when the process ends.
+            let _ = self.follow_requests.send(index);
+        }
+    }
+
+    /// Indices of partitions that need a task to follow them; `None` for all but the first caller.
+    pub fn take_follow_requests(&self) -> Option<mpsc::UnboundedReceiver<usize>> {
+        let mut requests = self
+            .new_follow_requests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        requests.take()
     }
 
-    /// Whether this node follows a partition of batches, as far as the log lets it.
-    pub fn is_followed(&self, view: &StreamView<PartitionState>) -> bool {
-        *self.follows_all.borrow() || view.is_wanted(self.now())
+    /// Waits until this node runs batches or gives orders.
+    pub async fn wait_until_it_takes_part(&self) {
+        let mut takes_part = self.takes_part.subscribe();
+        // The sender lives as long as `self`.
+        let _ = takes_part.wait_for(|takes_part| *takes_part).await;
     }
 
-    /// Whether all batches are known up to this time.
-    pub fn knows_all_batches(&self) -> bool {
+    /// Whether the batches that this node runs, and their trainers' earlier ones, are known up to
+    /// this time.
+    pub fn knows_needed_batches(&self) -> bool {
         let now = self.now();
-        self.partitions.iter().all(|view| !view.is_behind(now))
+        let needed = self.needed_partitions();
+        let mut views = needed.iter().map(|index| &self.partitions[*index]);
+        views.all(|view| !view.is_behind(now))
+    }
+
+    /// Items that run on each back end, of the nodes that `counts` takes, as they tell.
+    pub fn occupied(&self, counts: impl Fn(&NodeId) -> bool) -> BTreeMap<BackendId, u32> {
+        let since = self.now().saturating_sub(OCCUPANCY_COUNTS_MS);
+        self.occupancy.lock().state.running(since, counts)
     }
 
     /// Whether this node runs batches, or ran one a moment ago.
@@ -298,28 +400,13 @@
     }
 }
 
-/// Items that run on each back end as the log tells, in open batches that `counts` takes.
-pub fn running_items(
-    context: &Context,
-    counts: impl Fn(&BatchState) -> bool,
-) -> BTreeMap<BackendId, u32> {
-    let mut running = BTreeMap::new();
-    let followed = context
-        .partitions
-        .iter()
-        .filter(|view| context.is_followed(view));
-    for view in followed {
-        let inner = view.lock();
-        let open = inner
-            .state
-            .batches()
-            .filter(|batch| !batch.is_closed() && counts(batch));
-        for batch in open {
-            let unfinished = batch.items.iter().filter(|item| item.result.is_none());
-            for backend in unfinished.filter_map(|item| item.backend.clone()) {
-                *running.entry(backend).or_default() += 1;
-            }
-        }
-    }
-    running
+/// The partitions over which batches are spread.
+fn batch_partitions(log: &LogSettings) -> impl Iterator<Item = StreamPartition> {
+    let partitions = log.partitions;
+    (0..log.batch_streams).flat_map(move |number| {
+        (0..partitions).map(move |partition| StreamPartition {
+            stream: LogStream::Batches(number),
+            partition,
+        })
+    })
 }
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -9,7 +9,6 @@
 use havenstage_rollout::route::Pool;
 
 use super::Coordinator;
-use crate::context::running_items;
 
 /// What a model's back ends have to do.
 #[derive(Debug, Clone, Copy)]
@@ -53,45 +52,26 @@
 
     /// What the newest batch of a model tells of its work.
     fn work_of(&self, model: &ModelName) -> ModelWork {
-        let mut newest: Option<(u64, ModelWork)> = None;
-        for partition in &self.context.partitions {
-            let inner = partition.lock();
-            for batch in inner
-                .state
-                .batches()
-                .filter(|b| b.model.as_ref() == Some(model))
-            {
-                let step = batch.step.unwrap_or(0);
-                if newest.as_ref().is_none_or(|(known, _)| *known < step) {
-                    let tokens: u64 = batch
-                        .items
-                        .iter()
-                        .map(|item| u64::from(item.expected_tokens))
-                        .sum();
-                    let allowed_age = step.saturating_sub(batch.minimum_version);
-                    let weight = (tokens as f64).max(1.0);
-                    newest = Some((
-                        step,
-                        ModelWork {
-                            weight,
-                            allowed_age,
-                        },
-                    ));
-                }
-            }
-        }
+        let orders = self.context.orders.lock();
+        let newest = orders.state.index().newest_of_model(model);
         newest.map_or(
             ModelWork {
                 weight: 1.0,
                 allowed_age: 0,
             },
-            |(_, work)| work,
+            |batch| ModelWork {
+                weight: (batch.expected_tokens as f64).max(1.0),
+                allowed_age: batch
+                    .step
+                    .unwrap_or(0)
+                    .saturating_sub(batch.minimum_version),
+            },
         )
     }
 
     pub(super) fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
         let now = self.context.now();
-        let running = running_items(&self.context, |_| true);
+        let running = self.context.occupied(|_| true);
         self.context.note_observed_versions();
         let orders = self.context.orders.lock();
         let backends = self.context.backends.lock();
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 
 use super::{Coordinator, HeldLease};
-use crate::engine::leases::claim_timing_of;
+use crate::engine::claim::claim_timing_of;
 use crate::order_run::append;
 
 /// Share of the silence after which others claim in which the holder relies on its lease.
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -28,8 +28,6 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two looks at the lease when another node holds it.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
-/// Time after which a new holder gives orders though it doesn't know all batches.
-const LONGEST_CATCH_UP_MS: Millis = 3_000;
 /// Time that a back end is left alone after it failed to answer.
 const AVOID_MS: Millis = 1_000;
 
@@ -121,9 +119,6 @@
         let Some(table) = self.context.routes() else {
             return;
         };
-        if !self.knows_the_work() {
-            return;
-        }
         let named = self.context.named_versions();
         for pool in table.pools_with_models() {
             let mode = load_mode(&table, &pool.name);
@@ -133,15 +128,6 @@
         }
     }
 
-    /// Whether the batches are known that say which versions are needed where; a part of the log that
-    /// cannot be read is not waited for long.
-    fn knows_the_work(&self) -> bool {
-        let held_ms = self
-            .lease
-            .map_or(0, |lease| self.context.now().saturating_sub(lease.since));
-        held_ms >= LONGEST_CATCH_UP_MS || self.context.knows_all_batches()
-    }
-
     fn give(&mut self, order: PlannedOrder, mode: LoadMode) {
         let Some(lease) = self.lease else { return };
         let order = Order {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,6 +1,7 @@
 //! What the gateway needs of its surroundings, as traits: the shared log, the directory that
 //! operators and back ends write to, and the dialect in which callers and back ends speak.
 
+use std::fmt;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,10 +20,12 @@
 /// The streams that nodes write to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum LogStream {
-    /// Batches and their results.
-    Batches,
-    /// Orders to back ends.
+    /// Batches and their results; there are several streams of them, numbered from 0.
+    Batches(u32),
+    /// Which batches there are, and orders to back ends.
     Orders,
+    /// Places that are taken on back ends.
+    Occupancy,
 }
 
 /// A partition of a stream.
@@ -34,6 +37,16 @@
     pub partition: u32,
 }
 
+impl fmt::Display for StreamPartition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.stream {
+            LogStream::Batches(number) => write!(formatter, "batches {number}/{}", self.partition),
+            LogStream::Orders => write!(formatter, "orders"),
+            LogStream::Occupancy => write!(formatter, "occupancy"),
+        }
+    }
+}
+
 /// Why a call to the log or the directory failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum LogError {
--- /dev/null
+++ b/crates/gateway/src/engine/claim.rs
@@ -0,0 +1,155 @@
+//! Takes over a batch whose owner is silent, gone, or gave it up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_rollout::batch_index::IndexedBatch;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BatchId, NodeId};
+use havenstage_rollout::lease::{ClaimTiming, Term};
+use havenstage_rollout::record::BatchRecord;
+use log::{info, warn};
+use tokio::sync::mpsc::UnboundedSender;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::TaskEnded;
+use super::leases::is_claimable;
+use crate::context::Context;
+use crate::edge::LogError;
+
+/// What came of a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimOutcome {
+    /// This node holds the lease.
+    Claimed,
+    /// Nothing is left to be done about the batch.
+    Closed,
+    /// Another node has claimed it, though it has not said so to all yet.
+    HeldBy(NodeId),
+    /// It could not be claimed; not before a while has passed.
+    NotNow,
+}
+
+/// What a batch's partition, read to its end, says to a claim.
+enum Standing {
+    /// It may be claimed under the next term.
+    Claimable { term: Term, former: Option<NodeId> },
+    /// Nothing is left to be done.
+    Closed,
+    /// Another node claimed it.
+    HeldBy(NodeId),
+    /// The batch is not there.
+    Absent,
+}
+
+/// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
+pub(super) fn claim_timing(context: &Context, batch: &IndexedBatch) -> ClaimTiming {
+    let owner = batch.owner.holder().map(ToString::to_string);
+    let owner = owner.unwrap_or_default();
+    let text = format!("{} {} {owner}", context.node, batch.notice.batch);
+    claim_timing_of(context, &text)
+}
+
+/// When a node may claim a lease, by a text that differs from node to node and from term to term.
+pub fn claim_timing_of(context: &Context, text: &str) -> ClaimTiming {
+    let tuning = &context.settings.tuning;
+    let pace = context.pace();
+    let spread_ms = (tuning.spread_ms * pace.spread_factor).max(1);
+    ClaimTiming {
+        silence_ms: tuning.silence_ms + pace.gap_ms,
+        spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
+        is_holder_gone: false,
+    }
+}
+
+/// Claims a batch, and tells the engine what came of it. `silent` is a node that was found to hold the
+/// lease at an earlier try, and has not said since that it runs the batch.
+pub(super) async fn claim(
+    context: Arc<Context>,
+    batch: BatchId,
+    silent: Option<NodeId>,
+    sender: UnboundedSender<TaskEnded>,
+) {
+    let claimed = claim_once(&context, &batch, silent.as_ref()).await;
+    let outcome = claimed.unwrap_or_else(|error| {
+        warn!(event = "claim_failed", batch = batch.as_str(),
+            reason = error.to_string().as_str(); "");
+        ClaimOutcome::NotNow
+    });
+    // The engine is gone only when the process ends.
+    let _ = sender.send(TaskEnded::Claim { batch, outcome });
+}
+
+/// Claims a batch if the index, read to its end, still shows no sign of its owner, and the batch's
+/// partition no other claim. Whether the claim counts is seen in the partition.
+async fn claim_once(
+    context: &Context,
+    batch: &BatchId,
+    silent: Option<&NodeId>,
+) -> Result<ClaimOutcome, LogError> {
+    let (log, clock) = (context.log.as_ref(), context.clock);
+    let confirmed = context.orders.confirm(log, clock, Duration::ZERO).await;
+    if let Err(error) = confirmed {
+        context.orders.read_failed();
+        return Err(error);
+    }
+    let Some(indexed) = still_claimable(context, batch) else {
+        return Ok(ClaimOutcome::NotNow);
+    };
+    let view = context.partition_of(batch);
+    view.confirm(log, clock, Duration::ZERO).await?;
+    let (term, former) = match standing(context, &indexed, silent) {
+        Standing::Claimable { term, former } => (term, former),
+        Standing::Closed => return Ok(ClaimOutcome::Closed),
+        Standing::HeldBy(node) => return Ok(ClaimOutcome::HeldBy(node)),
+        Standing::Absent => return Ok(ClaimOutcome::NotNow),
+    };
+    let record = BatchRecord::Claimed {
+        batch: batch.clone(),
+        term: term + 1,
+        owner: context.node.clone(),
+    };
+    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
+    let appended = context.log.append(view.id, records).await;
+    let outcome = appended.map_or_else(|error| error.to_string(), |_| "written".to_owned());
+    let former = former.map_or("none".to_owned(), |former| former.to_string());
+    info!(event = "batch_claimed", batch = batch.as_str(), term = term + 1,
+        former = former.as_str(), outcome = outcome.as_str(); "");
+    view.confirm(log, clock, Duration::ZERO).await?;
+    match context.holds(batch) {
+        true => Ok(ClaimOutcome::Claimed),
+        false => Ok(ClaimOutcome::NotNow),
+    }
+}
+
+fn still_claimable(context: &Context, batch: &BatchId) -> Option<IndexedBatch> {
+    let now = context.now();
+    let readable_since = context.orders.readable_since(now)?;
+    let orders = context.orders.lock();
+    let indexed = orders.state.index().batch(batch)?.clone();
+    drop(orders);
+    is_claimable(context, &indexed, readable_since, now).then_some(indexed)
+}
+
+fn standing(context: &Context, indexed: &IndexedBatch, silent: Option<&NodeId>) -> Standing {
+    let inner = context.partition_of(&indexed.notice.batch).lock();
+    let Some(state) = inner.state.batch(&indexed.notice.batch) else {
+        return Standing::Absent;
+    };
+    if state.is_closed() {
+        return Standing::Closed;
+    }
+    // A node that holds the lease and that the index does not name has claimed it only now, or died
+    // before it could say so.
+    let named = indexed.owner.holder();
+    let rival = state.lease.holder().filter(|holder| {
+        Some(*holder) != named && Some(*holder) != silent && **holder != context.node
+    });
+    match rival {
+        Some(rival) => Standing::HeldBy(rival.clone()),
+        None => Standing::Claimable {
+            term: state.lease.term(),
+            former: state.lease.holder().cloned(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -0,0 +1,105 @@
+//! Tells other nodes which batches this one runs, and which places its items take.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::BatchId;
+use havenstage_rollout::occupancy::OccupancyRecord;
+use havenstage_rollout::orders::OrderRecord;
+
+use super::Engine;
+use super::leases::{HeldBatch, open_ids};
+use crate::context::{Context, OCCUPANCY};
+use crate::order_run::append;
+
+/// Time after which places that are taken are told again though nothing changed: well within the age
+/// up to which they count.
+const TELL_PLACES_AGAIN_MS: Millis = 1_000;
+
+/// What was last told, and when.
+#[derive(Debug, Default)]
+pub(super) struct Heartbeats {
+    served_at: Millis,
+    batches: BTreeSet<BatchId>,
+    is_telling: Arc<AtomicBool>,
+    occupied_at: Millis,
+    occupied: Option<OccupancyRecord>,
+}
+
+impl Engine {
+    /// Says that this node is alive and runs these batches, when it is due or they have changed.
+    pub(super) fn tell_what_runs(&mut self, held: &[HeldBatch], now: Millis) {
+        self.tell_places(now);
+        let batches = open_ids(held);
+        let keep_ms = self.context.settings.tuning.keep_ms;
+        let has_new = !batches.is_subset(&self.heartbeats.batches);
+        let is_due = has_new || now.saturating_sub(self.heartbeats.served_at) >= keep_ms;
+        if held.is_empty() || !is_due || !begin(&self.heartbeats.is_telling) {
+            return;
+        }
+        self.heartbeats.served_at = now;
+        self.heartbeats.batches = batches.clone();
+        let record = OrderRecord::Serves {
+            node: self.context.node.clone(),
+            routes: self.served_routes(held),
+            batches: batches.into_iter().collect(),
+        };
+        let (context, is_telling) = (self.context.clone(), self.heartbeats.is_telling.clone());
+        tokio::spawn(async move {
+            // One that is lost is followed by the next.
+            let _ = append(&context, &record).await;
+            is_telling.store(false, Ordering::Release);
+        });
+    }
+
+    /// Routes of the batches, so that this node is handed their next ones; none while it stops.
+    fn served_routes(&self, held: &[HeldBatch]) -> Vec<String> {
+        let Some(table) = self.context.routes() else {
+            return Vec::new();
+        };
+        if self.context.is_stopping() {
+            return Vec::new();
+        }
+        let routes: BTreeSet<String> = held
+            .iter()
+            .filter_map(|held| table.batch_route(&held.host, &held.path))
+            .map(|route| route.name.clone())
+            .collect();
+        routes.into_iter().collect()
+    }
+
+    fn tell_places(&mut self, now: Millis) {
+        let record = OccupancyRecord {
+            node: self.context.node.clone(),
+            running: self.running_here(),
+        };
+        let told = self.heartbeats.occupied.as_ref();
+        let is_same = told.map_or(record.running.is_empty(), |told| *told == record);
+        let age = now.saturating_sub(self.heartbeats.occupied_at);
+        let pause_ms = match is_same {
+            true if record.running.is_empty() => return,
+            true => TELL_PLACES_AGAIN_MS,
+            false => self.context.settings.tuning.keep_ms,
+        };
+        if age < pause_ms {
+            return;
+        }
+        self.heartbeats.occupied_at = now;
+        self.heartbeats.occupied = Some(record.clone());
+        // One that is lost is followed by the next.
+        tokio::spawn(write_places(self.context.clone(), record));
+    }
+}
+
+/// Whether no heartbeat is under way; if so, one is from now on.
+fn begin(is_telling: &AtomicBool) -> bool {
+    !is_telling.swap(true, Ordering::Acquire)
+}
+
+async fn write_places(context: Arc<Context>, record: OccupancyRecord) {
+    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
+    let _ = context.log.append(OCCUPANCY, records).await;
+}
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -1,4 +1,4 @@
-//! Keeps, claims and releases the leases of batches.
+//! Which batches this node runs, which it may take over, and how it gives them up.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -6,41 +6,64 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::fold::BatchState;
-use havenstage_rollout::framing;
-use havenstage_rollout::ids::{BatchId, NodeId};
-use havenstage_rollout::lease::{ClaimTiming, LeaseState, Term};
+use havenstage_rollout::batch_index::IndexedBatch;
+use havenstage_rollout::ids::BatchId;
+use havenstage_rollout::lease::{LeaseState, Term};
 use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
-use log::info;
-use tokio::sync::mpsc::UnboundedSender;
-use xxhash_rust::xxh3::xxh3_64;
+use log::{info, warn};
 
+use super::Engine;
+use super::claim::{self, ClaimOutcome, claim_timing};
 use super::run::ItemKey;
-use super::{Engine, TaskEnded};
 use crate::context::Context;
 use crate::order_run::append;
 
+/// Time after a batch closed in which its owner still says that it serves the route, so that the
+/// route's next batch can be given to it.
+const LINGER_MS: Millis = 4_000;
+/// Time after which a batch whose items are not in its partition is taken for one that was never
+/// accepted: its caller was told so long before, or went elsewhere with it.
+const NEVER_CAME_MS: Millis = 15_000;
+/// Pause before a record of the index is appended again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a batch that is still open in the index is told to be closed once more.
+const TELL_AGAIN_MS: Millis = 2_000;
+
 /// A batch whose lease this node holds.
-struct HeldBatch {
-    partition: u32,
-    batch: BatchId,
+pub(super) struct HeldBatch {
+    pub(super) batch: BatchId,
+    pub(super) host: String,
+    pub(super) path: String,
+    /// Whether something is left to be done.
+    pub(super) is_open: bool,
     term: Term,
 }
 
-/// What a look at the open batches calls for.
+/// What a look at the index calls for.
 #[derive(Default)]
 struct LeaseWork {
     held: Vec<HeldBatch>,
-    claimable: Vec<(u32, BatchId)>,
+    /// Batches of which nothing is left to be done, though the index does not say so.
+    closed: Vec<BatchId>,
+    claimable: Vec<BatchId>,
+}
+
+/// What this node's own copy of a batch's partition tells of it.
+enum Copy {
+    /// The batch is there, under this lease.
+    Present { lease: LeaseState, is_open: bool },
+    /// It is not there, and the partition has been read to its end.
+    Absent,
+    /// The partition has not been read to its end.
+    Unread,
 }
 
 impl Engine {
-    /// Signs of life for batches held, claims for batches without a holder, releases at the end.
+    /// Tells which batches this node runs, claims those without an owner, releases all at the end.
     pub(super) fn follow_leases(&mut self) {
         let now = self.context.now();
         let work = self.lease_work(now);
-        self.serve_routes(&work.held, now);
         if self.context.releasing.load(Ordering::Relaxed) {
             self.release_all(work.held);
             return;
@@ -48,113 +71,99 @@
         if !work.held.is_empty() {
             self.context.note_busy();
         }
-        self.kept_at
-            .retain(|batch, _| work.held.iter().any(|held| held.batch == *batch));
-        for held in work.held {
-            self.keep(held, now);
+        self.tell_what_runs(&work.held, now);
+        for batch in work.closed {
+            self.tell_closed(batch, now);
         }
         if self.context.is_stopping() {
             return;
         }
-        for (partition, batch) in work.claimable {
+        for batch in work.claimable {
             if self.claiming.insert(batch.clone()) {
+                let silent = self.rivals.remove(&batch);
                 let sender = self.ended_sender.clone();
-                tokio::spawn(claim(self.context.clone(), partition, batch, sender));
+                tokio::spawn(claim::claim(self.context.clone(), batch, silent, sender));
             }
         }
     }
 
     fn lease_work(&self, now: Millis) -> LeaseWork {
+        let readable_since = self.context.orders.readable_since(now);
         let mut work = LeaseWork::default();
-        for view in &self.context.partitions {
-            let readable_since = view.readable_since(now);
-            let inner = view.lock();
-            for batch in inner.state.batches().filter(|batch| is_kept(batch, now)) {
-                let partition = view.id.partition;
-                let (id, lease) = (&batch.id, &batch.lease);
-                let timing = claim_timing(&self.context, id, lease);
-                if lease.is_held_by(&self.context.node) {
-                    let term = lease.term();
-                    work.held.push(HeldBatch {
-                        partition,
-                        batch: id.clone(),
-                        term,
-                    });
-                } else if !batch.is_closed()
-                    && readable_since.is_some_and(|since| {
-                        now >= lease.claimable_at(&self.context.node, since, &timing)
-                    })
-                {
-                    work.claimable.push((partition, id.clone()));
+        for batch in recent_batches(&self.context, now) {
+            let id = &batch.notice.batch;
+            match copy_of(&self.context, id, now) {
+                Copy::Present { lease, is_open } if lease.is_held_by(&self.context.node) => {
+                    if !is_open && batch.is_open() {
+                        work.closed.push(id.clone());
+                    }
+                    work.held.push(held(&batch, &lease, is_open));
+                    continue;
                 }
+                Copy::Absent if never_came(&batch, now) => work.closed.push(id.clone()),
+                _ => {}
+            }
+            if readable_since.is_some_and(|since| is_claimable(&self.context, &batch, since, now)) {
+                work.claimable.push(id.clone());
             }
         }
+        work.claimable.retain(|batch| {
+            self.not_claimed_before
+                .get(batch)
+                .is_none_or(|at| *at <= now)
+        });
         work
     }
 
-    /// Tells all nodes which routes this node runs batches of, so that they hand it the next ones.
-    fn serve_routes(&mut self, held: &[HeldBatch], now: Millis) {
-        let keep_ms = self.context.settings.tuning.keep_ms;
-        let is_due = now.saturating_sub(self.served_at) >= keep_ms;
-        if held.is_empty() || !is_due || self.context.is_stopping() {
-            return;
+    /// A claim ended; the batch is left alone for a while unless this node holds it now.
+    pub(super) fn claim_ended(&mut self, batch: BatchId, outcome: ClaimOutcome) {
+        self.claiming.remove(&batch);
+        self.needs_plan = true;
+        let now = self.context.now();
+        let silence_ms = self.context.settings.tuning.silence_ms;
+        match outcome {
+            ClaimOutcome::Claimed => {}
+            ClaimOutcome::Closed => self.tell_closed(batch, now),
+            ClaimOutcome::HeldBy(rival) => {
+                self.rivals.insert(batch.clone(), rival);
+                self.not_claimed_before.insert(batch, now + silence_ms);
+            }
+            ClaimOutcome::NotNow => {
+                self.not_claimed_before.insert(batch, now + silence_ms);
+            }
         }
-        let Some(table) = self.context.routes() else {
-            return;
-        };
-        let routes: BTreeSet<String> = held
-            .iter()
-            .filter_map(|held| {
-                let inner = self.context.partitions[held.partition as usize].lock();
-                let batch = inner.state.batch(&held.batch)?;
-                let route = table.batch_route(&batch.host, &batch.path)?;
-                Some(route.name.clone())
-            })
-            .collect();
-        self.served_at = now;
-        let record = OrderRecord::Serves {
-            node: self.context.node.clone(),
-            routes: routes.into_iter().collect(),
-        };
-        let context = self.context.clone();
-        // One that is lost is followed by the next.
-        tokio::spawn(async move { append(&context, &record).await });
     }
 
-    fn keep(&mut self, held: HeldBatch, now: Millis) {
-        let keep_ms = self.context.settings.tuning.keep_ms;
-        let kept_at = self.kept_at.get(&held.batch).copied();
-        let is_due = kept_at.is_none_or(|kept| now.saturating_sub(kept) >= keep_ms);
-        if is_due && !self.outbox(held.partition).is_failing() {
-            self.kept_at.insert(held.batch.clone(), now);
-            let owner = self.context.node.clone();
-            let record = BatchRecord::Kept {
-                batch: held.batch,
-                term: held.term,
-                owner,
-            };
-            self.push(held.partition, &record);
-            self.outbox(held.partition).is_urgent = true;
+    /// Tells all nodes that nothing is left to be done about a batch.
+    fn tell_closed(&mut self, batch: BatchId, now: Millis) {
+        let told = self.told_closed.get(&batch);
+        if told.is_some_and(|at| now.saturating_sub(*at) < TELL_AGAIN_MS) {
+            return;
         }
+        self.told_closed.insert(batch.clone(), now);
+        let context = self.context.clone();
+        // One that is lost is told again.
+        tokio::spawn(async move { append(&context, &OrderRecord::Closed { batch }).await });
     }
 
     fn release_all(&mut self, held: Vec<HeldBatch>) {
+        let open: Vec<HeldBatch> = held.into_iter().filter(|held| held.is_open).collect();
         if !self.has_released {
             self.has_released = true;
-            info!(event = "batches_released", count = held.len(); "");
-            for HeldBatch {
-                partition,
-                batch,
-                term,
-            } in held
-            {
+            info!(event = "batches_released", count = open.len(); "");
+            self.releases = open.iter().map(|held| held.batch.clone()).collect();
+            for HeldBatch { batch, term, .. } in open {
                 self.stop_items_of(&batch);
+                let partition = self.context.partition_index(&batch);
                 self.push(partition, &BatchRecord::Released { batch, term });
                 self.outbox(partition).is_urgent = true;
             }
         }
-        if self.outboxes.values().all(|outbox| outbox.is_empty()) {
-            self.context.released.store(true, Ordering::Relaxed);
+        let is_written = self.outboxes.values().all(|outbox| outbox.is_empty());
+        if is_written && !self.has_told_release {
+            self.has_told_release = true;
+            let batches = std::mem::take(&mut self.releases);
+            tokio::spawn(tell_release(self.context.clone(), batches));
         }
     }
 
@@ -171,97 +180,88 @@
     }
 }
 
-/// Time after a batch closed in which its owner still gives signs of life, so that the next batch of
-/// the route can be given to it.
-const LINGER_MS: Millis = 4_000;
-
-/// Whether the batch's owner gives signs of life.
-fn is_kept(batch: &BatchState, now: Millis) -> bool {
-    batch
-        .closed_at
-        .is_none_or(|closed_at| now.saturating_sub(closed_at) < LINGER_MS)
+/// Tells all nodes that batches have no owner; they wait for it only until this node's time is up.
+async fn tell_release(context: Arc<Context>, batches: Vec<BatchId>) {
+    if batches.is_empty() {
+        context.released.store(true, Ordering::Relaxed);
+        return;
+    }
+    let record = OrderRecord::Gave {
+        node: context.node.clone(),
+        batches,
+    };
+    while let Err(error) = append(&context, &record).await {
+        warn!(event = "release_not_written", reason = error.to_string().as_str(); "");
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+    context.released.store(true, Ordering::Relaxed);
 }
 
-/// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
-fn claim_timing(context: &Context, batch: &BatchId, lease: &LeaseState) -> ClaimTiming {
-    let text = format!("{} {batch} {}", context.node, lease.term());
+/// Batches that are open, or were a moment ago.
+fn recent_batches(context: &Context, now: Millis) -> Vec<IndexedBatch> {
     let orders = context.orders.lock();
-    let is_holder_gone = lease
-        .holder()
-        .is_some_and(|holder| orders.state.is_replaced(holder));
-    drop(orders);
-    ClaimTiming {
-        is_holder_gone,
-        ..claim_timing_of(context, &text)
+    let is_recent = |batch: &&IndexedBatch| {
+        batch
+            .closed_at
+            .is_none_or(|closed| now.saturating_sub(closed) < LINGER_MS)
+    };
+    orders
+        .state
+        .index()
+        .batches()
+        .filter(is_recent)
+        .cloned()
+        .collect()
+}
+
+fn held(batch: &IndexedBatch, lease: &LeaseState, is_open: bool) -> HeldBatch {
+    HeldBatch {
+        batch: batch.notice.batch.clone(),
+        host: batch.notice.host.clone(),
+        path: batch.notice.path.clone(),
+        is_open,
+        term: lease.term(),
     }
 }
 
-/// When a node may claim a lease, by a text that differs from node to node and from term to term.
-pub fn claim_timing_of(context: &Context, text: &str) -> ClaimTiming {
-    let tuning = &context.settings.tuning;
-    let pace = context.pace();
-    let spread_ms = (tuning.spread_ms * pace.spread_factor).max(1);
-    ClaimTiming {
-        silence_ms: tuning.silence_ms + pace.gap_ms,
-        spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
-        is_holder_gone: false,
+fn copy_of(context: &Context, batch: &BatchId, now: Millis) -> Copy {
+    let view = context.partition_of(batch);
+    let is_read = !view.is_behind(now);
+    let inner = view.lock();
+    match inner.state.batch(batch) {
+        Some(state) => Copy::Present {
+            lease: state.lease.clone(),
+            is_open: !state.is_closed(),
+        },
+        None if is_read => Copy::Absent,
+        None => Copy::Unread,
     }
 }
 
-async fn claim(
-    context: Arc<Context>,
-    partition: u32,
-    batch: BatchId,
-    sender: UnboundedSender<TaskEnded>,
-) {
-    claim_once(&context, partition, &batch).await;
-    // The engine is gone only when the process ends.
-    let _ = sender.send(TaskEnded::Claim { batch });
+fn never_came(batch: &IndexedBatch, now: Millis) -> bool {
+    batch.is_open() && now.saturating_sub(batch.first_seen) > NEVER_CAME_MS
 }
 
-/// Claims a batch if the log, read to its end, still shows no sign of its holder.
-async fn claim_once(context: &Context, partition: u32, batch: &BatchId) {
-    let view = &context.partitions[partition as usize];
-    let log = context.log.as_ref();
-    if view
-        .confirm(log, context.clock, Duration::ZERO)
-        .await
-        .is_err()
-    {
-        view.read_failed();
-        return;
-    }
-    let Some((term, former)) = claimable(context, partition, batch) else {
-        return;
+/// Whether this node may claim a batch, by what the index tells of its owner.
+pub(super) fn is_claimable(
+    context: &Context,
+    batch: &IndexedBatch,
+    readable_since: Millis,
+    now: Millis,
+) -> bool {
+    let timing = claim_timing(context, batch);
+    let at = match batch.owner.is_held_by(&context.node) {
+        // The index names this node, and the batch's own partition another, which would have told.
+        true => batch.owner.seen().max(readable_since) + timing.silence_ms,
+        false => batch
+            .owner
+            .claimable_at(&context.node, readable_since, &timing),
     };
-    let owner = context.node.clone();
-    let record = BatchRecord::Claimed {
-        batch: batch.clone(),
-        term: term + 1,
-        owner,
-    };
-    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
-    let appended = context.log.append(view.id, records).await;
-    let outcome = appended.map_or_else(|error| error.to_string(), |_| "written".to_owned());
-    let former = former.map_or("none".to_owned(), |former| former.to_string());
-    info!(event = "batch_claimed", batch = batch.as_str(), term = term + 1,
-        former = former.as_str(), outcome = outcome.as_str(); "");
-    // Whether the claim counts is seen in the log.
-    let _ = view.confirm(log, context.clock, Duration::ZERO).await;
+    batch.is_open() && now >= at
 }
 
-/// The current term and holder, if this node may claim the batch now.
-fn claimable(context: &Context, partition: u32, batch: &BatchId) -> Option<(Term, Option<NodeId>)> {
-    let view = &context.partitions[partition as usize];
-    let readable_since = view.readable_since(context.now())?;
-    let inner = view.lock();
-    let state = inner
-        .state
-        .batch(batch)
-        .filter(|batch| !batch.is_closed())?;
-    let timing = claim_timing(context, batch, &state.lease);
-    let at = state
-        .lease
-        .claimable_at(&context.node, readable_since, &timing);
-    (context.now() >= at).then(|| (state.lease.term(), state.lease.holder().cloned()))
+/// Ids of the open ones among held batches.
+pub(super) fn open_ids(held: &[HeldBatch]) -> BTreeSet<BatchId> {
+    let open = held.iter().filter(|held| held.is_open);
+    open.map(|held| held.batch.clone()).collect()
 }
--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -52,8 +52,8 @@
 pub struct LiveItem {
     /// What it asks for.
     pub spec: Arc<Item>,
-    /// Partition of its batch.
-    pub partition: u32,
+    /// Index of its batch's partition.
+    pub partition: usize,
     /// What is being done.
     pub phase: Phase,
     /// The current or last run.
@@ -77,7 +77,7 @@
 
 impl LiveItem {
     /// An item as the log tells of it; nothing is done yet.
-    pub fn new(state: &ItemState, spec: Arc<Item>, partition: u32, now: Millis) -> Self {
+    pub fn new(state: &ItemState, spec: Arc<Item>, partition: usize, now: Millis) -> Self {
         let events = state.events.len() as u32;
         let run = state.run.unwrap_or(RunId(0));
         Self {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -3,7 +3,9 @@
 //! One task holds all state. Runs and reward calls are tasks that report to it; what they bring is
 //! appended to the log in groups, and only the log's fold decides what counts.
 
-pub mod leases;
+pub mod claim;
+mod heartbeat;
+mod leases;
 mod live;
 mod outbox;
 mod plan;
@@ -18,12 +20,14 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::ItemState;
-use havenstage_rollout::ids::{BackendId, BatchId, ItemId};
+use havenstage_rollout::ids::{BackendId, BatchId, ItemId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::context::Context;
 use crate::metrics;
+use claim::ClaimOutcome;
+use heartbeat::Heartbeats;
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
@@ -39,11 +43,17 @@
 pub struct Engine {
     context: Arc<Context>,
     items: BTreeMap<ItemKey, LiveItem>,
-    outboxes: BTreeMap<u32, Outbox>,
+    outboxes: BTreeMap<usize, Outbox>,
     claiming: HashSet<BatchId>,
-    kept_at: HashMap<BatchId, Millis>,
-    served_at: Millis,
+    not_claimed_before: HashMap<BatchId, Millis>,
+    /// Nodes that held a lease when this one tried to claim it, unknown to the index.
+    rivals: HashMap<BatchId, NodeId>,
+    told_closed: HashMap<BatchId, Millis>,
+    heartbeats: Heartbeats,
     has_released: bool,
+    /// Batches whose release is to be told once it is written.
+    releases: Vec<BatchId>,
+    has_told_release: bool,
     pauses: HashMap<BackendId, Pause>,
     carried: HashMap<BatchId, Carried>,
     news: UnboundedReceiver<RunMessage>,
@@ -71,12 +81,13 @@
 /// A helper task ended.
 enum TaskEnded {
     Append {
-        partition: u32,
+        partition: usize,
         is_done: bool,
         took_ms: u64,
     },
     Claim {
         batch: BatchId,
+        outcome: ClaimOutcome,
     },
 }
 
@@ -90,9 +101,13 @@
             items: BTreeMap::new(),
             outboxes: BTreeMap::new(),
             claiming: HashSet::new(),
-            kept_at: HashMap::new(),
-            served_at: 0,
+            not_claimed_before: HashMap::new(),
+            rivals: HashMap::new(),
+            told_closed: HashMap::new(),
+            heartbeats: Heartbeats::default(),
             has_released: false,
+            releases: Vec::new(),
+            has_told_release: false,
             pauses: HashMap::new(),
             carried: HashMap::new(),
             news,
@@ -163,10 +178,7 @@
 
     fn take_ended(&mut self, ended: TaskEnded) {
         match ended {
-            TaskEnded::Claim { batch } => {
-                self.claiming.remove(&batch);
-                self.needs_plan = true;
-            }
+            TaskEnded::Claim { batch, outcome } => self.claim_ended(batch, outcome),
             TaskEnded::Append {
                 partition,
                 is_done,
@@ -184,7 +196,7 @@
     fn follow_log(&mut self) {
         let mut gone = Vec::new();
         for (key, item) in &self.items {
-            let inner = self.context.partitions[item.partition as usize].lock();
+            let inner = self.context.partitions[item.partition].lock();
             let confirmed = inner.confirmed_at();
             let batch = inner.state.batch(&key.batch).filter(|batch| !batch.ended);
             if batch.is_some_and(|batch| !batch.lease.is_held_by(&self.context.node)) {
--- a/crates/gateway/src/engine/outbox.rs
+++ b/crates/gateway/src/engine/outbox.rs
@@ -30,7 +30,6 @@
     waiting: VecDeque<Vec<Bytes>>,
     under_way: Option<Vec<Bytes>>,
     not_before: Millis,
-    is_failing: bool,
     /// When the last append began.
     pub last_append: Millis,
     /// Whether a waiting record should not wait for more.
@@ -47,7 +46,6 @@
             waiting: VecDeque::new(),
             under_way: None,
             not_before: 0,
-            is_failing: false,
             last_append: 0,
             is_urgent: false,
             written: 0,
@@ -74,11 +72,6 @@
         self.is_empty().then_some(self.written)
     }
 
-    /// Whether the last append failed. More signs of life would only pile up behind it.
-    pub fn is_failing(&self) -> bool {
-        self.is_failing
-    }
-
     /// Whether records wait and none is under way.
     pub fn may_begin(&self, now: Millis) -> bool {
         !self.waiting.is_empty() && self.under_way.is_none() && now >= self.not_before
@@ -107,7 +100,6 @@
         let Some(call) = self.under_way.take() else {
             return;
         };
-        self.is_failing = !is_done;
         if is_done {
             self.written = now;
         } else {
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -15,7 +15,7 @@
 use super::live::{LiveItem, Phase};
 use super::run::ItemKey;
 use super::{Carried, DEFAULT_GIVE_UP_MS, Engine, events_of};
-use crate::context::{Context, running_items};
+use crate::context::Context;
 
 /// Urgency at back ends of items that their step needs.
 const NEEDED_URGENCY: u8 = 4;
@@ -52,7 +52,7 @@
         let mut too_late = Vec::new();
         let end_in_force_ms = self.context.settings.bounds.end_in_force_ms as f64;
         let most_age_ms = (end_in_force_ms * ACT_ON_SHARE) as Millis;
-        for partition in 0..self.context.partitions.len() {
+        for partition in self.context.needed_partitions() {
             // An end that is not read yet must not be in force when an item arrives.
             if !self.context.partitions[partition].may_be_acted_on(now, most_age_ms) {
                 continue;
@@ -99,7 +99,7 @@
             })
             .collect();
         drop(inner);
-        let is_final = self.context.knows_all_batches();
+        let is_final = self.context.knows_needed_batches();
         for (batch, items) in new {
             let items = carried_items(&self.context, &batch, items);
             self.carried.insert(batch, Carried { items, is_final });
@@ -313,7 +313,7 @@
         now: Millis,
     ) -> Vec<Candidate> {
         let own_node = &self.context.node;
-        let elsewhere = running_items(&self.context, |batch| !batch.lease.is_held_by(own_node));
+        let elsewhere = self.context.occupied(|node| node != own_node);
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let orders = self.context.orders.lock();
@@ -347,8 +347,8 @@
         candidates
     }
 
-    fn running_here(&self) -> HashMap<BackendId, u32> {
-        let mut running = HashMap::new();
+    pub(super) fn running_here(&self) -> BTreeMap<BackendId, u32> {
+        let mut running = BTreeMap::new();
         for backend in self.items.values().filter_map(|item| item.running_on()) {
             *running.entry(backend.clone()).or_default() += 1;
         }
@@ -399,8 +399,8 @@
 /// Items of a batch that another batch holds too.
 fn carried_items(context: &Context, batch: &BatchId, items: Vec<ItemId>) -> HashSet<ItemId> {
     let mut carried = HashSet::new();
-    for partition in &context.partitions {
-        let inner = partition.lock();
+    for index in context.needed_partitions() {
+        let inner = context.partitions[index].lock();
         for other in inner.state.batches().filter(|other| other.id != *batch) {
             carried.extend(
                 items
@@ -426,8 +426,8 @@
     is_single: bool,
 ) -> Option<KeptOutput> {
     let mut best: Option<KeptOutput> = None;
-    for partition in &context.partitions {
-        let inner = partition.lock();
+    for index in context.needed_partitions() {
+        let inner = context.partitions[index].lock();
         for other in inner.state.batches().filter(|other| other.id != key.batch) {
             let Some(item) = other.item(&key.item) else {
                 continue;
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -5,7 +5,7 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::ids::{BackendId, GroupId};
-use havenstage_rollout::record::{BatchRecord, OutputEvent};
+use havenstage_rollout::record::OutputEvent;
 use log::info;
 use tokio::time::Instant;
 
@@ -49,7 +49,6 @@
             deadline: start.deadline,
             urgency,
         };
-        let partition = item.partition;
         let resumed_from = item.resumed_from;
         let group = item.spec.group.clone();
         let expected_tokens = item.spec.expected_tokens;
@@ -64,21 +63,12 @@
             backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
             group = group.as_ref().map_or("", GroupId::as_str), expected_tokens = expected_tokens,
             minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms; "");
-        self.push(
-            partition,
-            &BatchRecord::Started {
-                batch: key.batch.clone(),
-                item: key.item.clone(),
-                run,
-                backend: backend_id.clone(),
-            },
-        );
     }
 
     /// Makes the item one that this node works on, with the output that is kept of it.
     pub(super) fn prepare(&mut self, key: &ItemKey, now: Millis) -> Option<StartOfRun> {
-        let partition = self.context.partition_of(&key.batch);
-        let inner = partition.lock();
+        let index = self.context.partition_index(&key.batch);
+        let inner = self.context.partitions[index].lock();
         let batch = inner.state.batch(&key.batch)?;
         let state = batch.item(&key.item)?;
         let give_up_ms = self.give_up_ms(batch);
@@ -93,7 +83,7 @@
         };
         if !self.items.contains_key(key) {
             let spec = state.spec.clone()?;
-            let item = LiveItem::new(state, spec, partition.id.partition, now);
+            let item = LiveItem::new(state, spec, index, now);
             drop(inner);
             self.items.insert(key.clone(), item);
         }
--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -9,14 +9,13 @@
 
 use super::outbox::{AppendLimits, Outbox};
 use super::{Engine, TaskEnded};
-use crate::edge::{LogStream, StreamPartition};
 
 impl Engine {
     pub(super) fn write_down(&mut self) {
         let now = self.context.now();
         let tuning = &self.context.settings.tuning;
         let (flush_ms, progress_ms) = (tuning.flush_ms, tuning.progress_ms);
-        let partitions: BTreeSet<u32> = self
+        let partitions: BTreeSet<usize> = self
             .items
             .values()
             .map(|item| item.partition)
@@ -33,7 +32,7 @@
         }
     }
 
-    pub(super) fn collect_progress(&mut self, partition: u32) {
+    pub(super) fn collect_progress(&mut self, partition: usize) {
         let mut records = Vec::new();
         for (key, item) in &mut self.items {
             if item.partition == partition {
@@ -45,7 +44,7 @@
         }
     }
 
-    pub(super) fn append(&mut self, partition: u32, now: Millis) {
+    pub(super) fn append(&mut self, partition: usize, now: Millis) {
         let outbox = self.outbox(partition);
         if !outbox.may_begin(now) {
             return;
@@ -54,15 +53,12 @@
         let context = self.context.clone();
         let sender = self.ended_sender.clone();
         tokio::spawn(async move {
-            let id = StreamPartition {
-                stream: LogStream::Batches,
-                partition,
-            };
+            let id = context.partitions[partition].id;
             let began = Instant::now();
             let appended = context.log.append(id, records).await;
             let took_ms = began.elapsed().as_millis() as u64;
             if let Err(error) = &appended {
-                warn!(event = "results_not_written", partition = partition, took_ms = took_ms,
+                warn!(event = "results_not_written", partition = id.to_string().as_str(), took_ms = took_ms,
                     reason = error.to_string().as_str(); "");
             }
             let is_done = appended.is_ok();
@@ -74,13 +70,13 @@
         });
     }
 
-    pub(super) fn push(&mut self, partition: u32, record: &BatchRecord) {
+    pub(super) fn push(&mut self, partition: usize, record: &BatchRecord) {
         if !self.outbox(partition).push(record) {
             warn!(event = "record_too_large", batch = record.batch().as_str(); "");
         }
     }
 
-    pub(super) fn outbox(&mut self, partition: u32) -> &mut Outbox {
+    pub(super) fn outbox(&mut self, partition: usize) -> &mut Outbox {
         let log = &self.context.settings.log;
         let limits = AppendLimits {
             record_bytes: log.record_bytes,
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_rollout::Millis;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
-use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::BackendId;
 use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
+use tokio::task::JoinSet;
 
 use crate::context::Context;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
@@ -24,6 +25,14 @@
 /// Calls that must fail in a row before a dependency counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
+/// Kept longer than promised, since nodes see a batch at different times.
+const RETENTION_SLACK_MS: u64 = 10_000;
+/// Time over which each known machine spreads the announcements of all: twice what the users' store
+/// takes for an append (4 ms), so that half of the partition's time is left for other records.
+const ANNOUNCE_SPREAD_MS: u64 = 8;
+/// Pause between two looks for batches that may be forgotten.
+const FORGET_PAUSE: Duration = Duration::from_secs(5);
+
 /// Tells once when a dependency is lost, and once when it is back.
 struct Dependency {
     name: String,
@@ -177,24 +186,63 @@
     info!(event = "backend_leaves", backend = change.id.as_str(), state = state; "");
 }
 
-/// Follows a partition of batches, and forgets batches that are past their retention.
-pub async fn follow_batches(context: Arc<Context>, partition: usize) {
-    let view = &context.partitions[partition];
+/// Starts a task for each partition of batches that is to be followed, and ends with the process.
+pub async fn follow_batches(context: Arc<Context>) {
+    let Some(mut requests) = context.take_follow_requests() else {
+        return;
+    };
     // Calls need the directories only; where all nodes start at once, batches come after them.
     context.directories_known().await;
-    let mut dependency = Dependency::new(format!("partition {}", view.id.partition));
+    let mut followers = JoinSet::new();
     loop {
-        context.wait_until_followed(view).await;
+        tokio::select! {
+            Some(index) = requests.recv() => {
+                followers.spawn(follow_partition(context.clone(), index));
+            }
+            Some(_) = followers.join_next() => {}
+        }
+    }
+}
+
+/// Follows a partition of batches as long as this node's work needs it or somebody asks about it.
+async fn follow_partition(context: Arc<Context>, index: usize) {
+    let view = &context.partitions[index];
+    let mut dependency = Dependency::new(view.id.to_string());
+    while !view.end_following(context.now()) {
         catch_up(&context, view, &mut dependency).await;
-        read_once(&context, view, &mut dependency).await;
-        forget_old_batches(&context, view);
+        read_once(&context, view, &mut dependency, 0).await;
+    }
+}
+
+/// Forgets what is past its retention, now and then.
+pub async fn forget_old_batches(context: Arc<Context>) {
+    let retention = (context.settings.bounds.retention_s * 1_000.0) as u64 + RETENTION_SLACK_MS;
+    loop {
+        tokio::time::sleep(FORGET_PAUSE).await;
+        let Some(before) = context.now().checked_sub(retention) else {
+            continue;
+        };
+        for view in &context.partitions {
+            view.lock().state.forget_before(before);
+        }
+        context.orders.lock().state.forget_batches_before(before);
+        context.occupancy.lock().state.forget_before(before);
+    }
+}
+
+/// Follows the places that other nodes take, while this node runs batches or gives orders.
+pub async fn follow_occupancy(context: Arc<Context>) {
+    let mut dependency = Dependency::new(context.occupancy.id.to_string());
+    loop {
+        context.wait_until_it_takes_part().await;
+        read_once(&context, &context.occupancy, &mut dependency, 0).await;
     }
 }
 
 /// Reads what lies far behind, a few partitions at a time.
-async fn catch_up(
+async fn catch_up<S: StreamState>(
     context: &Context,
-    view: &StreamView<PartitionState>,
+    view: &StreamView<S>,
     dependency: &mut Dependency,
 ) {
     while view.is_behind(context.now()) {
@@ -218,8 +266,13 @@
     }
 }
 
-/// Says in the log that a node started here, so that all know how many machines read.
+/// Says in the log that a node started here, so that all know how many machines read. Where many
+/// start at once, they take turns: the partition takes its appends one after another, and signs of
+/// life wait behind them.
 async fn announce(context: &Context) {
+    let machines = context.orders.lock().state.machine_count() as u64;
+    let spread = Duration::from_millis(machines * ANNOUNCE_SPREAD_MS);
+    tokio::time::sleep(spread.mul_f64(rand::random())).await;
     let record = OrderRecord::Joined {
         node: context.node.clone(),
     };
@@ -230,25 +283,30 @@
 
 /// Follows the stream of orders.
 pub async fn follow_orders(context: Arc<Context>) {
-    announce(&context).await;
-    let mut dependency = Dependency::new("orders");
+    let mut dependency = Dependency::new(context.orders.id.to_string());
+    catch_up(&context, &context.orders, &mut dependency).await;
+    let announcing = context.clone();
+    tokio::spawn(async move { announce(&announcing).await });
+    context.note_observed_versions();
     loop {
-        read_once(&context, &context.orders, &mut dependency).await;
+        let gap_ms = if context.is_busy() {
+            0
+        } else {
+            context.pace().gap_ms
+        };
+        read_once(&context, &context.orders, &mut dependency, gap_ms).await;
         context.note_observed_versions();
         context.work.notify_one();
     }
 }
 
+/// Reads a stream once, after a gap since the read before.
 async fn read_once<S: StreamState>(
     context: &Context,
     view: &StreamView<S>,
     dependency: &mut Dependency,
+    gap_ms: Millis,
 ) {
-    let gap_ms = if context.is_busy() {
-        0
-    } else {
-        context.pace().gap_ms
-    };
     view.wait_between_reads(Duration::from_millis(gap_ms), context.now())
         .await;
     let wait = context
@@ -275,13 +333,3 @@
         }
     }
 }
-
-/// Kept longer than promised, since nodes see a batch at different times.
-const RETENTION_SLACK_MS: u64 = 10_000;
-
-fn forget_old_batches(context: &Context, view: &StreamView<PartitionState>) {
-    let retention = (context.settings.bounds.retention_s * 1_000.0) as u64 + RETENTION_SLACK_MS;
-    if let Some(before) = context.now().checked_sub(retention) {
-        view.lock().state.forget_before(before);
-    }
-}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -157,9 +157,9 @@
         DirectoryKind::Backends,
     ));
     tasks.spawn(followers::follow_orders(context.clone()));
-    for partition in 0..context.partitions.len() {
-        tasks.spawn(followers::follow_batches(context.clone(), partition));
-    }
+    tasks.spawn(followers::follow_occupancy(context.clone()));
+    tasks.spawn(followers::follow_batches(context.clone()));
+    tasks.spawn(followers::forget_old_batches(context.clone()));
 }
 
 async fn wait_for_stop(reload: impl Fn()) -> Result<(), NodeError> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,10 @@
     pub address: SocketAddr,
     /// Partitions of each stream.
     pub partitions: u32,
+    /// Streams over whose partitions batches are spread, so that hardly two batches that are open at
+    /// the same time share a partition: whoever reads one then reads little of others.
+    #[serde(default = "default_batch_streams")]
+    pub batch_streams: u32,
     /// Most bytes of a record.
     pub record_bytes: usize,
     /// Most bytes of a call.
@@ -53,6 +57,14 @@
     pub reads_per_s: u32,
 }
 
+/// With 8 partitions or more, 256 places: some 16 batches are open at once on the largest deployment.
+fn default_batch_streams() -> u32 {
+    32
+}
+
+/// Most streams of batches: the users' store keeps 100 topics, and some are for other things.
+const MOST_BATCH_STREAMS: u32 = 90;
+
 /// Times that the surroundings promise or ask for.
 #[derive(Debug, Clone, Deserialize)]
 pub struct BoundSettings {
@@ -168,6 +180,7 @@
         let at_least_one = "at least 1";
         let whole_numbers = [
             ("log.partitions", u64::from(self.log.partitions)),
+            ("log.batch_streams", u64::from(self.log.batch_streams)),
             ("log.record_bytes", self.log.record_bytes as u64),
             ("log.call_bytes", self.log.call_bytes as u64),
             ("log.reads_per_s", u64::from(self.log.reads_per_s)),
@@ -188,6 +201,10 @@
                 return Err(out_of_range(path, key, &value, at_least_one));
             }
         }
+        if self.log.batch_streams > MOST_BATCH_STREAMS {
+            let value = self.log.batch_streams;
+            return Err(out_of_range(path, "log.batch_streams", &value, "1 to 90"));
+        }
         let seconds = [
             ("bounds.stop_grace_s", self.bounds.stop_grace_s),
             ("bounds.retention_s", self.bounds.retention_s),
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -1,12 +1,13 @@
 //! One partition of a stream as this node knows it, and how fresh that knowledge is.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::framing::Joiner;
+use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
 use havenstage_rollout::orders::{OrderRecord, OrderState};
 use havenstage_rollout::record::BatchRecord;
 use tokio::sync::Notify;
@@ -33,6 +34,13 @@
     }
 }
 
+impl StreamState for Occupancy {
+    fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
+        let record = OccupancyRecord::decode(bytes);
+        record.map(|record| self.apply(record, now)).is_ok()
+    }
+}
+
 /// A partition's state, shared by its follower and all that look at it.
 pub struct StreamView<S> {
     /// Which partition it is.
@@ -41,6 +49,10 @@
     changed: Notify,
     wanted: Notify,
     wanted_until: AtomicU64,
+    /// Whether this node's own work needs the partition.
+    is_needed: AtomicBool,
+    /// Whether a task follows it.
+    has_follower: AtomicBool,
     wakes: Arc<Notify>,
     /// Held while a question is asked, so that all who wait for its answer share one call.
     confirming: tokio::sync::Mutex<()>,
@@ -84,9 +96,9 @@
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
-/// Time for which a partition that was asked about is followed, and read without waits: long enough
-/// to see that an owner is silent and to claim its batch.
-const WANTED_MS: Millis = 5_000;
+/// Time for which a partition that was asked about is followed, and read without waits: a little
+/// longer than a reader may wait.
+const WANTED_MS: Millis = 1_200;
 
 /// What a page brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +129,8 @@
             changed: Notify::new(),
             wanted: Notify::new(),
             wanted_until: AtomicU64::new(0),
+            is_needed: AtomicBool::new(false),
+            has_follower: AtomicBool::new(false),
             wakes,
             confirming: tokio::sync::Mutex::new(()),
         }
@@ -144,9 +158,29 @@
         self.wanted_until.load(Ordering::Relaxed) > now
     }
 
-    /// Waits until somebody asks about this partition.
-    pub async fn wait_until_wanted(&self) {
-        self.wanted.notified().await;
+    /// Says whether this node's own work needs the partition.
+    pub fn set_needed(&self, is_needed: bool) {
+        self.is_needed.store(is_needed, Ordering::Relaxed);
+    }
+
+    /// Whether the partition is to be followed: this node's own work needs it, or somebody asks.
+    pub fn is_followed(&self, now: Millis) -> bool {
+        self.is_needed.load(Ordering::Relaxed) || self.is_wanted(now)
+    }
+
+    /// Whether a task must be started to follow it; there is one at a time.
+    pub fn begin_following(&self) -> bool {
+        !self.has_follower.swap(true, Ordering::AcqRel)
+    }
+
+    /// Whether the task that follows it may end: nobody needs it, and none that asks from now on
+    /// relies on this task.
+    pub fn end_following(&self, now: Millis) -> bool {
+        if self.is_followed(now) {
+            return false;
+        }
+        self.has_follower.store(false, Ordering::Release);
+        !(self.is_followed(now) && self.begin_following())
     }
 
     /// Waits between two reads, unless somebody asks about this partition.
--- /dev/null
+++ b/crates/gateway/tests/restart.rs
@@ -0,0 +1,106 @@
+//! A restart of many machines at once: what each node reads follows its own work, not that of all.
+
+mod support;
+
+use std::time::Duration;
+
+use support::caller::{submit, submit_to, wait_for_results};
+use support::deployment::{Deployment, TestNode, wait_until};
+use support::dialect::write_batch;
+
+/// Batches that were handed in before the restart, at either node.
+const BATCHES_OF_EACH: usize = 12;
+/// Items of each batch; their texts are most of what the log holds.
+const ITEMS: usize = 24;
+/// Share of the log's bytes that a node may read after a restart, which had half of the batches and
+/// runs one of them on.
+const MOST_READ_SHARE: f64 = 0.4;
+/// Path of a route of its own.
+const OTHER_ROUTE: &str = "/batches/single/b";
+
+/// Items of a batch; none is in another one, since its output would be kept.
+fn items(batch: &str) -> Vec<(String, String)> {
+    let name = |at: usize| (format!("item-{at}-of-{batch}"), format!("g{}", at / 4));
+    (0..ITEMS).map(name).collect()
+}
+
+fn body(batch: &str) -> String {
+    let items = items(batch);
+    let named: Vec<(&str, &str)> = items
+        .iter()
+        .map(|(item, group)| (item.as_str(), group.as_str()))
+        .collect();
+    write_batch(1, &named, false)
+}
+
+async fn run_batches(node: &TestNode, path: &str, name: &str) {
+    for at in 0..BATCHES_OF_EACH {
+        let batch = format!("{name}-{at}");
+        assert_eq!(
+            submit_to(node.callers, path, &batch, &body(&batch)).await,
+            202
+        );
+        wait_for_results(node.callers, &batch, ITEMS).await;
+    }
+}
+
+fn slow_down(deployment: &Deployment) {
+    for engine in &deployment.engines {
+        engine.behave(|told| told.event_pause = Duration::from_millis(400));
+    }
+}
+
+/// Requests that the engines have seen.
+fn seen(deployment: &Deployment) -> usize {
+    deployment.engines.iter().map(|e| e.seen().len()).sum()
+}
+
+fn holds(node: &TestNode, batch: &str) -> bool {
+    let view = node.context().partition_of(&batch.into());
+    let inner = view.lock();
+    let state = inner.state.batch(&batch.into());
+    state.is_some_and(|state| state.lease.is_held_by(&node.context().node))
+}
+
+/// All machines lose power while each node runs a batch: each takes its own up again, and reads that
+/// batch, its trainer's few batches before it, and not what the other node has run.
+#[tokio::test]
+async fn a_restarted_owner_reads_its_own_batches_only() {
+    let deployment = Deployment::start(2, 1).await;
+    let (mut one, mut two) = (deployment.node("one").await, deployment.node("two").await);
+    run_batches(&one, "/batches/b", "of-one").await;
+    run_batches(&two, OTHER_ROUTE, "of-two").await;
+    slow_down(&deployment);
+    let seen_before = seen(&deployment);
+    assert_eq!(
+        submit(one.callers, "open-of-one", &body("open-of-one")).await,
+        202
+    );
+    let status = submit_to(
+        two.callers,
+        OTHER_ROUTE,
+        "open-of-two",
+        &body("open-of-two"),
+    )
+    .await;
+    assert_eq!(status, 202);
+    wait_until("items of both run", || seen(&deployment) >= seen_before + 8).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    one.kill();
+    two.kill();
+    let held_before = deployment.log.bytes();
+    let (one, two) = (deployment.node("one").await, deployment.node("two").await);
+    for (node, batch) in [(&one, "open-of-one"), (&two, "open-of-two")] {
+        wait_until("the machine's batch is taken up again", || {
+            holds(node, batch)
+        })
+        .await;
+    }
+    for node in [&one, &two] {
+        let share = node.log.bytes_read() as f64 / held_before as f64;
+        assert!(
+            share < MOST_READ_SHARE,
+            "read {share:.2} of what the log holds"
+        );
+    }
+}
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -56,6 +56,7 @@
     faults: Mutex<LogFaults>,
     listings: AtomicU64,
     reads: AtomicU64,
+    bytes_read: AtomicU64,
 }
 
 /// How long a slow append takes.
@@ -89,6 +90,13 @@
             .unwrap_or_default()
     }
 
+    /// Bytes of all records of all partitions.
+    pub fn bytes(&self) -> u64 {
+        let state = self.state.lock().unwrap();
+        let records = state.partitions.values().flatten();
+        records.map(|record| record.len() as u64).sum()
+    }
+
     /// Drops all records of a partition so far.
     pub fn drop_history(&self, partition: StreamPartition) {
         let mut state = self.state.lock().unwrap();
@@ -143,6 +151,7 @@
             faults: Mutex::new(faults),
             listings: AtomicU64::new(0),
             reads: AtomicU64::new(0),
+            bytes_read: AtomicU64::new(0),
         })
     }
 
@@ -159,6 +168,11 @@
         self.reads.load(Ordering::Relaxed)
     }
 
+    /// Bytes of records that the node has read from partitions.
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes_read.load(Ordering::Relaxed)
+    }
+
     pub fn set_faults(&self, faults: LogFaults) {
         *self.faults.lock().unwrap() = faults;
     }
@@ -241,6 +255,8 @@
         self.check_readable().await?;
         let page = found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap()));
         tokio::time::sleep(self.faults().read_delay).await;
+        let bytes: usize = page.records.iter().map(Bytes::len).sum();
+        self.bytes_read.fetch_add(bytes as u64, Ordering::Relaxed);
         Ok(page)
     }
 }
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -9,7 +9,7 @@
 
 use crate::Millis;
 use crate::batch::{Item, Submission};
-use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, NodeId, RunId, Version};
+use crate::ids::{BatchId, GroupId, ItemId, ModelName, NodeId, RunId, Version};
 use crate::lease::LeaseState;
 use crate::record::{BatchRecord, Outcome, OutputEvent};
 
@@ -28,8 +28,6 @@
     pub events: Vec<OutputEvent>,
     /// The run whose output stands last.
     pub run: Option<RunId>,
-    /// Where it was last started.
-    pub backend: Option<BackendId>,
     /// Its result, once it is listed.
     pub result: Option<ItemResult>,
 }
@@ -179,7 +177,6 @@
         spec: Some(item.clone()),
         events: Vec::new(),
         run: None,
-        backend: None,
         result: None,
     }
 }
@@ -207,21 +204,9 @@
             BatchRecord::Claimed { batch, term, owner } => {
                 self.lease(&batch, |lease| lease.claim(term, owner, now))
             }
-            BatchRecord::Kept { batch, term, owner } => {
-                self.lease(&batch, |lease| lease.keep(term, &owner, now))
-            }
             BatchRecord::Released { batch, term } => {
                 self.lease(&batch, |lease| lease.release(term, now))
             }
-            BatchRecord::Started {
-                batch,
-                item,
-                backend,
-                ..
-            } => self.open_item(&batch, &item).is_some_and(|state| {
-                state.backend = Some(backend);
-                true
-            }),
             BatchRecord::Progress {
                 batch,
                 item,
@@ -274,6 +259,11 @@
         self.batches.values()
     }
 
+    /// Whether no batch is kept.
+    pub fn is_empty(&self) -> bool {
+        self.batches.is_empty()
+    }
+
     /// Forgets batches first seen before `before`, so that memory stays bounded.
     pub fn forget_before(&mut self, before: Millis) {
         self.batches.retain(|_, batch| batch.first_seen >= before);
--- a/crates/rollout/src/lease.rs
+++ b/crates/rollout/src/lease.rs
@@ -77,6 +77,14 @@
         counts
     }
 
+    /// Takes a node's word that it is the holder, where who holds the lease is decided elsewhere.
+    pub fn names_itself(&mut self, holder: &NodeId, now: Millis) {
+        if !self.is_held_by(holder) {
+            self.holder = Some(holder.clone());
+        }
+        self.seen = now;
+    }
+
     /// Takes a release; answers whether it counts.
     pub fn release(&mut self, term: Term, now: Millis) -> bool {
         let counts = term == self.term && self.holder.is_some();
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod batch;
+pub mod batch_index;
 pub mod event_gap;
 pub mod event_stream;
 pub mod fold;
@@ -13,6 +14,7 @@
 pub mod lease;
 pub mod load_limit;
 pub mod machine_lives;
+pub mod occupancy;
 pub mod order_plan;
 pub mod orders;
 pub mod pacing;
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -1,4 +1,5 @@
-//! The stream of orders: who gives them, which are under way, and which node serves which route.
+//! The stream that every node reads: which batches there are and who runs them, who gives orders to
+//! back ends, and which orders are under way.
 //!
 //! One node holds the lease for orders. It writes an order down before it gives it, so that its
 //! successor knows when the last one can have been given.
@@ -9,7 +10,8 @@
 use thiserror::Error;
 
 use crate::Millis;
-use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
+use crate::batch_index::{BatchIndex, BatchNotice};
+use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::{LeaseState, Term};
 use crate::machine_lives::MachineLives;
 
@@ -27,6 +29,22 @@
         node: NodeId,
         /// Names of the routes.
         routes: Vec<String>,
+        /// The batches it runs; it is alive to all that watch them.
+        batches: Vec<BatchId>,
+    },
+    /// A batch was accepted.
+    Accepted(BatchNotice),
+    /// A node gives batches up.
+    Gave {
+        /// The node.
+        node: NodeId,
+        /// The batches.
+        batches: Vec<BatchId>,
+    },
+    /// Nothing is left to be done about a batch.
+    Closed {
+        /// The batch.
+        batch: BatchId,
     },
     /// A node claims the lease; the term is its fencing token.
     Claimed {
@@ -120,6 +138,7 @@
 pub struct OrderState {
     own_machine: MachineName,
     lives: MachineLives,
+    index: BatchIndex,
     serving: BTreeMap<String, Serving>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
@@ -149,6 +168,7 @@
         Self {
             own_machine,
             lives: MachineLives::default(),
+            index: BatchIndex::default(),
             serving: BTreeMap::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
@@ -162,7 +182,12 @@
     pub fn apply(&mut self, record: OrderRecord, now: Millis) {
         match record {
             OrderRecord::Joined { node } => self.lives.joined(node),
-            OrderRecord::Serves { node, routes } => {
+            OrderRecord::Serves {
+                node,
+                routes,
+                batches,
+            } => {
+                self.index.held(&node, &batches, now);
                 for route in routes {
                     let serving = Serving {
                         node: node.clone(),
@@ -171,6 +196,9 @@
                     self.serving.insert(route, serving);
                 }
             }
+            OrderRecord::Accepted(notice) => self.index.accepted(notice, now),
+            OrderRecord::Gave { node, batches } => self.index.released(&node, &batches, now),
+            OrderRecord::Closed { batch } => self.index.closed(&batch, now),
             OrderRecord::Claimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
@@ -226,6 +254,16 @@
         }
     }
 
+    /// The batches there are.
+    pub fn index(&self) -> &BatchIndex {
+        &self.index
+    }
+
+    /// Forgets batches first heard of before `before`.
+    pub fn forget_batches_before(&mut self, before: Millis) {
+        self.index.forget_before(before);
+    }
+
     /// Machines that ever had a node.
     pub fn machine_count(&self) -> usize {
         self.lives.machine_count()
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 use crate::batch::Submission;
-use crate::ids::{BackendId, BatchId, ItemId, NodeId, RunId, Version};
+use crate::ids::{BatchId, ItemId, NodeId, RunId, Version};
 use crate::lease::Term;
 
 /// One event of an item's output.
@@ -62,15 +62,6 @@
         /// The new owner.
         owner: NodeId,
     },
-    /// The owner is alive.
-    Kept {
-        /// Batch.
-        batch: BatchId,
-        /// The owner's term.
-        term: Term,
-        /// The owner.
-        owner: NodeId,
-    },
     /// The owner gives the batch up.
     Released {
         /// Batch.
@@ -78,17 +69,6 @@
         /// The owner's term.
         term: Term,
     },
-    /// A run of an item began on a back end.
-    Started {
-        /// Batch.
-        batch: BatchId,
-        /// Item.
-        item: ItemId,
-        /// The run.
-        run: RunId,
-        /// Where it runs.
-        backend: BackendId,
-    },
     /// More output of a run.
     Progress {
         /// Batch.
@@ -149,9 +129,7 @@
         match self {
             Self::Submitted { submission, .. } => &submission.id,
             Self::Claimed { batch, .. }
-            | Self::Kept { batch, .. }
             | Self::Released { batch, .. }
-            | Self::Started { batch, .. }
             | Self::Progress { batch, .. }
             | Self::Restarted { batch, .. }
             | Self::Finished { batch, .. }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -96,6 +96,7 @@
     let serves = |machine: &str, routes: &[&str]| OrderRecord::Serves {
         node: node(machine, 1),
         routes: routes.iter().map(|route| (*route).to_owned()).collect(),
+        batches: Vec::new(),
     };
     state.apply(serves("b", &["r", "s"]), 100);
     state.apply(serves("c", &["r"]), 200);
