Start nodes from a checkpoint of the stream of orders; tell of a batch once its items are there

Causes, read from logs and arithmetic: - Every node reads the whole stream of orders when it starts. It grows by some 7 kB a second at 295 machines: 2 MB after 300 s, 600 MB for all, which the store gives in 8 s. - The notice of a batch and its items were appended together.

Change: the holder of the orders lease keeps a checkpoint of the stream's fold under a key (2 to 6 kB, each 5 s); a node that starts, or whose history was dropped, takes it up and reads the rest. The notice follows the items. Also: calls and bytes of the log are counted by stream in the metrics; a change of a directory is told by nodes that act on it, others count it; a caller of a batch that leaves before its answer leaves a line; callers' calls on batches are a module of their own. Nodes no longer record which processes replaced which: a machine claims its own former batches at once, so the tests of that record go with it; that a machine that starts again is counted once keeps one.

--- /dev/null
+++ b/crates/gateway/src/batch_server.rs
@@ -0,0 +1,132 @@
+//! Callers' HTTP calls on batches.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use havenstage_rollout::ids::BatchId;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::request::Parts;
+use http::{Method, Response, StatusCode};
+use log::{info, warn};
+use tokio::time::Instant;
+
+use crate::batches::{self, BatchAnswer};
+use crate::context::Context;
+use crate::edge::BatchCall;
+use crate::metrics;
+use crate::responses::{Body, COME_BACK, header_ms, plain, refuse, whole_body};
+
+/// Tells of a caller that left before its answer: its call is dropped then, wherever it stands.
+struct WaitingCaller {
+    kind: &'static str,
+    batch: String,
+    began: Instant,
+    is_answered: bool,
+}
+
+impl WaitingCaller {
+    fn new(kind: &'static str, batch: &str, began: Instant) -> Self {
+        Self {
+            kind,
+            batch: batch.to_owned(),
+            began,
+            is_answered: false,
+        }
+    }
+
+    fn answered(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for WaitingCaller {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            info!(event = "batch_caller_left", kind = self.kind, batch = self.batch.as_str(),
+                waited_ms = self.began.elapsed().as_millis() as u64; "");
+        }
+    }
+}
+
+/// Takes a batch that is handed in.
+pub(crate) async fn handle_submission(
+    context: &Arc<Context>,
+    head: &Parts,
+    id: &HeaderValue,
+    host: &str,
+    body: Bytes,
+    began: Instant,
+) -> Response<Body> {
+    if head.method != Method::POST {
+        return plain(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let Ok(id) = id.to_str() else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let path = head.uri.path();
+    let waits = WaitingCaller::new("submit", id, began);
+    let read = context
+        .dialect
+        .read_submission(BatchId::from(id), host, path, &body);
+    let answer = match read {
+        Ok(submission) => batches::submit(context, submission).await,
+        Err(error) => {
+            warn!(event = "batch_refused", batch = id, status = 400u16,
+                reason = error.to_string().as_str(); "");
+            BatchAnswer::empty(StatusCode::BAD_REQUEST)
+        }
+    };
+    waits.answered();
+    batch_response(context, "submit", answer, began)
+}
+
+/// Answers a call on a batch that was handed in.
+pub(crate) async fn handle_batch_call(
+    context: &Arc<Context>,
+    head: &Parts,
+    call: BatchCall,
+    began: Instant,
+) -> Response<Body> {
+    match call {
+        BatchCall::Read { batch, from } => {
+            let wait = header_ms(&head.headers, &context.dialect.headers().wait_ms);
+            let waits = WaitingCaller::new("read", batch.as_str(), began);
+            let answer = batches::read(context, &batch, from, wait.unwrap_or_default()).await;
+            waits.answered();
+            batch_response(context, "read", answer, began)
+        }
+        BatchCall::ItemBody { batch, item } => {
+            let waits = WaitingCaller::new("item", batch.as_str(), began);
+            let answer = batches::item_body(context, &batch, &item).await;
+            waits.answered();
+            batch_response(context, "item", answer, began)
+        }
+        BatchCall::End { batch } => {
+            let waits = WaitingCaller::new("end", batch.as_str(), began);
+            let answer = batches::end(context, &batch).await;
+            waits.answered();
+            batch_response(context, "end", answer, began)
+        }
+        BatchCall::Malformed => plain(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn batch_response(
+    context: &Context,
+    kind: &'static str,
+    answer: BatchAnswer,
+    began: Instant,
+) -> Response<Body> {
+    let took_ms = began.elapsed().as_millis() as u64;
+    metrics::batch_call_ended(kind, answer.status.as_u16(), took_ms);
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+        return refuse(answer.status, COME_BACK);
+    }
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = answer.status;
+    if answer.is_own_format {
+        let content_type = HeaderValue::from_static(context.dialect.content_type());
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -91,9 +91,10 @@
     is_noticed && partition.lock().state.batch(batch).is_some()
 }
 
-/// Appends a batch to its partition, and the notice of it to the stream that all nodes read; both must
-/// be there before it is accepted. "Not run" is true if its items were certainly not appended: a
-/// notice without them runs nothing.
+/// Appends a batch to its partition, and then the notice of it to the stream that all nodes read; both
+/// must be there before it is accepted. An owner that reads the partition before the items are there
+/// would see them late: the store need not wake a reader of a topic that is created while it waits.
+/// "Not run" is true if the items were certainly not appended, since nobody is told of them then.
 async fn write_down(context: &Arc<Context>, submission: Submission) -> StatusCode {
     let owner = first_owner(context, &submission);
     let notice = OrderRecord::Accepted(BatchNotice::of(&submission, owner.clone()));
@@ -102,16 +103,18 @@
         submission: Arc::new(submission),
         owner,
     };
-    let (record, notice) = (record.encode(), notice.encode());
-    let items = append(context, partition, &record);
-    let notice = append(context, &context.orders, &notice);
-    let (items, notice) = tokio::join!(items, notice);
-    // Its owner hears of it at once if it is this node.
+    let items = append(context, partition, &record.encode()).await;
+    match items {
+        AppendOutcome::TooLarge => return StatusCode::PAYLOAD_TOO_LARGE,
+        AppendOutcome::NotDone => return StatusCode::SERVICE_UNAVAILABLE,
+        // Items that may be there are run if they are.
+        AppendOutcome::Done | AppendOutcome::Unknown => {}
+    }
+    let told = append(context, &context.orders, &notice.encode()).await;
+    // This node hears of it at once, in case it is the owner.
     context.orders.want(context.now());
-    match (items, notice) {
+    match (items, told) {
         (AppendOutcome::Done, AppendOutcome::Done) => StatusCode::ACCEPTED,
-        (AppendOutcome::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
-        (AppendOutcome::NotDone, _) => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::GATEWAY_TIMEOUT,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/checkpoints.rs
@@ -0,0 +1,99 @@
+//! Checkpoints of the stream of orders: written by the node that gives orders, read by nodes that start,
+//! so that a start costs the same however long the stream is.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_rollout::checkpoint::{OrderCheckpoint, UnreadableCheckpoint};
+use havenstage_rollout::orders::OrderState;
+use log::{info, warn};
+use thiserror::Error;
+
+use crate::context::Context;
+use crate::edge::LogError;
+
+/// Name under which the checkpoint is kept.
+const NAME: &str = "orders";
+/// Pause between two checkpoints: what a node that starts reads besides is a few seconds of records.
+const WRITE_PAUSE: Duration = Duration::from_secs(5);
+/// Tries to read a checkpoint before a node reads all records instead.
+const LOAD_TRIES: u32 = 3;
+/// Pause between two tries.
+const LOAD_PAUSE: Duration = Duration::from_millis(150);
+
+/// Why no checkpoint was taken up.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+enum LoadError {
+    /// It could not be read from the store.
+    #[error(transparent)]
+    Store(#[from] LogError),
+    /// What the store has is not one.
+    #[error(transparent)]
+    Unreadable(#[from] UnreadableCheckpoint),
+}
+
+/// Writes a checkpoint now and then while this node gives orders.
+pub async fn write_checkpoints(context: Arc<Context>) {
+    loop {
+        tokio::time::sleep(WRITE_PAUSE).await;
+        let Some(checkpoint) = take(&context) else {
+            continue;
+        };
+        let encoded = checkpoint.encode();
+        let bytes = encoded.len();
+        if bytes > context.settings.log.record_bytes / 2 {
+            warn!(event = "checkpoint_too_large", bytes = bytes; "");
+            continue;
+        }
+        let saved = context.checkpoints.save(NAME, encoded.into()).await;
+        let outcome = saved.map_or_else(|error| error.to_string(), |()| "written".to_owned());
+        info!(event = "checkpoint_written", next = checkpoint.next, bytes = bytes,
+            outcome = outcome.as_str(); "");
+    }
+}
+
+/// The state of the stream of orders, if this node gives orders and has read it to its end.
+fn take(context: &Context) -> Option<OrderCheckpoint> {
+    if context.orders.is_behind(context.now()) {
+        return None;
+    }
+    let inner = context.orders.lock();
+    let gives_orders = inner.state.lease().is_held_by(&context.node);
+    let is_whole = inner.is_between_values();
+    (gives_orders && is_whole).then(|| inner.state.checkpoint(inner.next))
+}
+
+/// Takes the newest checkpoint up if it is ahead of what this node has read. Without one the node reads
+/// all records that are kept, which takes longer and leads to the same state.
+pub async fn restore_orders(context: &Context) {
+    let mut tries = 0;
+    let loaded = loop {
+        tries += 1;
+        match load(context).await {
+            Err(LoadError::Store(_)) if tries < LOAD_TRIES => {
+                tokio::time::sleep(LOAD_PAUSE).await;
+            }
+            loaded => break loaded,
+        }
+    };
+    match loaded {
+        Ok(None) => {}
+        Ok(Some(checkpoint)) => {
+            let next = checkpoint.next;
+            let machine = context.node.machine.clone();
+            let state = OrderState::restored(machine, checkpoint, context.now());
+            let is_taken = context.orders.restore(state, next);
+            info!(event = "checkpoint_read", next = next, is_taken = is_taken; "");
+        }
+        Err(error) => {
+            warn!(event = "checkpoint_not_read", reason = error.to_string().as_str(); "");
+        }
+    }
+}
+
+async fn load(context: &Context) -> Result<Option<OrderCheckpoint>, LoadError> {
+    match context.checkpoints.load(NAME).await? {
+        Some(value) => Ok(Some(OrderCheckpoint::decode(&value)?)),
+        None => Ok(None),
+    }
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,7 +16,11 @@
 use tokio::sync::{Notify, Semaphore, mpsc, watch};
 
 use crate::backends::Backends;
-use crate::edge::{Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition};
+use crate::counted_log::CountedLog;
+use crate::edge::{
+    CheckpointStore, Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition,
+    Surroundings,
+};
 use crate::settings::{LogSettings, Settings};
 use crate::stream_view::StreamView;
 
@@ -55,6 +59,8 @@
     pub clock: SteadyClock,
     /// The shared log.
     pub log: Arc<dyn SharedLog>,
+    /// Checkpoints of streams.
+    pub checkpoints: Arc<dyn CheckpointStore>,
     /// The directories.
     pub directory: Arc<dyn Directory>,
     /// The dialect of callers and back ends.
@@ -94,13 +100,13 @@
 
 impl Context {
     /// A context that knows nothing yet.
-    pub fn new(
-        settings: Settings,
-        node: NodeId,
-        log: Arc<dyn SharedLog>,
-        directory: Arc<dyn Directory>,
-        dialect: Arc<dyn Dialect>,
-    ) -> Arc<Self> {
+    pub fn new(settings: Settings, node: NodeId, surroundings: Surroundings) -> Arc<Self> {
+        let Surroundings {
+            log,
+            checkpoints,
+            directory,
+            dialect,
+        } = surroundings;
         let work = Arc::new(Notify::new());
         let orders_changed = Arc::new(Notify::new());
         let (follow_requests, new_follow_requests) = mpsc::unbounded_channel();
@@ -111,7 +117,8 @@
             settings,
             node: node.clone(),
             clock: SteadyClock::start(),
-            log,
+            log: Arc::new(CountedLog::new(log)),
+            checkpoints,
             directory,
             dialect,
             backends: Backends::new(work.clone()),
@@ -329,6 +336,11 @@
         requests.take()
     }
 
+    /// Whether this node runs batches or gives orders.
+    pub fn takes_part(&self) -> bool {
+        *self.takes_part.borrow()
+    }
+
     /// Waits until this node runs batches or gives orders.
     pub async fn wait_until_it_takes_part(&self) {
         let mut takes_part = self.takes_part.subscribe();
--- /dev/null
+++ b/crates/gateway/src/counted_log.rs
@@ -0,0 +1,61 @@
+//! The shared log with its calls and bytes counted by stream, for the metrics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+use crate::edge::{Appended, LogError, LogPage, LogStream, SharedLog, StreamPartition};
+use crate::metrics;
+
+/// Counts what passes to another log.
+pub struct CountedLog {
+    log: Arc<dyn SharedLog>,
+}
+
+impl CountedLog {
+    /// Counts what passes to `log`.
+    pub fn new(log: Arc<dyn SharedLog>) -> Self {
+        Self { log }
+    }
+}
+
+#[async_trait]
+impl SharedLog for CountedLog {
+    async fn append(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError> {
+        let bytes = total_bytes(&records);
+        let appended = self.log.append(partition, records).await;
+        count("append", partition, appended.as_ref().map(|_| bytes));
+        appended
+    }
+
+    async fn read(
+        &self,
+        partition: StreamPartition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        let page = self.log.read(partition, from, wait).await;
+        let bytes = page.as_ref().map(|page| total_bytes(&page.records));
+        count("read", partition, bytes);
+        page
+    }
+}
+
+fn total_bytes(records: &[Bytes]) -> usize {
+    records.iter().map(Bytes::len).sum()
+}
+
+fn count(call: &'static str, partition: StreamPartition, bytes: Result<usize, &LogError>) {
+    let stream = match partition.stream {
+        LogStream::Batches(_) => "batches",
+        LogStream::Orders => "orders",
+        LogStream::Occupancy => "occupancy",
+    };
+    metrics::log_called(stream, call, bytes.is_ok(), bytes.unwrap_or(0));
+}
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -2,6 +2,7 @@
 //! operators and back ends write to, and the dialect in which callers and back ends speak.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -124,6 +125,16 @@
     ) -> Result<LogPage, LogError>;
 }
 
+/// Newest values by name, which are kept for good.
+#[async_trait]
+pub trait CheckpointStore: Send + Sync {
+    /// Replaces the value of a name.
+    async fn save(&self, name: &str, value: Bytes) -> Result<(), LogError>;
+
+    /// The value of a name, if there is one.
+    async fn load(&self, name: &str) -> Result<Option<Bytes>, LogError>;
+}
+
 /// The directories that others write and nodes follow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DirectoryKind {
@@ -333,6 +344,18 @@
     }
 }
 
+/// What a node is put together from.
+pub struct Surroundings {
+    /// The shared log.
+    pub log: Arc<dyn SharedLog>,
+    /// Checkpoints of its streams.
+    pub checkpoints: Arc<dyn CheckpointStore>,
+    /// The directories.
+    pub directory: Arc<dyn Directory>,
+    /// The dialect of callers and back ends.
+    pub dialect: Arc<dyn Dialect>,
+}
+
 /// Steady clock of the process.
 #[derive(Debug, Clone, Copy)]
 pub struct SteadyClock {
--- a/crates/gateway/src/engine/claim.rs
+++ b/crates/gateway/src/engine/claim.rs
@@ -58,7 +58,6 @@
     ClaimTiming {
         silence_ms: tuning.silence_ms + pace.gap_ms,
         spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
-        is_holder_gone: false,
     }
 }
 
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -11,8 +11,10 @@
 use log::{info, warn};
 use tokio::task::JoinSet;
 
+use crate::checkpoints;
 use crate::context::Context;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
+use crate::metrics;
 use crate::order_run::append;
 use crate::stream_view::{StreamState, StreamView};
 
@@ -155,7 +157,7 @@
             }
         }
         DirectoryEntry::NamedVersion { model, version } => {
-            if context.name_version(model.clone(), version) {
+            if context.name_version(model.clone(), version) && tells_all(context, "version_named") {
                 info!(event = "version_named", model = model.as_str(), version = version; "");
             }
         }
@@ -167,7 +169,7 @@
                 listed.remove(&change.id);
             }
             (None, _) => {
-                report_backend(&change);
+                report_backend(context, &change);
                 context.backends.apply(change);
             }
         },
@@ -177,12 +179,26 @@
     }
 }
 
-fn report_backend(change: &BackendChange) {
+/// Whether a change that all nodes learn is told in a line of its own: by the nodes that run batches or
+/// give orders, and by all where they are few. Others count it, so that the fleet's lines don't grow
+/// with nodes times changes.
+fn tells_all(context: &Context, change: &'static str) -> bool {
+    let tells = context.takes_part() || context.pace().gap_ms == 0;
+    if !tells {
+        metrics::directory_changed(change);
+    }
+    tells
+}
+
+fn report_backend(context: &Context, change: &BackendChange) {
     let state = match &change.record {
         None => "removed",
         Some(record) if record.draining => "draining",
         Some(_) => return,
     };
+    if !tells_all(context, "backend_leaves") {
+        return;
+    }
     info!(event = "backend_leaves", backend = change.id.as_str(), state = state; "");
 }
 
@@ -274,7 +290,7 @@
     let spread = Duration::from_millis(machines * ANNOUNCE_SPREAD_MS);
     tokio::time::sleep(spread.mul_f64(rand::random())).await;
     let record = OrderRecord::Joined {
-        node: context.node.clone(),
+        machine: context.node.machine.clone(),
     };
     while append(context, &record).await.is_err() {
         tokio::time::sleep(RETRY_PAUSE).await;
@@ -284,6 +300,7 @@
 /// Follows the stream of orders.
 pub async fn follow_orders(context: Arc<Context>) {
     let mut dependency = Dependency::new(context.orders.id.to_string());
+    checkpoints::restore_orders(&context).await;
     catch_up(&context, &context.orders, &mut dependency).await;
     let announcing = context.clone();
     tokio::spawn(async move { announce(&announcing).await });
@@ -294,19 +311,34 @@
         } else {
             context.pace().gap_ms
         };
-        read_once(&context, &context.orders, &mut dependency, gap_ms).await;
+        if read_once(&context, &context.orders, &mut dependency, gap_ms).await
+            == ReadOutcome::Dropped
+        {
+            checkpoints::restore_orders(&context).await;
+        }
         context.note_observed_versions();
         context.work.notify_one();
     }
 }
 
+/// What became of a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadOutcome {
+    /// It was answered.
+    Answered,
+    /// Records before those that are kept were asked for; they are skipped.
+    Dropped,
+    /// It failed, and a while has passed since.
+    Failed,
+}
+
 /// Reads a stream once, after a gap since the read before.
 async fn read_once<S: StreamState>(
     context: &Context,
     view: &StreamView<S>,
     dependency: &mut Dependency,
     gap_ms: Millis,
-) {
+) -> ReadOutcome {
     view.wait_between_reads(Duration::from_millis(gap_ms), context.now())
         .await;
     let wait = context
@@ -325,11 +357,16 @@
                 warn!(event = "records_unreadable", dependency = dependency.name.as_str(),
                     count = outcome.unreadable; "");
             }
+            ReadOutcome::Answered
+        }
+        Err(LogError::HistoryDropped { first }) => {
+            view.skip_to(first);
+            ReadOutcome::Dropped
         }
-        Err(LogError::HistoryDropped { first }) => view.skip_to(first),
         Err(error) => {
             view.read_failed();
             dependency.pause_after(error).await;
+            ReadOutcome::Failed
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,10 +4,13 @@
 //! The decisions are in `havenstage_rollout`; this crate joins them to the traits in [`edge`].
 
 pub mod backends;
+mod batch_server;
 pub mod batches;
 pub mod calls;
+pub mod checkpoints;
 pub mod context;
 pub mod coordinator;
+pub mod counted_log;
 pub mod edge;
 pub mod engine;
 pub mod followers;
@@ -16,6 +19,7 @@
 pub mod node;
 pub mod order_run;
 pub mod relay;
+mod responses;
 pub mod send;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,19 @@
     histogram!("gateway_append_ms", "outcome" => outcome).record(took_ms as f64);
 }
 
+/// A call to the shared log ended; `bytes` of records were read or appended.
+pub fn log_called(stream: &'static str, call: &'static str, is_done: bool, bytes: usize) {
+    let outcome = if is_done { "done" } else { "failed" };
+    counter!("gateway_log_calls_total", "stream" => stream, "call" => call, "outcome" => outcome)
+        .increment(1);
+    counter!("gateway_log_bytes_total", "stream" => stream, "call" => call).increment(bytes as u64);
+}
+
+/// A change of a directory was learned that concerns other nodes more than this one.
+pub fn directory_changed(change: &'static str) {
+    counter!("gateway_directory_changes_total", "change" => change).increment(1);
+}
+
 /// An order was answered.
 pub fn order_answered(outcome: &'static str) {
     counter!("gateway_orders_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,9 +13,10 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::checkpoints;
 use crate::context::Context;
 use crate::coordinator::Coordinator;
-use crate::edge::{Dialect, Directory, DirectoryKind, SharedLog};
+use crate::edge::{DirectoryKind, Surroundings};
 use crate::engine::Engine;
 use crate::followers;
 use crate::metrics::{self, MetricsError};
@@ -32,16 +33,6 @@
 /// Pause between two looks at whether requests are still in flight.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
-/// What a node is put together from.
-pub struct Surroundings {
-    /// The shared log.
-    pub log: Arc<dyn SharedLog>,
-    /// The directories.
-    pub directory: Arc<dyn Directory>,
-    /// The dialect of callers and back ends.
-    pub dialect: Arc<dyn Dialect>,
-}
-
 /// A node cannot run.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -112,12 +103,7 @@
     let callers = server::listen("callers'", listen.callers).await?;
     let callers_address = callers.local_addr().map_err(NodeError::Address)?;
     let ready = server::listen("readiness", listen.ready).await?;
-    let Surroundings {
-        log,
-        directory,
-        dialect,
-    } = surroundings;
-    let context = Context::new(settings, node, log, directory, dialect);
+    let context = Context::new(settings, node, surroundings);
     let mut tasks = JoinSet::new();
     if let Some(address) = listen.metrics {
         let handle = metrics::start(address)?;
@@ -157,6 +143,7 @@
         DirectoryKind::Backends,
     ));
     tasks.spawn(followers::follow_orders(context.clone()));
+    tasks.spawn(checkpoints::write_checkpoints(context.clone()));
     tasks.spawn(followers::follow_occupancy(context.clone()));
     tasks.spawn(followers::follow_batches(context.clone()));
     tasks.spawn(followers::forget_old_batches(context.clone()));
--- /dev/null
+++ b/crates/gateway/src/responses.rs
@@ -0,0 +1,47 @@
+//! Parts that the answers to all kinds of calls are made of.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+
+use crate::relay::StreamBroken;
+
+/// Body of an answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, StreamBroken>;
+
+/// Time after which callers whose call could not be served at this moment may come back.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(100);
+
+/// Milliseconds that a header names.
+pub(crate) fn header_ms(headers: &HeaderMap, name: &http::HeaderName) -> Option<Duration> {
+    let milliseconds: u64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_millis(milliseconds))
+}
+
+/// A body that is there whole.
+pub(crate) fn whole_body(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer without a body.
+pub(crate) fn plain(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// A refusal that tells the caller when to come back, in seconds with fractions.
+pub(crate) fn refuse(status: StatusCode, come_back: Duration) -> Response<Body> {
+    let mut response = plain(status);
+    let seconds = format!("{:.3}", come_back.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,13 +9,11 @@
 use bytes::Bytes;
 use futures::stream;
 use havenstage_http_link::WholeAnswer;
-use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
-use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::header::{HOST, HeaderValue};
 use http::request::Parts;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,27 +24,22 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::batches::{self, BatchAnswer};
+use crate::batch_server::{handle_batch_call, handle_submission};
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
-use crate::edge::BatchCall;
-use crate::metrics;
-use crate::relay::{Relay, StreamBroken};
+use crate::relay::Relay;
+use crate::responses::{Body, COME_BACK, header_ms, plain, refuse, whole_body};
 use crate::send;
 
 /// Age of the last answer of the log up to which a node calls itself ready.
 const READY_CONTACT_MS: u64 = 2_500;
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time after which callers that found no configuration may come back.
-const COME_BACK: Duration = Duration::from_millis(100);
 /// Deadline of a call that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Smallest buffer that the HTTP library accepts for a head.
 const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
-type Body = UnsyncBoxBody<Bytes, StreamBroken>;
-
 /// Requests that callers wait for now.
 #[derive(Debug, Default)]
 pub struct InFlight(AtomicUsize);
@@ -230,82 +223,6 @@
     }
 }
 
-// Batches.
-
-async fn handle_submission(
-    context: &Arc<Context>,
-    head: &Parts,
-    id: &HeaderValue,
-    host: &str,
-    body: Bytes,
-    began: Instant,
-) -> Response<Body> {
-    if head.method != Method::POST {
-        return plain(StatusCode::METHOD_NOT_ALLOWED);
-    }
-    let Ok(id) = id.to_str() else {
-        return plain(StatusCode::BAD_REQUEST);
-    };
-    let path = head.uri.path();
-    let read = context
-        .dialect
-        .read_submission(BatchId::from(id), host, path, &body);
-    let answer = match read {
-        Ok(submission) => batches::submit(context, submission).await,
-        Err(error) => {
-            warn!(event = "batch_refused", batch = id, status = 400u16,
-                reason = error.to_string().as_str(); "");
-            BatchAnswer::empty(StatusCode::BAD_REQUEST)
-        }
-    };
-    batch_response(context, "submit", answer, began)
-}
-
-async fn handle_batch_call(
-    context: &Arc<Context>,
-    head: &Parts,
-    call: BatchCall,
-    began: Instant,
-) -> Response<Body> {
-    match call {
-        BatchCall::Read { batch, from } => {
-            let wait = header_ms(&head.headers, &context.dialect.headers().wait_ms);
-            let answer = batches::read(context, &batch, from, wait.unwrap_or_default()).await;
-            batch_response(context, "read", answer, began)
-        }
-        BatchCall::ItemBody { batch, item } => {
-            let answer = batches::item_body(context, &batch, &item).await;
-            batch_response(context, "item", answer, began)
-        }
-        BatchCall::End { batch } => {
-            batch_response(context, "end", batches::end(context, &batch).await, began)
-        }
-        BatchCall::Malformed => plain(StatusCode::BAD_REQUEST),
-    }
-}
-
-fn batch_response(
-    context: &Context,
-    kind: &'static str,
-    answer: BatchAnswer,
-    began: Instant,
-) -> Response<Body> {
-    let took_ms = began.elapsed().as_millis() as u64;
-    metrics::batch_call_ended(kind, answer.status.as_u16(), took_ms);
-    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-        return refuse(answer.status, COME_BACK);
-    }
-    let mut response = Response::new(whole_body(answer.body));
-    *response.status_mut() = answer.status;
-    if answer.is_own_format {
-        let content_type = HeaderValue::from_static(context.dialect.content_type());
-        response.headers_mut().insert(CONTENT_TYPE, content_type);
-    }
-    response
-}
-
-// Calls.
-
 async fn handle_call(
     context: &Arc<Context>,
     route: &Route,
@@ -358,33 +275,6 @@
     response
 }
 
-fn header_ms(headers: &HeaderMap, name: &http::HeaderName) -> Option<Duration> {
-    let milliseconds: u64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    Some(Duration::from_millis(milliseconds))
-}
-
-fn whole_body(bytes: Bytes) -> Body {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
-}
-
-fn plain(status: StatusCode) -> Response<Body> {
-    let mut response = Response::new(whole_body(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
-
-/// A refusal that tells the caller when to come back, in seconds with fractions.
-fn refuse(status: StatusCode, come_back: Duration) -> Response<Body> {
-    let mut response = plain(status);
-    let seconds = format!("{:.3}", come_back.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    response
-}
-
 // Readiness and metrics.
 
 /// Whether the node takes requests.
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -80,6 +80,11 @@
         self.confirmed
     }
 
+    /// Whether the state is the fold of whole values up to `next`, with none half read.
+    pub fn is_between_values(&self) -> bool {
+        self.joiner.is_between_values()
+    }
+
     fn is_current(&self, now: Millis) -> bool {
         let longest_gap = LONGEST_GAP_MS + self.usual_gap_ms;
         self.last_success > 0 && now.saturating_sub(self.last_success) <= longest_gap
@@ -231,6 +236,21 @@
         outcome
     }
 
+    /// Takes a state up instead of reading the records before `next`; false if more is known here.
+    pub fn restore(&self, state: S, next: u64) -> bool {
+        let mut inner = self.lock();
+        let is_ahead = next > inner.next;
+        if is_ahead {
+            inner.state = state;
+            inner.next = next;
+            inner.joiner = Joiner::default();
+            inner.is_caught_up = false;
+        }
+        drop(inner);
+        self.wakes.notify_one();
+        is_ahead
+    }
+
     /// A read failed: what was not seen until the next success may have been there.
     pub fn read_failed(&self) {
         self.lock().last_success = 0;
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use havenstage_gateway::context::Context;
-use havenstage_gateway::edge::DirectoryEntry;
-use havenstage_gateway::node::{self, RunningNode, Surroundings};
+use havenstage_gateway::edge::{DirectoryEntry, Surroundings};
+use havenstage_gateway::node::{self, RunningNode};
 use havenstage_gateway::settings::Settings;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::ids::{BackendId, ModelName, PoolName};
@@ -41,6 +41,7 @@
     pub async fn start_with(log: Arc<NodeLog>, name: &str) -> Self {
         let surroundings = Surroundings {
             log: log.clone(),
+            checkpoints: log.clone(),
             directory: log.clone(),
             dialect: TestDialect::new(),
         };
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -12,6 +12,7 @@
 
 use crate::Millis;
 use crate::batch::Submission;
+use crate::checkpoint::BatchCheckpoint;
 use crate::ids::{BatchId, ModelName, NodeId, Version};
 use crate::lease::LeaseState;
 
@@ -169,6 +170,32 @@
         alike.into_iter().map(|batch| &batch.notice).collect()
     }
 
+    /// All batches, in the order they were accepted.
+    pub fn checkpoint(&self) -> Vec<BatchCheckpoint> {
+        let mut batches: Vec<&IndexedBatch> = self.batches.values().collect();
+        batches.sort_by_key(|batch| batch.arrival);
+        let kept = batches.into_iter().map(|batch| BatchCheckpoint {
+            notice: batch.notice.clone(),
+            owner: batch.owner.holder().cloned(),
+            is_open: batch.is_open(),
+        });
+        kept.collect()
+    }
+
+    /// The index that a checkpoint tells of, seen now.
+    pub fn restored(batches: Vec<BatchCheckpoint>, now: Millis) -> Self {
+        let mut index = Self::default();
+        for batch in batches {
+            let id = batch.notice.batch.clone();
+            index.accepted(batch.notice, now);
+            if let Some(known) = index.batches.get_mut(&id) {
+                known.owner = LeaseState::new(batch.owner, now);
+                known.closed_at = (!batch.is_open).then_some(now);
+            }
+        }
+        index
+    }
+
     /// Forgets batches first heard of before `before`, so that memory stays bounded.
     pub fn forget_before(&mut self, before: Millis) {
         self.batches.retain(|_, batch| batch.first_seen >= before);
--- /dev/null
+++ b/crates/rollout/src/checkpoint.rs
@@ -0,0 +1,75 @@
+//! What the stream of orders said up to an offset, so that a node that starts reads this and the rest
+//! instead of all records that are kept.
+//!
+//! Times are left out: whoever takes a checkpoint up has seen its content at that moment, as if it had
+//! read all records then.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Millis;
+use crate::batch_index::BatchNotice;
+use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
+use crate::lease::Term;
+
+/// The fold of the stream of orders up to an offset.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCheckpoint {
+    /// Offset of the first record that is not in it.
+    pub next: u64,
+    /// Machines on which a node ever started.
+    pub machines: BTreeSet<MachineName>,
+    /// Batches, in the order they were accepted.
+    pub batches: Vec<BatchCheckpoint>,
+    /// Term of the lease for orders.
+    pub term: Term,
+    /// Its holder, if there is one.
+    pub holder: Option<NodeId>,
+    /// Orders of which nothing was heard yet.
+    pub pending: BTreeMap<BackendId, (ModelName, Version)>,
+    /// The last orders of each back end, oldest first.
+    pub last_orders: Vec<OrderTime>,
+    /// Time that has certainly passed between the first record and this offset.
+    pub log_time: Millis,
+}
+
+/// A batch in a checkpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchCheckpoint {
+    /// What was told when it was accepted.
+    pub notice: BatchNotice,
+    /// The node that last said that it runs the batch.
+    pub owner: Option<NodeId>,
+    /// Whether something is left to be done.
+    pub is_open: bool,
+}
+
+/// When a machine gave a back end its last order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderTime {
+    /// The back end.
+    pub backend: BackendId,
+    /// The machine.
+    pub machine: MachineName,
+    /// When, in time that certainly passed in the log.
+    pub log_time: Millis,
+}
+
+/// A checkpoint that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("not a checkpoint of the stream of orders: {0}")]
+pub struct UnreadableCheckpoint(postcard::Error);
+
+impl OrderCheckpoint {
+    /// The bytes kept in the store.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a checkpoint holds only plain data")
+    }
+
+    /// Reads the bytes of the store.
+    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableCheckpoint> {
+        postcard::from_bytes(bytes).map_err(UnreadableCheckpoint)
+    }
+}
--- a/crates/rollout/src/framing.rs
+++ b/crates/rollout/src/framing.rs
@@ -39,6 +39,11 @@
 }
 
 impl Joiner {
+    /// Whether no value is open: the next record begins one.
+    pub fn is_between_values(&self) -> bool {
+        self.open.is_none()
+    }
+
     /// Takes the next record; answers a value when one is whole. Pieces without their beginning,
     /// which a reader sees that starts behind it, are dropped.
     pub fn push(&mut self, record: Bytes) -> Option<Bytes> {
--- a/crates/rollout/src/lease.rs
+++ b/crates/rollout/src/lease.rs
@@ -30,6 +30,15 @@
         }
     }
 
+    /// A lease as a checkpoint tells of it.
+    pub fn restored(term: Term, holder: Option<NodeId>, now: Millis) -> Self {
+        Self {
+            term,
+            holder,
+            seen: now,
+        }
+    }
+
     /// The current term.
     pub fn term(&self) -> Term {
         self.term
@@ -96,8 +105,8 @@
     }
 
     /// When `node` may claim the lease, unless a sign of its holder is seen before. The log has been
-    /// readable without a gap since `readable_since`: in a gap, silence says nothing. A holder that is
-    /// known to be gone, as an earlier life of the same machine is, needs no silence.
+    /// readable without a gap since `readable_since`: in a gap, silence says nothing. An earlier life of
+    /// the same machine is known to be gone, and needs no silence.
     pub fn claimable_at(
         &self,
         node: &NodeId,
@@ -107,7 +116,6 @@
         match &self.holder {
             Some(holder) if holder == node => Millis::MAX,
             Some(holder) if holder.machine == node.machine => self.seen,
-            Some(_) if timing.is_holder_gone => self.seen,
             Some(_) => self.seen.max(readable_since) + timing.silence_ms + timing.spread_ms,
             None => self.seen + timing.spread_ms / 2,
         }
@@ -121,6 +129,4 @@
     pub silence_ms: Millis,
     /// A node's own delay besides, so that nodes don't all claim at once.
     pub spread_ms: Millis,
-    /// Whether the holder's process is known to be gone.
-    pub is_holder_gone: bool,
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -5,15 +5,16 @@
 pub mod backend;
 pub mod batch;
 pub mod batch_index;
+pub mod checkpoint;
 pub mod event_gap;
 pub mod event_stream;
 pub mod fold;
 pub mod framing;
 pub mod health;
 pub mod ids;
+pub mod last_orders;
 pub mod lease;
 pub mod load_limit;
-pub mod machine_lives;
 pub mod occupancy;
 pub mod order_plan;
 pub mod orders;
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/orders.rs
@@ -4,24 +4,25 @@
 //! One node holds the lease for orders. It writes an order down before it gives it, so that its
 //! successor knows when the last one can have been given.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::Millis;
 use crate::batch_index::{BatchIndex, BatchNotice};
+use crate::checkpoint::{OrderCheckpoint, OrderTime};
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
+use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::{LeaseState, Term};
-use crate::machine_lives::MachineLives;
 
 /// A record of the stream of orders.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderRecord {
     /// A node started on a machine.
     Joined {
-        /// This life of the node.
-        node: NodeId,
+        /// The machine.
+        machine: MachineName,
     },
     /// A node runs batches of some routes; it has connections to their back ends.
     Serves {
@@ -137,13 +138,14 @@
 #[derive(Debug)]
 pub struct OrderState {
     own_machine: MachineName,
-    lives: MachineLives,
+    /// Machines on which a node ever started.
+    machines: BTreeSet<MachineName>,
     index: BatchIndex,
     serving: BTreeMap<String, Serving>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
     observed: Vec<ObservedVersion>,
-    last_by_other: BTreeMap<BackendId, SeenOrder>,
+    last_orders: LastOrders,
     /// Time that has certainly passed between the first record and the newest.
     log_time: Millis,
 }
@@ -155,33 +157,76 @@
     seen: Millis,
 }
 
-/// When an order was seen, on two clocks.
-#[derive(Debug, Clone, Copy)]
-struct SeenOrder {
-    read_at: Millis,
-    log_time: Millis,
-}
-
 impl OrderState {
     /// No orders yet, as the machine `own_machine` sees it.
     pub fn new(own_machine: MachineName) -> Self {
         Self {
             own_machine,
-            lives: MachineLives::default(),
+            machines: BTreeSet::new(),
             index: BatchIndex::default(),
             serving: BTreeMap::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
             observed: Vec::new(),
-            last_by_other: BTreeMap::new(),
+            last_orders: LastOrders::default(),
             log_time: 0,
         }
     }
 
+    /// The state up to `next`, without the times at which this node saw it.
+    pub fn checkpoint(&self, next: u64) -> OrderCheckpoint {
+        let pending = self.pending.iter();
+        let last_orders = self.last_orders.all().map(|(backend, order)| OrderTime {
+            backend: backend.clone(),
+            machine: order.machine.clone(),
+            log_time: order.log_time,
+        });
+        OrderCheckpoint {
+            next,
+            machines: self.machines.clone(),
+            batches: self.index.checkpoint(),
+            term: self.lease.term(),
+            holder: self.lease.holder().cloned(),
+            pending: pending
+                .map(|(backend, order)| (backend.clone(), (order.model.clone(), order.version)))
+                .collect(),
+            last_orders: last_orders.collect(),
+            log_time: self.log_time,
+        }
+    }
+
+    /// The state that a checkpoint tells of, seen now by the machine `own_machine`.
+    pub fn restored(own_machine: MachineName, checkpoint: OrderCheckpoint, now: Millis) -> Self {
+        let mut state = Self::new(own_machine);
+        state.machines = checkpoint.machines;
+        state.index = BatchIndex::restored(checkpoint.batches, now);
+        state.lease = LeaseState::restored(checkpoint.term, checkpoint.holder, now);
+        state.log_time = checkpoint.log_time;
+        for (backend, (model, version)) in checkpoint.pending {
+            let order = PendingOrder {
+                model,
+                version,
+                since: now,
+            };
+            state.pending.insert(backend, order);
+        }
+        for order in checkpoint.last_orders {
+            let last = LastOrder {
+                machine: order.machine,
+                read_at: now,
+                log_time: order.log_time,
+            };
+            state.last_orders.given(order.backend, last);
+        }
+        state
+    }
+
     /// Takes the next record.
     pub fn apply(&mut self, record: OrderRecord, now: Millis) {
         match record {
-            OrderRecord::Joined { node } => self.lives.joined(node),
+            OrderRecord::Joined { machine } => {
+                self.machines.insert(machine);
+            }
             OrderRecord::Serves {
                 node,
                 routes,
@@ -220,13 +265,12 @@
                 model,
                 version,
             } => {
-                if holder.machine != self.own_machine {
-                    let seen = SeenOrder {
-                        read_at: now,
-                        log_time: self.log_time,
-                    };
-                    self.last_by_other.insert(backend.clone(), seen);
-                }
+                let order = LastOrder {
+                    machine: holder.machine,
+                    read_at: now,
+                    log_time: self.log_time,
+                };
+                self.last_orders.given(backend.clone(), order);
                 self.pending.insert(
                     backend,
                     PendingOrder {
@@ -266,12 +310,7 @@
 
     /// Machines that ever had a node.
     pub fn machine_count(&self) -> usize {
-        self.lives.machine_count()
-    }
-
-    /// Whether a node's process is known to be gone, since another one started on its machine.
-    pub fn is_replaced(&self, node: &NodeId) -> bool {
-        self.lives.is_replaced(node)
+        self.machines.len()
     }
 
     /// The node that runs batches of a route, if it said so since `since`.
@@ -304,7 +343,7 @@
     /// did. A reader that has just started reads old orders only now, but the signs of life behind
     /// them tell how old they are at least.
     pub fn quiet_ms(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
-        let seen = self.last_by_other.get(backend)?;
+        let seen = self.last_orders.of_another(backend, &self.own_machine)?;
         let by_own_clock = now.saturating_sub(seen.read_at);
         Some(by_own_clock.max(self.log_time - seen.log_time))
     }
@@ -312,6 +351,6 @@
     /// Forgets back ends that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&BackendId) -> bool) {
         self.pending.retain(|backend, _| keep(backend));
-        self.last_by_other.retain(|backend, _| keep(backend));
+        self.last_orders.retain(keep);
     }
 }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
-use havenstage_rollout::ids::{MachineName, ModelName};
+use havenstage_rollout::batch_index::BatchNotice;
+use havenstage_rollout::checkpoint::OrderCheckpoint;
+use havenstage_rollout::ids::{BatchId, MachineName, ModelName};
 use havenstage_rollout::orders::{OrderRecord, OrderState};
-use support::{backend, node};
+use support::{backend, item, node, submission};
 
 fn model(name: &str) -> ModelName {
     ModelName::from(name)
@@ -105,3 +107,96 @@
     assert_eq!(state.serving("s", 101), None, "it said so too long ago");
     assert_eq!(state.serving("t", 0), None);
 }
+
+/// A machine that starts again and again is one machine that reads.
+#[test]
+fn machines_are_counted_once() {
+    let mut state = OrderState::new(MachineName::from("a"));
+    for machine in ["a", "b", "a", "c", "a"] {
+        let machine = MachineName::from(machine);
+        state.apply(OrderRecord::Joined { machine }, 10);
+    }
+    assert_eq!(state.machine_count(), 3);
+}
+
+/// Records of a while in which a node and its successor gave orders and ran batches.
+fn history() -> Vec<OrderRecord> {
+    let notice = |batch: &str| {
+        let submission = submission(batch, vec![item("one", "g", 10)]);
+        OrderRecord::Accepted(BatchNotice::of(&submission, Some(node("b", 1))))
+    };
+    let claimed = |term, machine: &str| OrderRecord::Claimed {
+        term,
+        holder: node(machine, 1),
+    };
+    let serves = |machine: &str, batch: &str| OrderRecord::Serves {
+        node: node(machine, 1),
+        routes: Vec::new(),
+        batches: vec![BatchId::from(batch)],
+    };
+    vec![
+        OrderRecord::Joined {
+            machine: MachineName::from("b"),
+        },
+        claimed(1, "b"),
+        kept("b", 1, 300),
+        notice("first"),
+        ordered("b", "x"),
+        ordered("b", "y"),
+        kept("b", 1, 300),
+        OrderRecord::Observed {
+            backend: backend("x"),
+            model: model("m"),
+            version: 2,
+        },
+        claimed(2, "c"),
+        notice("second"),
+        serves("c", "first"),
+        ordered("c", "x"),
+        kept("c", 2, 400),
+        OrderRecord::Closed {
+            batch: BatchId::from("first"),
+        },
+        ordered("b", "z"),
+        kept("c", 2, 300),
+    ]
+}
+
+/// Wherever a checkpoint is taken, what a reader knows that starts from it and reads the rest is what
+/// it would know from all records, whichever machine it is.
+#[test]
+fn a_checkpoint_and_the_rest_tell_what_all_records_tell() {
+    let records = history();
+    for own in ["a", "b", "c"] {
+        let own = MachineName::from(own);
+        let mut whole = OrderState::new(own.clone());
+        for record in &records {
+            whole.apply(record.clone(), 1_000);
+        }
+        for at in 0..=records.len() {
+            let mut before = OrderState::new(MachineName::from("writer"));
+            for record in &records[..at] {
+                before.apply(record.clone(), 7);
+            }
+            let written = before.checkpoint(at as u64).encode();
+            let read = OrderCheckpoint::decode(&written).unwrap();
+            let mut state = OrderState::restored(own.clone(), read, 1_000);
+            for record in &records[at..] {
+                state.apply(record.clone(), 1_000);
+            }
+            assert_eq!(state.checkpoint(0), whole.checkpoint(0), "taken at {at}");
+            for backend in ["x", "y", "z"].map(backend) {
+                let quiet_ms = state.quiet_ms(&backend, 1_000);
+                assert_eq!(quiet_ms, whole.quiet_ms(&backend, 1_000), "taken at {at}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_checkpoint_that_is_cut_off_is_refused() {
+    let written = OrderState::new(MachineName::from("a"))
+        .checkpoint(9)
+        .encode();
+    assert!(OrderCheckpoint::decode(&written[..written.len() - 1]).is_err());
+}
