Write no item later than its batch's end allows; count only failures of reward calls

Tests, failing before: nothing_is_written_after_its_time (new call of http-link), reward_calls_that_ran_out_of_time_give_no_item_up.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -251,7 +251,10 @@
         match sent {
             SendOutcome::Answered(answer) if answer.status.is_server_error() => {
                 self.may_have_run += 1;
-                self.server_errors += 1;
+                // A back end that ran out of time, or could not reach another one, has not failed at it.
+                if answer.status == StatusCode::INTERNAL_SERVER_ERROR {
+                    self.server_errors += 1;
+                }
                 self.last_failure = Some(answer);
                 None
             }
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -67,6 +67,8 @@
     Whole,
     /// The back end did not run it.
     NotRun,
+    /// What was known of the batch had become too old before the request could be written.
+    TooLate,
     /// The back end could not be reached.
     Unreachable,
     /// The stream broke off, fell silent, or brought something else.
@@ -85,6 +87,7 @@
         match self {
             Self::Whole => "whole",
             Self::NotRun => "not_run",
+            Self::TooLate => "too_late",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::Failed => "failed",
@@ -138,6 +141,8 @@
     pub versions: VersionRule,
     /// When the item may be given up.
     pub deadline: Instant,
+    /// Time after which nothing of the request may be written: the batch may have been ended.
+    pub write_by: Option<Instant>,
     /// How urgent the back end is to take it.
     pub urgency: u8,
 }
@@ -168,8 +173,11 @@
     let Some(request) = item_request(context, &backend.id, order) else {
         return RunEnd::Impossible;
     };
-    let answer = match backend.link.send(request, HEAD_TIMEOUT).await {
+    let write_by = order.write_by.unwrap_or(Instant::now() + HEAD_TIMEOUT);
+    let sent = backend.link.send_by(request, write_by, HEAD_TIMEOUT).await;
+    let answer = match sent {
         Ok(answer) => answer,
+        Err(LinkError::TooLate) => return RunEnd::TooLate,
         Err(error) if error.is_unsent() => return RunEnd::Unreachable,
         Err(_) => return RunEnd::Broken,
     };
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -57,7 +57,11 @@
             RunEnd::Whole => self.text_is_whole(key),
             RunEnd::Impossible => self.give_up(key, GiveUpReason::Impossible),
             RunEnd::Failed => self.run_failed(key),
-            RunEnd::NotRun | RunEnd::Unreachable | RunEnd::Broken | RunEnd::WrongVersion(_) => {}
+            RunEnd::NotRun
+            | RunEnd::TooLate
+            | RunEnd::Unreachable
+            | RunEnd::Broken
+            | RunEnd::WrongVersion(_) => {}
         }
     }
 
@@ -86,6 +90,7 @@
                     self.context.orders_changed.notify_one();
                 }
             }
+            RunEnd::TooLate => {}
             RunEnd::Broken if made_progress => {}
             RunEnd::Broken | RunEnd::Unreachable => {
                 let pause = self.pauses.entry(backend.clone()).or_default();
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -13,12 +13,19 @@
 use super::run::{self, ItemKey, RunOrder, VersionRule};
 use super::{DEFAULT_GIVE_UP_MS, Engine};
 
+/// Share of the time after which an end is in force up to which a request may be written that rests on
+/// what was known then; the rest is for its way to the back end. An item is given a place up to two
+/// thirds of that time, and may then wait for a connection or for the processor.
+const WRITE_SHARE: f64 = 0.85;
+
 /// What a run needs to know of its batch.
 pub(super) struct StartOfRun {
     host: String,
     minimum_version: u64,
     is_single_version: bool,
     deadline: Instant,
+    /// Time after which nothing of the request may be written; `None` while the log cannot be read.
+    write_by: Option<Instant>,
     batch_age_ms: Millis,
 }
 
@@ -47,6 +54,7 @@
                 made_by: item.made_by,
             },
             deadline: start.deadline,
+            write_by: start.write_by,
             urgency,
         };
         let resumed_from = item.resumed_from;
@@ -79,6 +87,7 @@
             minimum_version: batch.minimum_version,
             is_single_version: self.is_single_version(batch),
             deadline: Instant::now() + left,
+            write_by: instant_of(inner.actable_until(self.written_age_ms()), now),
             batch_age_ms: age,
         };
         if !self.items.contains_key(key) {
@@ -90,6 +99,11 @@
         Some(start)
     }
 
+    /// Age of a node's knowledge of a batch up to which a request of its items may be written.
+    fn written_age_ms(&self) -> Millis {
+        (self.context.settings.bounds.end_in_force_ms as f64 * WRITE_SHARE) as Millis
+    }
+
     pub(super) fn give_up_ms(&self, batch: &BatchState) -> Millis {
         let routes = self.context.routes();
         let route = routes
@@ -140,3 +154,8 @@
         }
     }
 }
+
+/// A moment on the node's steady clock as an instant.
+fn instant_of(moment: Option<Millis>, now: Millis) -> Option<Instant> {
+    moment.map(|moment| Instant::now() + Duration::from_millis(moment.saturating_sub(now)))
+}
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -80,6 +80,13 @@
         self.confirmed
     }
 
+    /// Until when what is known here may be acted on, if it may up to `most_age` after it was confirmed;
+    /// `None` while the log cannot be read, when nobody here can know more.
+    pub fn actable_until(&self, most_age: Millis) -> Option<Millis> {
+        let is_readable = self.last_success > 0;
+        is_readable.then(|| self.confirmed.unwrap_or(0) + most_age)
+    }
+
     /// Whether the state is the fold of whole values up to `next`, with none half read.
     pub fn is_between_values(&self) -> bool {
         self.joiner.is_between_values()
@@ -264,10 +271,8 @@
     /// Whether what is known here may be acted on: it is at most `most_age` old, or the log cannot be
     /// read, so that nobody here can know more.
     pub fn may_be_acted_on(&self, now: Millis, most_age: Millis) -> bool {
-        let inner = self.lock();
-        let is_readable = inner.last_success > 0;
-        let oldest = now.saturating_sub(most_age);
-        !is_readable || inner.confirmed.is_some_and(|at| at >= oldest)
+        let until = self.lock().actable_until(most_age);
+        until.is_none_or(|until| now <= until)
     }
 
     /// Whether there is more to be read than what comes in as it is written.
--- a/crates/gateway/tests/batches.rs
+++ b/crates/gateway/tests/batches.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::Method;
+use support::backend::CallBehaviour;
 use support::caller::{results, send, submit, submit_to, text, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
@@ -352,3 +353,23 @@
     first.stop().await;
     assert_all_whole(&wait_for_results(second.callers, "batch", ITEMS.len()).await);
 }
+
+/// A back end that ran out of time at a reward call has not failed at it: only failures count towards the
+/// attempts after which an item is given up.
+#[tokio::test]
+async fn reward_calls_that_ran_out_of_time_give_no_item_up() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    let application = &deployment.applications[0];
+    application.behave(|told| told.call = CallBehaviour::OutOfTime);
+    let batch = write_batch(1, &[("item", "g")], true);
+    assert_eq!(submit(node.callers, "batch", &batch).await, 202);
+    wait_until(
+        "more calls ran out of time than attempts are allowed",
+        || application.seen().len() > 6,
+    )
+    .await;
+    application.behave(|told| told.call = CallBehaviour::Answer);
+    let results = wait_for_results(node.callers, "batch", 1).await;
+    assert!(!results[0].contains("given up"), "{results:?}");
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -40,6 +40,8 @@
     Answer,
     NotRun,
     Fail,
+    /// It says that it ran out of time.
+    OutOfTime,
     /// The connection closes after the request was read.
     Break,
     /// The answer names another request.
@@ -211,6 +213,7 @@
         }
         CallBehaviour::NotRun => whole(StatusCode::SERVICE_UNAVAILABLE, String::new()),
         CallBehaviour::Fail => whole(StatusCode::INTERNAL_SERVER_ERROR, text),
+        CallBehaviour::OutOfTime => whole(StatusCode::GATEWAY_TIMEOUT, text),
         CallBehaviour::CutShort => cut_short(),
         CallBehaviour::Answer | CallBehaviour::ForeignAnswer => whole(StatusCode::OK, text),
     };
--- a/crates/http-link/src/error.rs
+++ b/crates/http-link/src/error.rs
@@ -11,6 +11,9 @@
     /// The request was not written; the server cannot have seen it whole.
     #[error("the request was not sent")]
     NotSent,
+    /// The time by which the request had to be written had passed; nothing of it was sent.
+    #[error("the request could not be sent in time")]
+    TooLate,
     /// The connection broke, or something that is no answer came; the server may have acted.
     #[error("the connection broke before the answer was whole")]
     Broken,
@@ -25,6 +28,6 @@
 impl LinkError {
     /// Whether the server cannot have acted on the request.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::NotConnected | Self::NotSent)
+        matches!(self, Self::NotConnected | Self::NotSent | Self::TooLate)
     }
 }
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -74,8 +74,20 @@
     /// Sends a request and waits for the head of the answer. A kept connection that turns out to
     /// be closed before anything was written is replaced by a new one.
     pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer, LinkError> {
+        let deadline = Instant::now() + timeout;
+        self.send_by(request, deadline, timeout).await
+    }
+
+    /// The same, where nothing of the request may be written after `write_by`: the process may have
+    /// stood still, or the connection may have been long in coming up.
+    pub async fn send_by(
         &self,
         mut request: Request<Full<Bytes>>,
+        write_by: Instant,
         timeout: Duration,
     ) -> Result<Answer, LinkError> {
         let deadline = Instant::now() + timeout;
@@ -86,6 +98,9 @@
                 Some(connection) => connection,
                 None => self.open(deadline).await?,
             };
+            if Instant::now() > write_by {
+                return Err(LinkError::TooLate);
+            }
             self.shared.traffic.requests.fetch_add(1, Ordering::Relaxed);
             let sent = connection.sender.try_send_request(request);
             match tokio::time::timeout_at(deadline, sent).await {
