Call the stream that all nodes read the control stream, and its records by what they say

Cause: the stream of orders also tells which batches there are and who runs them; a reader of the code met the owners of batches in a module called orders, and records called Gave or Serves.

Change: names only (ControlRecord, ControlState, Heartbeat, BatchAccepted, BatchClosed, BatchesReleased, LeaseClaimed, LeaseKept, LeaseReleased), and what an owner notes of batches is forgotten once they are long closed (the maps grew with each batch).

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -10,10 +10,10 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch::Submission;
 use havenstage_rollout::batch_index::BatchNotice;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::fold::{BatchState, PartitionState};
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, ItemId, NodeId};
-use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
 use http::StatusCode;
 use log::{info, warn};
@@ -86,7 +86,7 @@
 
 /// Whether a batch is known to be there whole: its items, and the notice of it to all nodes.
 fn is_accepted(context: &Context, batch: &BatchId) -> bool {
-    let is_noticed = context.orders.lock().state.index().batch(batch).is_some();
+    let is_noticed = context.control.lock().state.index().batch(batch).is_some();
     let partition = context.partition_of(batch);
     is_noticed && partition.lock().state.batch(batch).is_some()
 }
@@ -97,7 +97,7 @@
 /// "Not run" is true if the items were certainly not appended, since nobody is told of them then.
 async fn write_down(context: &Arc<Context>, submission: Submission) -> StatusCode {
     let owner = first_owner(context, &submission);
-    let notice = OrderRecord::Accepted(BatchNotice::of(&submission, owner.clone()));
+    let notice = ControlRecord::BatchAccepted(BatchNotice::of(&submission, owner.clone()));
     let partition = context.partition_of(&submission.id);
     let record = BatchRecord::Submitted {
         submission: Arc::new(submission),
@@ -110,9 +110,9 @@
         // Items that may be there are run if they are.
         AppendOutcome::Done | AppendOutcome::Unknown => {}
     }
-    let told = append(context, &context.orders, &notice.encode()).await;
+    let told = append(context, &context.control, &notice.encode()).await;
     // This node hears of it at once, in case it is the owner.
-    context.orders.want(context.now());
+    context.control.want(context.now());
     match (items, told) {
         (AppendOutcome::Done, AppendOutcome::Done) => StatusCode::ACCEPTED,
         _ => StatusCode::GATEWAY_TIMEOUT,
@@ -134,8 +134,8 @@
     let since = context.now().saturating_sub(ALIVE_MS);
     let table = context.routes()?;
     let route = table.batch_route(&submission.host, &submission.path)?;
-    let orders = context.orders.lock();
-    let owner = orders.state.serving(&route.name, since)?;
+    let control = context.control.lock();
+    let owner = control.state.serving(&route.name, since)?;
     (*owner != context.node || !context.is_stopping()).then(|| owner.clone())
 }
 
--- a/crates/gateway/src/checkpoints.rs
+++ b/crates/gateway/src/checkpoints.rs
@@ -1,11 +1,11 @@
-//! Checkpoints of the stream of orders: written by the node that gives orders, read by nodes that start,
+//! Checkpoints of the control stream: written by the node that gives orders, read by nodes that start,
 //! so that a start costs the same however long the stream is.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use havenstage_rollout::checkpoint::{OrderCheckpoint, UnreadableCheckpoint};
-use havenstage_rollout::orders::OrderState;
+use havenstage_rollout::checkpoint::{ControlCheckpoint, UnreadableCheckpoint};
+use havenstage_rollout::control::ControlState;
 use log::{info, warn};
 use thiserror::Error;
 
@@ -13,7 +13,7 @@
 use crate::edge::LogError;
 
 /// Name under which the checkpoint is kept.
-const NAME: &str = "orders";
+const NAME: &str = "control";
 /// Pause between two checkpoints: what a node that starts reads besides is a few seconds of records.
 const WRITE_PAUSE: Duration = Duration::from_secs(5);
 /// Tries to read a checkpoint before a node reads all records instead.
@@ -52,12 +52,12 @@
     }
 }
 
-/// The state of the stream of orders, if this node gives orders and has read it to its end.
-fn take(context: &Context) -> Option<OrderCheckpoint> {
-    if context.orders.is_behind(context.now()) {
+/// The state of the control stream, if this node gives orders and has read it to its end.
+fn take(context: &Context) -> Option<ControlCheckpoint> {
+    if context.control.is_behind(context.now()) {
         return None;
     }
-    let inner = context.orders.lock();
+    let inner = context.control.lock();
     let gives_orders = inner.state.lease().is_held_by(&context.node);
     let is_whole = inner.is_between_values();
     (gives_orders && is_whole).then(|| inner.state.checkpoint(inner.next))
@@ -65,7 +65,7 @@
 
 /// Takes the newest checkpoint up if it is ahead of what this node has read. Without one the node reads
 /// all records that are kept, which takes longer and leads to the same state.
-pub async fn restore_orders(context: &Context) {
+pub async fn restore_control(context: &Context) {
     let mut tries = 0;
     let loaded = loop {
         tries += 1;
@@ -81,8 +81,8 @@
         Ok(Some(checkpoint)) => {
             let next = checkpoint.next;
             let machine = context.node.machine.clone();
-            let state = OrderState::restored(machine, checkpoint, context.now());
-            let is_taken = context.orders.restore(state, next);
+            let state = ControlState::restored(machine, checkpoint, context.now());
+            let is_taken = context.control.restore(state, next);
             info!(event = "checkpoint_read", next = next, is_taken = is_taken; "");
         }
         Err(error) => {
@@ -91,9 +91,9 @@
     }
 }
 
-async fn load(context: &Context) -> Result<Option<OrderCheckpoint>, LoadError> {
+async fn load(context: &Context) -> Result<Option<ControlCheckpoint>, LoadError> {
     match context.checkpoints.load(NAME).await? {
-        Some(value) => Ok(Some(OrderCheckpoint::decode(&value)?)),
+        Some(value) => Ok(Some(ControlCheckpoint::decode(&value)?)),
         None => Ok(None),
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,10 +6,10 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_index::BatchNotice;
+use havenstage_rollout::control::ControlState;
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, Version, partition_of};
 use havenstage_rollout::occupancy::Occupancy;
-use havenstage_rollout::orders::OrderState;
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,9 +24,9 @@
 use crate::settings::{LogSettings, Settings};
 use crate::stream_view::StreamView;
 
-/// The only partition of orders in use.
-pub const ORDERS: StreamPartition = StreamPartition {
-    stream: LogStream::Orders,
+/// The only partition of the control stream in use.
+pub const CONTROL: StreamPartition = StreamPartition {
+    stream: LogStream::Control,
     partition: 0,
 };
 /// The only partition of occupancy in use.
@@ -69,14 +69,14 @@
     pub backends: Arc<Backends>,
     /// Partitions of batches.
     pub partitions: Vec<StreamView<PartitionState>>,
-    /// Orders given by anyone.
-    pub orders: StreamView<OrderState>,
+    /// Which batches there are, who runs them, and orders given by anyone.
+    pub control: StreamView<ControlState>,
     /// Places taken on back ends, as the nodes that run batches tell.
     pub occupancy: StreamView<Occupancy>,
     /// Turns for reading batches that lie far behind.
     pub catch_up: Semaphore,
     /// Wakes the task that gives orders.
-    pub orders_changed: Arc<Notify>,
+    pub control_changed: Arc<Notify>,
     /// Wakes the task that runs items.
     pub work: Arc<Notify>,
     /// Set once the node was told to stop.
@@ -108,7 +108,7 @@
             dialect,
         } = surroundings;
         let work = Arc::new(Notify::new());
-        let orders_changed = Arc::new(Notify::new());
+        let control_changed = Arc::new(Notify::new());
         let (follow_requests, new_follow_requests) = mpsc::unbounded_channel();
         let partitions = batch_partitions(&settings.log)
             .map(|id| StreamView::new(id, PartitionState::default(), work.clone()))
@@ -123,13 +123,13 @@
             dialect,
             backends: Backends::new(work.clone()),
             partitions,
-            orders: StreamView::new(
-                ORDERS,
-                OrderState::new(node.machine.clone()),
-                orders_changed.clone(),
+            control: StreamView::new(
+                CONTROL,
+                ControlState::new(node.machine.clone()),
+                control_changed.clone(),
             ),
             occupancy: StreamView::new(OCCUPANCY, Occupancy::default(), work.clone()),
-            orders_changed,
+            control_changed,
             work,
             catch_up: Semaphore::new(CATCH_UP_READS),
             last_contact: AtomicU64::new(0),
@@ -205,9 +205,9 @@
         is_newer
     }
 
-    /// Believes what the stream of orders tells of versions.
+    /// Believes what the control stream tells of versions.
     pub fn note_observed_versions(&self) {
-        let observed = self.orders.lock().state.take_observed();
+        let observed = self.control.lock().state.take_observed();
         let mut backends = self.backends.lock();
         for seen in observed {
             backends.saw_version(&seen.backend, &seen.model, seen.version);
@@ -221,7 +221,7 @@
         let is_newer = *known < version;
         *known = (*known).max(version);
         drop(named);
-        self.orders_changed.notify_one();
+        self.control_changed.notify_one();
         is_newer
     }
 
@@ -241,14 +241,14 @@
 
     /// The batches of which something is left to be done.
     fn open_batches(&self) -> Vec<BatchNotice> {
-        let orders = self.orders.lock();
-        let open = orders.state.index().open();
+        let control = self.control.lock();
+        let open = control.state.index().open();
         open.map(|batch| batch.notice.clone()).collect()
     }
 
     /// How often this node reads, among all machines that ever joined.
     pub fn pace(&self) -> Pace {
-        let machines = self.orders.lock().state.machine_count();
+        let machines = self.control.lock().state.machine_count();
         pacing::pace(machines, ALWAYS_FOLLOWED, self.settings.log.reads_per_s)
     }
 
@@ -256,12 +256,12 @@
     /// that are given to it, and of the same trainers' batches before them.
     pub fn choose_what_to_follow(&self) {
         let own = self.own_batches();
-        let orders = self.orders.lock();
-        let gives_orders = orders.state.lease().is_held_by(&self.node);
+        let control = self.control.lock();
+        let gives_orders = control.state.lease().is_held_by(&self.node);
         let needed: BTreeSet<usize> = own
             .iter()
             .flat_map(|notice| {
-                orders
+                control
                     .state
                     .index()
                     .newest_like(notice, FOLLOWED_OF_TRAINER)
@@ -269,7 +269,7 @@
             .chain(own.iter())
             .map(|notice| self.partition_index(&notice.batch))
             .collect();
-        drop(orders);
+        drop(control);
         let takes_part = gives_orders || self.is_busy();
         self.takes_part.send_if_modified(|before| {
             let is_changed = *before != takes_part;
@@ -281,14 +281,14 @@
 
     /// Open batches that this node runs, or that were given to it.
     fn own_batches(&self) -> Vec<BatchNotice> {
-        let orders = self.orders.lock();
-        let open: Vec<(BatchNotice, bool)> = orders
+        let control = self.control.lock();
+        let open: Vec<(BatchNotice, bool)> = control
             .state
             .index()
             .open()
             .map(|batch| (batch.notice.clone(), batch.owner.is_held_by(&self.node)))
             .collect();
-        drop(orders);
+        drop(control);
         let own = open
             .into_iter()
             .filter(|(notice, is_given)| *is_given || self.holds(&notice.batch));
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -52,8 +52,8 @@
 
     /// What the newest batch of a model tells of its work.
     fn work_of(&self, model: &ModelName) -> ModelWork {
-        let orders = self.context.orders.lock();
-        let newest = orders.state.index().newest_of_model(model);
+        let control = self.context.control.lock();
+        let newest = control.state.index().newest_of_model(model);
         newest.map_or(
             ModelWork {
                 weight: 1.0,
@@ -73,12 +73,12 @@
         let now = self.context.now();
         let running = self.context.occupied(|_| true);
         self.context.note_observed_versions();
-        let orders = self.context.orders.lock();
+        let control = self.context.control.lock();
         let backends = self.context.backends.lock();
         let quiet_ms = self.context.settings.bounds.order_lease_ms;
         let mut targets = Vec::new();
         for (id, _) in backends.list.ready_in(&pool.name) {
-            let is_quiet = orders
+            let is_quiet = control
                 .state
                 .quiet_ms(id, now)
                 .is_none_or(|quiet| quiet > quiet_ms);
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::lease::Term;
-use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
 
 use super::{Coordinator, HeldLease};
@@ -18,7 +18,7 @@
 impl Coordinator {
     /// Believes the log about who holds the lease.
     pub(super) fn follow_lease(&mut self) {
-        let inner = self.context.orders.lock();
+        let inner = self.context.control.lock();
         let lease = inner.state.lease();
         let term = lease.is_held_by(&self.context.node).then(|| lease.term());
         drop(inner);
@@ -46,7 +46,7 @@
 
     /// The current term, if this node may claim the lease now.
     pub(super) fn claimable_term(&self) -> Option<Term> {
-        let view = &self.context.orders;
+        let view = &self.context.control;
         let readable_since = view.readable_since(self.context.now())?;
         let term = view.lock().state.lease().term();
         let timing = claim_timing_of(&self.context, &format!("{} {term}", self.context.node));
@@ -59,7 +59,7 @@
     /// Claims the lease if the log, read to its end, still shows no sign of its holder.
     pub(super) async fn claim(&mut self) {
         let (log, clock) = (self.context.log.clone(), self.context.clock);
-        let view = &self.context.orders;
+        let view = &self.context.control;
         if view
             .confirm(log.as_ref(), clock, Duration::ZERO)
             .await
@@ -72,7 +72,7 @@
             return;
         };
         let holder = self.context.node.clone();
-        let record = OrderRecord::Claimed {
+        let record = ControlRecord::LeaseClaimed {
             term: term + 1,
             holder,
         };
@@ -98,7 +98,7 @@
             sent - lease.kept_at
         };
         let holder = self.context.node.clone();
-        let record = OrderRecord::Kept {
+        let record = ControlRecord::LeaseKept {
             term: lease.term,
             holder,
             after_ms,
@@ -115,11 +115,11 @@
 
     /// Whether a sign of life counts: it was written, and no newer term stands before it. That the
     /// log took it proves nothing by itself, as it takes those of a former holder too.
-    pub(super) async fn is_kept(&self, record: &OrderRecord, term: Term) -> bool {
+    pub(super) async fn is_kept(&self, record: &ControlRecord, term: Term) -> bool {
         let Ok(offset) = append(&self.context, record).await else {
             return false;
         };
-        let (log, view) = (self.context.log.as_ref(), &self.context.orders);
+        let (log, view) = (self.context.log.as_ref(), &self.context.control);
         if view
             .confirm(log, self.context.clock, Duration::ZERO)
             .await
@@ -137,7 +137,7 @@
             return;
         };
         self.reliable_until.store(0, Ordering::Relaxed);
-        let record = OrderRecord::Released { term: lease.term };
+        let record = ControlRecord::LeaseReleased { term: lease.term };
         if let Err(error) = append(&self.context, &record).await {
             warn!(event = "order_release_failed", reason = error.to_string().as_str(); "");
         }
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -98,7 +98,7 @@
             };
             tokio::select! {
                 Some(ended) = self.ended.recv() => self.take_ended(ended),
-                () = context.orders_changed.notified() => {}
+                () = context.control_changed.notified() => {}
                 () = tokio::time::sleep(pause) => {}
             }
             self.follow_lease();
@@ -152,7 +152,7 @@
     fn settle_pending(&mut self) {
         let pending: Vec<Order> = self
             .context
-            .orders
+            .control
             .lock()
             .state
             .all_pending()
--- a/crates/gateway/src/counted_log.rs
+++ b/crates/gateway/src/counted_log.rs
@@ -54,7 +54,7 @@
 fn count(call: &'static str, partition: StreamPartition, bytes: Result<usize, &LogError>) {
     let stream = match partition.stream {
         LogStream::Batches(_) => "batches",
-        LogStream::Orders => "orders",
+        LogStream::Control => "control",
         LogStream::Occupancy => "occupancy",
     };
     metrics::log_called(stream, call, bytes.is_ok(), bytes.unwrap_or(0));
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -24,7 +24,7 @@
     /// Batches and their results; there are several streams of them, numbered from 0.
     Batches(u32),
     /// Which batches there are, and orders to back ends.
-    Orders,
+    Control,
     /// Places that are taken on back ends.
     Occupancy,
 }
@@ -42,7 +42,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.stream {
             LogStream::Batches(number) => write!(formatter, "batches {number}/{}", self.partition),
-            LogStream::Orders => write!(formatter, "orders"),
+            LogStream::Control => write!(formatter, "control"),
             LogStream::Occupancy => write!(formatter, "occupancy"),
         }
     }
--- a/crates/gateway/src/engine/claim.rs
+++ b/crates/gateway/src/engine/claim.rs
@@ -87,9 +87,9 @@
     silent: Option<&NodeId>,
 ) -> Result<ClaimOutcome, LogError> {
     let (log, clock) = (context.log.as_ref(), context.clock);
-    let confirmed = context.orders.confirm(log, clock, Duration::ZERO).await;
+    let confirmed = context.control.confirm(log, clock, Duration::ZERO).await;
     if let Err(error) = confirmed {
-        context.orders.read_failed();
+        context.control.read_failed();
         return Err(error);
     }
     let Some(indexed) = still_claimable(context, batch) else {
@@ -123,10 +123,10 @@
 
 fn still_claimable(context: &Context, batch: &BatchId) -> Option<IndexedBatch> {
     let now = context.now();
-    let readable_since = context.orders.readable_since(now)?;
-    let orders = context.orders.lock();
-    let indexed = orders.state.index().batch(batch)?.clone();
-    drop(orders);
+    let readable_since = context.control.readable_since(now)?;
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(batch)?.clone();
+    drop(control);
     is_claimable(context, &indexed, readable_since, now).then_some(indexed)
 }
 
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::occupancy::OccupancyRecord;
-use havenstage_rollout::orders::OrderRecord;
 
 use super::Engine;
 use super::leases::{HeldBatch, open_ids};
@@ -42,7 +42,7 @@
         }
         self.heartbeats.served_at = now;
         self.heartbeats.batches = batches.clone();
-        let record = OrderRecord::Serves {
+        let record = ControlRecord::Heartbeat {
             node: self.context.node.clone(),
             routes: self.served_routes(held),
             batches: batches.into_iter().collect(),
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -7,9 +7,9 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_index::IndexedBatch;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::lease::{LeaseState, Term};
-use havenstage_rollout::orders::OrderRecord;
 use havenstage_rollout::record::BatchRecord;
 use log::{info, warn};
 
@@ -50,7 +50,7 @@
 }
 
 /// What this node's own copy of a batch's partition tells of it.
-enum Copy {
+enum LocalCopy {
     /// The batch is there, under this lease.
     Present { lease: LeaseState, is_open: bool },
     /// It is not there, and the partition has been read to its end.
@@ -63,7 +63,9 @@
     /// Tells which batches this node runs, claims those without an owner, releases all at the end.
     pub(super) fn follow_leases(&mut self) {
         let now = self.context.now();
-        let work = self.lease_work(now);
+        let recent = recent_batches(&self.context, now);
+        self.forget_all_but(&recent);
+        let work = self.lease_work(recent, now);
         if self.context.releasing.load(Ordering::Relaxed) {
             self.release_all(work.held);
             return;
@@ -87,20 +89,30 @@
         }
     }
 
-    fn lease_work(&self, now: Millis) -> LeaseWork {
-        let readable_since = self.context.orders.readable_since(now);
+    /// Forgets what was noted of batches that are long closed.
+    fn forget_all_but(&mut self, recent: &[IndexedBatch]) {
+        let recent: BTreeSet<&BatchId> = recent.iter().map(|batch| &batch.notice.batch).collect();
+        self.told_closed.retain(|batch, _| recent.contains(batch));
+        self.not_claimed_before
+            .retain(|batch, _| recent.contains(batch));
+        self.rivals.retain(|batch, _| recent.contains(batch));
+        self.carried.retain(|batch, _| recent.contains(batch));
+    }
+
+    fn lease_work(&self, recent: Vec<IndexedBatch>, now: Millis) -> LeaseWork {
+        let readable_since = self.context.control.readable_since(now);
         let mut work = LeaseWork::default();
-        for batch in recent_batches(&self.context, now) {
+        for batch in recent {
             let id = &batch.notice.batch;
             match copy_of(&self.context, id, now) {
-                Copy::Present { lease, is_open } if lease.is_held_by(&self.context.node) => {
+                LocalCopy::Present { lease, is_open } if lease.is_held_by(&self.context.node) => {
                     if !is_open && batch.is_open() {
                         work.closed.push(id.clone());
                     }
                     work.held.push(held(&batch, &lease, is_open));
                     continue;
                 }
-                Copy::Absent if never_came(&batch, now) => work.closed.push(id.clone()),
+                LocalCopy::Absent if never_came(&batch, now) => work.closed.push(id.clone()),
                 _ => {}
             }
             if readable_since.is_some_and(|since| is_claimable(&self.context, &batch, since, now)) {
@@ -143,7 +155,7 @@
         self.told_closed.insert(batch.clone(), now);
         let context = self.context.clone();
         // One that is lost is told again.
-        tokio::spawn(async move { append(&context, &OrderRecord::Closed { batch }).await });
+        tokio::spawn(async move { append(&context, &ControlRecord::BatchClosed { batch }).await });
     }
 
     fn release_all(&mut self, held: Vec<HeldBatch>) {
@@ -186,7 +198,7 @@
         context.released.store(true, Ordering::Relaxed);
         return;
     }
-    let record = OrderRecord::Gave {
+    let record = ControlRecord::BatchesReleased {
         node: context.node.clone(),
         batches,
     };
@@ -199,13 +211,13 @@
 
 /// Batches that are open, or were a moment ago.
 fn recent_batches(context: &Context, now: Millis) -> Vec<IndexedBatch> {
-    let orders = context.orders.lock();
+    let control = context.control.lock();
     let is_recent = |batch: &&IndexedBatch| {
         batch
             .closed_at
             .is_none_or(|closed| now.saturating_sub(closed) < LINGER_MS)
     };
-    orders
+    control
         .state
         .index()
         .batches()
@@ -224,17 +236,17 @@
     }
 }
 
-fn copy_of(context: &Context, batch: &BatchId, now: Millis) -> Copy {
+fn copy_of(context: &Context, batch: &BatchId, now: Millis) -> LocalCopy {
     let view = context.partition_of(batch);
     let is_read = !view.is_behind(now);
     let inner = view.lock();
     match inner.state.batch(batch) {
-        Some(state) => Copy::Present {
+        Some(state) => LocalCopy::Present {
             lease: state.lease.clone(),
             is_open: !state.is_closed(),
         },
-        None if is_read => Copy::Absent,
-        None => Copy::Unread,
+        None if is_read => LocalCopy::Absent,
+        None => LocalCopy::Unread,
     }
 }
 
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -316,13 +316,13 @@
         let elsewhere = self.context.occupied(|node| node != own_node);
         let groups = self.groups_by_backend();
         let own = self.running_here();
-        let orders = self.context.orders.lock();
+        let control = self.context.control.lock();
         let backends = self.context.backends.lock();
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
         let mut candidates = Vec::new();
         for (id, record) in backends.list.ready_in(name) {
             let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
-            let is_loading = orders
+            let is_loading = control
                 .state
                 .pending(id)
                 .is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS);
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -87,7 +87,7 @@
                         .backends
                         .lock()
                         .saw_version(backend, &model, *version);
-                    self.context.orders_changed.notify_one();
+                    self.context.control_changed.notify_one();
                 }
             }
             RunEnd::TooLate => {}
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -6,8 +6,8 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::BackendId;
-use havenstage_rollout::orders::OrderRecord;
 use log::{info, warn};
 use tokio::task::JoinSet;
 
@@ -97,7 +97,7 @@
                 for entry in page.entries {
                     take_entry(&context, entry, None);
                 }
-                context.orders_changed.notify_one();
+                context.control_changed.notify_one();
                 tokio::time::sleep(directory_gap(&context)).await;
             }
             Err(LogError::HistoryDropped { .. }) => next = None,
@@ -134,7 +134,7 @@
                         context.backends.replace(listed);
                         context.note_backends_listed();
                     }
-                    context.orders_changed.notify_one();
+                    context.control_changed.notify_one();
                     return end;
                 }
             }
@@ -241,7 +241,7 @@
         for view in &context.partitions {
             view.lock().state.forget_before(before);
         }
-        context.orders.lock().state.forget_batches_before(before);
+        context.control.lock().state.forget_batches_before(before);
         context.occupancy.lock().state.forget_before(before);
     }
 }
@@ -286,10 +286,10 @@
 /// start at once, they take turns: the partition takes its appends one after another, and signs of
 /// life wait behind them.
 async fn announce(context: &Context) {
-    let machines = context.orders.lock().state.machine_count() as u64;
+    let machines = context.control.lock().state.machine_count() as u64;
     let spread = Duration::from_millis(machines * ANNOUNCE_SPREAD_MS);
     tokio::time::sleep(spread.mul_f64(rand::random())).await;
-    let record = OrderRecord::Joined {
+    let record = ControlRecord::Joined {
         machine: context.node.machine.clone(),
     };
     while append(context, &record).await.is_err() {
@@ -297,11 +297,11 @@
     }
 }
 
-/// Follows the stream of orders.
-pub async fn follow_orders(context: Arc<Context>) {
-    let mut dependency = Dependency::new(context.orders.id.to_string());
-    checkpoints::restore_orders(&context).await;
-    catch_up(&context, &context.orders, &mut dependency).await;
+/// Follows the control stream.
+pub async fn follow_control(context: Arc<Context>) {
+    let mut dependency = Dependency::new(context.control.id.to_string());
+    checkpoints::restore_control(&context).await;
+    catch_up(&context, &context.control, &mut dependency).await;
     let announcing = context.clone();
     tokio::spawn(async move { announce(&announcing).await });
     context.note_observed_versions();
@@ -311,10 +311,10 @@
         } else {
             context.pace().gap_ms
         };
-        if read_once(&context, &context.orders, &mut dependency, gap_ms).await
+        if read_once(&context, &context.control, &mut dependency, gap_ms).await
             == ReadOutcome::Dropped
         {
-            checkpoints::restore_orders(&context).await;
+            checkpoints::restore_control(&context).await;
         }
         context.note_observed_versions();
         context.work.notify_one();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -142,7 +142,7 @@
         context.clone(),
         DirectoryKind::Backends,
     ));
-    tasks.spawn(followers::follow_orders(context.clone()));
+    tasks.spawn(followers::follow_control(context.clone()));
     tasks.spawn(checkpoints::write_checkpoints(context.clone()));
     tasks.spawn(followers::follow_occupancy(context.clone()));
     tasks.spawn(followers::follow_batches(context.clone()));
@@ -166,7 +166,7 @@
 async fn stop(context: &Context, in_flight: &InFlight, close: &watch::Sender<bool>) {
     let began = Instant::now();
     context.stopping.store(true, Ordering::Relaxed);
-    context.orders_changed.notify_one();
+    context.control_changed.notify_one();
     let grace = Duration::from_secs_f64(context.settings.bounds.stop_grace_s);
     let ends = began + grace.saturating_sub(END_MARGIN);
     let releases = began + grace.mul_f64(WORK_SHARE);
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use havenstage_http_link::WholeAnswer;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
-use havenstage_rollout::orders::OrderRecord;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::context::{Context, ORDERS};
+use crate::context::{CONTROL, Context};
 use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
 use crate::metrics;
 
@@ -83,12 +83,12 @@
     }
     let report = settle(context, order, status, began).await;
     let record = match &report {
-        Some(report) => OrderRecord::Observed {
+        Some(report) => ControlRecord::Observed {
             backend: order.backend.clone(),
             model: order.model.clone(),
             version: report.models.get(&order.model).copied().unwrap_or(0),
         },
-        None => OrderRecord::Withdrawn {
+        None => ControlRecord::Withdrawn {
             backend: order.backend.clone(),
         },
     };
@@ -102,18 +102,18 @@
     report
 }
 
-/// Appends a record to the stream of orders; answers its offset.
-pub async fn append(context: &Context, record: &OrderRecord) -> Result<u64, LogError> {
+/// Appends a record to the control stream; answers its offset.
+pub async fn append(context: &Context, record: &ControlRecord) -> Result<u64, LogError> {
     let records = framing::split(&record.encode(), context.settings.log.record_bytes);
     context
         .log
-        .append(ORDERS, records)
+        .append(CONTROL, records)
         .await
         .map(|appended| appended.offset)
 }
 
 async fn write_down(context: &Context, order: &Order) -> Result<(), LogError> {
-    let record = OrderRecord::Ordered {
+    let record = ControlRecord::Ordered {
         holder: context.node.clone(),
         backend: order.backend.clone(),
         model: order.model.clone(),
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
-use havenstage_rollout::orders::{OrderRecord, OrderState};
 use havenstage_rollout::record::BatchRecord;
 use tokio::sync::Notify;
 
@@ -27,9 +27,9 @@
     }
 }
 
-impl StreamState for OrderState {
+impl StreamState for ControlState {
     fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
-        let record = OrderRecord::decode(bytes);
+        let record = ControlRecord::decode(bytes);
         record.map(|record| self.apply(record, now)).is_ok()
     }
 }
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use havenstage_gateway::context::{Context, ORDERS};
+use havenstage_gateway::context::{CONTROL, Context};
 use havenstage_gateway::edge::{LogStream, SharedLog};
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::MachineName;
-use havenstage_rollout::orders::OrderRecord;
 use support::caller::{submit, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
@@ -23,13 +23,13 @@
     let deployment = Deployment::start(2, 1).await;
     let joined = (0..MACHINES).map(|at| {
         let machine = MachineName::from(format!("machine-{at}"));
-        OrderRecord::Joined { machine }.encode().into()
+        ControlRecord::Joined { machine }.encode().into()
     });
     let log = NodeLog::new(&deployment.log);
     let records = joined
         .flat_map(|record: bytes::Bytes| havenstage_rollout::framing::split(&record, 512))
         .collect();
-    log.append(ORDERS, records).await.unwrap();
+    log.append(CONTROL, records).await.unwrap();
     deployment
 }
 
@@ -41,7 +41,7 @@
 
 fn knows_who_gives_orders(node: &TestNode) -> bool {
     node.context()
-        .orders
+        .control
         .lock()
         .state
         .lease()
@@ -50,8 +50,8 @@
 }
 
 fn gives_orders(node: &TestNode) -> bool {
-    let orders = node.context().orders.lock();
-    orders.state.lease().is_held_by(&node.context().node)
+    let control = node.context().control.lock();
+    control.state.lease().is_held_by(&node.context().node)
 }
 
 /// A node that has nothing to do with batches; the one that gives orders must know them all.
@@ -118,8 +118,8 @@
     let body = write_batch(1, &ITEMS, false);
     assert_eq!(submit(owner.callers, "first", &body).await, 202);
     wait_until("the other node knows who runs the route", || {
-        let orders = other.context().orders.lock();
-        orders.state.serving("batches", 0) == Some(&owner.context().node)
+        let control = other.context().control.lock();
+        control.state.serving("batches", 0) == Some(&owner.context().node)
     })
     .await;
     assert_eq!(submit(other.callers, "second", &body).await, 202);
@@ -162,12 +162,12 @@
         .position(|(partition, _)| matches!(partition.stream, LogStream::Batches(_)));
     let notice_at = history
         .iter()
-        .position(|(partition, record)| *partition == ORDERS && is_notice(record));
+        .position(|(partition, record)| *partition == CONTROL && is_notice(record));
     assert!(items_at.unwrap() < notice_at.unwrap());
 }
 
 /// Whether a record says that a batch was accepted.
 fn is_notice(record: &bytes::Bytes) -> bool {
-    let decoded = OrderRecord::decode(&record[1..]);
-    matches!(decoded, Ok(OrderRecord::Accepted(_)))
+    let decoded = ControlRecord::decode(&record[1..]);
+    matches!(decoded, Ok(ControlRecord::BatchAccepted(_)))
 }
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -15,7 +15,7 @@
 }
 
 fn holder(node: &TestNode) -> Option<MachineName> {
-    let inner = node.context().orders.lock();
+    let inner = node.context().control.lock();
     inner
         .state
         .lease()
--- a/crates/gateway/tests/restart.rs
+++ b/crates/gateway/tests/restart.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use havenstage_gateway::context::ORDERS;
+use havenstage_gateway::context::CONTROL;
 use havenstage_gateway::edge::SharedLog;
+use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{MachineName, NodeId};
-use havenstage_rollout::orders::OrderRecord;
 use support::caller::{submit, submit_to, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
@@ -111,12 +111,12 @@
     }
 }
 
-/// Records in the stream of orders when a node starts, as hours of heartbeats leave them.
+/// Records in the control stream when a node starts, as hours of heartbeats leave them.
 const LONG_HISTORY: usize = 20_000;
 /// Share of that history that a node may read when it starts.
 const MOST_HISTORY_SHARE: f64 = 0.1;
 
-/// A node that starts takes up a checkpoint, however long the stream of orders has become, and knows
+/// A node that starts takes up a checkpoint, however long the control stream has become, and knows
 /// from it which batches are open.
 #[tokio::test]
 async fn a_node_that_starts_reads_a_checkpoint_and_what_follows() {
@@ -130,11 +130,11 @@
         deployment.log.checkpointed() >= LONG_HISTORY as u64
     })
     .await;
-    let held = deployment.log.bytes_of(ORDERS);
+    let held = deployment.log.bytes_of(CONTROL);
     let second = deployment.node("second").await;
     wait_until("the new node knows of the batch", || {
-        let orders = second.context().orders.lock();
-        orders.state.index().batch(&"open".into()).is_some()
+        let control = second.context().control.lock();
+        control.state.index().batch(&"open".into()).is_some()
     })
     .await;
     let share = second.log.bytes_read() as f64 / held as f64;
@@ -143,7 +143,7 @@
 
 async fn append_heartbeats(deployment: &Deployment) {
     let machine = MachineName::from("gone");
-    let record = OrderRecord::Serves {
+    let record = ControlRecord::Heartbeat {
         node: NodeId { machine, life: 1 },
         routes: vec!["a-route-that-was-served-once".to_owned()],
         batches: Vec::new(),
@@ -151,5 +151,5 @@
     let pieces = framing::split(&record.encode(), 512);
     let records = (0..LONG_HISTORY).flat_map(|_| pieces.clone()).collect();
     let log = NodeLog::new(&deployment.log);
-    log.append(ORDERS, records).await.unwrap();
+    log.append(CONTROL, records).await.unwrap();
 }
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -11,7 +11,7 @@
     Appended, CheckpointStore, Directory, DirectoryEntry, DirectoryKind, DirectoryPage,
     ListingPage, LogError, LogPage, LogStream, SharedLog, StreamPartition,
 };
-use havenstage_rollout::checkpoint::OrderCheckpoint;
+use havenstage_rollout::checkpoint::ControlCheckpoint;
 use tokio::sync::Notify;
 
 /// What all nodes share.
@@ -37,7 +37,7 @@
 pub struct LogFaults {
     /// Calls do not reach it.
     pub is_cut: bool,
-    /// Reads of the stream of orders or of batches get no answer.
+    /// Reads of the control stream or of batches get no answer.
     pub reads_hang: bool,
     /// Appends are done, and their answers lost.
     pub loses_answers: bool,
@@ -108,11 +108,11 @@
         records.iter().map(|record| record.len() as u64).sum()
     }
 
-    /// Offset up to which the newest checkpoint of the stream of orders goes.
+    /// Offset up to which the newest checkpoint of the control stream goes.
     pub fn checkpointed(&self) -> u64 {
         let state = self.state.lock().unwrap();
         let checkpoints = state.checkpoints.values();
-        let offsets = checkpoints.map(|value| OrderCheckpoint::decode(value).unwrap().next);
+        let offsets = checkpoints.map(|value| ControlCheckpoint::decode(value).unwrap().next);
         offsets.max().unwrap_or(0)
     }
 
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -1,4 +1,4 @@
-//! What the stream of orders said up to an offset, so that a node that starts reads this and the rest
+//! What the control stream said up to an offset, so that a node that starts reads this and the rest
 //! instead of all records that are kept.
 //!
 //! Times are left out: whoever takes a checkpoint up has seen its content at that moment, as if it had
@@ -14,9 +14,9 @@
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
 
-/// The fold of the stream of orders up to an offset.
+/// The fold of the control stream up to an offset.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrderCheckpoint {
+pub struct ControlCheckpoint {
     /// Offset of the first record that is not in it.
     pub next: u64,
     /// Machines on which a node ever started.
@@ -59,10 +59,10 @@
 
 /// A checkpoint that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a checkpoint of the stream of orders: {0}")]
+#[error("not a checkpoint of the control stream: {0}")]
 pub struct UnreadableCheckpoint(postcard::Error);
 
-impl OrderCheckpoint {
+impl ControlCheckpoint {
     /// The bytes kept in the store.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("a checkpoint holds only plain data")
--- a/crates/rollout/src/orders.rs
+++ b/crates/rollout/src/control.rs
@@ -11,21 +11,21 @@
 
 use crate::Millis;
 use crate::batch_index::{BatchIndex, BatchNotice};
-use crate::checkpoint::{OrderCheckpoint, OrderTime};
+use crate::checkpoint::{ControlCheckpoint, OrderTime};
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::{LeaseState, Term};
 
-/// A record of the stream of orders.
+/// A record of the control stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderRecord {
+pub enum ControlRecord {
     /// A node started on a machine.
     Joined {
         /// The machine.
         machine: MachineName,
     },
     /// A node runs batches of some routes; it has connections to their back ends.
-    Serves {
+    Heartbeat {
         /// The node.
         node: NodeId,
         /// Names of the routes.
@@ -34,28 +34,28 @@
         batches: Vec<BatchId>,
     },
     /// A batch was accepted.
-    Accepted(BatchNotice),
+    BatchAccepted(BatchNotice),
     /// A node gives batches up.
-    Gave {
+    BatchesReleased {
         /// The node.
         node: NodeId,
         /// The batches.
         batches: Vec<BatchId>,
     },
     /// Nothing is left to be done about a batch.
-    Closed {
+    BatchClosed {
         /// The batch.
         batch: BatchId,
     },
     /// A node claims the lease; the term is its fencing token.
-    Claimed {
+    LeaseClaimed {
         /// The claimed term; counts only if it is higher than the current one.
         term: Term,
         /// The new holder.
         holder: NodeId,
     },
     /// The holder is alive.
-    Kept {
+    LeaseKept {
         /// The holder's term.
         term: Term,
         /// The holder.
@@ -64,7 +64,7 @@
         after_ms: Millis,
     },
     /// The holder gives the lease up.
-    Released {
+    LeaseReleased {
         /// The holder's term.
         term: Term,
     },
@@ -97,18 +97,18 @@
 
 /// A record that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a record of orders: {0}")]
-pub struct UnreadableOrder(postcard::Error);
+#[error("not a record of the control stream: {0}")]
+pub struct UnreadableControlRecord(postcard::Error);
 
-impl OrderRecord {
+impl ControlRecord {
     /// The bytes kept in the log.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("a record holds only plain data")
     }
 
     /// Reads the bytes of the log.
-    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableOrder> {
-        postcard::from_bytes(bytes).map_err(UnreadableOrder)
+    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableControlRecord> {
+        postcard::from_bytes(bytes).map_err(UnreadableControlRecord)
     }
 }
 
@@ -134,9 +134,9 @@
     pub version: Version,
 }
 
-/// What the stream of orders tells.
+/// What the control stream tells.
 #[derive(Debug)]
-pub struct OrderState {
+pub struct ControlState {
     own_machine: MachineName,
     /// Machines on which a node ever started.
     machines: BTreeSet<MachineName>,
@@ -157,7 +157,7 @@
     seen: Millis,
 }
 
-impl OrderState {
+impl ControlState {
     /// No orders yet, as the machine `own_machine` sees it.
     pub fn new(own_machine: MachineName) -> Self {
         Self {
@@ -174,14 +174,14 @@
     }
 
     /// The state up to `next`, without the times at which this node saw it.
-    pub fn checkpoint(&self, next: u64) -> OrderCheckpoint {
+    pub fn checkpoint(&self, next: u64) -> ControlCheckpoint {
         let pending = self.pending.iter();
         let last_orders = self.last_orders.all().map(|(backend, order)| OrderTime {
             backend: backend.clone(),
             machine: order.machine.clone(),
             log_time: order.log_time,
         });
-        OrderCheckpoint {
+        ControlCheckpoint {
             next,
             machines: self.machines.clone(),
             batches: self.index.checkpoint(),
@@ -196,7 +196,7 @@
     }
 
     /// The state that a checkpoint tells of, seen now by the machine `own_machine`.
-    pub fn restored(own_machine: MachineName, checkpoint: OrderCheckpoint, now: Millis) -> Self {
+    pub fn restored(own_machine: MachineName, checkpoint: ControlCheckpoint, now: Millis) -> Self {
         let mut state = Self::new(own_machine);
         state.machines = checkpoint.machines;
         state.index = BatchIndex::restored(checkpoint.batches, now);
@@ -222,12 +222,12 @@
     }
 
     /// Takes the next record.
-    pub fn apply(&mut self, record: OrderRecord, now: Millis) {
+    pub fn apply(&mut self, record: ControlRecord, now: Millis) {
         match record {
-            OrderRecord::Joined { machine } => {
+            ControlRecord::Joined { machine } => {
                 self.machines.insert(machine);
             }
-            OrderRecord::Serves {
+            ControlRecord::Heartbeat {
                 node,
                 routes,
                 batches,
@@ -241,13 +241,15 @@
                     self.serving.insert(route, serving);
                 }
             }
-            OrderRecord::Accepted(notice) => self.index.accepted(notice, now),
-            OrderRecord::Gave { node, batches } => self.index.released(&node, &batches, now),
-            OrderRecord::Closed { batch } => self.index.closed(&batch, now),
-            OrderRecord::Claimed { term, holder } => {
+            ControlRecord::BatchAccepted(notice) => self.index.accepted(notice, now),
+            ControlRecord::BatchesReleased { node, batches } => {
+                self.index.released(&node, &batches, now)
+            }
+            ControlRecord::BatchClosed { batch } => self.index.closed(&batch, now),
+            ControlRecord::LeaseClaimed { term, holder } => {
                 self.lease.claim(term, holder, now);
             }
-            OrderRecord::Kept {
+            ControlRecord::LeaseKept {
                 term,
                 holder,
                 after_ms,
@@ -256,10 +258,10 @@
                     self.log_time += after_ms;
                 }
             }
-            OrderRecord::Released { term } => {
+            ControlRecord::LeaseReleased { term } => {
                 self.lease.release(term, now);
             }
-            OrderRecord::Ordered {
+            ControlRecord::Ordered {
                 holder,
                 backend,
                 model,
@@ -280,7 +282,7 @@
                     },
                 );
             }
-            OrderRecord::Observed {
+            ControlRecord::Observed {
                 backend,
                 model,
                 version,
@@ -292,7 +294,7 @@
                     version,
                 });
             }
-            OrderRecord::Withdrawn { backend } => {
+            ControlRecord::Withdrawn { backend } => {
                 self.pending.remove(&backend);
             }
         }
--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/control.rs
@@ -1,27 +1,27 @@
-//! What the stream of orders tells: when a new holder may order, and who serves which route.
+//! What the control stream tells: when a new holder may order, and who serves which route.
 
 mod support;
 
 use havenstage_rollout::batch_index::BatchNotice;
-use havenstage_rollout::checkpoint::OrderCheckpoint;
+use havenstage_rollout::checkpoint::ControlCheckpoint;
+use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::ids::{BatchId, MachineName, ModelName};
-use havenstage_rollout::orders::{OrderRecord, OrderState};
 use support::{backend, item, node, submission};
 
 fn model(name: &str) -> ModelName {
     ModelName::from(name)
 }
 
-fn kept(machine: &str, term: u64, after_ms: u64) -> OrderRecord {
-    OrderRecord::Kept {
+fn kept(machine: &str, term: u64, after_ms: u64) -> ControlRecord {
+    ControlRecord::LeaseKept {
         term,
         holder: node(machine, 1),
         after_ms,
     }
 }
 
-fn ordered(machine: &str, back_end: &str) -> OrderRecord {
-    OrderRecord::Ordered {
+fn ordered(machine: &str, back_end: &str) -> ControlRecord {
+    ControlRecord::Ordered {
         holder: node(machine, 1),
         backend: backend(back_end),
         model: model("m"),
@@ -31,7 +31,7 @@
 
 #[test]
 fn only_orders_of_other_machines_make_a_holder_wait() {
-    let mut state = OrderState::new(MachineName::from("a"));
+    let mut state = ControlState::new(MachineName::from("a"));
     state.apply(ordered("a", "x"), 10);
     assert_eq!(state.quiet_ms(&backend("x"), 50), None);
     state.apply(ordered("b", "x"), 20);
@@ -46,9 +46,9 @@
 /// A node that has just started reads all records at once.
 #[test]
 fn signs_of_life_behind_an_order_tell_its_age() {
-    let mut state = OrderState::new(MachineName::from("a"));
+    let mut state = ControlState::new(MachineName::from("a"));
     state.apply(
-        OrderRecord::Claimed {
+        ControlRecord::LeaseClaimed {
             term: 1,
             holder: node("b", 1),
         },
@@ -65,11 +65,11 @@
 
 #[test]
 fn an_order_is_pending_until_its_back_end_was_asked() {
-    let mut state = OrderState::new(MachineName::from("a"));
+    let mut state = ControlState::new(MachineName::from("a"));
     state.apply(ordered("b", "x"), 10);
     state.apply(ordered("b", "y"), 10);
     assert_eq!(state.pending(&backend("x")).unwrap().version, 2);
-    let observed = OrderRecord::Observed {
+    let observed = ControlRecord::Observed {
         backend: backend("x"),
         model: model("m"),
         version: 1,
@@ -84,7 +84,7 @@
     assert_eq!(versions, [1]);
     assert!(state.take_observed().is_empty());
     state.apply(
-        OrderRecord::Withdrawn {
+        ControlRecord::Withdrawn {
             backend: backend("y"),
         },
         30,
@@ -94,8 +94,8 @@
 
 #[test]
 fn a_route_is_served_by_the_node_that_last_said_so() {
-    let mut state = OrderState::new(MachineName::from("a"));
-    let serves = |machine: &str, routes: &[&str]| OrderRecord::Serves {
+    let mut state = ControlState::new(MachineName::from("a"));
+    let serves = |machine: &str, routes: &[&str]| ControlRecord::Heartbeat {
         node: node(machine, 1),
         routes: routes.iter().map(|route| (*route).to_owned()).collect(),
         batches: Vec::new(),
@@ -111,31 +111,31 @@
 /// A machine that starts again and again is one machine that reads.
 #[test]
 fn machines_are_counted_once() {
-    let mut state = OrderState::new(MachineName::from("a"));
+    let mut state = ControlState::new(MachineName::from("a"));
     for machine in ["a", "b", "a", "c", "a"] {
         let machine = MachineName::from(machine);
-        state.apply(OrderRecord::Joined { machine }, 10);
+        state.apply(ControlRecord::Joined { machine }, 10);
     }
     assert_eq!(state.machine_count(), 3);
 }
 
 /// Records of a while in which a node and its successor gave orders and ran batches.
-fn history() -> Vec<OrderRecord> {
+fn history() -> Vec<ControlRecord> {
     let notice = |batch: &str| {
         let submission = submission(batch, vec![item("one", "g", 10)]);
-        OrderRecord::Accepted(BatchNotice::of(&submission, Some(node("b", 1))))
+        ControlRecord::BatchAccepted(BatchNotice::of(&submission, Some(node("b", 1))))
     };
-    let claimed = |term, machine: &str| OrderRecord::Claimed {
+    let claimed = |term, machine: &str| ControlRecord::LeaseClaimed {
         term,
         holder: node(machine, 1),
     };
-    let serves = |machine: &str, batch: &str| OrderRecord::Serves {
+    let serves = |machine: &str, batch: &str| ControlRecord::Heartbeat {
         node: node(machine, 1),
         routes: Vec::new(),
         batches: vec![BatchId::from(batch)],
     };
     vec![
-        OrderRecord::Joined {
+        ControlRecord::Joined {
             machine: MachineName::from("b"),
         },
         claimed(1, "b"),
@@ -144,7 +144,7 @@
         ordered("b", "x"),
         ordered("b", "y"),
         kept("b", 1, 300),
-        OrderRecord::Observed {
+        ControlRecord::Observed {
             backend: backend("x"),
             model: model("m"),
             version: 2,
@@ -154,7 +154,7 @@
         serves("c", "first"),
         ordered("c", "x"),
         kept("c", 2, 400),
-        OrderRecord::Closed {
+        ControlRecord::BatchClosed {
             batch: BatchId::from("first"),
         },
         ordered("b", "z"),
@@ -169,18 +169,18 @@
     let records = history();
     for own in ["a", "b", "c"] {
         let own = MachineName::from(own);
-        let mut whole = OrderState::new(own.clone());
+        let mut whole = ControlState::new(own.clone());
         for record in &records {
             whole.apply(record.clone(), 1_000);
         }
         for at in 0..=records.len() {
-            let mut before = OrderState::new(MachineName::from("writer"));
+            let mut before = ControlState::new(MachineName::from("writer"));
             for record in &records[..at] {
                 before.apply(record.clone(), 7);
             }
             let written = before.checkpoint(at as u64).encode();
-            let read = OrderCheckpoint::decode(&written).unwrap();
-            let mut state = OrderState::restored(own.clone(), read, 1_000);
+            let read = ControlCheckpoint::decode(&written).unwrap();
+            let mut state = ControlState::restored(own.clone(), read, 1_000);
             for record in &records[at..] {
                 state.apply(record.clone(), 1_000);
             }
@@ -195,8 +195,8 @@
 
 #[test]
 fn a_checkpoint_that_is_cut_off_is_refused() {
-    let written = OrderState::new(MachineName::from("a"))
+    let written = ControlState::new(MachineName::from("a"))
         .checkpoint(9)
         .encode();
-    assert!(OrderCheckpoint::decode(&written[..written.len() - 1]).is_err());
+    assert!(ControlCheckpoint::decode(&written[..written.len() - 1]).is_err());
 }
