--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -11,7 +11,7 @@
 use havenstage_rollout::batch::Submission;
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::control::ControlRecord;
-use havenstage_rollout::fold::{BatchState, PartitionState};
+use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, ItemId, NodeId};
 use havenstage_rollout::record::BatchRecord;
@@ -19,13 +19,11 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
+use crate::batch_partitions::BatchView;
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
 use crate::stream_view::{StreamState, StreamView};
 
-/// A partition of batches.
-type BatchView = StreamView<PartitionState>;
-
 /// Most bytes of a page of results.
 const PAGE_BYTES: usize = 1_000_000;
 /// Age of a node's knowledge that is still good enough to say that nothing is new.
@@ -174,7 +172,7 @@
 impl ReadCall<'_> {
     async fn answer(&self, wait: Duration) -> BatchAnswer {
         if !wait.is_zero() {
-            self.context.want(self.id);
+            self.context.partitions.want(self.id, self.context.now());
         }
         let until = self.asked + wait;
         loop {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,21 +7,21 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::control::ControlState;
-use havenstage_rollout::fold::PartitionState;
-use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, Version, partition_of};
+use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, Version};
 use havenstage_rollout::occupancy::Occupancy;
 use havenstage_rollout::pacing::{self, Pace};
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
 use std::collections::{BTreeMap, BTreeSet};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::backends::Backends;
+use crate::batch_partitions::{BatchPartitions, BatchView};
 use crate::counted_log::CountedLog;
 use crate::edge::{
     CheckpointStore, Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition,
     Surroundings,
 };
-use crate::settings::{LogSettings, Settings};
+use crate::settings::Settings;
 use crate::stream_view::StreamView;
 
 /// The only partition of the control stream in use.
@@ -68,7 +68,7 @@
     /// Back ends.
     pub backends: Arc<Backends>,
     /// Partitions of batches.
-    pub partitions: Vec<StreamView<PartitionState>>,
+    pub partitions: BatchPartitions,
     /// Which batches there are, who runs them, and orders given by anyone.
     pub control: StreamView<ControlState>,
     /// Places taken on back ends, as the nodes that run batches tell.
@@ -93,9 +93,6 @@
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
     takes_part: watch::Sender<bool>,
-    needed: Mutex<BTreeSet<usize>>,
-    follow_requests: mpsc::UnboundedSender<usize>,
-    new_follow_requests: Mutex<Option<mpsc::UnboundedReceiver<usize>>>,
 }
 
 impl Context {
@@ -109,10 +106,7 @@
         } = surroundings;
         let work = Arc::new(Notify::new());
         let control_changed = Arc::new(Notify::new());
-        let (follow_requests, new_follow_requests) = mpsc::unbounded_channel();
-        let partitions = batch_partitions(&settings.log)
-            .map(|id| StreamView::new(id, PartitionState::default(), work.clone()))
-            .collect();
+        let partitions = BatchPartitions::new(&settings.log, &work);
         Arc::new(Self {
             settings,
             node: node.clone(),
@@ -136,9 +130,6 @@
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
             takes_part: watch::Sender::new(false),
-            needed: Mutex::default(),
-            follow_requests,
-            new_follow_requests: Mutex::new(Some(new_follow_requests)),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
@@ -155,13 +146,8 @@
     }
 
     /// The partition that holds a batch.
-    pub fn partition_of(&self, batch: &BatchId) -> &StreamView<PartitionState> {
-        &self.partitions[self.partition_index(batch)]
-    }
-
-    /// Index in `partitions` of the one that holds a batch.
-    pub fn partition_index(&self, batch: &BatchId) -> usize {
-        partition_of(batch, self.partitions.len() as u32) as usize
+    pub fn partition_of(&self, batch: &BatchId) -> &BatchView {
+        self.partitions.of(batch)
     }
 
     /// Whether this node holds the lease of a batch, as far as it has read the batch's partition.
@@ -267,7 +253,7 @@
                     .newest_like(notice, FOLLOWED_OF_TRAINER)
             })
             .chain(own.iter())
-            .map(|notice| self.partition_index(&notice.batch))
+            .map(|notice| self.partitions.index_of(&notice.batch))
             .collect();
         drop(control);
         let takes_part = gives_orders || self.is_busy();
@@ -276,7 +262,7 @@
             *before = takes_part;
             is_changed
         });
-        self.set_needed(needed);
+        self.partitions.set_needed(needed);
     }
 
     /// Open batches that this node runs, or that were given to it.
@@ -295,47 +281,6 @@
         own.map(|(notice, _)| notice).collect()
     }
 
-    fn set_needed(&self, needed: BTreeSet<usize>) {
-        let mut before = self.needed.lock().unwrap_or_else(PoisonError::into_inner);
-        for index in before.difference(&needed) {
-            self.partitions[*index].set_needed(false);
-        }
-        for index in needed.difference(&before) {
-            self.partitions[*index].set_needed(true);
-            self.request_follower(*index);
-        }
-        *before = needed;
-    }
-
-    /// Partitions of batches that this node's own work needs, by index.
-    pub fn needed_partitions(&self) -> Vec<usize> {
-        let needed = self.needed.lock().unwrap_or_else(PoisonError::into_inner);
-        needed.iter().copied().collect()
-    }
-
-    /// Somebody waits for news of a batch: its partition is followed for a while.
-    pub fn want(&self, batch: &BatchId) {
-        let index = self.partition_index(batch);
-        self.partitions[index].want(self.now());
-        self.request_follower(index);
-    }
-
-    fn request_follower(&self, index: usize) {
-        if self.partitions[index].begin_following() {
-            // The receiver is gone only when the process ends.
-            let _ = self.follow_requests.send(index);
-        }
-    }
-
-    /// Indices of partitions that need a task to follow them; `None` for all but the first caller.
-    pub fn take_follow_requests(&self) -> Option<mpsc::UnboundedReceiver<usize>> {
-        let mut requests = self
-            .new_follow_requests
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        requests.take()
-    }
-
     /// Whether this node runs batches or gives orders.
     pub fn takes_part(&self) -> bool {
         *self.takes_part.borrow()
@@ -348,15 +293,6 @@
         let _ = takes_part.wait_for(|takes_part| *takes_part).await;
     }
 
-    /// Whether the batches that this node runs, and their trainers' earlier ones, are known up to
-    /// this time.
-    pub fn knows_needed_batches(&self) -> bool {
-        let now = self.now();
-        let needed = self.needed_partitions();
-        let mut views = needed.iter().map(|index| &self.partitions[*index]);
-        views.all(|view| !view.is_behind(now))
-    }
-
     /// Items that run on each back end, of the nodes that `counts` takes, as they tell.
     pub fn occupied(&self, counts: impl Fn(&NodeId) -> bool) -> BTreeMap<BackendId, u32> {
         let since = self.now().saturating_sub(OCCUPANCY_COUNTS_MS);
@@ -411,14 +347,3 @@
         self.stopping.load(Ordering::Relaxed)
     }
 }
-
-/// The partitions over which batches are spread.
-fn batch_partitions(log: &LogSettings) -> impl Iterator<Item = StreamPartition> {
-    let partitions = log.partitions;
-    (0..log.batch_streams).flat_map(move |number| {
-        (0..partitions).map(move |partition| StreamPartition {
-            stream: LogStream::Batches(number),
-            partition,
-        })
-    })
-}
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -166,7 +166,7 @@
             self.releases = open.iter().map(|held| held.batch.clone()).collect();
             for HeldBatch { batch, term, .. } in open {
                 self.stop_items_of(&batch);
-                let partition = self.context.partition_index(&batch);
+                let partition = self.context.partitions.index_of(&batch);
                 self.push(partition, &BatchRecord::Released { batch, term });
                 self.outbox(partition).is_urgent = true;
             }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -196,7 +196,7 @@
     fn follow_log(&mut self) {
         let mut gone = Vec::new();
         for (key, item) in &self.items {
-            let inner = self.context.partitions[item.partition].lock();
+            let inner = self.context.partitions.at(item.partition).lock();
             let confirmed = inner.confirmed_at();
             let batch = inner.state.batch(&key.batch).filter(|batch| !batch.ended);
             if batch.is_some_and(|batch| !batch.lease.is_held_by(&self.context.node)) {
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -52,13 +52,18 @@
         let mut too_late = Vec::new();
         let end_in_force_ms = self.context.settings.bounds.end_in_force_ms as f64;
         let most_age_ms = (end_in_force_ms * ACT_ON_SHARE) as Millis;
-        for partition in self.context.needed_partitions() {
+        for partition in self.context.partitions.needed() {
             // An end that is not read yet must not be in force when an item arrives.
-            if !self.context.partitions[partition].may_be_acted_on(now, most_age_ms) {
+            if !self
+                .context
+                .partitions
+                .at(partition)
+                .may_be_acted_on(now, most_age_ms)
+            {
                 continue;
             }
             self.note_carried(partition);
-            let inner = self.context.partitions[partition].lock();
+            let inner = self.context.partitions.at(partition).lock();
             for batch in inner.state.batches().filter(|batch| self.is_own(batch)) {
                 let Some(route) = table.batch_route(&batch.host, &batch.path) else {
                     continue;
@@ -86,7 +91,7 @@
     }
 
     fn note_carried(&mut self, partition: usize) {
-        let inner = self.context.partitions[partition].lock();
+        let inner = self.context.partitions.at(partition).lock();
         let new: Vec<(BatchId, Vec<ItemId>)> = inner
             .state
             .batches()
@@ -99,7 +104,7 @@
             })
             .collect();
         drop(inner);
-        let is_final = self.context.knows_needed_batches();
+        let is_final = self.context.partitions.know_needed(self.context.now());
         for (batch, items) in new {
             let items = carried_items(&self.context, &batch, items);
             self.carried.insert(batch, Carried { items, is_final });
@@ -399,8 +404,8 @@
 /// Items of a batch that another batch holds too.
 fn carried_items(context: &Context, batch: &BatchId, items: Vec<ItemId>) -> HashSet<ItemId> {
     let mut carried = HashSet::new();
-    for index in context.needed_partitions() {
-        let inner = context.partitions[index].lock();
+    for index in context.partitions.needed() {
+        let inner = context.partitions.at(index).lock();
         for other in inner.state.batches().filter(|other| other.id != *batch) {
             carried.extend(
                 items
@@ -426,8 +431,8 @@
     is_single: bool,
 ) -> Option<KeptOutput> {
     let mut best: Option<KeptOutput> = None;
-    for index in context.needed_partitions() {
-        let inner = context.partitions[index].lock();
+    for index in context.partitions.needed() {
+        let inner = context.partitions.at(index).lock();
         for other in inner.state.batches().filter(|other| other.id != key.batch) {
             let Some(item) = other.item(&key.item) else {
                 continue;
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -75,8 +75,8 @@
 
     /// Makes the item one that this node works on, with the output that is kept of it.
     pub(super) fn prepare(&mut self, key: &ItemKey, now: Millis) -> Option<StartOfRun> {
-        let index = self.context.partition_index(&key.batch);
-        let inner = self.context.partitions[index].lock();
+        let index = self.context.partitions.index_of(&key.batch);
+        let inner = self.context.partitions.at(index).lock();
         let batch = inner.state.batch(&key.batch)?;
         let state = batch.item(&key.item)?;
         let give_up_ms = self.give_up_ms(batch);
--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -53,7 +53,7 @@
         let context = self.context.clone();
         let sender = self.ended_sender.clone();
         tokio::spawn(async move {
-            let id = context.partitions[partition].id;
+            let id = context.partitions.at(partition).id;
             let began = Instant::now();
             let appended = context.log.append(id, records).await;
             let took_ms = began.elapsed().as_millis() as u64;
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -204,7 +204,7 @@
 
 /// Starts a task for each partition of batches that is to be followed, and ends with the process.
 pub async fn follow_batches(context: Arc<Context>) {
-    let Some(mut requests) = context.take_follow_requests() else {
+    let Some(mut requests) = context.partitions.take_follow_requests() else {
         return;
     };
     // Calls need the directories only; where all nodes start at once, batches come after them.
@@ -222,7 +222,7 @@
 
 /// Follows a partition of batches as long as this node's work needs it or somebody asks about it.
 async fn follow_partition(context: Arc<Context>, index: usize) {
-    let view = &context.partitions[index];
+    let view = context.partitions.at(index);
     let mut dependency = Dependency::new(view.id.to_string());
     while !view.end_following(context.now()) {
         catch_up(&context, view, &mut dependency).await;
@@ -238,7 +238,7 @@
         let Some(before) = context.now().checked_sub(retention) else {
             continue;
         };
-        for view in &context.partitions {
+        for view in context.partitions.iter() {
             view.lock().state.forget_before(before);
         }
         context.control.lock().state.forget_batches_before(before);
--- a/crates/gateway/tests/troubles.rs
+++ b/crates/gateway/tests/troubles.rs
@@ -91,7 +91,7 @@
     });
     assert_eq!(submit(first.callers, "old", &body).await, 202);
     wait_for_results(first.callers, "old", ITEMS.len()).await;
-    for view in &first.context().partitions {
+    for view in first.context().partitions.iter() {
         deployment.log.drop_history(view.id);
     }
     let body = write_batch(1, &[("n1", "g1"), ("n2", "g1")], false);
