Keep up to date only as many back ends of a model as its newest batch has items for

Half of each model's back ends load each version: some 160 of 325, every 4 s, for eight models, while a batch has about 100 items. The loads, their two records each in one partition, and connections to all these back ends are what grows.

Change: of a model's back ends those are kept up to date that hold all items of its newest batch at once, those with the newest versions first, so that it is the same ones each time. Back ends that can serve none of a node's items are no candidates for them.

Test, failing before: no_more_back_ends_load_than_the_newest_batch_has_items_for.

--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -15,6 +15,8 @@
 struct ModelWork {
     /// Tokens of its newest batch: its share of the back ends.
     weight: f64,
+    /// Items of its newest batch.
+    items: u32,
     /// How many versions behind the step's own its tokens may be.
     allowed_age: u64,
 }
@@ -43,6 +45,7 @@
                 VersionDemand {
                     named,
                     allowed_age: work.allowed_age,
+                    items: work.items,
                 },
             ))
         });
@@ -57,10 +60,13 @@
         newest.map_or(
             ModelWork {
                 weight: 1.0,
+                // Until a batch is known, so that its first items find a place each.
+                items: u32::MAX,
                 allowed_age: 0,
             },
             |batch| ModelWork {
                 weight: (batch.expected_tokens as f64).max(1.0),
+                items: batch.items,
                 allowed_age: batch
                     .step
                     .unwrap_or(0)
@@ -77,7 +83,7 @@
         let backends = self.context.backends.lock();
         let quiet_ms = self.context.settings.bounds.order_lease_ms;
         let mut targets = Vec::new();
-        for (id, _) in backends.list.ready_in(&pool.name) {
+        for (id, record) in backends.list.ready_in(&pool.name) {
             let is_quiet = control
                 .state
                 .quiet_ms(id, now)
@@ -90,6 +96,7 @@
                     .map(|m| (m.clone(), backends.version(id, m)))
                     .collect(),
                 running: running.get(id).copied().unwrap_or(0),
+                slots: record.slots,
                 loading: self.under_way.contains(id),
                 avoided: is_left_alone || !is_quiet,
             });
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -194,7 +194,8 @@
             return;
         }
         let usual_gap_ms = self.usual_gap_ms(pool, now);
-        let mut candidates = self.candidates(table.pool(pool), pool, usual_gap_ms, now);
+        let oldest = oldest_versions(&work);
+        let mut candidates = self.candidates(table.pool(pool), pool, &oldest, usual_gap_ms, now);
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
         schedule::sort_waiting(&mut work.waiting, now, token_ms);
         for item in &work.waiting {
@@ -314,6 +315,7 @@
         &self,
         pool: Option<&Pool>,
         name: &PoolName,
+        oldest: &BTreeMap<ModelName, Version>,
         usual_gap_ms: f64,
         now: Millis,
     ) -> Vec<Candidate> {
@@ -331,7 +333,11 @@
                 .state
                 .pending(id)
                 .is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS);
-            if is_paused || is_loading {
+            let serves_none = !oldest.is_empty()
+                && oldest
+                    .iter()
+                    .all(|(model, version)| backends.version(id, model) < *version);
+            if is_paused || is_loading || serves_none {
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
@@ -374,6 +380,21 @@
     }
 }
 
+/// The oldest version of each model that any of the items may run on; empty if some item may run on any
+/// back end. Most back ends of a large pool serve other models.
+fn oldest_versions(work: &PoolWork) -> BTreeMap<ModelName, Version> {
+    let running = work.running.iter().map(|running| &running.item);
+    let mut oldest: BTreeMap<ModelName, Version> = BTreeMap::new();
+    for item in work.waiting.iter().chain(running) {
+        let Some(model) = &item.model else {
+            return BTreeMap::new();
+        };
+        let known = oldest.entry(model.clone()).or_insert(item.minimum_version);
+        *known = (*known).min(item.minimum_version);
+    }
+    oldest
+}
+
 fn urgency(item: &WaitingItem) -> u8 {
     if item.optional {
         OPTIONAL_URGENCY
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -31,6 +31,8 @@
     pub model: Option<ModelName>,
     /// Oldest version that may make its tokens.
     pub minimum_version: Version,
+    /// How many items it has.
+    pub items: u32,
     /// Tokens that all its items together are expected to have.
     pub expected_tokens: u64,
     /// The node that runs it from the start; `None` if any may.
@@ -51,6 +53,7 @@
             step: submission.step,
             model: submission.model.clone(),
             minimum_version: submission.minimum_version,
+            items: submission.items.len() as u32,
             expected_tokens: tokens.sum(),
             owner,
         }
--- a/crates/rollout/src/order_plan.rs
+++ b/crates/rollout/src/order_plan.rs
@@ -13,6 +13,8 @@
     pub models: BTreeMap<ModelName, Version>,
     /// Items running there, of all nodes.
     pub running: u32,
+    /// Items it runs at a time.
+    pub slots: u32,
     /// Whether an order is under way there.
     pub loading: bool,
     /// Whether it is avoided after failures.
@@ -37,6 +39,8 @@
     pub named: Version,
     /// How many versions behind the newest one the work at hand may be.
     pub allowed_age: u64,
+    /// Items of the newest batch: back ends beyond those that hold them all at once are left alone.
+    pub items: u32,
 }
 
 /// The next orders: at most `at_once` loads are under way together.
@@ -58,7 +62,8 @@
             .iter()
             .filter(|target| homes.get(&target.backend) == Some(model))
             .collect();
-        wanted.extend(wanted_loads(&at_home, model, *demand));
+        let kept = kept_up_to_date(at_home, model, demand);
+        wanted.extend(wanted_loads(&kept, model, *demand));
     }
     wanted.sort_by_key(|load| (!load.is_too_old, load.running));
     let free = at_once.saturating_sub(loading);
@@ -69,6 +74,31 @@
         .collect()
 }
 
+/// The back ends of a model that are kept up to date: as many as hold all items of its newest batch at
+/// once. Loading more would take time and connections and make nothing quicker. Those with the newest
+/// versions stay, so that it is the same ones with each version.
+fn kept_up_to_date<'a>(
+    mut at_home: Vec<&'a OrderTarget>,
+    model: &ModelName,
+    demand: &VersionDemand,
+) -> Vec<&'a OrderTarget> {
+    at_home.sort_by_key(|target| {
+        let version = target.models.get(model).copied().unwrap_or(0);
+        let cannot_load = target.avoided && version < demand.named;
+        let behind = demand.named.saturating_sub(version);
+        (cannot_load, behind, target.backend.clone())
+    });
+    let mut places: u32 = 0;
+    at_home
+        .into_iter()
+        .take_while(|target| {
+            let is_needed = places < demand.items;
+            places = places.saturating_add(target.slots);
+            is_needed
+        })
+        .collect()
+}
+
 struct WantedLoad {
     is_too_old: bool,
     running: u32,
--- a/crates/rollout/tests/batch_index.rs
+++ b/crates/rollout/tests/batch_index.rs
@@ -23,7 +23,7 @@
 #[test]
 fn a_notice_tells_the_work_of_a_batch() {
     let notice = notice("batch", 3, None);
-    assert_eq!(notice.expected_tokens, 42);
+    assert_eq!((notice.items, notice.expected_tokens), (2, 42));
     assert_eq!((notice.step, notice.minimum_version), (Some(3), 2));
 }
 
--- a/crates/rollout/tests/order_plan.rs
+++ b/crates/rollout/tests/order_plan.rs
@@ -17,17 +17,31 @@
         backend: backend(id),
         models: BTreeMap::from([(model("m"), version)]),
         running,
+        slots: 2,
         loading: false,
         avoided: false,
     }
 }
 
+/// More items than all back ends of a test have places for.
+const MANY_ITEMS: u32 = 1_000;
+
 fn plan(targets: &[OrderTarget], named: u64, allowed_age: u64, at_once: usize) -> Vec<String> {
+    let demand = VersionDemand {
+        named,
+        allowed_age,
+        items: MANY_ITEMS,
+    };
+    plan_for(targets, demand, at_once)
+}
+
+fn plan_for(targets: &[OrderTarget], demand: VersionDemand, at_once: usize) -> Vec<String> {
     let homes: BTreeMap<BackendId, ModelName> = targets
         .iter()
         .map(|target| (target.backend.clone(), model("m")))
         .collect();
-    let demand = BTreeMap::from([(model("m"), VersionDemand { named, allowed_age })]);
+    let named = demand.named;
+    let demand = BTreeMap::from([(model("m"), demand)]);
     let orders = plan_orders(targets, &demand, &homes, at_once);
     assert!(orders.iter().all(|order| order.version == named));
     orders
@@ -126,3 +140,38 @@
     assert_eq!(homes[&backend("a")], model("n"));
     assert_eq!(homes[&backend("b")], model("m"));
 }
+
+/// A batch that four places can hold keeps two back ends of two places up to date, whichever number there
+/// is; the same two with each version, as they hold the newest.
+#[test]
+fn no_more_back_ends_load_than_the_newest_batch_has_items_for() {
+    let of_four_items = |named, allowed_age| VersionDemand {
+        named,
+        allowed_age,
+        items: 4,
+    };
+    let fresh = ["a", "b", "c", "d", "e"].map(|id| target(id, 1, 0));
+    assert_eq!(plan_for(&fresh, of_four_items(2, 0), 9), ["a", "b"]);
+    let later = [
+        target("a", 1, 0),
+        target("b", 1, 0),
+        target("c", 1, 0),
+        target("d", 2, 0),
+        target("e", 2, 0),
+    ];
+    assert_eq!(plan_for(&later, of_four_items(3, 0), 9), ["d", "e"]);
+    assert_eq!(plan_for(&later, of_four_items(3, 1), 9), ["d"]);
+}
+
+/// A back end that cannot be ordered at this moment makes room for another.
+#[test]
+fn another_loads_for_one_that_is_avoided() {
+    let mut targets = ["a", "b", "c"].map(|id| target(id, 1, 0));
+    targets[0].avoided = true;
+    let demand = VersionDemand {
+        named: 2,
+        allowed_age: 0,
+        items: 4,
+    };
+    assert_eq!(plan_for(&targets, demand, 9), ["b", "c"]);
+}
