Rest after each plan by what the plan took

Change: a plan is made again after a rest of twice (items) or three times (orders) what the last one took. Where a plan takes a fraction of a millisecond nothing changes.

Test: work_rests_by_what_it_took.

--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -19,13 +19,17 @@
 use havenstage_rollout::order_plan::PlannedOrder;
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode};
 use crate::order_run::{self, Order, OrderStart};
+use crate::work_pace::WorkPace;
 
 /// Pause between two looks at what is to be ordered.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Rest after a plan, as a multiple of the time it took: planning uses at most a quarter of the processor.
+const PLAN_REST: u32 = 3;
 /// Pause between two looks at the lease when another node holds it.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Time that a back end is left alone after it failed to answer.
@@ -42,6 +46,7 @@
     load_limit: LoadLimit,
     /// Until when the lease is relied on; read right before each order is sent.
     reliable_until: Arc<AtomicU64>,
+    pace: WorkPace,
     ended: UnboundedReceiver<OrderEnded>,
     ended_sender: UnboundedSender<OrderEnded>,
 }
@@ -82,6 +87,7 @@
             under_way: BTreeSet::new(),
             reliable_until: Arc::new(AtomicU64::new(0)),
             avoided_until: BTreeMap::new(),
+            pace: WorkPace::new(PLAN_REST),
             ended,
             ended_sender,
         }
@@ -106,8 +112,10 @@
                 self.release().await;
             } else if self.lease.is_some() {
                 self.keep_lease().await;
-                if self.may_order() {
+                if self.may_order() && self.pace.is_due() {
+                    let began = Instant::now();
                     self.order_next().await;
+                    self.pace.done(began);
                 }
             } else if self.claimable_term().is_some() {
                 self.claim().await;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -23,15 +23,19 @@
 use havenstage_rollout::ids::{BackendId, BatchId, ItemId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::metrics;
+use crate::work_pace::WorkPace;
 use claim::ClaimOutcome;
 use heartbeat::Heartbeats;
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
 
+/// Rest after a plan, as a multiple of the time it took: planning uses at most a third of the processor.
+const PLAN_REST: u32 = 2;
 /// Pause between two looks at the work when nothing runs.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which an end that was written down must be seen in the log.
@@ -61,6 +65,7 @@
     ended: UnboundedReceiver<TaskEnded>,
     ended_sender: UnboundedSender<TaskEnded>,
     needs_plan: bool,
+    pace: WorkPace,
 }
 
 /// Items of a batch that an earlier batch holds too.
@@ -115,6 +120,7 @@
             ended,
             ended_sender,
             needs_plan: true,
+            pace: WorkPace::new(PLAN_REST),
         }
     }
 
@@ -132,19 +138,24 @@
             while let Ok(message) = self.news.try_recv() {
                 self.take_news(message);
             }
-            if self.needs_plan {
+            if self.needs_plan && self.pace.is_due() {
                 self.needs_plan = false;
+                let began = Instant::now();
                 self.follow_log();
                 self.follow_leases();
                 self.context.choose_what_to_follow();
                 self.plan();
                 metrics::items_running(self.items.len());
+                self.pace.done(began);
             }
             self.write_down();
         }
     }
 
     fn pause(&self) -> Duration {
+        if self.needs_plan {
+            return self.pace.wait();
+        }
         let has_work = !self.items.is_empty() || self.outboxes.values().any(|o| !o.is_empty());
         if has_work {
             Duration::from_millis(self.context.settings.tuning.flush_ms)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod server;
 pub mod settings;
 pub mod stream_view;
+pub mod work_pace;
--- /dev/null
+++ b/crates/gateway/tests/work_pace.rs
@@ -0,0 +1,27 @@
+//! Repeated work rests by what it took.
+
+use std::time::Duration;
+
+use havenstage_gateway::work_pace::WorkPace;
+use tokio::time::{Instant, advance};
+
+#[tokio::test(start_paused = true)]
+async fn work_rests_by_what_it_took() {
+    let mut pace = WorkPace::new(2);
+    assert!(pace.is_due());
+    let began = Instant::now();
+    advance(Duration::from_millis(30)).await;
+    pace.done(began);
+    assert_eq!(pace.wait(), Duration::from_millis(60));
+    advance(Duration::from_millis(59)).await;
+    assert!(!pace.is_due());
+    advance(Duration::from_millis(1)).await;
+    assert!(pace.is_due());
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_that_takes_no_time_is_due_again_at_once() {
+    let mut pace = WorkPace::new(2);
+    pace.done(Instant::now());
+    assert!(pace.is_due());
+}
