--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -24,13 +24,14 @@
         /// The machine.
         machine: MachineName,
     },
-    /// A node runs batches of some routes; it has connections to their back ends.
+    /// A node that runs batches is alive. It has connections to the back ends of its routes, so their
+    /// next batches are handed to it.
     Heartbeat {
         /// The node.
         node: NodeId,
         /// Names of the routes.
         routes: Vec<String>,
-        /// The batches it runs; it is alive to all that watch them.
+        /// The open batches it runs: one that is not named for a while may be claimed.
         batches: Vec<BatchId>,
     },
     /// A batch was accepted.
