Mend what a reading of the diff found: one codec, one append, smaller planning, no failure without a line

Now log_writes has it; when a lease may be claimed is a module of its own, so that orders import nothing from the engine of items. - Heartbeats, places and closed batches that were not written left no line; so did a start that was not announced. A name that is too long for the log was reported as an answer that cannot be read: a failure of its own.

Test, failing before: a_heartbeat_that_is_not_written_leaves_a_line.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -15,6 +15,7 @@
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, ItemId, NodeId};
 use havenstage_rollout::record::BatchRecord;
+use havenstage_rollout::stored::Stored;
 use http::StatusCode;
 use log::{info, warn};
 use tokio::time::Instant;
--- a/crates/gateway/src/checkpoints.rs
+++ b/crates/gateway/src/checkpoints.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havenstage_rollout::checkpoint::{ControlCheckpoint, UnreadableCheckpoint};
+use havenstage_rollout::checkpoint::ControlCheckpoint;
 use havenstage_rollout::control::ControlState;
+use havenstage_rollout::stored::{Stored, UnreadableValue};
 use log::{info, warn};
 use thiserror::Error;
 
@@ -16,6 +17,8 @@
 const NAME: &str = "control";
 /// Pause between two checkpoints: what a node that starts reads besides is a few seconds of records.
 const WRITE_PAUSE: Duration = Duration::from_secs(5);
+/// Bytes that its name takes beside it in the one record that holds a checkpoint.
+const KEY_ALLOWANCE: usize = 64;
 /// Tries to read a checkpoint before a node reads all records instead.
 const LOAD_TRIES: u32 = 3;
 /// Pause between two tries.
@@ -29,7 +32,7 @@
     Store(#[from] LogError),
     /// What the store has is not one.
     #[error(transparent)]
-    Unreadable(#[from] UnreadableCheckpoint),
+    Unreadable(#[from] UnreadableValue),
 }
 
 /// Writes a checkpoint now and then while this node gives orders.
@@ -41,7 +44,7 @@
         };
         let encoded = checkpoint.encode();
         let bytes = encoded.len();
-        if bytes > context.settings.log.record_bytes / 2 {
+        if bytes + KEY_ALLOWANCE > context.settings.log.record_bytes {
             warn!(event = "checkpoint_too_large", bytes = bytes; "");
             continue;
         }
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -9,8 +9,8 @@
 use log::{info, warn};
 
 use super::{Coordinator, HeldLease};
-use crate::engine::claim::claim_timing_of;
-use crate::order_run::append;
+use crate::claim_timing::claim_timing;
+use crate::log_writes::append_control;
 
 /// Share of the silence after which others claim in which the holder relies on its lease.
 const RELIABLE_SHARE: f64 = 0.7;
@@ -49,7 +49,7 @@
         let view = &self.context.control;
         let readable_since = view.readable_since(self.context.now())?;
         let term = view.lock().state.lease().term();
-        let timing = claim_timing_of(&self.context, &format!("{} {term}", self.context.node));
+        let timing = claim_timing(&self.context, &format!("{} {term}", self.context.node));
         let inner = view.lock();
         let lease = inner.state.lease();
         let at = lease.claimable_at(&self.context.node, readable_since, &timing);
@@ -76,7 +76,7 @@
             term: term + 1,
             holder,
         };
-        if let Err(error) = append(&self.context, &record).await {
+        if let Err(error) = append_control(&self.context, &record).await {
             warn!(event = "order_claim_failed", reason = error.to_string().as_str(); "");
         }
         // Whether the claim counts is seen in the log.
@@ -116,7 +116,7 @@
     /// Whether a sign of life counts: it was written, and no newer term stands before it. That the
     /// log took it proves nothing by itself, as it takes those of a former holder too.
     pub(super) async fn is_kept(&self, record: &ControlRecord, term: Term) -> bool {
-        let Ok(offset) = append(&self.context, record).await else {
+        let Ok(appended) = append_control(&self.context, record).await else {
             return false;
         };
         let (log, view) = (self.context.log.as_ref(), &self.context.control);
@@ -129,7 +129,7 @@
         }
         let inner = view.lock();
         let lease = inner.state.lease();
-        inner.next > offset && lease.term() == term && lease.is_held_by(&self.context.node)
+        inner.next > appended.offset && lease.term() == term && lease.is_held_by(&self.context.node)
     }
 
     pub(super) async fn release(&mut self) {
@@ -138,7 +138,7 @@
         };
         self.reliable_until.store(0, Ordering::Relaxed);
         let record = ControlRecord::LeaseReleased { term: lease.term };
-        if let Err(error) = append(&self.context, &record).await {
+        if let Err(error) = append_control(&self.context, &record).await {
             warn!(event = "order_release_failed", reason = error.to_string().as_str(); "");
         }
         info!(event = "order_lease_released", term = lease.term; "");
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -66,6 +66,9 @@
         /// Offset of the oldest record kept.
         first: u64,
     },
+    /// A name is longer than the log can keep; nothing was done.
+    #[error("the name is too long for the log")]
+    NameTooLong,
     /// The answer could not be understood.
     #[error("the log answered with something unreadable")]
     Unreadable,
@@ -82,7 +85,10 @@
 
     /// Whether it is certain that nothing was done and nothing will be.
     pub fn is_not_done(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Refused(_))
+        matches!(
+            self,
+            Self::Unreachable | Self::Refused(_) | Self::NameTooLong
+        )
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/engine/candidates.rs
@@ -0,0 +1,114 @@
+//! The back ends of a pool as places for items.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::event_gap::median;
+use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
+use havenstage_rollout::route::Pool;
+use havenstage_rollout::schedule::Candidate;
+
+use super::Engine;
+use super::plan::PoolWork;
+
+/// Time after which an order of which nothing was heard no longer keeps items away.
+const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
+/// Gap between events of a back end whose speed is not known yet.
+const USUAL_GAP_MS: f64 = 30.0;
+/// Shortest gap that is told apart from none.
+const SHORTEST_GAP_MS: f64 = 1.0;
+
+impl Engine {
+    /// Gap between events that is usual among a pool's back ends.
+    pub(super) fn usual_gap_ms(&self, pool: &PoolName, now: Millis) -> f64 {
+        let backends = self.context.backends.lock();
+        let ready = backends.list.ready_in(pool);
+        let gaps_ms = ready.filter_map(|(id, _)| backends.event_gap_ms(id, now));
+        median(gaps_ms.collect()).unwrap_or(USUAL_GAP_MS)
+    }
+
+    /// Back ends that may be given items now, and whose weights serve any of them.
+    pub(super) fn candidates(
+        &self,
+        pool: Option<&Pool>,
+        name: &PoolName,
+        oldest: &BTreeMap<ModelName, Version>,
+        usual_gap_ms: f64,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let own_node = &self.context.node;
+        let elsewhere = self.context.occupied(|node| node != own_node);
+        let groups = self.groups_by_backend();
+        let own = self.running_here();
+        let control = self.context.control.lock();
+        let backends = self.context.backends.lock();
+        let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
+        let mut candidates = Vec::new();
+        for (id, record) in backends.list.ready_in(name) {
+            let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
+            let is_loading = control
+                .state
+                .pending(id)
+                .is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS);
+            let serves_none = !oldest.is_empty()
+                && oldest
+                    .iter()
+                    .all(|(model, version)| backends.version(id, model) < *version);
+            if is_paused || is_loading || serves_none {
+                continue;
+            }
+            let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
+            let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
+            candidates.push(Candidate {
+                backend: id.clone(),
+                running: own.get(id).copied().unwrap_or(0)
+                    + elsewhere.get(id).copied().unwrap_or(0),
+                slots: record.slots,
+                event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
+                models: models
+                    .iter()
+                    .map(versions)
+                    .collect::<BTreeMap<ModelName, Version>>(),
+                groups: groups.get(id).cloned().unwrap_or_default(),
+            });
+        }
+        candidates
+    }
+
+    /// How many items of this node run on each back end.
+    pub(super) fn running_here(&self) -> BTreeMap<BackendId, u32> {
+        let mut running = BTreeMap::new();
+        for backend in self.items.values().filter_map(|item| item.running_on()) {
+            *running.entry(backend.clone()).or_default() += 1;
+        }
+        running
+    }
+
+    fn groups_by_backend(&self) -> HashMap<BackendId, HashSet<GroupId>> {
+        let mut groups: HashMap<BackendId, HashSet<GroupId>> = HashMap::new();
+        for item in self.items.values() {
+            if let (Some(backend), Some(group)) = (item.running_on(), &item.spec.group) {
+                groups
+                    .entry(backend.clone())
+                    .or_default()
+                    .insert(group.clone());
+            }
+        }
+        groups
+    }
+}
+
+/// The oldest version of each model that any of the items may run on; empty if some item may run on any
+/// back end. Most back ends of a large pool serve other models.
+pub(super) fn oldest_versions(work: &PoolWork) -> BTreeMap<ModelName, Version> {
+    let running = work.running.iter().map(|running| &running.item);
+    let mut oldest: BTreeMap<ModelName, Version> = BTreeMap::new();
+    for item in work.waiting.iter().chain(running) {
+        let Some(model) = &item.model else {
+            return BTreeMap::new();
+        };
+        let known = oldest.entry(model.clone()).or_insert(item.minimum_version);
+        *known = (*known).min(item.minimum_version);
+    }
+    oldest
+}
--- a/crates/gateway/src/engine/claim.rs
+++ b/crates/gateway/src/engine/claim.rs
@@ -4,18 +4,18 @@
 use std::time::Duration;
 
 use havenstage_rollout::batch_index::IndexedBatch;
-use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, NodeId};
 use havenstage_rollout::lease::{ClaimTiming, Term};
 use havenstage_rollout::record::BatchRecord;
 use log::{info, warn};
 use tokio::sync::mpsc::UnboundedSender;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::TaskEnded;
 use super::leases::is_claimable;
+use crate::claim_timing::claim_timing;
 use crate::context::Context;
 use crate::edge::LogError;
+use crate::log_writes::append;
 
 /// What came of a claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,23 +42,12 @@
     Absent,
 }
 
-/// Claims of several nodes are spread by a hash, so that usually the first one is the only one.
-pub(super) fn claim_timing(context: &Context, batch: &IndexedBatch) -> ClaimTiming {
+/// When this node may claim a batch, by what the index tells of its owner.
+pub(super) fn timing_of(context: &Context, batch: &IndexedBatch) -> ClaimTiming {
     let owner = batch.owner.holder().map(ToString::to_string);
     let owner = owner.unwrap_or_default();
-    let text = format!("{} {} {owner}", context.node, batch.notice.batch);
-    claim_timing_of(context, &text)
-}
-
-/// When a node may claim a lease, by a text that differs from node to node and from term to term.
-pub fn claim_timing_of(context: &Context, text: &str) -> ClaimTiming {
-    let tuning = &context.settings.tuning;
-    let pace = context.pace();
-    let spread_ms = (tuning.spread_ms * pace.spread_factor).max(1);
-    ClaimTiming {
-        silence_ms: tuning.silence_ms + pace.gap_ms,
-        spread_ms: xxh3_64(text.as_bytes()) % spread_ms,
-    }
+    let claim = format!("{} {} {owner}", context.node, batch.notice.batch);
+    claim_timing(context, &claim)
 }
 
 /// Claims a batch, and tells the engine what came of it. `silent` is a node that was found to hold the
@@ -108,8 +97,7 @@
         term: term + 1,
         owner: context.node.clone(),
     };
-    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
-    let appended = context.log.append(view.id, records).await;
+    let appended = append(context, view.id, &record).await;
     let outcome = appended.map_or_else(|error| error.to_string(), |_| "written".to_owned());
     let former = former.map_or("none".to_owned(), |former| former.to_string());
     info!(event = "batch_claimed", batch = batch.as_str(), term = term + 1,
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -6,14 +6,13 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::control::ControlRecord;
-use havenstage_rollout::framing;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::occupancy::OccupancyRecord;
 
 use super::Engine;
 use super::leases::{HeldBatch, open_ids};
-use crate::context::{Context, OCCUPANCY};
-use crate::order_run::append;
+use crate::context::{CONTROL, OCCUPANCY};
+use crate::log_writes::append_repeated;
 
 /// Time after which places that are taken are told again though nothing changed: well within the age
 /// up to which they count.
@@ -49,8 +48,7 @@
         };
         let (context, is_telling) = (self.context.clone(), self.heartbeats.is_telling.clone());
         tokio::spawn(async move {
-            // One that is lost is followed by the next.
-            let _ = append(&context, &record).await;
+            append_repeated(context, CONTROL, record).await;
             is_telling.store(false, Ordering::Release);
         });
     }
@@ -89,8 +87,7 @@
         }
         self.heartbeats.occupied_at = now;
         self.heartbeats.occupied = Some(record.clone());
-        // One that is lost is followed by the next.
-        tokio::spawn(write_places(self.context.clone(), record));
+        tokio::spawn(append_repeated(self.context.clone(), OCCUPANCY, record));
     }
 }
 
@@ -98,8 +95,3 @@
 fn begin(is_telling: &AtomicBool) -> bool {
     !is_telling.swap(true, Ordering::Acquire)
 }
-
-async fn write_places(context: Arc<Context>, record: OccupancyRecord) {
-    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
-    let _ = context.log.append(OCCUPANCY, records).await;
-}
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -14,10 +14,10 @@
 use log::{info, warn};
 
 use super::Engine;
-use super::claim::{self, ClaimOutcome, claim_timing};
+use super::claim::{self, ClaimOutcome, timing_of};
 use super::run::ItemKey;
-use crate::context::Context;
-use crate::order_run::append;
+use crate::context::{CONTROL, Context};
+use crate::log_writes::{append_control, append_repeated};
 
 /// Time after a batch closed in which its owner still says that it serves the route, so that the
 /// route's next batch can be given to it.
@@ -154,8 +154,8 @@
         }
         self.told_closed.insert(batch.clone(), now);
         let context = self.context.clone();
-        // One that is lost is told again.
-        tokio::spawn(async move { append(&context, &ControlRecord::BatchClosed { batch }).await });
+        let record = ControlRecord::BatchClosed { batch };
+        tokio::spawn(append_repeated(context, CONTROL, record));
     }
 
     fn release_all(&mut self, held: Vec<HeldBatch>) {
@@ -202,7 +202,7 @@
         node: context.node.clone(),
         batches,
     };
-    while let Err(error) = append(&context, &record).await {
+    while let Err(error) = append_control(&context, &record).await {
         warn!(event = "release_not_written", reason = error.to_string().as_str(); "");
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
@@ -261,7 +261,7 @@
     readable_since: Millis,
     now: Millis,
 ) -> bool {
-    let timing = claim_timing(context, batch);
+    let timing = timing_of(context, batch);
     let at = match batch.owner.is_held_by(&context.node) {
         // The index names this node, and the batch's own partition another, which would have told.
         true => batch.owner.seen().max(readable_since) + timing.silence_ms,
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -3,7 +3,9 @@
 //! One task holds all state. Runs and reward calls are tasks that report to it; what they bring is
 //! appended to the log in groups, and only the log's fold decides what counts.
 
-pub mod claim;
+mod candidates;
+mod carried;
+mod claim;
 mod heartbeat;
 mod leases;
 mod live;
@@ -20,7 +22,7 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::ItemState;
-use havenstage_rollout::ids::{BackendId, BatchId, ItemId, NodeId};
+use havenstage_rollout::ids::{BackendId, BatchId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::time::Instant;
@@ -28,6 +30,7 @@
 use crate::context::Context;
 use crate::metrics;
 use crate::work_pace::WorkPace;
+use carried::Carried;
 use claim::ClaimOutcome;
 use heartbeat::Heartbeats;
 use live::{LiveItem, Phase};
@@ -68,14 +71,6 @@
     pace: WorkPace,
 }
 
-/// Items of a batch that an earlier batch holds too.
-#[derive(Debug)]
-struct Carried {
-    items: HashSet<ItemId>,
-    /// Whether all earlier batches were known.
-    is_final: bool,
-}
-
 /// A back end that gets no items for a while.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pause {
--- a/crates/gateway/src/engine/outbox.rs
+++ b/crates/gateway/src/engine/outbox.rs
@@ -8,6 +8,7 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::framing;
 use havenstage_rollout::record::BatchRecord;
+use havenstage_rollout::stored::Stored;
 
 /// Bytes that each record takes besides its own.
 const RECORD_OVERHEAD: usize = 8;
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -14,8 +14,8 @@
 use crate::checkpoints;
 use crate::context::Context;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
+use crate::log_writes::append_control;
 use crate::metrics;
-use crate::order_run::append;
 use crate::stream_view::{StreamState, StreamView};
 
 /// Pause after which a failed call is repeated.
@@ -28,7 +28,7 @@
 const FAILURES_UNTIL_LOST: u32 = 2;
 
 /// Kept longer than promised, since nodes see a batch at different times.
-const RETENTION_SLACK_MS: u64 = 10_000;
+const RETENTION_SLACK_MS: Millis = 10_000;
 /// Time over which each known machine spreads the announcements of all: twice what the users' store
 /// takes for an append (4 ms), so that half of the partition's time is left for other records.
 const ANNOUNCE_SPREAD_MS: u64 = 8;
@@ -292,7 +292,8 @@
     let record = ControlRecord::Joined {
         machine: context.node.machine.clone(),
     };
-    while append(context, &record).await.is_err() {
+    while let Err(error) = append_control(context, &record).await {
+        warn!(event = "start_not_announced", reason = error.to_string().as_str(); "");
         tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
--- /dev/null
+++ b/crates/gateway/src/log_writes.rs
@@ -0,0 +1,41 @@
+//! Appends single values to streams of the shared log.
+
+use std::sync::Arc;
+
+use havenstage_rollout::control::ControlRecord;
+use havenstage_rollout::framing;
+use havenstage_rollout::stored::Stored;
+use log::warn;
+
+use crate::context::{CONTROL, Context};
+use crate::edge::{Appended, LogError, StreamPartition};
+
+/// Appends a value.
+pub async fn append<T: Stored>(
+    context: &Context,
+    partition: StreamPartition,
+    value: &T,
+) -> Result<Appended, LogError> {
+    let records = framing::split(&value.encode(), context.settings.log.record_bytes);
+    context.log.append(partition, records).await
+}
+
+/// Appends a record to the control stream.
+pub async fn append_control(
+    context: &Context,
+    record: &ControlRecord,
+) -> Result<Appended, LogError> {
+    append(context, CONTROL, record).await
+}
+
+/// Appends a value that is told again soon, so that one that is not written needs only a line.
+pub async fn append_repeated<T: Stored>(
+    context: Arc<Context>,
+    partition: StreamPartition,
+    value: T,
+) {
+    if let Err(error) = append(&context, partition, &value).await {
+        warn!(event = "record_not_written", partition = partition.to_string().as_str(),
+            value = T::WHAT, reason = error.to_string().as_str(); "");
+    }
+}
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -7,15 +7,15 @@
 
 use havenstage_http_link::WholeAnswer;
 use havenstage_rollout::control::ControlRecord;
-use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::context::{CONTROL, Context};
+use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
+use crate::log_writes::append_control;
 use crate::metrics;
 
 /// Time a back end has to answer an order.
@@ -95,23 +95,13 @@
     info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, outcome = format!("{record:?}").as_str(),
         took_ms = began.elapsed().as_millis() as u64; "");
-    if let Err(error) = append(context, &record).await {
+    if let Err(error) = append_control(context, &record).await {
         warn!(event = "order_not_written", backend = order.backend.as_str(),
             reason = error.to_string().as_str(); "");
     }
     report
 }
 
-/// Appends a record to the control stream; answers its offset.
-pub async fn append(context: &Context, record: &ControlRecord) -> Result<u64, LogError> {
-    let records = framing::split(&record.encode(), context.settings.log.record_bytes);
-    context
-        .log
-        .append(CONTROL, records)
-        .await
-        .map(|appended| appended.offset)
-}
-
 async fn write_down(context: &Context, order: &Order) -> Result<(), LogError> {
     let record = ControlRecord::Ordered {
         holder: context.node.clone(),
@@ -119,7 +109,7 @@
         model: order.model.clone(),
         version: order.version,
     };
-    let written = append(context, &record).await;
+    let written = append_control(context, &record).await;
     if let Err(error) = &written {
         warn!(event = "order_not_written", backend = order.backend.as_str(),
             reason = error.to_string().as_str(); "");
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -10,6 +10,7 @@
 use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
 use havenstage_rollout::record::BatchRecord;
+use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
 
 use crate::edge::{LogError, LogPage, SharedLog, SteadyClock, StreamPartition};
--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -13,6 +13,7 @@
 use support::caller::{call, send, submit, wait_for_results};
 use support::deployment::{Deployment, wait_until};
 use support::dialect::write_batch;
+use support::log::LogFaults;
 
 type Line = BTreeMap<String, String>;
 
@@ -152,3 +153,29 @@
     assert_eq!(line["sends"], "under_way");
     assert_eq!(line["backends"], "application-0");
 }
+
+/// An owner that cannot tell that it is alive says so: others will claim its batches.
+#[tokio::test]
+async fn a_heartbeat_that_is_not_written_leaves_a_line() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(300));
+    let batch = write_batch(1, &[("slow-item", "g")], false);
+    assert_eq!(submit(node.callers, "slow-batch", &batch).await, 202);
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    let is_told = || {
+        let kept = capture().0.lock().unwrap();
+        kept.iter().any(|line| {
+            line.get("event")
+                .is_some_and(|event| event == "record_not_written")
+                && line
+                    .get("partition")
+                    .is_some_and(|named| named == "control")
+        })
+    };
+    wait_until("the heartbeat that was refused is told", is_told).await;
+}
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -8,6 +8,7 @@
 use havenstage_gateway::edge::{LogStream, SharedLog};
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::MachineName;
+use havenstage_rollout::stored::Stored;
 use support::caller::{submit, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
--- a/crates/gateway/tests/restart.rs
+++ b/crates/gateway/tests/restart.rs
@@ -9,6 +9,7 @@
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{MachineName, NodeId};
+use havenstage_rollout::stored::Stored;
 use support::caller::{submit, submit_to, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -12,6 +12,7 @@
     ListingPage, LogError, LogPage, LogStream, SharedLog, StreamPartition,
 };
 use havenstage_rollout::checkpoint::ControlCheckpoint;
+use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
 
 /// What all nodes share.
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -7,12 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::Millis;
 use crate::batch_index::BatchNotice;
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
+use crate::stored::Stored;
 
 /// The fold of the control stream up to an offset.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,19 +57,6 @@
     pub log_time: Millis,
 }
 
-/// A checkpoint that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a checkpoint of the control stream: {0}")]
-pub struct UnreadableCheckpoint(postcard::Error);
-
-impl ControlCheckpoint {
-    /// The bytes kept in the store.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a checkpoint holds only plain data")
-    }
-
-    /// Reads the bytes of the store.
-    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableCheckpoint> {
-        postcard::from_bytes(bytes).map_err(UnreadableCheckpoint)
-    }
+impl Stored for ControlCheckpoint {
+    const WHAT: &'static str = "a checkpoint of the control stream";
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -7,7 +7,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::Millis;
 use crate::batch_index::{BatchIndex, BatchNotice};
@@ -15,6 +14,7 @@
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::{LeaseState, Term};
+use crate::stored::Stored;
 
 /// A record of the control stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,21 +96,8 @@
     },
 }
 
-/// A record that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a record of the control stream: {0}")]
-pub struct UnreadableControlRecord(postcard::Error);
-
-impl ControlRecord {
-    /// The bytes kept in the log.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a record holds only plain data")
-    }
-
-    /// Reads the bytes of the log.
-    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableControlRecord> {
-        postcard::from_bytes(bytes).map_err(UnreadableControlRecord)
-    }
+impl Stored for ControlRecord {
+    const WHAT: &'static str = "a record of the control stream";
 }
 
 /// An order of which nothing was heard yet.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod route;
 pub mod schedule;
+pub mod stored;
 
 /// Milliseconds on the process's steady clock.
 pub type Millis = u64;
--- a/crates/rollout/src/occupancy.rs
+++ b/crates/rollout/src/occupancy.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::Millis;
 use crate::ids::{BackendId, NodeId};
+use crate::stored::Stored;
 
 /// A node's running items, by back end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,21 +17,8 @@
     pub running: BTreeMap<BackendId, u32>,
 }
 
-/// A record that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a record of occupancy: {0}")]
-pub struct UnreadableOccupancy(postcard::Error);
-
-impl OccupancyRecord {
-    /// The bytes kept in the log.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a record holds only plain data")
-    }
-
-    /// Reads the bytes of the log.
-    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableOccupancy> {
-        postcard::from_bytes(bytes).map_err(UnreadableOccupancy)
-    }
+impl Stored for OccupancyRecord {
+    const WHAT: &'static str = "a record of occupancy";
 }
 
 /// What each node last told.
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use crate::batch::Submission;
 use crate::ids::{BatchId, ItemId, NodeId, RunId, Version};
 use crate::lease::Term;
+use crate::stored::Stored;
 
 /// One event of an item's output.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,10 +118,9 @@
     },
 }
 
-/// A record that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("not a record of a partition: {0}")]
-pub struct UnreadableRecord(postcard::Error);
+impl Stored for BatchRecord {
+    const WHAT: &'static str = "a record of a batch";
+}
 
 impl BatchRecord {
     /// The batch it concerns.
@@ -136,14 +135,4 @@
             | Self::Ended { batch } => batch,
         }
     }
-
-    /// The bytes kept in the log.
-    pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a record holds only plain data")
-    }
-
-    /// Reads the bytes of the log.
-    pub fn decode(bytes: &[u8]) -> Result<Self, UnreadableRecord> {
-        postcard::from_bytes(bytes).map_err(UnreadableRecord)
-    }
 }
--- /dev/null
+++ b/crates/rollout/src/stored.rs
@@ -0,0 +1,34 @@
+//! Values as they are kept in the log: one codec for all of them.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Bytes that are not the value that was looked for.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("not {what}: {source}")]
+pub struct UnreadableValue {
+    /// What was looked for.
+    what: &'static str,
+    /// Why the bytes are not it.
+    source: postcard::Error,
+}
+
+/// A value that is kept in the log. It holds only plain data.
+pub trait Stored: Serialize + DeserializeOwned {
+    /// What it is, with its article, for errors.
+    const WHAT: &'static str;
+
+    /// The bytes kept in the log.
+    fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the value holds only plain data")
+    }
+
+    /// Reads the bytes of the log.
+    fn decode(bytes: &[u8]) -> Result<Self, UnreadableValue> {
+        postcard::from_bytes(bytes).map_err(|source| UnreadableValue {
+            what: Self::WHAT,
+            source,
+        })
+    }
+}
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -6,6 +6,7 @@
 use havenstage_rollout::checkpoint::ControlCheckpoint;
 use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::ids::{BatchId, MachineName, ModelName};
+use havenstage_rollout::stored::Stored;
 use support::{backend, item, node, submission};
 
 fn model(name: &str) -> ModelName {
--- a/crates/rollout/tests/occupancy.rs
+++ b/crates/rollout/tests/occupancy.rs
@@ -6,6 +6,7 @@
 
 use havenstage_rollout::ids::NodeId;
 use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
+use havenstage_rollout::stored::Stored;
 use support::{backend, node};
 
 fn told(node: NodeId, running: &[(&str, u32)]) -> OccupancyRecord {
