--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
@@ -58,6 +59,8 @@
     pub path: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
 }
 
 impl Seen {
@@ -182,6 +185,7 @@
         path: path.clone(),
         headers: head.headers,
         body,
+        at: Instant::now(),
     };
     backend.seen.lock().unwrap().push(seen.clone());
     if path.starts_with("/items/") || path.starts_with("/streams/") {
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -46,6 +46,8 @@
     pub refuses_appends: bool,
     /// Reads are refused at once; nothing is told.
     pub refuses_reads: bool,
+    /// Reads are refused at once because too many calls are made.
+    pub throttles_reads: bool,
     /// Appends take a while.
     pub slow_appends: bool,
     /// Appends of batches take a while; others do not.
@@ -225,6 +227,9 @@
         if self.faults().refuses_reads {
             return Err(LogError::Refused(503));
         }
+        if self.faults().throttles_reads {
+            return Err(LogError::Refused(429));
+        }
         Ok(())
     }
 }
