Send nothing of a batch on old knowledge, whether the log can be read or not

Cause: a node acted on knowledge of a batch up to two thirds of the time after which an end is in force, "unless the log cannot be read, when nobody here can know more". But "cannot be read" was one failed read of this node: a refusal as one call too many, a connection that fell silent, its own cut. It held until the next read of the partition had ended, which may be behind a pause of up to 3.6 s (after refusals), a turn (four partitions are caught up with at a time) or a time-out of 2.5 s, and allowed knowledge of any age, also of a batch that another node had claimed and run meanwhile. Reward calls asked for no knowledge at all. The class: absence of news at one node taken for permission.

Change: - Knowledge grows old alike whether reads fail or not; never confirmed means not known (it was taken for confirmed at 0, the start of the clock less a second). - One module, batch_knowledge, says up to which age work may be started and written for a batch.

Weighed: starts on old knowledge only while the store has answered no call of any kind. A node cannot tell a store that is down for all from its own cut, from kept connections that all fell silent, or from having stood still, where all its calls time out in one moment; in each of these the others may end the batch. So always bound. The price: in an outage of the whole store nothing more is started from 2 s after the last answer on; runs under way go on. A node cut off alone gains: it no longer takes places on back ends for items that the batch's next owner runs.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use havenstage_http_link::{Answer, WholeAnswer};
-use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::ids::{BackendId, BatchId, PoolName};
 use havenstage_rollout::route::{RequestKind, Route};
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri};
@@ -48,6 +48,19 @@
     pub body: Bytes,
     /// When its caller stops waiting.
     pub deadline: Instant,
+    /// The batch for which it is made: nothing of it is written once that may have ended.
+    pub batch: Option<BatchId>,
+}
+
+impl Call {
+    /// Time after which nothing of it may be written, if it must be over at `ends`; `None` if nothing
+    /// may be written at all.
+    pub(crate) fn write_by(&self, context: &Context, ends: Instant) -> Option<Instant> {
+        match &self.batch {
+            Some(batch) => context.write_by(batch).map(|at| at.min(ends)),
+            None => Some(ends),
+        }
+    }
 }
 
 /// How a call ended.
@@ -218,10 +231,18 @@
         self.route.kind == RequestKind::Repeatable
             && self.running.len() == 1
             && self.may_have_run + 1 < self.route.attempts.max(1)
+            && self.may_be_written()
+    }
+
+    fn may_be_written(&self) -> bool {
+        self.call.write_by(self.context, self.ends).is_some()
     }
 
     /// Sends the call to one more back end; false if there is none to be had.
     fn begin(&mut self) -> bool {
+        if !self.may_be_written() {
+            return false;
+        }
         let (now, draw) = (self.context.now(), self.context.draw());
         let backends = &self.context.backends;
         let Some(chosen) = backends.choose_for_call(self.pool, &self.tried, now, draw) else {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod carried;
 mod claim;
 mod heartbeat;
+mod held_back;
 mod leases;
 mod live;
 mod outbox;
@@ -33,6 +34,7 @@
 use carried::Carried;
 use claim::ClaimOutcome;
 use heartbeat::Heartbeats;
+use held_back::HeldBack;
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
@@ -63,6 +65,7 @@
     has_told_release: bool,
     pauses: HashMap<BackendId, Pause>,
     carried: HashMap<BatchId, Carried>,
+    held_back: BTreeMap<usize, HeldBack>,
     news: UnboundedReceiver<RunMessage>,
     news_sender: UnboundedSender<RunMessage>,
     ended: UnboundedReceiver<TaskEnded>,
@@ -110,6 +113,7 @@
             has_told_release: false,
             pauses: HashMap::new(),
             carried: HashMap::new(),
+            held_back: BTreeMap::new(),
             news,
             news_sender,
             ended,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -20,9 +20,6 @@
 const NEEDED_URGENCY: u8 = 4;
 /// Urgency at back ends of items that their step can do without.
 const OPTIONAL_URGENCY: u8 = 7;
-/// Share of the time after which an end is in force up to which knowledge of a batch is acted on; the
-/// rest is for an item's way to its back end.
-const ACT_ON_SHARE: f64 = 2.0 / 3.0;
 
 /// Work of this node in one pool.
 #[derive(Default)]
@@ -43,16 +40,12 @@
         let now = self.context.now();
         let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         let mut too_late = Vec::new();
-        let end_in_force_ms = self.context.settings.bounds.end_in_force_ms as f64;
-        let most_age_ms = (end_in_force_ms * ACT_ON_SHARE) as Millis;
-        for partition in self.context.partitions.needed() {
+        let needed = self.context.partitions.needed();
+        self.held_back
+            .retain(|partition, _| needed.contains(partition));
+        for partition in needed {
             // An end that is not read yet must not be in force when an item arrives.
-            if !self
-                .context
-                .partitions
-                .at(partition)
-                .may_be_acted_on(now, most_age_ms)
-            {
+            if self.is_held_back(partition, now) {
                 continue;
             }
             self.note_carried(partition);
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -142,7 +142,7 @@
     /// When the item may be given up.
     pub deadline: Instant,
     /// Time after which nothing of the request may be written: the batch may have been ended.
-    pub write_by: Option<Instant>,
+    pub write_by: Instant,
     /// How urgent the back end is to take it.
     pub urgency: u8,
 }
@@ -173,9 +173,8 @@
     let Some(request) = item_request(context, &backend.id, order) else {
         return RunEnd::Impossible;
     };
-    let write_by = order.write_by.unwrap_or(Instant::now() + HEAD_TIMEOUT);
-    let sent = backend.link.send_by(request, write_by, HEAD_TIMEOUT).await;
-    let answer = match sent {
+    let sent = backend.link.send_by(request, order.write_by, HEAD_TIMEOUT);
+    let answer = match sent.await {
         Ok(answer) => answer,
         Err(LinkError::TooLate) => return RunEnd::TooLate,
         Err(error) if error.is_unsent() => return RunEnd::Unreachable,
@@ -331,7 +330,7 @@
     reward: RewardCall,
     news: UnboundedSender<RunMessage>,
 ) {
-    let end = score_to_end(&context, &reward).await;
+    let end = score_to_end(&context, &key.batch, &reward).await;
     let _ = news.send(RunMessage {
         key,
         run,
@@ -339,14 +338,16 @@
     });
 }
 
-async fn score_to_end(context: &Arc<Context>, reward: &RewardCall) -> ScoreEnd {
+async fn score_to_end(context: &Arc<Context>, batch: &BatchId, reward: &RewardCall) -> ScoreEnd {
     let mut failures = 0;
     loop {
+        // A batch's end holds for reward calls as it does for items.
+        context.until_work_may_start(batch).await;
         let routes = context.routes();
         let route = routes
             .as_ref()
             .and_then(|table| table.find(&reward.host, &reward.path));
-        if let (Some(route), Some(call)) = (route, reward_call(context, reward)) {
+        if let (Some(route), Some(call)) = (route, reward_call(context, batch, reward)) {
             let executed = calls::execute(context, route, call).await;
             failures += executed.server_errors;
             if let CallOutcome::Answered(answer) = executed.outcome {
@@ -364,7 +365,7 @@
     }
 }
 
-fn reward_call(context: &Context, reward: &RewardCall) -> Option<Call> {
+fn reward_call(context: &Context, batch: &BatchId, reward: &RewardCall) -> Option<Call> {
     let names = context.dialect.headers();
     let id = HeaderValue::from_str(&reward.id).ok()?;
     let mut headers = HeaderMap::new();
@@ -377,5 +378,6 @@
         headers,
         body: reward.body.clone(),
         deadline: Instant::now() + REWARD_DEADLINE,
+        batch: Some(batch.clone()),
     })
 }
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -13,24 +13,20 @@
 use super::run::{self, ItemKey, RunOrder, VersionRule};
 use super::{DEFAULT_GIVE_UP_MS, Engine};
 
-/// Share of the time after which an end is in force up to which a request may be written that rests on
-/// what was known then; the rest is for its way to the back end. An item is given a place up to two
-/// thirds of that time, and may then wait for a connection or for the processor.
-const WRITE_SHARE: f64 = 0.85;
-
 /// What a run needs to know of its batch.
 pub(super) struct StartOfRun {
     host: String,
     minimum_version: u64,
     is_single_version: bool,
     deadline: Instant,
-    /// Time after which nothing of the request may be written; `None` while the log cannot be read.
-    write_by: Option<Instant>,
     batch_age_ms: Millis,
 }
 
 impl Engine {
     pub(super) fn start(&mut self, key: &ItemKey, backend_id: &BackendId, urgency: u8) {
+        let Some(write_by) = self.context.write_by(&key.batch) else {
+            return;
+        };
         let Some(backend) = self.context.backends.take(backend_id) else {
             return;
         };
@@ -54,10 +50,13 @@
                 made_by: item.made_by,
             },
             deadline: start.deadline,
-            write_by: start.write_by,
+            write_by,
             urgency,
         };
         let resumed_from = item.resumed_from;
+        let known_age_ms = self
+            .context
+            .known_age_ms(self.context.partitions.at(item.partition));
         let group = item.spec.group.clone();
         let expected_tokens = item.spec.expected_tokens;
         let sender = self.news_sender.clone();
@@ -70,7 +69,8 @@
         info!(event = "run_started", request = key.item.as_str(), batch = key.batch.as_str(),
             backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
             group = group.as_ref().map_or("", GroupId::as_str), expected_tokens = expected_tokens,
-            minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms; "");
+            minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms,
+            known_age_ms = known_age_ms; "");
     }
 
     /// Makes the item one that this node works on, with the output that is kept of it.
@@ -87,7 +87,6 @@
             minimum_version: batch.minimum_version,
             is_single_version: self.is_single_version(batch),
             deadline: Instant::now() + left,
-            write_by: instant_of(inner.actable_until(self.written_age_ms()), now),
             batch_age_ms: age,
         };
         if !self.items.contains_key(key) {
@@ -99,11 +98,6 @@
         Some(start)
     }
 
-    /// Age of a node's knowledge of a batch up to which a request of its items may be written.
-    fn written_age_ms(&self) -> Millis {
-        (self.context.settings.bounds.end_in_force_ms as f64 * WRITE_SHARE) as Millis
-    }
-
     pub(super) fn give_up_ms(&self, batch: &BatchState) -> Millis {
         let routes = self.context.routes();
         let route = routes
@@ -154,8 +148,3 @@
         }
     }
 }
-
-/// A moment on the node's steady clock as an instant.
-fn instant_of(moment: Option<Millis>, now: Millis) -> Option<Instant> {
-    moment.map(|moment| Instant::now() + Duration::from_millis(moment.saturating_sub(now)))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The decisions are in `havenstage_rollout`; this crate joins them to the traits in [`edge`].
 
 pub mod backends;
+pub mod batch_knowledge;
 pub mod batch_partitions;
 mod batch_server;
 pub mod batches;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,6 +17,9 @@
 /// Longest body of an answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
+/// A send of which nothing was written, as its time was over or its batch may have ended.
+const TOO_LATE: &str = "too_late";
+
 /// How one send ended.
 pub(crate) enum SendOutcome {
     Answered(WholeAnswer),
@@ -42,7 +45,10 @@
     let began = Instant::now();
     let left = ends.saturating_duration_since(began);
     let request = backend_request(context, &chosen, call, left);
-    let answer = chosen.link.send(request, left).await;
+    let answer = match call.write_by(context, ends) {
+        Some(write_by) => chosen.link.send_by(request, write_by, left).await,
+        None => Err(LinkError::TooLate),
+    };
     let outcome = read_answer(context, chosen, call, answer).await;
     let now = context.now();
     let mut backends = context.backends.lock();
@@ -54,6 +60,8 @@
         SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
             backends.health.answered(&backend, None);
         }
+        // No fault of the back end.
+        SendOutcome::NotRun(TOO_LATE) => {}
         SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {
             backends.health.failed(&backend, now)
         }
@@ -94,6 +102,7 @@
 ) -> SendOutcome {
     let answer = match answer {
         Ok(answer) => answer,
+        Err(LinkError::TooLate) => return SendOutcome::NotRun(TOO_LATE),
         Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
         Err(LinkError::TimedOut) => return SendOutcome::MayHaveRun("silent"),
         Err(_) => return SendOutcome::MayHaveRun("broken"),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -243,6 +243,7 @@
         headers,
         body,
         deadline: began + wait,
+        batch: None,
     };
     match calls::execute(context, route, call).await.outcome {
         CallOutcome::Answered(answer) => pass_on(answer),
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -82,10 +82,9 @@
     }
 
     /// Until when what is known here may be acted on, if it may up to `most_age` after it was confirmed;
-    /// `None` while the log cannot be read, when nobody here can know more.
+    /// `None` if it never was. Reads that fail here change nothing: the log may serve other nodes.
     pub fn actable_until(&self, most_age: Millis) -> Option<Millis> {
-        let is_readable = self.last_success > 0;
-        is_readable.then(|| self.confirmed.unwrap_or(0) + most_age)
+        self.confirmed.map(|confirmed| confirmed + most_age)
     }
 
     /// Whether the state is the fold of whole values up to `next`, with none half read.
@@ -269,11 +268,10 @@
         self.lock().is_current(now)
     }
 
-    /// Whether what is known here may be acted on: it is at most `most_age` old, or the log cannot be
-    /// read, so that nobody here can know more.
+    /// Whether what is known here may be acted on: it is at most `most_age` old.
     pub fn may_be_acted_on(&self, now: Millis, most_age: Millis) -> bool {
         let until = self.lock().actable_until(most_age);
-        until.is_none_or(|until| now <= until)
+        until.is_some_and(|until| now <= until)
     }
 
     /// Whether there is more to be read than what comes in as it is written.
--- a/crates/gateway/tests/ended_batches.rs
+++ b/crates/gateway/tests/ended_batches.rs
@@ -10,11 +10,12 @@
 
 use std::time::Duration;
 
+use havenstage_gateway::calls::{self, Call};
 use http::Method;
 use support::backend::{CallBehaviour, Seen, StandInBackend};
-use support::caller::{send, submit};
+use support::caller::{send, submit, wait_for_results};
 use support::deployment::{Deployment, TestNode, wait_until};
-use support::dialect::write_batch;
+use support::dialect::{HOST, write_batch};
 use support::log::LogFaults;
 use tokio::time::Instant;
 
@@ -22,6 +23,8 @@
 const MANY_ITEMS: usize = 60;
 /// Time for which back ends are watched once the end is in force.
 const WATCHED: Duration = Duration::from_secs(3);
+/// Time that a request may be on its way to a back end.
+const ON_ITS_WAY: Duration = Duration::from_millis(100);
 /// A read that takes longer than any test.
 const FOR_EVER: Duration = Duration::from_secs(60);
 
@@ -95,11 +98,11 @@
     late.map(|seen| (seen.at - ended).as_millis()).collect()
 }
 
-async fn hand_in_many_items(deployment: &Deployment, owner: &TestNode) {
+async fn hand_in_many_items(deployment: &Deployment, owner: &TestNode, has_reward: bool) {
     deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(400));
     let names: Vec<String> = (0..MANY_ITEMS).map(|at| format!("i{at}")).collect();
     let items: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "g")).collect();
-    let body = write_batch(1, &items, false);
+    let body = write_batch(1, &items, has_reward);
     assert_eq!(submit(owner.callers, "batch", &body).await, 202);
     wait_until("items run", || !deployment.engines[0].runs().is_empty()).await;
 }
@@ -119,7 +122,7 @@
 async fn late_items_amid(faults: LogFaults) -> Vec<u128> {
     let deployment = Deployment::start(1, 1).await;
     let (owner, other) = (deployment.node("a").await, deployment.node("b").await);
-    hand_in_many_items(&deployment, &owner).await;
+    hand_in_many_items(&deployment, &owner, false).await;
     owner.set_faults(faults);
     let ended = end_at(&other).await;
     late_items(&deployment, ended, in_force(&owner)).await
@@ -140,7 +143,7 @@
 async fn a_former_owner_that_waits_for_its_first_read_sends_no_items_of_an_ended_batch() {
     let deployment = Deployment::start(1, 1).await;
     let (former, other) = (deployment.node("a").await, deployment.node("b").await);
-    hand_in_many_items(&deployment, &former).await;
+    hand_in_many_items(&deployment, &former, false).await;
     former.set_faults(LogFaults {
         is_cut: true,
         ..LogFaults::default()
@@ -189,3 +192,83 @@
         .collect();
     assert!(late.is_empty(), "calls and ms after the end: {late:?}");
 }
+
+/// Starts and reward calls that were held back while the log could not be read go on once it can be.
+#[tokio::test]
+async fn work_that_was_held_back_goes_on() {
+    let deployment = Deployment::start(1, 1).await;
+    let owner = deployment.node("a").await;
+    hand_in_many_items(&deployment, &owner, true).await;
+    owner.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    tokio::time::sleep(in_force(&owner)).await;
+    let begun = deployment.engines[0].runs().len();
+    assert!(begun < MANY_ITEMS, "items still wait");
+    tokio::time::sleep(WATCHED).await;
+    assert_eq!(deployment.engines[0].runs().len(), begun);
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(5));
+    owner.set_faults(LogFaults::default());
+    let lines = wait_for_results(owner.callers, "batch", MANY_ITEMS).await;
+    assert!(
+        lines.iter().all(|line| line.contains("|completed|")),
+        "{lines:?}"
+    );
+    assert_eq!(deployment.applications[0].seen().len(), MANY_ITEMS);
+}
+
+/// A call made for a batch is not sent to a second back end once the end of the batch is known, though
+/// the first one is silent.
+#[tokio::test]
+async fn a_call_of_an_ended_batch_is_not_sent_again() {
+    let deployment = Deployment::start(1, 2).await;
+    let node = deployment.node("a").await;
+    deployment.engines[0].behave(|told| told.event_pause = FOR_EVER);
+    for application in &deployment.applications {
+        application.behave(|told| told.call = CallBehaviour::Silent);
+    }
+    let body = write_batch(1, &[("item", "g")], false);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    let context = node.context().clone();
+    wait_until("the batch is known", || {
+        context.write_by(&"batch".into()).is_some()
+    })
+    .await;
+    let table = context.routes().unwrap();
+    let route = table.find(HOST, "/calls/reward").unwrap();
+    let call = Call {
+        id: "reward".parse().unwrap(),
+        method: Method::POST,
+        uri: "/calls/reward".parse().unwrap(),
+        headers: [(http::header::HOST, HOST.parse().unwrap())]
+            .into_iter()
+            .collect(),
+        body: "reward".into(),
+        deadline: Instant::now() + Duration::from_millis(1_500),
+        batch: Some("batch".into()),
+    };
+    let ending = async {
+        wait_until("the call came", || !arrivals(&deployment).is_empty()).await;
+        end_at(&node).await;
+        wait_until("the end is known", || {
+            context.write_by(&"batch".into()).is_none()
+        })
+        .await;
+        Instant::now()
+    };
+    let (_, known) = tokio::join!(calls::execute(&context, route, call), ending);
+    let again: Vec<u128> = arrivals(&deployment)
+        .into_iter()
+        .filter(|at| *at > known + ON_ITS_WAY)
+        .map(|at| (at - known).as_millis())
+        .collect();
+    assert!(again.is_empty(), "ms after the end was known: {again:?}");
+}
+
+/// When calls came to applications.
+fn arrivals(deployment: &Deployment) -> Vec<Instant> {
+    let applications = deployment.applications.iter();
+    let seen = applications.flat_map(|application| application.seen());
+    seen.map(|seen| seen.at).collect()
+}
