Show what connections that fall silent together cost (tests that fail)

A proxy on loopback silences all connections that are open at a moment, without a reset: what is written is taken and lost, new connections work.

--- /dev/null
+++ b/crates/gateway/tests/silence.rs
@@ -0,0 +1,154 @@
+//! Back ends whose kept connections all fall silent at a moment, without a reset, while new ones work.
+//!
+//! What happened: a repeatable call was sent over a silent connection; at half of its objective it was
+//! sent to a second back end, whose kept connections had fallen silent with the others. Both sends
+//! waited until the deadline, and the caller got 504, though a new connection would have been answered.
+
+mod support;
+
+#[path = "../../http-link/tests/support/silencing_proxy.rs"]
+mod silencing_proxy;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_rollout::backend::BackendChange;
+use silencing_proxy::SilencingProxy;
+use support::backend::StandInBackend;
+use support::caller::{call, submit, text, wait_for_results};
+use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed};
+use support::dialect::write_batch;
+use tokio::time::Instant;
+
+const BACKENDS: usize = 2;
+/// Calls that are made at once, so that connections to all back ends are kept.
+const CALLS: usize = 12;
+/// Objective of the route for calls.
+const OBJECTIVE: Duration = Duration::from_millis(1_000);
+
+/// Lists a back end at the address of a proxy.
+async fn list_through_proxy(
+    deployment: &Deployment,
+    backend: &StandInBackend,
+    pool: &str,
+) -> SilencingProxy {
+    let proxy = SilencingProxy::start(backend.address).await;
+    let DirectoryEntry::Backend(BackendChange { id, record }) = listed(backend, pool, false) else {
+        unreachable!("a back end's entry")
+    };
+    let record = record.map(|mut record| {
+        record.address = proxy.address;
+        record
+    });
+    deployment
+        .log
+        .write_backends(DirectoryEntry::Backend(BackendChange { id, record }));
+    proxy
+}
+
+async fn start(pool: &str) -> (Vec<Arc<StandInBackend>>, Vec<SilencingProxy>, TestNode) {
+    let deployment = Deployment::start(0, 0).await;
+    let (mut backends, mut proxies) = (Vec::new(), Vec::new());
+    for at in 0..BACKENDS {
+        let backend = StandInBackend::start(&format!("backend-{at}")).await;
+        proxies.push(list_through_proxy(&deployment, &backend, pool).await);
+        backends.push(backend);
+    }
+    let node = TestNode::start(&deployment.log, "a").await;
+    node.knows(BACKENDS).await;
+    (backends, proxies, node)
+}
+
+async fn call_often(node: &TestNode, name: &str, path: &str) -> Vec<u16> {
+    let calls = (0..CALLS).map(|at| {
+        let id = format!("{name}-{at}");
+        async move { call(node.callers, &id, path).await.status.as_u16() }
+    });
+    join_all(calls).await
+}
+
+fn silence(proxies: &[SilencingProxy]) {
+    for proxy in proxies {
+        assert!(proxy.opened() > 0, "connections to all back ends are kept");
+        proxy.silence();
+    }
+}
+
+#[tokio::test]
+async fn a_repeatable_call_over_silenced_connections_is_answered_within_its_objective() {
+    let (_backends, proxies, node) = start(APPLICATIONS).await;
+    call_often(&node, "before", "/calls/path").await;
+    silence(&proxies);
+    let began = Instant::now();
+    let answer = call(node.callers, "amid", "/calls/path").await;
+    println!("{} after {:?}", answer.status, began.elapsed());
+    assert_eq!(answer.status, 200, "{}", text(&answer));
+    assert!(began.elapsed() < OBJECTIVE, "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn calls_made_together_over_silenced_connections_are_all_answered() {
+    let (_backends, proxies, node) = start(APPLICATIONS).await;
+    call_often(&node, "before", "/calls/path").await;
+    silence(&proxies);
+    let began = Instant::now();
+    let statuses = call_often(&node, "amid", "/calls/path").await;
+    println!("{statuses:?} after {:?}", began.elapsed());
+    assert_eq!(statuses, [200; CALLS]);
+    assert!(began.elapsed() < OBJECTIVE, "{:?}", began.elapsed());
+}
+
+/// One that may run once only is never sent again; those that follow it are not lost too.
+#[tokio::test]
+async fn calls_that_run_once_are_lost_only_until_the_silence_is_noticed() {
+    let (backends, proxies, node) = start(APPLICATIONS).await;
+    call_often(&node, "before", "/once/path").await;
+    silence(&proxies);
+    let lost = call(node.callers, "amid", "/once/path");
+    let later = async {
+        tokio::time::sleep(OBJECTIVE).await;
+        let began = Instant::now();
+        let statuses = call_often(&node, "later", "/once/path").await;
+        (statuses, began.elapsed())
+    };
+    let (lost, (statuses, took)) = tokio::join!(lost, later);
+    println!("lost {}, later {statuses:?} after {took:?}", lost.status);
+    let sent: usize = backends.iter().map(|backend| backend.seen().len()).sum();
+    assert_eq!(sent, 2 * CALLS, "the lost one was not sent again");
+    assert_eq!(statuses, [200; CALLS]);
+    assert!(took < OBJECTIVE, "{took:?}");
+}
+
+/// Items wait for the head of an answer; each try over a silent connection cost its whole time-out.
+#[tokio::test]
+async fn items_sent_over_silenced_connections_start_soon_elsewhere() {
+    let (_backends, proxies, node) = start(ENGINES).await;
+    let items: Vec<(String, String)> = (0..CALLS)
+        .map(|at| (format!("item-{at}"), format!("group-{at}")))
+        .collect();
+    let named: Vec<(&str, &str)> = items
+        .iter()
+        .map(|(item, group)| (item.as_str(), group.as_str()))
+        .collect();
+    let body = write_batch(1, &named, false);
+    assert_eq!(submit(node.callers, "before", &body).await, 202);
+    wait_for_results(node.callers, "before", CALLS).await;
+    silence(&proxies);
+    let began = Instant::now();
+    let later: Vec<(String, String)> = (0..CALLS)
+        .map(|at| (format!("later-{at}"), format!("group-{at}")))
+        .collect();
+    let named: Vec<(&str, &str)> = later
+        .iter()
+        .map(|(item, group)| (item.as_str(), group.as_str()))
+        .collect();
+    let body = write_batch(1, &named, false);
+    assert_eq!(submit(node.callers, "amid", &body).await, 202);
+    let lines = wait_for_results(node.callers, "amid", CALLS).await;
+    println!("items ended after {:?}", began.elapsed());
+    let completed = lines.iter().all(|line| line.contains("|completed|"));
+    assert!(completed, "{lines:?}");
+    assert!(began.elapsed() < 3 * OBJECTIVE / 2, "{:?}", began.elapsed());
+}
--- /dev/null
+++ b/crates/http-link/tests/silence.rs
@@ -0,0 +1,115 @@
+//! Kept connections that fall silent all at once cost one call its time, not one call each.
+//!
+//! What happened: at a moment all open connections of a machine fell silent, without a reset, while new
+//! ones worked. A link keeps up to 16 resting connections. Each call took one of them, wrote its request
+//! into it, waited out its whole time-out and threw away that one connection only. So a node was without
+//! the store for as many time-outs as connections rested, though a new connection would have been
+//! answered in a millisecond.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use havenstage_http_link::{Link, LinkError, LinkSettings};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use support::silencing_proxy::SilencingProxy;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+const KEPT: usize = 16;
+/// Time a call has.
+const TIMEOUT: Duration = Duration::from_millis(600);
+/// Far longer than an answer over loopback takes on a busy machine, far shorter than a time-out.
+const PROMPT: Duration = Duration::from_millis(300);
+
+/// A server that answers each request at once, but those to `/slow` after a while.
+async fn start_server() -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
+                if request.uri().path() == "/slow" {
+                    tokio::time::sleep(2 * TIMEOUT).await;
+                }
+                Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("answer"))))
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    address
+}
+
+async fn call(link: &Link, path: &str) -> Result<Bytes, LinkError> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().unwrap();
+    let answer = link.send(request, TIMEOUT).await?;
+    Ok(answer.whole(1024).await?.body)
+}
+
+/// A link through a proxy, with so many connections that rest.
+async fn link_with_kept_connections() -> (SilencingProxy, Link) {
+    let proxy = SilencingProxy::start(start_server().await).await;
+    let settings = LinkSettings {
+        connect_timeout: Duration::from_secs(5),
+        keep_idle: Duration::from_secs(60),
+        most_idle: KEPT,
+    };
+    let link = Link::new(proxy.address, settings);
+    for answer in join_all((0..KEPT).map(|_| call(&link, "/"))).await {
+        answer.unwrap();
+    }
+    assert_eq!(
+        proxy.opened(),
+        KEPT,
+        "each call has a connection of its own"
+    );
+    (proxy, link)
+}
+
+#[tokio::test]
+async fn one_time_out_is_all_that_silenced_connections_cost() {
+    let (proxy, link) = link_with_kept_connections().await;
+    proxy.silence();
+    assert_eq!(call(&link, "/").await, Err(LinkError::TimedOut));
+    for _ in 0..KEPT {
+        let began = Instant::now();
+        assert_eq!(call(&link, "/").await, Ok(Bytes::from("answer")));
+        assert!(began.elapsed() < PROMPT, "{:?}", began.elapsed());
+    }
+}
+
+/// A caller that gives up itself, a little before the link's own time-out, tells the same.
+#[tokio::test]
+async fn a_call_that_is_dropped_after_its_time_tells_the_same() {
+    let (proxy, link) = link_with_kept_connections().await;
+    proxy.silence();
+    let dropped = tokio::time::timeout(TIMEOUT - Duration::from_millis(50), call(&link, "/")).await;
+    assert!(dropped.is_err());
+    assert_eq!(call(&link, "/").await, Ok(Bytes::from("answer")));
+}
+
+/// A time-out of one call says nothing about connections that were heard from after it began.
+#[tokio::test]
+async fn a_slow_call_costs_no_connection_that_is_heard_from() {
+    let (proxy, link) = link_with_kept_connections().await;
+    let slow = tokio::spawn({
+        let link = link.clone();
+        async move { call(&link, "/slow").await }
+    });
+    let began = Instant::now();
+    while began.elapsed() < TIMEOUT + PROMPT {
+        call(&link, "/").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(slow.await.unwrap(), Err(LinkError::TimedOut));
+    join_all((0..KEPT - 1).map(|_| call(&link, "/"))).await;
+    assert_eq!(proxy.opened(), KEPT);
+}
--- /dev/null
+++ b/crates/http-link/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! What tests of several crates share.
+
+pub mod silencing_proxy;
