Ask peers of quiet connections for a sign each second

A connection that only reads has nothing unacknowledged, so TCP_USER_TIMEOUT alone never ends it when its peer is cut off; a stream that cannot be resumed has no time-out of its own either. With keep-alive probes the system's 3 s without acknowledgement apply to it, and to resting connections, which then are not used any more. Costs a packet of some 40 bytes a second each way for a quiet connection. Does not help where the way absorbs and acknowledges. Not shown by a test: loopback always acknowledges.

--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -18,6 +18,9 @@
 
 /// Time after which the system gives up a connection whose peer acknowledges nothing.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Quiet time after which the system asks whether the peer is still there, and time between two
+/// questions. Without them a connection that only reads never learns that its peer was cut off.
+const KEEP_ALIVE_PAUSE: Duration = Duration::from_secs(1);
 /// Largest buffer for what is read from a connection.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -48,6 +51,10 @@
         // Closing resets: bytes that a partition holds up must not arrive after they were given up.
         let _ = socket.set_linger(Some(Duration::ZERO));
         let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let keep_alive = TcpKeepalive::new()
+            .with_time(KEEP_ALIVE_PAUSE)
+            .with_interval(KEEP_ALIVE_PAUSE);
+        let _ = socket.set_tcp_keepalive(&keep_alive);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
