Guard against calling a connection silent after this process stood still

The test holds the process for 0.4 s while an answer arrives, ten times: no exchange ends as silent and no connection is opened anew.

--- a/crates/http-link/tests/silence.rs
+++ b/crates/http-link/tests/silence.rs
@@ -30,16 +30,19 @@
 /// Far longer than an answer over loopback takes on a busy machine, far shorter than a time-out.
 const PROMPT: Duration = Duration::from_millis(300);
 
-/// A server that answers each request at once, but those to `/slow` after a while.
+/// A server that answers each request at once, but those to `/soon` and `/slow` after a while.
 async fn start_server() -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
-                if request.uri().path() == "/slow" {
-                    tokio::time::sleep(2 * TIMEOUT).await;
-                }
+                let pause = match request.uri().path() {
+                    "/slow" => 2 * TIMEOUT,
+                    "/soon" => Duration::from_millis(50),
+                    _ => Duration::ZERO,
+                };
+                tokio::time::sleep(pause).await;
                 Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("answer"))))
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -202,3 +205,43 @@
     }
     assert_eq!(proxy.opened(), KEPT + 1, "the new one is used again");
 }
+
+/// This process stood still for longer than any answer takes: what arrived meanwhile is read before
+/// anything is called silent.
+#[tokio::test]
+async fn a_process_that_stood_still_calls_nothing_silent() {
+    let (to_test, from_server) = std::sync::mpsc::channel();
+    // The server has a thread of its own, so that it answers meanwhile.
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        runtime.block_on(async move {
+            to_test.send(start_server().await).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    let settings = LinkSettings {
+        connect_timeout: TIMEOUT,
+        keep_idle: Duration::from_secs(60),
+        most_idle: KEPT,
+    };
+    let link = Link::new(from_server.recv().unwrap(), settings);
+    call(&link, "/").await.unwrap();
+    for _ in 0..10 {
+        let sending = Sending::within(Duration::from_secs(1)).ended_when_silent();
+        let sent = tokio::spawn({
+            let link = link.clone();
+            let mut request = request();
+            *request.uri_mut() = "/soon".parse().unwrap();
+            async move { link.send_as(request, sending).await }
+        });
+        // The request is written, then the process stands still.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        std::thread::sleep(Duration::from_millis(400));
+        let answer = sent.await.unwrap().expect("an answer");
+        answer.whole(1024).await.unwrap();
+    }
+    assert_eq!(link.traffic().opened.load(Ordering::Relaxed), 1);
+}
