End callers' connections that fell silent for good

Cause: the servers for readiness and metrics have no timer, so hyper's limit for a head does not apply; an answer that the caller's machine neither takes nor acknowledges is held until the system gives up (a quarter of an hour without acknowledgements, never where the peer only has no room).

Change: those two servers close a connection on which nothing comes for 10 s.

The test's patience grew from 12 to 20 s, so that 10 s are told from none on a busy machine too.

Not covered: a way that takes and acknowledges all bytes. There an answer ends by itself, and its connection after the limit for idle ones.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use havenstage_http_link::WholeAnswer;
+use havenstage_http_link::{WholeAnswer, end_when_unacknowledged};
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
 use http::header::{HOST, HeaderValue};
 use http::request::Parts;
@@ -37,6 +37,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Deadline of a call that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest time a connection for readiness or metrics may rest: they are asked every few seconds.
+const READER_IDLE: Duration = Duration::from_secs(10);
 /// Smallest buffer that the HTTP library accepts for a head.
 const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
@@ -134,6 +136,8 @@
         .routes()
         .map_or_else(CallerLimits::default, |table| table.limits());
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
+    // Else an answer that nobody takes would be held until the system gives up, if it does.
+    end_when_unacknowledged(&stream, idle);
     let service = service_fn(|request: Request<Incoming>| {
         let guard = InFlightGuard::new(&in_flight);
         let context = context.clone();
@@ -284,6 +288,15 @@
     has_routes && !context.is_stopping() && context.contact_age() < READY_CONTACT_MS
 }
 
+/// A server for readers that may vanish without closing their connections.
+fn reader_server() -> http1::Builder {
+    let mut server = http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(READER_IDLE);
+    server
+}
+
 /// Serves readiness.
 pub async fn serve_readiness(context: Arc<Context>, listener: TcpListener) {
     loop {
@@ -303,7 +316,7 @@
                 };
                 async move { Ok::<_, Infallible>(plain(status)) }
             });
-            let _ = http1::Builder::new()
+            let _ = reader_server()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
@@ -325,7 +338,7 @@
                 let text = Bytes::from(handle.render());
                 async move { Ok::<_, Infallible>(Response::new(whole_body(text))) }
             });
-            let _ = http1::Builder::new()
+            let _ = reader_server()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/crates/gateway/tests/silent_callers.rs
+++ b/crates/gateway/tests/silent_callers.rs
@@ -22,7 +22,9 @@
 const HEAD_MS: u64 = 300;
 const IDLE_MS: u64 = 600;
 /// Far longer than the limits, on a busy machine too.
-const PATIENCE: Duration = Duration::from_secs(12);
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time for which a caller takes nothing.
+const STALL: Duration = Duration::from_secs(12);
 /// Length of an answer that no buffer between node and caller holds.
 const LARGE: usize = 30 * 1024 * 1024;
 const CALL: &[u8] = b"POST /calls/p HTTP/1.1\r\nhost: host.test\r\nx-id: call\r\nx-deadline: 3000\r\ncontent-length: 0\r\n\r\n";
@@ -93,7 +95,8 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
                 let mut head = [0; 4_096];
-                stream.read(&mut head).await.unwrap();
+                let length = stream.read(&mut head).await.unwrap();
+                assert!(length > 0, "a request");
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nx-id: call\r\nx-signature: signed\r\ncontent-length: {LARGE}\r\n\r\n"
                 );
@@ -132,7 +135,7 @@
     stream.write_all(CALL).await.unwrap();
     let mut some = vec![0; 1_024];
     stream.read_exact(&mut some).await.unwrap();
-    tokio::time::sleep(PATIENCE).await;
+    tokio::time::sleep(STALL).await;
     let mut rest = Vec::new();
     let taken = timeout(PATIENCE, stream.read_to_end(&mut rest)).await;
     assert!(taken.is_ok(), "the connection is still open");
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -24,6 +24,18 @@
 /// Largest buffer for what is read from a connection.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Has the system end a connection whose peer acknowledges nothing, or takes nothing, for so long,
+/// whether there is something to be sent or not.
+pub fn end_when_unacknowledged(stream: &TcpStream, after: Duration) {
+    let socket = SockRef::from(stream);
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_PAUSE)
+        .with_interval(KEEP_ALIVE_PAUSE);
+    // A connection works without these options, only its end is noticed late.
+    let _ = socket.set_tcp_user_timeout(Some(after));
+    let _ = socket.set_tcp_keepalive(&keep_alive);
+}
+
 /// A connection that carries one exchange at a time. Dropping it closes the socket.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
@@ -47,14 +59,9 @@
             .map_err(|_| LinkError::NotConnected)?;
         // A connection works without these options, only less promptly.
         let _ = stream.set_nodelay(true);
-        let socket = SockRef::from(&stream);
         // Closing resets: bytes that a partition holds up must not arrive after they were given up.
-        let _ = socket.set_linger(Some(Duration::ZERO));
-        let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-        let keep_alive = TcpKeepalive::new()
-            .with_time(KEEP_ALIVE_PAUSE)
-            .with_interval(KEEP_ALIVE_PAUSE);
-        let _ = socket.set_tcp_keepalive(&keep_alive);
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        end_when_unacknowledged(&stream, UNACKNOWLEDGED_TIMEOUT);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -10,6 +10,7 @@
 mod silence;
 
 pub use answer::{Answer, WholeAnswer};
+pub use connection::end_when_unacknowledged;
 pub use error::LinkError;
 pub use link::{Link, LinkSettings, LinkTraffic};
 pub use sending::Sending;
