--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -15,9 +15,10 @@
 use futures::future::join_all;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::backend::BackendChange;
+use http::Method;
 use silencing_proxy::SilencingProxy;
 use support::backend::StandInBackend;
-use support::caller::{call, submit, text, wait_for_results};
+use support::caller::{call, send, submit, text, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed};
 use support::dialect::write_batch;
 use tokio::time::Instant;
@@ -161,3 +162,28 @@
     assert!(completed, "{lines:?}");
     assert!(began.elapsed() < 3 * OBJECTIVE / 2, "{:?}", began.elapsed());
 }
+
+/// A stream that can go on elsewhere need not wait for its deadline before it has begun either: it was sent over a
+/// silent connection once, and nobody sent it again.
+#[tokio::test]
+async fn a_resumable_stream_that_fell_into_silence_begins_elsewhere() {
+    let (_backends, proxies, node) = start(ENGINES).await;
+    let callers = node.callers;
+    let stream = |id: String| async move {
+        let headers = [("x-id", id.as_str()), ("x-deadline", "5000")];
+        let answer = send(callers, Method::POST, "/streams/path", &headers, "");
+        answer.await.unwrap()
+    };
+    join_all((0..CALLS).map(|at| stream(format!("before-{at}")))).await;
+    silence(&proxies);
+    let began = Instant::now();
+    let answers = join_all((0..CALLS).map(|at| stream(format!("amid-{at}")))).await;
+    let statuses: Vec<u16> = answers
+        .iter()
+        .map(|answer| answer.status.as_u16())
+        .collect();
+    println!("streams {statuses:?} ended after {:?}", began.elapsed());
+    assert_eq!(statuses, [200; CALLS]);
+    assert!(answers.iter().all(|answer| text(answer).contains("path.4")));
+    assert!(began.elapsed() < 2 * OBJECTIVE, "{:?}", began.elapsed());
+}
