Send a resumable stream elsewhere where it fell into silence before it began

Change: such a send ends when its connection is seen to be silent (0.6 s at least, as with items: the engine reads the input anew); the call goes to another back end, over a connection that was heard from since the call began, or a new one. It counts as one that may have run, so the route's attempts bound it.

cargo test -p havenstage-gateway: all passed; 12 streams over silenced connections answered after 0.653 s (504 after 3.003 s before).

Weighed: the same for calls that are only repeatable (their hedge comes at half of the objective and lets the first send go on). Streams that cannot be resumed and calls that run once wait as before.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -20,7 +20,7 @@
 
 use crate::backends::ChosenBackend;
 use crate::context::Context;
-use crate::send::{SendOutcome, send};
+use crate::send::{SILENT, SendOutcome, SendTerms, send};
 
 /// Share of the objective after which a repeatable call is also sent to a second back end.
 const HEDGE_SHARE: f64 = 0.5;
@@ -142,6 +142,7 @@
     tried: Vec<BackendId>,
     sends: u32,
     may_have_run: u32,
+    fell_silent: bool,
     server_errors: u32,
     last_failure: Option<WholeAnswer>,
     outcomes: Vec<&'static str>,
@@ -168,6 +169,7 @@
             tried: Vec::new(),
             sends: 0,
             may_have_run: 0,
+            fell_silent: false,
             server_errors: 0,
             last_failure: None,
             outcomes: Vec::new(),
@@ -259,11 +261,16 @@
         } else {
             Duration::ZERO
         };
-        let (context, call, ends) = (self.context, self.call, self.ends);
-        let unanswered_since = (!self.running.is_empty()).then_some(self.began);
+        let (context, call) = (self.context, self.call);
+        let is_unanswered = self.fell_silent || !self.running.is_empty();
+        let terms = SendTerms {
+            ends: self.ends,
+            unanswered_since: is_unanswered.then_some(self.began),
+            ends_when_silent: self.route.kind == RequestKind::Stream { resumable: true },
+        };
         self.running.push(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            send(context, chosen, call, ends, unanswered_since).await
+            send(context, chosen, call, &terms).await
         }));
         true
     }
@@ -292,8 +299,9 @@
                 })))
             }
             SendOutcome::NotRun(_) => None,
-            SendOutcome::MayHaveRun(_) => {
+            SendOutcome::MayHaveRun(reason) => {
                 self.may_have_run += 1;
+                self.fell_silent |= reason == SILENT;
                 None
             }
         }
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -22,9 +22,6 @@
 
 /// Longest time for the head of an answer.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Time without a head after which a kept connection may count as silent: an engine reads the input
-/// before it answers, and would read it anew.
-const HEAD_PATIENCE: Duration = Duration::from_millis(600);
 /// Longest time without an event.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time a reward call has.
@@ -178,7 +175,7 @@
     };
     let sending = Sending::within(HEAD_TIMEOUT)
         .written_by(order.write_by)
-        .patient_for(HEAD_PATIENCE)
+        .patient_for(send::HEAD_PATIENCE)
         .ended_when_silent();
     let answer = match backend.link.send_as(request.clone(), sending).await {
         // Closed with a reset, which cancels what may have begun; the rest of the connections is closed
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -19,6 +19,35 @@
 
 /// A send of which nothing was written, as its time was over or its batch may have ended.
 const TOO_LATE: &str = "too_late";
+/// Time without a head after which a kept connection may count as silent, for work that would be begun
+/// anew: an engine reads the input before it answers.
+pub(crate) const HEAD_PATIENCE: Duration = Duration::from_millis(600);
+/// Outcome of a send without an answer.
+pub(crate) const SILENT: &str = "silent";
+
+/// What a call says of one send of it.
+pub(crate) struct SendTerms {
+    /// When it is given up.
+    pub(crate) ends: Instant,
+    /// Since when an earlier send of the call has no answer. What silenced that one may have silenced
+    /// this back end's connections too: only one that was heard from since is used, or a new one.
+    pub(crate) unanswered_since: Option<Instant>,
+    /// Whether it is given up as soon as its connection is seen to be silent, to go on elsewhere.
+    pub(crate) ends_when_silent: bool,
+}
+
+impl SendTerms {
+    fn sending(&self, left: Duration) -> Sending {
+        let mut sending = Sending::within(left);
+        if let Some(moment) = self.unanswered_since {
+            sending = sending.over_one_heard_since(moment);
+        }
+        if self.ends_when_silent {
+            sending = sending.patient_for(HEAD_PATIENCE).ended_when_silent();
+        }
+        sending
+    }
+}
 
 /// How one send ended.
 pub(crate) enum SendOutcome {
@@ -34,26 +63,20 @@
     pub(crate) backend: ChosenBackend,
 }
 
-/// Sends a call to a back end and judges the back end by what comes. Where an earlier send of it has no
-/// answer since a moment, what silenced that one may have silenced this back end's connections too:
-/// only one that was heard from since is used, or a new one.
+/// Sends a call to a back end and judges the back end by what comes.
 pub(crate) async fn send(
     context: &Arc<Context>,
     chosen: ChosenBackend,
     call: &Call,
-    ends: Instant,
-    unanswered_since: Option<Instant>,
+    terms: &SendTerms,
 ) -> SendOutcome {
     let backend = chosen.id.clone();
     let began = Instant::now();
-    let left = ends.saturating_duration_since(began);
+    let left = terms.ends.saturating_duration_since(began);
     let request = backend_request(context, &chosen, call, left);
-    let answer = match call.write_by(context, ends) {
+    let answer = match call.write_by(context, terms.ends) {
         Some(write_by) => {
-            let mut sending = Sending::within(left).written_by(write_by);
-            if let Some(moment) = unanswered_since {
-                sending = sending.over_one_heard_since(moment);
-            }
+            let sending = terms.sending(left).written_by(write_by);
             chosen.link.send_as(request, sending).await
         }
         None => Err(LinkError::TooLate),
@@ -113,7 +136,7 @@
         Ok(answer) => answer,
         Err(LinkError::TooLate) => return SendOutcome::NotRun(TOO_LATE),
         Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
-        Err(LinkError::TimedOut) => return SendOutcome::MayHaveRun("silent"),
+        Err(LinkError::TimedOut | LinkError::Silent) => return SendOutcome::MayHaveRun(SILENT),
         Err(_) => return SendOutcome::MayHaveRun("broken"),
     };
     let names = context.dialect.headers();
