--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Processor time that the one thread on which the node's tasks run has used.
+    pub async fn processor_time(&self) -> Duration {
+        let runtime = self.runtime.as_ref().unwrap();
+        // A task of the runtime runs on that thread, and reads what the kernel counts for it.
+        runtime.spawn(async { thread_time() }).await.unwrap()
+    }
+
     pub fn set_faults(&self, faults: LogFaults) {
         self.log.set_faults(faults);
     }
@@ -101,6 +108,21 @@
     }
 }
 
+/// Length of a tick in which the kernel counts processor time: USER_HZ is 100 on Linux.
+const TICK: Duration = Duration::from_millis(10);
+/// Place of the ticks in user mode among the fields after the thread's name; those in kernel mode
+/// are next. See proc(5), /proc/pid/stat.
+const USER_TICKS: usize = 11;
+
+/// Processor time that this thread has used.
+fn thread_time() -> Duration {
+    let stat = std::fs::read_to_string("/proc/thread-self/stat").unwrap();
+    let (_, after_name) = stat.rsplit_once(')').unwrap();
+    let fields = after_name.split_whitespace().skip(USER_TICKS).take(2);
+    let ticks: u32 = fields.map(|field| field.parse::<u32>().unwrap()).sum();
+    TICK * ticks
+}
+
 pub async fn wait_until(what: &str, is_so: impl Fn() -> bool) {
     for _ in 0..2_000 {
         if is_so() {
