Show the same loop for a call that every back end has got

Of two back ends one breaks the connection and one stays silent; a third send is allowed, and there is no back end left for it.

--- a/crates/gateway/tests/second_sends.rs
+++ b/crates/gateway/tests/second_sends.rs
@@ -37,6 +37,27 @@
     );
 }
 
+/// The same loop, where every back end had got the call: one broke the connection, and the other one, or
+/// the first, stayed silent.
+#[tokio::test]
+async fn a_call_that_every_back_end_has_got_leaves_the_processor_alone() {
+    let deployment = Deployment::start(0, 2).await;
+    let node = deployment.node("a").await;
+    deployment.applications[0].behave(|told| told.call = CallBehaviour::Silent);
+    deployment.applications[1].behave(|told| told.call = CallBehaviour::Break);
+    let before = node.processor_time().await;
+    let answer = call(node.callers, "call", "/calls/path").await;
+    let used = node.processor_time().await - before;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    for application in &deployment.applications {
+        assert_eq!(application.seen().len(), 1);
+    }
+    assert!(
+        used < MOST_PROCESSOR_TIME,
+        "{used:?} of processor time for one call that waits"
+    );
+}
+
 /// A look that finds no second back end is not the last one.
 #[tokio::test]
 async fn a_back_end_that_comes_late_gets_the_second_send() {
