Test that ended batches are read within ten seconds after a restart of everything

What happened: two batches that had been accepted (at 60.0 and 76.0 s) and ended (end acknowledged at 65.7 and 82.5 s) could not be read at 137.9 s, though they are promised for 120 s from their start. All nodes had lost power shortly before, and readers have ten seconds.

The tests let batches run, end them, kill all nodes, start new ones before a log that refuses half of the reads, answers late, leaves first reads without an answer, or lists no directory, and read every batch from its start, at the next node and from the start again after each failure, with and without leave to wait. A batch takes eight reads of the log: at 256 KB a read that is a batch of 2 MB, as 224 items of 23 events are.

--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -56,6 +56,14 @@
     pub read_delay: Duration,
     /// Every second page of a listing is refused because too many calls are made.
     pub throttles_listings: bool,
+    /// Pages of listings are refused, all of them.
+    pub refuses_listings: bool,
+    /// Of ten reads of partitions and checkpoints, so many are refused because too many calls are made.
+    pub throttled_reads_of_ten: u64,
+    /// The first so many reads of partitions get no answer, as on connections that have gone silent.
+    pub silent_reads: u64,
+    /// Most bytes of records in the answer to a read; 0 stands for no limit.
+    pub page_bytes: usize,
 }
 
 /// One node's way to the log.
@@ -64,6 +72,7 @@
     faults: Mutex<LogFaults>,
     listings: AtomicU64,
     reads: AtomicU64,
+    reads_let_in: AtomicU64,
     bytes_read: AtomicU64,
 }
 
@@ -72,6 +81,8 @@
 
 /// How long a call that gets no answer takes.
 const NO_ANSWER: Duration = Duration::from_millis(300);
+/// How long a call on a silent connection takes, as with the users' store.
+const SILENCE: Duration = Duration::from_millis(1_000);
 
 impl MemoryLog {
     pub fn new() -> Arc<Self> {
@@ -180,6 +191,7 @@
             faults: Mutex::new(faults),
             listings: AtomicU64::new(0),
             reads: AtomicU64::new(0),
+            reads_let_in: AtomicU64::new(0),
             bytes_read: AtomicU64::new(0),
         })
     }
@@ -232,6 +244,34 @@
         }
         Ok(())
     }
+
+    /// Refuses its share of the reads, spread evenly, and leaves the first ones without an answer.
+    async fn let_read_in(&self) -> Result<(), LogError> {
+        let number = self.reads_let_in.fetch_add(1, Ordering::Relaxed);
+        if number < self.faults().silent_reads {
+            tokio::time::sleep(SILENCE).await;
+            return Err(LogError::Unknown);
+        }
+        // 3 has no common factor with 10, so ten calls in a row meet each remainder once.
+        if number * 3 % 10 < self.faults().throttled_reads_of_ten {
+            return Err(LogError::Refused(429));
+        }
+        Ok(())
+    }
+}
+
+/// The first records, up to so many bytes and one at least; 0 stands for all.
+fn first_records(records: Vec<Bytes>, most_bytes: usize) -> Vec<Bytes> {
+    if most_bytes == 0 {
+        return records;
+    }
+    let mut bytes = 0;
+    let fits = |record: &Bytes| {
+        let is_first = bytes == 0;
+        bytes += record.len();
+        is_first || bytes <= most_bytes
+    };
+    records.into_iter().take_while(fits).collect()
 }
 
 #[async_trait]
@@ -265,6 +305,7 @@
     ) -> Result<LogPage, LogError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
         self.check_readable().await?;
+        self.let_read_in().await?;
         self.shared.check_kept(partition, from)?;
         let page = |state: &State| {
             let records = state
@@ -286,7 +327,8 @@
         let found = found.await;
         // A fault that began while the call waited takes its answer too.
         self.check_readable().await?;
-        let page = found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap()));
+        let mut page = found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap()));
+        page.records = first_records(page.records, self.faults().page_bytes);
         tokio::time::sleep(self.faults().read_delay).await;
         let bytes: usize = page.records.iter().map(Bytes::len).sum();
         self.bytes_read.fetch_add(bytes as u64, Ordering::Relaxed);
@@ -305,6 +347,7 @@
 
     async fn load(&self, name: &str) -> Result<Option<Bytes>, LogError> {
         self.check_readable().await?;
+        self.let_read_in().await?;
         Ok(self
             .shared
             .state
@@ -332,7 +375,7 @@
         after: Option<&str>,
     ) -> Result<ListingPage, LogError> {
         self.check_reachable().await?;
-        if self.refuses_next_listing() {
+        if self.faults().refuses_listings || self.refuses_next_listing() {
             return Err(LogError::Refused(429));
         }
         let state = self.shared.state.lock().unwrap();
