Ask the log again for a caller that waits, and to the end though it leaves

Cause: a node that has just started knows no batch and must read the batch's partition to its end before it answers: up to 8 reads of 256 KB in a row (2 MB: 224 items with 23 events). StreamView::confirm gave up at the first read that failed and failed all who waited, and its callers answered 503 at once, though a caller waits 1.5 s longer than it allows. With half of the reads refused eight in a row succeed in one of 256 tries. And the reading belonged to the caller's own request: it ended when the caller left, so a reader that goes to another node each time started another load each time, and none was brought to its end without a follower, which only callers with leave to wait have.

Change: - StreamView::confirm_until asks again after a failure (after 0.1 s, up to 0.4 s while the log is asked too much, spread by half), with one call for all who wait, until 1.3 s after the wait that the caller allows. A node without any answer of the log for 2.5 s tries once, so that its callers go elsewhere at once. - A question runs in a task of its own (questions) and goes on when its caller leaves. - Results that are listed are answered as soon as they are read: they never change. - failed_reads: a failure is shared by those who waited while it came, by count.

Same cause elsewhere: item bodies and ends asked in the same way, and have the mend. Claims (engine/claim), the orders lease (coordinator/lease) and followers come again by their own clocks and wait for no caller; they keep confirm with one try. Appends for callers were repeated already. Directories and the checkpoint repeat too.

Ruled out by tests that pass on the code before: waiting for a configuration (reads of batches ask for none), an ended batch without results, connections silent at first. Weighed: several reads of a partition at the same time (offsets of pages aren't known; overlaps are read twice); larger pages (the link of a small node and the store's bytes a second are shared at a restart).

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -23,6 +23,7 @@
 use crate::batch_partitions::BatchView;
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
+use crate::questions;
 use crate::stream_view::{StreamState, StreamView};
 
 /// Most bytes of a page of results.
@@ -151,17 +152,19 @@
         id,
         from,
         asked: Instant::now(),
+        wait: wait.min(LONGEST_WAIT),
     };
-    call.answer(wait.min(LONGEST_WAIT)).await
+    call.answer().await
 }
 
 /// A call for results.
 struct ReadCall<'a> {
-    context: &'a Context,
+    context: &'a Arc<Context>,
     partition: &'a BatchView,
     id: &'a BatchId,
     from: usize,
     asked: Instant,
+    wait: Duration,
 }
 
 enum Found {
@@ -171,11 +174,11 @@
 }
 
 impl ReadCall<'_> {
-    async fn answer(&self, wait: Duration) -> BatchAnswer {
-        if !wait.is_zero() {
+    async fn answer(&self) -> BatchAnswer {
+        if !self.wait.is_zero() {
             self.context.partitions.want(self.id, self.context.now());
         }
-        let until = self.asked + wait;
+        let until = self.asked + self.wait;
         loop {
             let changed = self.partition.changed();
             tokio::pin!(changed);
@@ -191,8 +194,8 @@
                 Found::NothingNew { .. } => {
                     let _ = tokio::time::timeout_at(until, changed).await;
                 }
-                Found::NoBatch => match confirm_now(self.context, self.partition).await {
-                    Err(answer) => return answer,
+                Found::NoBatch => match self.ask(Duration::ZERO).await {
+                    Err(error) => return refuse_read(self.partition, error),
                     Ok(()) if self.partition.lock().state.batch(self.id).is_none() => {
                         info!(event = "batch_not_found", batch = self.id.as_str(),
                             status = 404u16; "");
@@ -242,15 +245,38 @@
         }
     }
 
+    /// Asks the log, until what is known here is fresh enough or there is a result to answer with: what is
+    /// listed never changes, so it is answered before the rest of the partition is read, and whatever
+    /// failed.
+    async fn ask(&self, most_age: Duration) -> Result<(), LogError> {
+        let until = questions::deadline(self.context, self.asked, self.wait);
+        let question = questions::ask(self.context, self.id, most_age, until);
+        tokio::pin!(question);
+        loop {
+            let changed = self.partition.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if self.has_results() {
+                return Ok(());
+            }
+            tokio::select! {
+                biased;
+                () = changed => {}
+                outcome = question.as_mut() => return outcome,
+            }
+        }
+    }
+
+    fn has_results(&self) -> bool {
+        let inner = self.partition.lock();
+        let batch = inner.state.batch(self.id);
+        batch.is_some_and(|batch| self.from < batch.listed.len())
+    }
+
     /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
     async fn confirmed_nothing(&self) -> Option<BatchAnswer> {
-        let log = self.context.log.as_ref();
-        let confirmed = self
-            .partition
-            .confirm(log, self.context.clock, FRESH_ENOUGH)
-            .await;
-        if confirmed.is_err() {
-            return Some(BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE));
+        if let Err(error) = self.ask(FRESH_ENOUGH).await {
+            return Some(refuse_read(self.partition, error));
         }
         let inner = self.partition.lock();
         let batch = inner.state.batch(self.id)?;
@@ -258,15 +284,17 @@
     }
 }
 
-async fn confirm_now(context: &Context, partition: &BatchView) -> Result<(), BatchAnswer> {
-    partition
-        .confirm(context.log.as_ref(), context.clock, Duration::ZERO)
-        .await
-        .map_err(|error| {
-            warn!(event = "read_refused", partition = partition.id.to_string().as_str(),
-            reason = error.to_string().as_str(), status = 503u16; "");
-            BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
-        })
+/// Reads a batch's partition to its end, for a caller that allows no wait.
+async fn confirm_now(context: &Arc<Context>, id: &BatchId) -> Result<(), BatchAnswer> {
+    let until = questions::deadline(context, Instant::now(), Duration::ZERO);
+    let asked = questions::ask(context, id, Duration::ZERO, until).await;
+    asked.map_err(|error| refuse_read(context.partition_of(id), error))
+}
+
+fn refuse_read(partition: &BatchView, error: LogError) -> BatchAnswer {
+    warn!(event = "read_refused", partition = partition.id.to_string().as_str(),
+        reason = error.to_string().as_str(), status = 503u16; "");
+    BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
 }
 
 /// Reads the body of an item that is not listed yet.
@@ -275,7 +303,7 @@
     if let Some(answer) = known_body(partition, id, item) {
         return answer;
     }
-    if let Err(answer) = confirm_now(context, partition).await {
+    if let Err(answer) = confirm_now(context, id).await {
         return answer;
     }
     known_body(partition, id, item).unwrap_or_else(|| BatchAnswer::empty(StatusCode::NOT_FOUND))
@@ -295,7 +323,7 @@
 pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
     let partition = context.partition_of(id);
     let is_unknown = partition.lock().state.batch(id).is_none();
-    if is_unknown && let Err(answer) = confirm_now(context, partition).await {
+    if is_unknown && let Err(answer) = confirm_now(context, id).await {
         return answer;
     }
     let ended = partition.lock().state.batch(id).map(|batch| batch.ended);
--- /dev/null
+++ b/crates/gateway/src/questions.rs
@@ -0,0 +1,56 @@
+//! Callers' questions to the log about the partition of a batch.
+//!
+//! A question is asked again after a failure while its caller waits, and to its end though the caller has
+//! left: what it brought is known here when the caller comes again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::ids::BatchId;
+use log::error;
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::edge::LogError;
+
+/// Time beyond the wait that a caller allows in which a question is asked again. Callers leave 1.5 s after
+/// that wait; the rest is left for the last answer's way.
+const PATIENCE: Duration = Duration::from_millis(1_300);
+/// Age of the log's last answer up to which a node counts on the next one: as long as it is ready. A node
+/// that has lost the log refuses after one try, so that callers ask another one.
+const IN_TOUCH_MS: Millis = 2_500;
+
+/// Until when to ask again for a caller that asked at `asked` and allows `wait`.
+pub(crate) fn deadline(context: &Context, asked: Instant, wait: Duration) -> Instant {
+    let is_in_touch = context.contact_age() < IN_TOUCH_MS;
+    let patience = if is_in_touch {
+        PATIENCE
+    } else {
+        Duration::ZERO
+    };
+    asked + wait + patience
+}
+
+/// Makes sure that all that was in a batch's partition `most_age` ago is known here. Goes on when the
+/// caller drops it, up to the end of the partition or the first failure after `until`.
+pub(crate) async fn ask(
+    context: &Arc<Context>,
+    batch: &BatchId,
+    most_age: Duration,
+    until: Instant,
+) -> Result<(), LogError> {
+    let asking = context.clone();
+    let batch = batch.clone();
+    let question = tokio::spawn(async move {
+        let partition = asking.partition_of(&batch);
+        let log = asking.log.as_ref();
+        partition
+            .confirm_until(log, asking.clock, most_age, until)
+            .await
+    });
+    question.await.unwrap_or_else(|failure| {
+        error!(event = "question_ended", reason = failure.to_string().as_str(); "");
+        Err(LogError::Unknown)
+    })
+}
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -12,8 +12,10 @@
 use havenstage_rollout::record::BatchRecord;
 use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::edge::{LogError, LogPage, SharedLog, SteadyClock, StreamPartition};
+use crate::failed_reads::FailedReads;
 
 /// A state that is a fold over the records of a partition.
 pub trait StreamState {
@@ -70,7 +72,7 @@
     last_success: Millis,
     readable_since: Millis,
     is_caught_up: bool,
-    failed: Option<FailedRead>,
+    failed: FailedReads,
     /// Time between two reads that is nothing unusual.
     pub usual_gap_ms: Millis,
 }
@@ -92,19 +94,17 @@
         self.joiner.is_between_values()
     }
 
+    /// Whether all that was in the log at that time is known here.
+    fn is_known_since(&self, oldest: Millis) -> bool {
+        self.confirmed.is_some_and(|at| at >= oldest)
+    }
+
     fn is_current(&self, now: Millis) -> bool {
         let longest_gap = LONGEST_GAP_MS + self.usual_gap_ms;
         self.last_success > 0 && now.saturating_sub(self.last_success) <= longest_gap
     }
 }
 
-/// The last read that failed.
-#[derive(Debug, Clone, Copy)]
-struct FailedRead {
-    at: Millis,
-    error: LogError,
-}
-
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
@@ -132,7 +132,7 @@
             last_success: 0,
             readable_since: 0,
             is_caught_up: false,
-            failed: None,
+            failed: FailedReads::default(),
             usual_gap_ms: 0,
         };
         Self {
@@ -300,27 +300,67 @@
         clock: SteadyClock,
         most_age: Duration,
     ) -> Result<(), LogError> {
-        let began = clock.now();
-        let oldest = began.saturating_sub(most_age.as_millis() as Millis);
-        let is_known = |inner: &ViewInner<S>| inner.confirmed.is_some_and(|at| at >= oldest);
-        if is_known(&self.lock()) {
+        self.confirm_since(log, clock, oldest(clock, most_age))
+            .await
+    }
+
+    /// The same for callers who wait: a failure is no answer to them while the next try may still reach
+    /// them, so the log is asked again until `until`. Loading a partition takes several reads in a row;
+    /// those that succeeded are not repeated.
+    pub async fn confirm_until(
+        &self,
+        log: &dyn SharedLog,
+        clock: SteadyClock,
+        most_age: Duration,
+        until: Instant,
+    ) -> Result<(), LogError> {
+        let oldest = oldest(clock, most_age);
+        loop {
+            if self.lock().is_known_since(oldest) {
+                return Ok(());
+            }
+            let failed = self.lock().failed.too_early_to_ask_again(clock.now());
+            if let Some(failed) = failed {
+                let pause = Duration::from_millis(failed.again_at.saturating_sub(clock.now()));
+                if Instant::now() + pause >= until {
+                    return Err(failed.error);
+                }
+                tokio::time::sleep(pause).await;
+                // Another caller's try may have failed meanwhile, and counts for this one too.
+                continue;
+            }
+            match self.confirm_since(log, clock, oldest).await {
+                Err(_) if Instant::now() < until => {}
+                outcome => return outcome,
+            }
+        }
+    }
+
+    async fn confirm_since(
+        &self,
+        log: &dyn SharedLog,
+        clock: SteadyClock,
+        oldest: Millis,
+    ) -> Result<(), LogError> {
+        let failures = self.lock().failed.count();
+        if self.lock().is_known_since(oldest) {
             return Ok(());
         }
         let _turn = self.confirming.lock().await;
-        if let Some(failed) = self.lock().failed.filter(|failed| failed.at > began) {
-            return Err(failed.error);
+        if let Some(error) = self.lock().failed.behind(failures) {
+            return Err(error);
         }
-        while !is_known(&self.lock()) {
+        while !self.lock().is_known_since(oldest) {
             let from = self.lock().next;
             let asked = clock.now();
             match log.read(self.id, from, Duration::ZERO).await {
                 Ok(page) => {
                     self.take_page(page, asked, clock.now());
+                    self.lock().failed.end();
                 }
                 Err(LogError::HistoryDropped { first }) => self.skip_to(first),
                 Err(error) => {
-                    let at = clock.now();
-                    self.lock().failed = Some(FailedRead { at, error });
+                    self.lock().failed.note(error, clock.now());
                     return Err(error);
                 }
             }
@@ -328,3 +368,8 @@
         Ok(())
     }
 }
+
+/// When the question must have been asked whose answer is at most `most_age` old.
+fn oldest(clock: SteadyClock, most_age: Duration) -> Millis {
+    clock.now().saturating_sub(most_age.as_millis() as Millis)
+}
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -172,3 +172,29 @@
     let decoded = ControlRecord::decode(&record[1..]);
     matches!(decoded, Ok(ControlRecord::BatchAccepted(_)))
 }
+
+/// Time for which callers go on asking a log that refuses them.
+const ASKED_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// Callers that wait while the log refuses reads ask again with one call for all of them: the log is asked
+/// too much already.
+#[tokio::test]
+async fn questions_that_are_refused_are_shared_when_they_are_asked_again() {
+    let deployment = deployment_of_many_machines().await;
+    let log = NodeLog::with_faults(
+        &deployment.log,
+        LogFaults {
+            throttled_reads_of_ten: 10,
+            ..LogFaults::default()
+        },
+    );
+    let node = deployment.node("node").await;
+    let context = node.context().clone();
+    let view = context.partition_of(&"batch".into());
+    let until = tokio::time::Instant::now() + ASKED_AGAIN;
+    let ask = || view.confirm_until(log.as_ref(), context.clock, Duration::ZERO, until);
+    let answers = futures::future::join_all((0..ASKERS).map(|_| ask())).await;
+    assert!(answers.iter().all(Result::is_err));
+    assert!(tokio::time::Instant::now() < until + ASKED_AGAIN / 2);
+    assert!((2..=20).contains(&log.reads()), "{} reads", log.reads());
+}
