Answer "nothing more" from memory once every item of a batch is listed

Cause: a reader at the end of a batch was always checked against the log, so that a node which was cut off from it answered 503 for a batch that it knew whole.

Change: BatchState::is_fully_listed; behind the last item the empty page is answered at once, since the fold lists no item twice and so no record can add a result.

Ruled out: the same for a batch that is only ended. The fold takes a late result behind an end, so a node that has not read it would say "nothing" where another one has listed a result.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -212,7 +212,8 @@
         let Some(batch) = inner.state.batch(self.id) else {
             return Found::NoBatch;
         };
-        if self.from >= batch.listed.len() {
+        // Behind the last item there is nothing, whatever the log holds by now.
+        if self.from >= batch.listed.len() && !batch.is_fully_listed() {
             return Found::NothingNew {
                 closed: batch.is_closed(),
             };
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -144,7 +144,13 @@
 
     /// Whether nothing is left to be done.
     pub fn is_closed(&self) -> bool {
-        self.ended || self.listed.len() == self.items.len()
+        self.ended || self.is_fully_listed()
+    }
+
+    /// Whether every item is listed, so that no record can add a result. An end alone doesn't say that:
+    /// results that were on their way are listed behind it.
+    pub fn is_fully_listed(&self) -> bool {
+        self.listed.len() == self.items.len()
     }
 
     /// Items at the listed positions from `from` on.
