Test that a node's own forgetting, and records it missed, make no reader's answer wrong

1. a_batch_that_is_open_is_read_past_its_retention, only_closed_batches_are_forgotten: a node forgets a batch 10 s after the promised time since it first saw it, also while it is open, though positions are promised as long as a batch is open. Its owner drops its items. A node that was asked about it once has read past its records, so that the batch is not found again though the log holds it: 404. left: None, right: Some([]) (at the node that was asked before); it is open (the fold) 2. a_node_that_missed_a_result_lists_none_in_its_place: a node has read a batch's beginning, and the records of its first result are dropped before it reads on. It lists the second result at position 0, where another node has listed the first. 200 ["i2|given up||{}|TooLate"]

The first is reached by batches that are open for more than 130 s; the second by a batch that is open for longer than the store keeps records (300 s), once the first is mended.

--- a/crates/gateway/tests/reading_after_restart.rs
+++ b/crates/gateway/tests/reading_after_restart.rs
@@ -17,7 +17,7 @@
 use http::Method;
 use support::backend::StandInBackend;
 use support::caller::{results, send, submit, text, wait_for_results};
-use support::deployment::{Deployment, TestNode, wait_until};
+use support::deployment::{Deployment, TestNode, settings, wait_until};
 use support::dialect::write_batch;
 use support::log::{LogFaults, NodeLog};
 use tokio::time::Instant;
@@ -340,3 +340,37 @@
     assert_eq!(results(node.callers, "batch", 0).await.0, 503);
     assert!(began.elapsed() < Duration::from_millis(500));
 }
+
+/// Longer than a node of these tests keeps what is past its retention, with its pause between two looks.
+const PAST_RETENTION: Duration = Duration::from_secs(17);
+
+/// A node that keeps batches no longer than it must.
+async fn forgetful_node(deployment: &Deployment, name: &str) -> TestNode {
+    let mut settings = settings(name);
+    settings.bounds.retention_s = 0.0;
+    let node = TestNode::start_so(NodeLog::new(&deployment.log), settings).await;
+    node.knows(2).await;
+    node
+}
+
+/// A batch whose items take long is past the retention while it is open; positions are promised as long as a
+/// batch is open. Its owner goes on with it, and a node that was asked about it once finds it again: what a
+/// node has forgotten the log still holds.
+#[tokio::test]
+async fn a_batch_that_is_open_is_read_past_its_retention() {
+    let deployment = Deployment::start(1, 1).await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(5));
+    let owner = forgetful_node(&deployment, "owner").await;
+    let other = forgetful_node(&deployment, "other").await;
+    let body = write_batch(1, &[("item", "group")], false);
+    assert_eq!(submit(owner.callers, "batch", &body).await, 202);
+    let nothing = Some(Vec::new());
+    assert_eq!(page(other.callers, "batch", 0, None).await, nothing);
+    tokio::time::sleep(PAST_RETENTION).await;
+    assert_eq!(page(other.callers, "batch", 0, None).await, nothing);
+    assert_eq!(page(owner.callers, "batch", 0, None).await, nothing);
+    let lines = wait_for_results(owner.callers, "batch", 1).await;
+    assert_eq!(page(other.callers, "batch", 0, None).await, Some(lines));
+    let runs = deployment.engines[0].runs();
+    assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
+}
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -39,6 +39,10 @@
     }
 
     pub async fn start_with(log: Arc<NodeLog>, name: &str) -> Self {
+        Self::start_so(log, settings(name)).await
+    }
+
+    pub async fn start_so(log: Arc<NodeLog>, settings: Settings) -> Self {
         let surroundings = Surroundings {
             log: log.clone(),
             checkpoints: log.clone(),
@@ -50,7 +54,6 @@
             .enable_all()
             .build()
             .unwrap();
-        let settings = settings(name);
         let started = runtime.spawn(async move { node::start(settings, surroundings).await });
         let running = started.await.unwrap().unwrap();
         let (callers, context) = (running.callers_address(), running.context().clone());
--- a/crates/gateway/tests/troubles.rs
+++ b/crates/gateway/tests/troubles.rs
@@ -3,15 +3,20 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_gateway::edge::{Dialect, DirectoryEntry, SharedLog};
 use havenstage_rollout::backend::BackendChange;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::RunId;
+use havenstage_rollout::record::{BatchRecord, GiveUpReason, Outcome};
+use havenstage_rollout::stored::Stored;
 use http::Method;
 use support::caller::{call, results, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, listed, wait_until};
-use support::dialect::write_batch;
-use support::log::LogFaults;
+use support::dialect::{HOST, TestDialect, write_batch};
+use support::log::{LogFaults, NodeLog};
 
 const ITEMS: [(&str, &str); 4] = [("i1", "g1"), ("i2", "g1"), ("i3", "g2"), ("i4", "g2")];
 
@@ -102,6 +107,48 @@
     assert_eq!(results(first.callers, "old", 0).await.1.len(), ITEMS.len());
 }
 
+/// A node has read the beginning of a batch when the records of its first result are dropped. What it reads
+/// then cannot be put at its right position, so it lists none of it: another node has listed the first result
+/// at position 0, and positions never change.
+#[tokio::test]
+async fn a_node_that_missed_a_result_lists_none_in_its_place() {
+    let deployment = Deployment::start(0, 0).await;
+    let node = deployment.node("a").await;
+    let partition = node.context().partition_of(&"batch".into()).id;
+    let log = NodeLog::new(&deployment.log);
+    let write = async |record: BatchRecord| {
+        let records = framing::split(&record.encode(), 512);
+        log.append(partition, records).await.unwrap();
+    };
+    let body = write_batch(1, &ITEMS, false);
+    let submission =
+        TestDialect::new().read_submission("batch".into(), HOST, "/batches/b", body.as_bytes());
+    write(BatchRecord::Submitted {
+        submission: Arc::new(submission.unwrap()),
+        owner: None,
+    })
+    .await;
+    assert_eq!(results(node.callers, "batch", 0).await, (200, Vec::new()));
+    // Longer than a node follows what somebody asked about.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    write(given_up("i1")).await;
+    deployment.log.drop_history(partition);
+    write(given_up("i2")).await;
+    let (status, lines) = results(node.callers, "batch", 0).await;
+    assert!(lines.is_empty(), "{status} {lines:?}");
+}
+
+fn given_up(item: &str) -> BatchRecord {
+    BatchRecord::Finished {
+        batch: "batch".into(),
+        item: item.into(),
+        run: RunId(1),
+        resumed_from: 0,
+        events: 0,
+        outcome: Outcome::GivenUp(GiveUpReason::TooLate),
+    }
+}
+
 /// Items end while the log takes no records. Once it does again, what was made is written down and
 /// listed, and nothing is made a second time.
 #[tokio::test]
--- a/crates/rollout/tests/fold.rs
+++ b/crates/rollout/tests/fold.rs
@@ -199,3 +199,20 @@
     assert_eq!(state.apply(restarted, 5), FoldOutcome::Ignored);
     assert_eq!(texts(&state), ["new"]);
 }
+
+/// Positions are promised until a time after a batch was handed in, and as long as it is open.
+#[test]
+fn only_closed_batches_are_forgotten() {
+    let mut state = state_with_item();
+    state.forget_before(1_000);
+    assert!(state.batch(&BatchId::from("batch")).is_some(), "it is open");
+    let batch = BatchId::from("batch");
+    state.apply(BatchRecord::Ended { batch }, 2_000);
+    state.forget_before(0);
+    assert!(
+        state.batch(&BatchId::from("batch")).is_some(),
+        "its retention is not over"
+    );
+    state.forget_before(3_000);
+    assert!(state.batch(&BatchId::from("batch")).is_none());
+}
