Forget only closed batches, and nothing that could not be found again

Cause: what a node keeps was bounded by the time since it first saw a batch, open or not; so an open batch was lost to its owner after 130 s. And forgetting left the partition's offset where it was, so that the node could not find in the log what it had dropped from memory: it answered 404 for a batch that the log still held.

Change: the fold and the index keep open batches. A partition that nobody follows and in which everything is past its time is forgotten whole, with its offset: it is read from its start when somebody asks. That is done only while no task follows it and no question is under way, since a page on its way begins at the old offset. Memory stays bounded: where a batch is followed, it closes when its items are done or given up; a batch in the index whose records are gone is closed by whoever claims it and finds nothing (as before).

Tests: batches_past_their_retention_are_forgotten asserted that an open batch is forgotten, which is the fault; it now asserts that closed ones are, at once when they close late, and that open and newer ones stay. a_batch_that_is_open_is_read_past_its_retention used an engine that pauses 5 s between events, more than the 2 s after which a run is broken off, so that its item ran 9 times and was given up; the batch now waits for a version of the weights.

--- a/crates/gateway/src/batch_partitions.rs
+++ b/crates/gateway/src/batch_partitions.rs
@@ -95,8 +95,28 @@
 
     fn request_follower(&self, index: usize) {
         if self.views[index].begin_following() {
-            // The receiver is gone only when the process ends.
-            let _ = self.follow_requests.send(index);
+            self.send_follow_request(index);
+        }
+    }
+
+    fn send_follow_request(&self, index: usize) {
+        // The receiver is gone only when the process ends.
+        let _ = self.follow_requests.send(index);
+    }
+
+    /// Forgets what was first seen before `before`: closed batches where a task follows a partition, and
+    /// whole partitions that nobody follows.
+    pub fn forget_before(&self, before: Millis, now: Millis) {
+        for (index, view) in self.views.iter().enumerate() {
+            if !view.begin_following() {
+                view.lock().state.forget_before(before);
+                continue;
+            }
+            view.forget_all_before(before);
+            // Somebody may have asked for a task meanwhile, and found this one in its place.
+            if !view.end_following(now) {
+                self.send_follow_request(index);
+            }
         }
     }
 
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -238,9 +238,7 @@
         let Some(before) = context.now().checked_sub(retention) else {
             continue;
         };
-        for view in context.partitions.iter() {
-            view.lock().state.forget_before(before);
-        }
+        context.partitions.forget_before(before, context.now());
         context.control.lock().state.forget_batches_before(before);
         context.occupancy.lock().state.forget_before(before);
     }
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -369,6 +369,26 @@
     }
 }
 
+impl StreamView<PartitionState> {
+    /// Forgets all, if every batch was first seen before `before`: the partition is read from its start
+    /// when somebody asks again, so that nothing is forgotten here that the log still holds. Only for a
+    /// partition that no task follows; one that is being read is left as it is, since the page on its way
+    /// begins where this node was.
+    pub fn forget_all_before(&self, before: Millis) {
+        let Ok(_turn) = self.confirming.try_lock() else {
+            return;
+        };
+        let mut inner = self.lock();
+        if inner.next > 0 && inner.state.is_older_than(before) {
+            inner.state = PartitionState::default();
+            inner.next = 0;
+            inner.joiner = Joiner::default();
+            inner.confirmed = None;
+            inner.is_caught_up = false;
+        }
+    }
+}
+
 /// When the question must have been asked whose answer is at most `most_age` old.
 fn oldest(clock: SteadyClock, most_age: Duration) -> Millis {
     clock.now().saturating_sub(most_age.as_millis() as Millis)
--- a/crates/gateway/tests/reading_after_restart.rs
+++ b/crates/gateway/tests/reading_after_restart.rs
@@ -353,24 +353,29 @@
     node
 }
 
-/// A batch whose items take long is past the retention while it is open; positions are promised as long as a
+/// A batch that waits for a version of the weights is past the retention while it is open; positions are promised as long as a
 /// batch is open. Its owner goes on with it, and a node that was asked about it once finds it again: what a
 /// node has forgotten the log still holds.
 #[tokio::test]
 async fn a_batch_that_is_open_is_read_past_its_retention() {
     let deployment = Deployment::start(1, 1).await;
-    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(5));
     let owner = forgetful_node(&deployment, "owner").await;
     let other = forgetful_node(&deployment, "other").await;
-    let body = write_batch(1, &[("item", "group")], false);
+    let body = write_batch(2, &[("item", "group")], false);
     assert_eq!(submit(owner.callers, "batch", &body).await, 202);
     let nothing = Some(Vec::new());
     assert_eq!(page(other.callers, "batch", 0, None).await, nothing);
     tokio::time::sleep(PAST_RETENTION).await;
     assert_eq!(page(other.callers, "batch", 0, None).await, nothing);
     assert_eq!(page(owner.callers, "batch", 0, None).await, nothing);
+    deployment.engines[0].behave(|told| told.version = 2);
+    owner
+        .context()
+        .backends
+        .lock()
+        .saw_version(&"engine-0".into(), &"model".into(), 2);
     let lines = wait_for_results(owner.callers, "batch", 1).await;
-    assert_eq!(page(other.callers, "batch", 0, None).await, Some(lines));
+    assert_eq!(wait_for_results(other.callers, "batch", 1).await, lines);
     let runs = deployment.engines[0].runs();
     assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
 }
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -199,9 +199,10 @@
         index
     }
 
-    /// Forgets batches first heard of before `before`, so that memory stays bounded.
+    /// Forgets closed batches first heard of before `before`, so that memory stays bounded.
     pub fn forget_before(&mut self, before: Millis) {
-        self.batches.retain(|_, batch| batch.first_seen >= before);
+        self.batches
+            .retain(|_, batch| batch.is_open() || batch.first_seen >= before);
     }
 }
 
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -270,9 +270,16 @@
         self.batches.is_empty()
     }
 
-    /// Forgets batches first seen before `before`, so that memory stays bounded.
+    /// Forgets closed batches first seen before `before`, so that memory stays bounded. Open ones are promised
+    /// for as long as they are open.
     pub fn forget_before(&mut self, before: Millis) {
-        self.batches.retain(|_, batch| batch.first_seen >= before);
+        self.batches
+            .retain(|_, batch| !batch.is_closed() || batch.first_seen >= before);
+    }
+
+    /// Whether all batches were first seen before `before`.
+    pub fn is_older_than(&self, before: Millis) -> bool {
+        self.batches.values().all(|batch| batch.first_seen < before)
     }
 
     fn lease(&mut self, batch: &BatchId, change: impl FnOnce(&mut LeaseState) -> bool) -> bool {
--- a/crates/rollout/tests/batch_index.rs
+++ b/crates/rollout/tests/batch_index.rs
@@ -97,7 +97,18 @@
 fn batches_past_their_retention_are_forgotten() {
     let mut index = BatchIndex::default();
     index.accepted(notice("old", 1, None), 10);
+    index.accepted(notice("old and open", 1, None), 10);
     index.accepted(notice("new", 2, None), 90);
+    index.accepted(notice("new and closed", 2, None), 90);
+    index.closed(&BatchId::from("old"), 20);
+    index.closed(&BatchId::from("new and closed"), 95);
     index.forget_before(50);
-    assert_eq!(open(&index), ["new"]);
+    let known: Vec<&str> = index
+        .batches()
+        .map(|batch| batch.notice.batch.as_str())
+        .collect();
+    assert_eq!(known, ["new", "new and closed", "old and open"]);
+    index.closed(&BatchId::from("old and open"), 100);
+    index.forget_before(50);
+    assert!(index.batch(&BatchId::from("old and open")).is_none());
 }
