Drop batches whose records were missed, instead of listing later results in their places

Cause: when the log had dropped records that a node had not read, the node went on with the first one kept and folded the rest onto what it knew. A fold over a gap lists later results at the positions of missed ones.

Change: StreamState::missed_records, called where a view skips offsets (an answer that names the first kept, or a page that begins later); the fold of batches then keeps only batches that are listed whole. The half-read value of a split record is dropped with it. The control stream and occupancy go on, as they take up a checkpoint or hold a moment's word.

What a reader gets for a batch whose first records are gone: 404, at a node that knew it and at one that has just started alike, as the submission is the first record that the log drops; never a page with wrong contents. The log keeps records for longer (300 s) than results are promised (120 s).

--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -21,6 +21,10 @@
 pub trait StreamState {
     /// Takes the next record's bytes; false if they cannot be read.
     fn take(&mut self, bytes: &[u8], now: Millis) -> bool;
+
+    /// Records before the next one are gone from the log and were not read. States that don't depend on
+    /// every single record go on.
+    fn missed_records(&mut self) {}
 }
 
 impl StreamState for PartitionState {
@@ -28,6 +32,10 @@
         let record = BatchRecord::decode(bytes);
         record.map(|record| self.apply(record, now)).is_ok()
     }
+
+    fn missed_records(&mut self) {
+        PartitionState::missed_records(self);
+    }
 }
 
 impl StreamState for ControlState {
@@ -105,6 +113,16 @@
     }
 }
 
+impl<S: StreamState> ViewInner<S> {
+    fn skip_to(&mut self, first: u64) {
+        if first > self.next {
+            self.next = first;
+            self.joiner = Joiner::default();
+            self.state.missed_records();
+        }
+    }
+}
+
 /// Time between two successful reads up to which nothing can have been missed.
 const LONGEST_GAP_MS: Millis = 2_500;
 
@@ -215,10 +233,7 @@
             applied: 0,
             unreadable: 0,
         };
-        if page.from > inner.next {
-            // Records that are gone are skipped: they are older than any that can be asked for.
-            inner.next = page.from;
-        }
+        inner.skip_to(page.from);
         let known = (inner.next - page.from) as usize;
         for record in page.records.into_iter().skip(known) {
             inner.next += 1;
@@ -288,8 +303,7 @@
 
     /// Skips records that the log no longer has.
     pub fn skip_to(&self, first: u64) {
-        let mut inner = self.lock();
-        inner.next = inner.next.max(first);
+        self.lock().skip_to(first);
     }
 
     /// Makes sure that all that was in the log `most_age` ago is known here. Those who ask at the same
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -277,6 +277,13 @@
             .retain(|_, batch| !batch.is_closed() || batch.first_seen >= before);
     }
 
+    /// Records were dropped before they were read here. What they would have changed is not known, so a later
+    /// result would be listed at a position that other nodes have given to another one: only batches that
+    /// are listed whole stay.
+    pub fn missed_records(&mut self) {
+        self.batches.retain(|_, batch| batch.is_fully_listed());
+    }
+
     /// Whether all batches were first seen before `before`.
     pub fn is_older_than(&self, before: Millis) -> bool {
         self.batches.values().all(|batch| batch.first_seen < before)
