Make the slow log of the restart test slow enough that a load must outlive its caller

A mutation showed that the test did not hold the mend: with the question run in the caller's own request, all tests passed at 350 ms a read, since the first results are answered before the load is at its end.

--- a/crates/gateway/tests/reading_after_restart.rs
+++ b/crates/gateway/tests/reading_after_restart.rs
@@ -221,7 +221,7 @@
 #[tokio::test]
 async fn batches_are_read_after_a_restart_while_the_log_is_slow() {
     batches_are_read_after_a_restart(LogFaults {
-        read_delay: Duration::from_millis(350),
+        read_delay: Duration::from_millis(500),
         ..LogFaults::default()
     })
     .await;
