Show that a log that says "dropped" is asked again without a pause

Both answers break the log's own contract (changes gone right behind the listing that named their start; records gone before the very record that was asked for), so they were provoked in the log of the tests, whose answers take 1 ms. Not seen in a deployment.

--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -64,6 +64,10 @@
     pub silent_reads: u64,
     /// Most bytes of records in the answer to a read; 0 stands for no limit.
     pub page_bytes: usize,
+    /// Changes of directories are told to be dropped, also those behind the listing before.
+    pub drops_changes: bool,
+    /// Records of partitions are told to be dropped, though the first one kept is the one asked for.
+    pub drops_what_it_keeps: bool,
 }
 
 /// One node's way to the log.
@@ -73,9 +77,13 @@
     listings: AtomicU64,
     reads: AtomicU64,
     reads_let_in: AtomicU64,
+    reads_of_changes: AtomicU64,
     bytes_read: AtomicU64,
 }
 
+/// How long a call takes that is answered at once.
+const AT_ONCE: Duration = Duration::from_millis(1);
+
 /// How long a slow append takes.
 const SLOW_APPEND: Duration = Duration::from_millis(120);
 
@@ -192,6 +200,7 @@
             listings: AtomicU64::new(0),
             reads: AtomicU64::new(0),
             reads_let_in: AtomicU64::new(0),
+            reads_of_changes: AtomicU64::new(0),
             bytes_read: AtomicU64::new(0),
         })
     }
@@ -209,6 +218,11 @@
         self.reads.load(Ordering::Relaxed)
     }
 
+    /// Reading calls that the node has made of changes of directories.
+    pub fn reads_of_changes(&self) -> u64 {
+        self.reads_of_changes.load(Ordering::Relaxed)
+    }
+
     /// Bytes of records that the node has read from partitions.
     pub fn bytes_read(&self) -> u64 {
         self.bytes_read.load(Ordering::Relaxed)
@@ -306,6 +320,10 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
         self.check_readable().await?;
         self.let_read_in().await?;
+        if self.faults().drops_what_it_keeps {
+            tokio::time::sleep(AT_ONCE).await;
+            return Err(LogError::HistoryDropped { first: from });
+        }
         self.shared.check_kept(partition, from)?;
         let page = |state: &State| {
             let records = state
@@ -396,7 +414,12 @@
         from: u64,
         wait: Duration,
     ) -> Result<DirectoryPage, LogError> {
+        self.reads_of_changes.fetch_add(1, Ordering::Relaxed);
         self.check_reachable().await?;
+        if self.faults().drops_changes {
+            tokio::time::sleep(AT_ONCE).await;
+            return Err(LogError::HistoryDropped { first: from });
+        }
         let found = self.shared.wait_for(wait, |state| {
             let new: Vec<_> = entries(state, kind)
                 .iter()
