Treat "dropped" that leads a reader no further as a failed read

Cause: "dropped" was taken for progress whatever it named. A reader that was told that the first record kept is the one it asked for asked for it again at once, in confirm() for ever and with the turn of all others held; a directory whose changes were gone right behind its listing was listed again at once, for ever.

Change: "dropped" skips ahead only if it names a later record, and is else a failure like others, followed by their pause. The first listing after lost changes comes at once as before; a second one without a read of changes in between comes after that pause.

Not changed: an empty page that says that it is not the end would be asked for again at once as well. No answer that the log promises is of that kind.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -84,9 +84,11 @@
     let mut dependency = Dependency::new(format!("directory {kind:?}"));
     let wait = context.settings.read_wait();
     let mut next: Option<u64> = None;
+    let mut is_just_listed = false;
     loop {
         let Some(from) = next else {
             next = Some(read_listing(&context, kind, &mut dependency).await);
+            is_just_listed = true;
             continue;
         };
         match context.directory.changes(kind, from, wait).await {
@@ -94,13 +96,20 @@
                 dependency.works();
                 context.saw_contact();
                 next = Some(page.next);
+                is_just_listed = false;
                 for entry in page.entries {
                     take_entry(&context, entry, None);
                 }
                 context.control_changed.notify_one();
                 tokio::time::sleep(directory_gap(&context)).await;
             }
-            Err(LogError::HistoryDropped { .. }) => next = None,
+            Err(error @ LogError::HistoryDropped { .. }) => {
+                next = None;
+                // A listing that did not help is not repeated at once.
+                if is_just_listed {
+                    dependency.pause_after(error).await;
+                }
+            }
             Err(error) => dependency.pause_after(error).await,
         }
     }
@@ -358,7 +367,8 @@
             }
             ReadOutcome::Answered
         }
-        Err(LogError::HistoryDropped { first }) => {
+        // One that leads no further is a failure: without a pause the same read would follow at once.
+        Err(LogError::HistoryDropped { first }) if first > from => {
             view.skip_to(first);
             ReadOutcome::Dropped
         }
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -372,7 +372,8 @@
                     self.take_page(page, asked, clock.now());
                     self.lock().failed.end();
                 }
-                Err(LogError::HistoryDropped { first }) => self.skip_to(first),
+                // One that leads no further is a failure, else this loop would never end.
+                Err(LogError::HistoryDropped { first }) if first > from => self.skip_to(first),
                 Err(error) => {
                     self.lock().failed.note(error, clock.now());
                     return Err(error);
