--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     pub event_pause: Duration,
     /// The connection breaks after so many events of a run.
     pub breaks_after: Option<u32>,
+    /// Bytes that the data of each event is longer by.
+    pub event_padding: usize,
     /// Answer to calls.
     pub call: CallBehaviour,
 }
@@ -76,6 +79,23 @@
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Vec<Seen>>,
     orders: Mutex<Vec<String>>,
+    at_work: Arc<AtomicUsize>,
+}
+
+/// Counts a request as under way until its answer is sent or its connection is gone.
+struct AtWork(Arc<AtomicUsize>);
+
+impl AtWork {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for AtWork {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl StandInBackend {
@@ -85,6 +105,7 @@
             version: 1,
             event_pause: Duration::from_millis(5),
             breaks_after: None,
+            event_padding: 0,
             call: CallBehaviour::Answer,
         };
         let backend = Arc::new(Self {
@@ -93,6 +114,7 @@
             behaviour: Mutex::new(behaviour),
             seen: Mutex::default(),
             orders: Mutex::default(),
+            at_work: Arc::default(),
         });
         tokio::spawn(serve(backend.clone(), listener));
         backend
@@ -107,6 +129,11 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// Requests for calls and items that it works at now. It drops one whose connection closes.
+    pub fn at_work(&self) -> usize {
+        self.at_work.load(Ordering::Relaxed)
+    }
+
     /// Orders, in the order they came, as `model version holder fence`.
     pub fn orders(&self) -> Vec<String> {
         self.orders.lock().unwrap().clone()
@@ -187,9 +214,10 @@
         body,
         at: Instant::now(),
     };
+    let at_work = AtWork::new(&backend.at_work);
     backend.seen.lock().unwrap().push(seen.clone());
     if path.starts_with("/items/") || path.starts_with("/streams/") {
-        return Ok(run_item(&backend, &seen));
+        return Ok(run_item(&backend, &seen, at_work));
     }
     run_call(&backend, &seen).await
 }
@@ -250,7 +278,7 @@
 }
 
 /// Each event's data names the item and the event, so that gaps and repetitions show.
-fn run_item(backend: &Arc<StandInBackend>, seen: &Seen) -> Response<Body> {
+fn run_item(backend: &Arc<StandInBackend>, seen: &Seen, at_work: AtWork) -> Response<Body> {
     let behaviour = backend.behaviour();
     let item = seen.path.rsplit('/').next().unwrap_or_default().to_owned();
     let from: u32 = seen
@@ -258,9 +286,11 @@
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
     let (pause, breaks_after) = (behaviour.event_pause, behaviour.breaks_after);
+    let padding = "x".repeat(behaviour.event_padding);
     let backend = backend.clone();
     let frames = stream::unfold((from, behaviour.version), move |(at, version)| {
-        let (item, backend) = (item.clone(), backend.clone());
+        let _held = &at_work;
+        let (item, backend, padding) = (item.clone(), backend.clone(), padding.clone());
         async move {
             if breaks_after.is_some_and(|count| at - from >= count) {
                 // Lets the events before it reach the reader.
@@ -276,7 +306,11 @@
                 true => String::new(),
                 false => format!("x-version: {now_version}\n"),
             };
-            let event = format!("{change}id: {}\ndata: {item}.{}\n\n", at + 1, at + 1);
+            let event = format!(
+                "{change}id: {}\ndata: {item}.{}{padding}\n\n",
+                at + 1,
+                at + 1
+            );
             Some((Ok(Frame::data(Bytes::from(event))), (at + 1, now_version)))
         }
     });
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -77,6 +77,17 @@
         }
     }
 
+    /// Keeps the node's only processor busy for so long, from before this returns.
+    pub async fn hold(&self, time: Duration) {
+        let (begins, begun) = tokio::sync::oneshot::channel();
+        let runtime = self.runtime.as_ref().expect("the node runs");
+        runtime.spawn(async move {
+            begins.send(()).unwrap();
+            std::thread::sleep(time);
+        });
+        begun.await.unwrap();
+    }
+
     /// Stops the node in order.
     pub async fn stop(mut self) {
         if let (Some(running), Some(runtime)) = (self.running.take(), &self.runtime) {
