Notice a caller's close behind unread bytes

Cause: hyper notices a close by reading, and while a request is under way it reads on only if its buffer is empty (mid_message_detect_eof). Bytes of a next request behind the one under way hid the close, so a back end went on with the call until its end, and of two requests sent together the first was begun although its caller had left before a byte of it was read.

Change: the connection of each caller is watched for its close by the readiness that the operating system reports, which names a closed reading side also behind unread bytes. The watch is looked at first, so that nothing is begun for a caller that is gone already. No timer, no further descriptor, no polling: the watch waits with an interest that only a close serves. socket2 becomes a dependency of the gateway, for the shutdown of the writing side (tokio's own needs the stream undivided).

Ruled out: a second descriptor of the same socket (twice the descriptors for each caller); looking at intervals (a timer for each request); reading ahead into a buffer of our own (a close behind more bytes than it takes would still be hidden).

--- /dev/null
+++ b/crates/gateway/src/caller_stream.rs
@@ -0,0 +1,109 @@
+//! A caller's connection whose close is noticed whatever else is going on.
+//!
+//! The HTTP library notices a close by reading. It does not read on while bytes of a next request lie
+//! in its buffer, so a back end would go on with a call whose caller is gone. The operating system
+//! tells of the close in any case, also behind bytes that nobody has read.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The bytes of a caller's connection.
+pub(crate) struct CallerStream(Arc<TcpStream>);
+
+/// Watches the same connection for its close.
+pub(crate) struct CloseWatch(Arc<TcpStream>);
+
+/// Both parts of a connection.
+pub(crate) fn watched(stream: TcpStream) -> (CallerStream, CloseWatch) {
+    let stream = Arc::new(stream);
+    (CallerStream(stream.clone()), CloseWatch(stream))
+}
+
+impl CloseWatch {
+    /// Returns once the caller has closed, reset, or shut down its writing side. The last is what a
+    /// close looks like from here, so it counts as one.
+    pub(crate) async fn closed(&self) {
+        // The interest in urgent data stands for no data at all, but is served by a close as well.
+        // Interest in data would be served over and over while unread bytes lie there.
+        while let Ok(ready) = self.0.ready(Interest::PRIORITY).await {
+            if ready.is_read_closed() {
+                return;
+            }
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read_buf(buffer) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(|_| ())),
+            }
+        }
+    }
+}
+
+impl CallerStream {
+    fn poll_write_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(context, |stream| stream.try_write_vectored(parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    /// Nothing is kept back here.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut_down = SockRef::from(self.0.as_ref()).shutdown(Shutdown::Write);
+        Poll::Ready(match shut_down {
+            // The caller has reset it; there is nothing left to shut down.
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(()),
+            result => result,
+        })
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod batch_partitions;
 mod batch_server;
 pub mod batches;
+mod caller_stream;
 pub mod calls;
 pub mod checkpoints;
 pub mod claim_timing;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::batch_server::{handle_batch_call, handle_submission};
+use crate::caller_stream;
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
 use crate::relay::Relay;
@@ -146,18 +147,27 @@
             Ok::<_, Infallible>(hold_until_sent(response, guard))
         }
     });
+    let (stream, watch) = caller_stream::watched(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let served = async move {
+        tokio::pin!(connection);
+        tokio::select! {
+            // A caller that breaks off needs no word.
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+        }
+        let _ = connection.await;
+    };
     tokio::select! {
-        // A caller that breaks off needs no word.
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+        // First, so that nothing is begun for a caller that left before its request was read.
+        biased;
+        () = watch.closed() => {}
+        () = served => {}
     }
-    let _ = connection.await;
 }
 
 /// Counts the request as in flight until its answer's body is sent.
