--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -1,7 +1,6 @@
 //! A back end on loopback that does as it is told and remembers what it was asked.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -82,6 +82,7 @@
     seen: Mutex<Vec<Seen>>,
     orders: Mutex<Vec<String>>,
     at_work: Arc<AtomicUsize>,
+    breaks: Notify,
 }
 
 /// Counts a request as under way until its answer is sent or its connection is gone.
@@ -118,6 +119,7 @@
             seen: Mutex::default(),
             orders: Mutex::default(),
             at_work: Arc::default(),
+            breaks: Notify::new(),
         });
         tokio::spawn(serve(backend.clone(), listener));
         backend
@@ -137,6 +139,11 @@
         self.at_work.load(Ordering::Relaxed)
     }
 
+    /// Breaks the connections of calls that get no answer.
+    pub fn break_connections(&self) {
+        self.breaks.notify_waiters();
+    }
+
     /// Orders, in the order they came, as `model version holder fence`.
     pub fn orders(&self) -> Vec<String> {
         self.orders.lock().unwrap().clone()
@@ -243,7 +250,7 @@
     let mut response = match behaviour {
         CallBehaviour::Break => return Err(Broken),
         CallBehaviour::Silent => {
-            std::future::pending::<Infallible>().await;
+            backend.breaks.notified().await;
             return Err(Broken);
         }
         CallBehaviour::NotRun => whole(StatusCode::SERVICE_UNAVAILABLE, String::new()),
