Refuse a call at once if its pool has no back end that takes calls

Cause: such a call was held for a fifth of its objective, asking every 8 ms, and then refused; one that had failed at the last back end went on until its deadline, and got 504 instead of its failure.

Change: once the list of back ends was read and names none for the pool that takes calls, the call is refused, to come back after a quarter of its objective; if it may have run, it ends with its failure. Reward calls wait as long as they are told before they are made again: every 20 ms would be a line each while a pool is gone.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -34,8 +34,10 @@
 const HEDGE_AGAIN_PAUSE: Duration = Duration::from_millis(50);
 /// Least time that a send must have left to be worth it.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(5);
-/// Time after which a refused caller may come back.
+/// Time after which a caller may come back whom no back end had a place for.
 const COME_BACK: Duration = Duration::from_millis(50);
+/// Share of the objective after which a caller may come back whose pool has no back end that takes calls.
+const ABSENT_SHARE: f64 = 0.25;
 
 /// A call, read whole.
 #[derive(Debug, Clone)]
@@ -116,7 +118,7 @@
     let began = Instant::now();
     let Some(pool) = route.pool_for(xxh3_64(call.id.as_bytes())) else {
         return Executed {
-            outcome: refused(),
+            outcome: refused_for_want_of_back_ends(route),
             server_errors: 0,
         };
     };
@@ -135,9 +137,15 @@
     }
 }
 
-/// Time after which a repeatable call without an answer is also sent to a second back end.
-fn hedge_after(route: &Route) -> Duration {
-    Duration::from_secs_f64(route.objective_ms as f64 * HEDGE_SHARE / 1_000.0)
+/// Places free up all the time, but a pool that is gone is away for longer.
+fn refused_for_want_of_back_ends(route: &Route) -> CallOutcome {
+    CallOutcome::Refused {
+        come_back: share_of_objective(route, ABSENT_SHARE).max(COME_BACK),
+    }
+}
+
+fn share_of_objective(route: &Route, share: f64) -> Duration {
+    Duration::from_secs_f64(route.objective_ms as f64 * share / 1_000.0)
 }
 
 struct CallProgress<'a> {
@@ -176,7 +184,7 @@
             pool,
             began,
             ends: call.deadline.min(timeout),
-            hedge_at: began + hedge_after(route),
+            hedge_at: began + share_of_objective(route, HEDGE_SHARE),
             running: FuturesUnordered::new(),
             tried: Vec::new(),
             sends: 0,
@@ -220,6 +228,12 @@
         if self.may_have_run > 0 && !self.may_run_again() {
             return Some(self.ended_in_failure());
         }
+        if self.lacks_back_ends() {
+            return Some(match self.may_have_run {
+                0 => refused_for_want_of_back_ends(self.route),
+                _ => self.ended_in_failure(),
+            });
+        }
         if self.may_have_run == 0 && self.began.elapsed() > self.refuse_after() {
             return Some(refused());
         }
@@ -233,8 +247,15 @@
         self.route.kind.may_repeat() && self.may_have_run < self.route.attempts.max(1)
     }
 
+    /// Whether it is known that nobody takes the pool's calls at this moment.
+    fn lacks_back_ends(&self) -> bool {
+        let backends = self.context.backends.lock();
+        let has_some = backends.list.ready_in(self.pool).next().is_some();
+        !has_some && self.context.backends_are_listed()
+    }
+
     fn refuse_after(&self) -> Duration {
-        Duration::from_secs_f64(self.route.objective_ms as f64 * REFUSE_SHARE / 1_000.0)
+        share_of_objective(self.route, REFUSE_SHARE)
     }
 
     fn may_hedge(&self) -> bool {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -319,6 +319,11 @@
         self.backends_listed.send_replace(true);
     }
 
+    /// Whether the back ends have been listed.
+    pub fn backends_are_listed(&self) -> bool {
+        *self.backends_listed.borrow()
+    }
+
     /// Waits until the back ends have been listed and routes are known.
     pub async fn directories_known(&self) {
         // The sender lives as long as `self`.
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -355,6 +355,7 @@
     loop {
         // A batch's end holds for reward calls as it does for items.
         context.until_work_may_start(batch).await;
+        let mut pause = REWARD_PAUSE;
         let routes = context.routes();
         let route = routes
             .as_ref()
@@ -362,18 +363,22 @@
         if let (Some(route), Some(call)) = (route, reward_call(context, batch, reward)) {
             let executed = calls::execute(context, route, call).await;
             failures += executed.server_errors;
-            if let CallOutcome::Answered(answer) = executed.outcome {
-                let signature = answer.headers.get(&context.dialect.headers().signature);
-                let score = signature.and_then(|value| value.to_str().ok());
-                if let (true, Some(score)) = (answer.status.is_success(), score) {
-                    return ScoreEnd::Score(score.to_owned());
+            match executed.outcome {
+                CallOutcome::Answered(answer) => {
+                    let signature = answer.headers.get(&context.dialect.headers().signature);
+                    let score = signature.and_then(|value| value.to_str().ok());
+                    if let (true, Some(score)) = (answer.status.is_success(), score) {
+                        return ScoreEnd::Score(score.to_owned());
+                    }
                 }
+                CallOutcome::Refused { come_back } => pause = come_back,
+                CallOutcome::Streaming(_) | CallOutcome::Failed { .. } => {}
             }
             if failures >= route.attempts.max(1) {
                 return ScoreEnd::AttemptsUsed;
             }
         }
-        tokio::time::sleep(REWARD_PAUSE).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
