--- a/crates/gateway/tests/callers_that_leave.rs
+++ b/crates/gateway/tests/callers_that_leave.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
 
@@ -12,10 +13,10 @@
 use socket2::SockRef;
 use support::backend::{CallBehaviour, StandInBackend};
 use support::caller::{call, submit};
-use support::deployment::{Deployment, TestNode, routing, wait_until};
+use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, routing, wait_until};
 use support::dialect::write_batch;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 /// Time within which back ends are rid of the request of a caller that left.
@@ -116,6 +117,44 @@
     expect_an_end(&deployment, "connection: close").await;
 }
 
+/// The back end accepts the connection only after the caller has left: the call must not lie there.
+#[tokio::test]
+async fn a_back_end_that_reads_late_does_not_get_the_call() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let deployment = Deployment::start(0, 1).await;
+    let DirectoryEntry::Backend(mut entry) =
+        listed(&deployment.applications[0], APPLICATIONS, false)
+    else {
+        unreachable!("a back end's entry")
+    };
+    let record = entry.record.as_mut().unwrap();
+    record.address = listener.local_addr().unwrap();
+    deployment
+        .log
+        .write_backends(DirectoryEntry::Backend(entry));
+    let node = deployment.node("a").await;
+    wait_until("the node knows the address", || {
+        let backends = node.context().backends.lock();
+        let record = backends.list.get(&"application-0".into());
+        record.is_some_and(|record| record.address == listener.local_addr().unwrap())
+    })
+    .await;
+    for path in CALLS {
+        let caller = send_bytes(&node, &request(path, "left", "")).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(caller);
+        tokio::time::sleep(PROMISED).await;
+        let (mut late, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        let read = late.read_to_end(&mut bytes).await;
+        let error = read.expect_err("the connection was given up");
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{path}");
+        assert!(bytes.is_empty(), "{path}: the call was left there");
+    }
+    let more = tokio::time::timeout(LATER, listener.accept()).await;
+    assert!(more.is_err(), "sent again");
+}
+
 #[tokio::test]
 async fn a_call_that_waits_between_tries_ends_with_its_caller() {
     let deployment = Deployment::start(0, 2).await;
