--- /dev/null
+++ b/crates/gateway/examples/refusal_model.rs
@@ -0,0 +1,411 @@
+//! A model of callers, nodes and back ends on a virtual clock, in which policies of refusing calls are
+//! compared. It models the policies of `calls`, it does not run them. Prints a line for each case:
+//!
+//! ```sh
+//! cargo run --release -p havenstage-gateway --example refusal_model
+//! ```
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal};
+
+/// Back ends, places of each, and calls that each keeps waiting.
+const BACKENDS: usize = 8;
+const PLACES: usize = 4;
+const QUEUE: usize = 2;
+/// Tries of a caller.
+const TRIES: u32 = 4;
+/// Pause before a back end is asked again, and time on the way to it, in milliseconds.
+const PAUSE: f64 = 8.0;
+const WAY: f64 = 0.5;
+/// Least time that a call must have left, in milliseconds.
+const LEAST_LEFT: f64 = 5.0;
+/// Time in which callers come, in milliseconds.
+const DURATION: f64 = 30_000.0;
+/// Load while there is no burst, relative to the capacity.
+const USUAL_LOAD: f64 = 0.7;
+/// Seeds of each case.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=20;
+
+/// What callers want and how long answers take, in milliseconds.
+struct Setting {
+    name: &'static str,
+    objective: f64,
+    deadline: f64,
+    mean_answer: f64,
+    nodes: usize,
+}
+
+#[derive(Clone, Copy)]
+enum Load {
+    /// So many times the capacity for 1.5 s of each 5 s.
+    Bursts(f64),
+    /// So many times the capacity all the time.
+    Steady(f64),
+    /// The back ends are gone for so long in each 10 s.
+    Gone(f64),
+}
+
+#[derive(Clone, Copy)]
+enum ComeBack {
+    After(f64),
+    /// When a place is expected: after as many refused callers as there are, by the rate of answers.
+    ByRate,
+}
+
+#[derive(Clone, Copy)]
+struct Policy {
+    name: &'static str,
+    /// Share of the objective for which a call is held that is turned away.
+    hold: f64,
+    come_back: ComeBack,
+    /// Share of the objective after which a caller comes back who was refused at once as there are no
+    /// back ends; without one it is held like the others.
+    gone: Option<f64>,
+}
+
+struct Caller {
+    came: f64,
+    deadline: f64,
+    tries: u32,
+    node: usize,
+    asked: f64,
+    asked_backends: u32,
+    held: f64,
+    end: Option<(f64, bool)>,
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Arrive(usize),
+    Try(usize),
+    Reach(usize, usize),
+    Answer(usize, usize),
+}
+
+#[derive(Default)]
+struct Backend {
+    busy: usize,
+    waiting: VecDeque<usize>,
+    speed: f64,
+}
+
+#[derive(Default, Clone)]
+struct Node {
+    in_flight: [u32; BACKENDS],
+    answers: VecDeque<f64>,
+    last_return: f64,
+}
+
+struct Model<'a> {
+    setting: &'a Setting,
+    load: Load,
+    policy: Policy,
+    random: ChaCha8Rng,
+    /// Time in nanoseconds, number of the event, and the event's place in `events`.
+    queue: BinaryHeap<Reverse<(u64, usize)>>,
+    events: Vec<Event>,
+    callers: Vec<Caller>,
+    backends: Vec<Backend>,
+    nodes: Vec<Node>,
+}
+
+impl<'a> Model<'a> {
+    fn new(setting: &'a Setting, load: Load, policy: Policy, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let backends = (0..BACKENDS).map(|_| Backend {
+            speed: random.random_range(0.8..1.25),
+            ..Backend::default()
+        });
+        Self {
+            backends: backends.collect(),
+            setting,
+            load,
+            policy,
+            random,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            callers: Vec::new(),
+            nodes: vec![Node::default(); setting.nodes],
+        }
+    }
+
+    fn at(&mut self, time: f64, event: Event) {
+        self.queue
+            .push(Reverse(((time * 1e6) as u64, self.events.len())));
+        self.events.push(event);
+    }
+
+    fn load_at(&self, time: f64) -> f64 {
+        match self.load {
+            Load::Bursts(load) if time % 5_000.0 < 1_500.0 => load,
+            Load::Steady(load) => load,
+            Load::Bursts(_) | Load::Gone(_) => USUAL_LOAD,
+        }
+    }
+
+    fn are_gone(&self, time: f64) -> bool {
+        let since = time % 10_000.0 - 3_000.0;
+        matches!(self.load, Load::Gone(away) if (0.0..away).contains(&since))
+    }
+
+    fn run(mut self) -> Vec<Caller> {
+        let capacity = (BACKENDS * PLACES) as f64 / self.setting.mean_answer;
+        let mut time = 0.0;
+        while time < DURATION {
+            let gap = Exp::new(capacity * self.load_at(time)).expect("a positive rate");
+            time += gap.sample(&mut self.random);
+            self.at(time, Event::Arrive(self.callers.len()));
+            self.callers.push(Caller {
+                came: time,
+                deadline: time + self.setting.deadline,
+                tries: 0,
+                node: 0,
+                asked: time,
+                asked_backends: 0,
+                held: 0.0,
+                end: None,
+            });
+        }
+        while let Some(Reverse((time, event))) = self.queue.pop() {
+            let time = time as f64 / 1e6;
+            match self.events[event] {
+                Event::Arrive(caller) => self.arrive(time, caller),
+                Event::Try(caller) => self.try_one(time, caller),
+                Event::Reach(caller, backend) => self.reach(time, caller, backend),
+                Event::Answer(caller, backend) => self.answer(time, caller, backend),
+            }
+        }
+        self.callers
+    }
+
+    fn arrive(&mut self, time: f64, caller: usize) {
+        let node = self.random.random_range(0..self.setting.nodes);
+        let call = &mut self.callers[caller];
+        call.node = node;
+        call.tries += 1;
+        call.asked = time;
+        call.asked_backends = 0;
+        self.try_one(time, caller);
+    }
+
+    fn try_one(&mut self, time: f64, caller: usize) {
+        let call = &self.callers[caller];
+        let hold = self.policy.hold * self.setting.objective;
+        if time + LEAST_LEFT >= call.deadline || time - call.asked > hold {
+            let come_back = self.come_back(time, call.node);
+            return self.refuse(time, caller, come_back);
+        }
+        if self.are_gone(time) {
+            return match self.policy.gone {
+                Some(share) => {
+                    self.refuse(time, caller, (share * self.setting.objective).max(50.0))
+                }
+                None => self.at(time + PAUSE, Event::Try(caller)),
+            };
+        }
+        let backend = self.choose(caller);
+        let call = &mut self.callers[caller];
+        let is_again = call.asked_backends & (1 << backend) != 0;
+        call.asked_backends |= 1 << backend;
+        let pause = if is_again { PAUSE } else { 0.0 };
+        self.at(time + pause + WAY, Event::Reach(caller, backend));
+    }
+
+    /// One that was not asked yet if there is one, then the one with the least of this node's calls.
+    fn choose(&mut self, caller: usize) -> usize {
+        let call = &self.callers[caller];
+        let in_flight = self.nodes[call.node].in_flight;
+        let asked = call.asked_backends;
+        let first = self.random.random_range(0..BACKENDS);
+        (0..BACKENDS)
+            .map(|at| (first + at) % BACKENDS)
+            .min_by_key(|at| (asked & (1 << at) != 0, in_flight[*at]))
+            .expect("there are back ends")
+    }
+
+    fn reach(&mut self, time: f64, caller: usize, backend: usize) {
+        let node = self.callers[caller].node;
+        if self.backends[backend].busy < PLACES {
+            self.nodes[node].in_flight[backend] += 1;
+            self.begin(time, caller, backend);
+        } else if self.backends[backend].waiting.len() < QUEUE {
+            self.nodes[node].in_flight[backend] += 1;
+            self.backends[backend].waiting.push_back(caller);
+        } else {
+            self.at(time + WAY, Event::Try(caller));
+        }
+    }
+
+    fn begin(&mut self, time: f64, caller: usize, backend: usize) {
+        self.backends[backend].busy += 1;
+        let spread = LogNormal::new(-0.125, 0.5).expect("a positive deviation");
+        let took = spread.sample(&mut self.random) * self.setting.mean_answer;
+        let took = took * self.backends[backend].speed;
+        self.at(time + took, Event::Answer(caller, backend));
+    }
+
+    fn answer(&mut self, time: f64, caller: usize, backend: usize) {
+        self.backends[backend].busy -= 1;
+        let (node, deadline) = (self.callers[caller].node, self.callers[caller].deadline);
+        self.nodes[node].in_flight[backend] -= 1;
+        self.nodes[node].answers.push_back(time);
+        self.callers[caller].end = Some((time.min(deadline), time <= deadline));
+        while let Some(next) = self.backends[backend].waiting.pop_front() {
+            let call = &mut self.callers[next];
+            if time < call.deadline {
+                return self.begin(time, next, backend);
+            }
+            call.end = Some((call.deadline, false));
+            let node = call.node;
+            self.nodes[node].in_flight[backend] -= 1;
+        }
+    }
+
+    fn come_back(&mut self, time: f64, node: usize) -> f64 {
+        if let ComeBack::After(pause) = self.policy.come_back {
+            return pause;
+        }
+        let node = &mut self.nodes[node];
+        while node.answers.front().is_some_and(|at| *at < time - 1_000.0) {
+            node.answers.pop_front();
+        }
+        let gap = 1_000.0 / node.answers.len().max(1) as f64;
+        let next = (node.last_return + gap).clamp(time + 50.0, time + 1_000.0);
+        node.last_return = next;
+        next - time
+    }
+
+    fn refuse(&mut self, time: f64, caller: usize, come_back: f64) {
+        let call = &mut self.callers[caller];
+        call.held += time - call.asked;
+        let left = call.deadline - time;
+        if call.tries >= TRIES || left < 20.0 {
+            call.end = Some((time, false));
+            return;
+        }
+        self.at(time + come_back.min(left / 3.0), Event::Arrive(caller));
+    }
+}
+
+/// Share on time, share served, mean time held of those not served.
+fn figures(setting: &Setting, load: Load, policy: Policy, seed: u64) -> [f64; 3] {
+    let callers = Model::new(setting, load, policy, seed).run();
+    let ends = callers.iter().filter_map(|call| Some((call, call.end?)));
+    let served: Vec<f64> = ends
+        .clone()
+        .filter(|(_, (_, is_served))| *is_served)
+        .map(|(call, (time, _))| time - call.came)
+        .collect();
+    let on_time = served.iter().filter(|took| **took <= setting.objective);
+    let lost: Vec<f64> = ends
+        .filter(|(_, (_, is_served))| !is_served)
+        .map(|(call, _)| call.held)
+        .collect();
+    let count = callers.len() as f64;
+    let held = lost.iter().sum::<f64>() / lost.len().max(1) as f64;
+    [
+        on_time.count() as f64 / count,
+        served.len() as f64 / count,
+        held,
+    ]
+}
+
+fn compare(settings: &[Setting], loads: &[(&str, Load)], policies: &[Policy]) {
+    for setting in settings {
+        for (load_name, load) in loads {
+            for policy in policies {
+                let runs = SEEDS.map(|seed| figures(setting, *load, *policy, seed));
+                let runs: Vec<[f64; 3]> = runs.collect();
+                let mean = |at: usize| {
+                    let sum: f64 = runs.iter().map(|run| run[at]).sum();
+                    sum / runs.len() as f64
+                };
+                println!(
+                    "{:14} {:14} {:22} on time {:.3} served {:.3} held {:4.0} ms",
+                    setting.name,
+                    load_name,
+                    policy.name,
+                    mean(0),
+                    mean(1),
+                    mean(2)
+                );
+            }
+        }
+    }
+}
+
+fn setting(name: &'static str, times: [f64; 3], nodes: usize) -> Setting {
+    let [objective, deadline, mean_answer] = times;
+    Setting {
+        name,
+        objective,
+        deadline,
+        mean_answer,
+        nodes,
+    }
+}
+
+fn main() {
+    let settings = [
+        setting("400/1200/60", [400.0, 1_200.0, 60.0], 6),
+        setting("1000/2000/150", [1_000.0, 2_000.0, 150.0], 6),
+        setting("400/800/120", [400.0, 800.0, 120.0], 12),
+    ];
+    let held = Policy {
+        name: "held",
+        hold: 0.2,
+        come_back: ComeBack::After(50.0),
+        gone: None,
+    };
+    let at_once = |name, share| Policy {
+        name,
+        gone: Some(share),
+        ..held
+    };
+    let gone = [
+        ("gone 0.1 s", Load::Gone(100.0)),
+        ("gone 0.4 s", Load::Gone(400.0)),
+        ("gone 2 s", Load::Gone(2_000.0)),
+    ];
+    let shares = [
+        held,
+        at_once("at once, 50 ms", 0.0),
+        at_once("at once, 0.2", 0.2),
+        at_once("at once, 0.25", 0.25),
+        at_once("at once, 0.3", 0.3),
+    ];
+    compare(&settings, &gone, &shares);
+    let overload = [
+        ("bursts of 1.6", Load::Bursts(1.6)),
+        ("steady 1.25", Load::Steady(1.25)),
+        ("steady 0.95", Load::Steady(0.95)),
+    ];
+    let back = |name, come_back| Policy {
+        name,
+        come_back,
+        ..held
+    };
+    let returns = [
+        back("back after 50 ms", ComeBack::After(50.0)),
+        back("back after 100 ms", ComeBack::After(100.0)),
+        back("back after 200 ms", ComeBack::After(200.0)),
+        back("back after 400 ms", ComeBack::After(400.0)),
+        back("back by the rate", ComeBack::ByRate),
+    ];
+    compare(&settings, &overload, &returns);
+    let hold = |name, hold| Policy { name, hold, ..held };
+    let holds = [
+        hold("held 0.2", 0.2),
+        hold("held 0.125", 0.125),
+        hold("held 0.1", 0.1),
+        Policy {
+            come_back: ComeBack::After(100.0),
+            ..hold("held 0.1, back 100 ms", 0.1)
+        },
+    ];
+    compare(&settings, &overload, &holds);
+}
