End a batch that runs without reading it first

Cause: a node that had not read a batch read its whole partition before it appended the end, up to 2 MB in reads of 256 KB. While that lasts, or fails, nobody knows of the end and items go on. The class is that of the unreadable batches: an answer that needs far more reading than it has to say.

Change: the index notes whether some node's heartbeat has named the batch since its notice. Heartbeats name what their node found in the partition, so an end appended now lies behind the items and counts. Other batches are read first, as before: an end in front of a submission that arrives late would be acknowledged and not count. A batch that is known to be ended is answered at once, as before.

Ruled out: an end kept by the fold for a batch that is not there yet (an end of an unknown batch would have to be acknowledged, and kept for as long as a submission may come late).

Price: a repeated end at a node that has not read the batch costs an append of some 40 bytes, no read.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -320,35 +320,60 @@
     })
 }
 
-/// Ends a batch.
+/// Ends a batch. A batch that some node runs is ended without being read here: reading may take seconds
+/// when all nodes have just started, in which its items would go on.
 pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
-    let partition = context.partition_of(id);
-    let is_unknown = partition.lock().state.batch(id).is_none();
-    if is_unknown && let Err(answer) = confirm_now(context, id).await {
-        return answer;
-    }
-    let ended = partition.lock().state.batch(id).map(|batch| batch.ended);
-    let status = match ended {
-        None => StatusCode::NOT_FOUND,
-        Some(true) => StatusCode::OK,
-        Some(false) => {
-            match append(
-                context,
-                partition,
-                &BatchRecord::Ended { batch: id.clone() }.encode(),
-            )
-            .await
-            {
-                AppendOutcome::Done => StatusCode::OK,
-                AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
-                AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-            }
+    let status = if was_found_in_the_log(context, id) {
+        append_end(context, id).await
+    } else {
+        match confirm_now(context, id).await {
+            Ok(()) => append_end_if_known(context, id).await,
+            Err(answer) => return answer,
         }
     };
     info!(event = "batch_end", batch = id.as_str(), status = status.as_u16(); "");
     BatchAnswer::empty(status)
 }
 
+/// Whether a node is known to have found the batch in its partition, so that an end appended now lies
+/// behind it and counts.
+fn was_found_in_the_log(context: &Context, id: &BatchId) -> bool {
+    if context.partition_of(id).lock().state.batch(id).is_some() {
+        return true;
+    }
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(id);
+    indexed.is_some_and(|indexed| indexed.was_found)
+}
+
+async fn append_end_if_known(context: &Context, id: &BatchId) -> StatusCode {
+    let is_known = context.partition_of(id).lock().state.batch(id).is_some();
+    if is_known {
+        append_end(context, id).await
+    } else {
+        StatusCode::NOT_FOUND
+    }
+}
+
+/// Appends the end of a batch that lies in the log, unless it is known to be there.
+async fn append_end(context: &Context, id: &BatchId) -> StatusCode {
+    let partition = context.partition_of(id);
+    let is_ended = partition
+        .lock()
+        .state
+        .batch(id)
+        .is_some_and(|batch| batch.ended);
+    if is_ended {
+        return StatusCode::OK;
+    }
+    let record = BatchRecord::Ended { batch: id.clone() };
+    match append(context, partition, &record.encode()).await {
+        AppendOutcome::Done => StatusCode::OK,
+        AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
+        AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
 enum AppendOutcome {
     Done,
     NotDone,
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -73,6 +73,8 @@
     pub closed_at: Option<Millis>,
     /// The node that last said that it runs the batch, and when.
     pub owner: LeaseState,
+    /// Whether a node has said so since the notice: it had found the batch in its partition.
+    pub was_found: bool,
 }
 
 impl IndexedBatch {
@@ -103,6 +105,7 @@
             first_seen: now,
             closed_at: None,
             owner: LeaseState::new(notice.owner.clone(), now),
+            was_found: false,
             notice,
         };
         self.batches.insert(batch.notice.batch.clone(), batch);
@@ -113,6 +116,7 @@
         for batch in batches {
             if let Some(known) = self.batches.get_mut(batch) {
                 known.owner.names_itself(node, now);
+                known.was_found = true;
             }
         }
     }
