--- a/crates/step-report/tests/steps.rs
+++ b/crates/step-report/tests/steps.rs
@@ -67,3 +67,17 @@
     assert!(LogLine::parse(r#"1.0 node {"event":"#).is_err());
     assert!(LogLine::parse(r#"{"event":"started"}"#).is_err());
 }
+
+/// A step was shown as ended when the first call that should end it had been refused, though its batch ran
+/// on: each line `batch_end` counted, whatever its status.
+#[test]
+fn a_step_has_ended_once_its_end_was_acknowledged() {
+    let refused = r#"  4.6 node-2 {"event":"batch_end","batch":"b1","status":503}"#;
+    let lines: Vec<&str> = FIRST[..7]
+        .iter()
+        .chain([&refused])
+        .chain(&FIRST[7..])
+        .copied()
+        .collect();
+    assert_eq!(times(&lines)[0].ended, Some(4.0));
+}
