Step report: only an acknowledged end ends a step

Cause: every line batch_end was taken for the end of its step, also one with status 503 or 404, after which the batch runs on. Change: only status 200 counts.

--- a/crates/step-report/src/step.rs
+++ b/crates/step-report/src/step.rs
@@ -86,7 +86,7 @@
                 item.events = line.events.unwrap_or(0);
             }
             "results_read" if step.ended_s.is_none() => step.last_read_s = Some(line.at_s),
-            "batch_end" => {
+            "batch_end" if line.status == Some(200) => {
                 step.ended_s.get_or_insert(line.at_s);
             }
             _ => {}
