Tests: what the logs and metrics must tell of ends, refused reads, lost records and the age of knowledge

What could not be told from the lines of nodes: how an end ended and how long it took, that one was refused because the partition could not be read, for which batch a read was refused and after what wait, that records were dropped unread, when the node that runs a batch learned of its end, and how old the knowledge was on which runs were started where their lines were dropped.

--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -3,17 +3,22 @@
 mod support;
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
+use havenstage_gateway::edge::{LogPage, LogStream, StreamPartition};
+use havenstage_gateway::metrics;
+use havenstage_gateway::stream_view::StreamView;
+use havenstage_rollout::fold::PartitionState;
 use http::Method;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{Log, Metadata, Record};
 use support::backend::CallBehaviour;
 use support::caller::{call, send, submit, wait_for_results};
-use support::deployment::{Deployment, wait_until};
+use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
 use support::log::LogFaults;
+use tokio::sync::Notify;
 
 type Line = BTreeMap<String, String>;
 
@@ -54,10 +59,18 @@
 
 /// Lines of an event that concern a request.
 fn lines(event: &str, request: &str) -> Vec<Line> {
-    let is_wanted = |line: &&Line| {
-        line.get("event").is_some_and(|named| named == event)
-            && line.get("request").is_some_and(|named| named == request)
-    };
+    lines_with(event, "request", request)
+}
+
+/// Lines of an event that concern a batch.
+fn batch_lines(event: &str, batch: &str) -> Vec<Line> {
+    lines_with(event, "batch", batch)
+}
+
+/// Lines of an event in which a field has a value.
+fn lines_with(event: &str, field: &str, value: &str) -> Vec<Line> {
+    let has = |line: &Line, field: &str, value: &str| line.get(field).is_some_and(|is| is == value);
+    let is_wanted = |line: &&Line| has(line, "event", event) && has(line, field, value);
     capture()
         .0
         .lock()
@@ -179,3 +192,264 @@
     };
     wait_until("the heartbeat that was refused is told", is_told).await;
 }
+
+/// Asks for the end of a batch, and returns the status.
+async fn end(node: &TestNode, batch: &str) -> u16 {
+    let path = format!("/results/{batch}");
+    let ended = send(node.callers, Method::DELETE, &path, &[], "").await;
+    ended.unwrap().status.as_u16()
+}
+
+/// A number that a line has.
+fn number(line: &Line, field: &str) -> u64 {
+    let value = line
+        .get(field)
+        .unwrap_or_else(|| panic!("{field} in {line:?}"));
+    value
+        .parse()
+        .unwrap_or_else(|_| panic!("{field} in {line:?}"))
+}
+
+/// Outcome and status of the lines on the ends of a batch.
+fn ends_told(batch: &str) -> Vec<(String, String)> {
+    let lines = batch_lines("batch_end", batch);
+    let told = lines.iter().map(|line| {
+        number(line, "took_ms");
+        (line["outcome"].clone(), line["status"].clone())
+    });
+    told.collect()
+}
+
+fn told(outcome: &str, status: &str) -> (String, String) {
+    (outcome.to_owned(), status.to_owned())
+}
+
+/// An engine whose items last longer than any test here, and a batch of two of them that runs.
+async fn batch_that_runs(deployment: &Deployment, node: &TestNode, batch: &str) {
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(60));
+    let (one, two) = (format!("{batch}-one"), format!("{batch}-two"));
+    let body = write_batch(1, &[(&one, "g"), (&two, "g")], false);
+    assert_eq!(submit(node.callers, batch, &body).await, 202);
+    wait_until("both items run", || {
+        !lines("run_started", &one).is_empty() && !lines("run_started", &two).is_empty()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_end_says_what_came_of_it_and_how_long_it_took() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    batch_that_runs(&deployment, &node, "ended-batch").await;
+    node.set_faults(LogFaults {
+        slow_batch_appends: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(end(&node, "ended-batch").await, 200);
+    let context = node.context().clone();
+    wait_until("the end is known", || {
+        let inner = context.partition_of(&"ended-batch".into()).lock();
+        let batch = inner.state.batch(&"ended-batch".into());
+        batch.is_some_and(|batch| batch.ended)
+    })
+    .await;
+    assert_eq!(end(&node, "ended-batch").await, 200);
+    let expected = [told("appended", "200"), told("already_ended", "200")];
+    assert_eq!(ends_told("ended-batch"), expected);
+    // The append took 120 ms.
+    let appended = &batch_lines("batch_end", "ended-batch")[0];
+    assert!(number(appended, "took_ms") >= 120, "{appended:?}");
+    assert_eq!(end(&node, "batch-that-is-not-there").await, 404);
+    let expected = [told("not_there", "404")];
+    assert_eq!(ends_told("batch-that-is-not-there"), expected);
+}
+
+#[tokio::test]
+async fn an_end_that_could_not_be_appended_says_so() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    batch_that_runs(&deployment, &node, "batch-that-stays").await;
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(end(&node, "batch-that-stays").await, 503);
+    let expected = [told("not_appended", "503")];
+    assert_eq!(ends_told("batch-that-stays"), expected);
+}
+
+/// An end was refused because its partition could not be read, and only `read_refused` was told of it,
+/// without the batch: a search for the batch found nothing of its end.
+#[tokio::test]
+async fn an_end_whose_partition_cannot_be_read_leaves_both_lines() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    node.set_faults(LogFaults {
+        reads_hang: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(end(&node, "unread-batch").await, 503);
+    let expected = [told("not_appended", "503")];
+    assert_eq!(ends_told("unread-batch"), expected);
+    let refused = &batch_lines("read_refused", "unread-batch")[0];
+    assert_eq!(refused["status"], "503");
+    assert!(refused["partition"].starts_with("batches "), "{refused:?}");
+    assert!(!refused["reason"].is_empty());
+    // A read that gets no answer takes 300 ms.
+    assert!(number(refused, "waited_ms") >= 300, "{refused:?}");
+    let ended = &batch_lines("batch_end", "unread-batch")[0];
+    assert!(number(ended, "took_ms") >= 300, "{ended:?}");
+}
+
+/// The same for a reader's calls: those that ask for what is new, and those for an item.
+#[tokio::test]
+async fn a_read_that_is_refused_names_its_batch_and_how_long_it_waited() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    node.set_faults(LogFaults {
+        reads_hang: true,
+        ..LogFaults::default()
+    });
+    let paths = [
+        ("refused-read", "/results/refused-read?from=0"),
+        ("refused-item", "/results/refused-item?item=item"),
+    ];
+    for (batch, path) in paths {
+        let headers = [("x-wait", "200")];
+        let answer = send(node.callers, Method::GET, path, &headers, "").await;
+        assert_eq!(answer.unwrap().status, 503);
+        let refused = &batch_lines("read_refused", batch)[0];
+        assert!(number(refused, "waited_ms") >= 300, "{refused:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_owner_says_when_it_learned_of_an_end() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let (owner, other) = (deployment.node("a").await, deployment.node("b").await);
+    batch_that_runs(&deployment, &owner, "end-seen").await;
+    assert_eq!(end(&other, "end-seen").await, 200);
+    wait_until("the items are dropped", || {
+        batch_lines("item_dropped", "end-seen").len() == 2
+    })
+    .await;
+    let dropped = batch_lines("item_dropped", "end-seen");
+    assert!(dropped.iter().all(|line| line["reason"] == "batch_ended"));
+    let seen = batch_lines("end_seen", "end-seen");
+    assert_eq!(seen.len(), 1, "one line for the batch: {seen:?}");
+    assert_eq!(seen[0]["items"], "2");
+    number(&seen[0], "known_age_ms");
+}
+
+/// Items of a batch that is no longer known were told to be dropped for the batch's end, which nobody had
+/// asked for.
+#[tokio::test]
+async fn items_whose_batch_is_no_longer_known_are_not_told_to_have_ended() {
+    capture();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    batch_that_runs(&deployment, &node, "lost-batch").await;
+    let partition = node.context().partition_of(&"lost-batch".into());
+    let (name, next) = (partition.id.to_string(), partition.lock().next);
+    // Far enough that it is a skip whatever the node reads meanwhile.
+    partition.skip_to(next + 1_000);
+    node.context().work.notify_one();
+    wait_until("the items are dropped", || {
+        batch_lines("item_dropped", "lost-batch").len() == 2
+    })
+    .await;
+    let dropped = batch_lines("item_dropped", "lost-batch");
+    assert!(dropped.iter().all(|line| line["reason"] == "not_known"));
+    assert!(batch_lines("end_seen", "lost-batch").is_empty());
+    let first = (next + 1_000).to_string();
+    let skips = lines_with("history_skipped", "partition", &name);
+    let skip = skips.iter().find(|line| line["first"] == first);
+    assert!(number(skip.expect("the skip is told"), "from") >= next);
+}
+
+/// A partition of batches that no node of these tests has.
+fn lone_view(partition: u32) -> StreamView<PartitionState> {
+    let id = StreamPartition {
+        stream: LogStream::Batches(1_000),
+        partition,
+    };
+    StreamView::new(id, PartitionState::default(), Arc::new(Notify::new()))
+}
+
+/// An empty page that begins and ends at an offset.
+fn page_at(offset: u64) -> LogPage {
+    LogPage {
+        from: offset,
+        end: offset,
+        records: Vec::new(),
+    }
+}
+
+/// Where the skips of a partition began and ended.
+fn skips_told(view: &StreamView<PartitionState>) -> Vec<(u64, u64)> {
+    let lines = lines_with("history_skipped", "partition", &view.id.to_string());
+    let skips = lines.iter();
+    skips
+        .map(|line| (number(line, "from"), number(line, "first")))
+        .collect()
+}
+
+/// Both ways in which the log says that records are gone.
+#[test]
+fn records_that_were_dropped_unread_leave_a_line() {
+    capture();
+    let view = lone_view(0);
+    view.take_page(page_at(0), 0, 1);
+    assert_eq!(skips_told(&view), []);
+    view.skip_to(4);
+    view.take_page(page_at(9), 1, 2);
+    assert_eq!(skips_told(&view), [(0, 4), (4, 9)]);
+    // Nothing is missed here.
+    view.skip_to(9);
+    view.take_page(page_at(9), 2, 3);
+    assert_eq!(skips_told(&view).len(), 2);
+}
+
+/// A partition whose beginning is past its retention is forgotten and read from 0 over and over.
+#[test]
+fn a_beginning_that_is_gone_is_told_once() {
+    capture();
+    let view = lone_view(1);
+    for read in 1..=3 {
+        view.skip_to(10 * read);
+        view.forget_all_before(u64::MAX);
+        assert_eq!(view.lock().next, 0);
+    }
+    assert_eq!(skips_told(&view), [(0, 10)]);
+    view.take_page(page_at(40), 0, 1);
+    view.take_page(page_at(50), 1, 2);
+    assert_eq!(skips_told(&view), [(0, 10), (40, 50)]);
+}
+
+/// Lines are dropped when their budget is used up; what they say of the age of knowledge is counted too.
+#[tokio::test]
+async fn the_age_of_knowledge_at_starts_is_counted() {
+    capture();
+    let metrics = metrics::start("127.0.0.1:0".parse().unwrap()).unwrap();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    batch_that_runs(&deployment, &node, "counted-batch").await;
+    let started = &lines("run_started", "counted-batch-one")[0];
+    number(started, "known_age_ms");
+    let text = metrics.render();
+    let count = text.lines().find_map(|line| {
+        let count = line.strip_prefix("gateway_run_knowledge_age_ms_count ")?;
+        count.parse::<u64>().ok()
+    });
+    assert!(count.is_some_and(|count| count >= 2), "{text}");
+    // Runs are started up to 2 s and their requests written up to 2.55 s.
+    for bound in ["2000", "2550"] {
+        let bucket = format!("gateway_run_knowledge_age_ms_bucket{{le=\"{bound}\"}}");
+        assert!(text.contains(&bucket), "{text}");
+    }
+}
