Logs: how ends ended, whose reads were refused, lost records, when an owner learned of an end

batch_end has outcome and took_ms, and is written also where the partition could not be read. read_refused names its batch and how long the call waited. history_skipped (warn) tells of records that the store dropped before they were read here, in both ways in which it says so; a partition read from 0 tells it once in the life of the process, since one that is past its retention is forgotten and read from 0 again each time that somebody asks. end_seen tells once for each batch when the node that runs its items learned of the end.

Items of a batch that is no longer known were told as dropped for batch_ended, though nobody had ended it; they are told with not_known now. What is dropped, and when, is unchanged. The lines item_dropped stay, one an item: a search for an item's id must find why it stopped.

--- a/crates/gateway/src/batches.rs
+++ b/crates/gateway/src/batches.rs
@@ -195,7 +195,7 @@
                     let _ = tokio::time::timeout_at(until, changed).await;
                 }
                 Found::NoBatch => match self.ask(Duration::ZERO).await {
-                    Err(error) => return refuse_read(self.partition, error),
+                    Err(error) => return refuse_read(self.partition, self.id, error, self.asked),
                     Ok(()) if self.partition.lock().state.batch(self.id).is_none() => {
                         info!(event = "batch_not_found", batch = self.id.as_str(),
                             status = 404u16; "");
@@ -277,7 +277,7 @@
     /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
     async fn confirmed_nothing(&self) -> Option<BatchAnswer> {
         if let Err(error) = self.ask(FRESH_ENOUGH).await {
-            return Some(refuse_read(self.partition, error));
+            return Some(refuse_read(self.partition, self.id, error, self.asked));
         }
         let inner = self.partition.lock();
         let batch = inner.state.batch(self.id)?;
@@ -287,14 +287,22 @@
 
 /// Reads a batch's partition to its end, for a caller that allows no wait.
 async fn confirm_now(context: &Arc<Context>, id: &BatchId) -> Result<(), BatchAnswer> {
-    let until = questions::deadline(context, Instant::now(), Duration::ZERO);
-    let asked = questions::ask(context, id, Duration::ZERO, until).await;
-    asked.map_err(|error| refuse_read(context.partition_of(id), error))
+    let asked = Instant::now();
+    let until = questions::deadline(context, asked, Duration::ZERO);
+    let outcome = questions::ask(context, id, Duration::ZERO, until).await;
+    outcome.map_err(|error| refuse_read(context.partition_of(id), id, error, asked))
 }
 
-fn refuse_read(partition: &BatchView, error: LogError) -> BatchAnswer {
-    warn!(event = "read_refused", partition = partition.id.to_string().as_str(),
-        reason = error.to_string().as_str(), status = 503u16; "");
+/// Refuses a call on a batch that was made at `asked`, since its partition could not be read.
+fn refuse_read(
+    partition: &BatchView,
+    batch: &BatchId,
+    error: LogError,
+    asked: Instant,
+) -> BatchAnswer {
+    warn!(event = "read_refused", batch = batch.as_str(),
+        partition = partition.id.to_string().as_str(), reason = error.to_string().as_str(),
+        status = 503u16, waited_ms = asked.elapsed().as_millis() as u64; "");
     BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
 }
 
@@ -320,21 +328,62 @@
     })
 }
 
-/// Ends a batch. A batch that some node runs is ended without being read here: reading may take seconds
-/// when all nodes have just started, in which its items would go on.
-pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
-    let status = if was_found_in_the_log(context, id) {
-        append_end(context, id).await
-    } else {
-        match confirm_now(context, id).await {
-            Ok(()) => append_end_if_known(context, id).await,
-            Err(answer) => return answer,
+/// What came of a call that ends a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndOutcome {
+    /// Its end was known to be in the log.
+    AlreadyEnded,
+    /// Its end was appended.
+    Appended,
+    /// It was never handed in.
+    NotThere,
+    /// Its end was not acknowledged; where that says so, it may have been appended all the same.
+    NotAppended { may_be_done: bool },
+}
+
+impl EndOutcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::AlreadyEnded => "already_ended",
+            Self::Appended => "appended",
+            Self::NotThere => "not_there",
+            Self::NotAppended { .. } => "not_appended",
         }
-    };
-    info!(event = "batch_end", batch = id.as_str(), status = status.as_u16(); "");
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::AlreadyEnded | Self::Appended => StatusCode::OK,
+            Self::NotThere => StatusCode::NOT_FOUND,
+            Self::NotAppended { may_be_done: false } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotAppended { may_be_done: true } => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// Ends a batch.
+pub async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
+    let began = Instant::now();
+    let outcome = try_to_end(context, id).await;
+    let status = outcome.status();
+    info!(event = "batch_end", batch = id.as_str(), outcome = outcome.name(),
+        status = status.as_u16(), took_ms = began.elapsed().as_millis() as u64; "");
     BatchAnswer::empty(status)
 }
 
+/// A batch that some node runs is ended without being read here: reading may take seconds when all nodes
+/// have just started, in which its items would go on.
+async fn try_to_end(context: &Arc<Context>, id: &BatchId) -> EndOutcome {
+    if was_found_in_the_log(context, id) {
+        return append_end(context, id).await;
+    }
+    match confirm_now(context, id).await {
+        Ok(()) => append_end_if_known(context, id).await,
+        // That the partition could not be read was told, with the reason.
+        Err(_) => EndOutcome::NotAppended { may_be_done: false },
+    }
+}
+
 /// Whether a node is known to have found the batch in its partition, so that an end appended now lies
 /// behind it and counts.
 fn was_found_in_the_log(context: &Context, id: &BatchId) -> bool {
@@ -346,17 +395,17 @@
     indexed.is_some_and(|indexed| indexed.was_found)
 }
 
-async fn append_end_if_known(context: &Context, id: &BatchId) -> StatusCode {
+async fn append_end_if_known(context: &Context, id: &BatchId) -> EndOutcome {
     let is_known = context.partition_of(id).lock().state.batch(id).is_some();
     if is_known {
         append_end(context, id).await
     } else {
-        StatusCode::NOT_FOUND
+        EndOutcome::NotThere
     }
 }
 
 /// Appends the end of a batch that lies in the log, unless it is known to be there.
-async fn append_end(context: &Context, id: &BatchId) -> StatusCode {
+async fn append_end(context: &Context, id: &BatchId) -> EndOutcome {
     let partition = context.partition_of(id);
     let is_ended = partition
         .lock()
@@ -364,13 +413,15 @@
         .batch(id)
         .is_some_and(|batch| batch.ended);
     if is_ended {
-        return StatusCode::OK;
+        return EndOutcome::AlreadyEnded;
     }
     let record = BatchRecord::Ended { batch: id.clone() };
     match append(context, partition, &record.encode()).await {
-        AppendOutcome::Done => StatusCode::OK,
-        AppendOutcome::NotDone | AppendOutcome::TooLarge => StatusCode::SERVICE_UNAVAILABLE,
-        AppendOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        AppendOutcome::Done => EndOutcome::Appended,
+        AppendOutcome::NotDone | AppendOutcome::TooLarge => {
+            EndOutcome::NotAppended { may_be_done: false }
+        }
+        AppendOutcome::Unknown => EndOutcome::NotAppended { may_be_done: true },
     }
 }
 
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod candidates;
 mod carried;
 mod claim;
+mod ends_seen;
 mod heartbeat;
 mod held_back;
 mod leases;
@@ -33,6 +34,7 @@
 use crate::work_pace::WorkPace;
 use carried::Carried;
 use claim::ClaimOutcome;
+use ends_seen::BATCH_ENDED;
 use heartbeat::Heartbeats;
 use held_back::HeldBack;
 use live::{LiveItem, Phase};
@@ -48,6 +50,12 @@
 /// Time that a route without a bound of its own gives an item.
 const DEFAULT_GIVE_UP_MS: Millis = 60_000;
 
+/// Why an item is dropped whose result is listed.
+const LISTED: &str = "listed";
+/// Why an item is dropped that is no longer known: records of its partition were dropped before they were
+/// read here, or its batch is past its retention.
+const NOT_KNOWN: &str = "not_known";
+
 /// Runs items until the process ends.
 pub struct Engine {
     context: Arc<Context>,
@@ -204,35 +212,42 @@
 
     /// Drops items that the log shows as done, ended, or taken over by another node.
     fn follow_log(&mut self) {
-        let mut gone = Vec::new();
-        for (key, item) in &self.items {
-            let inner = self.context.partitions.at(item.partition).lock();
-            let confirmed = inner.confirmed_at();
-            let batch = inner.state.batch(&key.batch).filter(|batch| !batch.ended);
-            if batch.is_some_and(|batch| !batch.lease.is_held_by(&self.context.node)) {
-                gone.push((key.clone(), "lease_lost"));
-                continue;
-            }
-            let state = batch.and_then(|batch| batch.item(&key.item));
-            match state {
-                Some(state) if state.result.is_none() && self.was_not_taken(item, confirmed) => {
-                    gone.push((key.clone(), "end_not_taken"));
-                }
-                Some(state) if state.result.is_none() && !item.is_overtaken(state) => {}
-                Some(state) if state.result.is_none() => gone.push((key.clone(), "overtaken")),
-                Some(_) => gone.push((key.clone(), "listed")),
-                None => gone.push((key.clone(), "batch_ended")),
-            }
-        }
+        let items = self.items.iter();
+        let gone: Vec<(ItemKey, &'static str)> = items
+            .filter_map(|(key, item)| Some((key.clone(), self.reason_to_drop(key, item)?)))
+            .collect();
+        self.tell_ends_seen(&gone);
         for (key, reason) in gone {
             let item = self.items.remove(&key);
-            if reason != "listed" {
+            if reason != LISTED {
                 info!(event = "item_dropped", request = key.item.as_str(),
                     batch = key.batch.as_str(), reason = reason,
                     events = item.map_or(0, |item| item.events); "");
             }
         }
     }
+
+    /// Why an item is not worked on any more; `None` if it is.
+    fn reason_to_drop(&self, key: &ItemKey, item: &LiveItem) -> Option<&'static str> {
+        let inner = self.context.partitions.at(item.partition).lock();
+        let confirmed = inner.confirmed_at();
+        let Some(batch) = inner.state.batch(&key.batch) else {
+            return Some(NOT_KNOWN);
+        };
+        if batch.ended {
+            return Some(BATCH_ENDED);
+        }
+        if !batch.lease.is_held_by(&self.context.node) {
+            return Some("lease_lost");
+        }
+        match batch.item(&key.item) {
+            None => Some(NOT_KNOWN),
+            Some(state) if state.result.is_some() => Some(LISTED),
+            Some(_) if self.was_not_taken(item, confirmed) => Some("end_not_taken"),
+            Some(state) if item.is_overtaken(state) => Some("overtaken"),
+            Some(_) => None,
+        }
+    }
 }
 
 /// Events there of an item that this node may not work on yet.
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -11,6 +11,7 @@
 use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
 use havenstage_rollout::record::BatchRecord;
 use havenstage_rollout::stored::Stored;
+use log::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -81,6 +82,8 @@
     readable_since: Millis,
     is_caught_up: bool,
     failed: FailedReads,
+    /// Whether it was told that the first records were gone before anything was read.
+    has_told_lost_beginning: bool,
     /// Time between two reads that is nothing unusual.
     pub usual_gap_ms: Millis,
 }
@@ -114,12 +117,22 @@
 }
 
 impl<S: StreamState> ViewInner<S> {
-    fn skip_to(&mut self, first: u64) {
-        if first > self.next {
-            self.next = first;
-            self.joiner = Joiner::default();
-            self.state.missed_records();
+    /// Skips the records before `first`, which were dropped before they were read here. Answers the offset
+    /// from which they were skipped, if that is to be told.
+    fn skip_to(&mut self, first: u64) -> Option<u64> {
+        if first <= self.next {
+            return None;
         }
+        let from = std::mem::replace(&mut self.next, first);
+        self.joiner = Joiner::default();
+        self.state.missed_records();
+        self.tells_skip(from).then_some(from)
+    }
+
+    /// A partition whose beginning is past its retention is read from 0 again each time that it was
+    /// forgotten and somebody asks: that is told once in the life of the process.
+    fn tells_skip(&mut self, from: u64) -> bool {
+        from > 0 || !std::mem::replace(&mut self.has_told_lost_beginning, true)
     }
 }
 
@@ -151,6 +164,7 @@
             readable_since: 0,
             is_caught_up: false,
             failed: FailedReads::default(),
+            has_told_lost_beginning: false,
             usual_gap_ms: 0,
         };
         Self {
@@ -233,7 +247,7 @@
             applied: 0,
             unreadable: 0,
         };
-        inner.skip_to(page.from);
+        let skipped_from = inner.skip_to(page.from);
         let known = (inner.next - page.from) as usize;
         for record in page.records.into_iter().skip(known) {
             inner.next += 1;
@@ -251,6 +265,7 @@
             inner.confirmed = Some(inner.confirmed.unwrap_or(0).max(asked));
         }
         drop(inner);
+        self.tell_skip(skipped_from, page.from);
         if outcome.applied > 0 {
             self.changed.notify_waiters();
             self.wakes.notify_one();
@@ -303,7 +318,17 @@
 
     /// Skips records that the log no longer has.
     pub fn skip_to(&self, first: u64) {
-        self.lock().skip_to(first);
+        let skipped_from = self.lock().skip_to(first);
+        self.tell_skip(skipped_from, first);
+    }
+
+    /// What those records said is not known here, though they were acknowledged.
+    fn tell_skip(&self, skipped_from: Option<u64>, first: u64) {
+        let Some(from) = skipped_from else {
+            return;
+        };
+        warn!(event = "history_skipped", partition = self.id.to_string().as_str(), from = from,
+            first = first; "");
     }
 
     /// Makes sure that all that was in the log `most_age` ago is known here. Those who ask at the same
