Gateway: a module for each kind of call on batches

batches.rs held the answers' type, submissions, reads, ends and the repeated append. They are now batch_answer.rs, batch_submissions.rs, batch_reads.rs, batch_ends.rs and repeated_append.rs, the largest of 198 lines; the question of a caller that allows no wait and the line read_refused are with the other questions to the log, in questions.rs. The modules are private to the crate, as nothing outside of it called them. No change of behaviour: statuses, lines and times are the same.

--- /dev/null
+++ b/crates/gateway/src/batch_ends.rs
@@ -0,0 +1,112 @@
+//! Callers' calls that end a batch.
+
+use std::sync::Arc;
+
+use havenstage_rollout::ids::BatchId;
+use havenstage_rollout::record::BatchRecord;
+use havenstage_rollout::stored::Stored;
+use http::StatusCode;
+use log::info;
+use tokio::time::Instant;
+
+use crate::batch_answer::BatchAnswer;
+use crate::context::Context;
+use crate::questions;
+use crate::repeated_append::{AppendOutcome, append};
+
+/// What came of a call that ends a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndOutcome {
+    /// Its end was known to be in the log.
+    AlreadyEnded,
+    /// Its end was appended.
+    Appended,
+    /// It was never handed in.
+    NotThere,
+    /// Its end was not acknowledged; where that says so, it may have been appended all the same.
+    NotAppended { may_be_done: bool },
+}
+
+impl EndOutcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::AlreadyEnded => "already_ended",
+            Self::Appended => "appended",
+            Self::NotThere => "not_there",
+            Self::NotAppended { .. } => "not_appended",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::AlreadyEnded | Self::Appended => StatusCode::OK,
+            Self::NotThere => StatusCode::NOT_FOUND,
+            Self::NotAppended { may_be_done: false } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotAppended { may_be_done: true } => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// Ends a batch.
+pub(crate) async fn end(context: &Arc<Context>, id: &BatchId) -> BatchAnswer {
+    let began = Instant::now();
+    let outcome = try_to_end(context, id).await;
+    let status = outcome.status();
+    info!(event = "batch_end", batch = id.as_str(), outcome = outcome.name(),
+        status = status.as_u16(), took_ms = began.elapsed().as_millis() as u64; "");
+    BatchAnswer::empty(status)
+}
+
+/// A batch that some node runs is ended without being read here: reading may take seconds when all nodes
+/// have just started, in which its items would go on.
+async fn try_to_end(context: &Arc<Context>, id: &BatchId) -> EndOutcome {
+    if was_found_in_the_log(context, id) {
+        return append_end(context, id).await;
+    }
+    match questions::ask_now(context, id).await {
+        Ok(()) => append_end_if_known(context, id).await,
+        // That the partition could not be read was told, with the reason.
+        Err(_) => EndOutcome::NotAppended { may_be_done: false },
+    }
+}
+
+/// Whether a node is known to have found the batch in its partition, so that an end appended now lies
+/// behind it and counts.
+fn was_found_in_the_log(context: &Context, id: &BatchId) -> bool {
+    if context.partition_of(id).lock().state.batch(id).is_some() {
+        return true;
+    }
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(id);
+    indexed.is_some_and(|indexed| indexed.was_found)
+}
+
+async fn append_end_if_known(context: &Context, id: &BatchId) -> EndOutcome {
+    let is_known = context.partition_of(id).lock().state.batch(id).is_some();
+    if is_known {
+        append_end(context, id).await
+    } else {
+        EndOutcome::NotThere
+    }
+}
+
+/// Appends the end of a batch that lies in the log, unless it is known to be there.
+async fn append_end(context: &Context, id: &BatchId) -> EndOutcome {
+    let partition = context.partition_of(id);
+    let is_ended = partition
+        .lock()
+        .state
+        .batch(id)
+        .is_some_and(|batch| batch.ended);
+    if is_ended {
+        return EndOutcome::AlreadyEnded;
+    }
+    let record = BatchRecord::Ended { batch: id.clone() };
+    match append(context, partition, &record.encode()).await {
+        AppendOutcome::Done => EndOutcome::Appended,
+        AppendOutcome::NotDone | AppendOutcome::TooLarge => {
+            EndOutcome::NotAppended { may_be_done: false }
+        }
+        AppendOutcome::Unknown => EndOutcome::NotAppended { may_be_done: true },
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/batch_reads.rs
@@ -0,0 +1,198 @@
+//! Callers' calls that read results of a batch, or the body of an item.
+//!
+//! "There is none" means that the log was asked after the call came in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_rollout::fold::BatchState;
+use havenstage_rollout::ids::{BatchId, ItemId};
+use http::StatusCode;
+use log::info;
+use tokio::time::Instant;
+
+use crate::batch_answer::BatchAnswer;
+use crate::batch_partitions::BatchView;
+use crate::context::Context;
+use crate::edge::{LogError, ResultPage};
+use crate::questions;
+
+/// Most bytes of a page of results.
+const PAGE_BYTES: usize = 1_000_000;
+/// Age of a node's knowledge that is still good enough to say that nothing is new.
+const FRESH_ENOUGH: Duration = Duration::from_millis(400);
+/// Longest time that a reader may wait.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Reads results from a position on; waits up to `wait` for one.
+pub(crate) async fn read(
+    context: &Arc<Context>,
+    id: &BatchId,
+    from: usize,
+    wait: Duration,
+) -> BatchAnswer {
+    let call = ReadCall {
+        context,
+        partition: context.partition_of(id),
+        id,
+        from,
+        asked: Instant::now(),
+        wait: wait.min(LONGEST_WAIT),
+    };
+    call.answer().await
+}
+
+/// A call for results.
+struct ReadCall<'a> {
+    context: &'a Arc<Context>,
+    partition: &'a BatchView,
+    id: &'a BatchId,
+    from: usize,
+    asked: Instant,
+    wait: Duration,
+}
+
+enum Found {
+    NoBatch,
+    NothingNew { closed: bool },
+    Page(BatchAnswer),
+}
+
+impl ReadCall<'_> {
+    async fn answer(&self) -> BatchAnswer {
+        if !self.wait.is_zero() {
+            self.context.partitions.want(self.id, self.context.now());
+        }
+        let until = self.asked + self.wait;
+        loop {
+            let changed = self.partition.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let waits_on = Instant::now() < until;
+            match self.look() {
+                Found::Page(answer) => return answer,
+                Found::NothingNew { closed } if closed || !waits_on => {
+                    if let Some(answer) = self.confirmed_nothing().await {
+                        return answer;
+                    }
+                }
+                Found::NothingNew { .. } => {
+                    let _ = tokio::time::timeout_at(until, changed).await;
+                }
+                Found::NoBatch => match self.ask(Duration::ZERO).await {
+                    Err(error) => return self.refused(error),
+                    Ok(()) if self.partition.lock().state.batch(self.id).is_none() => {
+                        info!(event = "batch_not_found", batch = self.id.as_str(),
+                            status = 404u16; "");
+                        return BatchAnswer::empty(StatusCode::NOT_FOUND);
+                    }
+                    Ok(()) => {}
+                },
+            }
+        }
+    }
+
+    fn look(&self) -> Found {
+        let inner = self.partition.lock();
+        let Some(batch) = inner.state.batch(self.id) else {
+            return Found::NoBatch;
+        };
+        // Behind the last item there is nothing, whatever the log holds by now.
+        if self.from >= batch.listed.len() && !batch.is_fully_listed() {
+            return Found::NothingNew {
+                closed: batch.is_closed(),
+            };
+        }
+        Found::Page(self.page(batch))
+    }
+
+    fn page(&self, batch: &BatchState) -> BatchAnswer {
+        let dialect = &self.context.dialect;
+        let mut bytes = 0;
+        let mut results = Vec::new();
+        for (item, result) in batch.results_from(self.from) {
+            bytes += dialect.result_bytes(result);
+            if bytes > PAGE_BYTES && !results.is_empty() {
+                break;
+            }
+            results.push((item, result));
+        }
+        let page = ResultPage {
+            total: batch.items.len(),
+            next: self.from + results.len(),
+            results,
+        };
+        info!(event = "results_read", batch = self.id.as_str(), from = self.from,
+            next = page.next, waited_ms = self.asked.elapsed().as_millis() as u64; "");
+        BatchAnswer {
+            status: StatusCode::OK,
+            body: dialect.write_results(&page),
+            is_own_format: true,
+        }
+    }
+
+    /// Asks the log, until what is known here is fresh enough or there is a result to answer with: what is
+    /// listed never changes, so it is answered before the rest of the partition is read, and whatever
+    /// failed.
+    async fn ask(&self, most_age: Duration) -> Result<(), LogError> {
+        let until = questions::deadline(self.context, self.asked, self.wait);
+        let question = questions::ask(self.context, self.id, most_age, until);
+        tokio::pin!(question);
+        loop {
+            let changed = self.partition.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if self.has_results() {
+                return Ok(());
+            }
+            tokio::select! {
+                biased;
+                () = changed => {}
+                outcome = question.as_mut() => return outcome,
+            }
+        }
+    }
+
+    fn has_results(&self) -> bool {
+        let inner = self.partition.lock();
+        let batch = inner.state.batch(self.id);
+        batch.is_some_and(|batch| self.from < batch.listed.len())
+    }
+
+    /// Answers "nothing new" once the node's knowledge is fresh enough; `None` if there is something.
+    async fn confirmed_nothing(&self) -> Option<BatchAnswer> {
+        if let Err(error) = self.ask(FRESH_ENOUGH).await {
+            return Some(self.refused(error));
+        }
+        let inner = self.partition.lock();
+        let batch = inner.state.batch(self.id)?;
+        (self.from >= batch.listed.len()).then(|| self.page(batch))
+    }
+
+    fn refused(&self, error: LogError) -> BatchAnswer {
+        questions::tell_refused(self.context, self.id, error, self.asked);
+        BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Reads the body of an item that is not listed yet.
+pub(crate) async fn item_body(context: &Arc<Context>, id: &BatchId, item: &ItemId) -> BatchAnswer {
+    let partition = context.partition_of(id);
+    if let Some(answer) = known_body(partition, id, item) {
+        return answer;
+    }
+    if questions::ask_now(context, id).await.is_err() {
+        return BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    known_body(partition, id, item).unwrap_or_else(|| BatchAnswer::empty(StatusCode::NOT_FOUND))
+}
+
+fn known_body(partition: &BatchView, id: &BatchId, item: &ItemId) -> Option<BatchAnswer> {
+    let inner = partition.lock();
+    let spec = inner.state.batch(id)?.item(item)?.spec.clone()?;
+    Some(BatchAnswer {
+        status: StatusCode::OK,
+        body: spec.body.clone(),
+        is_own_format: false,
+    })
+}
--- a/crates/gateway/src/batch_server.rs
+++ b/crates/gateway/src/batch_server.rs
@@ -10,11 +10,12 @@
 use log::{info, warn};
 use tokio::time::Instant;
 
-use crate::batches::{self, BatchAnswer};
+use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
 use crate::edge::BatchCall;
 use crate::metrics;
 use crate::responses::{Body, COME_BACK, header_ms, plain, refuse, whole_body};
+use crate::{batch_ends, batch_reads, batch_submissions};
 
 /// Tells of a caller that left before its answer: its call is dropped then, wherever it stands.
 struct WaitingCaller {
@@ -69,7 +70,7 @@
         .dialect
         .read_submission(BatchId::from(id), host, path, &body);
     let answer = match read {
-        Ok(submission) => batches::submit(context, submission).await,
+        Ok(submission) => batch_submissions::submit(context, submission).await,
         Err(error) => {
             warn!(event = "batch_refused", batch = id, status = 400u16,
                 reason = error.to_string().as_str(); "");
@@ -91,19 +92,19 @@
         BatchCall::Read { batch, from } => {
             let wait = header_ms(&head.headers, &context.dialect.headers().wait_ms);
             let waits = WaitingCaller::new("read", batch.as_str(), began);
-            let answer = batches::read(context, &batch, from, wait.unwrap_or_default()).await;
+            let answer = batch_reads::read(context, &batch, from, wait.unwrap_or_default()).await;
             waits.answered();
             batch_response(context, "read", answer, began)
         }
         BatchCall::ItemBody { batch, item } => {
             let waits = WaitingCaller::new("item", batch.as_str(), began);
-            let answer = batches::item_body(context, &batch, &item).await;
+            let answer = batch_reads::item_body(context, &batch, &item).await;
             waits.answered();
             batch_response(context, "item", answer, began)
         }
         BatchCall::End { batch } => {
             let waits = WaitingCaller::new("end", batch.as_str(), began);
-            let answer = batches::end(context, &batch).await;
+            let answer = batch_ends::end(context, &batch).await;
             waits.answered();
             batch_response(context, "end", answer, began)
         }
--- /dev/null
+++ b/crates/gateway/src/batch_submissions.rs
@@ -0,0 +1,98 @@
+//! Callers' calls that hand in a batch.
+//!
+//! Accepted means appended: the batch to its partition, and the notice of it to the stream that all
+//! nodes read.
+
+use std::sync::Arc;
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::batch::Submission;
+use havenstage_rollout::batch_index::BatchNotice;
+use havenstage_rollout::control::ControlRecord;
+use havenstage_rollout::ids::{BatchId, NodeId};
+use havenstage_rollout::record::BatchRecord;
+use havenstage_rollout::stored::Stored;
+use http::StatusCode;
+use log::{info, warn};
+
+use crate::batch_answer::BatchAnswer;
+use crate::context::Context;
+use crate::repeated_append::{AppendOutcome, append};
+
+/// Age of a sign of life up to which its node is taken to be alive.
+const ALIVE_MS: Millis = 700;
+
+/// Hands in a batch.
+pub(crate) async fn submit(context: &Arc<Context>, submission: Submission) -> BatchAnswer {
+    if let Err(error) = submission.validate() {
+        warn!(event = "batch_refused", batch = submission.id.as_str(), status = 400u16,
+            reason = error.to_string().as_str(); "");
+        return BatchAnswer::empty(StatusCode::BAD_REQUEST);
+    }
+    let id = submission.id.clone();
+    let items = submission.items.len();
+    let (step, minimum_version) = (submission.step, submission.minimum_version);
+    let desired_groups = submission.desired_groups;
+    let partition = context.partition_of(&id);
+    if is_accepted(context, &id) {
+        info!(event = "batch_repeated", batch = id.as_str(), status = 202u16; "");
+        return BatchAnswer::empty(StatusCode::ACCEPTED);
+    }
+    let status = write_down(context, submission).await;
+    info!(event = "batch_submitted", batch = id.as_str(), partition = partition.id.to_string().as_str(),
+        items = items, step = step, desired_groups = desired_groups,
+        minimum_version = minimum_version, status = status.as_u16(); "");
+    BatchAnswer::empty(status)
+}
+
+/// Whether a batch is known to be there whole: its items, and the notice of it to all nodes.
+fn is_accepted(context: &Context, batch: &BatchId) -> bool {
+    let is_noticed = context.control.lock().state.index().batch(batch).is_some();
+    let partition = context.partition_of(batch);
+    is_noticed && partition.lock().state.batch(batch).is_some()
+}
+
+/// Appends a batch to its partition, and then the notice of it to the stream that all nodes read; both
+/// must be there before it is accepted. An owner that reads the partition before the items are there
+/// would see them late: the store need not wake a reader of a topic that is created while it waits.
+/// "Not run" is true if the items were certainly not appended, since nobody is told of them then.
+async fn write_down(context: &Arc<Context>, submission: Submission) -> StatusCode {
+    let owner = first_owner(context, &submission);
+    let notice = ControlRecord::BatchAccepted(BatchNotice::of(&submission, owner.clone()));
+    let partition = context.partition_of(&submission.id);
+    let record = BatchRecord::Submitted {
+        submission: Arc::new(submission),
+        owner,
+    };
+    let items = append(context, partition, &record.encode()).await;
+    match items {
+        AppendOutcome::TooLarge => return StatusCode::PAYLOAD_TOO_LARGE,
+        AppendOutcome::NotDone => return StatusCode::SERVICE_UNAVAILABLE,
+        // Items that may be there are run if they are.
+        AppendOutcome::Done | AppendOutcome::Unknown => {}
+    }
+    let told = append(context, &context.control, &notice.encode()).await;
+    // This node hears of it at once, in case it is the owner.
+    context.control.want(context.now());
+    match (items, told) {
+        (AppendOutcome::Done, AppendOutcome::Done) => StatusCode::ACCEPTED,
+        _ => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// The node that runs the batch from the start: the one that ran the route's last batch, if it was
+/// seen a moment ago, since it has connections to the back ends; else this one. A node that stops
+/// leaves the batch to the others.
+fn first_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
+    last_owner(context, submission)
+        .or_else(|| (!context.is_stopping()).then(|| context.node.clone()))
+}
+
+fn last_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
+    let since = context.now().saturating_sub(ALIVE_MS);
+    let table = context.routes()?;
+    let route = table.batch_route(&submission.host, &submission.path)?;
+    let control = context.control.lock();
+    let owner = control.state.serving(&route.name, since)?;
+    (*owner != context.node || !context.is_stopping()).then(|| owner.clone())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,10 +4,13 @@
 //! The decisions are in `havenstage_rollout`; this crate joins them to the traits in [`edge`].
 
 pub mod backends;
+mod batch_answer;
+mod batch_ends;
 pub mod batch_knowledge;
 pub mod batch_partitions;
+mod batch_reads;
 mod batch_server;
-pub mod batches;
+mod batch_submissions;
 mod caller_stream;
 pub mod calls;
 pub mod checkpoints;
@@ -27,6 +30,7 @@
 pub mod order_run;
 mod questions;
 pub mod relay;
+mod repeated_append;
 mod responses;
 pub mod send;
 pub mod server;
--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -8,7 +8,7 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::ids::BatchId;
-use log::error;
+use log::{error, warn};
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -54,3 +54,20 @@
         Err(LogError::Unknown)
     })
 }
+
+/// Makes sure that all that is in a batch's partition now is known here, for a caller that allows no wait; a
+/// failure is told.
+pub(crate) async fn ask_now(context: &Arc<Context>, batch: &BatchId) -> Result<(), LogError> {
+    let asked = Instant::now();
+    let until = deadline(context, asked, Duration::ZERO);
+    let outcome = ask(context, batch, Duration::ZERO, until).await;
+    outcome.inspect_err(|error| tell_refused(context, batch, *error, asked))
+}
+
+/// Tells that a call on a batch, made at `asked`, is refused since the batch's partition could not be read.
+pub(crate) fn tell_refused(context: &Context, batch: &BatchId, error: LogError, asked: Instant) {
+    let partition = context.partition_of(batch).id.to_string();
+    warn!(event = "read_refused", batch = batch.as_str(), partition = partition.as_str(),
+        reason = error.to_string().as_str(), status = 503u16,
+        waited_ms = asked.elapsed().as_millis() as u64; "");
+}
