Rollout: time since an order counts from the first sign of life behind it

A holder's sign of life tells the time since its former sign. All of it was added to the age of orders that stand between the two, though an order may have been given right before the second one: a node that had just started took an order for up to one interval (0.3 s, more after a failed append) older than it was. In a soak two holders' orders to one engine came 2.968 s and 2.978 s apart, where 3.0 s must lie.

An order now has no time in the log until a sign stands behind it, and counts from that sign on. The checkpoint says which orders have none. Its new fields stand behind all others: older nodes pass them over and read what they read before (postcard ignores bytes behind a value); an older checkpoint ends before them, is read as the first form, and its orders wait for the next sign that is read. A longer checkpoint that is cut off is not taken for the first form.

Before: quiet_ms 300 after one sign behind the order and 600 after two; now 0 and 300.

--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -3,6 +3,10 @@
 //!
 //! Times are left out: whoever takes a checkpoint up has seen its content at that moment, as if it had
 //! read all records then.
+//!
+//! Nodes of several versions of the program read each other's checkpoints while a release goes on. New
+//! fields stand behind all others, where an older reader passes them over; a checkpoint without them is
+//! read as the first form.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,7 +16,12 @@
 use crate::batch_index::BatchNotice;
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
-use crate::stored::Stored;
+use crate::stored::{Stored, UnreadableValue};
+
+/// Number of the present form of checkpoints; rises with each field that is added.
+pub const FORM: u8 = 2;
+/// Number of the form that does not name its number.
+const FIRST_FORM: u8 = 1;
 
 /// The fold of the control stream up to an offset.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +42,55 @@
     pub last_orders: Vec<OrderTime>,
     /// Time that has certainly passed between the first record and this offset.
     pub log_time: Millis,
+    /// [`FORM`] of the node that wrote it. What stands from here on is not in the first form.
+    pub form: u8,
+    /// Those of the last orders behind which no sign of life stands yet.
+    pub unsigned_orders: BTreeSet<(BackendId, MachineName)>,
+}
+
+/// The fold as it was kept first: what all forms begin with.
+#[derive(Deserialize)]
+struct FirstForm {
+    next: u64,
+    machines: BTreeSet<MachineName>,
+    batches: Vec<BatchCheckpoint>,
+    term: Term,
+    holder: Option<NodeId>,
+    pending: BTreeMap<BackendId, (ModelName, Version)>,
+    last_orders: Vec<OrderTime>,
+    log_time: Millis,
+}
+
+impl FirstForm {
+    /// Reads a checkpoint that has this form and nothing behind it: a longer one that is cut off is not
+    /// taken for it.
+    fn read_whole(bytes: &[u8]) -> Option<Self> {
+        let (form, rest) = postcard::take_from_bytes(bytes).ok()?;
+        rest.is_empty().then_some(form)
+    }
+}
+
+impl From<FirstForm> for ControlCheckpoint {
+    /// Its orders have times of the signs in front of them, which are too early. They are taken for
+    /// orders without a sign behind them, so that a holder waits longer rather than less.
+    fn from(form: FirstForm) -> Self {
+        let orders = form.last_orders.iter();
+        let unsigned_orders = orders
+            .map(|order| (order.backend.clone(), order.machine.clone()))
+            .collect();
+        Self {
+            next: form.next,
+            machines: form.machines,
+            batches: form.batches,
+            term: form.term,
+            holder: form.holder,
+            pending: form.pending,
+            last_orders: form.last_orders,
+            log_time: form.log_time,
+            form: FIRST_FORM,
+            unsigned_orders,
+        }
+    }
 }
 
 /// A batch in a checkpoint.
@@ -53,10 +111,20 @@
     pub backend: BackendId,
     /// The machine.
     pub machine: MachineName,
-    /// When, in time that certainly passed in the log.
+    /// The first sign of life behind it, or the last one if there is none yet, in time that certainly
+    /// passed in the log.
     pub log_time: Millis,
 }
 
 impl Stored for ControlCheckpoint {
     const WHAT: &'static str = "a checkpoint of the control stream";
+
+    fn decode(bytes: &[u8]) -> Result<Self, UnreadableValue> {
+        let whole = postcard::from_bytes(bytes);
+        whole.or_else(|source| {
+            let first_form = FirstForm::read_whole(bytes);
+            let unreadable = || UnreadableValue::new(Self::WHAT, source);
+            first_form.map(Self::from).ok_or_else(unreadable)
+        })
+    }
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -10,7 +10,7 @@
 
 use crate::Millis;
 use crate::batch_index::{BatchIndex, BatchNotice};
-use crate::checkpoint::{ControlCheckpoint, OrderTime};
+use crate::checkpoint::{ControlCheckpoint, FORM, OrderTime};
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::{LeaseState, Term};
@@ -167,8 +167,10 @@
         let last_orders = self.last_orders.all().map(|(backend, order)| OrderTime {
             backend: backend.clone(),
             machine: order.machine.clone(),
-            log_time: order.log_time,
+            log_time: order.log_time.unwrap_or(self.log_time),
         });
+        let unsigned = self.last_orders.all();
+        let unsigned = unsigned.filter(|(_, order)| order.log_time.is_none());
         ControlCheckpoint {
             next,
             machines: self.machines.clone(),
@@ -180,6 +182,10 @@
                 .collect(),
             last_orders: last_orders.collect(),
             log_time: self.log_time,
+            form: FORM,
+            unsigned_orders: unsigned
+                .map(|(backend, order)| (backend.clone(), order.machine.clone()))
+                .collect(),
         }
     }
 
@@ -199,12 +205,15 @@
             state.pending.insert(backend, order);
         }
         for order in checkpoint.last_orders {
+            let key = (order.backend, order.machine);
+            let is_signed = !checkpoint.unsigned_orders.contains(&key);
+            let (backend, machine) = key;
             let last = LastOrder {
-                machine: order.machine,
+                machine,
                 read_at: now,
-                log_time: order.log_time,
+                log_time: is_signed.then_some(order.log_time),
             };
-            state.last_orders.given(order.backend, last);
+            state.last_orders.given(backend, last);
         }
         state
     }
@@ -244,6 +253,7 @@
             } => {
                 if self.lease.keep(term, &holder, now) {
                     self.log_time += after_ms;
+                    self.last_orders.signed(self.log_time);
                 }
             }
             ControlRecord::LeaseReleased { term } => {
@@ -258,7 +268,7 @@
                 let order = LastOrder {
                     machine: holder.machine,
                     read_at: now,
-                    log_time: self.log_time,
+                    log_time: None,
                 };
                 self.last_orders.given(backend.clone(), order);
                 self.pending.insert(
@@ -331,11 +341,13 @@
 
     /// Time that has certainly passed since another machine gave a back end an order; `None` if none
     /// did. A reader that has just started reads old orders only now, but the signs of life behind
-    /// them tell how old they are at least.
+    /// them tell how old they are at least: the first one only that it is younger, each further one by
+    /// the time since the one before.
     pub fn quiet_ms(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
         let seen = self.last_orders.of_another(backend, &self.own_machine)?;
         let by_own_clock = now.saturating_sub(seen.read_at);
-        Some(by_own_clock.max(self.log_time - seen.log_time))
+        let by_the_log = seen.log_time.map_or(0, |signed| self.log_time - signed);
+        Some(by_own_clock.max(by_the_log))
     }
 
     /// Forgets back ends that `keep` does not name.
--- a/crates/rollout/src/last_orders.rs
+++ b/crates/rollout/src/last_orders.rs
@@ -15,8 +15,9 @@
     pub machine: MachineName,
     /// When this node read of it, on its own clock.
     pub read_at: Millis,
-    /// When it was written, in time that certainly passed in the log.
-    pub log_time: Millis,
+    /// The first sign of life behind it, in time that certainly passed in the log; `None` until there is
+    /// one. Time between two signs counts only if the order stands in front of both.
+    pub log_time: Option<Millis>,
 }
 
 /// The last orders of the two machines that gave each back end one most recently.
@@ -34,6 +35,13 @@
         orders.truncate(KEPT_MACHINES);
     }
 
+    /// A sign of life stands at `log_time`, behind all orders so far.
+    pub fn signed(&mut self, log_time: Millis) {
+        for order in self.by_backend.values_mut().flatten() {
+            order.log_time.get_or_insert(log_time);
+        }
+    }
+
     /// The last order that a machine other than `own` gave a back end.
     pub fn of_another(&self, backend: &BackendId, own: &MachineName) -> Option<&LastOrder> {
         let orders = self.by_backend.get(backend)?;
--- a/crates/rollout/src/stored.rs
+++ b/crates/rollout/src/stored.rs
@@ -14,6 +14,12 @@
     source: postcard::Error,
 }
 
+impl UnreadableValue {
+    pub(crate) fn new(what: &'static str, source: postcard::Error) -> Self {
+        Self { what, source }
+    }
+}
+
 /// A value that is kept in the log. It holds only plain data.
 pub trait Stored: Serialize + DeserializeOwned {
     /// What it is, with its article, for errors.
@@ -26,9 +32,6 @@
 
     /// Reads the bytes of the log.
     fn decode(bytes: &[u8]) -> Result<Self, UnreadableValue> {
-        postcard::from_bytes(bytes).map_err(|source| UnreadableValue {
-            what: Self::WHAT,
-            source,
-        })
+        postcard::from_bytes(bytes).map_err(|source| UnreadableValue::new(Self::WHAT, source))
     }
 }
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use havenstage_rollout::batch_index::BatchNotice;
-use havenstage_rollout::checkpoint::ControlCheckpoint;
+use havenstage_rollout::checkpoint::{BatchCheckpoint, ControlCheckpoint, OrderTime};
 use havenstage_rollout::control::{ControlRecord, ControlState};
-use havenstage_rollout::ids::{BatchId, MachineName, ModelName};
+use havenstage_rollout::ids::{BackendId, BatchId, MachineName, ModelName, NodeId};
 use havenstage_rollout::stored::Stored;
 use support::{backend, item, node, submission};
 
@@ -222,3 +224,59 @@
         .encode();
     assert!(ControlCheckpoint::decode(&written[..written.len() - 1]).is_err());
 }
+
+/// The fields of a checkpoint that were kept first, as an older node writes and reads them.
+type FirstForm = (
+    u64,
+    BTreeSet<MachineName>,
+    Vec<BatchCheckpoint>,
+    u64,
+    Option<NodeId>,
+    BTreeMap<BackendId, (ModelName, u64)>,
+    Vec<OrderTime>,
+    u64,
+);
+
+fn checkpoint_of_history() -> ControlCheckpoint {
+    let mut state = ControlState::new(MachineName::from("writer"));
+    for record in history() {
+        state.apply(record, 7);
+    }
+    state.checkpoint(16)
+}
+
+/// While a release goes on, the holder may be of the older version and the node that starts of the newer.
+/// Such a checkpoint has the times of the signs in front of its orders.
+#[test]
+fn orders_of_an_older_checkpoint_count_from_the_first_sign_that_is_read() {
+    let new = checkpoint_of_history();
+    let old: FirstForm = (
+        new.next,
+        new.machines,
+        new.batches,
+        new.term,
+        new.holder,
+        new.pending,
+        new.last_orders,
+        new.log_time,
+    );
+    let written = postcard::to_stdvec(&old).unwrap();
+    let read = ControlCheckpoint::decode(&written).unwrap();
+    assert_eq!((read.next, &read.batches), (16, &old.2));
+    let mut state = ControlState::restored(MachineName::from("a"), read, 1_000);
+    state.apply(kept("c", 2, 300), 1_000);
+    assert_eq!(state.quiet_ms(&backend("x"), 1_000), Some(0));
+    state.apply(kept("c", 2, 300), 1_000);
+    assert_eq!(state.quiet_ms(&backend("x"), 1_000), Some(300));
+    assert!(ControlCheckpoint::decode(&written[..written.len() - 1]).is_err());
+}
+
+#[test]
+fn an_older_node_reads_what_it_knows_of_a_newer_checkpoint() {
+    let new = checkpoint_of_history();
+    let old: FirstForm = postcard::from_bytes(&new.encode()).unwrap();
+    assert_eq!(
+        (old.0, old.2, old.6),
+        (new.next, new.batches, new.last_orders)
+    );
+}
