--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -137,3 +137,50 @@
         "an order was given under a term that had passed"
     );
 }
+
+/// An order stands in the log up to 0.8 s before it reaches its engine: its append has to be answered and
+/// its connection opened. A successor counted the time that must lie between two machines' orders from the
+/// record, so that with a late first order too little lay between the two where the engine sees them.
+#[tokio::test]
+async fn a_new_holder_allows_for_an_order_that_reached_its_engine_late() {
+    let deployment = Deployment::start(1, 1).await;
+    let (first, second) = (deployment.node("a").await, deployment.node("b").await);
+    name_version(&deployment.log, 2);
+    wait_for_version(&deployment, 2).await;
+    let (former, next) = match holder(&first) == Some(MachineName::from("a")) {
+        true => (first, second),
+        false => (second, first),
+    };
+    let stopping = tokio::spawn(former.stop());
+    let successor = next.context().node.machine.clone();
+    wait_until("the other node holds the lease", || {
+        holder(&next) == Some(successor.clone())
+    })
+    .await;
+    name_version(&deployment.log, 3);
+    wait_for_version(&deployment, 3).await;
+    stopping.await.unwrap();
+    let times = deployment.engines[0].order_times();
+    let between = times[1] - times[0];
+    // 0.5 s must lie between them. Of the 0.8 s besides, 0.3 s are left for a busy machine.
+    assert!(between >= Duration::from_millis(1_000), "{between:?}");
+}
+
+/// The answer to the append of an order came late, and the order was given all the same, as the lease still
+/// held: a successor that reads the record allows for 0.8 s between the two.
+#[tokio::test]
+async fn an_order_that_took_long_to_write_down_is_not_given() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    wait_until("the node holds the lease", || holder(&node).is_some()).await;
+    node.set_faults(LogFaults {
+        late_answers_to_orders: Duration::from_millis(900),
+        ..LogFaults::default()
+    });
+    name_version(&deployment.log, 2);
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let orders = deployment.engines[0].orders();
+    assert!(orders.is_empty(), "{orders:?}");
+    node.set_faults(LogFaults::default());
+    wait_for_version(&deployment, 2).await;
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -80,7 +80,7 @@
     pub address: SocketAddr,
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Vec<Seen>>,
-    orders: Mutex<Vec<String>>,
+    orders: Mutex<Vec<(String, Instant)>>,
     at_work: Arc<AtomicUsize>,
     breaks: Notify,
 }
@@ -146,7 +146,14 @@
 
     /// Orders, in the order they came, as `model version holder fence`.
     pub fn orders(&self) -> Vec<String> {
-        self.orders.lock().unwrap().clone()
+        let orders = self.orders.lock().unwrap();
+        orders.iter().map(|(order, _)| order.clone()).collect()
+    }
+
+    /// When each order came.
+    pub fn order_times(&self) -> Vec<Instant> {
+        let orders = self.orders.lock().unwrap();
+        orders.iter().map(|(_, at)| *at).collect()
     }
 
     /// How often each item was sent here.
@@ -236,7 +243,7 @@
     let order = String::from_utf8(body.to_vec()).unwrap();
     let version = order.split(' ').nth(1).unwrap().parse().unwrap();
     backend.behave(|behaviour| behaviour.version = version);
-    backend.orders.lock().unwrap().push(order);
+    backend.orders.lock().unwrap().push((order, Instant::now()));
     whole(StatusCode::OK, String::new())
 }
 
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -12,6 +12,8 @@
     ListingPage, LogError, LogPage, LogStream, SharedLog, StreamPartition,
 };
 use havenstage_rollout::checkpoint::ControlCheckpoint;
+use havenstage_rollout::control::ControlRecord;
+use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
 
@@ -48,6 +50,8 @@
     pub refuses_reads: bool,
     /// Reads are refused at once because too many calls are made.
     pub throttles_reads: bool,
+    /// Orders are written down at once, and the answer takes so long.
+    pub late_answers_to_orders: Duration,
     /// Appends take a while.
     pub slow_appends: bool,
     /// Appends of batches take a while; others do not.
@@ -70,6 +74,15 @@
     pub drops_what_it_keeps: bool,
 }
 
+/// Whether an append writes an order down.
+fn is_order(partition: StreamPartition, records: &[Bytes]) -> bool {
+    let mut joiner = Joiner::default();
+    let values = records.iter().filter_map(|r| joiner.push(r.clone()));
+    let mut values = values.map(|value| ControlRecord::decode(&value));
+    partition.stream == LogStream::Control
+        && values.any(|record| matches!(record, Ok(ControlRecord::Ordered { .. })))
+}
+
 /// One node's way to the log.
 pub struct NodeLog {
     shared: Arc<MemoryLog>,
@@ -303,7 +316,12 @@
         if self.faults().slow_appends || (is_batch && self.faults().slow_batch_appends) {
             tokio::time::sleep(SLOW_APPEND).await;
         }
+        let answer_delay = match is_order(partition, &records) {
+            true => self.faults().late_answers_to_orders,
+            false => Duration::ZERO,
+        };
         let appended = self.shared.append_now(partition, records);
+        tokio::time::sleep(answer_delay).await;
         if self.faults().loses_answers {
             tokio::time::sleep(NO_ANSWER).await;
             return Err(LogError::Unknown);
