Gateway: a new holder allows for orders on their way, which are given within 0.8 s or not at all

What a new holder knows of another machine's order is when its record stood in the log. The order is sent after the append was answered (up to 1 s) and may be on its way for another 0.8 s, so the engine could see two machines' orders closer together than bounds.order_lease_ms.

An order now has 0.8 s (ORDER_TIMEOUT) from when it begins to be written down until its engine has answered; what the append took is taken off, and with nothing left it is not given. A new holder waits that time more. order_given says what was left (left_ms). Weighed: the margin alone (would have to be 1.8 s); order_thaw_ms as margin (0.3 s: does not bound the way of an order).

--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use havenstage_rollout::Millis;
 use havenstage_rollout::ids::{ModelName, Version};
 use havenstage_rollout::order_plan::{
     OrderTarget, PlannedOrder, VersionDemand, assign_homes, plan_orders,
@@ -9,6 +10,11 @@
 use havenstage_rollout::route::Pool;
 
 use super::Coordinator;
+use crate::order_run::ORDER_TIMEOUT;
+
+/// Time from an order's record until the order is at its back end, at most. What is known of another
+/// machine's order is when its record stood in the log.
+const ORDER_ON_ITS_WAY_MS: Millis = ORDER_TIMEOUT.as_millis() as Millis;
 
 /// What a model's back ends have to do.
 #[derive(Debug, Clone, Copy)]
@@ -81,7 +87,7 @@
         self.context.note_observed_versions();
         let control = self.context.control.lock();
         let backends = self.context.backends.lock();
-        let quiet_ms = self.context.settings.bounds.order_lease_ms;
+        let quiet_ms = self.context.settings.bounds.order_lease_ms + ORDER_ON_ITS_WAY_MS;
         let mut targets = Vec::new();
         for (id, record) in backends.list.ready_in(&pool.name) {
             let is_quiet = control
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -18,8 +18,9 @@
 use crate::log_writes::append_control;
 use crate::metrics;
 
-/// Time a back end has to answer an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time from the moment an order begins to be written down within which it reaches its back end and is
+/// answered. Later it is not given: the next holder, who sees when it was written down, allows for so much.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time a back end has to answer a question.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after an accepted order before its back end is first asked whether it is done.
@@ -64,6 +65,14 @@
     Settle,
 }
 
+/// Until when an order may be given.
+struct OrderPermit<'a> {
+    /// Until when the next holder expects it to have reached its back end.
+    give_until: Instant,
+    /// Until when the lease is relied on.
+    reliable_until: &'a AtomicU64,
+}
+
 /// Follows an order to its end. The report is the back end's last word, `None` if it has none.
 pub async fn follow(
     context: &Arc<Context>,
@@ -78,8 +87,13 @@
             Some(count) => count,
             None => ask(context, &order.backend).await?.orders_taken,
         };
+        let give_until = Instant::now() + ORDER_TIMEOUT;
         write_down(context, order).await.ok()?;
-        status = give(context, order, expected_orders, reliable_until).await;
+        let permit = OrderPermit {
+            give_until,
+            reliable_until,
+        };
+        status = give(context, order, expected_orders, permit).await;
     }
     let report = settle(context, order, status, began).await;
     let record = match &report {
@@ -121,7 +135,7 @@
     context: &Arc<Context>,
     order: &Order,
     expected_orders: u64,
-    reliable_until: &AtomicU64,
+    permit: OrderPermit<'_>,
 ) -> Option<StatusCode> {
     let request = context.dialect.order_request(&VersionOrder {
         model: order.model.clone(),
@@ -131,16 +145,17 @@
         fence: order.fence,
         expected_orders: Some(expected_orders),
     });
-    let is_reliable = context.now() < reliable_until.load(Ordering::Relaxed);
-    let answer = match is_reliable {
-        true => exchange(context, &order.backend, request, ORDER_TIMEOUT).await,
+    let is_reliable = context.now() < permit.reliable_until.load(Ordering::Relaxed);
+    let time_left = permit.give_until.saturating_duration_since(Instant::now());
+    let answer = match is_reliable && !time_left.is_zero() {
+        true => exchange(context, &order.backend, request, time_left).await,
         false => None,
     };
     let status = answer.map(|answer| answer.status);
     let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
     info!(event = "order_given", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, fence = order.fence, expected_orders = expected_orders,
-        lease_held = is_reliable, status = status_text.as_str(); "");
+        lease_held = is_reliable, left_ms = time_left.as_millis() as u64, status = status_text.as_str(); "");
     metrics::order_answered(match status.map(|status| status.as_u16()) {
         Some(200) => "holds",
         Some(202) => "accepted",
