--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::batch_index::IndexedBatch;
+use havenstage_rollout::batch_index::{IndexedBatch, NEVER_CAME_MS};
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::lease::{LeaseState, Term};
@@ -22,9 +22,6 @@
 /// Time after a batch closed in which its owner still says that it serves the route, so that the
 /// route's next batch can be given to it.
 const LINGER_MS: Millis = 4_000;
-/// Time after which a batch whose items are not in its partition is taken for one that was never
-/// accepted: its caller was told so long before, or went elsewhere with it.
-const NEVER_CAME_MS: Millis = 15_000;
 /// Pause before a record of the index is appended again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 /// Time after which a batch that is still open in the index is told to be closed once more.
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -4,8 +4,12 @@
 
 use std::time::Duration;
 
+use havenstage_gateway::context::CONTROL;
 use havenstage_gateway::edge::DirectoryEntry;
-use havenstage_rollout::ids::{MachineName, ModelName};
+use havenstage_rollout::control::ControlRecord;
+use havenstage_rollout::framing;
+use havenstage_rollout::ids::{BackendId, MachineName, ModelName};
+use havenstage_rollout::stored::Stored;
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::log::{LogFaults, MemoryLog};
 
@@ -184,3 +188,26 @@
     node.set_faults(LogFaults::default());
     wait_for_version(&deployment, 2).await;
 }
+
+/// What an engine has that did not take an order is what it had before. A late copy of that looks the same,
+/// so only a withdrawal says that the order is no longer under way.
+#[tokio::test]
+async fn an_order_that_was_refused_is_withdrawn() {
+    let deployment = Deployment::start(1, 1).await;
+    let engine = &deployment.engines[0];
+    let _node = deployment.node("a").await;
+    engine.behave(|behaviour| behaviour.refuses_orders = true);
+    name_version(&deployment.log, 2);
+    wait_until("the order is withdrawn", || {
+        let records = deployment.log.records(CONTROL);
+        let withdrawn = ControlRecord::Withdrawn {
+            backend: BackendId::from(engine.id.as_str()),
+        };
+        framing::split(&withdrawn.encode(), 512)
+            .iter()
+            .all(|record| records.contains(record))
+    })
+    .await;
+    engine.behave(|behaviour| behaviour.refuses_orders = false);
+    wait_for_version(&deployment, 2).await;
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -37,6 +37,8 @@
     pub events: u32,
     /// Bytes that the data of each event is longer by.
     pub event_padding: usize,
+    /// Orders are refused.
+    pub refuses_orders: bool,
     /// Answer to calls.
     pub call: CallBehaviour,
 }
@@ -110,6 +112,7 @@
             breaks_after: None,
             events: EVENTS,
             event_padding: 0,
+            refuses_orders: false,
             call: CallBehaviour::Answer,
         };
         let backend = Arc::new(Self {
@@ -240,6 +243,9 @@
 }
 
 fn take_order(backend: &StandInBackend, body: &Bytes) -> Response<Body> {
+    if backend.behaviour().refuses_orders {
+        return whole(StatusCode::CONFLICT, String::new());
+    }
     let order = String::from_utf8(body.to_vec()).unwrap();
     let version = order.split(' ').nth(1).unwrap().parse().unwrap();
     backend.behave(|behaviour| behaviour.version = version);
--- a/crates/rollout/tests/fold.rs
+++ b/crates/rollout/tests/fold.rs
@@ -200,6 +200,26 @@
     assert_eq!(texts(&state), ["new"]);
 }
 
+/// An item whose result must come from one version was begun anew because that version was gone. The copy of
+/// its first record of output came seconds late and put the dropped output back, so that the output of the
+/// run that had begun anew did not count.
+#[test]
+fn a_late_copy_of_dropped_output_puts_nothing_back() {
+    let mut state = state_with_item();
+    let first = progress(1, 0, 0, &["old"]);
+    state.apply(first.clone(), 1);
+    let restarted = BatchRecord::Restarted {
+        batch: BatchId::from("batch"),
+        item: ItemId::from("item"),
+        run: havenstage_rollout::ids::RunId(1),
+        events: 1,
+    };
+    state.apply(restarted, 2);
+    assert_eq!(state.apply(first, 3), FoldOutcome::Ignored);
+    state.apply(progress(2, 0, 0, &["new"]), 4);
+    assert_eq!(texts(&state), ["new"]);
+}
+
 /// Positions are promised until a time after a batch was handed in, and as long as it is open.
 #[test]
 fn only_closed_batches_are_forgotten() {
