Fold: a run begins once, so that a late copy brings back no dropped output

After Restarted an item has no output, and the first record of the dropped run (from 0, resumed from 0) looked like the beginning of a new one. Its late copy put the dropped output back, of a version that is gone, and the records of the run that had begun anew no longer continued what stood there.

The fold notes which runs of an item have begun. Run ids are drawn anew with each run, output that is taken over from an earlier batch included, so no live run is refused.

Ruled out: noting the dropped run alone (the output may be of several runs, one resuming the other).

--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -28,6 +28,9 @@
     pub events: Vec<OutputEvent>,
     /// The run whose output stands last.
     pub run: Option<RunId>,
+    /// All runs whose output ever counted. Each begins once, so that a late copy of the first record of
+    /// one whose output was dropped puts nothing back.
+    begun: Vec<RunId>,
     /// Its result, once it is listed.
     pub result: Option<ItemResult>,
 }
@@ -183,6 +186,7 @@
         spec: Some(item.clone()),
         events: Vec::new(),
         run: None,
+        begun: Vec::new(),
         result: None,
     }
 }
@@ -378,7 +382,7 @@
 }
 
 /// Appends events if they continue the output: either the same run goes on, or a new run goes on
-/// from exactly the events that stand here.
+/// from exactly the events that stand here. A run that has begun before is not new.
 fn continue_output(
     state: &mut ItemState,
     run: RunId,
@@ -388,10 +392,13 @@
 ) -> bool {
     let kept = state.events.len() as u32;
     let same_run = state.run == Some(run);
-    let resumes_here = from == resumed_from;
-    if from != kept || !(same_run || resumes_here) {
+    let begins_here = from == resumed_from && !state.begun.contains(&run);
+    if from != kept || !(same_run || begins_here) {
         return false;
     }
+    if !same_run {
+        state.begun.push(run);
+    }
     state.run = Some(run);
     state.events.extend(events);
     true
