Rollout: late copies of orders, observations and notices change nothing newer

The driver may make an append twice, and the first copy may be done seconds later, behind newer records. A late Ordered put an order under way that was done (items were kept away from its engine for up to 4 s); a late Observed ended a newer order or took a version back; a late notice opened a batch that was done, with the owner last seen at its first notice, so that all nodes claimed it at once and read its whole partition.

- Observed counts if it is newer than what was observed of that back end (one life of an engine) and model.
It no longer ends an order by telling the version that the engine had before: order_run withdraws an order that was not taken, behind the observation.
Older nodes end the order with the first of the two records.
- Ordered puts nothing under way if its version was observed already, or a newer one of the model is under way.
It still counts as the machine's last order there: that only makes others wait.
- A notice opens a closed batch again unless a heartbeat has named the batch (it was found) and the notice comes within NEVER_CAME_MS of the first (a batch is not taken for one that never came sooner).
Being found alone does not tell: the log may have dropped the items since.
The owner counts as seen when it is opened.
- The checkpoint carries the newest observed versions and the batches found, behind the fields of the first form.
About 30 bytes for each engine (by the encoding, not measured).

The test an_order_is_pending_until_its_back_end_was_asked stands as it was: an older version that is news of that engine still ends the order. Left: a first (not second) copy of Observed that comes late can do so too; Withdrawn names no version.

--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -96,26 +96,35 @@
         status = give(context, order, expected_orders, permit).await;
     }
     let report = settle(context, order, status, began).await;
-    let record = match &report {
-        Some(report) => ControlRecord::Observed {
-            backend: order.backend.clone(),
-            model: order.model.clone(),
-            version: report.models.get(&order.model).copied().unwrap_or(0),
-        },
-        None => ControlRecord::Withdrawn {
-            backend: order.backend.clone(),
-        },
-    };
+    let records = outcome_records(order, report.as_ref());
     info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
-        version = order.version, outcome = format!("{record:?}").as_str(),
+        version = order.version, outcome = format!("{records:?}").as_str(),
         took_ms = began.elapsed().as_millis() as u64; "");
-    if let Err(error) = append_control(context, &record).await {
-        warn!(event = "order_not_written", backend = order.backend.as_str(),
-            reason = error.to_string().as_str(); "");
+    for record in &records {
+        if let Err(error) = append_control(context, record).await {
+            warn!(event = "order_not_written", backend = order.backend.as_str(),
+                reason = error.to_string().as_str(); "");
+        }
     }
     report
 }
 
+/// What all nodes are told of an order that has ended. A version that is older than the one ordered says
+/// nothing of the order, as it may be told late: one that was not taken is withdrawn besides.
+fn outcome_records(order: &Order, report: Option<&BackendReport>) -> Vec<ControlRecord> {
+    let version = report.map(|report| report.models.get(&order.model).copied().unwrap_or(0));
+    let observed = version.map(|version| ControlRecord::Observed {
+        backend: order.backend.clone(),
+        model: order.model.clone(),
+        version,
+    });
+    let is_taken = version.is_some_and(|version| version >= order.version);
+    let withdrawn = (!is_taken).then(|| ControlRecord::Withdrawn {
+        backend: order.backend.clone(),
+    });
+    observed.into_iter().chain(withdrawn).collect()
+}
+
 async fn write_down(context: &Context, order: &Order) -> Result<(), LogError> {
     let record = ControlRecord::Ordered {
         holder: context.node.clone(),
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -6,7 +6,7 @@
 //! silence to watch, and which weights are needed. Who holds a batch's lease is decided in its own
 //! partition.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -86,6 +86,21 @@
     pub fn is_open(&self) -> bool {
         self.closed_at.is_none()
     }
+
+    /// The notice stands in the log once more. Claims of a batch that is open again are spread from then on.
+    fn accepted_again(&mut self, now: Millis) {
+        if self.is_open() || self.is_done_for_good(now) {
+            return;
+        }
+        self.closed_at = None;
+        self.owner = LeaseState::new(self.owner.holder().cloned(), now);
+    }
+
+    /// Whether a closed batch was certainly done. Else its items were missing: nobody ever found them, or
+    /// the log had dropped them, which takes longer than any copy of a notice is late.
+    fn is_done_for_good(&self, now: Millis) -> bool {
+        self.was_found && now.saturating_sub(self.first_seen) <= NEVER_CAME_MS
+    }
 }
 
 /// The batches that are known.
@@ -100,7 +115,7 @@
     /// was taken for one that never came.
     pub fn accepted(&mut self, notice: BatchNotice, now: Millis) {
         if let Some(known) = self.batches.get_mut(&notice.batch) {
-            known.closed_at = None;
+            known.accepted_again(now);
             return;
         }
         self.arrivals += 1;
@@ -193,8 +208,14 @@
         kept.collect()
     }
 
+    /// The batches that a node found in their partitions.
+    pub fn found(&self) -> BTreeSet<BatchId> {
+        let found = self.batches.iter().filter(|(_, batch)| batch.was_found);
+        found.map(|(id, _)| id.clone()).collect()
+    }
+
     /// The index that a checkpoint tells of, seen now.
-    pub fn restored(batches: Vec<BatchCheckpoint>, now: Millis) -> Self {
+    pub fn restored(batches: Vec<BatchCheckpoint>, found: &BTreeSet<BatchId>, now: Millis) -> Self {
         let mut index = Self::default();
         for batch in batches {
             let id = batch.notice.batch.clone();
@@ -202,6 +223,7 @@
             if let Some(known) = index.batches.get_mut(&id) {
                 known.owner = LeaseState::new(batch.owner, now);
                 known.closed_at = (!batch.is_open).then_some(now);
+                known.was_found = found.contains(&id);
             }
         }
         index
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -14,7 +14,7 @@
 
 use crate::Millis;
 use crate::batch_index::BatchNotice;
-use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
+use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
 use crate::stored::{Stored, UnreadableValue};
 
@@ -46,6 +46,10 @@
     pub form: u8,
     /// Those of the last orders behind which no sign of life stands yet.
     pub unsigned_orders: BTreeSet<(BackendId, MachineName)>,
+    /// Newest version of each model that each back end was seen to have.
+    pub newest: BTreeMap<(BackendId, ModelName), Version>,
+    /// Batches that a node found in their partitions.
+    pub found: BTreeSet<BatchId>,
 }
 
 /// The fold as it was kept first: what all forms begin with.
@@ -72,7 +76,8 @@
 
 impl From<FirstForm> for ControlCheckpoint {
     /// Its orders have times of the signs in front of them, which are too early. They are taken for
-    /// orders without a sign behind them, so that a holder waits longer rather than less.
+    /// orders without a sign behind them, so that a holder waits longer rather than less. What late copies
+    /// may not change is not known from it.
     fn from(form: FirstForm) -> Self {
         let orders = form.last_orders.iter();
         let unsigned_orders = orders
@@ -89,6 +94,8 @@
             log_time: form.log_time,
             form: FIRST_FORM,
             unsigned_orders,
+            newest: BTreeMap::new(),
+            found: BTreeSet::new(),
         }
     }
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -132,6 +132,10 @@
     serving: BTreeMap<String, Serving>,
     lease: LeaseState,
     pending: BTreeMap<BackendId, PendingOrder>,
+    /// Newest version of each model that each back end was seen to have. Within a life of a back end,
+    /// which its id stands for, versions only rise.
+    newest: BTreeMap<(BackendId, ModelName), Version>,
+    /// New entries of `newest` that were not taken yet.
     observed: Vec<ObservedVersion>,
     last_orders: LastOrders,
     /// Time that has certainly passed between the first record and the newest.
@@ -155,6 +159,7 @@
             serving: BTreeMap::new(),
             lease: LeaseState::default(),
             pending: BTreeMap::new(),
+            newest: BTreeMap::new(),
             observed: Vec::new(),
             last_orders: LastOrders::default(),
             log_time: 0,
@@ -186,6 +191,8 @@
             unsigned_orders: unsigned
                 .map(|(backend, order)| (backend.clone(), order.machine.clone()))
                 .collect(),
+            newest: self.newest.clone(),
+            found: self.index.found(),
         }
     }
 
@@ -193,9 +200,10 @@
     pub fn restored(own_machine: MachineName, checkpoint: ControlCheckpoint, now: Millis) -> Self {
         let mut state = Self::new(own_machine);
         state.machines = checkpoint.machines;
-        state.index = BatchIndex::restored(checkpoint.batches, now);
+        state.index = BatchIndex::restored(checkpoint.batches, &checkpoint.found, now);
         state.lease = LeaseState::restored(checkpoint.term, checkpoint.holder, now);
         state.log_time = checkpoint.log_time;
+        state.newest = checkpoint.newest;
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -265,39 +273,67 @@
                 model,
                 version,
             } => {
-                let order = LastOrder {
+                // A late copy counts here too: too long a wait breaks no rule.
+                let given = LastOrder {
                     machine: holder.machine,
                     read_at: now,
                     log_time: None,
                 };
-                self.last_orders.given(backend.clone(), order);
-                self.pending.insert(
-                    backend,
-                    PendingOrder {
-                        model,
-                        version,
-                        since: now,
-                    },
-                );
+                self.last_orders.given(backend.clone(), given);
+                let order = PendingOrder {
+                    model,
+                    version,
+                    since: now,
+                };
+                self.ordered(backend, order);
             }
             ControlRecord::Observed {
                 backend,
                 model,
                 version,
-            } => {
-                self.pending.remove(&backend);
-                self.observed.push(ObservedVersion {
-                    backend,
-                    model,
-                    version,
-                });
-            }
+            } => self.observed(backend, model, version),
             ControlRecord::Withdrawn { backend } => {
                 self.pending.remove(&backend);
             }
         }
     }
 
+    /// An order is under way unless its record is a late copy: then the back end was seen with its
+    /// version, or a newer order is under way.
+    fn ordered(&mut self, backend: BackendId, order: PendingOrder) {
+        let key = (backend, order.model.clone());
+        let newest = self.newest.get(&key);
+        let is_done = newest.is_some_and(|newest| *newest >= order.version);
+        let (backend, _) = key;
+        let pending = self.pending.get(&backend);
+        let is_replaced = pending
+            .is_some_and(|newer| newer.model == order.model && newer.version > order.version);
+        if !is_done && !is_replaced {
+            self.pending.insert(backend, order);
+        }
+    }
+
+    /// A back end was seen to have a version. One that is not newer than those seen before may be a late
+    /// copy and changes nothing: an order that was not taken is withdrawn.
+    fn observed(&mut self, backend: BackendId, model: ModelName, version: Version) {
+        let key = (backend, model);
+        let newest = self.newest.get(&key);
+        if newest.is_some_and(|newest| *newest >= version) {
+            return;
+        }
+        self.newest.insert(key.clone(), version);
+        let (backend, model) = key;
+        let is_about_it = |order: &PendingOrder| order.model == model;
+        if self.pending.get(&backend).is_some_and(is_about_it) {
+            self.pending.remove(&backend);
+        }
+        self.observed.push(ObservedVersion {
+            backend,
+            model,
+            version,
+        });
+    }
+
     /// The batches there are.
     pub fn index(&self) -> &BatchIndex {
         &self.index
@@ -324,7 +360,7 @@
         &self.lease
     }
 
-    /// Versions that were observed since the last call.
+    /// Versions that were newly observed since the last call.
     pub fn take_observed(&mut self) -> Vec<ObservedVersion> {
         std::mem::take(&mut self.observed)
     }
@@ -353,6 +389,7 @@
     /// Forgets back ends that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&BackendId) -> bool) {
         self.pending.retain(|backend, _| keep(backend));
+        self.newest.retain(|(backend, _), _| keep(backend));
         self.last_orders.retain(keep);
     }
 }
