--- a/crates/rollout/tests/batch_index.rs
+++ b/crates/rollout/tests/batch_index.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use havenstage_rollout::batch_index::{BatchIndex, BatchNotice};
+use havenstage_rollout::batch_index::{BatchIndex, BatchNotice, NEVER_CAME_MS};
 use havenstage_rollout::ids::{BatchId, ModelName, NodeId};
 use support::{item, node, submission};
 
@@ -48,6 +48,19 @@
     assert_eq!(open(&index), ["batch"]);
 }
 
+/// A batch that never came was handed in again and opened. A node that had read the notice but not yet the
+/// batch's partition took it at once for one that never came, as its first notice was long ago, and closed it
+/// for all.
+#[test]
+fn a_batch_that_is_open_again_has_its_whole_time_to_come() {
+    let mut index = BatchIndex::default();
+    let batch = BatchId::from("batch");
+    index.accepted(notice("batch", 1, None), 10);
+    index.closed(&batch, 10 + NEVER_CAME_MS);
+    index.accepted(notice("batch", 1, None), 20_000);
+    assert_eq!(index.batch(&batch).unwrap().first_seen, 20_000);
+}
+
 #[test]
 fn the_owner_is_the_node_that_last_said_so() {
     let mut index = BatchIndex::default();
