Rollout: a batch that is opened again has its whole time to come

never_came measures from first_seen, the first notice, so right after a reopening every node that had not yet read the batch's partition again (reads lag by up to the gap between two) could close it once more for all. first_seen now starts anew where a closed batch is opened; one that was open keeps it.

--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -71,7 +71,8 @@
     pub notice: BatchNotice,
     /// Number of the notice in the order of the log.
     pub arrival: u64,
-    /// When this node first heard of it.
+    /// When this node first heard of it, or of its being open again: a batch has a while from then on to
+    /// come, and nodes read its partition and the index at different times.
     pub first_seen: Millis,
     /// When this node heard that nothing is left to be done.
     pub closed_at: Option<Millis>,
@@ -93,6 +94,7 @@
             return;
         }
         self.closed_at = None;
+        self.first_seen = now;
         self.owner = LeaseState::new(self.owner.holder().cloned(), now);
     }
 
