Test: a sign of life tells no more time than passed since the one before (fails)

orders.rs, on the code before the mend, where appends are slow (120 ms) for a while: a_sign_of_life_tells_no_more_time_than_passed_since_the_one_before: 125ms told, 3.424982ms passed

The log in memory notes when its records came to stand there.

--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -7,11 +7,12 @@
 use havenstage_gateway::context::CONTROL;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::control::ControlRecord;
-use havenstage_rollout::framing;
+use havenstage_rollout::framing::{self, Joiner};
 use havenstage_rollout::ids::{BackendId, MachineName, ModelName};
 use havenstage_rollout::stored::Stored;
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::log::{LogFaults, MemoryLog};
+use tokio::time::Instant;
 
 fn name_version(log: &MemoryLog, version: u64) {
     let model = ModelName::from("model");
@@ -189,6 +190,49 @@
     wait_for_version(&deployment, 2).await;
 }
 
+/// A sign of life told the time since the former one was sent. Where the former one came to stand in the log
+/// late, less time had passed between the two, and an order that stood in front of both was taken for older
+/// than it was.
+#[tokio::test]
+async fn a_sign_of_life_tells_no_more_time_than_passed_since_the_one_before() {
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    wait_until("the node holds the lease", || holder(&node).is_some()).await;
+    for slow_appends in [true, false, true, false] {
+        node.set_faults(LogFaults {
+            slow_appends,
+            ..LogFaults::default()
+        });
+        tokio::time::sleep(Duration::from_millis(600)).await;
+    }
+    let signs = signs_of_life(&deployment.log);
+    assert!(signs.len() > 8, "{signs:?}");
+    assert!(signs.iter().skip(1).any(|(_, after_ms)| *after_ms > 0));
+    for pair in signs.windows(2) {
+        let passed = pair[1].0 - pair[0].0;
+        let told = Duration::from_millis(pair[1].1);
+        // Both clocks count whole milliseconds.
+        assert!(
+            told <= passed + Duration::from_millis(1),
+            "{told:?} told, {passed:?} passed"
+        );
+    }
+}
+
+/// When each sign of life came to stand in the log, and the time that it tells.
+fn signs_of_life(log: &MemoryLog) -> Vec<(Instant, u64)> {
+    let mut joiner = Joiner::default();
+    let mut signs = Vec::new();
+    for (record, at) in log.records(CONTROL).into_iter().zip(log.times(CONTROL)) {
+        let value = joiner.push(record);
+        let record = value.map(|value| ControlRecord::decode(&value).unwrap());
+        if let Some(ControlRecord::LeaseKept { after_ms, .. }) = record {
+            signs.push((at, after_ms));
+        }
+    }
+    signs
+}
+
 /// What an engine has that did not take an order is what it had before. A late copy of that looks the same,
 /// so only a withdrawal says that the order is no longer under way.
 #[tokio::test]
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -16,6 +16,7 @@
 use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// What all nodes share.
 #[derive(Default)]
@@ -27,6 +28,8 @@
 #[derive(Default)]
 struct State {
     partitions: HashMap<StreamPartition, Vec<Bytes>>,
+    /// When each record of a partition came to stand there.
+    times: HashMap<StreamPartition, Vec<Instant>>,
     /// Offset of the oldest record kept; 0 where none is named.
     first_kept: HashMap<StreamPartition, u64>,
     history: Vec<(StreamPartition, Bytes)>,
@@ -130,6 +133,12 @@
             .unwrap_or_default()
     }
 
+    /// When each record of a partition came to stand there.
+    pub fn times(&self, partition: StreamPartition) -> Vec<Instant> {
+        let state = self.state.lock().unwrap();
+        state.times.get(&partition).cloned().unwrap_or_default()
+    }
+
     /// Bytes of all records of all partitions.
     pub fn bytes(&self) -> u64 {
         let state = self.state.lock().unwrap();
@@ -171,6 +180,8 @@
         let offset = kept.len() as u64;
         kept.extend(records);
         let end = kept.len() as u64;
+        let times = state.times.entry(partition).or_default();
+        times.resize(end as usize, Instant::now());
         drop(state);
         self.changed.notify_waiters();
         Appended { offset, end }
