Gateway: a sign of life tells the time since the former one stood in the log

It told the time since the former one was sent. An append takes a while, and an order that was written down meanwhile stands in front of the sign: the next sign made it older by the time that the append took.

The time is now counted from the answer to the former sign's append. After a sign without an answer, which may still come to stand there, the next one tells none. The holder's own reliance on the lease is unchanged: it counts from when a sign was sent.

The price: a node that has just started counts the appends' time of each sign less, and waits that much longer.

Left: a sign whose answer was lost and that comes to stand behind a later one still adds its time there, up to the interval before it, to orders between the two.

--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -10,6 +10,7 @@
 
 use super::{Coordinator, HeldLease};
 use crate::claim_timing::claim_timing;
+use crate::edge::Appended;
 use crate::log_writes::{append_control, append_sign_of_life};
 
 /// Share of the silence after which others claim in which the holder relies on its lease.
@@ -31,6 +32,7 @@
                     term,
                     since: now,
                     kept_at: 0,
+                    sign_stood_at: None,
                 });
                 self.settle_pending();
             }
@@ -92,20 +94,22 @@
             return;
         }
         let reliable_ms = (tuning.silence_ms as f64 * RELIABLE_SHARE) as Millis;
-        let after_ms = if lease.kept_at == 0 {
-            0
-        } else {
-            sent - lease.kept_at
-        };
+        let after_ms = lease.sign_stood_at.map_or(0, |at| sent.saturating_sub(at));
         let holder = self.context.node.clone();
         let record = ControlRecord::LeaseKept {
             term: lease.term,
             holder,
             after_ms,
         };
-        let is_current = self.is_kept(&record, lease.term).await;
+        let appended = append_sign_of_life(&self.context, &record).await.ok();
+        let sign_stood_at = appended.map(|_| self.context.now());
+        let is_current = match appended {
+            Some(appended) => self.is_kept(appended, lease.term).await,
+            None => false,
+        };
         if let Some(lease) = &mut self.lease {
             lease.kept_at = sent;
+            lease.sign_stood_at = sign_stood_at;
             if is_current {
                 self.reliable_until
                     .store(sent + reliable_ms, Ordering::Relaxed);
@@ -113,12 +117,9 @@
         }
     }
 
-    /// Whether a sign of life counts: it was written, and no newer term stands before it. That the
+    /// Whether a sign of life that was written counts: no newer term stands before it. That the
     /// log took it proves nothing by itself, as it takes those of a former holder too.
-    pub(super) async fn is_kept(&self, record: &ControlRecord, term: Term) -> bool {
-        let Ok(appended) = append_sign_of_life(&self.context, record).await else {
-            return false;
-        };
+    async fn is_kept(&self, appended: Appended, term: Term) -> bool {
         let (log, view) = (self.context.log.as_ref(), &self.context.control);
         if view
             .confirm(log, self.context.clock, Duration::ZERO)
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -56,7 +56,11 @@
 struct HeldLease {
     term: Term,
     since: Millis,
+    /// When the last sign of life was sent.
     kept_at: Millis,
+    /// When the last sign of life certainly stood in the log; `None` if its append had no answer. The time
+    /// that the next one tells begins here: an order in front of the former sign is older than that.
+    sign_stood_at: Option<Millis>,
 }
 
 struct OrderEnded {
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -61,7 +61,8 @@
         term: Term,
         /// The holder.
         holder: NodeId,
-        /// Milliseconds since the holder sent its last sign of life; 0 at the first.
+        /// Milliseconds from when the holder's last sign of life certainly stood in the log until this one
+        /// was sent; 0 at the first, and after one whose append had no answer.
         after_ms: Millis,
     },
     /// The holder gives the lease up.
