--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -60,7 +60,14 @@
 async fn a_node_that_missed_records_of_a_batch_does_not_say_that_there_is_none() {
     let (_deployment, owner, other) = owner_and_one_that_missed().await;
     let read = results(other.callers, "batch", 0).await.0;
-    let item = send(other.callers, Method::GET, "/results/batch?item=i2", &[], "").await;
+    let item = send(
+        other.callers,
+        Method::GET,
+        "/results/batch?item=i2",
+        &[],
+        "",
+    )
+    .await;
     let ended = send(other.callers, Method::DELETE, "/results/batch", &[], "").await;
     let known = results(owner.callers, "batch", 0).await;
     assert_eq!((known.0, known.1.len()), (200, 1), "the owner has it");
