--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -86,12 +86,15 @@
     while Instant::now() < until {
         // Somebody asks, so that the partition is followed.
         results(other.callers, "batch", 0).await;
-        let control = owner.context().control.lock();
-        let batch = control.state.index().batch(&"batch".into());
-        let is_open = batch.is_some_and(|batch| batch.is_open());
-        drop(control);
+        let is_open = is_open_in_index(&owner);
         let left = until - Instant::now();
         assert!(is_open, "closed {left:?} before its items may be given up");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+fn is_open_in_index(node: &TestNode) -> bool {
+    let control = node.context().control.lock();
+    let batch = control.state.index().batch(&"batch".into());
+    batch.is_some_and(|batch| batch.is_open())
+}
