--- a/crates/gateway/tests/troubles.rs
+++ b/crates/gateway/tests/troubles.rs
@@ -109,7 +109,8 @@
 
 /// A node has read the beginning of a batch when the records of its first result are dropped. What it reads
 /// then cannot be put at its right position, so it lists none of it: another node has listed the first result
-/// at position 0, and positions never change.
+/// at position 0, and positions never change. It doesn't say either that there is no such batch, as it can't
+/// know: it refuses the call, so that the reader asks another node.
 #[tokio::test]
 async fn a_node_that_missed_a_result_lists_none_in_its_place() {
     let deployment = Deployment::start(0, 0).await;
@@ -136,6 +137,7 @@
     write(given_up("i2")).await;
     let (status, lines) = results(node.callers, "batch", 0).await;
     assert!(lines.is_empty(), "{status} {lines:?}");
+    assert_eq!(status, 503);
 }
 
 fn given_up(item: &str) -> BatchRecord {
