--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -155,7 +155,7 @@
 /// runs the batch, and says so.
 #[tokio::test]
 async fn a_node_that_starts_after_records_were_dropped_denies_no_batch_that_its_owner_runs() {
-    let (deployment, owner, _other) = owner_and_one_that_missed().await;
+    let (deployment, _owner, _other) = owner_and_one_that_missed().await;
     let late = deployment.node("c").await;
     wait_until("the late node hears of the batch", || is_found_at(&late)).await;
     assert_eq!(results(late.callers, "batch", 0).await.0, 503);
