Tests of missed records: wait for what another node has yet to read

Two of the new tests asserted at once what a node shows only after its next read: that the owner knows the end appended by another node, and that it lists all results of another node's batch. A call is answered with what is listed so far, so both failed after the mend, too (missed_records.rs:113; :150: one line of two). They wait for it now, and then assert the same: the end is in the owner's state, and the lines are equal.

--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -14,7 +14,7 @@
 
 use havenstage_gateway::edge::SharedLog;
 use havenstage_rollout::framing;
-use havenstage_rollout::ids::RunId;
+use havenstage_rollout::ids::{BatchId, RunId};
 use havenstage_rollout::record::{BatchRecord, GiveUpReason, Outcome};
 use havenstage_rollout::stored::Stored;
 use http::Method;
@@ -108,9 +108,12 @@
     assert_eq!(end(other.callers, "batch").await, 200);
     let known = results(owner.callers, "batch", 0).await;
     assert_eq!((known.0, known.1.len()), (200, 1), "what is listed stays");
-    let partition = owner.context().partition_of(&"batch".into());
-    let inner = partition.lock();
-    assert!(inner.state.batch(&"batch".into()).unwrap().ended);
+    let id = BatchId::from("batch");
+    wait_until("the owner has read the end", || {
+        let inner = owner.context().partition_of(&id).lock();
+        inner.state.batch(&id).is_some_and(|batch| batch.ended)
+    })
+    .await;
 }
 
 /// Of a batch that nobody has named the node can't know whether it was handed in in the gap.
@@ -147,7 +150,8 @@
         lines.iter().all(|line| line.contains("|completed|")),
         "{lines:?}"
     );
-    assert_eq!(results(owner.callers, &later, 0).await, (200, lines));
+    let at_owner = wait_for_results(owner.callers, &later, ITEMS.len()).await;
+    assert_eq!(at_owner, lines);
     assert_eq!(end(other.callers, &later).await, 200);
 }
 
