Test: a node that missed records neither claims nor closes a batch whose owner died

Without the owner's heartbeats only the node's own knowledge that it missed records keeps it from closing the batch.

--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -100,6 +100,15 @@
     }
 }
 
+/// Without its owner's word the node can't know either: another one that has read the batch may claim it.
+#[tokio::test]
+async fn a_node_that_missed_records_neither_claims_nor_closes_a_batch_whose_owner_died() {
+    let (_deployment, mut owner, other) = owner_and_one_that_missed().await;
+    owner.kill();
+    stays_open_while_read_at(&other, &other).await;
+    assert!(!other.context().holds(&"batch".into()));
+}
+
 /// An end of a batch that its owner runs counts wherever it is handed in, and at the owner too.
 #[tokio::test]
 async fn a_node_that_missed_records_of_a_batch_takes_its_end() {
