A node that missed records doesn't take its gap for "there is no such batch"

Cause: where the log dropped records before a node read them, the node forgets the batches of the partition that are not listed whole, and then took a batch that is absent from its copy for one that does not exist: 404 to readers, for items and to enders, and BatchClosed to all nodes 15 s after the batch was handed in, so that its owner let go.

Change: the partition's state keeps that records were missed behind those that were read, and when. While it does, the local copy is Unread instead of Absent, so nothing is closed as "never came"; a read, an item's body or an end that finds no batch is answered 503 with a line (read_refused, with the reason); an end of a batch that a heartbeat has named is appended. A claim fails as NotNow, as before; its name for that is Unknown. It is reset when the partition is forgotten whole, which waits until the retention has passed since the gap (an emptied partition counted as old at once, and the fact would have been gone within 5 s), or, in a partition that is followed on and on, when the retention has passed.

A skip from offset 0 does not set it: nothing had been read, and the beginning of a partition is past its retention in any deployment that runs long enough, so that every unknown id would get 503 for good.

Ruled out: to keep the forgotten batches, since positions of later results would be wrong. StreamView::skip_to takes the time; four calls in tests/explain.rs give it, and assert what they did.

Left: a batch that is handed in again at a node that has forgotten it is appended again, and taken for a new one by nodes that missed the first record.

--- a/crates/gateway/src/batch_ends.rs
+++ b/crates/gateway/src/batch_ends.rs
@@ -11,7 +11,7 @@
 
 use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
-use crate::questions;
+use crate::questions::{self, NotFound};
 use crate::repeated_append::{AppendOutcome, append};
 
 /// What came of a call that ends a batch.
@@ -63,8 +63,9 @@
     if was_found_in_the_log(context, id) {
         return append_end(context, id).await;
     }
+    let asked = Instant::now();
     match questions::ask_now(context, id).await {
-        Ok(()) => append_end_if_known(context, id).await,
+        Ok(()) => append_end_if_known(context, id, asked).await,
         // That the partition could not be read was told, with the reason.
         Err(_) => EndOutcome::NotAppended { may_be_done: false },
     }
@@ -81,12 +82,17 @@
     indexed.is_some_and(|indexed| indexed.was_found)
 }
 
-async fn append_end_if_known(context: &Context, id: &BatchId) -> EndOutcome {
-    let is_known = context.partition_of(id).lock().state.batch(id).is_some();
-    if is_known {
-        append_end(context, id).await
-    } else {
-        EndOutcome::NotThere
+async fn append_end_if_known(context: &Context, id: &BatchId, asked: Instant) -> EndOutcome {
+    // A heartbeat may have named it while the log was asked.
+    if was_found_in_the_log(context, id) {
+        return append_end(context, id).await;
+    }
+    match questions::not_found(context, id) {
+        NotFound::NotThere => EndOutcome::NotThere,
+        NotFound::MayBeMissed => {
+            questions::tell_missed(context, id, asked);
+            EndOutcome::NotAppended { may_be_done: false }
+        }
     }
 }
 
--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -1,6 +1,7 @@
 //! Callers' calls that read results of a batch, or the body of an item.
 //!
-//! "There is none" means that the log was asked after the call came in.
+//! "There is none" means that the log was asked after the call came in, and that no records were missed that
+//! may have told of it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use crate::batch_partitions::BatchView;
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
-use crate::questions;
+use crate::questions::{self, NotFound};
 
 /// Most bytes of a page of results.
 const PAGE_BYTES: usize = 1_000_000;
@@ -82,9 +83,7 @@
                 Found::NoBatch => match self.ask(Duration::ZERO).await {
                     Err(error) => return self.refused(error),
                     Ok(()) if self.partition.lock().state.batch(self.id).is_none() => {
-                        info!(event = "batch_not_found", batch = self.id.as_str(),
-                            status = 404u16; "");
-                        return BatchAnswer::empty(StatusCode::NOT_FOUND);
+                        return not_found(self.context, self.id, self.asked);
                     }
                     Ok(()) => {}
                 },
@@ -177,6 +176,7 @@
 
 /// Reads the body of an item that is not listed yet.
 pub(crate) async fn item_body(context: &Arc<Context>, id: &BatchId, item: &ItemId) -> BatchAnswer {
+    let asked = Instant::now();
     let partition = context.partition_of(id);
     if let Some(answer) = known_body(partition, id, item) {
         return answer;
@@ -184,9 +184,26 @@
     if questions::ask_now(context, id).await.is_err() {
         return BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
+    if partition.lock().state.batch(id).is_none() {
+        return not_found(context, id, asked);
+    }
     known_body(partition, id, item).unwrap_or_else(|| BatchAnswer::empty(StatusCode::NOT_FOUND))
 }
 
+/// Answers a call, made at `asked`, on a batch that is not in its partition as far as that is known here.
+fn not_found(context: &Context, id: &BatchId, asked: Instant) -> BatchAnswer {
+    match questions::not_found(context, id) {
+        NotFound::NotThere => {
+            info!(event = "batch_not_found", batch = id.as_str(), status = 404u16; "");
+            BatchAnswer::empty(StatusCode::NOT_FOUND)
+        }
+        NotFound::MayBeMissed => {
+            questions::tell_missed(context, id, asked);
+            BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
 fn known_body(partition: &BatchView, id: &BatchId, item: &ItemId) -> Option<BatchAnswer> {
     let inner = partition.lock();
     let spec = inner.state.batch(id)?.item(item)?.spec.clone()?;
--- a/crates/gateway/src/engine/claim.rs
+++ b/crates/gateway/src/engine/claim.rs
@@ -38,8 +38,8 @@
     Closed,
     /// Another node claimed it.
     HeldBy(NodeId),
-    /// The batch is not there.
-    Absent,
+    /// The batch is not there, or records of it were missed.
+    Unknown,
 }
 
 /// When this node may claim a batch, by what the index tells of its owner.
@@ -90,7 +90,7 @@
         Standing::Claimable { term, former } => (term, former),
         Standing::Closed => return Ok(ClaimOutcome::Closed),
         Standing::HeldBy(node) => return Ok(ClaimOutcome::HeldBy(node)),
-        Standing::Absent => return Ok(ClaimOutcome::NotNow),
+        Standing::Unknown => return Ok(ClaimOutcome::NotNow),
     };
     let record = BatchRecord::Claimed {
         batch: batch.clone(),
@@ -121,7 +121,7 @@
 fn standing(context: &Context, indexed: &IndexedBatch, silent: Option<&NodeId>) -> Standing {
     let inner = context.partition_of(&indexed.notice.batch).lock();
     let Some(state) = inner.state.batch(&indexed.notice.batch) else {
-        return Standing::Absent;
+        return Standing::Unknown;
     };
     if state.is_closed() {
         return Standing::Closed;
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -50,9 +50,9 @@
 enum LocalCopy {
     /// The batch is there, under this lease.
     Present { lease: LeaseState, is_open: bool },
-    /// It is not there, and the partition has been read to its end.
+    /// It is not there, and the partition has been read whole.
     Absent,
-    /// The partition has not been read to its end.
+    /// The partition has not been read to its end, or not without a gap.
     Unread,
 }
 
@@ -235,20 +235,22 @@
 
 fn copy_of(context: &Context, batch: &BatchId, now: Millis) -> LocalCopy {
     let view = context.partition_of(batch);
-    let is_read = !view.is_behind(now);
+    let is_read_to_end = !view.is_behind(now);
     let inner = view.lock();
     match inner.state.batch(batch) {
         Some(state) => LocalCopy::Present {
             lease: state.lease.clone(),
             is_open: !state.is_closed(),
         },
-        None if is_read => LocalCopy::Absent,
+        None if is_read_to_end && !inner.state.has_missed_records() => LocalCopy::Absent,
         None => LocalCopy::Unread,
     }
 }
 
+/// An owner that says that it runs the batch has read its items, though they may be dropped by now.
 fn never_came(batch: &IndexedBatch, now: Millis) -> bool {
-    batch.is_open() && now.saturating_sub(batch.first_seen) > NEVER_CAME_MS
+    let last_sign = batch.first_seen.max(batch.owner.seen());
+    batch.is_open() && now.saturating_sub(last_sign) > NEVER_CAME_MS
 }
 
 /// Whether this node may claim a batch, by what the index tells of its owner.
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -369,7 +369,7 @@
         }
         // One that leads no further is a failure: without a pause the same read would follow at once.
         Err(LogError::HistoryDropped { first }) if first > from => {
-            view.skip_to(first);
+            view.skip_to(first, context.now());
             ReadOutcome::Dropped
         }
         Err(error) => {
--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -20,6 +20,8 @@
 /// Age of the log's last answer up to which a node counts on the next one: as long as it is ready. A node
 /// that has lost the log refuses after one try, so that callers ask another one.
 const IN_TOUCH_MS: Millis = 2_500;
+/// Why calls are refused on a batch that may lie in records that were missed.
+const MISSED: &str = "records were dropped before they were read here";
 
 /// Until when to ask again for a caller that asked at `asked` and allows `wait`.
 pub(crate) fn deadline(context: &Context, asked: Instant, wait: Duration) -> Instant {
@@ -64,10 +66,45 @@
     outcome.inspect_err(|error| tell_refused(context, batch, *error, asked))
 }
 
+/// What a node that has read a partition to its end says of a batch that it didn't find there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotFound {
+    /// There is no such batch.
+    NotThere,
+    /// It may be there: records that were dropped before they were read here may have told of it.
+    MayBeMissed,
+}
+
+/// What is to be said of a batch that was not found in its partition. Records that were dropped before this
+/// node read anything leave no trace in its copy, but a node that runs the batch says so.
+pub(crate) fn not_found(context: &Context, batch: &BatchId) -> NotFound {
+    let has_missed = context
+        .partition_of(batch)
+        .lock()
+        .state
+        .has_missed_records();
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(batch);
+    let is_run = indexed.is_some_and(|indexed| indexed.is_open() && indexed.was_found);
+    match has_missed || is_run {
+        true => NotFound::MayBeMissed,
+        false => NotFound::NotThere,
+    }
+}
+
+/// Tells that a call on a batch, made at `asked`, is refused since records of its partition were missed.
+pub(crate) fn tell_missed(context: &Context, batch: &BatchId, asked: Instant) {
+    tell(context, batch, MISSED, asked);
+}
+
 /// Tells that a call on a batch, made at `asked`, is refused since the batch's partition could not be read.
 pub(crate) fn tell_refused(context: &Context, batch: &BatchId, error: LogError, asked: Instant) {
+    tell(context, batch, &error.to_string(), asked);
+}
+
+fn tell(context: &Context, batch: &BatchId, reason: &str, asked: Instant) {
     let partition = context.partition_of(batch).id.to_string();
     warn!(event = "read_refused", batch = batch.as_str(), partition = partition.as_str(),
-        reason = error.to_string().as_str(), status = 503u16,
+        reason = reason, status = 503u16,
         waited_ms = asked.elapsed().as_millis() as u64; "");
 }
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -23,9 +23,9 @@
     /// Takes the next record's bytes; false if they cannot be read.
     fn take(&mut self, bytes: &[u8], now: Millis) -> bool;
 
-    /// Records before the next one are gone from the log and were not read. States that don't depend on
-    /// every single record go on.
-    fn missed_records(&mut self) {}
+    /// Records behind those that were read, and before the next one, are gone from the log. States that
+    /// don't depend on every single record go on.
+    fn missed_records(&mut self, _now: Millis) {}
 }
 
 impl StreamState for PartitionState {
@@ -34,8 +34,8 @@
         record.map(|record| self.apply(record, now)).is_ok()
     }
 
-    fn missed_records(&mut self) {
-        PartitionState::missed_records(self);
+    fn missed_records(&mut self, now: Millis) {
+        PartitionState::missed_records(self, now);
     }
 }
 
@@ -119,13 +119,16 @@
 impl<S: StreamState> ViewInner<S> {
     /// Skips the records before `first`, which were dropped before they were read here. Answers the offset
     /// from which they were skipped, if that is to be told.
-    fn skip_to(&mut self, first: u64) -> Option<u64> {
+    fn skip_to(&mut self, first: u64, now: Millis) -> Option<u64> {
         if first <= self.next {
             return None;
         }
         let from = std::mem::replace(&mut self.next, first);
         self.joiner = Joiner::default();
-        self.state.missed_records();
+        // A partition whose beginning is past its retention is whole from the first record kept on.
+        if from > 0 {
+            self.state.missed_records(now);
+        }
         self.tells_skip(from).then_some(from)
     }
 
@@ -247,7 +250,7 @@
             applied: 0,
             unreadable: 0,
         };
-        let skipped_from = inner.skip_to(page.from);
+        let skipped_from = inner.skip_to(page.from, now);
         let known = (inner.next - page.from) as usize;
         for record in page.records.into_iter().skip(known) {
             inner.next += 1;
@@ -317,8 +320,8 @@
     }
 
     /// Skips records that the log no longer has.
-    pub fn skip_to(&self, first: u64) {
-        let skipped_from = self.lock().skip_to(first);
+    pub fn skip_to(&self, first: u64, now: Millis) {
+        let skipped_from = self.lock().skip_to(first, now);
         self.tell_skip(skipped_from, first);
     }
 
@@ -398,7 +401,9 @@
                     self.lock().failed.end();
                 }
                 // One that leads no further is a failure, else this loop would never end.
-                Err(LogError::HistoryDropped { first }) if first > from => self.skip_to(first),
+                Err(LogError::HistoryDropped { first }) if first > from => {
+                    self.skip_to(first, clock.now());
+                }
                 Err(error) => {
                     self.lock().failed.note(error, clock.now());
                     return Err(error);
--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -357,7 +357,7 @@
     let partition = node.context().partition_of(&"lost-batch".into());
     let (name, next) = (partition.id.to_string(), partition.lock().next);
     // Far enough that it is a skip whatever the node reads meanwhile.
-    partition.skip_to(next + 1_000);
+    partition.skip_to(next + 1_000, node.context().now());
     node.context().work.notify_one();
     wait_until("the items are dropped", || {
         batch_lines("item_dropped", "lost-batch").len() == 2
@@ -406,11 +406,11 @@
     let view = lone_view(0);
     view.take_page(page_at(0), 0, 1);
     assert_eq!(skips_told(&view), []);
-    view.skip_to(4);
+    view.skip_to(4, 1);
     view.take_page(page_at(9), 1, 2);
     assert_eq!(skips_told(&view), [(0, 4), (4, 9)]);
     // Nothing is missed here.
-    view.skip_to(9);
+    view.skip_to(9, 2);
     view.take_page(page_at(9), 2, 3);
     assert_eq!(skips_told(&view).len(), 2);
 }
@@ -421,7 +421,7 @@
     capture();
     let view = lone_view(1);
     for read in 1..=3 {
-        view.skip_to(10 * read);
+        view.skip_to(10 * read, read);
         view.forget_all_before(u64::MAX);
         assert_eq!(view.lock().next, 0);
     }
--- a/crates/rollout/src/batch_index.rs
+++ b/crates/rollout/src/batch_index.rs
@@ -16,8 +16,8 @@
 use crate::ids::{BatchId, ModelName, NodeId, Version};
 use crate::lease::LeaseState;
 
-/// Time after which a batch whose items are not in its partition is taken for one that was never
-/// accepted: its caller was told so long before, or went elsewhere with it.
+/// Time without a sign of its owner after which a batch whose items are not in its partition is taken for
+/// one that was never accepted: its caller was told so long before, or went elsewhere with it.
 pub const NEVER_CAME_MS: Millis = 15_000;
 
 /// What all nodes learn of a batch that was accepted.
--- a/crates/rollout/src/fold.rs
+++ b/crates/rollout/src/fold.rs
@@ -204,6 +204,8 @@
 #[derive(Debug, Default)]
 pub struct PartitionState {
     batches: BTreeMap<BatchId, BatchState>,
+    /// When it was last found that records had been missed: a batch that is not here may lie in the log.
+    missed_at: Option<Millis>,
 }
 
 impl PartitionState {
@@ -275,8 +277,10 @@
     }
 
     /// Forgets closed batches first seen before `before`, so that memory stays bounded. Open ones are promised
-    /// for as long as they are open.
+    /// for as long as they are open. A gap found before then counts no more: what is promised of the batches
+    /// handed in before it is over, unless a node still names them.
     pub fn forget_before(&mut self, before: Millis) {
+        self.missed_at = self.missed_at.filter(|at| *at >= before);
         self.batches
             .retain(|_, batch| !batch.is_closed() || batch.first_seen >= before);
     }
@@ -284,13 +288,21 @@
     /// Records were dropped before they were read here. What they would have changed is not known, so a later
     /// result would be listed at a position that other nodes have given to another one: only batches that
     /// are listed whole stay.
-    pub fn missed_records(&mut self) {
+    pub fn missed_records(&mut self, now: Millis) {
+        self.missed_at = Some(now);
         self.batches.retain(|_, batch| batch.is_fully_listed());
     }
 
-    /// Whether all batches were first seen before `before`.
+    /// Whether a batch that is not here may lie in the log all the same, since records were missed.
+    pub fn has_missed_records(&self) -> bool {
+        self.missed_at.is_some()
+    }
+
+    /// Whether all batches were first seen before `before`, and no gap was found since.
     pub fn is_older_than(&self, before: Millis) -> bool {
-        self.batches.values().all(|batch| batch.first_seen < before)
+        let mut batches = self.batches.values();
+        batches.all(|batch| batch.first_seen < before)
+            && self.missed_at.is_none_or(|at| at < before)
     }
 
     fn lease(&mut self, batch: &BatchId, change: impl FnOnce(&mut LeaseState) -> bool) -> bool {
--- a/crates/rollout/tests/fold.rs
+++ b/crates/rollout/tests/fold.rs
@@ -236,3 +236,29 @@
     state.forget_before(3_000);
     assert!(state.batch(&BatchId::from("batch")).is_none());
 }
+
+/// A batch whose records were missed may lie in the log for as long as batches are promised: the gap counts
+/// until then, also when nothing is kept of the partition.
+#[test]
+fn a_gap_counts_until_batches_handed_in_before_it_are_past_their_retention() {
+    let mut state = state_with_item();
+    assert!(!state.has_missed_records());
+    state.missed_records(1_000);
+    assert!(state.batch(&BatchId::from("batch")).is_none());
+    assert!(state.has_missed_records());
+    state.forget_before(1_000);
+    assert!(state.has_missed_records(), "its retention is not over");
+    assert!(!state.is_older_than(1_000), "it may not be forgotten yet");
+    assert!(state.is_older_than(1_001));
+    state.forget_before(1_001);
+    assert!(!state.has_missed_records());
+}
+
+#[test]
+fn a_batch_handed_in_after_a_gap_is_kept() {
+    let mut state = state_with_item();
+    state.missed_records(1_000);
+    let record = submitted("later", vec![item("item", "group", 10)], None);
+    assert_eq!(state.apply(record, 1_001), FoldOutcome::Applied);
+    assert!(state.batch(&BatchId::from("later")).is_some());
+}
