--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -6,6 +6,9 @@
 //! answered 404 though the batch was open at its owner, and 15 s after the batch was handed in it told all
 //! nodes that nothing is left to be done about it, so that its owner let go of it too. A node that started
 //! after the records were dropped did the same, though it had missed nothing that it could have read.
+//!
+//! What settled it: the statuses of a read, of an item's body and of an end were 404 at that node, while the
+//! owner answered 200 with the batch's one result; watched for 20 s, the batch was closed 7.6 s before the end.
 
 mod support;
 
