Review: a patient exchange is given up on the word of a less patient one (a test that fails)

Silence::is_told takes another exchange's verdict without this one's own least patience, so 250 ms of an ordinary call (200 ms of a report) end an item or a resumable stream that was to be patient for 600 ms.

patience.rs:74: Some(Silent)

--- /dev/null
+++ b/crates/http-link/tests/patience.rs
@@ -0,0 +1,75 @@
+//! How long an exchange waits for a quiet server is its own sender's word.
+//!
+//! What happened: two exchanges waited for the same server, which read a long input and sent nothing for
+//! 0.4 s. One was patient for 0.6 s, as its work would be begun anew; the other was an ordinary one, with
+//! the usual 0.25 s. After 0.27 s the ordinary one called the server's connections silent, and the
+//! patient one, which took its word, was given up in the midst of its work.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use havenstage_http_link::{Link, LinkSettings, Sending};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Time for which the server sends nothing: more than the usual patience, less than the patient one's.
+const QUIET: Duration = Duration::from_millis(400);
+/// Patience of the exchange whose work would be begun anew.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// Time that both have, far longer than the answer takes.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A server that answers each request at once, but those to `/long` after a while.
+async fn start_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
+                if request.uri().path() == "/long" {
+                    tokio::time::sleep(QUIET).await;
+                }
+                Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("answer"))))
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    address
+}
+
+fn request(path: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().unwrap();
+    request
+}
+
+#[tokio::test]
+async fn a_patient_exchange_is_not_ended_on_the_word_of_a_less_patient_one() {
+    let settings = LinkSettings {
+        connect_timeout: TIMEOUT,
+        keep_idle: Duration::from_secs(60),
+        most_idle: 16,
+    };
+    let link = Link::new(start_server().await, settings);
+    let opened = join_all((0..2).map(|_| link.send(request("/"), TIMEOUT))).await;
+    for answer in opened {
+        answer.unwrap().whole(1024).await.unwrap();
+    }
+    let patient = Sending::within(TIMEOUT)
+        .patient_for(PATIENCE)
+        .ended_when_silent();
+    let ordinary = Sending::within(TIMEOUT);
+    let (patient, ordinary) = tokio::join!(
+        link.send_as(request("/long"), patient),
+        link.send_as(request("/long"), ordinary)
+    );
+    assert!(ordinary.is_ok());
+    assert!(patient.is_ok(), "{:?}", patient.err());
+}
