Tests: a wrong word of silence ends no patient exchange (fails)

On the untouched code both tests of the file fail: the patient exchange ends with Some(Silent). The first one's check is the same as before; its body is shared now. The ordinary exchange must be answered in both.

--- a/crates/http-link/tests/patience.rs
+++ b/crates/http-link/tests/patience.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use havenstage_http_link::{Link, LinkSettings, Sending};
+use havenstage_http_link::{Answer, Link, LinkError, LinkSettings, Sending};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::server::conn::http1;
@@ -20,21 +20,26 @@
 
 /// Time for which the server sends nothing: more than the usual patience, less than the patient one's.
 const QUIET: Duration = Duration::from_millis(400);
+/// The same where the server reads for longer than the patient one's patience.
+const LONG_QUIET: Duration = Duration::from_millis(900);
 /// Patience of the exchange whose work would be begun anew.
 const PATIENCE: Duration = Duration::from_millis(600);
 /// Time that both have, far longer than the answer takes.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A server that answers each request at once, but those to `/long` after a while.
+/// A server that answers each request at once, but those to `/long` and `/longer` after a while.
 async fn start_server() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let service = service_fn(|request: Request<hyper::body::Incoming>| async move {
-                if request.uri().path() == "/long" {
-                    tokio::time::sleep(QUIET).await;
-                }
+                let pause = match request.uri().path() {
+                    "/long" => QUIET,
+                    "/longer" => LONG_QUIET,
+                    _ => Duration::ZERO,
+                };
+                tokio::time::sleep(pause).await;
                 Ok::<_, std::convert::Infallible>(Response::new(Full::new(Bytes::from("answer"))))
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -50,8 +55,8 @@
     request
 }
 
-#[tokio::test]
-async fn a_patient_exchange_is_not_ended_on_the_word_of_a_less_patient_one() {
+/// Makes an ordinary exchange and, at the same time, a patient one; answers how the patient one ended.
+async fn make_both(ordinary_path: &str, patient_path: &str) -> Result<Answer, LinkError> {
     let settings = LinkSettings {
         connect_timeout: TIMEOUT,
         keep_idle: Duration::from_secs(60),
@@ -65,11 +70,25 @@
     let patient = Sending::within(TIMEOUT)
         .patient_for(PATIENCE)
         .ended_when_silent();
-    let ordinary = Sending::within(TIMEOUT);
-    let (patient, ordinary) = tokio::join!(
-        link.send_as(request("/long"), patient),
-        link.send_as(request("/long"), ordinary)
-    );
-    assert!(ordinary.is_ok());
+    let ordinary = async {
+        let sending = Sending::within(TIMEOUT);
+        let answer = link.send_as(request(ordinary_path), sending).await;
+        answer.unwrap().whole(1024).await.unwrap();
+    };
+    let (patient, ()) = tokio::join!(link.send_as(request(patient_path), patient), ordinary);
+    patient
+}
+
+#[tokio::test]
+async fn a_patient_exchange_is_not_ended_on_the_word_of_a_less_patient_one() {
+    let patient = make_both("/long", "/long").await;
+    assert!(patient.is_ok(), "{:?}", patient.err());
+}
+
+/// The connection that was called silent brings its answer after 0.4 s. The patient exchange has not
+/// waited as long as its sender wants by then, so the word is taken back in time.
+#[tokio::test]
+async fn a_word_that_turned_out_wrong_ends_no_patient_exchange() {
+    let patient = make_both("/long", "/longer").await;
     assert!(patient.is_ok(), "{:?}", patient.err());
 }
