Link: a patient exchange told of silence waits as long as its sender wants

Cause: an exchange ended on another's word at once, also where that one was less patient (0.25 s) than itself (0.6 s) and the server only slow. Change: once told, it waits until its own least patience since it began has passed; then it looks again whether a connection that was called silent has been heard from, which takes the word back. Ruled out: taking the word back for anything heard over any connection, as one opened since the silence shows nothing of the older ones. Before: both tests of patience.rs fail with Some(Silent); after: both pass. Without the wait both fail, without the second look the second one.

--- a/crates/http-link/src/silence.rs
+++ b/crates/http-link/src/silence.rs
@@ -108,11 +108,18 @@
         }
     }
 
-    /// Waits until another exchange shows that this one's connection is silent.
+    /// Waits until another exchange shows that this one's connection is silent. That exchange may have
+    /// been less patient, so that it took a slow answer for silence: this one waits as long as its sender
+    /// wants all the same, and looks again whether that was so.
     pub(crate) async fn is_told(&self, awaited: &Awaited) {
         let mut silent_since = self.silent_since.subscribe();
         // The sender lives as long as the link.
         while silent_since.changed().await.is_ok() {
+            if !self.is_known(awaited) {
+                continue;
+            }
+            tokio::time::sleep_until(awaited.began + awaited.least_patience).await;
+            tokio::time::sleep(READING_GRACE).await;
             if self.is_known(awaited) {
                 return;
             }
@@ -122,7 +129,17 @@
     /// Whether the connection of an exchange is known to be silent.
     pub(crate) fn is_known(&self, awaited: &Awaited) -> bool {
         let silent_since = *self.silent_since.borrow();
-        silent_since.is_some_and(|since| awaited.life.heard() <= since)
+        silent_since.is_some_and(|since| awaited.life.heard() <= since && !self.is_disproved(since))
+    }
+
+    /// Whether a connection that was called silent has been heard from after all.
+    fn is_disproved(&self, since: Instant) -> bool {
+        let lives = lock(&self.lives);
+        let mut called_silent = lives
+            .iter()
+            .filter_map(Weak::upgrade)
+            .filter(|life| life.opened <= since);
+        called_silent.any(|life| life.heard() > since)
     }
 
     /// Connections that were not heard from after `since` are silent.
