--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -202,3 +202,32 @@
     assert!(answers.iter().all(|answer| text(answer).contains("path.4")));
     assert!(began.elapsed() < 2 * OBJECTIVE, "{:?}", began.elapsed());
 }
+
+/// The kept connections of the other back end fell silent with the one that the stream came over.
+#[tokio::test]
+async fn a_stream_that_fell_silent_midway_goes_on_over_a_new_connection() {
+    const EVENT_PAUSE: Duration = Duration::from_millis(200);
+    let (backends, proxies, node) = start(ENGINES).await;
+    let callers = node.callers;
+    let stream = |id: String| async move {
+        let headers = [("x-id", id.as_str()), ("x-deadline", "6000")];
+        let answer = send(callers, Method::POST, "/streams/path", &headers, "");
+        answer.await.unwrap()
+    };
+    join_all((0..CALLS).map(|at| stream(format!("before-{at}")))).await;
+    for backend in &backends {
+        backend.behave(|told| told.event_pause = EVENT_PAUSE);
+    }
+    let began = Instant::now();
+    let silencing = async {
+        // The first event has come, the second has not.
+        tokio::time::sleep(3 * EVENT_PAUSE / 2).await;
+        silence(&proxies);
+    };
+    let (answer, ()) = tokio::join!(stream("amid".to_owned()), silencing);
+    println!("stream ended after {:?}", began.elapsed());
+    assert!(text(&answer).contains("path.4"), "{}", text(&answer));
+    // One second of silence and the events; over a silent connection once more it is a second longer.
+    let most = 4 * EVENT_PAUSE + 3 * OBJECTIVE / 2;
+    assert!(began.elapsed() < most, "{:?}", began.elapsed());
+}
