Relay: a stream that was reset goes on over a kept connection

Cause: each run that goes on elsewhere demanded a connection heard from within 1 s, also after a plain reset, which says nothing of the others. Change: it is demanded only after a silence or a time-out, be it of the stream or of the request to go on. Without any demand the stream that fell silent midway isn't whole in its time (its test fails).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,6 +40,8 @@
     tried: Vec<BackendId>,
     resumes_left: u32,
     is_resumable: bool,
+    /// Whether the last break was a silence: what silenced that connection may have silenced others too.
+    fell_silent: bool,
     ends: Instant,
 }
 
@@ -69,6 +71,7 @@
             tried: vec![streaming.backend.id.clone()],
             resumes_left: route.attempts.saturating_sub(streaming.sends),
             is_resumable,
+            fell_silent: false,
             ends: streaming.ends,
             current: Some(Current {
                 answer: streaming.answer,
@@ -103,7 +106,8 @@
                     self.current = None;
                     return None;
                 }
-                Ok(None) | Err(_) => {
+                broken @ (Ok(None) | Err(_)) => {
+                    self.fell_silent = broken.is_err_and(is_silence);
                     if !self.resume().await {
                         self.current = None;
                         return Some(Err(StreamBroken));
@@ -139,7 +143,7 @@
         false
     }
 
-    async fn ask_to_go_on(&self, backend: &ChosenBackend) -> Option<Answer> {
+    async fn ask_to_go_on(&mut self, backend: &ChosenBackend) -> Option<Answer> {
         let names = self.context.dialect.headers();
         let left = self.ends.saturating_duration_since(Instant::now());
         let mut request = send::backend_request(&self.context, backend, &self.call, left);
@@ -147,11 +151,18 @@
             let headers = request.headers_mut();
             headers.insert(names.last_event_id.clone(), HeaderValue::from(last_event));
         }
-        // What silenced the stream may have silenced the connections that rested since.
-        let now = Instant::now();
-        let silent_since = now.checked_sub(SILENCE).unwrap_or(now);
-        let sending = Sending::within(SILENCE.min(left)).over_one_heard_since(silent_since);
-        let answer = backend.link.send_as(request, sending).await.ok()?;
+        let mut sending = Sending::within(SILENCE.min(left));
+        if self.fell_silent {
+            let now = Instant::now();
+            sending = sending.over_one_heard_since(now.checked_sub(SILENCE).unwrap_or(now));
+        }
+        let answer = match backend.link.send_as(request, sending).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.fell_silent |= is_silence(error);
+                return None;
+            }
+        };
         let is_ours = answer.headers().get(&names.request_id) == Some(&self.call.id);
         (answer.status().is_success() && is_ours).then_some(answer)
     }
@@ -164,6 +175,10 @@
     }
 }
 
+fn is_silence(error: LinkError) -> bool {
+    matches!(error, LinkError::TimedOut | LinkError::Silent)
+}
+
 async fn read(answer: &mut Answer, is_resumable: bool) -> Result<Option<Bytes>, LinkError> {
     if !is_resumable {
         // Silence gives no grounds for ending an answer that cannot go on elsewhere.
