--- a/crates/gateway/tests/knowledge_age.rs
+++ b/crates/gateway/tests/knowledge_age.rs
@@ -67,3 +67,36 @@
     let latest = share_of_in_force(&node, START_SHARE) + ON_ITS_WAY;
     assert!(last - stopped <= latest, "{:?}", last - stopped);
 }
+
+/// A call that waits to be sent again was let through before the process stood still; what is known of
+/// its batch is looked at again at the send itself.
+#[tokio::test]
+async fn a_call_that_waited_while_the_process_stood_still_is_not_written_too_late() {
+    const ITEMS: usize = 12;
+    let deployment = Deployment::start(1, 1).await;
+    let node = deployment.node("a").await;
+    let application = &deployment.applications[0];
+    // Each is sent again after a pause, so that at any moment most of them are in one.
+    application.behave(|told| told.call = CallBehaviour::NotRun);
+    let names: Vec<String> = (0..ITEMS).map(|at| format!("item-{at}")).collect();
+    let items: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "g")).collect();
+    let body = write_batch(1, &items, true);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    wait_until("all reward calls are made", || {
+        application.seen().len() > 20 * ITEMS
+    })
+    .await;
+    stop_reading(&node);
+    let stopped = Instant::now();
+    // Calls are still started, and have more time left than the process stands still.
+    tokio::time::sleep(share_of_in_force(&node, START_SHARE / 2.0)).await;
+    let seen_before = application.seen().len();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(application.seen().len() > seen_before, "calls are made");
+    let latest = stopped + share_of_in_force(&node, WRITE_SHARE);
+    let stands_still = latest + ON_ITS_WAY - Instant::now();
+    node.hold(stands_still).await;
+    tokio::time::sleep(stands_still + ON_ITS_WAY).await;
+    let last = application.seen().last().map(|seen| seen.at).unwrap();
+    assert!(last < latest, "{:?} too late", last - latest);
+}
