Link: names that a newcomer can read

ConnectionActivity (was Life), note_answer_time (took), close_resting (condemn), mark_silent (declare), until_marked_silent, is_marked_silent (is_told, is_known), until_overdue (is_overdue), longest_lately (usual).

--- a/crates/http-link/src/answer.rs
+++ b/crates/http-link/src/answer.rs
@@ -115,7 +115,7 @@
 
     fn hear(&self) {
         if let Some(connection) = &self.connection {
-            connection.life.hear();
+            connection.activity.hear();
         }
     }
 
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::error::LinkError;
-use crate::silence::Life;
+use crate::silence::ConnectionActivity;
 
 /// Time after which the system gives up a connection whose peer acknowledges nothing.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
@@ -41,7 +41,7 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) idle_since: Instant,
     pub(crate) keep_for: Duration,
-    pub(crate) life: Arc<Life>,
+    pub(crate) activity: Arc<ConnectionActivity>,
     driver: AbortHandle,
 }
 
@@ -50,7 +50,7 @@
         address: SocketAddr,
         timeout: Duration,
         keep_for: Duration,
-        opened: impl FnOnce() -> Arc<Life>,
+        opened: impl FnOnce() -> Arc<ConnectionActivity>,
     ) -> Result<Self, LinkError> {
         let connect = TcpStream::connect(address);
         let stream = tokio::time::timeout(timeout, connect)
@@ -75,7 +75,7 @@
             sender,
             idle_since: Instant::now(),
             keep_for,
-            life: opened(),
+            activity: opened(),
             driver: driver.abort_handle(),
         })
     }
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -144,7 +144,7 @@
         }
         self.shared.traffic.requests.fetch_add(1, Ordering::Relaxed);
         let awaited = Awaited {
-            life: connection.life.clone(),
+            activity: connection.activity.clone(),
             began,
             due_from: began + sending.answer_after,
             least_patience: sending.least_patience,
@@ -156,8 +156,8 @@
             biased;
             head = head => match head {
                 Ok(response) => {
-                    connection.life.hear();
-                    self.shared.silence.took(&awaited);
+                    connection.activity.hear();
+                    self.shared.silence.note_answer_time(&awaited);
                     Sent::Answered(Answer::new(response, connection, self.shared.clone()))
                 }
                 Err(mut failed) => match failed.take_message() {
@@ -169,7 +169,7 @@
             () = silent => Sent::Failed(LinkError::Silent),
             () = tokio::time::sleep_until(deadline) => {
                 if !is_kept {
-                    self.shared.silence.took(&awaited);
+                    self.shared.silence.note_answer_time(&awaited);
                 }
                 Sent::Failed(LinkError::TimedOut)
             }
@@ -180,18 +180,18 @@
     /// sender waits for the answer all the same.
     async fn until_silent(&self, awaited: &Awaited, is_kept: bool, may_end: bool) {
         let silence = &self.shared.silence;
-        let notices = async {
+        let overdue = async {
             // Of a new connection nothing is known that a slow answer could be compared with.
             if !is_kept {
                 std::future::pending::<()>().await;
             }
-            let since = silence.is_overdue(awaited).await;
-            self.shared.condemn(since, awaited);
+            let since = silence.until_overdue(awaited).await;
+            self.shared.close_resting(since, awaited);
         };
-        let is_told = silence.is_told(awaited);
+        let until_marked_silent = silence.until_marked_silent(awaited);
         tokio::select! {
-            () = notices => {}
-            () = is_told => {}
+            () = overdue => {}
+            () = until_marked_silent => {}
         }
         if !may_end {
             std::future::pending::<()>().await;
@@ -221,7 +221,7 @@
             if !connection.is_usable() {
                 continue;
             }
-            if heard_since.is_none_or(|since| connection.life.heard() >= since) {
+            if heard_since.is_none_or(|since| connection.activity.heard() >= since) {
                 return Some(connection);
             }
             idle.push(connection);
@@ -230,17 +230,18 @@
         None
     }
 
-    /// Closes the resting connections that were not heard from after `since`: what silenced the one
-    /// of this exchange has silenced them too, and each would cost another exchange its time.
-    fn condemn(&self, since: Instant, awaited: &Awaited) {
-        if self.silence.is_known(awaited) {
+    /// Marks the connections that were not heard from after `since` as silent and closes the resting ones
+    /// of them: what silenced the one of this exchange has silenced them too, and each would cost another
+    /// exchange its time.
+    fn close_resting(&self, since: Instant, awaited: &Awaited) {
+        if self.silence.is_marked_silent(awaited) {
             return;
         }
-        self.silence.declare(since);
+        self.silence.mark_silent(since);
         let closed = {
             let mut idle = self.lock_idle();
             let before = idle.len();
-            idle.retain(|kept| kept.life.heard() > since);
+            idle.retain(|kept| kept.activity.heard() > since);
             before - idle.len()
         };
         warn!(event = "connections_silent", peer = self.address.to_string().as_str(),
--- a/crates/http-link/src/silence.rs
+++ b/crates/http-link/src/silence.rs
@@ -11,23 +11,23 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Patience with an address that answers quickly: some sixty answers of a log that takes 4 ms, and short
-/// enough that a call is made again within a second.
+/// Patience with an address that answers quickly: some sixty times the answer time of a server
+/// that takes 4 ms, and short enough that a request is sent again within a second.
 pub(crate) const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 /// Patience as a multiple of the longest answer lately.
 const PATIENCE_FACTOR: u32 = 2;
 /// Share of the longest answer lately that is kept with each quicker one.
-const USUAL_KEPT: f64 = 0.9;
+const LONGEST_KEPT_SHARE: f64 = 0.9;
 /// Time for what has arrived to be read, where this process itself stood still.
 const READING_GRACE: Duration = Duration::from_millis(20);
 
 /// When a connection was opened and last heard from.
-pub(crate) struct Life {
+pub(crate) struct ConnectionActivity {
     opened: Instant,
     heard: Mutex<Instant>,
 }
 
-impl Life {
+impl ConnectionActivity {
     /// Something came over the connection.
     pub(crate) fn hear(&self) {
         *lock(&self.heard) = Instant::now();
@@ -42,7 +42,7 @@
 /// An exchange whose answer is awaited.
 pub(crate) struct Awaited {
     /// Its connection.
-    pub(crate) life: Arc<Life>,
+    pub(crate) activity: Arc<ConnectionActivity>,
     /// When it began.
     pub(crate) began: Instant,
     /// From when on an answer is expected.
@@ -55,8 +55,10 @@
 
 /// What is known of an address.
 pub(crate) struct Silence {
-    lives: Mutex<Vec<Weak<Life>>>,
-    usual: Mutex<Duration>,
+    /// Connections that are open.
+    connections: Mutex<Vec<Weak<ConnectionActivity>>>,
+    /// The longest answer time lately.
+    longest_lately: Mutex<Duration>,
     /// Connections that were not heard from after this are silent.
     silent_since: watch::Sender<Option<Instant>>,
 }
@@ -64,39 +66,39 @@
 impl Silence {
     pub(crate) fn new() -> Self {
         Self {
-            lives: Mutex::default(),
-            usual: Mutex::default(),
+            connections: Mutex::default(),
+            longest_lately: Mutex::default(),
             silent_since: watch::Sender::new(None),
         }
     }
 
     /// A connection was opened.
-    pub(crate) fn opened(&self) -> Arc<Life> {
+    pub(crate) fn opened(&self) -> Arc<ConnectionActivity> {
         let now = Instant::now();
-        let life = Arc::new(Life {
+        let activity = Arc::new(ConnectionActivity {
             opened: now,
             heard: Mutex::new(now),
         });
-        let mut lives = lock(&self.lives);
-        lives.retain(|life| life.strong_count() > 0);
-        lives.push(Arc::downgrade(&life));
-        life
+        let mut connections = lock(&self.connections);
+        connections.retain(|activity| activity.strong_count() > 0);
+        connections.push(Arc::downgrade(&activity));
+        activity
     }
 
     /// An answer came, or an exchange over a new connection had none in its time.
-    pub(crate) fn took(&self, awaited: &Awaited) {
+    pub(crate) fn note_answer_time(&self, awaited: &Awaited) {
         let now = Instant::now();
         if now < awaited.due_from {
             return;
         }
-        let took = now - awaited.due_from;
-        let mut usual = lock(&self.usual);
-        *usual = usual.mul_f64(USUAL_KEPT).max(took);
+        let answer_time = now - awaited.due_from;
+        let mut longest_lately = lock(&self.longest_lately);
+        *longest_lately = longest_lately.mul_f64(LONGEST_KEPT_SHARE).max(answer_time);
     }
 
     /// Waits until an exchange is silent without another's word for it, and answers since when nothing
     /// has come.
-    pub(crate) async fn is_overdue(&self, awaited: &Awaited) -> Instant {
+    pub(crate) async fn until_overdue(&self, awaited: &Awaited) -> Instant {
         loop {
             let due = self.quiet_since(awaited) + self.patience(awaited);
             tokio::time::sleep_until(due).await;
@@ -111,62 +113,63 @@
     /// Waits until another exchange shows that this one's connection is silent. That exchange may have
     /// been less patient, so that it took a slow answer for silence: this one waits as long as its sender
     /// wants all the same, and looks again whether that was so.
-    pub(crate) async fn is_told(&self, awaited: &Awaited) {
+    pub(crate) async fn until_marked_silent(&self, awaited: &Awaited) {
         let mut silent_since = self.silent_since.subscribe();
         // The sender lives as long as the link.
         while silent_since.changed().await.is_ok() {
-            if !self.is_known(awaited) {
+            if !self.is_marked_silent(awaited) {
                 continue;
             }
             tokio::time::sleep_until(awaited.began + awaited.least_patience).await;
             tokio::time::sleep(READING_GRACE).await;
-            if self.is_known(awaited) {
+            if self.is_marked_silent(awaited) {
                 return;
             }
         }
     }
 
-    /// Whether the connection of an exchange is known to be silent.
-    pub(crate) fn is_known(&self, awaited: &Awaited) -> bool {
+    /// Whether the connection of an exchange is marked silent.
+    pub(crate) fn is_marked_silent(&self, awaited: &Awaited) -> bool {
         let silent_since = *self.silent_since.borrow();
-        silent_since.is_some_and(|since| awaited.life.heard() <= since && !self.is_disproved(since))
+        silent_since
+            .is_some_and(|since| awaited.activity.heard() <= since && !self.is_disproved(since))
     }
 
-    /// Whether a connection that was called silent has been heard from after all.
+    /// Whether a connection that was marked silent has been heard from after all.
     fn is_disproved(&self, since: Instant) -> bool {
-        let lives = lock(&self.lives);
-        let mut called_silent = lives
+        let connections = lock(&self.connections);
+        let mut marked_silent = connections
             .iter()
             .filter_map(Weak::upgrade)
-            .filter(|life| life.opened <= since);
-        called_silent.any(|life| life.heard() > since)
+            .filter(|activity| activity.opened <= since);
+        marked_silent.any(|activity| activity.heard() > since)
     }
 
-    /// Connections that were not heard from after `since` are silent.
-    pub(crate) fn declare(&self, since: Instant) {
+    /// Marks the connections that were not heard from after `since` as silent.
+    pub(crate) fn mark_silent(&self, since: Instant) {
         self.silent_since.send_replace(Some(since));
     }
 
     fn quiet_since(&self, awaited: &Awaited) -> Instant {
-        let lives = lock(&self.lives);
-        let older = lives
+        let connections = lock(&self.connections);
+        let older = connections
             .iter()
             .filter_map(Weak::upgrade)
-            .filter(|life| life.opened <= awaited.began);
-        let heard = older.map(|life| life.heard()).max();
+            .filter(|activity| activity.opened <= awaited.began);
+        let heard = older.map(|activity| activity.heard()).max();
         heard.map_or(awaited.due_from, |heard| heard.max(awaited.due_from))
     }
 
     /// At most half of the time that the exchange has, so that the rest is left for another connection;
     /// all of it where answers take that long.
     fn patience(&self, awaited: &Awaited) -> Duration {
-        let usual = *lock(&self.usual);
+        let longest_lately = *lock(&self.longest_lately);
         let whole = awaited.deadline.saturating_duration_since(awaited.due_from);
         let most = whole / 2;
-        if usual >= most {
+        if longest_lately >= most {
             return whole;
         }
-        (usual * PATIENCE_FACTOR)
+        (longest_lately * PATIENCE_FACTOR)
             .max(awaited.least_patience)
             .min(most)
     }
