Tests: a new connection does not hide that the older ones are silent (fails)

Fails since a word of silence can be taken back: the exchange that should be told ends with TimedOut, as a connection opened after the telling exchange began counts as one that was called silent.

--- a/crates/http-link/tests/silence.rs
+++ b/crates/http-link/tests/silence.rs
@@ -245,3 +245,44 @@
     }
     assert_eq!(link.traffic().opened.load(Ordering::Relaxed), 1);
 }
+
+/// A question that the server was asked to think about for 0.6 s shows the silence. A connection that was
+/// opened after the question began was heard from since, which shows nothing of the older ones: an exchange
+/// over one of those is told all the same.
+#[tokio::test]
+async fn a_new_connection_does_not_hide_that_the_older_ones_are_silent() {
+    let (proxy, link) = link_with_kept_connections().await;
+    proxy.silence();
+    let started = |path: &str, sending: Sending| {
+        let mut request = request();
+        *request.uri_mut() = path.parse().unwrap();
+        let link = link.clone();
+        tokio::spawn(async move { link.send_as(request, sending).await.err() })
+    };
+    let lasting = Sending::within(5 * TIMEOUT).ended_when_silent();
+    let question = started("/slow", lasting.answered_after(TIMEOUT));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let over_new_one = Sending::within(TIMEOUT).over_one_heard_since(Instant::now());
+    let talk = async {
+        loop {
+            let mut request = request();
+            *request.uri_mut() = "/soon".parse().unwrap();
+            let answer = link.send_as(request, over_new_one).await.unwrap();
+            answer.whole(1024).await.unwrap();
+        }
+    };
+    let told = async {
+        // While the new connection is in use, so that this one takes an older one.
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        let began = Instant::now();
+        let error = started("/slow", lasting).await.unwrap();
+        assert_eq!(error, Some(LinkError::Silent));
+        assert!(began.elapsed() < 2 * TIMEOUT, "{:?}", began.elapsed());
+    };
+    tokio::select! {
+        () = talk => {}
+        () = told => {}
+    }
+    assert_eq!(question.await.unwrap(), Some(LinkError::Silent));
+    assert_eq!(proxy.opened(), KEPT + 1);
+}
