Link: only connections that were marked silent can take the mark back

Cause: one opened after the telling exchange began, and heard from since, counted as one of those that were called silent, so the others were not told. Change: the mark holds when that exchange began. Before: the told exchange ends with TimedOut; after: Silent within its time.

--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -237,7 +237,7 @@
         if self.silence.is_marked_silent(awaited) {
             return;
         }
-        self.silence.mark_silent(since);
+        self.silence.mark_silent(since, awaited);
         let closed = {
             let mut idle = self.lock_idle();
             let before = idle.len();
--- a/crates/http-link/src/silence.rs
+++ b/crates/http-link/src/silence.rs
@@ -53,14 +53,23 @@
     pub(crate) deadline: Instant,
 }
 
+/// What an exchange shows of the connections to its address.
+#[derive(Clone, Copy)]
+struct SilentMark {
+    /// Connections that were not heard from after this are silent.
+    since: Instant,
+    /// When the exchange began: connections opened later show nothing of those that were open then.
+    began: Instant,
+}
+
 /// What is known of an address.
 pub(crate) struct Silence {
     /// Connections that are open.
     connections: Mutex<Vec<Weak<ConnectionActivity>>>,
     /// The longest answer time lately.
     longest_lately: Mutex<Duration>,
-    /// Connections that were not heard from after this are silent.
-    silent_since: watch::Sender<Option<Instant>>,
+    /// Which connections are silent.
+    silent: watch::Sender<Option<SilentMark>>,
 }
 
 impl Silence {
@@ -68,7 +77,7 @@
         Self {
             connections: Mutex::default(),
             longest_lately: Mutex::default(),
-            silent_since: watch::Sender::new(None),
+            silent: watch::Sender::new(None),
         }
     }
 
@@ -114,9 +123,9 @@
     /// been less patient, so that it took a slow answer for silence: this one waits as long as its sender
     /// wants all the same, and looks again whether that was so.
     pub(crate) async fn until_marked_silent(&self, awaited: &Awaited) {
-        let mut silent_since = self.silent_since.subscribe();
+        let mut silent = self.silent.subscribe();
         // The sender lives as long as the link.
-        while silent_since.changed().await.is_ok() {
+        while silent.changed().await.is_ok() {
             if !self.is_marked_silent(awaited) {
                 continue;
             }
@@ -130,24 +139,24 @@
 
     /// Whether the connection of an exchange is marked silent.
     pub(crate) fn is_marked_silent(&self, awaited: &Awaited) -> bool {
-        let silent_since = *self.silent_since.borrow();
-        silent_since
-            .is_some_and(|since| awaited.activity.heard() <= since && !self.is_disproved(since))
+        let mark = *self.silent.borrow();
+        mark.is_some_and(|mark| awaited.activity.heard() <= mark.since && !self.is_disproved(mark))
     }
 
     /// Whether a connection that was marked silent has been heard from after all.
-    fn is_disproved(&self, since: Instant) -> bool {
+    fn is_disproved(&self, mark: SilentMark) -> bool {
         let connections = lock(&self.connections);
         let mut marked_silent = connections
             .iter()
             .filter_map(Weak::upgrade)
-            .filter(|activity| activity.opened <= since);
-        marked_silent.any(|activity| activity.heard() > since)
+            .filter(|activity| activity.opened <= mark.began);
+        marked_silent.any(|activity| activity.heard() > mark.since)
     }
 
-    /// Marks the connections that were not heard from after `since` as silent.
-    pub(crate) fn mark_silent(&self, since: Instant) {
-        self.silent_since.send_replace(Some(since));
+    /// Marks the connections that were not heard from after `since` as silent, as an exchange shows.
+    pub(crate) fn mark_silent(&self, since: Instant, shown_by: &Awaited) {
+        let began = shown_by.began;
+        self.silent.send_replace(Some(SilentMark { since, began }));
     }
 
     fn quiet_since(&self, awaited: &Awaited) -> Instant {
