Tests: requests that end the back ends they reach are remembered (three fail)

Cause shown: a call that ends each back end it reaches is sent on, by each node anew: all eight back ends of a pool end, and three next lives of three. An item of a batch ends all eight engines. Three tests beside them guard what a mend must not break, and pass: connections that break while back ends live, honest requests beside a harmful one, items that outlive five back ends. The stand-in back end learns to end: its connections close and nobody listens at its address.

--- /dev/null
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -0,0 +1,206 @@
+//! Symptom: a pool of three back ends was gone again and again for seconds. The same request ended each of
+//! them; after three had ended under it, it was sent to back ends four to seven times more, and 13 ended.
+//!
+//! Sequence: a request ends the back end that begins to run it. Its node sends it to the next one, as its
+//! kind may be repeated, until the route's attempts are used up. Its caller asks another node, which begins
+//! anew, and so on, also with the back ends' next lives.
+//!
+//! Cause: nothing was remembered of a request from one try to the next, nor from node to node. A failed send
+//! counted against the back end alone.
+//!
+//! What settled it: lines `call` with `sends` of `broken,broken` at one node after the other, each with back
+//! ends that had started seconds before and ended with that send.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use support::backend::{CallBehaviour, StandInBackend};
+use support::caller::{call, send, submit, wait_for_results};
+use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed, wait_until};
+use support::dialect::write_batch;
+
+/// Back ends that may end under one request before all nodes refuse it.
+const MOST_ENDS: usize = 3;
+/// Time for nodes to learn from each other.
+const LEARNING: Duration = Duration::from_millis(400);
+/// Part of the path of requests that end back ends.
+const HARMFUL: &str = "harmful";
+
+fn ended(backends: &[Arc<StandInBackend>]) -> usize {
+    let ended = backends.iter().filter(|backend| backend.has_ended());
+    ended.count()
+}
+
+fn end_by_harmful(backends: &[Arc<StandInBackend>]) {
+    for backend in backends {
+        backend.behave(|told| told.ended_by = Some(HARMFUL.to_owned()));
+    }
+}
+
+async fn nodes(deployment: &Deployment, names: &[&str]) -> Vec<TestNode> {
+    let mut nodes = Vec::new();
+    for name in names {
+        nodes.push(deployment.node(name).await);
+    }
+    nodes
+}
+
+async fn ask(node: &TestNode, id: &str, path: &str) -> u16 {
+    call(node.callers, id, path).await.status.as_u16()
+}
+
+#[tokio::test]
+async fn a_call_that_ends_back_ends_is_soon_refused_by_all_nodes() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let nodes = nodes(&deployment, &["a", "b", "c"]).await;
+    for round in 0..3 {
+        for (at, node) in nodes.iter().enumerate() {
+            let id = format!("try-{round}-{at}");
+            assert_eq!(ask(node, &id, "/calls/harmful").await, 502);
+        }
+    }
+    let ended = ended(&deployment.applications);
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+    let honest = ask(&nodes[0], "honest", "/calls/honest").await;
+    assert_eq!(honest, 200, "the back ends that are left serve");
+}
+
+/// Its next tries come to back ends' next lives, which know nothing of the former ones.
+#[tokio::test]
+async fn back_ends_that_came_back_are_not_ended_again() {
+    let deployment = Deployment::start(0, 3).await;
+    end_by_harmful(&deployment.applications);
+    let node = deployment.node("a").await;
+    ask(&node, "first", "/calls/harmful").await;
+    let mut next_lives = Vec::new();
+    for former in &deployment.applications {
+        former.end();
+        let id = format!("{}-again", former.id);
+        wait_until("the address is free", || {
+            std::net::TcpListener::bind(former.address).is_ok()
+        })
+        .await;
+        let next = StandInBackend::start_at(&id, former.address).await;
+        deployment
+            .log
+            .write_backends(listed(&next, APPLICATIONS, false));
+        next_lives.push(next);
+    }
+    end_by_harmful(&next_lives);
+    node.knows(6).await;
+    for number in 0..5 {
+        ask(&node, &format!("next-{number}"), "/calls/harmful").await;
+    }
+    assert_eq!(ended(&next_lives), 0);
+    assert_eq!(ask(&node, "honest", "/calls/honest").await, 200);
+}
+
+/// The batch's other items are made, and this one is neither run again nor given up before its time.
+#[tokio::test]
+async fn an_item_that_ends_back_ends_is_not_run_again() {
+    let deployment = Deployment::start(8, 0).await;
+    end_by_harmful(&deployment.engines);
+    let nodes = nodes(&deployment, &["a", "b"]).await;
+    let items = [("harmful-1", "g1"), ("i2", "g2"), ("i3", "g2")];
+    let body = write_batch(1, &items, false);
+    assert_eq!(submit(nodes[0].callers, "batch", &body).await, 202);
+    let lines = wait_for_results(nodes[0].callers, "batch", 2).await;
+    assert!(
+        lines.iter().all(|line| !line.starts_with("harmful")),
+        "{lines:?}"
+    );
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let ended = ended(&deployment.engines);
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
+
+/// Connections that break say nothing against a request while the back ends live.
+#[tokio::test]
+async fn a_request_whose_connections_break_is_not_refused() {
+    let deployment = Deployment::start(0, 3).await;
+    for backend in &deployment.applications {
+        backend.behave(|told| told.call = CallBehaviour::Break);
+    }
+    let node = deployment.node("a").await;
+    for number in 0..5 {
+        ask(&node, &format!("broken-{number}"), "/calls/honest").await;
+    }
+    for backend in &deployment.applications {
+        backend.behave(|told| told.call = CallBehaviour::Answer);
+    }
+    assert_eq!(ask(&node, "after", "/calls/honest").await, 200);
+}
+
+/// An honest request that was running beside a harmful one is served, however often that happened.
+#[tokio::test]
+async fn a_request_beside_a_harmful_one_is_served() {
+    let deployment = Deployment::start(0, 8).await;
+    for backend in &deployment.applications {
+        backend.behave(|told| {
+            told.ended_by = Some(HARMFUL.to_owned());
+            told.call = CallBehaviour::Silent;
+        });
+    }
+    let nodes = nodes(&deployment, &["a", "b"]).await;
+    let honest = (0..4).map(|number| {
+        let address = nodes[number % 2].callers;
+        tokio::spawn(async move {
+            let id = format!("honest-{number}");
+            let headers = [("x-id", id.as_str()), ("x-deadline", "2500")];
+            let path = format!("/calls/honest-{number}");
+            let answer = send(address, Method::POST, &path, &headers, "call").await;
+            answer.map(|answer| answer.status.as_u16())
+        })
+    });
+    let honest: Vec<_> = honest.collect();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for (at, node) in nodes.iter().enumerate() {
+        ask(node, &format!("try-{at}"), "/calls/harmful").await;
+    }
+    for one in honest {
+        let _ = one.await.unwrap();
+    }
+    for backend in &deployment.applications {
+        backend.behave(|told| told.call = CallBehaviour::Answer);
+    }
+    tokio::time::sleep(LEARNING).await;
+    for number in 0..4 {
+        let path = format!("/calls/honest-{number}");
+        let status = ask(&nodes[number % 2], &format!("again-{number}"), &path).await;
+        assert_eq!(status, 200, "{path}");
+    }
+}
+
+/// Back ends that leave in order, or are ended for other reasons while items run there, cost no item.
+#[tokio::test]
+async fn items_outlive_back_ends_that_end_one_after_the_other() {
+    let deployment = Deployment::start(6, 0).await;
+    for engine in &deployment.engines {
+        engine.behave(|told| told.event_pause = Duration::from_millis(250));
+    }
+    let node = deployment.node("a").await;
+    let items: Vec<(String, String)> = (0..12)
+        .map(|at| (format!("i{at}"), format!("g{}", at % 3)))
+        .collect();
+    let items: Vec<(&str, &str)> = items
+        .iter()
+        .map(|(item, group)| (item.as_str(), group.as_str()))
+        .collect();
+    let body = write_batch(1, &items, false);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    for engine in deployment.engines.iter().take(5) {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        engine.end();
+    }
+    let lines = wait_for_results(node.callers, "batch", items.len()).await;
+    assert!(
+        lines.iter().all(|line| line.contains("|completed|")),
+        "{lines:?}"
+    );
+    let engine = &deployment.engines[5];
+    assert!(!engine.runs().is_empty(), "the last of {ENGINES} served");
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -16,7 +16,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -24,6 +25,9 @@
 /// Events of each item's output, if nothing else is told.
 pub const EVENTS: u32 = 4;
 
+/// Time from the start of a run that ends the process to its end.
+const TIME_TO_END: Duration = Duration::from_millis(20);
+
 /// How a back end behaves.
 #[derive(Debug, Clone)]
 pub struct Behaviour {
@@ -41,6 +45,8 @@
     pub refuses_orders: bool,
     /// Answer to calls.
     pub call: CallBehaviour,
+    /// Its process ends a moment after it begins to work at a request whose path contains this.
+    pub ended_by: Option<String>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,6 +91,7 @@
     orders: Mutex<Vec<(String, Instant)>>,
     at_work: Arc<AtomicUsize>,
     breaks: Notify,
+    ended: watch::Sender<bool>,
 }
 
 /// Counts a request as under way until its answer is sent or its connection is gone.
@@ -105,7 +112,12 @@
 
 impl StandInBackend {
     pub async fn start(id: &str) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(id, "127.0.0.1:0".parse().unwrap()).await
+    }
+
+    /// Starts one at an address, which a former one may have had.
+    pub async fn start_at(id: &str, address: SocketAddr) -> Arc<Self> {
+        let listener = TcpListener::bind(address).await.unwrap();
         let behaviour = Behaviour {
             version: 1,
             event_pause: Duration::from_millis(5),
@@ -114,6 +126,7 @@
             event_padding: 0,
             refuses_orders: false,
             call: CallBehaviour::Answer,
+            ended_by: None,
         };
         let backend = Arc::new(Self {
             id: id.to_owned(),
@@ -123,6 +136,7 @@
             orders: Mutex::default(),
             at_work: Arc::default(),
             breaks: Notify::new(),
+            ended: watch::Sender::new(false),
         });
         tokio::spawn(serve(backend.clone(), listener));
         backend
@@ -147,6 +161,16 @@
         self.breaks.notify_waiters();
     }
 
+    /// Ends its process: its connections close and nobody listens at its address.
+    pub fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Whether its process has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
     /// Orders, in the order they came, as `model version holder fence`.
     pub fn orders(&self) -> Vec<String> {
         let orders = self.orders.lock().unwrap();
@@ -178,12 +202,16 @@
 }
 
 async fn serve(backend: Arc<StandInBackend>, listener: TcpListener) {
+    let mut ended = backend.ended.subscribe();
+    // Dropped with all connections when the process ends.
+    let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            return;
+        let stream = tokio::select! {
+            _ = ended.wait_for(|has_ended| *has_ended) => return,
+            Ok((stream, _)) = listener.accept() => stream,
         };
         let backend = backend.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let service = service_fn(|request| answer(backend.clone(), request));
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
@@ -236,6 +264,12 @@
     };
     let at_work = AtWork::new(&backend.at_work);
     backend.seen.lock().unwrap().push(seen.clone());
+    let ended_by = backend.behaviour().ended_by;
+    if ended_by.is_some_and(|fragment| path.contains(&fragment)) {
+        tokio::time::sleep(TIME_TO_END).await;
+        backend.end();
+        std::future::pending::<()>().await;
+    }
     if path.starts_with("/items/") || path.starts_with("/streams/") {
         return Ok(run_item(&backend, &seen, at_work));
     }
