--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -9,6 +9,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use havenstage_http_link::WholeAnswer;
+use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::route::{RequestKind, Route};
 use http::StatusCode;
@@ -16,9 +17,11 @@
 use tokio::time::Instant;
 
 use crate::calls::{
-    Call, CallOutcome, StreamingAnswer, refused, refused_for_want_of_back_ends, share_of_objective,
+    BARRED_STATUS, Call, CallOutcome, StreamingAnswer, refused, refused_for_want_of_back_ends,
+    share_of_objective,
 };
 use crate::context::Context;
+use crate::crash_guard::{self, Admission};
 use crate::metrics;
 use crate::send::{SILENT, SendOutcome, SendTerms, send};
 
@@ -120,6 +123,10 @@
         if self.may_have_run > 0 && !self.may_run_again() {
             return Some(self.ended_in_failure());
         }
+        if matches!(self.admission(), Admission::Barred) {
+            crash_guard::tell_barred(self.context, &self.call.fingerprint(), &self.call.id_text());
+            return Some(CallOutcome::Barred);
+        }
         if self.lacks_back_ends() {
             return Some(match self.may_have_run {
                 0 => refused_for_want_of_back_ends(self.route),
@@ -155,6 +162,15 @@
             && self.running.len() == 1
             && self.may_have_run + 1 < self.route.attempts.max(1)
             && self.may_be_written()
+            && matches!(self.admission(), Admission::Send(None))
+    }
+
+    /// Whether it may be sent now, in view of the back ends that ended under it.
+    fn admission(&self) -> Admission {
+        if crash_guard::suspects_nobody(self.context) {
+            return Admission::Send(None);
+        }
+        crash_guard::admit(self.context, &self.call.fingerprint())
     }
 
     fn may_be_written(&self) -> bool {
@@ -166,6 +182,9 @@
         if !self.may_be_written() {
             return false;
         }
+        let Admission::Send(slot) = self.admission() else {
+            return false;
+        };
         let (now, draw) = (self.context.now(), self.context.draw());
         let backends = &self.context.backends;
         let Some(chosen) = backends.choose_for_call(self.pool, &self.tried, now, draw) else {
@@ -191,7 +210,11 @@
         };
         self.running.push(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            send(context, chosen, call, &terms).await
+            let mut outcome = send(context, chosen, call, &terms).await;
+            if let SendOutcome::Streaming(started) = &mut outcome {
+                started.slot = slot;
+            }
+            outcome
         }));
         true
     }
@@ -217,6 +240,7 @@
                     ends: self.ends,
                     answer: started.answer,
                     backend: started.backend,
+                    slot: started.slot,
                 })))
             }
             SendOutcome::NotRun(_) => None,
@@ -255,13 +279,16 @@
             CallOutcome::Streaming(streaming) => ("streaming", streaming.answer.status().as_u16()),
             CallOutcome::Refused { .. } => ("refused", 503),
             CallOutcome::Failed { status } => ("failed", status.as_u16()),
+            CallOutcome::Barred => ("barred", BARRED_STATUS.as_u16()),
         };
         self.write_line(name, status);
     }
 
     fn write_line(&mut self, name: &'static str, status: u16) {
         self.is_reported = true;
-        let request = String::from_utf8_lossy(self.call.id.as_bytes());
+        let request = self.call.id_text();
+        let content = self.call.fingerprint.get();
+        let content = content.map_or(String::new(), Fingerprint::to_string);
         let tried = join_ids(&self.tried);
         self.outcomes
             .extend(std::iter::repeat_n("under_way", self.running.len()));
@@ -273,7 +300,7 @@
             .as_millis() as u64;
         let routes = self.context.routes().map_or(0, |table| table.version());
         metrics::call_ended(name, took_ms);
-        info!(event = "call", request = request.as_ref(), route = self.route.name.as_str(),
+        info!(event = "call", request = request.as_str(), content = content.as_str(), route = self.route.name.as_str(),
             routes_version = routes, outcome = name, status = status, backends = tried.as_str(),
             sends = sends.as_str(), may_have_run = self.may_have_run, took_ms = took_ms,
             left_ms = left_ms; "");
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -1,11 +1,12 @@
 //! Calls passed through whole: a back end is chosen, the call is sent, and its answer is returned
 //! unchanged.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use havenstage_http_link::{Answer, WholeAnswer};
+use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BatchId, PoolName};
 use havenstage_rollout::route::Route;
 use http::header::{HeaderMap, HeaderValue};
@@ -16,12 +17,18 @@
 use crate::backends::ChosenBackend;
 use crate::call_progress::CallProgress;
 use crate::context::Context;
+use crate::crash_guard::SuspectSlot;
+use crate::fingerprint;
 
 /// Time after which a caller may come back whom no back end had a place for.
 const COME_BACK: Duration = Duration::from_millis(50);
 /// Share of the objective after which a caller may come back whose pool has no back end that takes calls.
 const ABSENT_SHARE: f64 = 0.25;
 
+/// Answer to a call that is barred. Final, and without a time to come back; it says nothing of whether an
+/// earlier try ran, as a 503 would.
+pub const BARRED_STATUS: StatusCode = StatusCode::BAD_GATEWAY;
+
 /// A call, read whole.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -39,9 +46,21 @@
     pub deadline: Instant,
     /// The batch for which it is made: nothing of it is written once that may have ended.
     pub batch: Option<BatchId>,
+    /// Its fingerprint, once it was asked for.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
+    /// What stays the same of it when its caller tries again; worked out only when it is needed.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| fingerprint::of_call(self))
+    }
+
+    /// Its request id as text.
+    pub(crate) fn id_text(&self) -> String {
+        String::from_utf8_lossy(self.id.as_bytes()).into_owned()
+    }
+
     /// Time after which nothing of it may be written, if it must be over at `ends`; `None` if nothing
     /// may be written at all.
     pub(crate) fn write_by(&self, context: &Context, ends: Instant) -> Option<Instant> {
@@ -68,6 +87,9 @@
         /// Status to answer with.
         status: StatusCode,
     },
+    /// Back ends end under it: it is not sent any more. An earlier send of it may have run, so this is no
+    /// word that it has not.
+    Barred,
 }
 
 /// How a call ended, and how often back ends failed at it on the way.
@@ -92,6 +114,7 @@
     pub answer: Answer,
     /// Where it runs.
     pub backend: ChosenBackend,
+    pub(crate) slot: Option<SuspectSlot>,
 }
 
 /// Passes a call on by its route and returns how it ended.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -17,6 +17,7 @@
 use crate::backends::Backends;
 use crate::batch_partitions::{BatchPartitions, BatchView};
 use crate::counted_log::CountedLog;
+use crate::crash_guard::CrashGuard;
 use crate::edge::{
     CheckpointStore, Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition,
     Surroundings,
@@ -82,6 +83,7 @@
     pub work: Arc<Notify>,
     /// How the taking of callers' connections goes.
     pub intake: Intake,
+    pub(crate) crash_guard: CrashGuard,
     /// Set once the node was told to stop.
     pub stopping: AtomicBool,
     /// Set when batches are to be released.
@@ -134,6 +136,7 @@
             backends_listed: watch::Sender::new(false),
             takes_part: watch::Sender::new(false),
             intake: Intake::default(),
+            crash_guard: CrashGuard::default(),
             stopping: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             released: AtomicBool::new(false),
--- /dev/null
+++ b/crates/gateway/src/crash_guard.rs
@@ -0,0 +1,299 @@
+//! Keeps requests that end back ends from being sent on and on, by any node.
+//!
+//! A send that breaks off says little: connections are reset, back ends leave. So the back end's address is
+//! tried once: only if nobody listens there any more, and the back end had not said that it leaves, has it
+//! ended under the request. That is noted here at once and told to all nodes through the control stream.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use havenstage_http_link::Link;
+use havenstage_rollout::control::ControlRecord;
+use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint, Suspicion};
+use havenstage_rollout::ids::BackendId;
+use log::{info, warn};
+use tokio::task::JoinHandle;
+
+use crate::context::Context;
+use crate::log_writes::append_control;
+use crate::metrics;
+
+/// Longest time to try a back end's address: some ten round trips between zones. A machine that does not
+/// answer in this time may be cut off, which says nothing of the back end.
+const TRY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which an address that still took a connection is tried once more: a process that ends does not
+/// close everything at the same moment.
+const SECOND_TRY_AFTER: Duration = Duration::from_millis(50);
+/// Pause before a word for the other nodes that could not be written is written again.
+const TELL_AGAIN_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time that a broken send waits for its word to be written: over ten times what an append takes.
+const TELL_PATIENCE: Duration = Duration::from_millis(50);
+/// Most words that wait to be written while the log is away; each holds some 100 bytes.
+const MOST_WAITING: usize = 256;
+
+/// Sends of suspected requests that are under way here, and words for other nodes.
+#[derive(Default)]
+pub(crate) struct CrashGuard {
+    under_way: Mutex<HashMap<Fingerprint, usize>>,
+    /// Words that wait to be written.
+    waiting: AtomicUsize,
+}
+
+/// Whether a request may be sent to a back end now.
+pub(crate) enum Admission {
+    /// It may be. The slot of a suspected request is held until its end is known.
+    Send(Option<SuspectSlot>),
+    /// Not yet: as many sends of it are under way as back ends may still end under it.
+    Wait,
+    /// It must not be sent any more.
+    Barred,
+}
+
+/// Counts a send of a suspected request as under way.
+pub(crate) struct SuspectSlot {
+    context: Arc<Context>,
+    request: Fingerprint,
+}
+
+impl Drop for SuspectSlot {
+    fn drop(&mut self) {
+        let mut under_way = self.context.crash_guard.lock_under_way();
+        if let Some(count) = under_way.get_mut(&self.request) {
+            *count -= 1;
+            if *count == 0 {
+                under_way.remove(&self.request);
+            }
+        }
+    }
+}
+
+impl CrashGuard {
+    fn lock_under_way(&self) -> std::sync::MutexGuard<'_, HashMap<Fingerprint, usize>> {
+        self.under_way
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether nothing is known against any request, so that none needs a look.
+pub(crate) fn suspects_nobody(context: &Context) -> bool {
+    context.control.lock().state.crashes().is_empty()
+}
+
+/// Whether a request must not be sent any more.
+pub(crate) fn is_barred(context: &Context, request: &Fingerprint) -> bool {
+    let suspicion = suspicion(context, request);
+    matches!(suspicion, Suspicion::Barred { .. })
+}
+
+fn suspicion(context: &Context, request: &Fingerprint) -> Suspicion {
+    let now = context.now();
+    context
+        .control
+        .lock()
+        .state
+        .crashes()
+        .suspicion(request, now)
+}
+
+/// Whether a request may be sent now. What is under way here counts as if it failed, so that several copies
+/// of a request that come together don't end more back ends than one.
+pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint) -> Admission {
+    let runs_left = match suspicion(context, request) {
+        Suspicion::None => return Admission::Send(None),
+        Suspicion::Barred { .. } => return Admission::Barred,
+        Suspicion::Suspected { runs_left, .. } => runs_left,
+    };
+    let mut under_way = context.crash_guard.lock_under_way();
+    let count = under_way.entry(*request).or_default();
+    if *count >= runs_left {
+        return Admission::Wait;
+    }
+    *count += 1;
+    Admission::Send(Some(SuspectSlot {
+        context: context.clone(),
+        request: *request,
+    }))
+}
+
+/// A barred request came again: tells why it is not sent. `id` is the id of this try.
+pub(crate) fn tell_barred(context: &Context, request: &Fingerprint, id: &str) {
+    metrics::barred_request_came();
+    let now = context.now();
+    let mut control = context.control.lock();
+    let crashes = control.state.crashes_mut();
+    crashes.came_again(request, now);
+    let Suspicion::Barred { ended, age_ms } = crashes.suspicion(request, now) else {
+        return;
+    };
+    drop(control);
+    info!(event = "request_refused_as_barred", request = id, content = request.to_string().as_str(),
+        ended = name_all(&ended).as_str(), last_end_age_ms = age_ms; "");
+}
+
+/// Requests that were barred by what the control stream told since the last call.
+pub(crate) fn tell_newly_barred(context: &Context) {
+    let now = context.now();
+    let mut control = context.control.lock();
+    let newly = control.state.crashes_mut().take_newly_barred();
+    let crashes = control.state.crashes();
+    let told: Vec<(Fingerprint, Suspicion)> = newly
+        .into_iter()
+        .map(|request| (request, crashes.suspicion(&request, now)))
+        .collect();
+    let remembered = crashes.len();
+    drop(control);
+    for (request, suspicion) in told {
+        if let Suspicion::Barred { ended, .. } = suspicion {
+            warn!(event = "request_barred", content = request.to_string().as_str(),
+                ended = name_all(&ended).as_str(), remembered = remembered; "");
+        }
+    }
+}
+
+/// Forgets requests of which nothing was heard for long, and counts.
+pub(crate) fn forget_old(context: &Context) {
+    let now = context.now();
+    let mut control = context.control.lock();
+    let crashes = control.state.crashes_mut();
+    crashes.forget_old(now);
+    let (remembered, forgotten) = (crashes.len(), crashes.forgotten());
+    drop(control);
+    metrics::suspects(remembered, &forgotten);
+}
+
+fn name_all(ended: &[EndedBackend]) -> String {
+    let names = ended.iter().map(|ended| {
+        let (backend, seen_by) = (&ended.backend, &ended.seen_by);
+        format!("{backend} seen by {seen_by}")
+    });
+    names.collect::<Vec<String>>().join(", ")
+}
+
+/// A send that broke off after it was written.
+#[derive(Clone)]
+pub(crate) struct BrokenSend {
+    /// What was sent.
+    pub(crate) request: Fingerprint,
+    /// Id of this try.
+    pub(crate) id: String,
+    /// Where it was sent.
+    pub(crate) backend: BackendId,
+    /// Connections to there.
+    pub(crate) link: Link,
+}
+
+/// Finds out whether the back end of a broken send has ended, and notes and tells it if so. Returns once
+/// that is known, so that the request is not sent on before.
+pub(crate) async fn send_broke(context: &Arc<Context>, broken: BrokenSend) {
+    if is_leaving(context, &broken.backend) {
+        report(context, &broken, "was_leaving");
+        return;
+    }
+    if broken.link.is_refused(TRY_TIMEOUT).await {
+        backend_ended(context, &broken).await;
+        return;
+    }
+    report(context, &broken, "may_live");
+    let context = context.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(SECOND_TRY_AFTER).await;
+        if !is_leaving(&context, &broken.backend) && broken.link.is_refused(TRY_TIMEOUT).await {
+            backend_ended(&context, &broken).await;
+        }
+    });
+}
+
+/// Notes and tells an end. Waits a moment for the word to stand in the log: the caller may ask another node
+/// as soon as it has its answer.
+async fn backend_ended(context: &Arc<Context>, broken: &BrokenSend) {
+    let request = broken.request;
+    let ended = EndedBackend {
+        backend: broken.backend.clone(),
+        seen_by: context.node.machine.clone(),
+    };
+    note_ended(context, request, ended.clone());
+    report(context, broken, "nobody_listens");
+    tell_newly_barred(context);
+    let told = tell(context, ControlRecord::BackendEnded { request, ended });
+    if let Some(told) = told {
+        // Without the log's answer the request goes on; the word is told as soon as it can be.
+        let _ = tokio::time::timeout(TELL_PATIENCE, told).await;
+    }
+}
+
+fn note_ended(context: &Context, request: Fingerprint, ended: EndedBackend) {
+    let now = context.now();
+    let mut control = context.control.lock();
+    let crashes = control.state.crashes_mut();
+    crashes.backend_ended(request, ended, now);
+}
+
+fn report(context: &Context, broken: &BrokenSend, evidence: &'static str) {
+    metrics::send_broke(evidence);
+    let suspicion = suspicion(context, &broken.request);
+    info!(event = "send_broke", request = broken.id.as_str(),
+        content = broken.request.to_string().as_str(), backend = broken.backend.as_str(),
+        evidence = evidence, suspicion = format!("{suspicion:?}").as_str(); "");
+}
+
+/// Whether a back end said that it leaves, or is not listed any more: its end is expected.
+fn is_leaving(context: &Context, backend: &BackendId) -> bool {
+    let backends = context.backends.lock();
+    let record = backends.list.get(backend);
+    record.is_none_or(|record| record.draining)
+}
+
+/// A back end answered a request, so that the request can be run and the back end lives.
+pub(crate) fn answered(
+    context: &Arc<Context>,
+    backend: &BackendId,
+    request: impl FnOnce() -> Fingerprint,
+) {
+    // Nothing is worked out, not even the fingerprint, while nobody is suspected.
+    if suspects_nobody(context) {
+        return;
+    }
+    let request = request();
+    let mut control = context.control.lock();
+    let crashes = control.state.crashes_mut();
+    let is_cleared = crashes.cleared(&request);
+    let lives_after_all = crashes.backend_lives(backend);
+    drop(control);
+    if is_cleared {
+        info!(event = "request_cleared", content = request.to_string().as_str(),
+            backend = backend.as_str(), by = "answer"; "");
+        tell(context, ControlRecord::RequestCleared { request });
+    }
+    if lives_after_all {
+        warn!(event = "backend_lives_after_all", backend = backend.as_str(); "");
+        let backend = backend.clone();
+        tell(context, ControlRecord::BackendLives { backend });
+    }
+}
+
+/// Tells the other nodes, again and again until it stands in the log. While the log is away only so many
+/// words wait; more are dropped, as this node goes by its own sight all the same.
+fn tell(context: &Arc<Context>, record: ControlRecord) -> Option<JoinHandle<()>> {
+    let waiting = &context.crash_guard.waiting;
+    if waiting.fetch_add(1, Ordering::Relaxed) >= MOST_WAITING {
+        waiting.fetch_sub(1, Ordering::Relaxed);
+        warn!(event = "crash_not_told", record = format!("{record:?}").as_str(), waiting = MOST_WAITING; "");
+        metrics::crash_told("dropped");
+        return None;
+    }
+    let context = context.clone();
+    let told = tokio::spawn(async move {
+        while let Err(error) = append_control(&context, &record).await {
+            warn!(event = "crash_not_told_yet", record = format!("{record:?}").as_str(),
+                reason = error.to_string().as_str(); "");
+            metrics::crash_told("failed");
+            tokio::time::sleep(TELL_AGAIN_PAUSE).await;
+        }
+        metrics::crash_told("written");
+        context.crash_guard.waiting.fetch_sub(1, Ordering::Relaxed);
+    });
+    Some(told)
+}
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! One task holds all state. Runs and reward calls are tasks that report to it; what they bring is
 //! appended to the log in groups, and only the log's fold decides what counts.
 
+mod barred;
 mod candidates;
 mod carried;
 mod claim;
@@ -74,6 +75,8 @@
     pauses: HashMap<BackendId, Pause>,
     carried: HashMap<BatchId, Carried>,
     held_back: BTreeMap<usize, HeldBack>,
+    /// Items of which it was told that they are barred.
+    told_barred: HashSet<ItemKey>,
     news: UnboundedReceiver<RunMessage>,
     news_sender: UnboundedSender<RunMessage>,
     ended: UnboundedReceiver<TaskEnded>,
@@ -122,6 +125,7 @@
             pauses: HashMap::new(),
             carried: HashMap::new(),
             held_back: BTreeMap::new(),
+            told_barred: HashSet::new(),
             news,
             news_sender,
             ended,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -156,7 +156,11 @@
         let mut candidates = self.candidates(table.pool(pool), pool, &oldest, usual_gap_ms, now);
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
         schedule::sort_waiting(&mut work.waiting, now, token_ms);
+        let barred = self.barred_items(&work.waiting);
         for item in &work.waiting {
+            if barred.contains(&key_of(item)) {
+                continue;
+            }
             let Some(chosen) = schedule::choose(item, &candidates) else {
                 self.restart_if_version_is_gone(item, pool, now);
                 continue;
@@ -183,10 +187,7 @@
         let is_there = ready.any(|(id, _)| backends.version(id, model) == exact);
         drop(ready);
         drop(backends);
-        let key = ItemKey {
-            batch: item.batch.clone(),
-            item: item.item.clone(),
-        };
+        let key = key_of(item);
         if !is_there && self.prepare(&key, now).is_some() {
             self.restart(&key);
         }
@@ -195,10 +196,7 @@
     /// Lets an item go on at a faster back end, from the output that is there.
     fn relocate(&mut self, relocation: &Relocation) {
         let item = &relocation.item;
-        let key = ItemKey {
-            batch: item.batch.clone(),
-            item: item.item.clone(),
-        };
+        let key = key_of(item);
         let Some(live) = self.items.get_mut(&key) else {
             return;
         };
@@ -216,10 +214,7 @@
     }
 
     fn begin(&mut self, item: &WaitingItem, backend: &BackendId, now: Millis) {
-        let key = ItemKey {
-            batch: item.batch.clone(),
-            item: item.item.clone(),
-        };
+        let key = key_of(item);
         let is_first_start = !self.items.contains_key(&key);
         if self.prepare(&key, now).is_none() {
             return;
@@ -231,6 +226,13 @@
     }
 }
 
+pub(super) fn key_of(item: &WaitingItem) -> ItemKey {
+    ItemKey {
+        batch: item.batch.clone(),
+        item: item.item.clone(),
+    }
+}
+
 fn urgency(item: &WaitingItem) -> u8 {
     if item.optional {
         OPTIONAL_URGENCY
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -1,6 +1,6 @@
 //! One run of an item on a back end, and the reward call of an item.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,8 @@
 use crate::backends::ChosenBackend;
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
+use crate::crash_guard::{self, BrokenSend};
+use crate::fingerprint;
 use crate::send;
 
 /// Longest time for the head of an answer.
@@ -28,6 +30,11 @@
 const REWARD_DEADLINE: Duration = Duration::from_millis(2_000);
 /// Pause before a reward call is made again.
 const REWARD_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before a reward call that is barred is looked at again: the bar may be lifted.
+const REWARD_BARRED_PAUSE: Duration = Duration::from_millis(500);
+/// Events after which a run that breaks off is not held against its item: the back end ran it well for so
+/// long, and the next run goes on behind them.
+const EVENTS_OF_A_SOUND_RUN: u32 = 3;
 
 /// An item of a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -154,7 +161,9 @@
     order: RunOrder,
     news: UnboundedSender<RunMessage>,
 ) {
-    let end = run_to_end(&context, &backend, &order, &news).await;
+    let mut events = 0;
+    let end = run_to_end(&context, &backend, &order, &news, &mut events).await;
+    note_crashes(&context, &backend, &order, &end, events).await;
     drop(backend);
     // The engine is gone only when the process ends.
     let _ = news.send(RunMessage {
@@ -164,11 +173,43 @@
     });
 }
 
+/// Notes what the end of a run says of whether its item ends back ends.
+async fn note_crashes(
+    context: &Arc<Context>,
+    backend: &ChosenBackend,
+    order: &RunOrder,
+    end: &RunEnd,
+    events: u32,
+) {
+    let request = || fingerprint::of_item(&order.host, &order.spec);
+    match end {
+        RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => {
+            crash_guard::answered(context, &backend.id, request);
+        }
+        RunEnd::Broken if events < EVENTS_OF_A_SOUND_RUN => {
+            let broken = BrokenSend {
+                request: request(),
+                id: order.key.item.to_string(),
+                backend: backend.id.clone(),
+                link: backend.link.clone(),
+            };
+            crash_guard::send_broke(context, broken).await;
+        }
+        RunEnd::Broken
+        | RunEnd::NotRun
+        | RunEnd::TooLate
+        | RunEnd::Unreachable
+        | RunEnd::WrongVersion(_) => {}
+    }
+}
+
+/// Makes a run; `events` counts what it brings.
 async fn run_to_end(
     context: &Context,
     backend: &ChosenBackend,
     order: &RunOrder,
     news: &UnboundedSender<RunMessage>,
+    events: &mut u32,
 ) -> RunEnd {
     let Some(request) = item_request(context, &backend.id, order) else {
         return RunEnd::Impossible;
@@ -193,7 +234,7 @@
         Err(_) => return RunEnd::Broken,
     };
     match check_head(context, order, &answer) {
-        Ok(version) => read_events(context, backend, order, answer, version, news).await,
+        Ok(version) => read_events(context, backend, order, answer, version, news, events).await,
         Err(end) => {
             // Read to the end, so that the connection is kept.
             let rest = answer.whole(MOST_REFUSAL_BYTES);
@@ -285,6 +326,7 @@
     mut answer: Answer,
     mut version: Option<Version>,
     news: &UnboundedSender<RunMessage>,
+    events: &mut u32,
 ) -> RunEnd {
     let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
     let mut count = u64::from(order.resumed_from);
@@ -301,6 +343,7 @@
         reader.push(&bytes);
         while let Some(event) = reader.next_event() {
             count += 1;
+            *events += 1;
             if event.id.is_some_and(|id| id != count) {
                 return RunEnd::Broken;
             }
@@ -372,6 +415,7 @@
                     }
                 }
                 CallOutcome::Refused { come_back } => pause = come_back,
+                CallOutcome::Barred => pause = REWARD_BARRED_PAUSE,
                 CallOutcome::Streaming(_) | CallOutcome::Failed { .. } => {}
             }
             if failures >= route.attempts.max(1) {
@@ -396,5 +440,6 @@
         body: reward.body.clone(),
         deadline: Instant::now() + REWARD_DEADLINE,
         batch: Some(batch.clone()),
+        fingerprint: OnceLock::new(),
     })
 }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -13,6 +13,7 @@
 
 use crate::checkpoints;
 use crate::context::Context;
+use crate::crash_guard;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
 use crate::log_writes::append_control;
 use crate::metrics;
@@ -249,6 +250,7 @@
         };
         context.partitions.forget_before(before, context.now());
         context.control.lock().state.forget_batches_before(before);
+        crash_guard::forget_old(&context);
         context.occupancy.lock().state.forget_before(before);
     }
 }
@@ -325,6 +327,7 @@
             checkpoints::restore_control(&context).await;
         }
         context.note_observed_versions();
+        crash_guard::tell_newly_barred(&context);
         context.work.notify_one();
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use havenstage_rollout::crash_ledger::ForgottenRequests;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use thiserror::Error;
@@ -91,6 +92,35 @@
     counter!("gateway_orders_total", "outcome" => outcome).increment(1);
 }
 
+/// A send broke off after it was written; `evidence` says what was found of its back end.
+pub fn send_broke(evidence: &'static str) {
+    counter!("gateway_sends_broken_total", "evidence" => evidence).increment(1);
+}
+
+/// A request came that must not be sent any more.
+pub fn barred_request_came() {
+    counter!("gateway_barred_requests_total").increment(1);
+}
+
+/// A word for the other nodes about a request or a back end was written, failed or was dropped.
+pub fn crash_told(outcome: &'static str) {
+    counter!("gateway_crash_words_total", "outcome" => outcome).increment(1);
+}
+
+/// Requests that are suspected or barred, and how those before were forgotten.
+pub fn suspects(remembered: usize, forgotten: &ForgottenRequests) {
+    gauge!("gateway_suspects").set(remembered as f64);
+    let by_reason = [
+        ("cleared", forgotten.cleared),
+        ("expired", forgotten.expired),
+        ("evicted", forgotten.evicted),
+        ("disproved", forgotten.disproved),
+    ];
+    for (reason, count) in by_reason {
+        counter!("gateway_suspects_forgotten_total", "reason" => reason).absolute(count);
+    }
+}
+
 /// Items that run on this node now.
 pub fn items_running(count: usize) {
     gauge!("gateway_items_running").set(count as f64);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use havenstage_http_link::{Answer, LinkError, Sending};
+use havenstage_http_link::{Answer, Link, LinkError, Sending};
 use havenstage_rollout::event_stream::EventReader;
 use havenstage_rollout::ids::BackendId;
 use havenstage_rollout::route::{RequestKind, Route};
@@ -17,6 +17,7 @@
 use crate::backends::ChosenBackend;
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
+use crate::crash_guard::{self, Admission, BrokenSend, SuspectSlot};
 use crate::send;
 
 /// Silence after which a resumable stream goes on elsewhere.
@@ -48,6 +49,8 @@
 struct Current {
     answer: Answer,
     backend: ChosenBackend,
+    /// Held while a suspected request runs.
+    _slot: Option<SuspectSlot>,
 }
 
 impl Relay {
@@ -76,6 +79,7 @@
             current: Some(Current {
                 answer: streaming.answer,
                 backend: streaming.backend,
+                _slot: streaming.slot,
             }),
             context,
         }
@@ -103,11 +107,18 @@
                 Ok(Some(bytes)) if self.is_resumable => self.reader.push(&bytes),
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) if current.answer.is_framed() && self.reader.rest().is_empty() => {
+                    let backend = &current.backend.id;
+                    crash_guard::answered(&self.context, backend, || self.call.fingerprint());
                     self.current = None;
                     return None;
                 }
                 broken @ (Ok(None) | Err(_)) => {
-                    self.fell_silent = broken.is_err_and(is_silence);
+                    let error = broken.err();
+                    self.fell_silent = error.is_some_and(is_silence);
+                    if error == Some(LinkError::Broken) {
+                        let (id, link) = (current.backend.id.clone(), current.backend.link.clone());
+                        self.send_broke(id, link).await;
+                    }
                     if !self.resume().await {
                         self.current = None;
                         return Some(Err(StreamBroken));
@@ -125,6 +136,11 @@
             .map(|current| current.backend.id.clone());
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.ends {
             self.resumes_left -= 1;
+            let request = self.call.fingerprint();
+            let Admission::Send(slot) = crash_guard::admit(&self.context, &request) else {
+                crash_guard::tell_barred(&self.context, &request, &self.call.id_text());
+                break;
+            };
             let (now, draw) = (self.context.now(), self.context.draw());
             let backends = &self.context.backends;
             let Some(backend) = backends.choose_for_call(&self.pool, &self.tried, now, draw) else {
@@ -135,7 +151,11 @@
                 self.report("resumed", from.as_ref(), Some(&backend.id));
                 let version_field = self.context.dialect.headers().weight_version.as_str();
                 self.reader = EventReader::new(version_field);
-                self.current = Some(Current { answer, backend });
+                self.current = Some(Current {
+                    answer,
+                    backend,
+                    _slot: slot,
+                });
                 return true;
             }
         }
@@ -160,6 +180,10 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.fell_silent |= is_silence(error);
+                if error == LinkError::Broken {
+                    self.send_broke(backend.id.clone(), backend.link.clone())
+                        .await;
+                }
                 return None;
             }
         };
@@ -167,6 +191,16 @@
         (answer.status().is_success() && is_ours).then_some(answer)
     }
 
+    async fn send_broke(&self, backend: BackendId, link: Link) {
+        let broken = BrokenSend {
+            request: self.call.fingerprint(),
+            id: self.call.id_text(),
+            backend,
+            link,
+        };
+        crash_guard::send_broke(&self.context, broken).await;
+    }
+
     fn report(&self, outcome: &'static str, from: Option<&BackendId>, to: Option<&BackendId>) {
         let request = String::from_utf8_lossy(self.call.id.as_bytes());
         info!(event = "stream", request = request.as_ref(), outcome = outcome,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use havenstage_http_link::{Answer, LinkError, Sending, WholeAnswer};
+use havenstage_rollout::ids::BackendId;
 use http::Request;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http_body_util::Full;
@@ -13,12 +14,17 @@
 use crate::backends::ChosenBackend;
 use crate::calls::Call;
 use crate::context::Context;
+use crate::crash_guard::{self, BrokenSend, SuspectSlot};
 
 /// Longest body of an answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
 /// A send of which nothing was written, as its time was over or its batch may have ended.
 const TOO_LATE: &str = "too_late";
+/// A send whose connection broke before the head of an answer.
+const BROKEN: &str = "broken";
+/// A send whose answer ended early.
+const CUT_SHORT: &str = "cut_short";
 /// Time without a head after which a kept connection may count as silent, for work that would be begun
 /// anew: an engine reads the input before it answers.
 pub(crate) const HEAD_PATIENCE: Duration = Duration::from_millis(600);
@@ -73,6 +79,8 @@
 pub(crate) struct StartedStream {
     pub(crate) answer: Answer,
     pub(crate) backend: ChosenBackend,
+    /// Held while a suspected request runs.
+    pub(crate) slot: Option<SuspectSlot>,
 }
 
 /// Sends a call to a back end and judges the back end by what comes.
@@ -82,7 +90,7 @@
     call: &Call,
     terms: &SendTerms,
 ) -> SendOutcome {
-    let backend = chosen.id.clone();
+    let (backend, link) = (chosen.id.clone(), chosen.link.clone());
     let began = Instant::now();
     let left = terms.ends.saturating_duration_since(began);
     let request = backend_request(context, &chosen, call, left);
@@ -94,24 +102,41 @@
         None => Err(LinkError::TooLate),
     };
     let outcome = read_answer(context, chosen, call, answer).await;
+    judge_backend(context, &backend, &outcome, began);
+    match &outcome {
+        SendOutcome::Answered(_) => {
+            crash_guard::answered(context, &backend, || call.fingerprint());
+        }
+        SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
+            let broken = BrokenSend {
+                request: call.fingerprint(),
+                id: call.id_text(),
+                backend,
+                link,
+            };
+            crash_guard::send_broke(context, broken).await;
+        }
+        SendOutcome::Streaming(_) | SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {}
+    }
+    outcome
+}
+
+/// Notes what the end of a send says of its back end.
+fn judge_backend(context: &Context, backend: &BackendId, outcome: &SendOutcome, began: Instant) {
     let now = context.now();
     let mut backends = context.backends.lock();
-    match &outcome {
+    match outcome {
         SendOutcome::Answered(answer) if answer.status.is_success() => {
             let took = began.elapsed().as_millis() as u64;
-            backends.health.answered(&backend, Some(took));
+            backends.health.answered(backend, Some(took));
         }
         SendOutcome::Answered(_) | SendOutcome::Streaming(_) => {
-            backends.health.answered(&backend, None);
+            backends.health.answered(backend, None);
         }
         // No fault of the back end.
         SendOutcome::NotRun(TOO_LATE) => {}
-        SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {
-            backends.health.failed(&backend, now)
-        }
+        SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => backends.health.failed(backend, now),
     }
-    drop(backends);
-    outcome
 }
 
 /// The call as it goes to a back end, with the time that is left.
@@ -149,7 +174,7 @@
         Err(LinkError::TooLate) => return SendOutcome::NotRun(TOO_LATE),
         Err(error) if error.is_unsent() => return SendOutcome::NotRun("unreachable"),
         Err(LinkError::TimedOut | LinkError::Silent) => return SendOutcome::MayHaveRun(SILENT),
-        Err(_) => return SendOutcome::MayHaveRun("broken"),
+        Err(_) => return SendOutcome::MayHaveRun(BROKEN),
     };
     let names = context.dialect.headers();
     let is_ours = answer.headers().get(&names.request_id) == Some(&call.id);
@@ -169,11 +194,12 @@
         return SendOutcome::Streaming(Box::new(StartedStream {
             answer,
             backend: chosen,
+            slot: None,
         }));
     }
     match answer.whole(MOST_ANSWER_BYTES).await {
         Ok(whole) => SendOutcome::Answered(whole),
-        Err(_) => SendOutcome::MayHaveRun("cut_short"),
+        Err(_) => SendOutcome::MayHaveRun(CUT_SHORT),
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -260,6 +260,7 @@
         body,
         deadline: began + wait,
         batch: None,
+        fingerprint: OnceLock::new(),
     };
     match calls::execute(context, route, call).await.outcome {
         CallOutcome::Answered(answer) => pass_on(answer),
@@ -268,6 +269,7 @@
         }
         CallOutcome::Refused { come_back } => refuse(StatusCode::SERVICE_UNAVAILABLE, come_back),
         CallOutcome::Failed { status } => plain(status),
+        CallOutcome::Barred => plain(calls::BARRED_STATUS),
     }
 }
 
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -21,6 +21,7 @@
 use support::caller::{call, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed, wait_until};
 use support::dialect::write_batch;
+use support::log::LogFaults;
 
 /// Back ends that may end under one request before all nodes refuse it.
 const MOST_ENDS: usize = 3;
@@ -204,3 +205,54 @@
     let engine = &deployment.engines[5];
     assert!(!engine.runs().is_empty(), "the last of {ENGINES} served");
 }
+
+#[tokio::test]
+async fn a_stream_that_ends_back_ends_is_soon_refused_by_all_nodes() {
+    let deployment = Deployment::start(8, 0).await;
+    end_by_harmful(&deployment.engines);
+    let nodes = nodes(&deployment, &["a", "b", "c"]).await;
+    for (at, node) in nodes.iter().chain(&nodes).enumerate() {
+        let id = format!("try-{at}");
+        assert_eq!(ask(node, &id, "/streams/harmful").await, 502);
+    }
+    let ended = ended(&deployment.engines);
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
+
+/// A node that starts learns what others know before it can harm more back ends.
+#[tokio::test]
+async fn a_node_that_starts_does_not_begin_at_zero() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let mut first = deployment.node("a").await;
+    for number in 0..2 {
+        ask(&first, &format!("try-{number}"), "/calls/harmful").await;
+    }
+    tokio::time::sleep(LEARNING).await;
+    first.kill();
+    let before = ended(&deployment.applications);
+    let second = deployment.node("b").await;
+    assert_eq!(ask(&second, "late", "/calls/harmful").await, 502);
+    assert_eq!(ended(&deployment.applications), before);
+}
+
+/// Without the log a node goes by what it saw itself, and tells the others when the log is back.
+#[tokio::test]
+async fn a_node_without_the_log_goes_by_its_own_sight() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let nodes = nodes(&deployment, &["a", "b"]).await;
+    nodes[0].set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    for number in 0..4 {
+        ask(&nodes[0], &format!("try-{number}"), "/calls/harmful").await;
+    }
+    let before = ended(&deployment.applications);
+    assert!(before <= MOST_ENDS, "{before} back ends ended");
+    nodes[0].set_faults(LogFaults::default());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    ask(&nodes[1], "elsewhere", "/calls/harmful").await;
+    assert_eq!(ended(&deployment.applications), before);
+}
--- a/crates/gateway/tests/ended_batches.rs
+++ b/crates/gateway/tests/ended_batches.rs
@@ -247,6 +247,7 @@
         body: "reward".into(),
         deadline: Instant::now() + Duration::from_millis(1_500),
         batch: Some("batch".into()),
+        fingerprint: Default::default(),
     };
     let ending = async {
         wait_until("the call came", || !arrivals(&deployment).is_empty()).await;
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -1,5 +1,6 @@
 //! The connections kept to one address.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -9,6 +10,7 @@
 use http::Request;
 use http_body_util::Full;
 use log::warn;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::answer::Answer;
@@ -198,6 +200,15 @@
         }
     }
 
+    /// Whether nobody listens at the address: a new connection is refused. Without an answer in this time
+    /// nothing is known.
+    pub async fn is_refused(&self, timeout: Duration) -> bool {
+        let connect = TcpStream::connect(self.shared.address);
+        let connected = tokio::time::timeout(timeout, connect).await;
+        let is_refusal = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        connected.is_ok_and(|connected| connected.is_err_and(is_refusal))
+    }
+
     /// Whether a resting connection may be used.
     pub fn has_idle(&self) -> bool {
         self.shared.lock_idle().iter().any(Connection::is_usable)
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -14,12 +14,17 @@
 
 use crate::Millis;
 use crate::batch_index::BatchNotice;
+use crate::crash_ledger::CrashCheckpoint;
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
 use crate::stored::{Stored, UnreadableValue};
 
 /// Number of the present form of checkpoints; rises with each field that is added.
-pub const FORM: u8 = 2;
+pub const FORM: u8 = 3;
+/// Number of the form that ends in front of the requests under which back ends ended.
+const SECOND_FORM: u8 = 2;
+/// An empty list, as it is encoded.
+const ENCODED_EMPTY_LIST: u8 = 0;
 /// Number of the form that does not name its number.
 const FIRST_FORM: u8 = 1;
 
@@ -50,6 +55,8 @@
     pub newest: BTreeMap<(BackendId, ModelName), Version>,
     /// Batches that a node found in their partitions.
     pub found: BTreeSet<BatchId>,
+    /// Requests under which back ends ended. Not in the second form.
+    pub crashes: Vec<CrashCheckpoint>,
 }
 
 /// The fold as it was kept first: what all forms begin with.
@@ -96,6 +103,7 @@
             unsigned_orders,
             newest: BTreeMap::new(),
             found: BTreeSet::new(),
+            crashes: Vec::new(),
         }
     }
 }
@@ -129,9 +137,19 @@
     fn decode(bytes: &[u8]) -> Result<Self, UnreadableValue> {
         let whole = postcard::from_bytes(bytes);
         whole.or_else(|source| {
-            let first_form = FirstForm::read_whole(bytes);
+            let first_form = || FirstForm::read_whole(bytes).map(Self::from);
             let unreadable = || UnreadableValue::new(Self::WHAT, source);
-            first_form.map(Self::from).ok_or_else(unreadable)
+            read_second_form(bytes)
+                .or_else(first_form)
+                .ok_or_else(unreadable)
         })
     }
 }
+
+/// Reads the second form, which is the present one without its last list.
+fn read_second_form(bytes: &[u8]) -> Option<ControlCheckpoint> {
+    let mut completed = bytes.to_vec();
+    completed.push(ENCODED_EMPTY_LIST);
+    let checkpoint: ControlCheckpoint = postcard::from_bytes(&completed).ok()?;
+    (checkpoint.form == SECOND_FORM).then_some(checkpoint)
+}
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -11,6 +11,7 @@
 use crate::Millis;
 use crate::batch_index::{BatchIndex, BatchNotice};
 use crate::checkpoint::{ControlCheckpoint, FORM, OrderTime};
+use crate::crash_ledger::{CrashLedger, EndedBackend, Fingerprint};
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::{LeaseState, Term};
@@ -95,6 +96,23 @@
         /// The back end.
         backend: BackendId,
     },
+    /// A back end ended while it ran a request.
+    BackendEnded {
+        /// The request.
+        request: Fingerprint,
+        /// The back end, and who saw it.
+        ended: EndedBackend,
+    },
+    /// Nothing is held against a request any more: a back end answered it, or an operator said so.
+    RequestCleared {
+        /// The request.
+        request: Fingerprint,
+    },
+    /// A back end that was taken for ended answers.
+    BackendLives {
+        /// The back end.
+        backend: BackendId,
+    },
 }
 
 impl Stored for ControlRecord {
@@ -141,6 +159,7 @@
     last_orders: LastOrders,
     /// Time that has certainly passed between the first record and the newest.
     log_time: Millis,
+    crashes: CrashLedger,
 }
 
 /// The node that last told that it runs batches of a route.
@@ -164,6 +183,7 @@
             observed: Vec::new(),
             last_orders: LastOrders::default(),
             log_time: 0,
+            crashes: CrashLedger::default(),
         }
     }
 
@@ -194,6 +214,7 @@
                 .collect(),
             newest: self.newest.clone(),
             found: self.index.found(),
+            crashes: self.crashes.checkpoint(),
         }
     }
 
@@ -205,6 +226,7 @@
         state.lease = LeaseState::restored(checkpoint.term, checkpoint.holder, now);
         state.log_time = checkpoint.log_time;
         state.newest = checkpoint.newest;
+        state.crashes = CrashLedger::restored(checkpoint.crashes, now);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -296,6 +318,15 @@
             ControlRecord::Withdrawn { backend } => {
                 self.pending.remove(&backend);
             }
+            ControlRecord::BackendEnded { request, ended } => {
+                self.crashes.backend_ended(request, ended, now);
+            }
+            ControlRecord::RequestCleared { request } => {
+                self.crashes.cleared(&request);
+            }
+            ControlRecord::BackendLives { backend } => {
+                self.crashes.backend_lives(&backend);
+            }
         }
     }
 
@@ -345,6 +376,16 @@
         self.index.forget_before(before);
     }
 
+    /// Requests under which back ends ended.
+    pub fn crashes(&self) -> &CrashLedger {
+        &self.crashes
+    }
+
+    /// The same, for what this node saw itself and has yet to tell the others.
+    pub fn crashes_mut(&mut self) -> &mut CrashLedger {
+        &mut self.crashes
+    }
+
     /// Machines that ever had a node.
     pub fn machine_count(&self) -> usize {
         self.machines.len()
--- /dev/null
+++ b/crates/rollout/src/crash_ledger.rs
@@ -0,0 +1,324 @@
+//! Which requests ended the back ends that ran them, so that no node sends such a request on and on.
+//!
+//! A back end that ends takes everything down that runs there. So a request is *suspected* with its first
+//! end and *barred* after several, and any whole answer of a back end clears it: it can be run. Ends of
+//! which another request can be the cause just as well count for less.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Millis;
+use crate::ids::{BackendId, MachineName};
+
+/// Back ends that must have ended under a request before it is barred.
+pub const BAR_AFTER_ENDS: usize = 3;
+/// The same where another request was there at each of these ends: of 4 honest requests beside a harmful
+/// one, none is barred so, as the harmful one is barred before (`tests/crash_ledger.rs`).
+pub const BAR_AFTER_SHARED_ENDS: usize = 5;
+/// Most requests that are remembered; 256 take some 30 KB in memory and 20 KB in a checkpoint.
+pub const MOST_REQUESTS: usize = 256;
+/// Most back ends that are remembered of a request.
+const MOST_BACKENDS: usize = 8;
+/// Time without news after which a request that is only suspected is forgotten: callers give up within
+/// seconds, and batches carry an item for a few minutes at most.
+const FORGET_SUSPECTED_MS: Millis = 5 * 60_000;
+/// Time after the last attempt after which a barred request is forgotten: long enough for one that comes
+/// again and again, and a wrong bar ends by itself.
+const FORGET_BARRED_MS: Millis = 60 * 60_000;
+
+/// What stays the same of a request from one try to the next.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// From the bytes of a hash.
+    pub fn new(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
+    /// Reads what its text form names.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.as_bytes();
+        let is_hex = digits.iter().all(u8::is_ascii_hexdigit);
+        if digits.len() != 32 || !is_hex {
+            return None;
+        }
+        Some(Self(u128::from_str_radix(text, 16).ok()?.to_be_bytes()))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{self}")
+    }
+}
+
+/// A back end that ended while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedBackend {
+    /// The back end; its id stands for one life of it.
+    pub backend: BackendId,
+    /// The machine that saw it.
+    pub seen_by: MachineName,
+}
+
+/// What a checkpoint keeps of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCheckpoint {
+    /// The request.
+    pub request: Fingerprint,
+    /// Back ends that ended under it.
+    pub ended: Vec<EndedBackend>,
+}
+
+/// What is known against a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Suspicion {
+    /// Nothing.
+    None,
+    /// So many back ends ended while they ran it; it may be run so many times more, all at once.
+    Suspected {
+        /// Ends.
+        ends: usize,
+        /// Runs that may be under way before it is barred.
+        runs_left: usize,
+    },
+    /// It must not be run any more.
+    Barred {
+        /// The back ends that ended under it.
+        ended: Vec<EndedBackend>,
+        /// Milliseconds since the last one was heard of here.
+        age_ms: Millis,
+    },
+}
+
+/// Why requests were forgotten, with counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ForgottenRequests {
+    /// A back end answered them.
+    pub cleared: u64,
+    /// Nothing was heard of them for long.
+    pub expired: u64,
+    /// There was no room for more.
+    pub evicted: u64,
+    /// The back ends that were thought to have ended under them live.
+    pub disproved: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Suspect {
+    ended: Vec<EndedBackend>,
+    last_end: Millis,
+    last_news: Millis,
+}
+
+impl Suspect {
+    fn names(&self, backend: &BackendId) -> bool {
+        self.ended.iter().any(|ended| ended.backend == *backend)
+    }
+
+    /// Whether it was there at all ends of another one.
+    fn shares_all_of(&self, other: &Self) -> bool {
+        other.ended.iter().all(|ended| self.names(&ended.backend))
+    }
+}
+
+/// Requests under which back ends ended. Times are the reader's own.
+#[derive(Debug, Clone, Default)]
+pub struct CrashLedger {
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    told_barred: BTreeSet<Fingerprint>,
+    newly_barred: Vec<Fingerprint>,
+    forgotten: ForgottenRequests,
+}
+
+impl CrashLedger {
+    /// A ledger with what a checkpoint kept, heard of now.
+    pub fn restored(kept: Vec<CrashCheckpoint>, now: Millis) -> Self {
+        let mut ledger = Self::default();
+        for request in kept {
+            for ended in request.ended {
+                ledger.backend_ended(request.request, ended, now);
+            }
+        }
+        ledger
+    }
+
+    /// What a checkpoint keeps.
+    pub fn checkpoint(&self) -> Vec<CrashCheckpoint> {
+        let suspects = self.suspects.iter();
+        suspects
+            .map(|(request, suspect)| CrashCheckpoint {
+                request: *request,
+                ended: suspect.ended.clone(),
+            })
+            .collect()
+    }
+
+    /// Whether nothing is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// How many requests are remembered.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// How requests were forgotten so far.
+    pub fn forgotten(&self) -> ForgottenRequests {
+        self.forgotten
+    }
+
+    /// A back end ended while it ran a request. Told twice it counts once.
+    pub fn backend_ended(&mut self, request: Fingerprint, ended: EndedBackend, now: Millis) {
+        if !self.suspects.contains_key(&request) && self.suspects.len() >= MOST_REQUESTS {
+            self.evict_one();
+        }
+        let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
+            ended: Vec::new(),
+            last_end: now,
+            last_news: now,
+        });
+        if suspect.names(&ended.backend) || suspect.ended.len() >= MOST_BACKENDS {
+            return;
+        }
+        suspect.ended.push(ended);
+        suspect.last_end = now;
+        suspect.last_news = now;
+        // Others may be the less suspicious for it, or the more.
+        let affected: Vec<Fingerprint> = self.suspects.keys().copied().collect();
+        for request in affected {
+            if self.is_barred(&request) && self.told_barred.insert(request) {
+                self.newly_barred.push(request);
+            }
+        }
+    }
+
+    /// A back end answered a request, so that it can be run; answers whether anything was known against it.
+    pub fn cleared(&mut self, request: &Fingerprint) -> bool {
+        let was_known = self.forget(request);
+        self.forgotten.cleared += u64::from(was_known);
+        was_known
+    }
+
+    /// A back end that was taken for ended lives; answers whether any request was suspected for it.
+    pub fn backend_lives(&mut self, backend: &BackendId) -> bool {
+        let mut was_named = false;
+        for suspect in self.suspects.values_mut() {
+            let before = suspect.ended.len();
+            suspect.ended.retain(|ended| ended.backend != *backend);
+            was_named |= suspect.ended.len() < before;
+        }
+        let innocent = self.suspects.iter();
+        let innocent: Vec<Fingerprint> = innocent
+            .filter(|(_, suspect)| suspect.ended.is_empty())
+            .map(|(request, _)| *request)
+            .collect();
+        for request in innocent {
+            self.forgotten.disproved += u64::from(self.forget(&request));
+        }
+        was_named
+    }
+
+    /// Whether any request is suspected for the end of a back end.
+    pub fn names(&self, backend: &BackendId) -> bool {
+        self.suspects.values().any(|suspect| suspect.names(backend))
+    }
+
+    /// What is known against a request.
+    pub fn suspicion(&self, request: &Fingerprint, now: Millis) -> Suspicion {
+        let Some(suspect) = self.suspects.get(request) else {
+            return Suspicion::None;
+        };
+        let ends = suspect.ended.len();
+        let runs_left = self.ends_to_bar(request, suspect).saturating_sub(ends);
+        match runs_left {
+            0 => Suspicion::Barred {
+                ended: suspect.ended.clone(),
+                age_ms: now.saturating_sub(suspect.last_end),
+            },
+            _ => Suspicion::Suspected { ends, runs_left },
+        }
+    }
+
+    /// A request that is known came again: it is not forgotten yet.
+    pub fn came_again(&mut self, request: &Fingerprint, now: Millis) {
+        if let Some(suspect) = self.suspects.get_mut(request) {
+            suspect.last_news = now;
+        }
+    }
+
+    /// Whether any request is barred.
+    pub fn has_barred(&self) -> bool {
+        self.suspects.keys().any(|request| self.is_barred(request))
+    }
+
+    /// Requests that were barred since the last call.
+    pub fn take_newly_barred(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.newly_barred)
+    }
+
+    /// Forgets what nothing was heard of for long.
+    pub fn forget_old(&mut self, now: Millis) {
+        let old: Vec<Fingerprint> = self
+            .suspects
+            .iter()
+            .filter(|(request, suspect)| {
+                let keep_ms = match self.is_barred(request) {
+                    true => FORGET_BARRED_MS,
+                    false => FORGET_SUSPECTED_MS,
+                };
+                now.saturating_sub(suspect.last_news) > keep_ms
+            })
+            .map(|(request, _)| *request)
+            .collect();
+        for request in old {
+            self.forgotten.expired += u64::from(self.forget(&request));
+        }
+    }
+
+    fn is_barred(&self, request: &Fingerprint) -> bool {
+        let suspect = self.suspects.get(request);
+        suspect.is_some_and(|suspect| {
+            let ends = suspect.ended.len();
+            ends >= BAR_AFTER_ENDS && ends >= self.ends_to_bar(request, suspect)
+        })
+    }
+
+    /// Ends after which a request is barred: more where another one can be the cause of all of them.
+    fn ends_to_bar(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
+        let mut others = self.suspects.iter().filter(|(other, _)| *other != request);
+        match others.any(|(_, other)| other.shares_all_of(suspect)) {
+            true => BAR_AFTER_SHARED_ENDS,
+            false => BAR_AFTER_ENDS,
+        }
+    }
+
+    /// Makes room: first for the least suspicious ones, then for those nothing was heard of for longest.
+    fn evict_one(&mut self) {
+        let least = self.suspects.iter().min_by_key(|(request, suspect)| {
+            (
+                self.is_barred(request),
+                suspect.ended.len(),
+                suspect.last_news,
+            )
+        });
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.forgotten.evicted += u64::from(self.forget(&request));
+        }
+    }
+
+    fn forget(&mut self, request: &Fingerprint) -> bool {
+        self.told_barred.remove(request);
+        self.suspects.remove(request).is_some()
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch_index;
 pub mod checkpoint;
 pub mod control;
+pub mod crash_ledger;
 pub mod event_gap;
 pub mod event_stream;
 pub mod fold;
--- /dev/null
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -0,0 +1,195 @@
+//! Which requests are suspected and barred for ended back ends, and how that is taken back.
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::checkpoint::ControlCheckpoint;
+use havenstage_rollout::control::{ControlRecord, ControlState};
+use havenstage_rollout::crash_ledger::{
+    BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, EndedBackend, Fingerprint,
+    ForgottenRequests, MOST_REQUESTS, Suspicion,
+};
+use havenstage_rollout::ids::{BackendId, MachineName};
+use havenstage_rollout::stored::Stored;
+
+const HARMFUL: u128 = 1;
+const HOUR_MS: Millis = 60 * 60_000;
+
+fn request(number: u128) -> Fingerprint {
+    Fingerprint::new(number.to_be_bytes())
+}
+
+fn ended(backend: &str, seen_by: &str) -> EndedBackend {
+    EndedBackend {
+        backend: BackendId::from(backend),
+        seen_by: MachineName::from(seen_by),
+    }
+}
+
+/// A back end ends while it runs all of these.
+fn end(ledger: &mut CrashLedger, backend: &str, running: &[u128]) {
+    for number in running {
+        ledger.backend_ended(request(*number), ended(backend, "a"), 1_000);
+    }
+}
+
+fn is_barred(ledger: &CrashLedger, number: u128) -> bool {
+    let suspicion = ledger.suspicion(&request(number), 1_000);
+    matches!(suspicion, Suspicion::Barred { .. })
+}
+
+#[test]
+fn a_request_is_barred_with_the_third_end_and_each_end_counts_once() {
+    let mut ledger = CrashLedger::default();
+    for seen_by in ["a", "b", "c", "d"] {
+        ledger.backend_ended(request(HARMFUL), ended("x", seen_by), 5);
+    }
+    let suspicion = ledger.suspicion(&request(HARMFUL), 5);
+    let runs_left = BAR_AFTER_ENDS - 1;
+    assert_eq!(suspicion, Suspicion::Suspected { ends: 1, runs_left });
+    end(&mut ledger, "y", &[HARMFUL]);
+    assert!(!is_barred(&ledger, HARMFUL));
+    end(&mut ledger, "z", &[HARMFUL]);
+    assert!(is_barred(&ledger, HARMFUL));
+    assert_eq!(ledger.take_newly_barred(), [request(HARMFUL)]);
+    assert_eq!(ledger.take_newly_barred(), [], "told once");
+    assert_eq!(ledger.suspicion(&request(2), 5), Suspicion::None);
+}
+
+/// Honest requests that are retried beside a harmful one share its ends; only it is there at all of them.
+#[test]
+fn requests_beside_a_harmful_one_are_not_barred() {
+    let mut ledger = CrashLedger::default();
+    end(&mut ledger, "w", &[HARMFUL, 2, 3, 4, 5]);
+    end(&mut ledger, "x", &[2, 3, HARMFUL, 4]);
+    end(&mut ledger, "y", &[2, HARMFUL, 3]);
+    let barred: Vec<u128> = (1..=5)
+        .filter(|number| is_barred(&ledger, *number))
+        .collect();
+    assert_eq!(barred, [], "which of the three is it?");
+    end(&mut ledger, "z", &[HARMFUL]);
+    let barred: Vec<u128> = (1..=5)
+        .filter(|number| is_barred(&ledger, *number))
+        .collect();
+    assert_eq!(barred, [HARMFUL]);
+}
+
+/// Two that were there at all the same ends may both be the cause: back ends come first in the end.
+#[test]
+fn requests_that_share_all_ends_are_barred_after_more_of_them() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..BAR_AFTER_SHARED_ENDS {
+        assert!(!is_barred(&ledger, HARMFUL), "after {number} ends");
+        end(&mut ledger, &format!("x{number}"), &[HARMFUL, 2]);
+    }
+    assert!(is_barred(&ledger, HARMFUL) && is_barred(&ledger, 2));
+}
+
+#[test]
+fn an_answer_clears_a_request_and_a_living_back_end_is_not_held_against_any() {
+    let mut ledger = CrashLedger::default();
+    end(&mut ledger, "x", &[HARMFUL, 2]);
+    end(&mut ledger, "y", &[HARMFUL]);
+    end(&mut ledger, "z", &[HARMFUL]);
+    assert!(ledger.cleared(&request(2)));
+    assert!(!ledger.cleared(&request(2)));
+    assert!(ledger.backend_lives(&BackendId::from("z")));
+    assert!(!ledger.backend_lives(&BackendId::from("z")));
+    assert!(!is_barred(&ledger, HARMFUL));
+    assert!(ledger.cleared(&request(HARMFUL)));
+    assert!(ledger.is_empty());
+    end(&mut ledger, "v", &[3]);
+    assert!(ledger.backend_lives(&BackendId::from("v")));
+    assert!(ledger.is_empty());
+    let forgotten = ForgottenRequests {
+        cleared: 2,
+        disproved: 1,
+        ..ForgottenRequests::default()
+    };
+    assert_eq!(ledger.forgotten(), forgotten);
+}
+
+/// A flood of different requests that each end one back end pushes out no barred one.
+#[test]
+fn memory_is_bounded_and_barred_requests_stay_longest() {
+    let mut ledger = CrashLedger::default();
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &[HARMFUL]);
+    }
+    for number in 10..(10 * MOST_REQUESTS as u128) {
+        end(&mut ledger, &format!("b{number}"), &[number]);
+    }
+    assert_eq!(ledger.len(), MOST_REQUESTS);
+    assert!(is_barred(&ledger, HARMFUL));
+    let came = 10 * MOST_REQUESTS as u64 - 10;
+    assert_eq!(
+        ledger.forgotten().evicted,
+        came - (MOST_REQUESTS as u64 - 1)
+    );
+}
+
+#[test]
+fn what_is_not_heard_of_for_long_is_forgotten_and_what_comes_again_is_not() {
+    let mut ledger = CrashLedger::default();
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &[HARMFUL, 3]);
+    }
+    end(&mut ledger, "w", &[HARMFUL]);
+    ledger.forget_old(HOUR_MS);
+    assert_eq!(ledger.len(), 1, "a suspected one is forgotten sooner");
+    ledger.came_again(&request(HARMFUL), HOUR_MS);
+    ledger.forget_old(HOUR_MS + HOUR_MS / 2);
+    assert!(is_barred(&ledger, HARMFUL));
+    ledger.forget_old(3 * HOUR_MS);
+    assert!(ledger.is_empty());
+    assert_eq!(ledger.forgotten().expired, 2);
+}
+
+#[test]
+fn a_fingerprint_is_read_as_it_is_written() {
+    let text = request(0x00ab_cdef).to_string();
+    assert_eq!(Fingerprint::parse(&text), Some(request(0x00ab_cdef)));
+    for wrong in [
+        "",
+        "ab",
+        "+1234567890123456789012345678901",
+        "g",
+        &format!("{text}0"),
+    ] {
+        assert_eq!(Fingerprint::parse(wrong), None, "{wrong}");
+    }
+}
+
+fn barred_state() -> ControlState {
+    let mut state = ControlState::new(MachineName::from("a"));
+    for backend in ["x", "y", "z"] {
+        let record = ControlRecord::BackendEnded {
+            request: request(HARMFUL),
+            ended: ended(backend, "b"),
+        };
+        state.apply(record, 1_000);
+    }
+    state
+}
+
+/// A node that starts reads a checkpoint, and with it what is known against requests.
+#[test]
+fn a_checkpoint_keeps_what_is_known_against_requests() {
+    let checkpoint = barred_state().checkpoint(7);
+    let read = ControlCheckpoint::decode(&checkpoint.encode()).unwrap();
+    let state = ControlState::restored(MachineName::from("c"), read, 9_000);
+    assert!(is_barred(state.crashes(), HARMFUL));
+}
+
+/// While a release goes on, nodes read checkpoints of nodes that know nothing of such requests.
+#[test]
+fn a_checkpoint_of_the_form_before_is_read_too() {
+    let mut checkpoint = ControlState::new(MachineName::from("a")).checkpoint(7);
+    checkpoint.form = 2;
+    let mut bytes = checkpoint.encode();
+    assert_eq!(
+        bytes.pop(),
+        Some(0),
+        "the empty list that the form before lacks"
+    );
+    let read = ControlCheckpoint::decode(&bytes).unwrap();
+    assert_eq!(read, checkpoint);
+}
