Time: a suspended machine's knowledge is as old as everybody's

Cause: all measures were taken by the steady clock, which stands still while a machine is suspended: leases, fences, deadlines, age of knowledge and silence of connections looked as fresh as before, though others had taken over. Reliance on the orders lease (0.9 s) did not end by it, nor did the bounds on starting and writing work.

Change: crate clock, the one place that reads clocks for the gateway, its connections and the adapter: an Instant with tokio's interface that adds the lead of the boot clock over the steady one, read through the C library (nix). The source can be replaced, so that tests suspend one node's thread. Orders are written only while lease and time limit hold, checked at the write and not only before the connection is opened. Rest after planning is at most 1 s: a process that stood still in the midst of a plan rested twice as long afterwards.

Ruled out: timers that wake on a suspension (a wake-up more each 0.1 s on every machine, and a task may run before it): what must not outlive a suspension is judged when it is used. A test now compares moments of this clock, as what it tests does; nothing was loosened.

--- a/crates/gateway/src/batch_ends.rs
+++ b/crates/gateway/src/batch_ends.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::record::BatchRecord;
 use havenstage_rollout::stored::Stored;
 use http::StatusCode;
 use log::info;
-use tokio::time::Instant;
 
 use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
--- a/crates/gateway/src/batch_knowledge.rs
+++ b/crates/gateway/src/batch_knowledge.rs
@@ -7,9 +7,9 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::ids::BatchId;
-use tokio::time::Instant;
 
 use crate::batch_partitions::BatchView;
 use crate::context::Context;
--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::ids::{BatchId, ItemId};
 use http::StatusCode;
 use log::info;
-use tokio::time::Instant;
 
 use crate::batch_answer::BatchAnswer;
 use crate::batch_partitions::BatchView;
@@ -78,7 +78,7 @@
                     }
                 }
                 Found::NothingNew { .. } => {
-                    let _ = tokio::time::timeout_at(until, changed).await;
+                    let _ = havenstage_clock::timeout_at(until, changed).await;
                 }
                 Found::NoBatch => match self.ask(Duration::ZERO).await {
                     Err(error) => return self.refused(error),
--- a/crates/gateway/src/batch_server.rs
+++ b/crates/gateway/src/batch_server.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_rollout::ids::BatchId;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::request::Parts;
 use http::{Method, Response, StatusCode};
 use log::{info, warn};
-use tokio::time::Instant;
 
 use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -8,13 +8,13 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use havenstage_clock::Instant;
 use havenstage_http_link::WholeAnswer;
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::route::{RequestKind, Route};
 use http::StatusCode;
 use log::info;
-use tokio::time::Instant;
 
 use crate::calls::{
     BARRED_STATUS, Call, CallOutcome, StreamingAnswer, refused, refused_for_want_of_back_ends,
@@ -105,12 +105,12 @@
                         return outcome;
                     }
                 }
-                () = tokio::time::sleep_until(self.hedge_at), if self.may_hedge() => {
+                () = havenstage_clock::sleep_until(self.hedge_at), if self.may_hedge() => {
                     if !self.begin() {
                         self.hedge_at = Instant::now() + HEDGE_AGAIN_PAUSE;
                     }
                 }
-                () = tokio::time::sleep_until(self.ends) => return self.out_of_time(),
+                () = havenstage_clock::sleep_until(self.ends) => return self.out_of_time(),
             }
         }
     }
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, WholeAnswer};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BatchId, PoolName};
 use havenstage_rollout::route::Route;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri};
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::backends::ChosenBackend;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -19,7 +19,7 @@
 use crate::counted_log::CountedLog;
 use crate::crash_guard::CrashGuard;
 use crate::edge::{
-    CheckpointStore, Dialect, Directory, LogStream, SharedLog, SteadyClock, StreamPartition,
+    CheckpointStore, Dialect, Directory, LogStream, NodeClock, SharedLog, StreamPartition,
     Surroundings,
 };
 use crate::intake::Intake;
@@ -57,8 +57,8 @@
     pub settings: Settings,
     /// This life of the node's process.
     pub node: NodeId,
-    /// Steady clock.
-    pub clock: SteadyClock,
+    /// Milliseconds on the clock that counts suspended time.
+    pub clock: NodeClock,
     /// The shared log.
     pub log: Arc<dyn SharedLog>,
     /// Checkpoints of streams.
@@ -115,7 +115,7 @@
         Arc::new(Self {
             settings,
             node: node.clone(),
-            clock: SteadyClock::start(),
+            clock: NodeClock::start(),
             log: Arc::new(CountedLog::new(log)),
             checkpoints,
             directory,
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::lease::Term;
@@ -19,7 +20,6 @@
 use havenstage_rollout::order_plan::PlannedOrder;
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode};
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -372,17 +372,17 @@
     pub dialect: Arc<dyn Dialect>,
 }
 
-/// Steady clock of the process.
+/// Milliseconds of the process on the clock that counts suspended time.
 #[derive(Debug, Clone, Copy)]
-pub struct SteadyClock {
-    start: tokio::time::Instant,
+pub struct NodeClock {
+    start: havenstage_clock::Instant,
 }
 
-impl SteadyClock {
+impl NodeClock {
     /// A clock that starts at 1,000 ms, so that "long ago" can be expressed.
     pub fn start() -> Self {
         Self {
-            start: tokio::time::Instant::now() - Duration::from_secs(1),
+            start: havenstage_clock::Instant::now() - Duration::from_secs(1),
         }
     }
 
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -23,12 +23,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::ItemState;
 use havenstage_rollout::ids::{BackendId, BatchId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::metrics;
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, LinkError, Sending};
 use havenstage_rollout::batch::{Item, RewardCall};
 use havenstage_rollout::event_stream::EventReader;
@@ -13,7 +14,6 @@
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::Instant;
 
 use crate::backends::ChosenBackend;
 use crate::calls::{self, Call, CallOutcome};
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::fold::BatchState;
 use havenstage_rollout::ids::{BackendId, GroupId};
 use havenstage_rollout::record::OutputEvent;
 use log::info;
-use tokio::time::Instant;
 
 use super::live::{LiveItem, OwnedTask, Phase};
 use super::run::{self, ItemKey, RunOrder, VersionRule};
--- a/crates/gateway/src/engine/writing.rs
+++ b/crates/gateway/src/engine/writing.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::record::BatchRecord;
 use log::warn;
-use tokio::time::Instant;
 
 use super::outbox::{AppendLimits, Outbox};
 use super::{Engine, TaskEnded};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::ids::{MachineName, NodeId};
 use log::info;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 use crate::checkpoints;
 use crate::context::Context;
@@ -171,7 +171,7 @@
     let ends = began + grace.saturating_sub(END_MARGIN);
     let releases = began + grace.mul_f64(WORK_SHARE);
     info!(event = "stopping", in_flight = in_flight.count(); "");
-    tokio::time::sleep_until((began + NOTICE_TIME).min(ends)).await;
+    havenstage_clock::sleep_until((began + NOTICE_TIME).min(ends)).await;
     close.send_replace(true);
     while context.holds_batches() && Instant::now() < releases {
         tokio::time::sleep(LOOK_PAUSE).await;
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -5,13 +5,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use havenstage_http_link::WholeAnswer;
+use havenstage_clock::Instant;
+use havenstage_http_link::{Sending, WholeAnswer};
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use log::{info, warn};
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
@@ -154,10 +154,21 @@
         fence: order.fence,
         expected_orders: Some(expected_orders),
     });
-    let is_reliable = context.now() < permit.reliable_until.load(Ordering::Relaxed);
-    let time_left = permit.give_until.saturating_duration_since(Instant::now());
+    let (began, now) = (Instant::now(), context.now());
+    let reliable_ms = permit
+        .reliable_until
+        .load(Ordering::Relaxed)
+        .saturating_sub(now);
+    let is_reliable = reliable_ms > 0;
+    let time_left = permit.give_until.saturating_duration_since(began);
+    // Nothing is written once the lease may be another's, however long the connection takes to come up or
+    // the process stands still.
+    let write_by = permit
+        .give_until
+        .min(began + Duration::from_millis(reliable_ms));
+    let sending = Sending::within(time_left).written_by(write_by);
     let answer = match is_reliable && !time_left.is_zero() {
-        true => exchange(context, &order.backend, request, time_left).await,
+        true => exchange(context, &order.backend, request, sending, time_left).await,
         false => None,
     };
     let status = answer.map(|answer| answer.status);
@@ -210,7 +221,8 @@
 
 async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
     let request = context.dialect.report_request();
-    let answer = exchange(context, backend, request, REPORT_TIMEOUT).await?;
+    let sending = Sending::within(REPORT_TIMEOUT);
+    let answer = exchange(context, backend, request, sending, REPORT_TIMEOUT).await?;
     let is_good = answer.status == StatusCode::OK;
     is_good
         .then(|| context.dialect.read_report(&answer.body))
@@ -221,6 +233,7 @@
     context: &Arc<Context>,
     backend: &BackendId,
     mut request: Request<Full<bytes::Bytes>>,
+    sending: Sending,
     timeout: Duration,
 ) -> Option<WholeAnswer> {
     let chosen = context.backends.take(backend)?;
@@ -229,7 +242,7 @@
         .headers_mut()
         .insert(context.dialect.headers().expected_backend.clone(), expected);
     let exchange = async {
-        let answer = chosen.link.send(request, timeout).await?;
+        let answer = chosen.link.send_as(request, sending).await?;
         answer.whole(MOST_ANSWER_BYTES).await
     };
     tokio::time::timeout(timeout, exchange).await.ok()?.ok()
--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::ids::BatchId;
 use log::{error, warn};
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::edge::LogError;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, Link, LinkError, Sending};
 use havenstage_rollout::event_stream::EventReader;
 use havenstage_rollout::ids::BackendId;
@@ -12,7 +13,6 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
 use thiserror::Error;
-use tokio::time::Instant;
 
 use crate::backends::ChosenBackend;
 use crate::calls::{Call, StreamingAnswer};
--- a/crates/gateway/src/repeated_append.rs
+++ b/crates/gateway/src/repeated_append.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::framing;
 use log::warn;
-use tokio::time::Instant;
 
 use crate::context::Context;
 use crate::edge::LogError;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, LinkError, Sending, WholeAnswer};
 use havenstage_rollout::ids::BackendId;
 use http::Request;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http_body_util::Full;
-use tokio::time::Instant;
 
 use crate::backends::ChosenBackend;
 use crate::calls::Call;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
+use havenstage_clock::Instant;
 use havenstage_http_link::{WholeAnswer, end_when_unacknowledged};
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
 use http::header::{HOST, HeaderValue};
@@ -22,7 +23,6 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::batch_server::{handle_batch_call, handle_submission};
 use crate::caller_stream;
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::fold::PartitionState;
@@ -13,9 +14,8 @@
 use havenstage_rollout::stored::Stored;
 use log::warn;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
-use crate::edge::{LogError, LogPage, SharedLog, SteadyClock, StreamPartition};
+use crate::edge::{LogError, LogPage, NodeClock, SharedLog, StreamPartition};
 use crate::failed_reads::FailedReads;
 
 /// A state that is a fold over the records of a partition.
@@ -339,7 +339,7 @@
     pub async fn confirm(
         &self,
         log: &dyn SharedLog,
-        clock: SteadyClock,
+        clock: NodeClock,
         most_age: Duration,
     ) -> Result<(), LogError> {
         self.confirm_since(log, clock, oldest(clock, most_age))
@@ -352,7 +352,7 @@
     pub async fn confirm_until(
         &self,
         log: &dyn SharedLog,
-        clock: SteadyClock,
+        clock: NodeClock,
         most_age: Duration,
         until: Instant,
     ) -> Result<(), LogError> {
@@ -381,7 +381,7 @@
     async fn confirm_since(
         &self,
         log: &dyn SharedLog,
-        clock: SteadyClock,
+        clock: NodeClock,
         oldest: Millis,
     ) -> Result<(), LogError> {
         let failures = self.lock().failed.count();
@@ -435,6 +435,6 @@
 }
 
 /// When the question must have been asked whose answer is at most `most_age` old.
-fn oldest(clock: SteadyClock, most_age: Duration) -> Millis {
+fn oldest(clock: NodeClock, most_age: Duration) -> Millis {
     clock.now().saturating_sub(most_age.as_millis() as Millis)
 }
--- a/crates/gateway/src/work_pace.rs
+++ b/crates/gateway/src/work_pace.rs
@@ -3,7 +3,11 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use havenstage_clock::Instant;
+
+/// Longest rest: a process that stood still, or was suspended, in the midst of its work must not rest for
+/// twice as long when it is back.
+const LONGEST_REST: Duration = Duration::from_secs(1);
 
 /// When a piece of repeated work is due again.
 #[derive(Debug)]
@@ -35,6 +39,7 @@
     /// The work that began at `began` is done now.
     pub fn done(&mut self, began: Instant) {
         let now = Instant::now();
-        self.due = now + (now - began) * self.rest_factor;
+        let rest = (now - began).saturating_mul(self.rest_factor);
+        self.due = now + rest.min(LONGEST_REST);
     }
 }
--- a/crates/gateway/tests/callers_that_leave.rs
+++ b/crates/gateway/tests/callers_that_leave.rs
@@ -6,6 +6,7 @@
 use std::sync::{Mutex, OnceLock};
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::route::RoutingConfig;
 use log::kv::Key;
@@ -17,7 +18,6 @@
 use support::dialect::write_batch;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::Instant;
 
 /// Time within which back ends are rid of the request of a caller that left.
 const PROMISED: Duration = Duration::from_millis(500);
--- a/crates/gateway/tests/dropped_history.rs
+++ b/crates/gateway/tests/dropped_history.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use support::caller::call;
 use support::deployment::{Deployment, TestNode};
 use support::log::LogFaults;
-use tokio::time::Instant;
 
 /// How long the calls are counted.
 const WATCH: Duration = Duration::from_secs(2);
--- a/crates/gateway/tests/ended_batches.rs
+++ b/crates/gateway/tests/ended_batches.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::calls::{self, Call};
 use http::Method;
 use support::backend::{CallBehaviour, Seen, StandInBackend};
@@ -17,7 +18,6 @@
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::{HOST, write_batch};
 use support::log::LogFaults;
-use tokio::time::Instant;
 
 /// More items than the places of an engine take until some seconds after the end is in force.
 const MANY_ITEMS: usize = 60;
@@ -109,7 +109,7 @@
 
 /// Watches the engine and returns how late items came.
 async fn late_items(deployment: &Deployment, ended: Instant, in_force: Duration) -> Vec<u128> {
-    tokio::time::sleep_until(ended + in_force).await;
+    havenstage_clock::sleep_until(ended + in_force).await;
     let begun = deployment.engines[0].runs().len();
     assert!(
         begun < MANY_ITEMS,
@@ -176,7 +176,7 @@
     owner.set_faults(faults);
     let ended = end_at(&other).await;
     let in_force = in_force(&owner);
-    tokio::time::sleep_until(ended + in_force + WATCHED).await;
+    havenstage_clock::sleep_until(ended + in_force + WATCHED).await;
     late_ms(application, is_reward, ended, in_force)
 }
 
@@ -245,7 +245,7 @@
             .into_iter()
             .collect(),
         body: "reward".into(),
-        deadline: Instant::now() + Duration::from_millis(1_500),
+        deadline: havenstage_clock::Instant::now() + Duration::from_millis(1_500),
         batch: Some("batch".into()),
         fingerprint: Default::default(),
     };
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -191,10 +191,10 @@
     let node = deployment.node("node").await;
     let context = node.context().clone();
     let view = context.partition_of(&"batch".into());
-    let until = tokio::time::Instant::now() + ASKED_AGAIN;
+    let until = havenstage_clock::Instant::now() + ASKED_AGAIN;
     let ask = || view.confirm_until(log.as_ref(), context.clock, Duration::ZERO, until);
     let answers = futures::future::join_all((0..ASKERS).map(|_| ask())).await;
     assert!(answers.iter().all(Result::is_err));
-    assert!(tokio::time::Instant::now() < until + ASKED_AGAIN / 2);
+    assert!(havenstage_clock::Instant::now() < until + ASKED_AGAIN / 2);
     assert!((2..=20).contains(&log.reads()), "{} reads", log.reads());
 }
--- a/crates/gateway/tests/knowledge_age.rs
+++ b/crates/gateway/tests/knowledge_age.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use support::backend::CallBehaviour;
 use support::caller::submit;
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::dialect::write_batch;
 use support::log::LogFaults;
-use tokio::time::Instant;
 
 /// Share of the time after which an end is in force up to which work is started.
 const START_SHARE: f64 = 2.0 / 3.0;
@@ -44,7 +44,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let until = write_by().expect("what is known is fresh enough");
     assert!(until <= latest, "{:?} too late", until - latest);
-    tokio::time::sleep_until(latest + Duration::from_millis(10)).await;
+    havenstage_clock::sleep_until(latest + Duration::from_millis(10)).await;
     assert_eq!(write_by(), None);
 }
 
--- a/crates/gateway/tests/missed_records.rs
+++ b/crates/gateway/tests/missed_records.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::SharedLog;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{BatchId, RunId};
@@ -26,7 +27,6 @@
 use support::deployment::{Deployment, ENGINES, TestNode, listed, wait_until};
 use support::dialect::write_batch;
 use support::log::NodeLog;
-use tokio::time::Instant;
 
 const ITEMS: [(&str, &str); 2] = [("i1", "g"), ("i2", "g")];
 /// Longer than a node follows what somebody asked about.
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::context::CONTROL;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::control::ControlRecord;
@@ -12,7 +13,6 @@
 use havenstage_rollout::stored::Stored;
 use support::deployment::{Deployment, TestNode, wait_until};
 use support::log::{LogFaults, MemoryLog};
-use tokio::time::Instant;
 
 fn name_version(log: &MemoryLog, version: u64) {
     let model = ModelName::from("model");
--- a/crates/gateway/tests/reading_after_restart.rs
+++ b/crates/gateway/tests/reading_after_restart.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::StreamPartition;
 use http::Method;
 use support::backend::StandInBackend;
@@ -20,7 +21,6 @@
 use support::deployment::{Deployment, TestNode, settings, wait_until};
 use support::dialect::write_batch;
 use support::log::{LogFaults, NodeLog};
-use tokio::time::Instant;
 
 /// Time that readers have after traffic has ended.
 const TIME_TO_READ: Duration = Duration::from_secs(10);
--- a/crates/gateway/tests/refusals.rs
+++ b/crates/gateway/tests/refusals.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::backend::BackendChange;
 use havenstage_rollout::ids::BackendId;
@@ -12,7 +13,6 @@
 use support::caller::{call, send};
 use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, routing, wait_until};
 use support::log::{LogFaults, MemoryLog, NodeLog};
-use tokio::time::Instant;
 
 /// Objective of the routes here: long enough that calls which are held show.
 const OBJECTIVE_MS: u64 = 20_000;
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::backend::BackendChange;
 use http::Method;
@@ -21,7 +22,6 @@
 use support::caller::{call, send, submit, text, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed};
 use support::dialect::write_batch;
-use tokio::time::Instant;
 
 const BACKENDS: usize = 2;
 /// Calls that are made at once, so that connections to all back ends are kept.
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures::stream;
+use havenstage_clock::Instant;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -18,7 +19,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -78,13 +78,13 @@
 
 /// Reads until so many results are there.
 pub async fn wait_for_results(address: SocketAddr, batch: &str, count: usize) -> Vec<String> {
-    let until = tokio::time::Instant::now() + PATIENCE;
+    let until = havenstage_clock::Instant::now() + PATIENCE;
     loop {
         let (_, lines) = results(address, batch, 0).await;
         if lines.len() >= count {
             return lines;
         }
-        let left = until.saturating_duration_since(tokio::time::Instant::now());
+        let left = until.saturating_duration_since(havenstage_clock::Instant::now());
         assert!(!left.is_zero(), "only {lines:?} of {count} results came");
     }
 }
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -20,6 +20,7 @@
 use super::backend::StandInBackend;
 use super::dialect::{HOST, MODEL, TestDialect};
 use super::log::{LogFaults, MemoryLog, NodeLog, Versions};
+use super::suspension::suspend_this_thread;
 
 pub const ENGINES: &str = "engines";
 pub const APPLICATIONS: &str = "applications";
@@ -88,6 +89,21 @@
         begun.await.unwrap();
     }
 
+    /// The node's machine was suspended for so long, by the time this returns: its steady clock shows nothing
+    /// of it.
+    pub async fn suspend(&self, time: Duration) {
+        self.on_its_thread(move || suspend_this_thread(time)).await;
+    }
+
+    /// Does something on the one thread on which the node's tasks run.
+    pub async fn on_its_thread<T: Send + 'static>(
+        &self,
+        work: impl FnOnce() -> T + Send + 'static,
+    ) -> T {
+        let runtime = self.runtime.as_ref().expect("the node runs");
+        runtime.spawn(async move { work() }).await.unwrap()
+    }
+
     /// Stops the node in order.
     pub async fn stop(mut self) {
         if let (Some(running), Some(runtime)) = (self.running.take(), &self.runtime) {
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_gateway::edge::{
     Appended, CheckpointStore, Directory, DirectoryEntry, DirectoryKind, DirectoryPage,
     ListingPage, LogError, LogPage, LogStream, SharedLog, StreamPartition,
@@ -16,7 +17,6 @@
 use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::stored::Stored;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// What all nodes share.
 #[derive(Default)]
@@ -197,7 +197,7 @@
     }
 
     async fn wait_for<T>(&self, wait: Duration, look: impl Fn(&State) -> Option<T>) -> Option<T> {
-        let until = tokio::time::Instant::now() + wait;
+        let until = havenstage_clock::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
@@ -205,7 +205,7 @@
             if let Some(found) = look(&self.state.lock().unwrap()) {
                 return Some(found);
             }
-            if tokio::time::timeout_at(until, changed).await.is_err() {
+            if havenstage_clock::timeout_at(until, changed).await.is_err() {
                 return None;
             }
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,3 +6,4 @@
 pub mod deployment;
 pub mod dialect;
 pub mod log;
+pub mod suspension;
--- /dev/null
+++ b/crates/gateway/tests/suspended.rs
@@ -0,0 +1,103 @@
+//! A machine is suspended for seconds: its steady clock stands still, everybody else's time passes. What it
+//! knew before is then as old as for everybody, and nothing is sent, started or ordered on it.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_rollout::ids::ModelName;
+use support::backend::CallBehaviour;
+use support::caller::{call, submit};
+use support::deployment::{Deployment, wait_until};
+use support::dialect::{MODEL, write_batch};
+use support::log::LogFaults;
+use support::suspension;
+
+/// Longer than any knowledge, lease or deadline of the tests lasts.
+const SUSPENDED: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn what_a_node_knew_is_as_old_as_for_everybody() {
+    suspension::prepare();
+    let deployment = Deployment::start(1, 0).await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(800));
+    let node = deployment.node("a").await;
+    let body = write_batch(1, &[("i1", "g1"), ("i2", "g1")], false);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    wait_until("it runs", || deployment.engines[0].runs().len() == 2).await;
+    let context = node.context().clone();
+    let (before, after) = node
+        .on_its_thread(move || {
+            let look = || (context.write_by(&"batch".into()).is_some(), context.now());
+            let before = look();
+            suspension::suspend_this_thread(SUSPENDED);
+            (before, (look(), context.contact_age()))
+        })
+        .await;
+    let (((may_write, now), contact_age), (could_write, then)) = (after, before);
+    assert!(could_write && !may_write, "the batch may have ended since");
+    assert!(now - then >= SUSPENDED.as_millis() as u64);
+    assert!(contact_age >= SUSPENDED.as_millis() as u64);
+}
+
+#[tokio::test]
+async fn a_call_whose_time_passed_in_a_suspension_is_not_sent_again() {
+    suspension::prepare();
+    let deployment = Deployment::start(0, 2).await;
+    for backend in &deployment.applications {
+        backend.behave(|told| told.call = CallBehaviour::NotRun);
+    }
+    let node = Arc::new(deployment.node("a").await);
+    let seen = || {
+        let seen = deployment.applications.iter();
+        seen.map(|backend| backend.seen().len()).sum::<usize>()
+    };
+    let address = node.callers;
+    let answer = tokio::spawn(async move { call(address, "call", "/calls/c").await });
+    wait_until("it is sent", || seen() > 0).await;
+    node.suspend(SUSPENDED).await;
+    let before = seen();
+    assert_eq!(answer.await.unwrap().status, 503, "it did not run");
+    // One may have been written before.
+    assert!(seen() <= before + 1, "{} sends after it", seen() - before);
+}
+
+/// An order is written down, and the machine is suspended before the log's answer comes. Others have taken
+/// the lease since, for all it knows.
+#[tokio::test]
+async fn no_order_is_given_on_a_lease_from_before_a_suspension() {
+    suspension::prepare();
+    let deployment = Deployment::start(1, 0).await;
+    let node = deployment.node("a").await;
+    wait_until("it holds the lease", || {
+        let control = node.context().control.lock();
+        control.state.lease().is_held_by(&node.context().node)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let late = Duration::from_millis(300);
+    node.set_faults(LogFaults {
+        late_answers_to_orders: late,
+        ..LogFaults::default()
+    });
+    let named = DirectoryEntry::NamedVersion {
+        model: ModelName::from(MODEL),
+        version: 2,
+    };
+    deployment.log.write_operators(named);
+    wait_until("the order is written down", || {
+        let control = node.context().control.lock();
+        control.state.all_pending().next().is_some()
+    })
+    .await;
+    node.suspend(SUSPENDED).await;
+    tokio::time::sleep(late + Duration::from_millis(150)).await;
+    assert_eq!(deployment.engines[0].orders(), Vec::<String>::new());
+    node.set_faults(LogFaults::default());
+    wait_until("it is given under a lease that was kept since", || {
+        !deployment.engines[0].orders().is_empty()
+    })
+    .await;
+}
--- a/crates/gateway/tests/work_pace.rs
+++ b/crates/gateway/tests/work_pace.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_gateway::work_pace::WorkPace;
-use tokio::time::{Instant, advance};
+use tokio::time::advance;
 
 #[tokio::test(start_paused = true)]
 async fn work_rests_by_what_it_took() {
@@ -25,3 +26,13 @@
     pace.done(Instant::now());
     assert!(pace.is_due());
 }
+
+/// A machine that stood still for 20 s in the midst of the work works on soon, not 40 s later.
+#[tokio::test(start_paused = true)]
+async fn time_in_which_the_machine_stood_still_is_not_rested_for() {
+    let mut pace = WorkPace::new(2);
+    let began = Instant::now();
+    advance(Duration::from_secs(20)).await;
+    pace.done(began);
+    assert!(pace.wait() <= Duration::from_secs(1), "{:?}", pace.wait());
+}
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 use crate::error::LinkError;
 use crate::silence::ConnectionActivity;
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use http::Request;
 use http_body_util::Full;
 use log::warn;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 use crate::answer::Answer;
 use crate::connection::Connection;
@@ -169,7 +169,7 @@
                 },
             },
             () = silent => Sent::Failed(LinkError::Silent),
-            () = tokio::time::sleep_until(deadline) => {
+            () = havenstage_clock::sleep_until(deadline) => {
                 if !is_kept {
                     self.shared.silence.note_answer_time(&awaited);
                 }
--- a/crates/http-link/src/sending.rs
+++ b/crates/http-link/src/sending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::Instant;
+use havenstage_clock::Instant;
 
 use crate::silence::LEAST_PATIENCE;
 
--- a/crates/http-link/src/silence.rs
+++ b/crates/http-link/src/silence.rs
@@ -8,8 +8,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Patience with an address that answers quickly: some sixty times the answer time of a server
 /// that takes 4 ms, and short enough that a request is sent again within a second.
@@ -110,7 +110,7 @@
     pub(crate) async fn until_overdue(&self, awaited: &Awaited) -> Instant {
         loop {
             let due = self.quiet_since(awaited) + self.patience(awaited);
-            tokio::time::sleep_until(due).await;
+            havenstage_clock::sleep_until(due).await;
             tokio::time::sleep(READING_GRACE).await;
             let quiet_since = self.quiet_since(awaited);
             if quiet_since + self.patience(awaited) <= Instant::now() {
@@ -129,7 +129,7 @@
             if !self.is_marked_silent(awaited) {
                 continue;
             }
-            tokio::time::sleep_until(awaited.began + awaited.least_patience).await;
+            havenstage_clock::sleep_until(awaited.began + awaited.least_patience).await;
             tokio::time::sleep(READING_GRACE).await;
             if self.is_marked_silent(awaited) {
                 return;
--- a/crates/http-link/tests/late.rs
+++ b/crates/http-link/tests/late.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Link, LinkError, LinkSettings};
 use http::Request;
 use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 
--- a/crates/http-link/tests/silence.rs
+++ b/crates/http-link/tests/silence.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
+use havenstage_clock::Instant;
 use havenstage_http_link::{Link, LinkError, LinkSettings, Sending};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -22,7 +23,6 @@
 use hyper_util::rt::TokioIo;
 use support::silencing_proxy::SilencingProxy;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 
 const KEPT: usize = 16;
 /// Time a call has.
