--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger.rs
@@ -17,6 +17,10 @@
 /// The same where another request was there at each of these ends: of 4 honest requests beside a harmful
 /// one, none is barred so, as the harmful one is barred before (`tests/crash_ledger.rs`).
 pub const BAR_AFTER_SHARED_ENDS: usize = 5;
+/// Time after the last end for which a request is given the benefit of the doubt if another one was there at
+/// exactly the same ends: callers try again within it, which tells the two apart. Shorter than the time
+/// within which all nodes must have stopped to send a harmful request.
+pub const DOUBT_MS: Millis = 2_000;
 /// Most requests that are remembered; 256 take some 30 KB in memory and 20 KB in a checkpoint.
 pub const MOST_REQUESTS: usize = 256;
 /// Most back ends that are remembered of a request.
@@ -181,7 +185,7 @@
     /// A back end ended while it ran a request. Told twice it counts once.
     pub fn backend_ended(&mut self, request: Fingerprint, ended: EndedBackend, now: Millis) {
         if !self.suspects.contains_key(&request) && self.suspects.len() >= MOST_REQUESTS {
-            self.evict_one();
+            self.evict_one(now);
         }
         let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
             ended: Vec::new(),
@@ -197,7 +201,7 @@
         // Others may be the less suspicious for it, or the more.
         let affected: Vec<Fingerprint> = self.suspects.keys().copied().collect();
         for request in affected {
-            if self.is_barred(&request) && self.told_barred.insert(request) {
+            if self.is_barred(&request, now) && self.told_barred.insert(request) {
                 self.newly_barred.push(request);
             }
         }
@@ -240,7 +244,7 @@
             return Suspicion::None;
         };
         let ends = suspect.ended.len();
-        let runs_left = self.ends_to_bar(request, suspect).saturating_sub(ends);
+        let runs_left = self.ends_to_bar(request, suspect, now).saturating_sub(ends);
         match runs_left {
             0 => Suspicion::Barred {
                 ended: suspect.ended.clone(),
@@ -258,8 +262,9 @@
     }
 
     /// Whether any request is barred.
-    pub fn has_barred(&self) -> bool {
-        self.suspects.keys().any(|request| self.is_barred(request))
+    pub fn has_barred(&self, now: Millis) -> bool {
+        let mut requests = self.suspects.keys();
+        requests.any(|request| self.is_barred(request, now))
     }
 
     /// Requests that were barred since the last call.
@@ -273,7 +278,7 @@
             .suspects
             .iter()
             .filter(|(request, suspect)| {
-                let keep_ms = match self.is_barred(request) {
+                let keep_ms = match self.is_barred(request, now) {
                     true => FORGET_BARRED_MS,
                     false => FORGET_SUSPECTED_MS,
                 };
@@ -286,28 +291,35 @@
         }
     }
 
-    fn is_barred(&self, request: &Fingerprint) -> bool {
+    fn is_barred(&self, request: &Fingerprint, now: Millis) -> bool {
         let suspect = self.suspects.get(request);
         suspect.is_some_and(|suspect| {
             let ends = suspect.ended.len();
-            ends >= BAR_AFTER_ENDS && ends >= self.ends_to_bar(request, suspect)
+            ends >= BAR_AFTER_ENDS && ends >= self.ends_to_bar(request, suspect, now)
         })
     }
 
-    /// Ends after which a request is barred: more where another one can be the cause of all of them.
-    fn ends_to_bar(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
+    /// Ends after which a request is barred: more where another one can be the cause of all of them. One that
+    /// was there at more ends is the likelier cause; between two with the same ends there is doubt, which
+    /// does not last.
+    fn ends_to_bar(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
+        let is_in_doubt = now.saturating_sub(suspect.last_end) < DOUBT_MS;
         let mut others = self.suspects.iter().filter(|(other, _)| *other != request);
-        match others.any(|(_, other)| other.shares_all_of(suspect)) {
+        let is_shared = others.any(|(_, other)| {
+            let is_likelier = other.ended.len() > suspect.ended.len();
+            (is_likelier || is_in_doubt) && other.shares_all_of(suspect)
+        });
+        match is_shared {
             true => BAR_AFTER_SHARED_ENDS,
             false => BAR_AFTER_ENDS,
         }
     }
 
     /// Makes room: first for the least suspicious ones, then for those nothing was heard of for longest.
-    fn evict_one(&mut self) {
+    fn evict_one(&mut self, now: Millis) {
         let least = self.suspects.iter().min_by_key(|(request, suspect)| {
             (
-                self.is_barred(request),
+                self.is_barred(request, now),
                 suspect.ended.len(),
                 suspect.last_news,
             )
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -4,7 +4,7 @@
 use havenstage_rollout::checkpoint::ControlCheckpoint;
 use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::crash_ledger::{
-    BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, EndedBackend, Fingerprint,
+    BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, DOUBT_MS, EndedBackend, Fingerprint,
     ForgottenRequests, MOST_REQUESTS, Suspicion,
 };
 use havenstage_rollout::ids::{BackendId, MachineName};
@@ -83,6 +83,21 @@
     assert!(is_barred(&ledger, HARMFUL) && is_barred(&ledger, 2));
 }
 
+/// Two harmful ones that came together are not sent on for ever while it is not clear which one it is.
+#[test]
+fn doubt_between_requests_with_the_same_ends_does_not_last() {
+    let mut ledger = CrashLedger::default();
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &[HARMFUL, 2]);
+    }
+    let barred_at = |now| {
+        let suspicion = ledger.suspicion(&request(HARMFUL), now);
+        matches!(suspicion, Suspicion::Barred { .. })
+    };
+    assert!(!barred_at(1_000 + DOUBT_MS - 1));
+    assert!(barred_at(1_000 + DOUBT_MS));
+}
+
 #[test]
 fn an_answer_clears_a_request_and_a_living_back_end_is_not_held_against_any() {
     let mut ledger = CrashLedger::default();
