Requests that end back ends: a start waits for what others know, operators lift bars, streams wait their turn

A suspected stream whose other copies run waits instead of breaking off, and the counter of refusals counts refusals alone.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -40,6 +40,10 @@
 /// Time that a call waits for the first configuration; callers want an answer soon.
 const ROUTES_PATIENCE: Duration = Duration::from_millis(35);
 
+/// Time that a call waits for the control stream to be read for the first time, so that a node that has just
+/// started sends no request that others have barred.
+const CONTROL_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Time after running a batch in which a node reads all streams at once.
 const BUSY_MS: Millis = 5_000;
 /// Streams that every node follows: orders and two directories.
@@ -97,6 +101,7 @@
     last_contact: AtomicU64,
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
+    control_read: watch::Sender<bool>,
     takes_part: watch::Sender<bool>,
 }
 
@@ -134,6 +139,7 @@
             last_contact: AtomicU64::new(0),
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
+            control_read: watch::Sender::new(false),
             takes_part: watch::Sender::new(false),
             intake: Intake::default(),
             crash_guard: CrashGuard::default(),
@@ -322,6 +328,22 @@
         self.backends_listed.send_replace(true);
     }
 
+    /// The control stream was read to its end, for the first time or again.
+    pub fn note_control_read(&self) {
+        self.control_read.send_replace(true);
+    }
+
+    /// Waits until the control stream was read to its end once. A node that has just started waits a moment
+    /// only: where the log is away it passes calls on all the same.
+    pub async fn control_read_soon(&self) {
+        let mut control_read = self.control_read.subscribe();
+        if *control_read.borrow_and_update() {
+            return;
+        }
+        let is_read = control_read.wait_for(|is_read| *is_read);
+        let _ = tokio::time::timeout(CONTROL_PATIENCE, is_read).await;
+    }
+
     /// Whether the back ends have been listed.
     pub fn backends_are_listed(&self) -> bool {
         *self.backends_listed.borrow()
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -120,7 +120,6 @@
 
 /// A barred request came again: tells why it is not sent. `id` is the id of this try.
 pub(crate) fn tell_barred(context: &Context, request: &Fingerprint, id: &str) {
-    metrics::barred_request_came();
     let now = context.now();
     let mut control = context.control.lock();
     let crashes = control.state.crashes_mut();
@@ -129,6 +128,7 @@
         return;
     };
     drop(control);
+    metrics::barred_request_came();
     info!(event = "request_refused_as_barred", request = id, content = request.to_string().as_str(),
         ended = name_all(&ended).as_str(), last_end_age_ms = age_ms; "");
 }
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -312,6 +312,7 @@
     let mut dependency = Dependency::new(context.control.id.to_string());
     checkpoints::restore_control(&context).await;
     catch_up(&context, &context.control, &mut dependency).await;
+    context.note_control_read();
     let announcing = context.clone();
     tokio::spawn(async move { announce(&announcing).await });
     context.note_observed_versions();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod operator;
 pub mod order_run;
 mod questions;
 pub mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,8 @@
 use crate::crash_guard::{self, Admission, BrokenSend, SuspectSlot};
 use crate::send;
 
+/// Pause before it is looked again whether a suspected stream may go on: what else runs of it ends soon.
+const ADMISSION_PAUSE: Duration = Duration::from_millis(20);
 /// Silence after which a resumable stream goes on elsewhere.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
@@ -135,12 +137,19 @@
             .take()
             .map(|current| current.backend.id.clone());
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.ends {
-            self.resumes_left -= 1;
             let request = self.call.fingerprint();
-            let Admission::Send(slot) = crash_guard::admit(&self.context, &request) else {
-                crash_guard::tell_barred(&self.context, &request, &self.call.id_text());
-                break;
+            let slot = match crash_guard::admit(&self.context, &request) {
+                Admission::Send(slot) => slot,
+                Admission::Wait => {
+                    tokio::time::sleep(ADMISSION_PAUSE).await;
+                    continue;
+                }
+                Admission::Barred => {
+                    crash_guard::tell_barred(&self.context, &request, &self.call.id_text());
+                    break;
+                }
             };
+            self.resumes_left -= 1;
             let (now, draw) = (self.context.now(), self.context.draw());
             let backends = &self.context.backends;
             let Some(backend) = backends.choose_for_call(&self.pool, &self.tried, now, draw) else {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -247,6 +247,7 @@
     body: Bytes,
     began: Instant,
 ) -> Response<Body> {
+    context.control_read_soon().await;
     let names = context.dialect.headers();
     let wait = header_ms(&head.headers, &names.deadline_ms).unwrap_or(DEFAULT_DEADLINE);
     let mut headers = head.headers;
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -16,12 +16,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_gateway::operator::{ClearError, clear_request};
 use http::Method;
 use support::backend::{CallBehaviour, StandInBackend};
 use support::caller::{call, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed, wait_until};
 use support::dialect::write_batch;
-use support::log::LogFaults;
+use support::log::{LogFaults, NodeLog};
 
 /// Back ends that may end under one request before all nodes refuse it.
 const MOST_ENDS: usize = 3;
@@ -256,3 +257,39 @@
     ask(&nodes[1], "elsewhere", "/calls/harmful").await;
     assert_eq!(ended(&deployment.applications), before);
 }
+
+/// An operator lifts a wrong bar by the fingerprint that log lines name.
+#[tokio::test]
+async fn a_bar_that_an_operator_lifts_is_lifted_at_all_nodes() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let nodes = nodes(&deployment, &["a", "b"]).await;
+    for number in 0..2 {
+        ask(&nodes[0], &format!("try-{number}"), "/calls/harmful").await;
+    }
+    for backend in &deployment.applications {
+        backend.behave(|told| told.ended_by = None);
+    }
+    assert_eq!(ask(&nodes[1], "barred", "/calls/harmful").await, 502);
+    let kept = nodes[0]
+        .context()
+        .control
+        .lock()
+        .state
+        .checkpoint(0)
+        .crashes;
+    assert_eq!(kept.len(), 1, "{kept:?}");
+    let log = NodeLog::new(&deployment.log);
+    let wrong = clear_request(log.as_ref(), 512, "no fingerprint").await;
+    assert!(matches!(wrong, Err(ClearError::NoFingerprint(_))));
+    let fingerprint = kept[0].request.to_string();
+    clear_request(log.as_ref(), 512, &fingerprint)
+        .await
+        .unwrap();
+    wait_until("nothing is held against it", || {
+        let is_cleared = |node: &TestNode| node.context().control.lock().state.crashes().is_empty();
+        nodes.iter().all(is_cleared)
+    })
+    .await;
+    assert_eq!(ask(&nodes[1], "lifted", "/calls/harmful").await, 200);
+}
