--- a/crates/gateway/src/engine/barred.rs
+++ b/crates/gateway/src/engine/barred.rs
@@ -18,9 +18,8 @@
 impl Engine {
     /// Those of the waiting items that must not be run.
     pub(super) fn barred_items(&mut self, waiting: &[WaitingItem]) -> HashSet<ItemKey> {
-        let now = self.context.now();
-        let has_barred = self.context.control.lock().state.crashes().has_barred(now);
-        if !has_barred {
+        let may_bar = self.context.control.lock().state.crashes().may_bar();
+        if !may_bar {
             return HashSet::new();
         }
         let mut barred = HashSet::new();
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -173,6 +173,7 @@
     /// No orders yet, as the machine `own_machine` sees it.
     pub fn new(own_machine: MachineName) -> Self {
         Self {
+            crashes: CrashLedger::new(own_machine.clone()),
             own_machine,
             machines: BTreeSet::new(),
             index: BatchIndex::default(),
@@ -183,7 +184,6 @@
             observed: Vec::new(),
             last_orders: LastOrders::default(),
             log_time: 0,
-            crashes: CrashLedger::default(),
         }
     }
 
@@ -226,7 +226,7 @@
         state.lease = LeaseState::restored(checkpoint.term, checkpoint.holder, now);
         state.log_time = checkpoint.log_time;
         state.newest = checkpoint.newest;
-        state.crashes = CrashLedger::restored(checkpoint.crashes, now);
+        state.crashes = CrashLedger::restored(state.own_machine.clone(), checkpoint.crashes, now);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger.rs
@@ -17,7 +17,7 @@
 /// The same where others are the likelier cause, or may be the cause as well. With 3 for those too, two honest
 /// items of a batch were barred in 10 soaked seeds: they had been beside three different harmful requests.
 pub const BAR_AFTER_SHARED_ENDS: usize = 5;
-/// Time after the last end for which a request is given the benefit of the doubt if another one was there at
+/// Time after the end that may bar it for which a request is given the benefit of the doubt if another one was there at
 /// exactly the same ends: callers try again within it, which tells the two apart. Shorter than the time
 /// within which all nodes must have stopped to send a harmful request.
 pub const DOUBT_MS: Millis = 2_000;
@@ -121,6 +121,8 @@
 struct Suspect {
     ended: Vec<EndedBackend>,
     last_end: Millis,
+    /// When the end was heard of that may bar it.
+    told_at: Millis,
     last_news: Millis,
 }
 
@@ -136,8 +138,9 @@
 }
 
 /// Requests under which back ends ended. Times are the reader's own.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct CrashLedger {
+    own_machine: MachineName,
     suspects: BTreeMap<Fingerprint, Suspect>,
     /// Which of them ran at each back end when it ended.
     running_at: BTreeMap<BackendId, Vec<Fingerprint>>,
@@ -147,9 +150,21 @@
 }
 
 impl CrashLedger {
+    /// An empty ledger, as the machine `own_machine` keeps it.
+    pub fn new(own_machine: MachineName) -> Self {
+        Self {
+            own_machine,
+            suspects: BTreeMap::new(),
+            running_at: BTreeMap::new(),
+            told_barred: BTreeSet::new(),
+            newly_barred: Vec::new(),
+            forgotten: ForgottenRequests::default(),
+        }
+    }
+
     /// A ledger with what a checkpoint kept, heard of now.
-    pub fn restored(kept: Vec<CrashCheckpoint>, now: Millis) -> Self {
-        let mut ledger = Self::default();
+    pub fn restored(own_machine: MachineName, kept: Vec<CrashCheckpoint>, now: Millis) -> Self {
+        let mut ledger = Self::new(own_machine);
         for request in kept {
             for ended in request.ended {
                 ledger.backend_ended(request.request, ended, now);
@@ -192,6 +207,7 @@
         let suspect = self.suspects.entry(request).or_insert_with(|| Suspect {
             ended: Vec::new(),
             last_end: now,
+            told_at: now,
             last_news: now,
         });
         if suspect.names(&ended.backend) || suspect.ended.len() >= MOST_BACKENDS {
@@ -201,6 +217,9 @@
         suspect.ended.push(ended);
         suspect.last_end = now;
         suspect.last_news = now;
+        if suspect.ended.len() <= BAR_AFTER_ENDS {
+            suspect.told_at = now;
+        }
         let running = self.running_at.entry(backend).or_default();
         running.push(request);
         // The others there may be the less suspicious for it.
@@ -241,7 +260,7 @@
             return Suspicion::None;
         };
         let ends = suspect.ended.len();
-        let runs_left = self.ends_to_bar(request, suspect, now).saturating_sub(ends);
+        let runs_left = self.runs_left(request, suspect, now);
         match runs_left {
             0 => Suspicion::Barred {
                 ended: suspect.ended.clone(),
@@ -258,10 +277,10 @@
         }
     }
 
-    /// Whether any request is barred.
-    pub fn has_barred(&self, now: Millis) -> bool {
-        let mut requests = self.suspects.keys();
-        requests.any(|request| self.is_barred(request, now))
+    /// Whether any request may be barred: back ends enough have ended under it.
+    pub fn may_bar(&self) -> bool {
+        let mut suspects = self.suspects.values();
+        suspects.any(|suspect| suspect.ended.len() >= BAR_AFTER_ENDS)
     }
 
     /// Requests that were barred since the last call.
@@ -275,7 +294,7 @@
             .suspects
             .iter()
             .filter(|(request, suspect)| {
-                let keep_ms = match self.is_barred(request, now) {
+                let keep_ms = match self.is_culprit(request, suspect, now) {
                     true => FORGET_BARRED_MS,
                     false => FORGET_SUSPECTED_MS,
                 };
@@ -290,22 +309,44 @@
 
     fn is_barred(&self, request: &Fingerprint, now: Millis) -> bool {
         let suspect = self.suspects.get(request);
-        suspect.is_some_and(|suspect| {
-            let ends = suspect.ended.len();
-            ends >= BAR_AFTER_ENDS && ends >= self.ends_to_bar(request, suspect, now)
-        })
+        suspect.is_some_and(|suspect| self.runs_left(request, suspect, now) == 0)
+    }
+
+    /// Runs of a request that may be under way here together, as if each ended its back end.
+    fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
+        let ends = suspect.ended.len();
+        if ends < BAR_AFTER_ENDS {
+            return BAR_AFTER_ENDS - ends;
+        }
+        if self.is_culprit(request, suspect, now) {
+            return 0;
+        }
+        match is_in_doubt(suspect, now) {
+            true => BAR_AFTER_SHARED_ENDS - ends,
+            false => usize::from(self.may_try(suspect)),
+        }
     }
 
-    /// Ends after which a request is barred: more where another one is the likelier cause of some of them, or,
-    /// for a while, may as well be the cause of all.
-    fn ends_to_bar(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
-        let is_in_doubt = now.saturating_sub(suspect.last_end) < DOUBT_MS;
-        let unexplained = self.unexplained_ends(request, suspect);
-        let is_beside_likelier = unexplained < suspect.ended.len().min(BAR_AFTER_ENDS);
-        match is_beside_likelier || (is_in_doubt && self.another_shares_all_of(request, suspect)) {
-            true => BAR_AFTER_SHARED_ENDS,
-            false => BAR_AFTER_ENDS,
+    /// Whether a request is the cause of its ends, as far as can be told.
+    fn is_culprit(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
+        let ends = suspect.ended.len();
+        if ends < BAR_AFTER_ENDS {
+            return false;
+        }
+        if ends >= BAR_AFTER_SHARED_ENDS {
+            return true;
         }
+        let is_beside_likelier = self.unexplained_ends(request, suspect) < BAR_AFTER_ENDS;
+        let may_be_another =
+            is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
+        !is_beside_likelier && !may_be_another
+    }
+
+    /// Whether this machine is the one that may try a request which may be harmful, one run at a time. Others
+    /// would send it at the same moment: in a soaked seed four did, more than 3 s after the third end.
+    fn may_try(&self, suspect: &Suspect) -> bool {
+        let seen_by = suspect.ended.iter().map(|ended| &ended.seen_by);
+        seen_by.min() == Some(&self.own_machine)
     }
 
     /// Ends at which no request was that is a likelier cause.
@@ -351,7 +392,7 @@
     fn evict_one(&mut self, now: Millis) {
         let least = self.suspects.iter().min_by_key(|(request, suspect)| {
             (
-                self.is_barred(request, now),
+                self.is_culprit(request, suspect, now),
                 suspect.ended.len(),
                 suspect.last_news,
             )
@@ -377,3 +418,8 @@
         true
     }
 }
+
+/// Whether callers may not yet have come again since the end that may bar a request.
+fn is_in_doubt(suspect: &Suspect, now: Millis) -> bool {
+    now.saturating_sub(suspect.told_at) < DOUBT_MS
+}
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -13,6 +13,14 @@
 const HARMFUL: u128 = 1;
 const HOUR_MS: Millis = 60 * 60_000;
 
+fn ledger() -> CrashLedger {
+    ledger_of("own")
+}
+
+fn ledger_of(machine: &str) -> CrashLedger {
+    CrashLedger::new(MachineName::from(machine))
+}
+
 fn request(number: u128) -> Fingerprint {
     Fingerprint::new(number.to_be_bytes())
 }
@@ -38,7 +46,7 @@
 
 #[test]
 fn a_request_is_barred_with_the_third_end_and_each_end_counts_once() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     for seen_by in ["a", "b", "c", "d"] {
         ledger.backend_ended(request(HARMFUL), ended("x", seen_by), 5);
     }
@@ -57,7 +65,7 @@
 /// Honest requests that are retried beside a harmful one share its ends; only it is there at all of them.
 #[test]
 fn requests_beside_a_harmful_one_are_not_barred() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     end(&mut ledger, "w", &[HARMFUL, 2, 3, 4, 5]);
     end(&mut ledger, "x", &[2, 3, HARMFUL, 4]);
     end(&mut ledger, "y", &[2, HARMFUL, 3]);
@@ -75,7 +83,7 @@
 /// Two that were there at all the same ends may both be the cause: back ends come first in the end.
 #[test]
 fn requests_that_share_all_ends_are_barred_after_more_of_them() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     for number in 0..BAR_AFTER_SHARED_ENDS {
         assert!(!is_barred(&ledger, HARMFUL), "after {number} ends");
         end(&mut ledger, &format!("x{number}"), &[HARMFUL, 2]);
@@ -87,7 +95,7 @@
 /// barred for it. What a barred one explains is not held against them, nor do they excuse each other.
 #[test]
 fn requests_that_were_beside_several_harmful_ones_are_not_barred() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     let (first, second) = (20, 21);
     for harmful in 1..=3 {
         for backend in 1..=3 {
@@ -98,9 +106,8 @@
             }
         }
     }
-    let long_after = 1_000 + 10 * DOUBT_MS;
     for number in [first, second] {
-        let suspicion = ledger.suspicion(&request(number), long_after);
+        let suspicion = ledger.suspicion(&request(number), 1_000);
         assert!(
             matches!(suspicion, Suspicion::Suspected { ends: 3, .. }),
             "{suspicion:?}"
@@ -109,10 +116,32 @@
     assert!((1..=3).all(|harmful| is_barred(&ledger, harmful)));
 }
 
+/// What may be harmful, as it is not clear that another one is the cause, is tried by one machine only once
+/// callers had time to come again: the one that all agree on among those that saw its ends.
+#[test]
+fn after_a_while_one_machine_alone_tries_what_may_be_harmful() {
+    let later = 1_000 + DOUBT_MS;
+    for (machine, may_try) in [("a", true), ("b", false), ("own", false)] {
+        let mut ledger = ledger_of(machine);
+        for (backend, seen_by) in [("x", "b"), ("y", "a"), ("z", "a")] {
+            let end = ended(backend, seen_by);
+            ledger.backend_ended(request(2), end.clone(), 1_000);
+            ledger.backend_ended(request(HARMFUL), end, 1_000);
+        }
+        ledger.backend_ended(request(HARMFUL), ended("v", "a"), 1_000);
+        let runs_left = |now| match ledger.suspicion(&request(2), now) {
+            Suspicion::Suspected { runs_left, .. } => runs_left,
+            _ => 0,
+        };
+        assert_eq!(runs_left(later - 1), BAR_AFTER_SHARED_ENDS - BAR_AFTER_ENDS);
+        assert_eq!(runs_left(later), usize::from(may_try), "{machine}");
+    }
+}
+
 /// Two harmful ones that came together are not sent on for ever while it is not clear which one it is.
 #[test]
 fn doubt_between_requests_with_the_same_ends_does_not_last() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     for backend in ["x", "y", "z"] {
         end(&mut ledger, backend, &[HARMFUL, 2]);
     }
@@ -126,7 +155,7 @@
 
 #[test]
 fn an_answer_clears_a_request_and_a_living_back_end_is_not_held_against_any() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     end(&mut ledger, "x", &[HARMFUL, 2]);
     end(&mut ledger, "y", &[HARMFUL]);
     end(&mut ledger, "z", &[HARMFUL]);
@@ -151,7 +180,7 @@
 /// A flood of different requests that each end one back end pushes out no barred one.
 #[test]
 fn memory_is_bounded_and_barred_requests_stay_longest() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     for backend in ["x", "y", "z"] {
         end(&mut ledger, backend, &[HARMFUL]);
     }
@@ -169,7 +198,7 @@
 
 #[test]
 fn what_is_not_heard_of_for_long_is_forgotten_and_what_comes_again_is_not() {
-    let mut ledger = CrashLedger::default();
+    let mut ledger = ledger();
     for backend in ["x", "y", "z"] {
         end(&mut ledger, backend, &[HARMFUL, 3]);
     }
