Tests: nodes know of an end before the next node is asked

The test asked the next node at once, within the milliseconds that a word takes from node to node; callers' tries and the promise (3 s) allow for that.

--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -50,6 +50,22 @@
     nodes
 }
 
+/// Waits until every node knows of all ends so far: a word takes some ms from node to node, more on a busy
+/// machine, and callers' next tries come later.
+async fn all_know_of_all_ends(nodes: &[TestNode], backends: &[Arc<StandInBackend>]) {
+    wait_until("all nodes know of all ends", || {
+        let ended = ended(backends);
+        nodes.iter().all(|node| known_ends(node) == ended)
+    })
+    .await;
+}
+
+fn known_ends(node: &TestNode) -> usize {
+    let control = node.context().control.lock();
+    let known = control.state.checkpoint(0).crashes;
+    known.iter().map(|request| request.ended.len()).sum()
+}
+
 async fn ask(node: &TestNode, id: &str, path: &str) -> u16 {
     call(node.callers, id, path).await.status.as_u16()
 }
@@ -63,6 +79,7 @@
         for (at, node) in nodes.iter().enumerate() {
             let id = format!("try-{round}-{at}");
             assert_eq!(ask(node, &id, "/calls/harmful").await, 502);
+            all_know_of_all_ends(&nodes, &deployment.applications).await;
         }
     }
     let ended = ended(&deployment.applications);
@@ -215,6 +232,7 @@
     for (at, node) in nodes.iter().chain(&nodes).enumerate() {
         let id = format!("try-{at}");
         assert_eq!(ask(node, &id, "/streams/harmful").await, 502);
+        all_know_of_all_ends(&nodes, &deployment.engines).await;
     }
     let ended = ended(&deployment.engines);
     assert!(ended <= MOST_ENDS, "{ended} back ends ended");
