--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -285,6 +285,7 @@
     for number in 0..2 {
         ask(&nodes[0], &format!("try-{number}"), "/calls/harmful").await;
     }
+    all_know_of_all_ends(&nodes, &deployment.applications).await;
     for backend in &deployment.applications {
         backend.behave(|told| told.ended_by = None);
     }
--- /dev/null
+++ b/crates/gateway/tests/missed_ends.rs
@@ -0,0 +1,126 @@
+//! Symptom: a request that ends back ends was sent on although three had ended under it, as nodes had missed
+//! some of these ends or had taken one back.
+//!
+//! Sequence: a back end ends under a request, and (1) the caller leaves before its node has found that out, (2)
+//! the node stands still until a next life of the back end listens at the same address, or (3) another back end
+//! fails at the request with a status of 500 before it begins to run it.
+//!
+//! Cause: the search for evidence was part of the caller's call and ended with it; it looked only whether
+//! nobody listens at the address at that moment; and any whole answer cleared a request, also one that says
+//! that the back end failed.
+//!
+//! What settled it: all eight back ends ended under a request whose callers leave after 10 ms, and no
+//! line `send_broke` was written.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use support::backend::{CallBehaviour, StandInBackend};
+use support::caller::{call, send};
+use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, wait_until};
+
+/// Back ends that may end under one request before all nodes refuse it.
+const MOST_ENDS: usize = 3;
+/// Part of the path of requests that end back ends.
+const HARMFUL: &str = "harmful";
+/// Time after which a caller leaves: before its request has ended the back end.
+const LEAVES_AFTER: Duration = Duration::from_millis(10);
+/// Time from a caller's leave to the next try of its request.
+const NEXT_TRY: Duration = Duration::from_millis(300);
+
+fn ended(backends: &[Arc<StandInBackend>]) -> usize {
+    backends
+        .iter()
+        .filter(|backend| backend.has_ended())
+        .count()
+}
+
+fn end_by_harmful(backends: &[Arc<StandInBackend>]) {
+    for backend in backends {
+        backend.behave(|told| told.ended_by = Some(HARMFUL.to_owned()));
+    }
+}
+
+fn known_ends(node: &TestNode) -> usize {
+    let control = node.context().control.lock();
+    let known = control.state.checkpoint(0).crashes;
+    known.iter().map(|request| request.ended.len()).sum()
+}
+
+/// Asks nodes in turn for callers that leave soon, and answers how many back ends ended.
+async fn ends_under_callers_that_leave(
+    backends: &[Arc<StandInBackend>],
+    nodes: &[TestNode],
+    path: &str,
+) -> usize {
+    end_by_harmful(backends);
+    for number in 0..3 * MOST_ENDS {
+        let address = nodes[number % nodes.len()].callers;
+        let id = format!("try-{number}");
+        let headers = [("x-id", id.as_str()), ("x-deadline", "2000")];
+        let asked = send(address, Method::POST, path, &headers, "call");
+        // The connection closes with what is dropped here.
+        let _ = tokio::time::timeout(LEAVES_AFTER, asked).await;
+        tokio::time::sleep(NEXT_TRY).await;
+    }
+    ended(backends)
+}
+
+#[tokio::test]
+async fn callers_that_leave_do_not_hide_that_their_call_ends_back_ends() {
+    let deployment = Deployment::start(0, 8).await;
+    let nodes = [deployment.node("a").await, deployment.node("b").await];
+    let backends = &deployment.applications;
+    let ended = ends_under_callers_that_leave(backends, &nodes, "/calls/harmful").await;
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
+
+/// The node learns of the end only when somebody else listens at the address.
+#[tokio::test]
+async fn an_end_that_a_node_slept_through_counts() {
+    let deployment = Deployment::start(0, 1).await;
+    end_by_harmful(&deployment.applications);
+    let node = deployment.node("a").await;
+    let former = deployment.applications[0].clone();
+    let address = node.callers;
+    let asked = tokio::spawn(async move {
+        call(address, "harmful", "/calls/harmful").await;
+    });
+    wait_until("it runs", || !former.seen().is_empty()).await;
+    node.hold(Duration::from_millis(600)).await;
+    wait_until("the address is free", || {
+        former.has_ended() && std::net::TcpListener::bind(former.address).is_ok()
+    })
+    .await;
+    let next = StandInBackend::start_at("next", former.address).await;
+    next.behave(|told| told.call = CallBehaviour::NotRun);
+    let is_listed = listed(&next, APPLICATIONS, false);
+    deployment.log.write_backends(is_listed);
+    asked.await.unwrap();
+    wait_until("the end is known", || known_ends(&node) == 1).await;
+}
+
+/// A back end that fails at a request may not have begun to run it.
+#[tokio::test]
+async fn a_failure_of_a_back_end_clears_no_request() {
+    let deployment = Deployment::start(0, 8).await;
+    let node = deployment.node("a").await;
+    for round in 0..2 * MOST_ENDS {
+        end_by_harmful(&deployment.applications);
+        let id = format!("harmful-{round}");
+        call(node.callers, &id, "/once/harmful").await;
+        for backend in &deployment.applications {
+            backend.behave(|told| {
+                told.ended_by = None;
+                told.call = CallBehaviour::Fail;
+            });
+        }
+        let id = format!("failed-{round}");
+        call(node.callers, &id, "/once/harmful").await;
+    }
+    let ended = ended(&deployment.applications);
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -45,8 +45,11 @@
     pub refuses_orders: bool,
     /// Answer to calls.
     pub call: CallBehaviour,
-    /// Its process ends a moment after it begins to work at a request whose path contains this.
+    /// Its process ends a moment after it begins to work at a request whose path contains this, also if its
+    /// caller has left by then.
     pub ended_by: Option<String>,
+    /// Time for which a process that ends still listens after its connections closed.
+    pub listens_on: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,6 +130,7 @@
             refuses_orders: false,
             call: CallBehaviour::Answer,
             ended_by: None,
+            listens_on: Duration::ZERO,
         };
         let backend = Arc::new(Self {
             id: id.to_owned(),
@@ -207,8 +211,12 @@
     let mut connections = JoinSet::new();
     loop {
         let stream = tokio::select! {
-            _ = ended.wait_for(|has_ended| *has_ended) => return,
-            Ok((stream, _)) = listener.accept() => stream,
+            _ = ended.wait_for(|has_ended| *has_ended) => None,
+            Ok((stream, _)) = listener.accept() => Some(stream),
+        };
+        let Some(stream) = stream else {
+            connections.shutdown().await;
+            return tokio::time::sleep(backend.behaviour().listens_on).await;
         };
         let backend = backend.clone();
         connections.spawn(async move {
@@ -266,8 +274,12 @@
     backend.seen.lock().unwrap().push(seen.clone());
     let ended_by = backend.behaviour().ended_by;
     if ended_by.is_some_and(|fragment| path.contains(&fragment)) {
-        tokio::time::sleep(TIME_TO_END).await;
-        backend.end();
+        // Not dropped with the connection: what ends a process does not ask whether anybody waits.
+        let ending = backend.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(TIME_TO_END).await;
+            ending.end();
+        });
         std::future::pending::<()>().await;
     }
     if path.starts_with("/items/") || path.starts_with("/streams/") {
