Requests that end back ends: ends are found also when the caller is gone, the node slept, or a back end failed

Cause: the search for evidence was part of the caller's call and was dropped with it; it knew only one sign, a refused connection at that moment; and any whole answer cleared a request, also a 5xx of a back end that had not begun to run it.

Change: module crash_evidence (split from crash_guard). A 5xx clears nobody.

Changed test: a_back_end_that_reads_late_finds_the_connection_reset now asks of the connection that comes after each call that nothing is sent over it: the node's look at the address. What it asks of the call's own connection, and that no other one comes later, stands as it was.

Ruled out: load as the cause of the lost ends (a trace of each probe showed the reset). Not mended: where an address is open for 30 ms and more after its connections closed, more than three can end within that time.

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -9,7 +9,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use havenstage_clock::Instant;
-use havenstage_http_link::WholeAnswer;
+use havenstage_http_link::{Link, WholeAnswer};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::route::{RequestKind, Route};
@@ -21,9 +21,10 @@
     share_of_objective,
 };
 use crate::context::Context;
+use crate::crash_evidence;
 use crate::crash_guard::{self, Admission};
 use crate::metrics;
-use crate::send::{SILENT, SendOutcome, SendTerms, send};
+use crate::send::{self, SILENT, SendOutcome, SendTerms};
 
 /// Share of the objective after which a repeatable call is also sent to a second back end.
 const HEDGE_SHARE: f64 = 0.5;
@@ -41,7 +42,7 @@
 /// Least time that a send must have left to be worth it.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(5);
 
-type SendFuture<'a> = Pin<Box<dyn Future<Output = SendOutcome> + Send + 'a>>;
+type SendFuture<'a> = Pin<Box<dyn Future<Output = (BackendId, SendOutcome)> + Send + 'a>>;
 
 /// A call on its way: what it was sent to so far, and what came of that.
 pub(crate) struct CallProgress<'a> {
@@ -54,6 +55,8 @@
     /// When the second send is due, or the next look for a back end that can take it.
     hedge_at: Instant,
     running: FuturesUnordered<SendFuture<'a>>,
+    /// Where it is under way.
+    under_way: Vec<(BackendId, Link)>,
     tried: Vec<BackendId>,
     sends: u32,
     may_have_run: u32,
@@ -88,6 +91,7 @@
             ends: call.deadline.min(timeout).min(answer_by),
             hedge_at: began + share_of_objective(route, HEDGE_SHARE),
             running: FuturesUnordered::new(),
+            under_way: Vec::new(),
             tried: Vec::new(),
             sends: 0,
             may_have_run: 0,
@@ -108,7 +112,8 @@
                 }
             }
             tokio::select! {
-                Some(sent) = self.running.next(), if !self.running.is_empty() => {
+                Some((backend, sent)) = self.running.next(), if !self.running.is_empty() => {
+                    self.under_way.retain(|(id, _)| *id != backend);
                     if let Some(outcome) = self.take(sent) {
                         return outcome;
                     }
@@ -216,13 +221,15 @@
             unanswered_since: is_unanswered.then_some(self.began),
             ends_when_silent: self.route.kind == RequestKind::Stream { resumable: true },
         };
+        let backend = chosen.id.clone();
+        self.under_way.push((backend.clone(), chosen.link.clone()));
         self.running.push(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            let mut outcome = send(context, chosen, call, &terms).await;
+            let mut outcome = send::send(context, chosen, call, &terms).await;
             if let SendOutcome::Streaming(started) = &mut outcome {
                 started.slot = slot;
             }
-            outcome
+            (backend, outcome)
         }));
         true
     }
@@ -270,6 +277,7 @@
     }
 
     fn out_of_time(&mut self) -> CallOutcome {
+        self.give_up_sends();
         let nothing_ran = self.may_have_run == 0 && self.running.is_empty();
         match self.last_failure.take() {
             Some(answer) => CallOutcome::Answered(answer),
@@ -280,6 +288,14 @@
         }
     }
 
+    /// The sends that are under way are dropped, though a back end may end under one just now.
+    fn give_up_sends(&mut self) {
+        for (backend, link) in self.under_way.drain(..) {
+            let given_up = send::unanswered(self.call, backend, link);
+            crash_evidence::send_given_up(self.context, given_up);
+        }
+    }
+
     /// Tells how the call ended.
     pub(crate) fn report(&mut self, outcome: &CallOutcome) {
         let (name, status) = match outcome {
@@ -319,6 +335,7 @@
     /// A call that is dropped before it ended was given up by its caller.
     fn drop(&mut self) {
         if !self.is_reported {
+            self.give_up_sends();
             self.write_line("caller_left", 0);
         }
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -18,6 +18,7 @@
 use crate::backends::Backends;
 use crate::batch_partitions::{BatchPartitions, BatchView};
 use crate::counted_log::CountedLog;
+use crate::crash_evidence::Watched;
 use crate::crash_guard::CrashGuard;
 use crate::edge::{
     CheckpointStore, Dialect, Directory, LogStream, NodeClock, SharedLog, StreamPartition,
@@ -89,6 +90,7 @@
     /// How the taking of callers' connections goes.
     pub intake: Intake,
     pub(crate) crash_guard: CrashGuard,
+    pub(crate) watched: Watched,
     /// Set once the node was told to stop.
     pub stopping: AtomicBool,
     /// When the process ends, once the node was told to stop.
@@ -146,6 +148,7 @@
             takes_part: watch::Sender::new(false),
             intake: Intake::default(),
             crash_guard: CrashGuard::default(),
+            watched: Watched::default(),
             stopping: AtomicBool::new(false),
             ends_at: OnceLock::new(),
             releasing: AtomicBool::new(false),
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -1,15 +1,11 @@
-//! Keeps requests that end back ends from being sent on and on, by any node.
-//!
-//! A send that breaks off says little: connections are reset, back ends leave. So the back end's address is
-//! tried once: only if nobody listens there any more, and the back end had not said that it leaves, has it
-//! ended under the request. That is noted here at once and told to all nodes through the control stream.
+//! Keeps requests that end back ends from being sent on and on, by any node. An end under a request is noted here at
+//! once and told to all nodes through the control stream; [`crash_evidence`](crate::crash_evidence) finds it.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use havenstage_http_link::Link;
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint, Suspicion};
 use havenstage_rollout::ids::BackendId;
@@ -20,12 +16,6 @@
 use crate::log_writes::append_control;
 use crate::metrics;
 
-/// Longest time to try a back end's address: some ten round trips between zones. A machine that does not
-/// answer in this time may be cut off, which says nothing of the back end.
-const TRY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time after which an address that still took a connection is tried once more: a process that ends does not
-/// close everything at the same moment.
-const SECOND_TRY_AFTER: Duration = Duration::from_millis(50);
 /// Pause before a word for the other nodes that could not be written is written again.
 const TELL_AGAIN_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time that a broken send waits for its word to be written: over ten times what an append takes.
@@ -88,7 +78,7 @@
     matches!(suspicion, Suspicion::Barred { .. })
 }
 
-fn suspicion(context: &Context, request: &Fingerprint) -> Suspicion {
+pub(crate) fn suspicion(context: &Context, request: &Fingerprint) -> Suspicion {
     let now = context.now();
     context
         .control
@@ -172,50 +162,18 @@
     names.collect::<Vec<String>>().join(", ")
 }
 
-/// A send that broke off after it was written.
-#[derive(Clone)]
-pub(crate) struct BrokenSend {
-    /// What was sent.
-    pub(crate) request: Fingerprint,
-    /// Id of this try.
-    pub(crate) id: String,
-    /// Where it was sent.
-    pub(crate) backend: BackendId,
-    /// Connections to there.
-    pub(crate) link: Link,
-}
-
-/// Finds out whether the back end of a broken send has ended, and notes and tells it if so. Returns once
-/// that is known, so that the request is not sent on before.
-pub(crate) async fn send_broke(context: &Arc<Context>, broken: BrokenSend) {
-    if is_leaving(context, &broken.backend) {
-        report(context, &broken, "was_leaving");
-        return;
-    }
-    if broken.link.is_refused(TRY_TIMEOUT).await {
-        backend_ended(context, &broken).await;
-        return;
-    }
-    report(context, &broken, "may_live");
-    let context = context.clone();
-    tokio::spawn(async move {
-        tokio::time::sleep(SECOND_TRY_AFTER).await;
-        if !is_leaving(&context, &broken.backend) && broken.link.is_refused(TRY_TIMEOUT).await {
-            backend_ended(&context, &broken).await;
-        }
-    });
-}
-
-/// Notes and tells an end. Waits a moment for the word to stand in the log: the caller may ask another node
-/// as soon as it has its answer.
-async fn backend_ended(context: &Arc<Context>, broken: &BrokenSend) {
-    let request = broken.request;
+/// Notes and tells that a back end ended under a request. Waits a moment for the word to stand in the log: the
+/// caller may ask another node as soon as it has its answer.
+pub(crate) async fn backend_ended(
+    context: &Arc<Context>,
+    request: Fingerprint,
+    backend: &BackendId,
+) {
     let ended = EndedBackend {
-        backend: broken.backend.clone(),
+        backend: backend.clone(),
         seen_by: context.node.machine.clone(),
     };
     note_ended(context, request, ended.clone());
-    report(context, broken, "nobody_listens");
     tell_newly_barred(context);
     let told = tell(context, ControlRecord::BackendEnded { request, ended });
     if let Some(told) = told {
@@ -231,42 +189,25 @@
     crashes.backend_ended(request, ended, now);
 }
 
-fn report(context: &Context, broken: &BrokenSend, evidence: &'static str) {
-    metrics::send_broke(evidence);
-    let suspicion = suspicion(context, &broken.request);
-    info!(event = "send_broke", request = broken.id.as_str(),
-        content = broken.request.to_string().as_str(), backend = broken.backend.as_str(),
-        evidence = evidence, suspicion = format!("{suspicion:?}").as_str(); "");
-}
-
-/// Whether a back end said that it leaves, or is not listed any more: its end is expected.
-fn is_leaving(context: &Context, backend: &BackendId) -> bool {
-    let backends = context.backends.lock();
-    let record = backends.list.get(backend);
-    record.is_none_or(|record| record.draining)
-}
-
-/// A back end answered a request, so that the request can be run and the back end lives.
+/// A back end answered a request, so that the back end lives. Unless it only failed at it, maybe before it began to
+/// run it, the request can be run.
 pub(crate) fn answered(
     context: &Arc<Context>,
     backend: &BackendId,
+    is_failure: bool,
     request: impl FnOnce() -> Fingerprint,
 ) {
     // Nothing is worked out, not even the fingerprint, while nobody is suspected.
     if suspects_nobody(context) {
         return;
     }
-    let request = request();
-    let mut control = context.control.lock();
-    let crashes = control.state.crashes_mut();
-    let is_cleared = crashes.cleared(&request);
-    let lives_after_all = crashes.backend_lives(backend);
-    drop(control);
-    if is_cleared {
-        info!(event = "request_cleared", content = request.to_string().as_str(),
-            backend = backend.as_str(), by = "answer"; "");
-        tell(context, ControlRecord::RequestCleared { request });
+    if !is_failure {
+        clear(context, backend, request());
     }
+    let lives_after_all = {
+        let mut control = context.control.lock();
+        control.state.crashes_mut().backend_lives(backend)
+    };
     if lives_after_all {
         warn!(event = "backend_lives_after_all", backend = backend.as_str(); "");
         let backend = backend.clone();
@@ -274,6 +215,18 @@
     }
 }
 
+fn clear(context: &Arc<Context>, backend: &BackendId, request: Fingerprint) {
+    let is_cleared = {
+        let mut control = context.control.lock();
+        control.state.crashes_mut().cleared(&request)
+    };
+    if is_cleared {
+        info!(event = "request_cleared", content = request.to_string().as_str(),
+            backend = backend.as_str(), by = "answer"; "");
+        tell(context, ControlRecord::RequestCleared { request });
+    }
+}
+
 /// Tells the other nodes, again and again until it stands in the log. While the log is away only so many
 /// words wait; more are dropped, as this node goes by its own sight all the same.
 fn tell(context: &Arc<Context>, record: ControlRecord) -> Option<JoinHandle<()>> {
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -18,7 +18,8 @@
 use crate::backends::ChosenBackend;
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
-use crate::crash_guard::{self, BrokenSend};
+use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_guard;
 use crate::fingerprint;
 use crate::send;
 
@@ -184,16 +185,17 @@
     let request = || fingerprint::of_item(&order.host, &order.spec);
     match end {
         RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => {
-            crash_guard::answered(context, &backend.id, request);
+            let is_failure = *end == RunEnd::Failed;
+            crash_guard::answered(context, &backend.id, is_failure, request);
         }
         RunEnd::Broken if events < EVENTS_OF_A_SOUND_RUN => {
-            let broken = BrokenSend {
+            let broken = UnansweredSend {
                 request: request(),
                 id: order.key.item.to_string(),
                 backend: backend.id.clone(),
                 link: backend.link.clone(),
             };
-            crash_guard::send_broke(context, broken).await;
+            crash_evidence::send_broke(context, broken).await;
         }
         RunEnd::Broken
         | RunEnd::NotRun
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod context;
 pub mod coordinator;
 pub mod counted_log;
+mod crash_evidence;
 mod crash_guard;
 pub mod edge;
 pub mod engine;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,8 @@
 use crate::backends::ChosenBackend;
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
-use crate::crash_guard::{self, Admission, BrokenSend, SuspectSlot};
+use crate::crash_evidence;
+use crate::crash_guard::{self, Admission, SuspectSlot};
 use crate::send;
 
 /// Pause before it is looked again whether a suspected stream may go on: what else runs of it ends soon.
@@ -110,7 +111,9 @@
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) if current.answer.is_framed() && self.reader.rest().is_empty() => {
                     let backend = &current.backend.id;
-                    crash_guard::answered(&self.context, backend, || self.call.fingerprint());
+                    crash_guard::answered(&self.context, backend, false, || {
+                        self.call.fingerprint()
+                    });
                     self.current = None;
                     return None;
                 }
@@ -201,13 +204,8 @@
     }
 
     async fn send_broke(&self, backend: BackendId, link: Link) {
-        let broken = BrokenSend {
-            request: self.call.fingerprint(),
-            id: self.call.id_text(),
-            backend,
-            link,
-        };
-        crash_guard::send_broke(&self.context, broken).await;
+        let broken = send::unanswered(&self.call, backend, link);
+        crash_evidence::send_broke(&self.context, broken).await;
     }
 
     fn report(&self, outcome: &'static str, from: Option<&BackendId>, to: Option<&BackendId>) {
@@ -218,6 +216,17 @@
     }
 }
 
+impl Drop for Relay {
+    /// A stream that is dropped before it ended was given up by its caller.
+    fn drop(&mut self) {
+        if let Some(current) = self.current.take() {
+            let (id, link) = (current.backend.id.clone(), current.backend.link.clone());
+            let given_up = send::unanswered(&self.call, id, link);
+            crash_evidence::send_given_up(&self.context, given_up);
+        }
+    }
+}
+
 fn is_silence(error: LinkError) -> bool {
     matches!(error, LinkError::TimedOut | LinkError::Silent)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use havenstage_clock::Instant;
-use havenstage_http_link::{Answer, LinkError, Sending, WholeAnswer};
+use havenstage_http_link::{Answer, Link, LinkError, Sending, WholeAnswer};
 use havenstage_rollout::ids::BackendId;
 use http::Request;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -14,7 +14,8 @@
 use crate::backends::ChosenBackend;
 use crate::calls::Call;
 use crate::context::Context;
-use crate::crash_guard::{self, BrokenSend, SuspectSlot};
+use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_guard::{self, SuspectSlot};
 
 /// Longest body of an answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -104,23 +105,31 @@
     let outcome = read_answer(context, chosen, call, answer).await;
     judge_backend(context, &backend, &outcome, began);
     match &outcome {
-        SendOutcome::Answered(_) => {
-            crash_guard::answered(context, &backend, || call.fingerprint());
+        SendOutcome::Answered(answer) => {
+            let is_failure = answer.status.is_server_error();
+            crash_guard::answered(context, &backend, is_failure, || call.fingerprint());
         }
         SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
-            let broken = BrokenSend {
-                request: call.fingerprint(),
-                id: call.id_text(),
-                backend,
-                link,
-            };
-            crash_guard::send_broke(context, broken).await;
+            crash_evidence::send_broke(context, unanswered(call, backend, link)).await;
+        }
+        SendOutcome::MayHaveRun(SILENT) => {
+            crash_evidence::send_given_up(context, unanswered(call, backend, link));
         }
         SendOutcome::Streaming(_) | SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {}
     }
     outcome
 }
 
+/// A send of a call that got no whole answer.
+pub(crate) fn unanswered(call: &Call, backend: BackendId, link: Link) -> UnansweredSend {
+    UnansweredSend {
+        request: call.fingerprint(),
+        id: call.id_text(),
+        backend,
+        link,
+    }
+}
+
 /// Notes what the end of a send says of its back end.
 fn judge_backend(context: &Context, backend: &BackendId, outcome: &SendOutcome, began: Instant) {
     let now = context.now();
--- a/crates/gateway/tests/callers_that_leave.rs
+++ b/crates/gateway/tests/callers_that_leave.rs
@@ -150,6 +150,9 @@
         let read = late.read_to_end(&mut bytes).await;
         let error = read.expect_err("the connection was given up");
         assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{path}");
+        // The node looked whether the back end ended under the call; nothing was sent with that.
+        let (mut look, _) = listener.accept().await.unwrap();
+        assert_eq!(look.read_to_end(&mut bytes).await.unwrap(), 0, "{path}");
     }
     let more = tokio::time::timeout(LATER, listener.accept()).await;
     assert!(more.is_err(), "sent again");
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -78,6 +78,15 @@
     assert!(ended <= MOST_ENDS, "{ended} back ends ended");
 }
 
+#[tokio::test]
+async fn callers_that_leave_do_not_hide_that_their_stream_ends_back_ends() {
+    let deployment = Deployment::start(8, 0).await;
+    let nodes = [deployment.node("a").await, deployment.node("b").await];
+    let backends = &deployment.engines;
+    let ended = ends_under_callers_that_leave(backends, &nodes, "/streams/harmful").await;
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
+
 /// The node learns of the end only when somebody else listens at the address.
 #[tokio::test]
 async fn an_end_that_a_node_slept_through_counts() {
@@ -124,3 +133,20 @@
     let ended = ended(&deployment.applications);
     assert!(ended <= MOST_ENDS, "{ended} back ends ended");
 }
+
+/// A process that ends does not close everything at the same moment.
+#[tokio::test]
+async fn an_address_that_is_open_for_a_moment_hides_no_end() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    for backend in &deployment.applications {
+        backend.behave(|told| told.listens_on = Duration::from_millis(5));
+    }
+    let node = deployment.node("a").await;
+    for number in 0..MOST_ENDS {
+        let id = format!("try-{number}");
+        assert_eq!(call(node.callers, &id, "/calls/harmful").await.status, 502);
+    }
+    let ended = ended(&deployment.applications);
+    assert!(ended <= MOST_ENDS, "{ended} back ends ended");
+}
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod error;
 mod link;
+mod probe;
 mod sending;
 mod silence;
 
@@ -13,4 +14,5 @@
 pub use connection::end_when_unacknowledged;
 pub use error::LinkError;
 pub use link::{Link, LinkSettings, LinkTraffic};
+pub use probe::{OpenProbe, Probe};
 pub use sending::Sending;
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -16,6 +16,7 @@
 use crate::answer::Answer;
 use crate::connection::Connection;
 use crate::error::LinkError;
+use crate::probe::{OpenProbe, Probe};
 use crate::sending::Sending;
 use crate::silence::{Awaited, Silence};
 
@@ -200,13 +201,19 @@
         }
     }
 
-    /// Whether nobody listens at the address: a new connection is refused. Without an answer in this time
-    /// nothing is known.
-    pub async fn is_refused(&self, timeout: Duration) -> bool {
+    /// Opens a connection to tell what becomes of the process at the address; nothing is sent over it.
+    pub async fn probe(&self, timeout: Duration) -> Probe {
         let connect = TcpStream::connect(self.shared.address);
-        let connected = tokio::time::timeout(timeout, connect).await;
-        let is_refusal = |error: std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-        connected.is_ok_and(|connected| connected.is_err_and(is_refusal))
+        match tokio::time::timeout(timeout, connect).await {
+            Ok(Ok(stream)) => Probe::Open(OpenProbe(stream)),
+            Ok(Err(error)) => match error.kind() {
+                ErrorKind::ConnectionRefused => Probe::Refused,
+                // Its listener closed with this connection in its queue, or it takes no more.
+                ErrorKind::ConnectionReset => Probe::Reset,
+                _ => Probe::Unknown,
+            },
+            Err(_) => Probe::Unknown,
+        }
     }
 
     /// Whether a resting connection may be used.
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -66,6 +66,12 @@
             .filter(move |(_, record)| record.pool == *pool && !record.draining)
     }
 
+    /// Whether another back end is listed at an address: the next life of the one that was there.
+    pub fn is_taken_over(&self, address: SocketAddr, by_other_than: &BackendId) -> bool {
+        let mut entries = self.entries.iter();
+        entries.any(|(id, record)| record.address == address && id != by_other_than)
+    }
+
     /// How many entries there are.
     pub fn len(&self) -> usize {
         self.entries.len()
