--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -48,6 +48,8 @@
     /// Its process ends a moment after it begins to work at a request whose path contains this, also if its
     /// caller has left by then.
     pub ended_by: Option<String>,
+    /// Its process ends a moment after it begins to load this version.
+    pub ended_by_version: Option<u64>,
     /// Time for which a process that ends still listens after its connections closed.
     pub listens_on: Duration,
 }
@@ -130,6 +132,7 @@
             refuses_orders: false,
             call: CallBehaviour::Answer,
             ended_by: None,
+            ended_by_version: None,
             listens_on: Duration::ZERO,
         };
         let backend = Arc::new(Self {
@@ -288,12 +291,27 @@
     run_call(&backend, &seen).await
 }
 
-fn take_order(backend: &StandInBackend, body: &Bytes) -> Response<Body> {
+/// Ends a process a moment later. Not dropped with a connection: what ends a process does not ask whether
+/// anybody waits.
+fn end_soon(backend: &Arc<StandInBackend>) {
+    let backend = backend.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(TIME_TO_END).await;
+        backend.end();
+    });
+}
+
+fn take_order(backend: &Arc<StandInBackend>, body: &Bytes) -> Response<Body> {
     if backend.behaviour().refuses_orders {
         return whole(StatusCode::CONFLICT, String::new());
     }
     let order = String::from_utf8(body.to_vec()).unwrap();
-    let version = order.split(' ').nth(1).unwrap().parse().unwrap();
+    let version: u64 = order.split(' ').nth(1).unwrap().parse().unwrap();
+    if backend.behaviour().ended_by_version == Some(version) {
+        backend.orders.lock().unwrap().push((order, Instant::now()));
+        end_soon(backend);
+        return whole(StatusCode::ACCEPTED, String::new());
+    }
     backend.behave(|behaviour| behaviour.version = version);
     backend.orders.lock().unwrap().push((order, Instant::now()));
     whole(StatusCode::OK, String::new())
