Orders: a version whose loads end back ends is tried by one of them at a time

An order without an answer counted against its engine alone, so a version whose weights end the process that loads them was ordered from every engine and from the next life of each.

Change: a load has a fingerprint and goes through the same ledger as requests: an end under it is searched for, noted and told to all nodes; a load that ends well clears it. It is suspected together with the items that ran there, so they are less likely to be blamed for its ends. It is not barred for good: engines may have ended for other reasons while they loaded, and a trainer stands still without its newest version. An order of which nothing was sent, as the engine had ended before, blames nobody; orders are counted as `unsent` then.

Weighed: a bar for good (rejected, see above); fewer loads at once without memory (rejected: only slower).

--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -5,6 +5,7 @@
 //! back end an order only when the last one of another machine there is older than the lease bound.
 
 mod demand;
+mod harmful_loads;
 mod lease;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,6 +15,7 @@
 
 use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
+use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::lease::Term;
 use havenstage_rollout::load_limit::LoadLimit;
@@ -21,8 +23,10 @@
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
+use self::harmful_loads::HarmfulLoads;
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode};
+use crate::fingerprint;
 use crate::order_run::{self, Order, OrderStart};
 use crate::work_pace::WorkPace;
 
@@ -44,6 +48,7 @@
     under_way: BTreeSet<BackendId>,
     avoided_until: BTreeMap<BackendId, Millis>,
     load_limit: LoadLimit,
+    harmful_loads: HarmfulLoads,
     /// Until when the lease is relied on; read right before each order is sent.
     reliable_until: Arc<AtomicU64>,
     pace: WorkPace,
@@ -65,6 +70,8 @@
 
 struct OrderEnded {
     backend: BackendId,
+    /// What was ordered, if this holder gave the order.
+    given: Option<Fingerprint>,
     report: Option<BackendReport>,
     /// The load that was ordered, if the back end has its version now.
     load: Option<EndedLoad>,
@@ -85,6 +92,7 @@
         let load_limit = LoadLimit::new(context.settings.tuning.loads_at_once);
         Self {
             load_limit,
+            harmful_loads: HarmfulLoads::default(),
             context,
             lease: None,
             taken: BTreeMap::new(),
@@ -135,7 +143,9 @@
         for pool in table.pools_with_models() {
             let mode = load_mode(&table, &pool.name);
             for order in self.plan(pool, &named) {
-                self.give(order, mode);
+                if self.begin_load(&order) {
+                    self.give(order, mode);
+                }
             }
         }
     }
@@ -191,15 +201,13 @@
         let reliable_until = self.reliable_until.clone();
         tokio::spawn(async move {
             let report = order_run::follow(&context, &order, start, &reliable_until).await;
-            let has_version = report
-                .as_ref()
-                .and_then(|report| report.models.get(&order.model))
-                .is_some_and(|version| *version >= order.version);
+            let has_version = report.as_ref().is_some_and(|report| order.is_taken(report));
             let took_ms = context.now().saturating_sub(began);
-            let load = (start == OrderStart::Give && has_version)
-                .then_some(EndedLoad { took_ms, together });
+            let is_given = start == OrderStart::Give;
+            let load = (is_given && has_version).then_some(EndedLoad { took_ms, together });
             // The coordinator is gone only when the process ends.
             let _ = sender.send(OrderEnded {
+                given: is_given.then(|| fingerprint::of_load(&order.model, order.version)),
                 backend: order.backend,
                 report,
                 load,
@@ -209,6 +217,9 @@
 
     fn take_ended(&mut self, ended: OrderEnded) {
         self.under_way.remove(&ended.backend);
+        if let Some(load) = ended.given {
+            self.harmful_loads.ended(&load);
+        }
         if let Some(load) = ended.load {
             self.load_limit.loaded(load.took_ms, load.together);
         }
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,8 +1,9 @@
 //! What stays the same of a request when its caller sends it again: method, host, path and body, but not
-//! its id, its deadline, or whatever else is new with each try.
+//! its id, its deadline, or whatever else is new with each try. A load of a version has one too.
 
 use havenstage_rollout::batch::Item;
 use havenstage_rollout::crash_ledger::Fingerprint;
+use havenstage_rollout::ids::{ModelName, Version};
 use http::header::HOST;
 
 use crate::calls::Call;
@@ -35,6 +36,14 @@
     ])
 }
 
+/// Stands for the method of loads, which no request can have.
+const LOAD: &[u8] = b"load a version";
+
+/// The fingerprint of loading a version, wherever that is done.
+pub(crate) fn of_load(model: &ModelName, version: Version) -> Fingerprint {
+    of_parts([LOAD, model.as_str().as_bytes(), &version.to_le_bytes(), &[]])
+}
+
 fn of_parts(parts: [&[u8]; 4]) -> Fingerprint {
     let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
     for part in parts {
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havenstage_clock::Instant;
-use havenstage_http_link::{Sending, WholeAnswer};
+use havenstage_http_link::{LinkError, Sending, WholeAnswer};
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use http::{HeaderValue, Request, StatusCode};
@@ -14,7 +14,10 @@
 use log::{info, warn};
 
 use crate::context::Context;
+use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_guard;
 use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
+use crate::fingerprint;
 use crate::log_writes::append_control;
 use crate::metrics;
 
@@ -56,6 +59,14 @@
     pub expected_orders: Option<u64>,
 }
 
+impl Order {
+    /// Whether a back end that reports so has the version, or a newer one.
+    pub fn is_taken(&self, report: &BackendReport) -> bool {
+        let version = report.models.get(&self.model);
+        version.is_some_and(|version| *version >= self.version)
+    }
+}
+
 /// Where to begin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderStart {
@@ -65,6 +76,30 @@
     Settle,
 }
 
+/// What came of giving an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Given {
+    /// The back end answered.
+    Answered(StatusCode),
+    /// No answer came; the back end may carry it out.
+    Unanswered,
+    /// Nothing of it was sent.
+    Unsent,
+}
+
+impl Given {
+    /// Its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Answered(StatusCode::OK) => "holds",
+            Self::Answered(StatusCode::ACCEPTED) => "accepted",
+            Self::Answered(_) => "refused",
+            Self::Unanswered => "unanswered",
+            Self::Unsent => "unsent",
+        }
+    }
+}
+
 /// Until when an order may be given.
 struct OrderPermit<'a> {
     /// Until when the next holder expects it to have reached its back end.
@@ -81,7 +116,7 @@
     reliable_until: &AtomicU64,
 ) -> Option<BackendReport> {
     let began = Instant::now();
-    let mut status = None;
+    let mut given = Given::Unsent;
     if start == OrderStart::Give {
         let expected_orders = match order.expected_orders {
             Some(count) => count,
@@ -93,9 +128,10 @@
             give_until,
             reliable_until,
         };
-        status = give(context, order, expected_orders, permit).await;
+        given = give(context, order, expected_orders, permit).await;
     }
-    let report = settle(context, order, status, began).await;
+    let report = settle(context, order, given, began).await;
+    note_crashes(context, order, given, report.as_ref()).await;
     let records = outcome_records(order, report.as_ref());
     info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, outcome = format!("{records:?}").as_str(),
@@ -109,6 +145,36 @@
     report
 }
 
+/// Notes what came of an order: whether loading the version ends back ends.
+async fn note_crashes(
+    context: &Arc<Context>,
+    order: &Order,
+    given: Given,
+    report: Option<&BackendReport>,
+) {
+    let load = || fingerprint::of_load(&order.model, order.version);
+    match (report, given) {
+        (Some(report), _) if order.is_taken(report) => {
+            crash_guard::answered(context, &order.backend, false, load);
+        }
+        (Some(_), _) => {}
+        // One that had ended before says nothing of the version.
+        (None, Given::Unsent) => {}
+        (None, Given::Answered(_) | Given::Unanswered) => {
+            let Some(chosen) = context.backends.take(&order.backend) else {
+                return;
+            };
+            let unanswered = UnansweredSend {
+                request: load(),
+                id: format!("{} version {}", order.model, order.version),
+                backend: order.backend.clone(),
+                link: chosen.link.clone(),
+            };
+            crash_evidence::send_broke(context, unanswered).await;
+        }
+    }
+}
+
 /// What all nodes are told of an order that has ended. A version that is older than the one ordered says
 /// nothing of the order, as it may be told late: one that was not taken is withdrawn besides.
 fn outcome_records(order: &Order, report: Option<&BackendReport>) -> Vec<ControlRecord> {
@@ -145,7 +211,7 @@
     order: &Order,
     expected_orders: u64,
     permit: OrderPermit<'_>,
-) -> Option<StatusCode> {
+) -> Given {
     let request = context.dialect.order_request(&VersionOrder {
         model: order.model.clone(),
         version: order.version,
@@ -169,31 +235,33 @@
     let sending = Sending::within(time_left).written_by(write_by);
     let answer = match is_reliable && !time_left.is_zero() {
         true => exchange(context, &order.backend, request, sending, time_left).await,
-        false => None,
+        false => Err(LinkError::TooLate),
+    };
+    let given = match answer {
+        Ok(answer) => Given::Answered(answer.status),
+        Err(error) if error.is_unsent() => Given::Unsent,
+        Err(_) => Given::Unanswered,
+    };
+    let status_text = match given {
+        Given::Answered(status) => status.as_u16().to_string(),
+        Given::Unanswered | Given::Unsent => "none".to_owned(),
     };
-    let status = answer.map(|answer| answer.status);
-    let status_text = status.map_or("none".to_owned(), |status| status.as_u16().to_string());
     info!(event = "order_given", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, fence = order.fence, expected_orders = expected_orders,
         lease_held = is_reliable, left_ms = time_left.as_millis() as u64, status = status_text.as_str(); "");
-    metrics::order_answered(match status.map(|status| status.as_u16()) {
-        Some(200) => "holds",
-        Some(202) => "accepted",
-        Some(_) => "refused",
-        None => "unanswered",
-    });
-    status
+    metrics::order_answered(given.name());
+    given
 }
 
 /// Asks the back end until it carries out no order and its report cannot be from before this one.
 async fn settle(
     context: &Arc<Context>,
     order: &Order,
-    status: Option<StatusCode>,
+    given: Given,
     began: Instant,
 ) -> Option<BackendReport> {
-    let (first_question, shows_after) = match status {
-        Some(StatusCode::ACCEPTED) => (FIRST_QUESTION, ACCEPTED_SHOWS_AFTER),
+    let (first_question, shows_after) = match given {
+        Given::Answered(StatusCode::ACCEPTED) => (FIRST_QUESTION, ACCEPTED_SHOWS_AFTER),
         _ => (Duration::ZERO, OTHERS_SHOW_AFTER),
     };
     let sent = Instant::now();
@@ -222,7 +290,9 @@
 async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
     let request = context.dialect.report_request();
     let sending = Sending::within(REPORT_TIMEOUT);
-    let answer = exchange(context, backend, request, sending, REPORT_TIMEOUT).await?;
+    let answer = exchange(context, backend, request, sending, REPORT_TIMEOUT).await;
+    // Why there is none makes no difference to who asks.
+    let answer = answer.ok()?;
     let is_good = answer.status == StatusCode::OK;
     is_good
         .then(|| context.dialect.read_report(&answer.body))
@@ -235,9 +305,9 @@
     mut request: Request<Full<bytes::Bytes>>,
     sending: Sending,
     timeout: Duration,
-) -> Option<WholeAnswer> {
-    let chosen = context.backends.take(backend)?;
-    let expected = HeaderValue::from_str(backend.as_str()).ok()?;
+) -> Result<WholeAnswer, LinkError> {
+    let chosen = context.backends.take(backend).ok_or(LinkError::NotSent)?;
+    let expected = HeaderValue::from_str(backend.as_str()).map_err(|_| LinkError::NotSent)?;
     request
         .headers_mut()
         .insert(context.dialect.headers().expected_backend.clone(), expected);
@@ -245,5 +315,6 @@
         let answer = chosen.link.send_as(request, sending).await?;
         answer.whole(MOST_ANSWER_BYTES).await
     };
-    tokio::time::timeout(timeout, exchange).await.ok()?.ok()
+    let answer = tokio::time::timeout(timeout, exchange).await;
+    answer.unwrap_or(Err(LinkError::TimedOut))
 }
