Requests that end back ends: what another node tries is refused, not barred; owners try their own work

Cause, found by reading the mend once more: a request with three ends at which a likelier cause was there each time is tried by one machine only, the first of those that saw its ends. All others answered it as if it were barred: an honest call got a final 502, and an honest item or reward call whose batch had changed its owner would have waited until its batch's end, since nobody but its owner ever sends it.

Change: the ledger tells such a request apart (`LeftToAnother`). A call of it is refused with 503 ("not run", come back) if it has not run in this try; items and reward calls, which only the owner of their batch sends, are tried by that owner, one at a time. A harmful one still reaches five ends at most so, then it is barred.

Tests: crash_ledger `what_another_machine_tries_is_not_barred` (could not be seen failing before, as the state did not exist).

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -22,7 +22,7 @@
 };
 use crate::context::Context;
 use crate::crash_evidence;
-use crate::crash_guard::{self, Admission};
+use crate::crash_guard::{self, Admission, Sender};
 use crate::metrics;
 use crate::send::{self, SILENT, SendOutcome, SendTerms};
 
@@ -136,9 +136,8 @@
         if self.may_have_run > 0 && !self.may_run_again() {
             return Some(self.ended_in_failure());
         }
-        if matches!(self.admission(), Admission::Barred) {
-            crash_guard::tell_barred(self.context, &self.call.fingerprint(), &self.call.id_text());
-            return Some(CallOutcome::Barred);
+        if let Some(outcome) = self.kept_back() {
+            return Some(outcome);
         }
         if self.lacks_back_ends() {
             return Some(match self.may_have_run {
@@ -155,6 +154,24 @@
         None
     }
 
+    /// How the call ends if it must not be sent by this node, in view of the back ends that ended under it.
+    fn kept_back(&mut self) -> Option<CallOutcome> {
+        let admission = self.admission();
+        if matches!(admission, Admission::Send(_) | Admission::Wait) {
+            return None;
+        }
+        let (request, id) = (self.call.fingerprint(), self.call.id_text());
+        if matches!(admission, Admission::Barred) {
+            crash_guard::tell_barred(self.context, &request, &id);
+            return Some(CallOutcome::Barred);
+        }
+        crash_guard::tell_left_to_another(self.context, &request, &id);
+        Some(match self.may_have_run {
+            0 => refused(),
+            _ => self.ended_in_failure(),
+        })
+    }
+
     fn may_run_again(&self) -> bool {
         self.route.kind.may_repeat() && self.may_have_run < self.route.attempts.max(1)
     }
@@ -183,7 +200,11 @@
         if crash_guard::suspects_nobody(self.context) {
             return Admission::Send(None);
         }
-        crash_guard::admit(self.context, &self.call.fingerprint())
+        let sender = match self.call.batch {
+            Some(_) => Sender::Owner,
+            None => Sender::Any,
+        };
+        crash_guard::admit(self.context, &self.call.fingerprint(), sender)
     }
 
     fn may_be_written(&self) -> bool {
--- a/crates/gateway/src/coordinator/harmful_loads.rs
+++ b/crates/gateway/src/coordinator/harmful_loads.rs
@@ -34,7 +34,7 @@
         match suspicion {
             Suspicion::None => true,
             Suspicion::Suspected { runs_left, .. } => under_way < *runs_left,
-            Suspicion::Barred { .. } => {
+            Suspicion::LeftToAnother { .. } | Suspicion::Barred { .. } => {
                 let last = self.last_try.get(load);
                 under_way == 0 && last.is_none_or(|last| now.saturating_sub(*last) >= TRY_PAUSE_MS)
             }
@@ -44,7 +44,7 @@
     /// A load begins.
     pub(super) fn begins(&mut self, load: Fingerprint, suspicion: &Suspicion, now: Millis) {
         *self.under_way.entry(load).or_default() += 1;
-        if !matches!(suspicion, Suspicion::Barred { .. }) {
+        if matches!(suspicion, Suspicion::None | Suspicion::Suspected { .. }) {
             return;
         }
         self.last_try.insert(load, now);
@@ -80,10 +80,10 @@
             return false;
         }
         self.harmful_loads.begins(load, &suspicion, now);
-        if let Suspicion::Barred { ended, age_ms } = &suspicion {
-            warn!(event = "harmful_version_tried", model = order.model.as_str(), version = order.version,
+        if !matches!(suspicion, Suspicion::None) {
+            warn!(event = "suspected_version_tried", model = order.model.as_str(), version = order.version,
                 content = load.to_string().as_str(), backend = order.backend.as_str(),
-                ends = ended.len(), last_end_age_ms = age_ms; "");
+                suspicion = format!("{suspicion:?}").as_str(); "");
         }
         true
     }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -35,12 +35,24 @@
 pub(crate) enum Admission {
     /// It may be. The slot of a suspected request is held until its end is known.
     Send(Option<SuspectSlot>),
+    /// Not by this node, which cannot tell whether it is harmful: another one tries it.
+    LeftToAnother,
     /// Not yet: as many sends of it are under way as back ends may still end under it.
     Wait,
     /// It must not be sent any more.
     Barred,
 }
 
+/// Who else may send a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// Any node to which its caller turns.
+    Any,
+    /// Only this one, as the owner of the batch for which it is sent. It would never be sent again if the owner left
+    /// it to others.
+    Owner,
+}
+
 /// Counts a send of a suspected request as under way.
 pub(crate) struct SuspectSlot {
     context: Arc<Context>,
@@ -90,9 +102,13 @@
 
 /// Whether a request may be sent now. What is under way here counts as if it failed, so that several copies
 /// of a request that come together don't end more back ends than one.
-pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint) -> Admission {
+pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint, sender: Sender) -> Admission {
     let runs_left = match suspicion(context, request) {
         Suspicion::None => return Admission::Send(None),
+        Suspicion::LeftToAnother { .. } if sender == Sender::Any => {
+            return Admission::LeftToAnother;
+        }
+        Suspicion::LeftToAnother { .. } => 1,
         Suspicion::Barred { .. } => return Admission::Barred,
         Suspicion::Suspected { runs_left, .. } => runs_left,
     };
@@ -123,6 +139,13 @@
         ended = name_all(&ended).as_str(), last_end_age_ms = age_ms; "");
 }
 
+/// A request that another node tries came here: tells that it is refused.
+pub(crate) fn tell_left_to_another(context: &Context, request: &Fingerprint, id: &str) {
+    let suspicion = suspicion(context, request);
+    info!(event = "request_left_to_another", request = id, content = request.to_string().as_str(),
+        suspicion = format!("{suspicion:?}").as_str(); "");
+}
+
 /// Requests that were barred by what the control stream told since the last call.
 pub(crate) fn tell_newly_barred(context: &Context) {
     let now = context.now();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
 use crate::crash_evidence;
-use crate::crash_guard::{self, Admission, SuspectSlot};
+use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
 use crate::send;
 
 /// Pause before it is looked again whether a suspected stream may go on: what else runs of it ends soon.
@@ -141,12 +141,17 @@
             .map(|current| current.backend.id.clone());
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.ends {
             let request = self.call.fingerprint();
-            let slot = match crash_guard::admit(&self.context, &request) {
+            let slot = match crash_guard::admit(&self.context, &request, Sender::Any) {
                 Admission::Send(slot) => slot,
                 Admission::Wait => {
                     tokio::time::sleep(ADMISSION_PAUSE).await;
                     continue;
                 }
+                Admission::LeftToAnother => {
+                    let id = self.call.id_text();
+                    crash_guard::tell_left_to_another(&self.context, &request, &id);
+                    break;
+                }
                 Admission::Barred => {
                     crash_guard::tell_barred(&self.context, &request, &self.call.id_text());
                     break;
--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger.rs
@@ -95,6 +95,12 @@
         /// Runs that may be under way before it is barred.
         runs_left: usize,
     },
+    /// Another one is the likelier cause of its ends, but it may be harmful too: one machine tries it, another
+    /// than this one. Whoever alone runs it at all, as the owner of its batch, may do so too.
+    LeftToAnother {
+        /// Ends.
+        ends: usize,
+    },
     /// It must not be run any more.
     Barred {
         /// The back ends that ended under it.
@@ -260,13 +266,15 @@
             return Suspicion::None;
         };
         let ends = suspect.ended.len();
-        let runs_left = self.runs_left(request, suspect, now);
-        match runs_left {
-            0 => Suspicion::Barred {
+        if self.is_culprit(request, suspect, now) {
+            return Suspicion::Barred {
                 ended: suspect.ended.clone(),
                 age_ms: now.saturating_sub(suspect.last_end),
-            },
-            _ => Suspicion::Suspected { ends, runs_left },
+            };
+        }
+        match self.runs_left(suspect, now) {
+            0 => Suspicion::LeftToAnother { ends },
+            runs_left => Suspicion::Suspected { ends, runs_left },
         }
     }
 
@@ -309,18 +317,15 @@
 
     fn is_barred(&self, request: &Fingerprint, now: Millis) -> bool {
         let suspect = self.suspects.get(request);
-        suspect.is_some_and(|suspect| self.runs_left(request, suspect, now) == 0)
+        suspect.is_some_and(|suspect| self.is_culprit(request, suspect, now))
     }
 
-    /// Runs of a request that may be under way here together, as if each ended its back end.
-    fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
+    /// Runs of a request that is not barred that may be under way here together, as if each ended its back end.
+    fn runs_left(&self, suspect: &Suspect, now: Millis) -> usize {
         let ends = suspect.ended.len();
         if ends < BAR_AFTER_ENDS {
             return BAR_AFTER_ENDS - ends;
         }
-        if self.is_culprit(request, suspect, now) {
-            return 0;
-        }
         match is_in_doubt(suspect, now) {
             true => BAR_AFTER_SHARED_ENDS - ends,
             false => usize::from(self.may_try(suspect)),
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -138,6 +138,28 @@
     }
 }
 
+/// What others may try is left to them: it is refused for now, not barred for good. The owner of a batch, who
+/// alone runs its items, may try it at any machine; an honest item would wait for its batch's end otherwise.
+#[test]
+fn what_another_machine_tries_is_not_barred() {
+    let mut ledger = ledger_of("own");
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &[HARMFUL, 2]);
+    }
+    end(&mut ledger, "v", &[HARMFUL]);
+    let later = 1_000 + DOUBT_MS;
+    let suspicion = ledger.suspicion(&request(2), later);
+    assert_eq!(suspicion, Suspicion::LeftToAnother { ends: 3 });
+    for backend in ["p", "q"] {
+        end(&mut ledger, backend, &[2]);
+    }
+    let suspicion = ledger.suspicion(&request(2), later);
+    assert!(
+        matches!(suspicion, Suspicion::Barred { .. }),
+        "{suspicion:?}"
+    );
+}
+
 /// Two harmful ones that came together are not sent on for ever while it is not clear which one it is.
 #[test]
 fn doubt_between_requests_with_the_same_ends_does_not_last() {
