--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator;
+mod order_exchange;
 pub mod order_run;
 mod questions;
 pub mod relay;
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use havenstage_clock::Instant;
-use havenstage_http_link::{LinkError, Sending, WholeAnswer};
+use havenstage_http_link::{LinkError, Sending};
 use havenstage_rollout::control::ControlRecord;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 use log::{info, warn};
 
 use crate::context::Context;
@@ -20,12 +19,11 @@
 use crate::fingerprint;
 use crate::log_writes::append_control;
 use crate::metrics;
+use crate::order_exchange::{ask, exchange};
 
 /// Time from the moment an order begins to be written down within which it reaches its back end and is
 /// answered. Later it is not given: the next holder, who sees when it was written down, allows for so much.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time a back end has to answer a question.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after an accepted order before its back end is first asked whether it is done.
 const FIRST_QUESTION: Duration = Duration::from_millis(900);
 /// Time between two questions.
@@ -39,8 +37,6 @@
 const GIVEN_UP_AFTER: Duration = Duration::from_millis(4_000);
 /// Questions without an answer after which the back end is left alone.
 const MOST_UNANSWERED: u32 = 3;
-/// Longest answer to an order or a question.
-const MOST_ANSWER_BYTES: usize = 1024 * 1024;
 
 /// An order.
 #[derive(Debug, Clone)]
@@ -286,35 +282,3 @@
         tokio::time::sleep(QUESTION_PAUSE).await;
     }
 }
-
-async fn ask(context: &Arc<Context>, backend: &BackendId) -> Option<BackendReport> {
-    let request = context.dialect.report_request();
-    let sending = Sending::within(REPORT_TIMEOUT);
-    let answer = exchange(context, backend, request, sending, REPORT_TIMEOUT).await;
-    // Why there is none makes no difference to who asks.
-    let answer = answer.ok()?;
-    let is_good = answer.status == StatusCode::OK;
-    is_good
-        .then(|| context.dialect.read_report(&answer.body))
-        .flatten()
-}
-
-async fn exchange(
-    context: &Arc<Context>,
-    backend: &BackendId,
-    mut request: Request<Full<bytes::Bytes>>,
-    sending: Sending,
-    timeout: Duration,
-) -> Result<WholeAnswer, LinkError> {
-    let chosen = context.backends.take(backend).ok_or(LinkError::NotSent)?;
-    let expected = HeaderValue::from_str(backend.as_str()).map_err(|_| LinkError::NotSent)?;
-    request
-        .headers_mut()
-        .insert(context.dialect.headers().expected_backend.clone(), expected);
-    let exchange = async {
-        let answer = chosen.link.send_as(request, sending).await?;
-        answer.whole(MOST_ANSWER_BYTES).await
-    };
-    let answer = tokio::time::timeout(timeout, exchange).await;
-    answer.unwrap_or(Err(LinkError::TimedOut))
-}
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -13,7 +13,6 @@
 
 mod support;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_gateway::operator::{ClearError, clear_request};
@@ -22,26 +21,11 @@
 use support::caller::{call, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed, wait_until};
 use support::dialect::write_batch;
+use support::ends::{HARMFUL, MOST_ENDS, all_know_of_all_ends, end_by_harmful, ended};
 use support::log::{LogFaults, NodeLog};
 
-/// Back ends that may end under one request before all nodes refuse it.
-const MOST_ENDS: usize = 3;
 /// Time for nodes to learn from each other.
 const LEARNING: Duration = Duration::from_millis(400);
-/// Part of the path of requests that end back ends.
-const HARMFUL: &str = "harmful";
-
-fn ended(backends: &[Arc<StandInBackend>]) -> usize {
-    let ended = backends.iter().filter(|backend| backend.has_ended());
-    ended.count()
-}
-
-fn end_by_harmful(backends: &[Arc<StandInBackend>]) {
-    for backend in backends {
-        backend.behave(|told| told.ended_by = Some(HARMFUL.to_owned()));
-    }
-}
-
 async fn nodes(deployment: &Deployment, names: &[&str]) -> Vec<TestNode> {
     let mut nodes = Vec::new();
     for name in names {
@@ -50,22 +34,6 @@
     nodes
 }
 
-/// Waits until every node knows of all ends so far: a word takes some ms from node to node, more on a busy
-/// machine, and callers' next tries come later.
-async fn all_know_of_all_ends(nodes: &[TestNode], backends: &[Arc<StandInBackend>]) {
-    wait_until("all nodes know of all ends", || {
-        let ended = ended(backends);
-        nodes.iter().all(|node| known_ends(node) == ended)
-    })
-    .await;
-}
-
-fn known_ends(node: &TestNode) -> usize {
-    let control = node.context().control.lock();
-    let known = control.state.checkpoint(0).crashes;
-    known.iter().map(|request| request.ended.len()).sum()
-}
-
 async fn ask(node: &TestNode, id: &str, path: &str) -> u16 {
     call(node.callers, id, path).await.status.as_u16()
 }
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -21,35 +21,13 @@
 use support::backend::{CallBehaviour, StandInBackend};
 use support::caller::{call, send};
 use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, wait_until};
+use support::ends::{MOST_ENDS, end_by_harmful, ended, known_ends};
 
-/// Back ends that may end under one request before all nodes refuse it.
-const MOST_ENDS: usize = 3;
-/// Part of the path of requests that end back ends.
-const HARMFUL: &str = "harmful";
 /// Time after which a caller leaves: before its request has ended the back end.
 const LEAVES_AFTER: Duration = Duration::from_millis(10);
 /// Time from a caller's leave to the next try of its request.
 const NEXT_TRY: Duration = Duration::from_millis(300);
 
-fn ended(backends: &[Arc<StandInBackend>]) -> usize {
-    backends
-        .iter()
-        .filter(|backend| backend.has_ended())
-        .count()
-}
-
-fn end_by_harmful(backends: &[Arc<StandInBackend>]) {
-    for backend in backends {
-        backend.behave(|told| told.ended_by = Some(HARMFUL.to_owned()));
-    }
-}
-
-fn known_ends(node: &TestNode) -> usize {
-    let control = node.context().control.lock();
-    let known = control.state.checkpoint(0).crashes;
-    known.iter().map(|request| request.ended.len()).sum()
-}
-
 /// Asks nodes in turn for callers that leave soon, and answers how many back ends ended.
 async fn ends_under_callers_that_leave(
     backends: &[Arc<StandInBackend>],
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,5 +5,6 @@
 pub mod caller;
 pub mod deployment;
 pub mod dialect;
+pub mod ends;
 pub mod log;
 pub mod suspension;
