--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -65,6 +65,31 @@
     assert!(ended <= MOST_ENDS, "{ended} back ends ended");
 }
 
+/// While it is not known whether a back end ends under a send that was given up, no other copy is sent in its place.
+#[tokio::test]
+async fn a_send_that_was_given_up_counts_until_it_is_known_what_came_of_it() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let node = deployment.node("a").await;
+    for number in 0..MOST_ENDS - 1 {
+        let id = format!("try-{number}");
+        call(node.callers, &id, "/once/harmful").await;
+    }
+    assert_eq!(known_ends(&node), MOST_ENDS - 1);
+    let headers = [("x-id", "leaves"), ("x-deadline", "2000")];
+    let asked = send(
+        node.callers,
+        Method::POST,
+        "/once/harmful",
+        &headers,
+        "call",
+    );
+    let _ = tokio::time::timeout(LEAVES_AFTER, asked).await;
+    call(node.callers, "next", "/once/harmful").await;
+    tokio::time::sleep(NEXT_TRY).await;
+    assert_eq!(ended(&deployment.applications), MOST_ENDS);
+}
+
 /// The node learns of the end only when somebody else listens at the address.
 #[tokio::test]
 async fn an_end_that_a_node_slept_through_counts() {
