Requests that end back ends: a send that was given up holds its place until its fate is known

Cause: the count of sends under way of a suspected request was kept by the send, so it ended with a caller that left, before the back end ended under it; the next copy was sent in its place. Change: the call keeps the place and hands it to the search for evidence. All tests of gateway, rollout and http-link: 0 failed.

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -22,7 +22,7 @@
 };
 use crate::context::Context;
 use crate::crash_evidence;
-use crate::crash_guard::{self, Admission, Sender};
+use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
 use crate::metrics;
 use crate::send::{self, SILENT, SendOutcome, SendTerms};
 
@@ -44,6 +44,14 @@
 
 type SendFuture<'a> = Pin<Box<dyn Future<Output = (BackendId, SendOutcome)> + Send + 'a>>;
 
+/// A send whose outcome is not known yet.
+struct SendUnderWay {
+    backend: BackendId,
+    link: Link,
+    /// Held while a suspected request runs.
+    slot: Option<SuspectSlot>,
+}
+
 /// A call on its way: what it was sent to so far, and what came of that.
 pub(crate) struct CallProgress<'a> {
     context: &'a Arc<Context>,
@@ -55,8 +63,7 @@
     /// When the second send is due, or the next look for a back end that can take it.
     hedge_at: Instant,
     running: FuturesUnordered<SendFuture<'a>>,
-    /// Where it is under way.
-    under_way: Vec<(BackendId, Link)>,
+    under_way: Vec<SendUnderWay>,
     tried: Vec<BackendId>,
     sends: u32,
     may_have_run: u32,
@@ -113,8 +120,8 @@
             }
             tokio::select! {
                 Some((backend, sent)) = self.running.next(), if !self.running.is_empty() => {
-                    self.under_way.retain(|(id, _)| *id != backend);
-                    if let Some(outcome) = self.take(sent) {
+                    let slot = self.no_longer_under_way(&backend);
+                    if let Some(outcome) = self.take(sent, slot) {
                         return outcome;
                     }
                 }
@@ -243,19 +250,29 @@
             ends_when_silent: self.route.kind == RequestKind::Stream { resumable: true },
         };
         let backend = chosen.id.clone();
-        self.under_way.push((backend.clone(), chosen.link.clone()));
+        self.under_way.push(SendUnderWay {
+            backend: backend.clone(),
+            link: chosen.link.clone(),
+            slot,
+        });
         self.running.push(Box::pin(async move {
             tokio::time::sleep(pause).await;
-            let mut outcome = send::send(context, chosen, call, &terms).await;
-            if let SendOutcome::Streaming(started) = &mut outcome {
-                started.slot = slot;
-            }
+            let outcome = send::send(context, chosen, call, &terms).await;
             (backend, outcome)
         }));
         true
     }
 
-    fn take(&mut self, sent: SendOutcome) -> Option<CallOutcome> {
+    fn no_longer_under_way(&mut self, backend: &BackendId) -> Option<SuspectSlot> {
+        let at = self
+            .under_way
+            .iter()
+            .position(|send| send.backend == *backend)?;
+        self.under_way.swap_remove(at).slot
+    }
+
+    /// Takes the outcome of a send, of which `slot` was held.
+    fn take(&mut self, sent: SendOutcome, slot: Option<SuspectSlot>) -> Option<CallOutcome> {
         self.outcomes.push(sent.name());
         match sent {
             SendOutcome::Answered(answer) if answer.status.is_server_error() => {
@@ -276,7 +293,7 @@
                     ends: self.ends,
                     answer: started.answer,
                     backend: started.backend,
-                    slot: started.slot,
+                    slot,
                 })))
             }
             SendOutcome::NotRun(_) => None,
@@ -311,8 +328,9 @@
 
     /// The sends that are under way are dropped, though a back end may end under one just now.
     fn give_up_sends(&mut self) {
-        for (backend, link) in self.under_way.drain(..) {
-            let given_up = send::unanswered(self.call, backend, link);
+        for send in self.under_way.drain(..) {
+            let mut given_up = send::unanswered(self.call, send.backend, send.link);
+            given_up.slot = send.slot;
             crash_evidence::send_given_up(self.context, given_up);
         }
     }
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::context::Context;
-use crate::crash_guard;
+use crate::crash_guard::{self, SuspectSlot};
 use crate::metrics;
 
 /// Longest time to try a back end's address: some ten round trips between zones. A machine that does not
@@ -65,7 +65,6 @@
 }
 
 /// A send that got no whole answer.
-#[derive(Clone)]
 pub(crate) struct UnansweredSend {
     /// What was sent.
     pub(crate) request: Fingerprint,
@@ -75,6 +74,9 @@
     pub(crate) backend: BackendId,
     /// Connections to there.
     pub(crate) link: Link,
+    /// Held until it is known whether the back end ended, so that no other copy is sent in its place: one more back
+    /// end ended under a request whose callers leave without this.
+    pub(crate) slot: Option<SuspectSlot>,
 }
 
 /// A send broke off after it was written. Returns once it is known whether its back end ended, or after a moment
@@ -106,7 +108,7 @@
 /// Notes and tells it if the back end has ended, or ends within a time. Drops `go_on` when the request may be sent on.
 async fn search(
     context: Arc<Context>,
-    send: UnansweredSend,
+    mut send: UnansweredSend,
     time: Duration,
     mut go_on: Option<GoOn>,
 ) {
@@ -121,6 +123,7 @@
     }
     drop(go_on);
     report(&context, &send, "may_live");
+    drop(send.slot.take());
     tokio::spawn(async move {
         tokio::time::sleep(NEXT_LIFE_AFTER).await;
         if is_taken_over(&context, send.link.address(), &send.backend) {
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -194,6 +194,7 @@
                 id: order.key.item.to_string(),
                 backend: backend.id.clone(),
                 link: backend.link.clone(),
+                slot: None,
             };
             crash_evidence::send_broke(context, broken).await;
         }
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -165,6 +165,7 @@
                 id: format!("{} version {}", order.model, order.version),
                 backend: order.backend.clone(),
                 link: chosen.link.clone(),
+                slot: None,
             };
             crash_evidence::send_broke(context, unanswered).await;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -53,7 +53,7 @@
     answer: Answer,
     backend: ChosenBackend,
     /// Held while a suspected request runs.
-    _slot: Option<SuspectSlot>,
+    slot: Option<SuspectSlot>,
 }
 
 impl Relay {
@@ -82,7 +82,7 @@
             current: Some(Current {
                 answer: streaming.answer,
                 backend: streaming.backend,
-                _slot: streaming.slot,
+                slot: streaming.slot,
             }),
             context,
         }
@@ -171,7 +171,7 @@
                 self.current = Some(Current {
                     answer,
                     backend,
-                    _slot: slot,
+                    slot,
                 });
                 return true;
             }
@@ -226,7 +226,8 @@
     fn drop(&mut self) {
         if let Some(current) = self.current.take() {
             let (id, link) = (current.backend.id.clone(), current.backend.link.clone());
-            let given_up = send::unanswered(&self.call, id, link);
+            let mut given_up = send::unanswered(&self.call, id, link);
+            given_up.slot = current.slot;
             crash_evidence::send_given_up(&self.context, given_up);
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,7 +15,7 @@
 use crate::calls::Call;
 use crate::context::Context;
 use crate::crash_evidence::{self, UnansweredSend};
-use crate::crash_guard::{self, SuspectSlot};
+use crate::crash_guard;
 
 /// Longest body of an answer that is read whole before it is passed on.
 const MOST_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -80,8 +80,6 @@
 pub(crate) struct StartedStream {
     pub(crate) answer: Answer,
     pub(crate) backend: ChosenBackend,
-    /// Held while a suspected request runs.
-    pub(crate) slot: Option<SuspectSlot>,
 }
 
 /// Sends a call to a back end and judges the back end by what comes.
@@ -127,6 +125,7 @@
         id: call.id_text(),
         backend,
         link,
+        slot: None,
     }
 }
 
@@ -203,7 +202,6 @@
         return SendOutcome::Streaming(Box::new(StartedStream {
             answer,
             backend: chosen,
-            slot: None,
         }));
     }
     match answer.whole(MOST_ANSWER_BYTES).await {
