Tests: an honest item beside harmful requests with as many ends is barred (fails); only success clears a request

Trace: its ends were w1-3 (beside, barred 2.1 s before with three ends), w2-4 and w3-4 (beside, whose end on w3-4 another node told some 50 ms later). The harmful ones had as many ends as the item, and company at each, so no end counted as explained. The item was never run again, so nothing cleared it.

Also: any answer but a success may be given before a back end begins to run a request, so only success clears (a 4xx did); a back end that says that it leaves while it is watched is held against nobody, also when its next life is listed (a_back_end_that_leaves_in_order_is_held_against_no_request; passes, not seen failing).

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -117,7 +117,12 @@
         return;
     }
     let has_ended = stops_listening(&send.link, time, &mut go_on).await;
-    if has_ended && !is_leaving(&context, &send.backend) {
+    // It may have said so meanwhile.
+    if is_leaving(&context, &send.backend) {
+        report(&context, &send, "was_leaving");
+        return;
+    }
+    if has_ended {
         ended(&context, &send, "nobody_listens").await;
         return;
     }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -212,19 +212,19 @@
     crashes.backend_ended(request, ended, now);
 }
 
-/// A back end answered a request, so that the back end lives. Unless it only failed at it, maybe before it began to
-/// run it, the request can be run.
+/// A back end answered a request, so that the back end lives. If it answered with success, the request can be run; any
+/// other answer may have been given before it began to run it.
 pub(crate) fn answered(
     context: &Arc<Context>,
     backend: &BackendId,
-    is_failure: bool,
+    is_success: bool,
     request: impl FnOnce() -> Fingerprint,
 ) {
     // Nothing is worked out, not even the fingerprint, while nobody is suspected.
     if suspects_nobody(context) {
         return;
     }
-    if !is_failure {
+    if is_success {
         clear(context, backend, request());
     }
     let lives_after_all = {
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -185,8 +185,8 @@
     let request = || fingerprint::of_item(&order.host, &order.spec);
     match end {
         RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => {
-            let is_failure = *end == RunEnd::Failed;
-            crash_guard::answered(context, &backend.id, is_failure, request);
+            let is_success = *end == RunEnd::Whole;
+            crash_guard::answered(context, &backend.id, is_success, request);
         }
         RunEnd::Broken if events < EVENTS_OF_A_SOUND_RUN => {
             let broken = UnansweredSend {
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -151,7 +151,7 @@
     let load = || fingerprint::of_load(&order.model, order.version);
     match (report, given) {
         (Some(report), _) if order.is_taken(report) => {
-            crash_guard::answered(context, &order.backend, false, load);
+            crash_guard::answered(context, &order.backend, true, load);
         }
         (Some(_), _) => {}
         // One that had ended before says nothing of the version.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,9 +111,7 @@
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) if current.answer.is_framed() && self.reader.rest().is_empty() => {
                     let backend = &current.backend.id;
-                    crash_guard::answered(&self.context, backend, false, || {
-                        self.call.fingerprint()
-                    });
+                    crash_guard::answered(&self.context, backend, true, || self.call.fingerprint());
                     self.current = None;
                     return None;
                 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -104,8 +104,8 @@
     judge_backend(context, &backend, &outcome, began);
     match &outcome {
         SendOutcome::Answered(answer) => {
-            let is_failure = answer.status.is_server_error();
-            crash_guard::answered(context, &backend, is_failure, || call.fingerprint());
+            let is_success = answer.status.is_success();
+            crash_guard::answered(context, &backend, is_success, || call.fingerprint());
         }
         SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
             crash_evidence::send_broke(context, unanswered(call, backend, link)).await;
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -153,3 +153,41 @@
     let ended = ended(&deployment.applications);
     assert!(ended <= MOST_ENDS, "{ended} back ends ended");
 }
+
+/// A back end that says that it leaves while it is watched, and ends then, ended under nobody.
+#[tokio::test]
+async fn a_back_end_that_leaves_in_order_is_held_against_no_request() {
+    let deployment = Deployment::start(0, 1).await;
+    let former = deployment.applications[0].clone();
+    former.behave(|told| told.call = CallBehaviour::Silent);
+    let node = deployment.node("a").await;
+    let headers = [("x-id", "leaves"), ("x-deadline", "2000")];
+    let asked = send(
+        node.callers,
+        Method::POST,
+        "/calls/honest",
+        &headers,
+        "call",
+    );
+    let _ = tokio::time::timeout(LEAVES_AFTER, asked).await;
+    deployment
+        .log
+        .write_backends(listed(&former, APPLICATIONS, true));
+    wait_until("the node knows that it leaves", || {
+        let backends = node.context().backends.lock();
+        let record = backends.list.get(&former.id.as_str().into());
+        record.is_some_and(|record| record.draining)
+    })
+    .await;
+    former.end();
+    wait_until("the address is free", || {
+        std::net::TcpListener::bind(former.address).is_ok()
+    })
+    .await;
+    let next = StandInBackend::start_at("next", former.address).await;
+    deployment
+        .log
+        .write_backends(listed(&next, APPLICATIONS, false));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(known_ends(&node), 0);
+}
--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger.rs
@@ -1,7 +1,7 @@
 //! Which requests ended the back ends that ran them, so that no node sends such a request on and on.
 //!
 //! A back end that ends takes everything down that runs there. So a request is *suspected* with its first
-//! end and *barred* after several, and any whole answer of a back end clears it: it can be run. Ends of
+//! end and *barred* after several, and an answer with success clears it: it can be run. Ends of
 //! which another request can be the cause just as well count for less.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +21,9 @@
 /// exactly the same ends: callers try again within it, which tells the two apart. Shorter than the time
 /// within which all nodes must have stopped to send a harmful request.
 pub const DOUBT_MS: Millis = 2_000;
+/// Time after the end that may bar it in which a request that had company at all its ends is neither run nor barred:
+/// what other nodes saw of the same end is told within it.
+pub const SETTLING_MS: Millis = 300;
 /// Most requests that are remembered; 256 take some 30 KB in memory and 20 KB in a checkpoint.
 pub const MOST_REQUESTS: usize = 256;
 /// Most back ends that are remembered of a request.
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -5,7 +5,7 @@
 use havenstage_rollout::control::{ControlRecord, ControlState};
 use havenstage_rollout::crash_ledger::{
     BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, DOUBT_MS, EndedBackend, Fingerprint,
-    ForgottenRequests, MOST_REQUESTS, Suspicion,
+    ForgottenRequests, MOST_REQUESTS, SETTLING_MS, Suspicion,
 };
 use havenstage_rollout::ids::{BackendId, MachineName};
 use havenstage_rollout::stored::Stored;
@@ -39,6 +39,11 @@
     }
 }
 
+fn is_settling(ledger: &CrashLedger, number: u128, now: u64) -> bool {
+    let suspicion = ledger.suspicion(&request(number), now);
+    matches!(suspicion, Suspicion::Suspected { runs_left: 0, .. })
+}
+
 fn is_barred(ledger: &CrashLedger, number: u128) -> bool {
     let suspicion = ledger.suspicion(&request(number), 1_000);
     matches!(suspicion, Suspicion::Barred { .. })
@@ -160,6 +165,57 @@
     );
 }
 
+/// The honest one was beside two harmful ones, of which one had its third end before and the other one's is told
+/// only after its own.
+#[test]
+fn a_request_beside_harmful_ones_with_as_many_ends_is_not_barred() {
+    let (first, second, honest) = (HARMFUL, 2, 3);
+    let mut ledger = ledger();
+    end(&mut ledger, "x", &[first, honest]);
+    end(&mut ledger, "y", &[first, 7]);
+    end(&mut ledger, "z", &[first, 8]);
+    assert!(is_barred(&ledger, first) || is_settling(&ledger, first, 1_000));
+    let mut at = |backend: &str, number, now| {
+        ledger.backend_ended(request(number), ended(backend, "a"), now);
+    };
+    at("u", second, 2_000);
+    at("u", 9, 2_000);
+    at("v", second, 2_000);
+    at("v", honest, 2_000);
+    at("w", 9, 2_050);
+    at("w", honest, 2_050);
+    assert!(matches!(
+        ledger.suspicion(&request(first), 2_050),
+        Suspicion::Barred { .. }
+    ));
+    for now in [2_050, 2_100, 2_050 + SETTLING_MS, 60_000] {
+        if now == 2_100 {
+            ledger.backend_ended(request(second), ended("w", "b"), now);
+        }
+        let suspicion = ledger.suspicion(&request(honest), now);
+        let is_barred = matches!(suspicion, Suspicion::Barred { .. });
+        assert!(!is_barred, "{now}: {suspicion:?}");
+    }
+}
+
+/// Words of other nodes on the same end may be on their way: one that had company at all its ends is neither run
+/// nor barred until they had time to come.
+#[test]
+fn a_request_that_was_never_alone_is_judged_when_all_had_time_to_tell() {
+    let mut ledger = ledger();
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &[HARMFUL, 2]);
+    }
+    let waits = Suspicion::Suspected {
+        ends: 3,
+        runs_left: 0,
+    };
+    assert_eq!(ledger.suspicion(&request(2), 1_000), waits);
+    let settled = 1_000 + SETTLING_MS;
+    assert_eq!(ledger.suspicion(&request(2), settled - 1), waits);
+    assert_ne!(ledger.suspicion(&request(2), settled), waits);
+}
+
 /// Two harmful ones that came together are not sent on for ever while it is not clear which one it is.
 #[test]
 fn doubt_between_requests_with_the_same_ends_does_not_last() {
