Requests that end back ends: an end beside a request with as many ends, earlier, is explained; words may settle

Change: of two with as many ends (alone, then all) the one that had its third end first is the likelier cause. One that had company at its first two ends, and shares not all with another one, is neither run nor barred for 300 ms after the third: calls wait, and are refused as not run if their time is over; items wait. Which requests are newly barred is worked out when it is asked, as some are with time.

--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -84,12 +84,7 @@
     context.control.lock().state.crashes().is_empty()
 }
 
-/// Whether a request must not be sent any more.
-pub(crate) fn is_barred(context: &Context, request: &Fingerprint) -> bool {
-    let suspicion = suspicion(context, request);
-    matches!(suspicion, Suspicion::Barred { .. })
-}
-
+/// What is known against a request.
 pub(crate) fn suspicion(context: &Context, request: &Fingerprint) -> Suspicion {
     let now = context.now();
     context
@@ -150,7 +145,7 @@
 pub(crate) fn tell_newly_barred(context: &Context) {
     let now = context.now();
     let mut control = context.control.lock();
-    let newly = control.state.crashes_mut().take_newly_barred();
+    let newly = control.state.crashes_mut().take_newly_barred(now);
     let crashes = control.state.crashes();
     let told: Vec<(Fingerprint, Suspicion)> = newly
         .into_iter()
--- a/crates/gateway/src/engine/barred.rs
+++ b/crates/gateway/src/engine/barred.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashSet;
 
-use havenstage_rollout::crash_ledger::Fingerprint;
+use havenstage_rollout::crash_ledger::{Fingerprint, Suspicion};
 use havenstage_rollout::schedule::WaitingItem;
 
 use super::Engine;
@@ -16,7 +16,7 @@
 const MOST_TOLD: usize = 1_024;
 
 impl Engine {
-    /// Those of the waiting items that must not be run.
+    /// Those of the waiting items that must not be run, or not yet.
     pub(super) fn barred_items(&mut self, waiting: &[WaitingItem]) -> HashSet<ItemKey> {
         let may_bar = self.context.control.lock().state.crashes().may_bar();
         if !may_bar {
@@ -28,9 +28,16 @@
             let Some(request) = self.fingerprint_of(&key) else {
                 continue;
             };
-            if crash_guard::is_barred(&self.context, &request) {
-                self.tell_barred(&key, &request);
-                barred.insert(key);
+            match crash_guard::suspicion(&self.context, &request) {
+                Suspicion::Barred { .. } => {
+                    self.tell_barred(&key, &request);
+                    barred.insert(key);
+                }
+                Suspicion::Suspected { runs_left: 0, .. } => {
+                    barred.insert(key);
+                }
+                Suspicion::None | Suspicion::Suspected { .. } | Suspicion::LeftToAnother { .. } => {
+                }
             }
         }
         barred
--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger.rs
@@ -4,6 +4,7 @@
 //! end and *barred* after several, and an answer with success clears it: it can be run. Ends of
 //! which another request can be the cause just as well count for less.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -21,8 +22,8 @@
 /// exactly the same ends: callers try again within it, which tells the two apart. Shorter than the time
 /// within which all nodes must have stopped to send a harmful request.
 pub const DOUBT_MS: Millis = 2_000;
-/// Time after the end that may bar it in which a request that had company at all its ends is neither run nor barred:
-/// what other nodes saw of the same end is told within it.
+/// Time after the end that may bar it in which a request that had company at the ends before is neither run nor
+/// barred: what other nodes saw of the same end is told within it.
 pub const SETTLING_MS: Millis = 300;
 /// Most requests that are remembered; 256 take some 30 KB in memory and 20 KB in a checkpoint.
 pub const MOST_REQUESTS: usize = 256;
@@ -95,7 +96,7 @@
     Suspected {
         /// Ends.
         ends: usize,
-        /// Runs that may be under way before it is barred.
+        /// Runs that may be under way before it is barred; none for a moment while others may still tell of an end.
         runs_left: usize,
     },
     /// Another one is the likelier cause of its ends, but it may be harmful too: one machine tries it, another
@@ -154,7 +155,6 @@
     /// Which of them ran at each back end when it ended.
     running_at: BTreeMap<BackendId, Vec<Fingerprint>>,
     told_barred: BTreeSet<Fingerprint>,
-    newly_barred: Vec<Fingerprint>,
     forgotten: ForgottenRequests,
 }
 
@@ -166,7 +166,6 @@
             suspects: BTreeMap::new(),
             running_at: BTreeMap::new(),
             told_barred: BTreeSet::new(),
-            newly_barred: Vec::new(),
             forgotten: ForgottenRequests::default(),
         }
     }
@@ -231,12 +230,6 @@
         }
         let running = self.running_at.entry(backend).or_default();
         running.push(request);
-        // The others there may be the less suspicious for it.
-        for request in running.clone() {
-            if self.is_barred(&request, now) && self.told_barred.insert(request) {
-                self.newly_barred.push(request);
-            }
-        }
     }
 
     /// A back end answered a request, so that it can be run; answers whether anything was known against it.
@@ -275,7 +268,10 @@
                 age_ms: now.saturating_sub(suspect.last_end),
             };
         }
-        match self.runs_left(suspect, now) {
+        match self.runs_left(request, suspect, now) {
+            0 if self.is_settling(request, suspect, now) => {
+                Suspicion::Suspected { ends, runs_left: 0 }
+            }
             0 => Suspicion::LeftToAnother { ends },
             runs_left => Suspicion::Suspected { ends, runs_left },
         }
@@ -294,9 +290,17 @@
         suspects.any(|suspect| suspect.ended.len() >= BAR_AFTER_ENDS)
     }
 
-    /// Requests that were barred since the last call.
-    pub fn take_newly_barred(&mut self) -> Vec<Fingerprint> {
-        std::mem::take(&mut self.newly_barred)
+    /// Requests that were barred since the last call, by what was told or as time passed.
+    pub fn take_newly_barred(&mut self, now: Millis) -> Vec<Fingerprint> {
+        let suspects = self.suspects.iter();
+        let barred: Vec<Fingerprint> = suspects
+            .filter(|(request, suspect)| {
+                !self.told_barred.contains(request) && self.is_culprit(request, suspect, now)
+            })
+            .map(|(request, _)| *request)
+            .collect();
+        self.told_barred.extend(&barred);
+        barred
     }
 
     /// Forgets what nothing was heard of for long.
@@ -318,17 +322,15 @@
         }
     }
 
-    fn is_barred(&self, request: &Fingerprint, now: Millis) -> bool {
-        let suspect = self.suspects.get(request);
-        suspect.is_some_and(|suspect| self.is_culprit(request, suspect, now))
-    }
-
     /// Runs of a request that is not barred that may be under way here together, as if each ended its back end.
-    fn runs_left(&self, suspect: &Suspect, now: Millis) -> usize {
+    fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
         let ends = suspect.ended.len();
         if ends < BAR_AFTER_ENDS {
             return BAR_AFTER_ENDS - ends;
         }
+        if self.is_settling(request, suspect, now) {
+            return 0;
+        }
         match is_in_doubt(suspect, now) {
             true => BAR_AFTER_SHARED_ENDS - ends,
             false => usize::from(self.may_try(suspect)),
@@ -344,12 +346,26 @@
         if ends >= BAR_AFTER_SHARED_ENDS {
             return true;
         }
+        if self.is_settling(request, suspect, now) {
+            return false;
+        }
         let is_beside_likelier = self.unexplained_ends(request, suspect) < BAR_AFTER_ENDS;
         let may_be_another =
             is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
         !is_beside_likelier && !may_be_another
     }
 
+    /// Whether others' words on the ends that may bar a request may be on their way: an end is seen by each node that
+    /// had sent there. One that was alone at an end was there with nobody who could be the cause as well; where another
+    /// one is known to share all ends, what is missing is another try.
+    fn is_settling(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
+        let is_recent = now.saturating_sub(suspect.told_at) < SETTLING_MS;
+        suspect.ended.len() == BAR_AFTER_ENDS
+            && is_recent
+            && !self.was_alone_before_the_last(suspect)
+            && !self.another_shares_all_of(request, suspect)
+    }
+
     /// Whether this machine is the one that may try a request which may be harmful, one run at a time. Others
     /// would send it at the same moment: in a soaked seed four did, more than 3 s after the third end.
     fn may_try(&self, suspect: &Suspect) -> bool {
@@ -359,22 +375,43 @@
 
     /// Ends at which no request was that is a likelier cause.
     fn unexplained_ends(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
-        let weight = self.weight(suspect);
         let unexplained = suspect.ended.iter().filter(|ended| {
             let mut others = self.others_at(&ended.backend, request);
-            !others.any(|other| self.weight(other) > weight)
+            !others.any(|other| self.is_likelier(other, suspect))
         });
         unexplained.count()
     }
 
-    /// How likely a request is the cause of its ends: by those at which no other one was, then by all.
-    fn weight(&self, suspect: &Suspect) -> (usize, usize) {
-        let is_alone = |ended: &&EndedBackend| {
-            let running = self.running_at.get(&ended.backend);
-            running.is_none_or(|running| running.len() == 1)
-        };
-        let alone = suspect.ended.iter().filter(is_alone).count();
-        (alone, suspect.ended.len())
+    /// Whether a request is a likelier cause than another one: by the ends at which no other was, then by all, then
+    /// as the first of them that had so many. Without the last an honest item that had been beside harmful ones with
+    /// as many ends was barred for good in a soaked seed.
+    fn is_likelier(&self, one: &Suspect, than: &Suspect) -> bool {
+        let weight = |suspect: &Suspect| (self.ends_alone(suspect), suspect.ended.len());
+        match weight(one).cmp(&weight(than)) {
+            Ordering::Greater => true,
+            Ordering::Equal => one.told_at < than.told_at,
+            Ordering::Less => false,
+        }
+    }
+
+    /// Whether a request was alone at an end before its last one, of which others may still tell.
+    fn was_alone_before_the_last(&self, suspect: &Suspect) -> bool {
+        let (_last, earlier) = suspect.ended.split_last().unzip();
+        let mut earlier = earlier.into_iter().flatten();
+        earlier.any(|ended| self.was_alone_at(&ended.backend))
+    }
+
+    /// Ends at which no other request was.
+    fn ends_alone(&self, suspect: &Suspect) -> usize {
+        let ended = suspect.ended.iter();
+        ended
+            .filter(|ended| self.was_alone_at(&ended.backend))
+            .count()
+    }
+
+    fn was_alone_at(&self, backend: &BackendId) -> bool {
+        let running = self.running_at.get(backend);
+        running.is_none_or(|running| running.len() == 1)
     }
 
     /// Other requests that ran at a back end when it ended.
