Requests that end back ends: who had its ends first outlives a checkpoint; the judgement has a module of its own

Cause: which of two requests with as many ends was the first was told by the reader's own time, which is the same for all of them after a start from a checkpoint: a restarted node took an honest item for the cause again. Seen failing with times in place of the order: a_checkpoint_keeps_who_had_its_ends_first. All tests of rollout and gateway: 0 failed; clippy clean.

--- /dev/null
+++ b/crates/rollout/src/crash_ledger/blame.rs
@@ -0,0 +1,132 @@
+//! Which of the requests that were there is the cause of an end, as far as can be told.
+
+use std::cmp::Ordering;
+
+use super::{
+    BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, DOUBT_MS, Fingerprint, SETTLING_MS, Suspect,
+};
+use crate::Millis;
+use crate::ids::BackendId;
+
+impl CrashLedger {
+    /// Runs of a request that is not barred that may be under way here together, as if each ended its back end.
+    pub(super) fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
+        let ends = suspect.ended.len();
+        if ends < BAR_AFTER_ENDS {
+            return BAR_AFTER_ENDS - ends;
+        }
+        if self.is_settling(request, suspect, now) {
+            return 0;
+        }
+        match is_in_doubt(suspect, now) {
+            true => BAR_AFTER_SHARED_ENDS - ends,
+            false => usize::from(self.may_try(suspect)),
+        }
+    }
+
+    /// Whether a request is the cause of its ends, as far as can be told.
+    pub(super) fn is_culprit(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
+        let ends = suspect.ended.len();
+        if ends < BAR_AFTER_ENDS {
+            return false;
+        }
+        if ends >= BAR_AFTER_SHARED_ENDS {
+            return true;
+        }
+        if self.is_settling(request, suspect, now) {
+            return false;
+        }
+        let is_beside_likelier = self.unexplained_ends(request, suspect) < BAR_AFTER_ENDS;
+        let may_be_another =
+            is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
+        !is_beside_likelier && !may_be_another
+    }
+
+    /// Whether others' words on the ends that may bar a request may be on their way: an end is seen by each node that
+    /// had sent there. One that was alone at an end was there with nobody who could be the cause as well; where another
+    /// one is known to share all ends, what is missing is another try.
+    pub(super) fn is_settling(
+        &self,
+        request: &Fingerprint,
+        suspect: &Suspect,
+        now: Millis,
+    ) -> bool {
+        let is_recent = now.saturating_sub(suspect.told_at) < SETTLING_MS;
+        suspect.ended.len() == BAR_AFTER_ENDS
+            && is_recent
+            && !self.was_alone_before_the_last(suspect)
+            && !self.another_shares_all_of(request, suspect)
+    }
+
+    /// Whether this machine is the one that may try a request which may be harmful, one run at a time. Others
+    /// would send it at the same moment: in a soaked seed four did, more than 3 s after the third end.
+    fn may_try(&self, suspect: &Suspect) -> bool {
+        let seen_by = suspect.ended.iter().map(|ended| &ended.seen_by);
+        seen_by.min() == Some(&self.own_machine)
+    }
+
+    /// Ends at which no request was that is a likelier cause.
+    fn unexplained_ends(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
+        let unexplained = suspect.ended.iter().filter(|ended| {
+            let mut others = self.others_at(&ended.backend, request);
+            !others.any(|other| self.is_likelier(other, suspect))
+        });
+        unexplained.count()
+    }
+
+    /// Whether a request is a likelier cause than another one: by the ends at which no other was, then by all, then
+    /// as the first of them that had so many. Without the last an honest item that had been beside harmful ones with
+    /// as many ends was barred for good in a soaked seed.
+    fn is_likelier(&self, one: &Suspect, than: &Suspect) -> bool {
+        let weight = |suspect: &Suspect| (self.ends_alone(suspect), suspect.ended.len());
+        match weight(one).cmp(&weight(than)) {
+            Ordering::Greater => true,
+            Ordering::Equal => one.told_order < than.told_order,
+            Ordering::Less => false,
+        }
+    }
+
+    /// Whether a request was alone at an end before its last one, of which others may still tell.
+    fn was_alone_before_the_last(&self, suspect: &Suspect) -> bool {
+        let (_last, earlier) = suspect.ended.split_last().unzip();
+        let mut earlier = earlier.into_iter().flatten();
+        earlier.any(|ended| self.was_alone_at(&ended.backend))
+    }
+
+    /// Ends at which no other request was.
+    fn ends_alone(&self, suspect: &Suspect) -> usize {
+        let ended = suspect.ended.iter();
+        ended
+            .filter(|ended| self.was_alone_at(&ended.backend))
+            .count()
+    }
+
+    fn was_alone_at(&self, backend: &BackendId) -> bool {
+        let running = self.running_at.get(backend);
+        running.is_none_or(|running| running.len() == 1)
+    }
+
+    /// Other requests that ran at a back end when it ended.
+    fn others_at<'a>(
+        &'a self,
+        backend: &BackendId,
+        request: &'a Fingerprint,
+    ) -> impl Iterator<Item = &'a Suspect> {
+        let running = self.running_at.get(backend).into_iter().flatten();
+        let others = running.filter(move |other| *other != request);
+        others.filter_map(|other| self.suspects.get(other))
+    }
+
+    fn another_shares_all_of(&self, request: &Fingerprint, suspect: &Suspect) -> bool {
+        let first = suspect.ended.first();
+        let mut others = first
+            .into_iter()
+            .flat_map(|first| self.others_at(&first.backend, request));
+        others.any(|other| other.shares_all_of(suspect))
+    }
+}
+
+/// Whether callers may not yet have come again since the end that may bar a request.
+fn is_in_doubt(suspect: &Suspect, now: Millis) -> bool {
+    now.saturating_sub(suspect.told_at) < DOUBT_MS
+}
--- a/crates/rollout/src/crash_ledger.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -4,7 +4,8 @@
 //! end and *barred* after several, and an answer with success clears it: it can be run. Ends of
 //! which another request can be the cause just as well count for less.
 
-use std::cmp::Ordering;
+mod blame;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -133,6 +134,8 @@
     last_end: Millis,
     /// When the end was heard of that may bar it.
     told_at: Millis,
+    /// Its place among all requests by when that was. Unlike times it outlives a checkpoint.
+    told_order: u64,
     last_news: Millis,
 }
 
@@ -155,6 +158,7 @@
     /// Which of them ran at each back end when it ended.
     running_at: BTreeMap<BackendId, Vec<Fingerprint>>,
     told_barred: BTreeSet<Fingerprint>,
+    next_order: u64,
     forgotten: ForgottenRequests,
 }
 
@@ -166,6 +170,7 @@
             suspects: BTreeMap::new(),
             running_at: BTreeMap::new(),
             told_barred: BTreeSet::new(),
+            next_order: 0,
             forgotten: ForgottenRequests::default(),
         }
     }
@@ -181,10 +186,12 @@
         ledger
     }
 
-    /// What a checkpoint keeps.
+    /// What a checkpoint keeps, in the order in which it is to be taken up again.
     pub fn checkpoint(&self) -> Vec<CrashCheckpoint> {
-        let suspects = self.suspects.iter();
+        let mut suspects: Vec<(&Fingerprint, &Suspect)> = self.suspects.iter().collect();
+        suspects.sort_by_key(|(_, suspect)| suspect.told_order);
         suspects
+            .into_iter()
             .map(|(request, suspect)| CrashCheckpoint {
                 request: *request,
                 ended: suspect.ended.clone(),
@@ -216,6 +223,7 @@
             ended: Vec::new(),
             last_end: now,
             told_at: now,
+            told_order: 0,
             last_news: now,
         });
         if suspect.names(&ended.backend) || suspect.ended.len() >= MOST_BACKENDS {
@@ -227,6 +235,8 @@
         suspect.last_news = now;
         if suspect.ended.len() <= BAR_AFTER_ENDS {
             suspect.told_at = now;
+            suspect.told_order = self.next_order;
+            self.next_order += 1;
         }
         let running = self.running_at.entry(backend).or_default();
         running.push(request);
@@ -322,117 +332,6 @@
         }
     }
 
-    /// Runs of a request that is not barred that may be under way here together, as if each ended its back end.
-    fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
-        let ends = suspect.ended.len();
-        if ends < BAR_AFTER_ENDS {
-            return BAR_AFTER_ENDS - ends;
-        }
-        if self.is_settling(request, suspect, now) {
-            return 0;
-        }
-        match is_in_doubt(suspect, now) {
-            true => BAR_AFTER_SHARED_ENDS - ends,
-            false => usize::from(self.may_try(suspect)),
-        }
-    }
-
-    /// Whether a request is the cause of its ends, as far as can be told.
-    fn is_culprit(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
-        let ends = suspect.ended.len();
-        if ends < BAR_AFTER_ENDS {
-            return false;
-        }
-        if ends >= BAR_AFTER_SHARED_ENDS {
-            return true;
-        }
-        if self.is_settling(request, suspect, now) {
-            return false;
-        }
-        let is_beside_likelier = self.unexplained_ends(request, suspect) < BAR_AFTER_ENDS;
-        let may_be_another =
-            is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
-        !is_beside_likelier && !may_be_another
-    }
-
-    /// Whether others' words on the ends that may bar a request may be on their way: an end is seen by each node that
-    /// had sent there. One that was alone at an end was there with nobody who could be the cause as well; where another
-    /// one is known to share all ends, what is missing is another try.
-    fn is_settling(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
-        let is_recent = now.saturating_sub(suspect.told_at) < SETTLING_MS;
-        suspect.ended.len() == BAR_AFTER_ENDS
-            && is_recent
-            && !self.was_alone_before_the_last(suspect)
-            && !self.another_shares_all_of(request, suspect)
-    }
-
-    /// Whether this machine is the one that may try a request which may be harmful, one run at a time. Others
-    /// would send it at the same moment: in a soaked seed four did, more than 3 s after the third end.
-    fn may_try(&self, suspect: &Suspect) -> bool {
-        let seen_by = suspect.ended.iter().map(|ended| &ended.seen_by);
-        seen_by.min() == Some(&self.own_machine)
-    }
-
-    /// Ends at which no request was that is a likelier cause.
-    fn unexplained_ends(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
-        let unexplained = suspect.ended.iter().filter(|ended| {
-            let mut others = self.others_at(&ended.backend, request);
-            !others.any(|other| self.is_likelier(other, suspect))
-        });
-        unexplained.count()
-    }
-
-    /// Whether a request is a likelier cause than another one: by the ends at which no other was, then by all, then
-    /// as the first of them that had so many. Without the last an honest item that had been beside harmful ones with
-    /// as many ends was barred for good in a soaked seed.
-    fn is_likelier(&self, one: &Suspect, than: &Suspect) -> bool {
-        let weight = |suspect: &Suspect| (self.ends_alone(suspect), suspect.ended.len());
-        match weight(one).cmp(&weight(than)) {
-            Ordering::Greater => true,
-            Ordering::Equal => one.told_at < than.told_at,
-            Ordering::Less => false,
-        }
-    }
-
-    /// Whether a request was alone at an end before its last one, of which others may still tell.
-    fn was_alone_before_the_last(&self, suspect: &Suspect) -> bool {
-        let (_last, earlier) = suspect.ended.split_last().unzip();
-        let mut earlier = earlier.into_iter().flatten();
-        earlier.any(|ended| self.was_alone_at(&ended.backend))
-    }
-
-    /// Ends at which no other request was.
-    fn ends_alone(&self, suspect: &Suspect) -> usize {
-        let ended = suspect.ended.iter();
-        ended
-            .filter(|ended| self.was_alone_at(&ended.backend))
-            .count()
-    }
-
-    fn was_alone_at(&self, backend: &BackendId) -> bool {
-        let running = self.running_at.get(backend);
-        running.is_none_or(|running| running.len() == 1)
-    }
-
-    /// Other requests that ran at a back end when it ended.
-    fn others_at<'a>(
-        &'a self,
-        backend: &BackendId,
-        request: &'a Fingerprint,
-    ) -> impl Iterator<Item = &'a Suspect> {
-        let running = self.running_at.get(backend).into_iter().flatten();
-        let others = running.filter(move |other| *other != request);
-        others.filter_map(|other| self.suspects.get(other))
-    }
-
-    fn another_shares_all_of(&self, request: &Fingerprint, suspect: &Suspect) -> bool {
-        let first = suspect.ended.first();
-        let mut others = first
-            .into_iter()
-            .flat_map(|first| self.others_at(&first.backend, request));
-        others.any(|other| other.shares_all_of(suspect))
-    }
-
     /// Makes room: first for the least suspicious ones, then for those nothing was heard of for longest.
     fn evict_one(&mut self, now: Millis) {
         let least = self.suspects.iter().min_by_key(|(request, suspect)| {
@@ -463,8 +362,3 @@
         true
     }
 }
-
-/// Whether callers may not yet have come again since the end that may bar a request.
-fn is_in_doubt(suspect: &Suspect, now: Millis) -> bool {
-    now.saturating_sub(suspect.told_at) < DOUBT_MS
-}
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -327,6 +327,32 @@
     assert!(is_barred(state.crashes(), HARMFUL));
 }
 
+/// Which of two with as many ends was the first to have them decides; a node that starts must not turn it round.
+#[test]
+fn a_checkpoint_keeps_who_had_its_ends_first() {
+    let (harmful, honest) = (20, 3);
+    let mut ledger = ledger();
+    for (backend, running) in [
+        ("x", [harmful, honest]),
+        ("y", [harmful, 7]),
+        ("z", [harmful, 8]),
+    ] {
+        end(&mut ledger, backend, &running);
+    }
+    for (backend, running) in [("u", [9, honest]), ("v", [9, honest])] {
+        end(&mut ledger, backend, &running);
+    }
+    let restored = CrashLedger::restored(MachineName::from("c"), ledger.checkpoint(), 5_000);
+    let settled = 5_000 + SETTLING_MS;
+    let suspicion = |number| restored.suspicion(&request(number), settled);
+    assert!(matches!(suspicion(harmful), Suspicion::Barred { .. }));
+    let of_honest = suspicion(honest);
+    assert!(
+        !matches!(of_honest, Suspicion::Barred { .. }),
+        "{of_honest:?}"
+    );
+}
+
 /// While a release goes on, nodes read checkpoints of nodes that know nothing of such requests.
 #[test]
 fn a_checkpoint_of_the_form_before_is_read_too() {
