--- a/crates/gateway/tests/callers_that_leave.rs
+++ b/crates/gateway/tests/callers_that_leave.rs
@@ -12,86 +12,16 @@
 use log::kv::Key;
 use log::{Log, Metadata, Record};
 use socket2::SockRef;
-use support::backend::{CallBehaviour, StandInBackend};
+use support::backend::CallBehaviour;
 use support::caller::{call, submit};
-use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, routing, wait_until};
+use support::deployment::{APPLICATIONS, Deployment, listed, routing, wait_until};
 use support::dialect::write_batch;
+use support::leaving::{
+    CALLS, LATER, PROMISED, STREAMS, at_work, connect, expect_an_end, request, send_bytes, sends,
+    silent_deployment, wait_for_sends,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-
-/// Time within which back ends are rid of the request of a caller that left.
-const PROMISED: Duration = Duration::from_millis(500);
-/// Longer than any further send would take to begin: half of the routes' objective and some more.
-const LATER: Duration = Duration::from_millis(900);
-/// Paths of calls that may be repeated, and of those that run at most once.
-const CALLS: [&str; 2] = ["/calls/path", "/once/path"];
-/// Paths of streams that may go on elsewhere, and of those that may not.
-const STREAMS: [&str; 2] = ["/streams/s", "/streams/once/s"];
-
-fn request(path: &str, id: &str, more: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: host.test\r\nx-id: {id}\r\nx-deadline: 20000\r\n{more}\
-         content-length: 4\r\n\r\nbody"
-    )
-}
-
-async fn connect(node: &TestNode) -> TcpStream {
-    let stream = TcpStream::connect(node.callers).await.unwrap();
-    stream.set_nodelay(true).unwrap();
-    stream
-}
-
-/// Sends bytes on a new connection, which is returned.
-async fn send_bytes(node: &TestNode, bytes: &str) -> TcpStream {
-    let mut stream = connect(node).await;
-    stream.write_all(bytes.as_bytes()).await.unwrap();
-    stream
-}
-
-fn backends(deployment: &Deployment) -> impl Iterator<Item = &std::sync::Arc<StandInBackend>> {
-    deployment.applications.iter().chain(&deployment.engines)
-}
-
-fn at_work(deployment: &Deployment) -> usize {
-    backends(deployment).map(|backend| backend.at_work()).sum()
-}
-
-fn sends(deployment: &Deployment) -> usize {
-    backends(deployment)
-        .map(|backend| backend.seen().len())
-        .sum()
-}
-
-async fn wait_for_sends(deployment: &Deployment, count: usize) {
-    wait_until("the request has come to back ends", || {
-        sends(deployment) >= count && at_work(deployment) > 0
-    })
-    .await;
-}
-
-/// The caller has just left: back ends drop its request in time, and it is not sent again.
-async fn expect_an_end(deployment: &Deployment, what: &str) {
-    let left = Instant::now();
-    while at_work(deployment) > 0 {
-        let count = at_work(deployment);
-        assert!(
-            left.elapsed() < PROMISED,
-            "{what}: {count} still at work after {PROMISED:?}"
-        );
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    let sent = sends(deployment);
-    tokio::time::sleep(LATER).await;
-    assert_eq!(sends(deployment), sent, "{what}: sent again");
-}
-
-/// One back end of each kind; calls get no answer, and streams no event.
-async fn silent_deployment() -> Deployment {
-    let deployment = Deployment::start(1, 1).await;
-    deployment.applications[0].behave(|told| told.call = CallBehaviour::Silent);
-    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(60));
-    deployment
-}
+use tokio::net::TcpListener;
 
 #[tokio::test]
 async fn a_call_ends_with_its_caller() {
@@ -224,86 +154,6 @@
     assert_eq!(sends(&deployment), 2);
 }
 
-#[tokio::test]
-async fn a_stream_ends_with_its_caller_before_its_first_event() {
-    for path in STREAMS {
-        let deployment = silent_deployment().await;
-        let node = deployment.node("a").await;
-        let caller = send_bytes(&node, &request(path, "left", "")).await;
-        wait_for_sends(&deployment, 1).await;
-        drop(caller);
-        expect_an_end(&deployment, path).await;
-    }
-}
-
-/// Reads until the bytes of an event have come.
-async fn read_event(caller: &mut TcpStream, event: &str) {
-    let mut text = String::new();
-    let mut bytes = vec![0; 4_096];
-    while !text.contains(event) {
-        let read = caller.read(&mut bytes).await.unwrap();
-        assert!(read > 0, "the answer ended with {text:?}");
-        text.push_str(&String::from_utf8_lossy(&bytes[..read]));
-    }
-}
-
-#[tokio::test]
-async fn a_stream_ends_with_its_caller_midway() {
-    for path in STREAMS {
-        let deployment = Deployment::start(1, 0).await;
-        let node = deployment.node("a").await;
-        deployment.engines[0].behave(|told| told.event_pause = Duration::from_millis(900));
-        let mut caller = send_bytes(&node, &request(path, "left", "")).await;
-        read_event(&mut caller, "s.1").await;
-        drop(caller);
-        expect_an_end(&deployment, path).await;
-    }
-}
-
-#[tokio::test]
-async fn a_stream_that_went_on_elsewhere_ends_with_its_caller() {
-    let deployment = Deployment::start(2, 0).await;
-    let node = deployment.node("a").await;
-    for engine in &deployment.engines {
-        engine.behave(|told| {
-            told.breaks_after = Some(1);
-            told.event_pause = Duration::from_millis(600);
-        });
-    }
-    let mut caller = send_bytes(&node, &request("/streams/s", "left", "")).await;
-    read_event(&mut caller, "s.1").await;
-    wait_for_sends(&deployment, 2).await;
-    drop(caller);
-    expect_an_end(&deployment, "resumed").await;
-    assert_eq!(sends(&deployment), 2);
-}
-
-/// Sends a request for a stream longer than all buffers on its way and reads nothing, until the stream
-/// stands still.
-async fn stop_reading(deployment: &Deployment, node: &TestNode, path: &str) -> TcpStream {
-    deployment.engines[0].behave(|told| {
-        told.event_pause = Duration::ZERO;
-        told.events = 2_000;
-        told.event_padding = 32 << 10;
-    });
-    let caller = send_bytes(node, &request(path, "left", "")).await;
-    wait_for_sends(deployment, 1).await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(at_work(deployment), 1, "the stream stands still");
-    caller
-}
-
-#[tokio::test]
-async fn a_stream_ends_with_a_caller_that_had_stopped_reading() {
-    for path in STREAMS {
-        let deployment = Deployment::start(1, 0).await;
-        let node = deployment.node("a").await;
-        let caller = stop_reading(&deployment, &node, path).await;
-        drop(caller);
-        expect_an_end(&deployment, path).await;
-    }
-}
-
 /// A caller that shuts down its writing side only is taken as one that left: a close of both sides
 /// begins with the same segment, so a server cannot tell the two apart.
 #[tokio::test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,5 +6,7 @@
 pub mod deployment;
 pub mod dialect;
 pub mod ends;
+pub mod leaving;
 pub mod log;
+pub mod log_faults;
 pub mod suspension;
