Requests that end back ends: an honest request with as many ends excuses no harmful one

Cause: "the first with as many ends is the likelier cause" let honest items, which share ends with harmful requests, excuse these.

Change: only an earlier one that is itself the cause of its ends explains others' ends, and not those of one that was at just the same. Requests as likely are judged in the order in which they had their ends. Test: an_honest_request_excuses_no_harmful_one, seen failing before for ends that overlap; crash_ledger 17, crashing_requests 10, missed_ends 7, harmful_versions 1: all passed.

--- a/crates/rollout/src/crash_ledger/blame.rs
+++ b/crates/rollout/src/crash_ledger/blame.rs
@@ -1,7 +1,5 @@
 //! Which of the requests that were there is the cause of an end, as far as can be told.
 
-use std::cmp::Ordering;
-
 use super::{
     BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, DOUBT_MS, Fingerprint, SETTLING_MS, Suspect,
 };
@@ -30,16 +28,49 @@
         if ends < BAR_AFTER_ENDS {
             return false;
         }
-        if ends >= BAR_AFTER_SHARED_ENDS {
+        let earlier = self.earlier_culprits(suspect, now);
+        self.is_culprit_beside(request, suspect, &earlier, now)
+    }
+
+    /// Of the requests that are as likely a cause as this one and had their ends before: those that are the cause of
+    /// theirs. Judged one after the other, so that none excuses another one for what a third one explains.
+    fn earlier_culprits(&self, suspect: &Suspect, now: Millis) -> Vec<&Suspect> {
+        let weight = self.weight(suspect);
+        let mut peers: Vec<(&Fingerprint, &Suspect)> = self
+            .suspects
+            .iter()
+            .filter(|(_, peer)| peer.ended.len() >= BAR_AFTER_ENDS)
+            .filter(|(_, peer)| peer.told_order < suspect.told_order)
+            .filter(|(_, peer)| self.weight(peer) == weight)
+            .collect();
+        peers.sort_by_key(|(_, peer)| peer.told_order);
+        let mut culprits = Vec::new();
+        for (request, peer) in peers {
+            if self.is_culprit_beside(request, peer, &culprits, now) {
+                culprits.push(peer);
+            }
+        }
+        culprits
+    }
+
+    /// Whether a request with ends enough is their cause, given which others are that had as many before.
+    fn is_culprit_beside(
+        &self,
+        request: &Fingerprint,
+        suspect: &Suspect,
+        earlier_culprits: &[&Suspect],
+        now: Millis,
+    ) -> bool {
+        if suspect.ended.len() >= BAR_AFTER_SHARED_ENDS {
             return true;
         }
         if self.is_settling(request, suspect, now) {
             return false;
         }
-        let is_beside_likelier = self.unexplained_ends(request, suspect) < BAR_AFTER_ENDS;
+        let unexplained = self.unexplained_ends(request, suspect, earlier_culprits);
         let may_be_another =
             is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
-        !is_beside_likelier && !may_be_another
+        unexplained >= BAR_AFTER_ENDS && !may_be_another
     }
 
     /// Whether others' words on the ends that may bar a request may be on their way: an end is seen by each node that
@@ -65,25 +96,32 @@
         seen_by.min() == Some(&self.own_machine)
     }
 
-    /// Ends at which no request was that is a likelier cause.
-    fn unexplained_ends(&self, request: &Fingerprint, suspect: &Suspect) -> usize {
+    /// Ends at which no request was that is a likelier cause. Of two that are as likely the earlier one explains what
+    /// both were at, if it is the cause of its own and not just of the same: without this an honest item that had been
+    /// beside harmful ones with as many ends was barred for good in a soaked seed.
+    fn unexplained_ends(
+        &self,
+        request: &Fingerprint,
+        suspect: &Suspect,
+        earlier_culprits: &[&Suspect],
+    ) -> usize {
+        let weight = self.weight(suspect);
+        let explainers: Vec<&&Suspect> = earlier_culprits
+            .iter()
+            .filter(|culprit| !culprit.shares_all_of(suspect))
+            .collect();
         let unexplained = suspect.ended.iter().filter(|ended| {
             let mut others = self.others_at(&ended.backend, request);
-            !others.any(|other| self.is_likelier(other, suspect))
+            let is_beside_likelier = others.any(|other| self.weight(other) > weight);
+            let mut explainers = explainers.iter();
+            !is_beside_likelier && !explainers.any(|culprit| culprit.names(&ended.backend))
         });
         unexplained.count()
     }
 
-    /// Whether a request is a likelier cause than another one: by the ends at which no other was, then by all, then
-    /// as the first of them that had so many. Without the last an honest item that had been beside harmful ones with
-    /// as many ends was barred for good in a soaked seed.
-    fn is_likelier(&self, one: &Suspect, than: &Suspect) -> bool {
-        let weight = |suspect: &Suspect| (self.ends_alone(suspect), suspect.ended.len());
-        match weight(one).cmp(&weight(than)) {
-            Ordering::Greater => true,
-            Ordering::Equal => one.told_order < than.told_order,
-            Ordering::Less => false,
-        }
+    /// How likely a request is the cause of its ends: by those at which no other one was, then by all.
+    fn weight(&self, suspect: &Suspect) -> (usize, usize) {
+        (self.ends_alone(suspect), suspect.ended.len())
     }
 
     /// Whether a request was alone at an end before its last one, of which others may still tell.
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -198,6 +198,36 @@
     }
 }
 
+/// An honest request that had as many ends before a harmful one does not excuse it: its own ends are explained, or
+/// it was at exactly the same ones.
+#[test]
+fn an_honest_request_excuses_no_harmful_one() {
+    let (first, honest) = (2, 3);
+    let harmful_ends = ["b", "c", "d"];
+    for honest_ends in [["a", "b", "c"], harmful_ends] {
+        let mut ledger = ledger();
+        let mut at = |backend: &str, number| {
+            ledger.backend_ended(request(number), ended(backend, "b"), 1_000);
+        };
+        for (backend, other) in [("x", 7), ("y", 8), ("a", 9)] {
+            at(backend, other);
+            at(backend, first);
+        }
+        for backend in honest_ends {
+            at(backend, honest);
+        }
+        for backend in harmful_ends {
+            at(backend, HARMFUL);
+            at(backend, 10 + u128::from(backend.as_bytes()[0]));
+        }
+        let suspicion = ledger.suspicion(&request(HARMFUL), 1_000 + DOUBT_MS);
+        assert!(
+            matches!(suspicion, Suspicion::Barred { .. }),
+            "{honest_ends:?}: {suspicion:?}"
+        );
+    }
+}
+
 /// Words of other nodes on the same end may be on their way: one that had company at all its ends is neither run
 /// nor barred until they had time to come.
 #[test]
