Tests: an honest request beside five harmful ones is not barred (known red)

Trace: two harmful requests (5 and 6 ends, never alone) ended w2-4, w3-5, w1-4, w2-5 and w3-6, where 14 to 30 items and calls ran each time; five ends bar whoever was there. The test is the plain case of that rule: each end has a likelier cause that is barred by itself. Seen failing.

--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -198,6 +198,30 @@
     }
 }
 
+/// In a small pool one batch saw five engines end within seconds, each under another harmful request.
+#[test]
+fn an_honest_request_beside_five_harmful_ones_is_not_barred() {
+    let (honest, other) = (20, 21);
+    let mut ledger = ledger();
+    for harmful in 1..=5 {
+        for backend in ["x", "y", "z"] {
+            end(&mut ledger, &format!("{backend}{harmful}"), &[harmful]);
+        }
+        end(&mut ledger, &format!("x{harmful}"), &[honest, other]);
+    }
+    let later = 1_000 + DOUBT_MS;
+    for number in [honest, other] {
+        let suspicion = ledger.suspicion(&request(number), later);
+        assert_eq!(suspicion, Suspicion::LeftToAnother { ends: 5 });
+    }
+    end(&mut ledger, "v", &[honest]);
+    let suspicion = ledger.suspicion(&request(honest), later);
+    assert!(
+        matches!(suspicion, Suspicion::Barred { .. }),
+        "one end more without a likelier cause: {suspicion:?}"
+    );
+}
+
 /// An honest request that had as many ends before a harmful one does not excuse it: its own ends are explained, or
 /// it was at exactly the same ones.
 #[test]
