Requests that end back ends: words settle after each end; five ends bar only where one is unexplained

Change: settling counts from the last end; with five ends or more a request is barred if one end has no likelier cause. Such a cause is barred, so the next run shows the request alone.

--- a/crates/rollout/src/crash_ledger/blame.rs
+++ b/crates/rollout/src/crash_ledger/blame.rs
@@ -20,7 +20,7 @@
             return 0;
         }
         match is_in_doubt(suspect, now) {
-            true => BAR_AFTER_SHARED_ENDS - ends,
+            true => BAR_AFTER_SHARED_ENDS.saturating_sub(ends),
             false => usize::from(self.may_try(suspect)),
         }
     }
@@ -78,13 +78,14 @@
         earlier_culprits: &[&Suspect],
         now: Millis,
     ) -> bool {
-        if suspect.ended.len() >= BAR_AFTER_SHARED_ENDS {
-            return true;
-        }
         if self.is_settling(request, suspect, now) {
             return false;
         }
         let unexplained = self.unexplained_ends(request, suspect, earlier_culprits);
+        // A likelier cause of each is barred, or soon will be, so the next run shows it.
+        if suspect.ended.len() >= BAR_AFTER_SHARED_ENDS {
+            return unexplained > 0;
+        }
         let may_be_another =
             is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
         unexplained >= BAR_AFTER_ENDS && !may_be_another
@@ -99,8 +100,8 @@
         suspect: &Suspect,
         now: Millis,
     ) -> bool {
-        let is_recent = now.saturating_sub(suspect.told_at) < SETTLING_MS;
-        suspect.ended.len() == BAR_AFTER_ENDS
+        let is_recent = now.saturating_sub(suspect.last_end) < SETTLING_MS;
+        suspect.ended.len() >= BAR_AFTER_ENDS
             && is_recent
             && !self.was_alone_before_the_last(suspect)
             && !self.another_shares_all_of(request, suspect)
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -16,14 +16,14 @@
 
 /// Back ends that must have ended under a request before it is barred.
 pub const BAR_AFTER_ENDS: usize = 3;
-/// The same where others are the likelier cause, or may be the cause as well. With 3 for those too, two honest
-/// items of a batch were barred in 10 soaked seeds: they had been beside three different harmful requests.
+/// Ends of which a single one without a likelier cause bars it. With three, two honest items of a batch were barred in 10
+/// soaked seeds: they had been beside three different harmful requests.
 pub const BAR_AFTER_SHARED_ENDS: usize = 5;
 /// Time after the end that may bar it for which a request is given the benefit of the doubt if another one was there at
 /// exactly the same ends: callers try again within it, which tells the two apart. Shorter than the time
 /// within which all nodes must have stopped to send a harmful request.
 pub const DOUBT_MS: Millis = 2_000;
-/// Time after the end that may bar it in which a request that had company at the ends before is neither run nor
+/// Time after each end that may bar it in which a request that had company at the ends before is neither run nor
 /// barred: what other nodes saw of the same end is told within it.
 pub const SETTLING_MS: Millis = 300;
 /// Most requests that are remembered; 256 take some 30 KB in memory and 20 KB in a checkpoint.
