Comment: no unlike cases side by side

Cause: the comment on CLOSING_TIME set six ends (old code, address open for 30 ms) beside three (new code, 5 ms). Change: the comment names only what was measured with it.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -25,8 +25,8 @@
 /// answer in this time may be cut off, which says nothing of the back end.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a request that broke off waits while the address still takes connections: a process that ends does
-/// not close everything at the same moment. Without it six back ends ended under one request where the address was
-/// open for 30 ms more; with it three where it was open for 5 ms.
+/// not close everything at the same moment. With it three back ends ended under one request where the address was
+/// open for 5 ms more.
 const CLOSING_TIME: Duration = Duration::from_millis(10);
 /// Time for which the address is watched after a send broke off, while the request goes on.
 const BROKEN_TIME: Duration = Duration::from_millis(60);
