Evacuated zones get nothing, cold back ends what they bear, and requests stay in their regions

Cause: nothing read the operators' evacuations, how long a back end is cold, or in which regions a route or a tenant may be served. All nodes with work sent it to a zone that had to be emptied, and to a zone that came back cold. Change: one gate says who takes requests (BackendList::ready_in, and Backends::take_for right before each send): calls, second sends, reward calls, items, relocations and resumed streams pass it. Evacuations follow the operators' directory like everything else there; back ends of a zone that is given back count as cold. A cold back end has one owner that gives it items, by rendezvous hashing, at half of its rate, and a sample of nodes that send it calls (slow_start). Residency (residency) binds sends and the nodes that run batches. Ruled out: shares of the rate for all nodes alike (67 nodes share 7.8 requests a second: none may send).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -11,7 +11,11 @@
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
 use havenstage_rollout::event_gap::RecentGaps;
 use havenstage_rollout::health::HealthBoard;
-use havenstage_rollout::ids::{BackendId, BackendName, ModelName, PoolName, Version};
+use havenstage_rollout::ids::{
+    BackendId, BackendName, ModelName, PoolName, RegionName, Version, ZoneName,
+};
+use havenstage_rollout::residency::{RegionMap, Residency};
+use havenstage_rollout::slow_start::{ColdLimit, Sender, SlowStart};
 use tokio::sync::Notify;
 
 /// Longest time for a connection to a back end to come up.
@@ -53,13 +57,31 @@
     in_flight: HashMap<BackendId, u32>,
     versions: HashMap<(BackendId, ModelName), Version>,
     event_gaps: HashMap<BackendId, RecentGaps>,
+    regions: RegionMap,
+    slow_start: SlowStart,
+    /// What the back ends of each pool bear while they are cold, as configured.
+    cold_limits: HashMap<PoolName, ColdLimit>,
+}
+
+/// Where a call may go, and who asks for it.
+pub struct CallTarget<'a> {
+    /// The pool.
+    pub pool: &'a PoolName,
+    /// Regions in which it may be served.
+    pub residency: &'a Residency,
+    /// Whose request it is to a cold back end.
+    pub sender: Sender<'a>,
 }
 
 impl Backends {
     /// No back ends yet; changes of the list wake `work`.
-    pub fn new(work: Arc<Notify>) -> Arc<Self> {
+    pub fn new(work: Arc<Notify>, regions: RegionMap) -> Arc<Self> {
+        let inner = BackendsInner {
+            regions,
+            ..BackendsInner::default()
+        };
         Arc::new(Self {
-            inner: Mutex::new(BackendsInner::default()),
+            inner: Mutex::new(inner),
             work,
         })
     }
@@ -70,31 +92,66 @@
     }
 
     /// Takes a change of the list.
-    pub fn apply(&self, change: BackendChange) {
-        self.lock().apply(change);
+    pub fn apply(&self, change: BackendChange, now: Millis) {
+        self.lock().apply(change, now);
         self.work.notify_one();
     }
 
     /// Replaces the list.
-    pub fn replace(&self, entries: BTreeMap<BackendName, BackendRecord>) {
-        self.lock().replace(entries);
+    pub fn replace(&self, entries: BTreeMap<BackendName, BackendRecord>, now: Millis) {
+        self.lock().replace(entries, now);
         self.work.notify_one();
     }
 
+    /// Takes what pools bear while they are cold, as a new configuration says.
+    pub fn set_cold_limits(&self, limits: HashMap<PoolName, ColdLimit>) {
+        self.lock().cold_limits = limits;
+    }
+
+    /// Begins or ends the evacuation of a zone; answers whether that is new. Back ends to which nothing was sent
+    /// for a while may be cold, and their word of it may still be on its way.
+    pub fn set_evacuated(&self, zone: &ZoneName, is_evacuated: bool, now: Millis) -> bool {
+        let mut inner = self.lock();
+        let is_new = inner.list.set_evacuated(zone, is_evacuated);
+        if is_new && !is_evacuated {
+            inner.suspect_cold(zone, now);
+        }
+        drop(inner);
+        self.work.notify_one();
+        is_new
+    }
+
     /// Takes a back end for a call to a pool: one that is not avoided and not in `tried` if there is
     /// one, then the one with the least work for its speed; `draw` breaks ties.
     pub fn choose_for_call(
         self: &Arc<Self>,
-        pool: &PoolName,
+        target: &CallTarget<'_>,
         tried: &[BackendId],
         now: Millis,
         draw: u64,
     ) -> Option<ChosenBackend> {
-        let id = self.lock().best_for_call(pool, tried, now, draw)?;
-        self.take(&id)
+        let id = self.lock().best_for_call(target, tried, now, draw)?;
+        self.take_for(&id, target.sender, now)
     }
 
-    /// Takes a certain back end, if it is listed.
+    /// Takes a certain back end for a request, if it is listed and may be sent one now. The last look before every
+    /// send: its zone may be evacuated since it was chosen, or its requests of this second used up.
+    pub fn take_for(
+        self: &Arc<Self>,
+        id: &BackendId,
+        sender: Sender<'_>,
+        now: Millis,
+    ) -> Option<ChosenBackend> {
+        let mut inner = self.lock();
+        if !inner.list.takes_requests(id) || inner.cold_allowance(id, sender, now) == Some(0) {
+            return None;
+        }
+        inner.slow_start.sent(id, now);
+        drop(inner);
+        self.take(id)
+    }
+
+    /// Takes a certain back end, if it is listed, to ask it about itself or to give it an order.
     pub fn take(self: &Arc<Self>, id: &BackendId) -> Option<ChosenBackend> {
         let link = self.lock().hold(id)?;
         Some(ChosenBackend {
@@ -106,32 +163,63 @@
 }
 
 impl BackendsInner {
-    fn apply(&mut self, change: BackendChange) {
+    fn apply(&mut self, change: BackendChange, now: Millis) {
         let (life, record) = (change.life(), change.record.clone());
         let has_gone = self.list.apply(change);
         if let (Some(life), Some(record)) = (life, record) {
-            self.note_entry(&life, &record);
+            self.note_entry(&life, &record, now);
         }
         if has_gone {
-            self.forget_unlisted();
+            self.forget_unlisted(now);
         }
     }
 
-    fn replace(&mut self, entries: BTreeMap<BackendName, BackendRecord>) {
+    fn replace(&mut self, entries: BTreeMap<BackendName, BackendRecord>, now: Millis) {
         self.list.replace(entries.clone());
         for (name, record) in entries {
             let life = BackendId::of_life(&name, record.started_at);
-            self.note_entry(&life, &record);
+            self.note_entry(&life, &record, now);
+        }
+        self.forget_unlisted(now);
+    }
+
+    fn suspect_cold(&mut self, zone: &ZoneName, now: Millis) {
+        for (id, record) in self.list.in_zone(zone) {
+            if let Some(limit) = self.cold_limits.get(&record.pool) {
+                self.slow_start.suspected(id, limit, now);
+            }
         }
-        self.forget_unlisted();
+    }
+
+    /// Requests that this node may send a back end now; `None` if slow start sets no limit.
+    pub fn cold_allowance(&self, id: &BackendId, sender: Sender<'_>, now: Millis) -> Option<u32> {
+        let limit = self.cold_limits.get(&self.list.get(id)?.pool);
+        self.slow_start.allowance(id, limit, sender, now)
+    }
+
+    /// The region in which a back end stands, if it is known.
+    pub fn region_of(&self, record: &BackendRecord) -> Option<&RegionName> {
+        self.regions.region_of(&record.zone)
+    }
+
+    /// Back ends that may be sent a call, apart from what slow start allows.
+    pub fn allowed_for_call<'a>(
+        &'a self,
+        target: &'a CallTarget<'_>,
+    ) -> impl Iterator<Item = &'a BackendId> {
+        let ready = self.list.ready_in(target.pool);
+        ready
+            .filter(|(_, record)| target.residency.allows(self.region_of(record)))
+            .map(|(id, _)| id)
     }
 
     /// Believes what a back end says of itself.
-    fn note_entry(&mut self, id: &BackendId, record: &BackendRecord) {
+    fn note_entry(&mut self, id: &BackendId, record: &BackendRecord, now: Millis) {
         // An entry of an earlier life, written late.
         if self.list.get(id).is_none() {
             return;
         }
+        self.slow_start.told(id, record.cold_left_ms, now);
         let link = self.links.get(id);
         if link.is_some_and(|link| link.address() != record.address) {
             self.links.remove(id);
@@ -144,8 +232,9 @@
         }
     }
 
-    fn forget_unlisted(&mut self) {
+    fn forget_unlisted(&mut self, now: Millis) {
         let list = &self.list;
+        self.slow_start.retain(|id| list.get(id).is_some(), now);
         self.links.retain(|id, _| list.get(id).is_some());
         self.health.retain(|id| list.get(id).is_some());
         self.versions.retain(|(id, _), _| list.get(id).is_some());
@@ -154,12 +243,16 @@
 
     fn best_for_call(
         &self,
-        pool: &PoolName,
+        target: &CallTarget<'_>,
         tried: &[BackendId],
         now: Millis,
         draw: u64,
     ) -> Option<BackendId> {
-        let ready: Vec<&BackendId> = self.list.ready_in(pool).map(|(id, _)| id).collect();
+        let is_closed = |id: &BackendId| self.cold_allowance(id, target.sender, now) == Some(0);
+        let ready: Vec<&BackendId> = self
+            .allowed_for_call(target)
+            .filter(|id| !is_closed(id))
+            .collect();
         let count = ready.len().max(1);
         let offset = (draw % count as u64) as usize;
         let rotated = (0..ready.len()).map(|at| ready[(at + offset) % count]);
--- a/crates/gateway/src/batch_submissions.rs
+++ b/crates/gateway/src/batch_submissions.rs
@@ -65,7 +65,7 @@
     submission: Submission,
     tenant: Option<&TenantName>,
 ) -> StatusCode {
-    let owner = first_owner(context, &submission);
+    let owner = first_owner(context, &submission, tenant);
     let notice = ControlRecord::BatchAccepted(BatchNotice::of(&submission, owner.clone()));
     let partition = context.partition_of(&submission.id);
     let record = record_of(submission, tenant, owner);
@@ -103,10 +103,21 @@
 
 /// The node that runs the batch from the start: the one that ran the route's last batch, if it was
 /// seen a moment ago, since it has connections to the back ends; else this one. A node that stops
-/// leaves the batch to the others.
-fn first_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
-    last_owner(context, submission)
-        .or_else(|| (!context.is_stopping()).then(|| context.node.clone()))
+/// leaves the batch to the others, and so does one in a region where the batch may not be kept.
+fn first_owner(
+    context: &Context,
+    submission: &Submission,
+    tenant: Option<&TenantName>,
+) -> Option<NodeId> {
+    let residency = context.batch_residency(&submission.host, &submission.path, tenant);
+    let is_allowed = residency.allows(context.own_region().as_ref());
+    let may_own = is_allowed && !context.is_stopping();
+    // Other nodes' regions are not known here.
+    let last_owner = match residency.is_restricted() {
+        true => None,
+        false => last_owner(context, submission),
+    };
+    last_owner.or_else(|| may_own.then(|| context.node.clone()))
 }
 
 fn last_owner(context: &Context, submission: &Submission) -> Option<NodeId> {
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -13,10 +13,12 @@
 use havenstage_http_link::{Link, WholeAnswer};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{RequestKind, Route};
 use http::StatusCode;
 use log::info;
 
+use crate::backends::CallTarget;
 use crate::calls::{
     BARRED_STATUS, Call, CallOutcome, StreamingAnswer, refused, refused_for_want_of_back_ends,
     share_of_objective,
@@ -61,6 +63,8 @@
     route: &'a Route,
     call: &'a Call,
     pool: &'a PoolName,
+    /// Where it may be served.
+    residency: Residency,
     began: Instant,
     ends: Instant,
     /// When the second send is due, or the next look for a back end that can take it.
@@ -99,6 +103,7 @@
             route,
             call,
             pool,
+            residency: residency_of(context, route, call),
             began,
             ends: call.deadline.min(timeout).min(answer_by),
             hedge_at: began + share_of_objective(route, HEDGE_SHARE),
@@ -191,16 +196,27 @@
 
     /// Whether it is known that nobody takes the pool's calls at this moment.
     fn lacks_back_ends(&self) -> bool {
+        let target = self.target();
         let backends = self.context.backends.lock();
-        let has_some = backends.list.ready_in(self.pool).next().is_some();
+        let has_some = backends.allowed_for_call(&target).next().is_some();
         !has_some && self.context.backends_are_listed()
     }
 
+    /// Where it may go.
+    fn target(&self) -> CallTarget<'_> {
+        CallTarget {
+            pool: self.pool,
+            residency: &self.residency,
+            sender: self.context.call_sender(),
+        }
+    }
+
     /// Whether every back end that takes the pool's calls was asked.
     fn were_all_tried(&self) -> bool {
+        let target = self.target();
         let backends = self.context.backends.lock();
-        let mut ready = backends.list.ready_in(self.pool);
-        ready.all(|(id, _)| self.tried.contains(id))
+        let mut ready = backends.allowed_for_call(&target);
+        ready.all(|id| self.tried.contains(id))
     }
 
     /// Whether a call that nobody took is refused now. A reward call waits in its node for the next turn, so that
@@ -246,7 +262,8 @@
         };
         let (now, draw) = (self.context.now(), self.context.draw());
         let backends = &self.context.backends;
-        let Some(chosen) = backends.choose_for_call(self.pool, &self.tried, now, draw) else {
+        let target = self.target();
+        let Some(chosen) = backends.choose_for_call(&target, &self.tried, now, draw) else {
             return false;
         };
         if self.tried.contains(&chosen.id) && !self.running.is_empty() {
@@ -312,6 +329,7 @@
                 Some(CallOutcome::Streaming(Box::new(StreamingAnswer {
                     call: self.call.clone(),
                     pool: self.pool.clone(),
+                    residency: self.residency.clone(),
                     sends: self.sends,
                     ends: self.ends,
                     answer: started.answer,
@@ -428,6 +446,14 @@
     }
 }
 
+/// Where a call may be served: its route and its tenant both bind.
+fn residency_of(context: &Context, route: &Route, call: &Call) -> Residency {
+    match context.routes() {
+        Some(table) => table.residency(route, call.tenant.as_ref()),
+        None => route.residency.clone(),
+    }
+}
+
 fn join_ids(ids: &[BackendId]) -> String {
     let texts: Vec<&str> = ids.iter().map(BackendId::as_str).collect();
     texts.join(",")
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -9,6 +9,7 @@
 use havenstage_http_link::{Answer, WholeAnswer};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BatchId, PoolName, TenantName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::Route;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, StatusCode, Uri};
@@ -109,6 +110,8 @@
     pub call: Call,
     /// Pool that serves it.
     pub pool: PoolName,
+    /// Where it may be served.
+    pub residency: Residency,
     /// Back ends it was sent to so far.
     pub sends: u32,
     /// When it must be over.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -9,10 +9,14 @@
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::control::ControlState;
-use havenstage_rollout::ids::{BackendId, BatchId, ModelName, NodeId, PoolName, Version};
+use havenstage_rollout::ids::{
+    BackendId, BatchId, ModelName, NodeId, PoolName, RegionName, TenantName, Version,
+};
 use havenstage_rollout::occupancy::Occupancy;
 use havenstage_rollout::pacing::{self, Pace};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{RouteTable, RoutingConfig};
+use havenstage_rollout::slow_start::Sender;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{Notify, Semaphore, watch};
 
@@ -134,6 +138,7 @@
             operations,
         } = surroundings;
         let window_ms = settings.metering().map(|metering| metering.window_ms);
+        let regions = settings.region_map();
         let clock = NodeClock::start();
         let work = Arc::new(Notify::new());
         let control_changed = Arc::new(Notify::new());
@@ -150,7 +155,7 @@
             time_of_day: TimeOfDay::start(),
             usage: UsageCounter::new(window_ms),
             lease_grant: Mutex::default(),
-            backends: Backends::new(work.clone()),
+            backends: Backends::new(work.clone(), regions),
             partitions,
             control: StreamView::new(
                 CONTROL,
@@ -225,10 +230,11 @@
             .as_ref()
             .is_none_or(|table| table.version() < config.version);
         if is_newer {
-            let table = RouteTable::following(config, routes.as_deref());
-            *routes = Some(Arc::new(table));
+            let table = Arc::new(RouteTable::following(config, routes.as_deref()));
+            *routes = Some(table.clone());
+            drop(routes);
+            self.backends.set_cold_limits(table.cold_limits());
         }
-        drop(routes);
         self.routes_known.notify_waiters();
         is_newer
     }
@@ -339,6 +345,43 @@
         places.div_ceil(owners)
     }
 
+    /// What this node's calls are to a cold back end.
+    pub fn call_sender(&self) -> Sender<'_> {
+        Sender::Call {
+            machine: &self.node.machine,
+            machines: self.control.lock().state.machine_count(),
+        }
+    }
+
+    /// The nodes that run batches, as far as is known here.
+    pub fn batch_owners(&self) -> Vec<NodeId> {
+        let control = self.control.lock();
+        let open = control.state.index().open();
+        let owners: BTreeSet<&NodeId> = open.filter_map(|batch| batch.owner.holder()).collect();
+        owners.into_iter().cloned().collect()
+    }
+
+    /// The region of this node, if it is known.
+    pub fn own_region(&self) -> Option<RegionName> {
+        let region = self.settings.regions.get(&self.settings.zone);
+        region.map(|region| RegionName::from(region.as_str()))
+    }
+
+    /// Where a batch may run and be kept; anywhere if its route is not known.
+    pub fn batch_residency(
+        &self,
+        host: &str,
+        path: &str,
+        tenant: Option<&TenantName>,
+    ) -> Residency {
+        let table = self.routes();
+        let table = table.as_ref();
+        table.map_or_else(Residency::anywhere, |table| {
+            let route = table.batch_route(host, path);
+            route.map_or_else(Residency::anywhere, |route| table.residency(route, tenant))
+        })
+    }
+
     /// Whether this node runs batches or gives orders.
     pub fn takes_part(&self) -> bool {
         *self.takes_part.borrow()
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -11,7 +11,7 @@
 use havenstage_rollout::backend::BackendChange;
 use havenstage_rollout::batch::Submission;
 use havenstage_rollout::batch_state::ItemResult;
-use havenstage_rollout::ids::{BackendName, BatchId, ItemId, ModelName, Version};
+use havenstage_rollout::ids::{BackendName, BatchId, ItemId, ModelName, Version, ZoneName};
 use havenstage_rollout::route::RoutingConfig;
 use http::header::HeaderName;
 use http::{Method, Request, StatusCode, Uri};
@@ -177,6 +177,13 @@
         /// The version.
         version: Version,
     },
+    /// An operator wants a zone's back ends to get nothing new, or does not any more.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is to be evacuated.
+        is_asked: bool,
+    },
     /// A back end's entry changed.
     Backend(BackendChange),
     /// An entry of a back end that could not be read: nobody that is known to be one wrote it.
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -7,6 +7,7 @@
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
 use havenstage_rollout::schedule::Candidate;
+use havenstage_rollout::slow_start::Sender;
 
 use super::Engine;
 use super::plan::PoolWork;
@@ -40,6 +41,11 @@
         let elsewhere = self.context.occupied(|node| node != own_node);
         let groups = self.groups_by_backend();
         let own = self.running_here();
+        let owners = self.context.batch_owners();
+        let sender = Sender::Item {
+            node: own_node,
+            owners: &owners,
+        };
         let control = self.context.control.lock();
         let backends = self.context.backends.lock();
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
@@ -59,11 +65,14 @@
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
             let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
+            let running =
+                own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
+            let allowance = backends.cold_allowance(id, sender, now);
             candidates.push(Candidate {
                 backend: id.clone(),
-                running: own.get(id).copied().unwrap_or(0)
-                    + elsewhere.get(id).copied().unwrap_or(0),
-                slots: record.slots,
+                region: backends.region_of(record).cloned(),
+                running,
+                slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
--- a/crates/gateway/src/engine/claim.rs
+++ b/crates/gateway/src/engine/claim.rs
@@ -126,6 +126,11 @@
     if state.is_closed() {
         return Standing::Closed;
     }
+    // Its tenant is known only now.
+    let residency = context.batch_residency(&state.host, &state.path, state.tenant.as_ref());
+    if !residency.allows(context.own_region().as_ref()) {
+        return Standing::Unknown;
+    }
     // A node that holds the lease and that the index does not name has claimed it only now, or died
     // before it could say so.
     let named = indexed.owner.holder();
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::batch_index::{IndexedBatch, NEVER_CAME_MS};
+use havenstage_rollout::batch_index::{BatchNotice, IndexedBatch, NEVER_CAME_MS};
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::BatchId;
 use havenstage_rollout::lease::{LeaseState, Term};
@@ -268,7 +268,14 @@
             .owner
             .claimable_at(&context.node, readable_since, &timing),
     };
-    batch.is_open() && now >= at
+    batch.is_open() && now >= at && may_own(context, batch)
+}
+
+/// Whether a batch may be kept in this node's region, by its route.
+fn may_own(context: &Context, batch: &IndexedBatch) -> bool {
+    let BatchNotice { host, path, .. } = &batch.notice;
+    let residency = context.batch_residency(host, path, None);
+    residency.allows(context.own_region().as_ref())
 }
 
 /// Ids of the open ones among held batches.
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -107,6 +107,7 @@
             .first()
             .map_or(1, |first| tokens_per_event(table, &first.pool));
         let optional = schedule::optional_items(batch, carried, tokens_per_event);
+        let residency = table.residency(route, batch.tenant.as_ref());
         for item in batch.items.iter().filter(|item| item.result.is_none()) {
             let hash = xxh3_64(item.id.as_str().as_bytes());
             let Some(pool) = route.pool_for(hash) else {
@@ -128,6 +129,7 @@
                 minimum_version: batch.minimum_version,
                 exact_version: made_by(live, item).filter(|_| route.single_version),
                 group: item.group.clone(),
+                residency: residency.clone(),
             };
             let Some(live) = live else {
                 work.waiting.push(item);
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -7,6 +7,7 @@
 use havenstage_rollout::batch_state::BatchState;
 use havenstage_rollout::ids::{BackendId, GroupId, TenantName};
 use havenstage_rollout::record::OutputEvent;
+use havenstage_rollout::slow_start::Sender;
 use log::info;
 
 use super::live::{LiveItem, OwnedTask, Phase};
@@ -29,10 +30,15 @@
         let Some(write_by) = self.context.write_by(&key.batch) else {
             return;
         };
-        let Some(backend) = self.context.backends.take(backend_id) else {
+        let now = self.context.now();
+        let owners = self.context.batch_owners();
+        let sender = Sender::Item {
+            node: &self.context.node,
+            owners: &owners,
+        };
+        let Some(backend) = self.context.backends.take_for(backend_id, sender, now) else {
             return;
         };
-        let now = self.context.now();
         let Some(start) = self.prepare(key, now) else {
             return;
         };
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -1,13 +1,13 @@
 //! Tasks that follow the directories and the streams, so that the node's knowledge stays fresh.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::control_record::ControlRecord;
-use havenstage_rollout::ids::BackendName;
+use havenstage_rollout::ids::{BackendName, ZoneName};
 use log::{info, warn};
 use tokio::task::JoinSet;
 
@@ -125,7 +125,7 @@
 /// Reads a listing page by page; a page that fails is asked for again. Answers the offset from which
 /// changes must be read: the end that the first page named, since pages are no snapshot.
 async fn read_listing(context: &Context, kind: DirectoryKind, dependency: &mut Dependency) -> u64 {
-    let mut listed = BTreeMap::new();
+    let mut listed = Listed::default();
     let mut first_end = None;
     let mut after: Option<String> = None;
     loop {
@@ -139,11 +139,7 @@
                 }
                 after = page.more;
                 if after.is_none() {
-                    if kind == DirectoryKind::Backends {
-                        info!(event = "backends_listed", count = listed.len(); "");
-                        context.backends.replace(listed);
-                        context.note_backends_listed();
-                    }
+                    listed.take_up(context, kind);
                     context.control_changed.notify_one();
                     return end;
                 }
@@ -153,12 +149,46 @@
     }
 }
 
-/// Takes an entry; back ends of a listing are gathered, since they replace the whole list.
-fn take_entry(
-    context: &Context,
-    entry: DirectoryEntry,
-    listed: Option<&mut BTreeMap<BackendName, BackendRecord>>,
-) {
+/// What a listing has brought so far that replaces what was known, once it is whole.
+#[derive(Default)]
+struct Listed {
+    backends: BTreeMap<BackendName, BackendRecord>,
+    evacuated: BTreeSet<ZoneName>,
+}
+
+impl Listed {
+    fn take_up(self, context: &Context, kind: DirectoryKind) {
+        match kind {
+            DirectoryKind::Backends => {
+                info!(event = "backends_listed", count = self.backends.len(); "");
+                context.backends.replace(self.backends, context.now());
+                context.note_backends_listed();
+            }
+            DirectoryKind::Operators => {
+                let known = context.backends.lock().list.evacuated().clone();
+                for zone in known.difference(&self.evacuated) {
+                    set_evacuated(context, zone, false);
+                }
+                for zone in &self.evacuated {
+                    set_evacuated(context, zone, true);
+                }
+            }
+        }
+    }
+}
+
+/// Begins or ends the evacuation of a zone, and tells it.
+fn set_evacuated(context: &Context, zone: &ZoneName, is_evacuated: bool) {
+    let is_new = context
+        .backends
+        .set_evacuated(zone, is_evacuated, context.now());
+    if is_new && tells_all(context, "zone_evacuated") {
+        info!(event = "zone_evacuated", zone = zone.as_str(), is_evacuated = is_evacuated; "");
+    }
+}
+
+/// Takes an entry; what replaces a whole list is gathered while there is a listing.
+fn take_entry(context: &Context, entry: DirectoryEntry, listed: Option<&mut Listed>) {
     match entry {
         DirectoryEntry::Routing(config) => {
             let version = config.version;
@@ -177,16 +207,25 @@
             let change = BackendChange { name, record: None };
             take_entry(context, DirectoryEntry::Backend(change), listed);
         }
+        DirectoryEntry::Evacuation { zone, is_asked } => match listed {
+            Some(listed) if is_asked => {
+                listed.evacuated.insert(zone);
+            }
+            Some(listed) => {
+                listed.evacuated.remove(&zone);
+            }
+            None => set_evacuated(context, &zone, is_asked),
+        },
         DirectoryEntry::Backend(change) => match (listed, change.record.clone()) {
             (Some(listed), Some(record)) => {
-                listed.insert(change.name, record);
+                listed.backends.insert(change.name, record);
             }
             (Some(listed), None) => {
-                listed.remove(&change.name);
+                listed.backends.remove(&change.name);
             }
             (None, _) => {
                 report_backend(context, &change);
-                context.backends.apply(change);
+                context.backends.apply(change, context.now());
             }
         },
         DirectoryEntry::Unreadable(name) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,13 +8,14 @@
 use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, Link, LinkError, Sending};
 use havenstage_rollout::event_stream::EventReader;
-use havenstage_rollout::ids::BackendId;
+use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{RequestKind, Route};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
 use thiserror::Error;
 
-use crate::backends::ChosenBackend;
+use crate::backends::{CallTarget, ChosenBackend};
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
 use crate::crash_evidence;
@@ -35,7 +36,8 @@
 pub struct Relay {
     context: Arc<Context>,
     call: Call,
-    pool: havenstage_rollout::ids::PoolName,
+    pool: PoolName,
+    residency: Residency,
     status: StatusCode,
     headers: HeaderMap,
     current: Option<Current>,
@@ -71,6 +73,7 @@
             last_event: asked_from.and_then(|id| id.to_str().ok()?.parse().ok()),
             call: streaming.call,
             pool: streaming.pool,
+            residency: streaming.residency,
             status: streaming.answer.status(),
             headers,
             reader: EventReader::new(&version_field),
@@ -158,7 +161,12 @@
             self.resumes_left -= 1;
             let (now, draw) = (self.context.now(), self.context.draw());
             let backends = &self.context.backends;
-            let Some(backend) = backends.choose_for_call(&self.pool, &self.tried, now, draw) else {
+            let target = CallTarget {
+                pool: &self.pool,
+                residency: &self.residency,
+                sender: self.context.call_sender(),
+            };
+            let Some(backend) = backends.choose_for_call(&target, &self.tried, now, draw) else {
                 break;
             };
             self.tried.push(backend.id.clone());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,11 +1,14 @@
 //! Settings of a gateway node, as a TOML file. Unknown keys are passed over, so that one file may
 //! serve several versions of the program.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use havenstage_rollout::ids::{RegionName, ZoneName};
+use havenstage_rollout::residency::RegionMap;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -16,6 +19,9 @@
     pub node: String,
     /// Zone it stands in.
     pub zone: String,
+    /// The region of each zone; where requests may be served everywhere it is not needed.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Addresses to listen on.
     pub listen: ListenSettings,
     /// The shared log.
@@ -266,6 +272,17 @@
         (is_asked && window_ms > 0).then_some(MeteringSettings { window_ms, due_ms })
     }
 
+    /// The region of each zone.
+    pub fn region_map(&self) -> RegionMap {
+        let zones = self.regions.iter();
+        zones
+            .map(|(zone, region)| {
+                let (zone, region) = (zone.as_str(), region.as_str());
+                (ZoneName::from(zone), RegionName::from(region))
+            })
+            .collect()
+    }
+
     /// How long a reading call waits for a record.
     pub fn read_wait(&self) -> Duration {
         Duration::from_millis(self.tuning.read_wait_ms)
--- a/crates/gateway/src/sizing.rs
+++ b/crates/gateway/src/sizing.rs
@@ -127,7 +127,7 @@
             taken: 0,
             is_behind,
         };
-        for (id, record) in backends.list.ready_in(&pool.name) {
+        for (id, record) in backends.list.serving_in(&pool.name) {
             if let Some(count) = load.ready.get_mut(record.zone.as_str()) {
                 *count += 1;
             }
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -7,6 +7,7 @@
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::access::Tenant;
 use havenstage_rollout::ids::{ApiKey, TenantName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::RoutingConfig;
 use http::Method;
 use support::backend::Seen;
@@ -25,6 +26,7 @@
             .map(|key| ApiKey::from((*key).to_owned()))
             .collect(),
         priority: None,
+        residency: Residency::anywhere(),
     }
 }
 
--- a/crates/gateway/tests/metering.rs
+++ b/crates/gateway/tests/metering.rs
@@ -12,6 +12,7 @@
 use havenstage_rollout::access::Tenant;
 use havenstage_rollout::framing;
 use havenstage_rollout::ids::{ApiKey, MachineName, NodeId, TenantName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::RoutingConfig;
 use havenstage_rollout::stored::Stored;
 use havenstage_rollout::usage::{UsageRecord, window_at};
@@ -49,6 +50,7 @@
             name: TenantName::from(name),
             keys: vec![ApiKey::from(key.to_owned())],
             priority: None,
+            residency: Residency::anywhere(),
         };
         let config = RoutingConfig {
             tenants: vec![tenant("water", "k1"), tenant("power", "k2")],
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -12,6 +12,7 @@
 use havenstage_gateway::settings::Settings;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::ids::{BackendName, ModelName, PoolName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{
     CallerLimits, Pool, RequestKind, Route, RoutingConfig, WeightedPool,
 };
@@ -224,6 +225,7 @@
         give_up_after_ms: Some(30_000),
         single_version: false,
         is_public: false,
+        residency: Residency::anywhere(),
     }
 }
 
@@ -256,6 +258,7 @@
         models,
         tokens_per_event: 1,
         scaling: None,
+        cold_limit: None,
     };
     RoutingConfig {
         version,
@@ -289,14 +292,28 @@
 
 pub fn listed(backend: &StandInBackend, pool: &str, draining: bool) -> DirectoryEntry {
     let record = BackendRecord {
+        draining,
+        ..record(backend, pool)
+    };
+    entry(backend, record)
+}
+
+/// What a back end that is ready and warm says of itself.
+pub fn record(backend: &StandInBackend, pool: &str) -> BackendRecord {
+    BackendRecord {
         pool: PoolName::from(pool),
         address: backend.address,
         zone: "zone".to_owned(),
         slots: 8,
-        draining,
+        draining: false,
+        cold_left_ms: 0,
         models: Versions::from([(ModelName::from(MODEL), 1)]),
         started_at: None,
-    };
+    }
+}
+
+/// The entry with which a back end says something of itself.
+pub fn entry(backend: &StandInBackend, record: BackendRecord) -> DirectoryEntry {
     let name = BackendName::from(backend.id.as_str());
     DirectoryEntry::Backend(BackendChange {
         name,
--- a/crates/rollout/src/access.rs
+++ b/crates/rollout/src/access.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use crate::ids::{ApiKey, TenantName};
+use crate::residency::Residency;
 
 /// Most keys whose former holders are remembered. Far more than change hands while a request may be on its
 /// way; it only bounds memory.
@@ -20,6 +21,8 @@
     pub keys: Vec<ApiKey>,
     /// Rank of its requests, where 0 is the most urgent; goes before the route's.
     pub priority: Option<u32>,
+    /// Where its requests may be served and its data kept.
+    pub residency: Residency,
 }
 
 /// The holder of a key.
@@ -97,6 +100,7 @@
     holders: HashMap<ApiKey, Arc<KeyHolder>>,
     /// Tenants that held each key in any configuration so far, of keys that changed hands or were taken away.
     former: HashMap<ApiKey, BTreeSet<TenantName>>,
+    residencies: HashMap<TenantName, Residency>,
 }
 
 impl AccessTable {
@@ -121,9 +125,18 @@
             has_tenants: !tenants.is_empty(),
             holders,
             former,
+            residencies: tenants
+                .iter()
+                .map(|tenant| (tenant.name.clone(), tenant.residency.clone()))
+                .collect(),
         }
     }
 
+    /// Where a tenant's requests may be served and its data kept.
+    pub fn residency_of(&self, tenant: &TenantName) -> Residency {
+        self.residencies.get(tenant).cloned().unwrap_or_default()
+    }
+
     /// Former holders once `tenants` hold what they are given.
     fn former_after(&self, tenants: &[Tenant]) -> HashMap<ApiKey, BTreeSet<TenantName>> {
         let mut next: HashMap<&ApiKey, &TenantName> = HashMap::new();
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -1,9 +1,10 @@
 //! Back ends as their own entries in the platform's list tell of them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-use crate::ids::{BackendId, BackendName, ModelName, PoolName, Version};
+use crate::Millis;
+use crate::ids::{BackendId, BackendName, ModelName, PoolName, Version, ZoneName};
 
 /// What a back end says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     pub slots: u32,
     /// Whether it leaves: it gets no new work.
     pub draining: bool,
+    /// Time for which it is cold from when it wrote this, in milliseconds.
+    pub cold_left_ms: Millis,
     /// Versions of the models it holds.
     pub models: BTreeMap<ModelName, Version>,
     /// When its process started, in milliseconds since the beginning of 1970, if it tells that.
@@ -52,6 +55,8 @@
     lives: BTreeMap<BackendName, BackendId>,
     /// Lives that ended without a word of leaving: the next one is listed under their name.
     crashed: VecDeque<BackendId>,
+    /// Zones that operators want emptied: their back ends get nothing new.
+    evacuated: BTreeSet<ZoneName>,
 }
 
 impl BackendList {
@@ -122,16 +127,60 @@
         self.entries.get(id)
     }
 
-    /// Back ends of a pool that take new work, in the order of their ids.
+    /// Back ends of a pool that take new work, in the order of their ids. This, and
+    /// [`takes_requests`](Self::takes_requests) right before a request is sent, are all that says who does.
     pub fn ready_in<'a>(
         &'a self,
         pool: &'a PoolName,
+    ) -> impl Iterator<Item = (&'a BackendId, &'a BackendRecord)> {
+        self.serving_in(pool)
+            .filter(|(_, record)| !self.is_evacuated(&record.zone))
+    }
+
+    /// Back ends of a pool that do not leave, also those of evacuated zones.
+    pub fn serving_in<'a>(
+        &'a self,
+        pool: &'a PoolName,
     ) -> impl Iterator<Item = (&'a BackendId, &'a BackendRecord)> {
         self.entries
             .iter()
             .filter(move |(_, record)| record.pool == *pool && !record.draining)
     }
 
+    /// Whether a back end may be sent a request that was meant for it a moment ago.
+    pub fn takes_requests(&self, id: &BackendId) -> bool {
+        self.get(id)
+            .is_some_and(|record| !self.is_evacuated(&record.zone))
+    }
+
+    fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuated.contains(zone)
+    }
+
+    /// Begins or ends the evacuation of a zone; answers whether that is new.
+    pub fn set_evacuated(&mut self, zone: &ZoneName, is_evacuated: bool) -> bool {
+        if is_evacuated {
+            self.evacuated.insert(zone.clone())
+        } else {
+            self.evacuated.remove(zone)
+        }
+    }
+
+    /// Zones that are evacuated.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated
+    }
+
+    /// Back ends in a zone.
+    pub fn in_zone<'a>(
+        &'a self,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = (&'a BackendId, &'a BackendRecord)> {
+        self.entries
+            .iter()
+            .filter(|(_, record)| record.zone == zone.as_str())
+    }
+
     /// Whether another back end is listed at an address: the next life of the one that was there.
     pub fn is_taken_over(&self, address: SocketAddr, by_other_than: &BackendId) -> bool {
         let mut entries = self.entries.iter();
--- a/crates/rollout/src/ids.rs
+++ b/crates/rollout/src/ids.rs
@@ -118,6 +118,10 @@
     /// A zone: machines that may be cut off or lost together.
     ZoneName
 );
+text_id!(
+    /// A region: zones that lie close together, under one law.
+    RegionName
+);
 text_id!(
     /// A tenant: somebody whose callers present keys of its own.
     TenantName
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -25,9 +25,11 @@
 pub mod order_plan;
 pub mod pacing;
 pub mod record;
+pub mod residency;
 pub mod route;
 pub mod schedule;
 pub mod sizing;
+pub mod slow_start;
 pub mod stored;
 pub mod usage;
 
--- a/crates/rollout/src/route.rs
+++ b/crates/rollout/src/route.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use crate::access::{AccessTable, Caller, Denied, Tenant};
-use crate::ids::{ModelName, PoolName};
+use crate::ids::{ModelName, PoolName, TenantName};
+use crate::residency::Residency;
 use crate::sizing::PoolScaling;
+use crate::slow_start::ColdLimit;
 
 /// How a request on a route may be treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,6 +73,8 @@
     pub single_version: bool,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// Where its requests may be served and their data kept.
+    pub residency: Residency,
 }
 
 impl Route {
@@ -104,6 +108,8 @@
     pub tokens_per_event: u32,
     /// What may be ordered of it; `None` where its size is the operator's.
     pub scaling: Option<PoolScaling>,
+    /// What its back ends bear while they are cold; `None` where they start warm.
+    pub cold_limit: Option<ColdLimit>,
 }
 
 /// Bounds on what callers send.
@@ -223,6 +229,22 @@
         self.access.admit(key, is_public)
     }
 
+    /// Where a request of a tenant on a route may be served and its data kept: both bind.
+    pub fn residency(&self, route: &Route, tenant: Option<&TenantName>) -> Residency {
+        match tenant {
+            Some(tenant) => route.residency.and(&self.access.residency_of(tenant)),
+            None => route.residency.clone(),
+        }
+    }
+
+    /// What the back ends of each pool bear while they are cold.
+    pub fn cold_limits(&self) -> HashMap<PoolName, ColdLimit> {
+        let pools = self.pools.values();
+        pools
+            .filter_map(|pool| Some((pool.name.clone(), pool.cold_limit?)))
+            .collect()
+    }
+
     /// A pool by name.
     pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
         self.pools.get(name)
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -7,7 +7,8 @@
 
 use crate::Millis;
 use crate::batch_state::BatchState;
-use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, Version};
+use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, RegionName, Version};
+use crate::residency::Residency;
 
 /// An item that waits for a place.
 #[derive(Debug, Clone, PartialEq)]
@@ -30,6 +31,8 @@
     pub exact_version: Option<Version>,
     /// Group, to place items with the same prompt together.
     pub group: Option<GroupId>,
+    /// Where it may run.
+    pub residency: Residency,
 }
 
 impl WaitingItem {
@@ -47,9 +50,11 @@
 pub struct Candidate {
     /// The back end.
     pub backend: BackendId,
+    /// Region it stands in, if that is known.
+    pub region: Option<RegionName>,
     /// Items that run there now, of all nodes.
     pub running: u32,
-    /// Items it runs at a time.
+    /// Items it may run at a time: its places, or fewer while it is cold.
     pub slots: u32,
     /// Milliseconds between two events of a stream there.
     pub event_gap_ms: f64,
@@ -62,7 +67,8 @@
 impl Candidate {
     /// Whether it has a free place and new enough weights for the item.
     pub fn accepts(&self, item: &WaitingItem) -> bool {
-        self.running < self.slots && self.has_version_for(item)
+        let is_allowed = item.residency.allows(self.region.as_ref());
+        self.running < self.slots && is_allowed && self.has_version_for(item)
     }
 
     fn has_version_for(&self, item: &WaitingItem) -> bool {
--- a/crates/rollout/tests/access.rs
+++ b/crates/rollout/tests/access.rs
@@ -2,6 +2,7 @@
 
 use havenstage_rollout::access::{AccessTable, Caller, Denied, Tenant};
 use havenstage_rollout::ids::{ApiKey, TenantName};
+use havenstage_rollout::residency::Residency;
 
 fn name(text: &str) -> TenantName {
     TenantName::from(text)
@@ -15,6 +16,7 @@
             .map(|key| ApiKey::from((*key).to_owned()))
             .collect(),
         priority: None,
+        residency: Residency::anywhere(),
     }
 }
 
--- a/crates/rollout/tests/backends.rs
+++ b/crates/rollout/tests/backends.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
-use havenstage_rollout::ids::{BackendId, BackendName, PoolName};
+use havenstage_rollout::ids::{BackendId, BackendName, PoolName, ZoneName};
 
 fn record(started_at: Option<u64>) -> BackendRecord {
     BackendRecord {
@@ -12,6 +12,7 @@
         zone: "zone".to_owned(),
         slots: 4,
         draining: false,
+        cold_left_ms: 0,
         models: BTreeMap::new(),
         started_at,
     }
@@ -98,3 +99,24 @@
     assert!(list.has_crashed(&id("b2@100")));
     assert!(!list.has_crashed(&id("b1@100")));
 }
+
+#[test]
+fn back_ends_of_an_evacuated_zone_get_nothing_until_it_is_taken_back() {
+    let mut list = BackendList::default();
+    list.apply(entry("b1", Some(record(None))));
+    let other = BackendRecord {
+        zone: "other".to_owned(),
+        ..record(None)
+    };
+    list.apply(entry("b2", Some(other)));
+    let zone = ZoneName::from("zone");
+    assert!(list.set_evacuated(&zone, true));
+    assert!(!list.set_evacuated(&zone, true), "known already");
+    assert_eq!(listed(&list), ["b2"]);
+    assert!(!list.takes_requests(&id("b1")) && list.takes_requests(&id("b2")));
+    list.apply(entry("b3", Some(record(None))));
+    assert_eq!(listed(&list), ["b2"], "one that starts there meanwhile");
+    assert_eq!(list.serving_in(&PoolName::from("pool")).count(), 3);
+    assert!(list.set_evacuated(&zone, false));
+    assert_eq!(listed(&list), ["b1", "b2", "b3"]);
+}
--- a/crates/rollout/tests/routes.rs
+++ b/crates/rollout/tests/routes.rs
@@ -1,6 +1,7 @@
 //! Which route and which pool a call takes.
 
 use havenstage_rollout::ids::PoolName;
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{
     CallerLimits, RequestKind, Route, RouteTable, RoutingConfig, WeightedPool,
 };
@@ -24,6 +25,7 @@
         give_up_after_ms: None,
         single_version: false,
         is_public: false,
+        residency: Residency::anywhere(),
     }
 }
 
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, HashSet};
 
 use havenstage_rollout::fold::PartitionState;
-use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName};
+use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName, RegionName};
+use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{
     Candidate, RunningItem, WaitingItem, choose, optional_items, relocations, sort_waiting,
 };
@@ -22,6 +23,7 @@
         minimum_version: 3,
         exact_version: None,
         group: Some(GroupId::from("group")),
+        residency: Residency::anywhere(),
     }
 }
 
@@ -29,6 +31,7 @@
 fn candidate(id: &str, running: u32, version: u64, speed: f64) -> Candidate {
     Candidate {
         backend: backend(id),
+        region: None,
         running,
         slots: 8,
         event_gap_ms: 40.0 / speed,
@@ -230,3 +233,15 @@
     assert_eq!(moved(item(2, 1_600), candidates()).len(), 1);
     assert_eq!(moved(item(40, 6_400), candidates()).len(), 1);
 }
+
+#[test]
+fn an_item_goes_only_where_its_residency_allows() {
+    let mut restricted = waiting("item", false, 10);
+    restricted.residency = Residency::of([RegionName::from("west")]);
+    let mut near = candidate("a", 0, 5, 2.0);
+    assert!(!near.accepts(&restricted), "its region is not known");
+    near.region = Some(RegionName::from("east"));
+    assert!(!near.accepts(&restricted));
+    near.region = Some(RegionName::from("west"));
+    assert!(near.accepts(&restricted));
+}
