One node reads the directory of back ends and writes a digest of it for fleets whose nodes cannot all read it

Cause: every node read the directory of back ends, listing or changes: 985 nodes times some 4 MB are 4 GB at each start, and the store gives 80 MB a second to all. Reads of 256 KB each were given up after 0.3 to 1 s while 985 of them take 3 s, and asked for again: the store's bandwidth went into answers that nobody waited for any more (846,668 calls, 1.3 GB, no node served). Change: a node that finds more than all nodes can read in 2 s follows the digest of the directory instead. The holder of the orders lease reads the directory and writes the entries that the work needs (64 back ends of each pool, places for twice the items of the newest batches, doubled when nodes say that all are taken): 11 KB to each node at first. Its records carry the lease's term, so that those of a former holder do not count. Nodes that hear nothing of it for 4 s list a part of the directory themselves. What a node asks for at once is its share of 0.25 s of the store's bandwidth. Ruled out: longer patience with the store alone (tried before: still overloaded); each node lists a part of the directory (a page is some 250 KB: 3 s of bandwidth at each start, and changes of all back ends are still read by all).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -17,7 +17,7 @@
 };
 use havenstage_rollout::residency::{RegionMap, Residency};
 use havenstage_rollout::slow_start::{ColdLimit, Sender, SlowStart};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// Longest time for a connection to a back end to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -47,8 +47,8 @@
     work: Arc<Notify>,
     /// Whether every back end there is was listed, and not only as many as are enough.
     is_listed_whole: AtomicBool,
-    /// Wakes the task that lists back ends.
-    more_wanted: Notify,
+    /// The pool of which more back ends were last wanted.
+    more_wanted: watch::Sender<Option<PoolName>>,
 }
 
 /// What is behind the lock.
@@ -89,7 +89,7 @@
             inner: Mutex::new(inner),
             work,
             is_listed_whole: AtomicBool::new(false),
-            more_wanted: Notify::new(),
+            more_wanted: watch::Sender::new(None),
         })
     }
 
@@ -103,17 +103,24 @@
         self.is_listed_whole.store(is_whole, Ordering::Relaxed);
     }
 
-    /// Has more back ends listed, where some were left unlisted: those that are known are taken, or there are none of
-    /// a pool.
-    pub fn want_more(&self) {
+    /// Has more back ends of a pool listed, where some were left unlisted: those that are known are taken, or there
+    /// are none.
+    pub fn want_more(&self, pool: &PoolName) {
         if !self.is_listed_whole() {
-            self.more_wanted.notify_one();
+            self.more_wanted.send_replace(Some(pool.clone()));
         }
     }
 
-    /// Waits until more back ends are wanted.
-    pub async fn more_wanted(&self) {
-        self.more_wanted.notified().await;
+    /// Waits until more back ends of some pool are wanted.
+    pub async fn more_wanted(&self) -> PoolName {
+        let mut wanted = self.more_wanted.subscribe();
+        loop {
+            // The sender lives as long as `self`.
+            let _ = wanted.changed().await;
+            if let Some(pool) = wanted.borrow_and_update().clone() {
+                return pool;
+            }
+        }
     }
 
     /// The state.
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -165,7 +165,7 @@
         }
         if self.may_have_run == 0 && self.has_waited_enough() {
             // All that are known turn it away.
-            self.context.backends.want_more();
+            self.context.backends.want_more(self.pool);
             return Some(refused());
         }
         if !self.begin() {
@@ -205,7 +205,7 @@
         if has_some || !self.context.backends_are_listed() {
             return false;
         }
-        self.context.backends.want_more();
+        self.context.backends.want_more(self.pool);
         self.context.backends.is_listed_whole()
     }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,6 +7,7 @@
 use havenstage_clock::Instant;
 use havenstage_clock::time_of_day::TimeOfDay;
 use havenstage_rollout::Millis;
+use havenstage_rollout::backend_digest::DigestState;
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::control::ControlState;
 use havenstage_rollout::ids::{
@@ -55,12 +56,26 @@
 /// started sends no request that others have barred.
 const CONTROL_PATIENCE: Duration = Duration::from_millis(100);
 
+/// The only partition of the digest of back ends in use.
+pub const BACKEND_DIGEST: StreamPartition = StreamPartition {
+    stream: LogStream::BackendDigest,
+    partition: 0,
+};
+
 /// Time after running a batch in which a node reads all streams at once.
 const BUSY_MS: Millis = 5_000;
 /// Streams that every node follows: orders and two directories.
 const ALWAYS_FOLLOWED: usize = 3;
 /// Batches of a trainer that its owner follows: a step may carry items of the ones before it.
 const FOLLOWED_OF_TRAINER: usize = 4;
+/// Time within which all nodes can read what they read each time that the fleet starts.
+const SHARED_READ_TIME: Duration = Duration::from_secs(2);
+/// Time within which all nodes have their answers, if all ask at once: well within the time after which an answer is
+/// not waited for any more, or the log would give the same bytes again and again.
+const SHARED_ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Bounds of what a node asks for at once: some ten entries at least.
+const LEAST_READ_BYTES: u32 = 8 * 1024;
+const MOST_READ_BYTES: u32 = 256 * 1024;
 /// Time after a start in which the size of the fleet is hardly known.
 const FLEET_UNKNOWN_FOR: Duration = Duration::from_millis(500);
 /// Longest gap between two reads meanwhile: a node of a small fleet must not sleep through its first seconds.
@@ -103,6 +118,8 @@
     pub control: StreamView<ControlState>,
     /// Places taken on back ends, as the nodes that run batches tell.
     pub occupancy: StreamView<Occupancy>,
+    /// The digest of the directory of back ends, where that is too large for all nodes to read.
+    pub digest: StreamView<DigestState>,
     /// Turns for reading batches that lie far behind.
     pub catch_up: Semaphore,
     /// Wakes the task that gives orders.
@@ -128,6 +145,7 @@
     draws: AtomicU64,
     last_contact: AtomicU64,
     operators_read_at: AtomicU64,
+    directory_is_large: AtomicBool,
     busy_until: AtomicU64,
     backends_listed: watch::Sender<bool>,
     control_read: watch::Sender<bool>,
@@ -171,11 +189,17 @@
                 control_changed.clone(),
             ),
             occupancy: StreamView::new(OCCUPANCY, Occupancy::default(), work.clone()),
+            digest: StreamView::new(
+                BACKEND_DIGEST,
+                DigestState::default(),
+                control_changed.clone(),
+            ),
             control_changed,
             work,
             catch_up: Semaphore::new(CATCH_UP_READS),
             last_contact: AtomicU64::new(0),
             operators_read_at: AtomicU64::new(0),
+            directory_is_large: AtomicBool::new(false),
             busy_until: AtomicU64::new(0),
             backends_listed: watch::Sender::new(false),
             control_read: watch::Sender::new(false),
@@ -437,6 +461,30 @@
             .fetch_max(self.now() + BUSY_MS, Ordering::Relaxed);
     }
 
+    /// Whether the directory of back ends is too large for all nodes to read it themselves.
+    pub fn directory_is_large(&self) -> bool {
+        self.directory_is_large.load(Ordering::Relaxed)
+    }
+
+    /// The directory of back ends was found to be too large for all nodes to read it themselves.
+    pub fn note_large_directory(&self) {
+        self.directory_is_large.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the log can give so many bytes to every node within [`SHARED_READ_TIME`].
+    pub fn can_all_read(&self, bytes: u64) -> bool {
+        let fleet_bytes = bytes as f64 * self.fleet_size() as f64;
+        let bytes_per_s = self.settings.log.read_bytes_per_s();
+        fleet_bytes <= bytes_per_s * SHARED_READ_TIME.as_secs_f64()
+    }
+
+    /// Bytes that a node may ask for at once, so that all nodes can at the same time.
+    pub fn shared_read_bytes(&self) -> u32 {
+        let bytes_per_s = self.settings.log.read_bytes_per_s();
+        let share = bytes_per_s * SHARED_ANSWER_TIME.as_secs_f64() / self.fleet_size() as f64;
+        (share as u32).clamp(LEAST_READ_BYTES, MOST_READ_BYTES)
+    }
+
     /// A directory was read to its end.
     pub fn note_directory_read(&self, kind: DirectoryKind) {
         if kind == DirectoryKind::Operators {
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -39,7 +39,7 @@
             .iter()
             .map(|model| (model.clone(), self.work_of(model)))
             .collect();
-        self.want_places_for(&targets, &work);
+        self.want_places_for(pool, &targets, &work);
         let weights = work
             .iter()
             .map(|(model, work)| (model.clone(), work.weight))
@@ -61,12 +61,17 @@
     }
 
     /// Has more back ends listed if those that are known cannot hold the newest batches of all models at once.
-    fn want_places_for(&self, targets: &[OrderTarget], work: &BTreeMap<ModelName, ModelWork>) {
+    fn want_places_for(
+        &self,
+        pool: &Pool,
+        targets: &[OrderTarget],
+        work: &BTreeMap<ModelName, ModelWork>,
+    ) {
         let places: u64 = targets.iter().map(|target| u64::from(target.slots)).sum();
         let known_work = work.values().filter(|work| work.items != u32::MAX);
         let items: u64 = known_work.map(|work| u64::from(work.items)).sum();
         if places < items {
-            self.context.backends.want_more();
+            self.context.backends.want_more(&pool.name);
         }
     }
 
--- a/crates/gateway/src/counted_log.rs
+++ b/crates/gateway/src/counted_log.rs
@@ -68,6 +68,7 @@
         LogStream::Control => "control",
         LogStream::Occupancy => "occupancy",
         LogStream::Usage => "usage",
+        LogStream::BackendDigest => "backend_digest",
     };
     metrics::log_called(stream, call, bytes.is_ok(), bytes.unwrap_or(0));
 }
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -1,46 +1,59 @@
 //! Follows the directories that operators and back ends write: a listing first, then changes.
 //!
-//! The load that this answers: 10,000 back ends have a listing of some megabytes, and all nodes of a fleet start at
-//! once. No node needs them all, so a node lists page by page until it has enough of each pool, and goes on when they
-//! are all taken. Names are listed in their order, so that all nodes know the same ones first: those that give orders
-//! and those that run items must mean the same.
+//! The directory of back ends grows with the fleet that reads it. Where all nodes cannot read it any more they follow
+//! its digest, which one node keeps ([`digest_writer`](crate::digest_writer)).
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::ids::{BackendName, PoolName, ZoneName};
 use log::{info, warn};
 
 use crate::context::Context;
 use crate::dependency::Dependency;
+use crate::digest_reader;
 use crate::edge::{DirectoryEntry, DirectoryKind, ListingPage, LogError};
 use crate::metrics;
 
 /// Longest wait between two reads of a directory.
 const LONGEST_DIRECTORY_GAP: Duration = Duration::from_millis(700);
 
-/// Back ends of each pool that a node lists before it leaves the rest unlisted. Together they take as many calls and
-/// items as hundreds of nodes send; one that finds them taken lists more.
+/// Back ends of each pool that a node lists where it cannot list all: as many as take the calls of some hundred nodes.
 const ENOUGH_BACKENDS: usize = 64;
+/// Bytes of an entry of a back end, with its models: some 300 to 600 where it was measured.
+const ENTRY_BYTES: u64 = 400;
 
-/// Follows a directory: a listing first, then changes; a listing again when changes are lost.
-pub async fn follow_directory(context: Arc<Context>, kind: DirectoryKind) {
-    let dependency = Dependency::new(format!("directory {kind:?}"));
-    let mut follower = DirectoryFollower {
-        context,
-        kind,
-        dependency,
-        next: None,
-        unlisted_after: None,
-        is_just_listed: false,
-    };
+/// Follows the operators' directory.
+pub async fn follow_operators(context: Arc<Context>) {
+    let mut follower = DirectoryFollower::new(context, DirectoryKind::Operators);
     loop {
         follower.step().await;
     }
 }
 
+/// Follows the directory of back ends itself while all nodes can, and else its digest.
+pub async fn follow_backends(context: Arc<Context>) {
+    let mut follower = DirectoryFollower::new(context.clone(), DirectoryKind::Backends);
+    if digest_reader::take_up(&context).await {
+        context.note_large_directory();
+        digest_reader::follow(&context).await;
+        follower.follow_for_a_while().await;
+    }
+    while !context.directory_is_large() {
+        follower.step().await;
+    }
+    info!(event = "directory_too_large", machines = context.fleet_size(); "");
+    loop {
+        digest_reader::follow(&context).await;
+        // Nobody keeps it, so each node lists what it needs.
+        follower.next = None;
+        follower.follow_for_a_while().await;
+    }
+}
+
 /// A directory as far as it was read.
 struct DirectoryFollower {
     context: Arc<Context>,
@@ -55,6 +68,26 @@
 }
 
 impl DirectoryFollower {
+    fn new(context: Arc<Context>, kind: DirectoryKind) -> Self {
+        Self {
+            dependency: Dependency::new(format!("directory {kind:?}")),
+            context,
+            kind,
+            next: None,
+            unlisted_after: None,
+            is_just_listed: false,
+        }
+    }
+
+    /// Follows the directory until somebody may keep its digest again.
+    async fn follow_for_a_while(&mut self) {
+        let until = digest_reader::directory_until();
+        while Instant::now() < until {
+            self.step().await;
+        }
+    }
+
+    /// Lists the directory, or reads its changes once.
     async fn step(&mut self) {
         let Some(from) = self.next else {
             self.next = Some(self.read_listing().await);
@@ -62,20 +95,11 @@
             return;
         };
         let context = self.context.clone();
-        let more_wanted = async {
-            match (self.kind, &self.unlisted_after) {
-                (DirectoryKind::Backends, Some(_)) => context.backends.more_wanted().await,
-                _ => std::future::pending().await,
-            }
-        };
         let wait = context.settings.read_wait();
-        let changes = tokio::select! {
-            changes = context.directory.changes(self.kind, from, wait) => Some(changes),
-            () = more_wanted => None,
-        };
-        match changes {
-            None => self.list_more().await,
-            Some(Ok(page)) => {
+        let most_bytes = context.shared_read_bytes();
+        let directory = context.directory.as_ref();
+        match directory.changes(self.kind, from, wait, most_bytes).await {
+            Ok(page) => {
                 self.dependency.works();
                 context.saw_contact();
                 self.next = Some(page.next);
@@ -83,23 +107,25 @@
                 for entry in page.entries {
                     take_entry(&context, entry, None);
                 }
+                self.look_at_size(page.behind);
                 context.note_directory_read(self.kind);
                 context.control_changed.notify_one();
                 tokio::time::sleep(directory_gap(&context)).await;
             }
-            Some(Err(error @ LogError::HistoryDropped { .. })) => {
+            Err(error @ LogError::HistoryDropped { .. }) => {
                 self.next = None;
                 // A listing that did not help is not repeated at once.
                 if self.is_just_listed {
                     self.dependency.pause_after(error).await;
                 }
             }
-            Some(Err(error)) => self.dependency.pause_after(error).await,
+            Err(error) => self.dependency.pause_after(error).await,
         }
     }
 
-    /// Reads a listing page by page until it is whole or brought enough; a page that fails is asked for again. Answers
-    /// the offset from which changes must be read: the end that the first page named, since pages are no snapshot.
+    /// Reads a listing page by page until it is whole or brought as much as all nodes can read; a page that fails is
+    /// asked for again. Answers the offset from which changes must be read: the end that the first page named, since
+    /// pages are no snapshot.
     async fn read_listing(&mut self) -> u64 {
         let mut listed = Listed::default();
         let mut first_end = None;
@@ -111,8 +137,11 @@
                 take_entry(&self.context, entry, Some(&mut listed));
             }
             self.unlisted_after = page.more;
-            if self.unlisted_after.is_none() || listed.is_enough(&self.context, self.kind) {
-                listed.take_up(&self.context, self.kind, self.unlisted_after.is_none());
+            let is_whole = self.unlisted_after.is_none();
+            self.look_at_size(listed.backends.len() as u64);
+            let is_enough = self.context.directory_is_large() && listed.is_enough(&self.context);
+            if is_whole || is_enough {
+                listed.take_up(&self.context, self.kind, is_whole);
                 self.context.note_directory_read(self.kind);
                 self.context.control_changed.notify_one();
                 return end;
@@ -120,19 +149,12 @@
         }
     }
 
-    /// Reads the next page of a listing whose rest was left unlisted. Records of changes that are read after it may be
-    /// older than it; the newest ones follow them.
-    async fn list_more(&mut self) {
-        let page = self.read_page().await;
-        self.unlisted_after = page.more;
-        let count = page.entries.len();
-        let is_whole = self.unlisted_after.is_none();
-        info!(event = "more_backends_listed", count = count, is_whole = is_whole; "");
-        for entry in page.entries {
-            take_entry(&self.context, entry, None);
+    /// Notes if there are more entries than all nodes can read.
+    fn look_at_size(&self, entries: u64) {
+        let is_backends = self.kind == DirectoryKind::Backends;
+        if is_backends && !self.context.can_all_read(entries * ENTRY_BYTES) {
+            self.context.note_large_directory();
         }
-        self.context.backends.set_listed_whole(is_whole);
-        tokio::time::sleep(directory_gap(&self.context)).await;
     }
 
     async fn read_page(&mut self) -> ListingPage {
@@ -165,9 +187,9 @@
 
 impl Listed {
     /// Whether the rest of the listing may be left for later: each pool that is configured has enough back ends.
-    fn is_enough(&self, context: &Context, kind: DirectoryKind) -> bool {
-        let Some(table) = context.routes().filter(|_| kind == DirectoryKind::Backends) else {
-            return false;
+    fn is_enough(&self, context: &Context) -> bool {
+        let Some(table) = context.routes() else {
+            return !self.backends.is_empty();
         };
         let mut listed: HashMap<&PoolName, usize> = HashMap::new();
         let ready = self.backends.values().filter(|record| !record.draining);
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -31,6 +31,8 @@
     Occupancy,
     /// What each node has counted of the requests of tenants.
     Usage,
+    /// The digest of the directory of back ends.
+    BackendDigest,
 }
 
 /// A partition of a stream.
@@ -49,6 +51,7 @@
             LogStream::Control => write!(formatter, "control"),
             LogStream::Occupancy => write!(formatter, "occupancy"),
             LogStream::Usage => write!(formatter, "usage {}", self.partition),
+            LogStream::BackendDigest => write!(formatter, "digest of back ends"),
         }
     }
 }
@@ -199,6 +202,8 @@
     pub entries: Vec<DirectoryEntry>,
     /// Offset from which later changes can be read.
     pub next: u64,
+    /// Changes that were there behind these.
+    pub behind: u64,
 }
 
 /// One page of a listing; pages are no snapshot.
@@ -219,12 +224,13 @@
     async fn list(&self, kind: DirectoryKind, after: Option<&str>)
     -> Result<ListingPage, LogError>;
 
-    /// Changes from an offset on; waits up to `wait` for one.
+    /// Changes from an offset on, some `most_bytes` of them and at least one; waits up to `wait` for one.
     async fn changes(
         &self,
         kind: DirectoryKind,
         from: u64,
         wait: Duration,
+        most_bytes: u32,
     ) -> Result<DirectoryPage, LogError>;
 }
 
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -176,7 +176,7 @@
         }
         let are_all_taken = candidates.iter().all(|c| c.running >= c.slots);
         if are_all_taken && !candidates.is_empty() {
-            self.context.backends.want_more();
+            self.context.backends.want_more(pool);
         }
         for relocation in schedule::relocations(work.running, candidates) {
             self.relocate(&relocation);
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -154,7 +154,7 @@
 
 /// What became of a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ReadOutcome {
+pub(crate) enum ReadOutcome {
     /// It was answered.
     Answered,
     /// Records before those that are kept were asked for; they are skipped.
@@ -164,7 +164,7 @@
 }
 
 /// Reads a stream once, after a gap since the read before.
-async fn read_once<S: StreamState>(
+pub(crate) async fn read_once<S: StreamState>(
     context: &Context,
     view: &StreamView<S>,
     dependency: &mut Dependency,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 mod crash_evidence;
 mod crash_guard;
 mod dependency;
+mod digest_reader;
+mod digest_writer;
 pub mod directories;
 pub mod edge;
 pub mod engine;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,8 +16,9 @@
 use crate::checkpoints;
 use crate::context::Context;
 use crate::coordinator::Coordinator;
+use crate::digest_writer;
 use crate::directories;
-use crate::edge::{DirectoryKind, Surroundings};
+use crate::edge::Surroundings;
 use crate::engine::Engine;
 use crate::followers;
 use crate::metering::{self, UsageReporter};
@@ -139,14 +140,9 @@
 }
 
 fn start_followers(context: &Arc<Context>, tasks: &mut JoinSet<()>) {
-    tasks.spawn(directories::follow_directory(
-        context.clone(),
-        DirectoryKind::Operators,
-    ));
-    tasks.spawn(directories::follow_directory(
-        context.clone(),
-        DirectoryKind::Backends,
-    ));
+    tasks.spawn(directories::follow_operators(context.clone()));
+    tasks.spawn(directories::follow_backends(context.clone()));
+    tasks.spawn(digest_writer::write_digest(context.clone()));
     tasks.spawn(followers::follow_control(context.clone()));
     tasks.spawn(checkpoints::write_checkpoints(context.clone()));
     tasks.spawn(followers::follow_occupancy(context.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -63,6 +63,23 @@
     pub call_bytes: usize,
     /// Reading calls a second that all nodes may make together.
     pub reads_per_s: u32,
+    /// Megabytes a second that it gives to all nodes together.
+    #[serde(default = "default_read_mb_per_s")]
+    pub read_mb_per_s: f64,
+}
+
+impl LogSettings {
+    /// Bytes a second that it gives to all nodes together.
+    pub fn read_bytes_per_s(&self) -> f64 {
+        self.read_mb_per_s * BYTES_PER_MB
+    }
+}
+
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
+/// What the users' store gives.
+fn default_read_mb_per_s() -> f64 {
+    80.0
 }
 
 /// With 8 partitions or more, 256 places: some 16 batches are open at once on the largest deployment.
@@ -258,6 +275,16 @@
                 ));
             }
         }
+        let read_mb_per_s = self.log.read_mb_per_s;
+        if !(read_mb_per_s.is_finite() && read_mb_per_s > 0.0) {
+            let allowed = "a number of megabytes a second, more than 0";
+            return Err(out_of_range(
+                path,
+                "log.read_mb_per_s",
+                &read_mb_per_s,
+                allowed,
+            ));
+        }
         if self.node.is_empty() {
             return Err(out_of_range(path, "node", &self.node, "a name"));
         }
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -6,6 +6,7 @@
 
 use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
+use havenstage_rollout::backend_digest::{DigestRecord, DigestState};
 use havenstage_rollout::control::ControlState;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::fold::PartitionState;
@@ -48,6 +49,13 @@
     }
 }
 
+impl StreamState for DigestState {
+    fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
+        let record = DigestRecord::decode(bytes);
+        record.map(|record| self.apply(record, now)).is_ok()
+    }
+}
+
 impl StreamState for Occupancy {
     fn take(&mut self, bytes: &[u8], now: Millis) -> bool {
         let record = OccupancyRecord::decode(bytes);
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -60,6 +60,8 @@
     bytes_read: AtomicU64,
 }
 
+/// What an entry of a directory counts for in bytes.
+const ENTRY_BYTES: u32 = 400;
 /// How long a call takes that is answered at once.
 const AT_ONCE: Duration = Duration::from_millis(1);
 
@@ -118,9 +120,8 @@
     /// Offset up to which the newest checkpoint of the control stream goes.
     pub fn checkpointed(&self) -> u64 {
         let state = self.state.lock().unwrap();
-        let checkpoints = state.checkpoints.values();
-        let offsets = checkpoints.map(|value| ControlCheckpoint::decode(value).unwrap().next);
-        offsets.max().unwrap_or(0)
+        let checkpoint = state.checkpoints.get("control");
+        checkpoint.map_or(0, |value| ControlCheckpoint::decode(value).unwrap().next)
     }
 
     /// Drops all records of a partition so far.
@@ -405,6 +406,7 @@
         kind: DirectoryKind,
         from: u64,
         wait: Duration,
+        most_bytes: u32,
     ) -> Result<DirectoryPage, LogError> {
         self.reads_of_changes.fetch_add(1, Ordering::Relaxed);
         self.check_reachable().await?;
@@ -420,10 +422,17 @@
                 .collect();
             (!new.is_empty()).then_some(new)
         });
-        let entries = found.await.unwrap_or_default();
+        let mut entries = found.await.unwrap_or_default();
         self.check_reachable().await?;
+        let there = entries.len();
+        entries.truncate((most_bytes / ENTRY_BYTES).max(1) as usize);
         let next = from + entries.len() as u64;
-        Ok(DirectoryPage { entries, next })
+        let behind = (there - entries.len()) as u64;
+        Ok(DirectoryPage {
+            entries,
+            next,
+            behind,
+        })
     }
 }
 
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -171,6 +171,16 @@
         &self.evacuated
     }
 
+    /// The newest life of a back end.
+    pub fn by_name(&self, name: &BackendName) -> Option<&BackendRecord> {
+        self.get(self.lives.get(name)?)
+    }
+
+    /// The newest life of every back end, in the order of their names.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &BackendRecord)> {
+        self.entries.iter().map(|(id, record)| (id.name(), record))
+    }
+
     /// Back ends in a zone.
     pub fn in_zone<'a>(
         &'a self,
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod access;
 pub mod backend;
+pub mod backend_digest;
 pub mod batch;
 pub mod batch_index;
 pub mod batch_state;
--- /dev/null
+++ b/crates/rollout/tests/backend_digest.rs
@@ -0,0 +1,173 @@
+//! The digest of the directory of back ends: what it holds, how it follows, and what it costs.
+
+use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
+use havenstage_rollout::backend_digest::{DigestCheckpoint, DigestRecord, DigestState, changes_to};
+use havenstage_rollout::ids::{BackendName, ModelName, PoolName};
+use havenstage_rollout::lease::Term;
+use havenstage_rollout::stored::Stored;
+
+const ENGINES: usize = 7_777;
+const APPLICATIONS: usize = 2_222;
+const MODELS: usize = 8;
+const WANTED: usize = 64;
+/// Bytes a second that the users' store gives to all readers together.
+const READ_BYTES_PER_S: usize = 80_000_000;
+
+fn record(pool: &str, at: usize) -> BackendRecord {
+    let models = match pool {
+        "tono-llm" => MODELS,
+        _ => 0,
+    };
+    let model = |at| (ModelName::from(format!("model-{at:06}")), 1);
+    BackendRecord {
+        pool: PoolName::from(pool),
+        address: format!("10.4.{}.{}:8362", at / 250, at % 250)
+            .parse()
+            .unwrap(),
+        zone: "santander-d".to_owned(),
+        slots: 6,
+        draining: false,
+        cold_left_ms: 0,
+        models: (0..models).map(model).collect(),
+        started_at: Some(1_779_876_374_005),
+    }
+}
+
+/// Names are hexadecimal, in no order of pools.
+fn name(at: usize) -> BackendName {
+    let scattered = (at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
+    BackendName::from(format!("i-{scattered:010x}"))
+}
+
+fn directory() -> BackendList {
+    let mut list = BackendList::default();
+    for at in 0..ENGINES + APPLICATIONS {
+        let pool = match at < ENGINES {
+            true => "tono-llm",
+            false => "aviso-app",
+        };
+        set(&mut list, at, Some(record(pool, at)));
+    }
+    list
+}
+
+fn set(list: &mut BackendList, at: usize, record: Option<BackendRecord>) {
+    let name = name(at);
+    list.apply(BackendChange { name, record });
+}
+
+/// Brings a digest up to date; answers the bytes that were written for it.
+fn update(digest: &mut DigestState, directory: &BackendList, term: Term) -> usize {
+    let changes = changes_to(digest, directory, |_| WANTED);
+    let record = DigestRecord::Changed { term, changes };
+    let bytes = record.encode();
+    digest.apply(DigestRecord::decode(&bytes).unwrap(), 0);
+    bytes.len()
+}
+
+fn ready_in(digest: &mut DigestState, pool: &str) -> usize {
+    let all = digest.all();
+    let in_pool = all.values().filter(|record| record.pool.as_str() == pool);
+    in_pool.filter(|record| !record.draining).count()
+}
+
+#[test]
+fn it_has_enough_of_each_pool_and_is_read_by_2_000_nodes_within_a_second() {
+    let mut digest = DigestState::default();
+    let bytes = update(&mut digest, &directory(), 1);
+    for pool in ["tono-llm", "aviso-app"] {
+        assert_eq!(ready_in(&mut digest, pool), WANTED);
+    }
+    assert!(bytes * 2_000 < READ_BYTES_PER_S, "{bytes} B for each node");
+}
+
+#[test]
+fn a_change_of_many_back_ends_costs_what_those_of_the_digest_cost() {
+    let mut directory = directory();
+    let mut digest = DigestState::default();
+    update(&mut digest, &directory, 1);
+    for at in 0..ENGINES / 5 {
+        set(&mut directory, at, None);
+    }
+    let gone = update(&mut digest, &directory, 1);
+    assert_eq!(
+        ready_in(&mut digest, "tono-llm"),
+        WANTED,
+        "others took their places"
+    );
+    for at in 0..ENGINES / 5 {
+        set(&mut directory, at, Some(record("tono-llm", at)));
+    }
+    let back = update(&mut digest, &directory, 1);
+    let bytes = gone + back;
+    assert!(
+        bytes * 2_000 < READ_BYTES_PER_S / 4,
+        "{bytes} B for each node"
+    );
+}
+
+#[test]
+fn a_back_end_that_leaves_is_told_at_once_and_replaced() {
+    let mut directory = directory();
+    let mut digest = DigestState::default();
+    update(&mut digest, &directory, 1);
+    digest.take_changes();
+    let leaving = digest.all().keys().next().unwrap().clone();
+    let at = (0..ENGINES + APPLICATIONS)
+        .find(|at| name(*at) == leaving)
+        .unwrap();
+    let mut draining = directory.by_name(&leaving).unwrap().clone();
+    draining.draining = true;
+    set(&mut directory, at, Some(draining));
+    update(&mut digest, &directory, 1);
+    let changes = digest.take_changes();
+    assert_eq!(
+        changes.len(),
+        2,
+        "it leaves, and another is there in its place"
+    );
+    let of_leaving = changes.iter().find(|change| change.name == leaving);
+    assert!(of_leaving.unwrap().record.as_ref().unwrap().draining);
+    set(&mut directory, at, None);
+    update(&mut digest, &directory, 1);
+    let changes = digest.take_changes();
+    assert_eq!(
+        changes,
+        [BackendChange {
+            name: leaving,
+            record: None
+        }]
+    );
+}
+
+/// A holder that stood still writes what was true before its successor began.
+#[test]
+fn records_of_a_term_that_is_over_do_not_count() {
+    let (directory, empty) = (directory(), BackendList::default());
+    let mut digest = DigestState::default();
+    update(&mut digest, &directory, 3);
+    digest.take_changes();
+    digest.apply(DigestRecord::Kept { term: 4 }, 10);
+    let late = DigestRecord::Changed {
+        term: 3,
+        changes: changes_to(&digest, &empty, |_| WANTED),
+    };
+    digest.apply(late, 20);
+    assert!(digest.take_changes().is_empty());
+    assert_eq!(digest.kept_at(), Some(10), "nor are they signs of life");
+    update(&mut digest, &empty, 4);
+    assert!(digest.is_empty());
+}
+
+#[test]
+fn a_checkpoint_holds_all_of_it() {
+    let mut digest = DigestState::default();
+    update(&mut digest, &directory(), 7);
+    let bytes = digest.checkpoint(42).encode();
+    let checkpoint = DigestCheckpoint::decode(&bytes).unwrap();
+    assert_eq!(checkpoint.next, 42);
+    let mut restored = DigestState::restored(checkpoint);
+    assert_eq!(restored.all(), digest.all());
+    restored.apply(DigestRecord::Kept { term: 6 }, 5);
+    assert_eq!(restored.kept_at(), None, "its term is known too");
+}
