Answers that callers take slowly hold a bounded part of a node's memory

Cause: whole answers waited in the node for as long as their callers took; pages of results are up to 1 MB each, so some hundred slow readers held all memory of a small machine, and the process would be killed with all its work. Change: held_answers counts answers over 16 KB until their connections have asked for the last piece; together they hold a quarter of the node's memory (settings: memory_mb). Pages of results get shorter as more is held (an eighth of what is free, 32 KB at least); past the bound the connections of the answers begun first are closed, with a log line and a counter. What the system holds for each caller's connection is bounded too (64 KB). Streams were passed on with back pressure before. Ruled out: refusing to answer while much is held (a page of one result helps its reader; 503 does not).

--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -20,8 +20,6 @@
 use crate::edge::{LogError, ResultPage};
 use crate::questions::{self, NotFound};
 
-/// Most bytes of a page of results.
-const PAGE_BYTES: usize = 1_000_000;
 /// Age of a node's knowledge that is still good enough to say that nothing is new.
 const FRESH_ENOUGH: Duration = Duration::from_millis(400);
 /// Longest time that a reader may wait.
@@ -117,11 +115,12 @@
 
     fn page(&self, batch: &BatchState) -> BatchAnswer {
         let dialect = &self.context.dialect;
+        let page_bytes = self.context.answers.page_bytes();
         let mut bytes = 0;
         let mut results = Vec::new();
         for (item, result) in batch.results_from(self.from) {
             bytes += dialect.result_bytes(result);
-            if bytes > PAGE_BYTES && !results.is_empty() {
+            if bytes > page_bytes && !results.is_empty() {
                 break;
             }
             results.push((item, result));
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -30,6 +30,7 @@
     CheckpointStore, Dialect, Directory, DirectoryKind, LogStream, NodeClock, SharedLog,
     StreamPartition, Surroundings,
 };
+use crate::held_answers::HeldAnswers;
 use crate::intake::Intake;
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
@@ -126,6 +127,8 @@
     pub control_changed: Arc<Notify>,
     /// Wakes the task that runs items.
     pub work: Arc<Notify>,
+    /// Answers that callers have not taken yet.
+    pub answers: Arc<HeldAnswers>,
     /// How the taking of callers' connections goes.
     pub intake: Intake,
     pub(crate) crash_guard: CrashGuard,
@@ -165,6 +168,7 @@
         } = surroundings;
         let window_ms = settings.metering().map(|metering| metering.window_ms);
         let regions = settings.region_map();
+        let answers = HeldAnswers::new(settings.memory_bytes());
         let clock = NodeClock::start();
         let work = Arc::new(Notify::new());
         let control_changed = Arc::new(Notify::new());
@@ -205,6 +209,7 @@
             control_read: watch::Sender::new(false),
             control_read_at: OnceLock::new(),
             takes_part: watch::Sender::new(false),
+            answers,
             intake: Intake::default(),
             crash_guard: CrashGuard::default(),
             watched: Watched::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod failed_reads;
 mod fingerprint;
 pub mod followers;
+pub mod held_answers;
 pub mod intake;
 pub mod lease_grant;
 pub mod log_writes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,11 @@
     counter!("gateway_callers_denied", "reason" => reason).increment(1);
 }
 
+/// A caller's connection was closed, as its answer was taken too slowly and memory was short.
+pub fn slow_reader_closed() {
+    counter!("gateway_slow_readers_closed_total").increment(1);
+}
+
 /// A call on batches ended.
 pub fn batch_call_ended(kind: &'static str, status: u16, took_ms: u64) {
     counter!("gateway_batch_calls_total", "kind" => kind, "status" => status.to_string())
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -21,9 +21,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::access;
 use crate::batch_server::{handle_batch_call, handle_submission};
@@ -43,6 +44,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Longest time a connection for readiness or metrics may rest: they are asked every few seconds.
 const READER_IDLE: Duration = Duration::from_secs(10);
+/// Bytes that the system holds for a caller who takes an answer slowly: 20 MB/s at the 3 ms that callers are away, more
+/// than the links of the smallest machines carry (60 Mbit/s).
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Smallest buffer that the HTTP library accepts for a head.
 const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
@@ -144,11 +148,15 @@
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms));
     // Else an answer that nobody takes would be held until the system gives up, if it does.
     end_when_unacknowledged(&stream, idle);
+    // A connection works without this, only more of an answer that is taken slowly is held for it.
+    let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+    let close = Arc::new(Notify::new());
     let service = service_fn(|request: Request<Incoming>| {
         let guard = InFlightGuard::new(&in_flight);
-        let context = context.clone();
+        let (context, close) = (context.clone(), close.clone());
         async move {
             let response = handle(&context, request).await;
+            let response = context.answers.hold(response, &close);
             Ok::<_, Infallible>(hold_until_sent(response, guard))
         }
     });
@@ -171,6 +179,7 @@
         // First, so that nothing is begun for a caller that left before its request was read.
         biased;
         () = watch.closed() => {}
+        () = close.notified() => {}
         () = served => {}
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,9 @@
     /// The region of each zone; where requests may be served everywhere it is not needed.
     #[serde(default)]
     pub regions: BTreeMap<String, String>,
+    /// Megabytes of memory that the process may use.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// Addresses to listen on.
     pub listen: ListenSettings,
     /// The shared log.
@@ -35,6 +38,11 @@
     pub tuning: TuningSettings,
 }
 
+/// Where nothing is said of it: far more than a node needs, so that it must be a machine of its own.
+fn default_memory_mb() -> u32 {
+    1_024
+}
+
 /// Addresses to listen on.
 #[derive(Debug, Clone, Deserialize)]
 pub struct ListenSettings {
@@ -235,6 +243,7 @@
             ("log.record_bytes", self.log.record_bytes as u64),
             ("log.call_bytes", self.log.call_bytes as u64),
             ("log.reads_per_s", u64::from(self.log.reads_per_s)),
+            ("memory_mb", u64::from(self.memory_mb)),
             ("bounds.end_in_force_ms", self.bounds.end_in_force_ms),
             ("tuning.read_wait_ms", self.tuning.read_wait_ms),
             ("tuning.flush_ms", self.tuning.flush_ms),
@@ -291,6 +300,11 @@
         Ok(())
     }
 
+    /// Bytes of memory that the process may use.
+    pub fn memory_bytes(&self) -> u64 {
+        u64::from(self.memory_mb) * BYTES_PER_MB as u64
+    }
+
     /// How usage is accounted, where the operator asks for that.
     pub fn metering(&self) -> Option<MeteringSettings> {
         let is_asked = self.operations.as_ref()?.metering;
