--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -124,6 +124,11 @@
         checkpoint.map_or(0, |value| ControlCheckpoint::decode(value).unwrap().next)
     }
 
+    /// Whether a checkpoint of that name is kept.
+    pub fn has_checkpoint(&self, name: &str) -> bool {
+        self.state.lock().unwrap().checkpoints.contains_key(name)
+    }
+
     /// Drops all records of a partition so far.
     pub fn drop_history(&self, partition: StreamPartition) {
         let mut state = self.state.lock().unwrap();
@@ -386,7 +391,8 @@
         after: Option<&str>,
     ) -> Result<ListingPage, LogError> {
         self.check_reachable().await?;
-        if self.faults().refuses_listings || self.refuses_next_listing() {
+        let is_refused = kind == DirectoryKind::Backends && self.faults().refuses_backends;
+        if is_refused || self.faults().refuses_listings || self.refuses_next_listing() {
             return Err(LogError::Refused(429));
         }
         let state = self.shared.state.lock().unwrap();
@@ -410,6 +416,10 @@
     ) -> Result<DirectoryPage, LogError> {
         self.reads_of_changes.fetch_add(1, Ordering::Relaxed);
         self.check_reachable().await?;
+        if kind == DirectoryKind::Backends && self.faults().refuses_backends {
+            tokio::time::sleep(AT_ONCE).await;
+            return Err(LogError::Refused(429));
+        }
         if self.faults().drops_changes {
             tokio::time::sleep(AT_ONCE).await;
             return Err(LogError::HistoryDropped { first: from });
--- a/crates/gateway/tests/support/log_faults.rs
+++ b/crates/gateway/tests/support/log_faults.rs
@@ -29,6 +29,8 @@
     pub throttles_listings: bool,
     /// Pages of listings are refused, all of them.
     pub refuses_listings: bool,
+    /// The directory of back ends is not given, neither its listing nor its changes.
+    pub refuses_backends: bool,
     /// Of ten reads of partitions and checkpoints, so many are refused because too many calls are made.
     pub throttled_reads_of_ten: u64,
     /// The first so many reads of partitions get no answer, as on connections that have gone silent.
