Claims of a fleet don't grow with it; of a storm of configurations only the newest is read

Cause: a lease without a holder was claimed by 67 nodes a second, whatever the fleet: spread over a time that grew with it, and a claim is seen only after the gap between reads. Each claim of a batch reads the whole batch. With some 16 batches orphaned at once that is more than the store gives; claims failed and were made again each 1.3 s by all nodes. Change: one node may claim at once, twice as many with each time that a claim takes to be seen, ten a second of the whole fleet at most, and again only so often (claim_delay). The operators' directory is listed anew when more than one answer of changes is behind, and counts as read only at its end.

--- a/crates/gateway/src/claim_timing.rs
+++ b/crates/gateway/src/claim_timing.rs
@@ -1,5 +1,6 @@
 //! When this node may claim a lease whose holder is silent.
 
+use havenstage_rollout::claim_delay::ClaimSpread;
 use havenstage_rollout::lease::ClaimTiming;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -8,11 +9,18 @@
 /// Claims of several nodes are spread by a hash of `claim`, a text that differs from node to node and from
 /// holder to holder, so that usually the first one is the only one.
 pub fn claim_timing(context: &Context, claim: &str) -> ClaimTiming {
-    let tuning = &context.settings.tuning;
-    let pace = context.pace();
-    let spread_ms = (tuning.spread_ms * pace.spread_factor).max(1);
+    let silence_ms = context.settings.tuning.silence_ms;
     ClaimTiming {
-        silence_ms: tuning.silence_ms + pace.gap_ms,
-        spread_ms: xxh3_64(claim.as_bytes()) % spread_ms,
+        silence_ms: silence_ms + context.pace().gap_ms,
+        spread_ms: claim_spread(context).delay_ms(xxh3_64(claim.as_bytes())),
+    }
+}
+
+/// How this fleet spreads its claims.
+pub fn claim_spread(context: &Context) -> ClaimSpread {
+    ClaimSpread {
+        machines: context.fleet_size(),
+        spread_ms: context.settings.tuning.spread_ms,
+        seen_after_ms: context.pace().gap_ms,
     }
 }
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -108,8 +108,12 @@
                     take_entry(&context, entry, None);
                 }
                 self.look_at_size(page.behind);
-                context.note_directory_read(self.kind);
                 context.control_changed.notify_one();
+                if page.behind > 0 {
+                    self.catch_up();
+                    return;
+                }
+                context.note_directory_read(self.kind);
                 tokio::time::sleep(directory_gap(&context)).await;
             }
             Err(error @ LogError::HistoryDropped { .. }) => {
@@ -123,6 +127,14 @@
         }
     }
 
+    /// Reads on at once. Of the operators' directory only the newest entries count, so that it is listed anew: in a quick
+    /// succession of configurations each one is as large as the last.
+    fn catch_up(&mut self) {
+        if self.kind == DirectoryKind::Operators {
+            self.next = None;
+        }
+    }
+
     /// Reads a listing page by page until it is whole or brought as much as all nodes can read; a page that fails is
     /// asked for again. Answers the offset from which changes must be read: the end that the first page named, since
     /// pages are no snapshot.
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -16,6 +16,7 @@
 use super::Engine;
 use super::claim::{self, ClaimOutcome, timing_of};
 use super::run::ItemKey;
+use crate::claim_timing::claim_spread;
 use crate::context::{CONTROL, Context};
 use crate::log_writes::{append_control, append_repeated};
 
@@ -130,6 +131,7 @@
         self.needs_plan = true;
         let now = self.context.now();
         let silence_ms = self.context.settings.tuning.silence_ms;
+        let again_after_ms = claim_spread(&self.context).again_after_ms(silence_ms);
         match outcome {
             ClaimOutcome::Claimed => {}
             ClaimOutcome::Closed => self.tell_closed(batch, now),
@@ -138,7 +140,7 @@
                 self.not_claimed_before.insert(batch, now + silence_ms);
             }
             ClaimOutcome::NotNow => {
-                self.not_claimed_before.insert(batch, now + silence_ms);
+                self.not_claimed_before.insert(batch, now + again_after_ms);
             }
         }
     }
--- /dev/null
+++ b/crates/rollout/src/claim_delay.rs
@@ -0,0 +1,56 @@
+//! When each of many nodes claims a lease whose holder is silent.
+//!
+//! The load that this answers: a holder is gone, or all are, and every node sees it. A claim of a batch reads the whole
+//! batch, and others hear of it only when they next read. Spread evenly over a time that grew with the fleet, claims
+//! came at 67 a second for each batch, whatever the fleet: with 16 batches, more than the log gives, so that claims
+//! failed and were made again. Now one node may claim at once, twice as many with each time that a claim takes to be
+//! seen, and no more than so many a second from the whole fleet.
+
+use crate::Millis;
+
+/// Machines up to which claims are spread evenly: there are few of them.
+const FEW_MACHINES: usize = 20;
+/// Claims of one lease that the whole fleet makes in a second, once those are many that may claim: a batch that nobody
+/// could claim within seconds is hardly waited for, and each try reads it.
+const MOST_CLAIMS_PER_S: f64 = 10.0;
+const MS_PER_S: f64 = 1_000.0;
+
+/// How a fleet spreads its claims.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ClaimSpread {
+    /// How many machines there are.
+    pub machines: usize,
+    /// Time over which few machines spread their claims, in milliseconds.
+    pub spread_ms: Millis,
+    /// Time that a claim takes to be seen by all, in milliseconds.
+    pub seen_after_ms: Millis,
+}
+
+impl ClaimSpread {
+    /// Time that a node waits with its claim. `draw` is its number for this claim, drawn evenly from all.
+    pub fn delay_ms(&self, draw: u64) -> Millis {
+        let spread_ms = self.spread_ms.max(1);
+        if self.machines <= FEW_MACHINES {
+            return draw % spread_ms;
+        }
+        let share = draw as f64 / u64::MAX as f64;
+        // How many nodes are expected to claim before this one.
+        let rank = share * self.machines as f64;
+        let doubling_ms = (spread_ms + self.seen_after_ms) as f64;
+        let claims_per_ms = MOST_CLAIMS_PER_S / MS_PER_S;
+        // From this rank on doublings would bring more claims a second than are wanted.
+        let last_doubled = (claims_per_ms * doubling_ms / std::f64::consts::LN_2).max(1.0);
+        let doubled_ms = doubling_ms * rank.clamp(1.0, last_doubled).log2();
+        let evenly_ms = (rank - last_doubled).max(0.0) / claims_per_ms;
+        (doubled_ms + evenly_ms) as Millis
+    }
+
+    /// Time until a node tries again whose claim came to nothing.
+    pub fn again_after_ms(&self, silence_ms: Millis) -> Millis {
+        let fleet_ms = self.machines as f64 / MOST_CLAIMS_PER_S * MS_PER_S;
+        match self.machines <= FEW_MACHINES {
+            true => silence_ms,
+            false => silence_ms.max(fleet_ms as Millis),
+        }
+    }
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod batch_index;
 pub mod batch_state;
 pub mod checkpoint;
+pub mod claim_delay;
 pub mod concurrency_limit;
 pub mod control;
 pub mod control_record;
