After a restart of a whole fleet the log is asked once, not again and again

Cause: all nodes start and ask for checkpoints, routes and the control stream at once: some 190 KB each, 2.3 s of the store's bandwidth. Calls were given up after 1 s and made again at once; after three tries at a checkpoint a node read all records kept instead, ten times the bytes; after 4 s without a keeper of the digest all listed the directory. The store stayed overloaded for good: 984 of 985 nodes knew no configuration 20 s after the start. Change: calls wait 3 s for their answers, longer than the store's queues, until a fleet is known to be small (1 s as before); checkpoints are asked for 8 times with doubling, random pauses; pauses after refusals follow the fleet's pace, and double for 503 as for 429 in a large one; a digest without a keeper is replaced by listings spread over the time that they take. Ruled out: silent connections to the store taken for slow ones (they are closed after 0.27 s as before).

--- a/crates/gateway/src/checkpoints.rs
+++ b/crates/gateway/src/checkpoints.rs
@@ -19,10 +19,13 @@
 const WRITE_PAUSE: Duration = Duration::from_secs(5);
 /// Bytes that its name takes beside it in the one record that holds a checkpoint.
 const KEY_ALLOWANCE: usize = 64;
-/// Tries to read a checkpoint before a node reads all records instead.
-const LOAD_TRIES: u32 = 3;
-/// Pause between two tries.
+/// Tries to read a checkpoint before a node reads all records instead, which are ten times as many bytes: where a whole
+/// fleet starts, the log refuses some of the first tries.
+const LOAD_TRIES: u32 = 8;
+/// Pause after the first try; doubles with each.
 const LOAD_PAUSE: Duration = Duration::from_millis(150);
+/// Doublings of the pause, at most.
+const MOST_DOUBLINGS: u32 = 4;
 
 /// Why no checkpoint was taken up.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -73,9 +76,7 @@
     let loaded = loop {
         tries += 1;
         match load(context).await {
-            Err(LoadError::Store(_)) if tries < LOAD_TRIES => {
-                tokio::time::sleep(LOAD_PAUSE).await;
-            }
+            Err(LoadError::Store(_)) if tries < LOAD_TRIES => pause_after_try(tries).await,
             loaded => break loaded,
         }
     };
@@ -94,6 +95,12 @@
     }
 }
 
+/// Waits before a checkpoint is asked for again; not all nodes alike.
+pub(crate) async fn pause_after_try(tries: u32) {
+    let pause = LOAD_PAUSE * (1 << tries.min(MOST_DOUBLINGS));
+    tokio::time::sleep(pause.mul_f64(rand::random())).await;
+}
+
 async fn load(context: &Context) -> Result<Option<ControlCheckpoint>, LoadError> {
     match context.checkpoints.load(NAME).await? {
         Some(value) => Ok(Some(ControlCheckpoint::decode(&value)?)),
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -69,6 +69,13 @@
 const ALWAYS_FOLLOWED: usize = 3;
 /// Batches of a trainer that its owner follows: a step may carry items of the ones before it.
 const FOLLOWED_OF_TRAINER: usize = 4;
+/// Time after which a call to the log is given up in a small fleet, whose calls take milliseconds: where the log says
+/// nothing, the next call may reach it.
+const SMALL_FLEET_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same in a large fleet: the log's queues are up to two seconds long, and it does what waits there whether it is
+/// waited for or not. With one second each restart of 985 nodes kept the log overloaded for good, as everything was
+/// asked for again.
+const LARGE_FLEET_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time within which all nodes can read what they read each time that the fleet starts.
 const SHARED_READ_TIME: Duration = Duration::from_secs(2);
 /// Time within which all nodes have their answers, if all ask at once: well within the time after which an answer is
@@ -335,6 +342,20 @@
         pace
     }
 
+    /// Usual time between two reads of a stream; none in a small fleet.
+    pub fn read_gap(&self) -> Duration {
+        Duration::from_millis(self.pace().gap_ms)
+    }
+
+    /// Has calls to the log wait for their answers as long as the fleet's calls may take together.
+    pub fn follow_fleet_size(&self) {
+        let is_large = self.pace().gap_ms > 0;
+        self.log.set_answer_timeout(match is_large {
+            true => LARGE_FLEET_TIMEOUT,
+            false => SMALL_FLEET_TIMEOUT,
+        });
+    }
+
     /// Time since the control stream was first read to its end.
     fn control_read_for(&self) -> Duration {
         let read_at = self.control_read_at.get();
--- a/crates/gateway/src/counted_log.rs
+++ b/crates/gateway/src/counted_log.rs
@@ -56,6 +56,10 @@
         count("read", partition, bytes);
         page
     }
+
+    fn set_answer_timeout(&self, timeout: Duration) {
+        self.log.set_answer_timeout(timeout);
+    }
 }
 
 fn total_bytes(records: &[Bytes]) -> usize {
--- a/crates/gateway/src/dependency.rs
+++ b/crates/gateway/src/dependency.rs
@@ -36,15 +36,17 @@
     }
 
     /// Notes a failure and waits before the next call; longer with each refusal of a log that is
-    /// asked too much, and not all nodes alike.
-    pub(crate) async fn pause_after(&mut self, error: LogError) {
+    /// asked too much, and not all nodes alike. `gap` is the usual time between two reads: that of a large fleet, whose
+    /// failed calls together are as many as its usual ones.
+    pub(crate) async fn pause_after(&mut self, error: LogError, gap: Duration) {
         self.fails(error);
-        let doublings = if error.is_throttled() {
-            self.failures.min(MOST_DOUBLINGS)
-        } else {
-            0
+        let is_large_fleet = !gap.is_zero();
+        let grows = error.is_throttled() || (is_large_fleet && error.is_overloaded());
+        let doublings = match grows {
+            true => self.failures.min(MOST_DOUBLINGS),
+            false => 0,
         };
-        let pause = RETRY_PAUSE * (1 << doublings);
+        let pause = RETRY_PAUSE.max(gap) * (1 << doublings);
         tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
     }
 
--- a/crates/gateway/src/digest_reader.rs
+++ b/crates/gateway/src/digest_reader.rs
@@ -10,6 +10,7 @@
 use havenstage_rollout::stored::Stored;
 use log::{info, warn};
 
+use crate::checkpoints;
 use crate::context::{BACKEND_DIGEST, Context};
 use crate::dependency::Dependency;
 use crate::digest_writer::{CHECKPOINT, kept_age_ms};
@@ -19,10 +20,12 @@
 /// Time without a word of its holder after which the digest is taken for abandoned: another node claims the lease for
 /// orders and lists the directory within it.
 const ABANDONED_AFTER_MS: Millis = 4_000;
-/// Pause before a checkpoint that could not be read is asked for again.
-const LOAD_PAUSE: Duration = Duration::from_millis(300);
-/// Tries to read it before the records of the digest are read without it.
-const LOAD_TRIES: u32 = 5;
+/// Tries to read its checkpoint before the directory is read instead.
+const LOAD_TRIES: u32 = 8;
+/// Bytes that a node reads of the directory where nobody keeps a digest: a page of a listing.
+const LISTED_BYTES: f64 = 250_000.0;
+/// Share of the log's bandwidth that these listings may take.
+const LISTING_SHARE: f64 = 0.5;
 /// Nodes that ask for more back ends in a second, of a whole fleet that wants more.
 const ASKERS_PER_S: f64 = 16.0;
 /// Pause between two looks whether this node asks.
@@ -30,13 +33,13 @@
 
 /// Whether some node keeps a digest that can be taken up: its checkpoint is there.
 pub(crate) async fn take_up(context: &Context) -> bool {
-    for _ in 0..LOAD_TRIES {
+    for tries in 1..=LOAD_TRIES {
         match context.checkpoints.load(CHECKPOINT).await {
             Ok(None) => return false,
             Ok(Some(value)) => return restore(context, &value),
             Err(error) => {
                 warn!(event = "checkpoint_not_read", reason = error.to_string().as_str(); "");
-                tokio::time::sleep(LOAD_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
+                checkpoints::pause_after_try(tries).await;
             }
         }
     }
@@ -77,6 +80,9 @@
 pub(crate) async fn follow(context: &Arc<Context>) {
     let mut dependency = Dependency::new(context.digest.id.to_string());
     let began = context.now();
+    // Not all nodes list the directory at once: the next holder may be there before most do.
+    let patience_ms =
+        ABANDONED_AFTER_MS + (listing_time_ms(context) * rand::random::<f64>()) as Millis;
     let mut has_all = false;
     let asking = context.clone();
     let asker = tokio::spawn(async move { ask_for_more(&asking).await });
@@ -93,7 +99,7 @@
             }
             ReadOutcome::Failed => {}
         }
-        if is_abandoned(context, began) {
+        if is_abandoned(context, began, patience_ms) {
             break;
         }
     }
@@ -112,7 +118,7 @@
 }
 
 /// Whether the digest could be read and nobody kept it for long. While it cannot be read, nor can the directory.
-fn is_abandoned(context: &Context, since: Millis) -> bool {
+fn is_abandoned(context: &Context, since: Millis, patience_ms: Millis) -> bool {
     let now = context.now();
     let silent_ms = kept_age_ms(context).unwrap_or(Millis::MAX);
     let silent_ms = silent_ms.min(now.saturating_sub(since));
@@ -120,13 +126,19 @@
         Some(readable_since) => now.saturating_sub(readable_since),
         None => 0,
     };
-    let is_abandoned = silent_ms.min(readable_ms) > ABANDONED_AFTER_MS;
+    let is_abandoned = silent_ms.min(readable_ms) > patience_ms;
     if is_abandoned {
         warn!(event = "digest_abandoned", silent_ms = silent_ms; "");
     }
     is_abandoned
 }
 
+/// Time that the log needs for a listing by each node.
+fn listing_time_ms(context: &Context) -> f64 {
+    let bytes_per_s = context.settings.log.read_bytes_per_s() * LISTING_SHARE;
+    LISTED_BYTES * context.fleet_size() as f64 * 1_000.0 / bytes_per_s
+}
+
 /// Says that all back ends of a pool are taken, whenever this node finds that, for a few of the nodes that do.
 async fn ask_for_more(context: &Arc<Context>) {
     loop {
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -114,7 +114,11 @@
                     Some(end) => next = end,
                     None => return Ok(()),
                 },
-                Err(error) => self.dependency.pause_after(error).await,
+                Err(error) => {
+                    self.dependency
+                        .pause_after(error, self.context.read_gap())
+                        .await
+                }
             }
         }
         Ok(())
@@ -138,7 +142,11 @@
                         return Some(end);
                     }
                 }
-                Err(error) => self.dependency.pause_after(error).await,
+                Err(error) => {
+                    self.dependency
+                        .pause_after(error, self.context.read_gap())
+                        .await
+                }
             }
         }
         None
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -120,10 +120,16 @@
                 self.next = None;
                 // A listing that did not help is not repeated at once.
                 if self.is_just_listed {
-                    self.dependency.pause_after(error).await;
+                    self.dependency
+                        .pause_after(error, self.context.read_gap())
+                        .await;
                 }
             }
-            Err(error) => self.dependency.pause_after(error).await,
+            Err(error) => {
+                self.dependency
+                    .pause_after(error, self.context.read_gap())
+                    .await
+            }
         }
     }
 
@@ -178,7 +184,11 @@
                     self.context.saw_contact();
                     return page;
                 }
-                Err(error) => self.dependency.pause_after(error).await,
+                Err(error) => {
+                    self.dependency
+                        .pause_after(error, self.context.read_gap())
+                        .await
+                }
             }
         }
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -84,6 +84,8 @@
 
 /// Status by which the log says that too many calls are made.
 const TOO_MANY_REQUESTS: u16 = 429;
+/// Status by which the log says that calls would wait too long in its queues.
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 impl LogError {
     /// Whether the log refused the call because too many are made.
@@ -91,6 +93,11 @@
         self == Self::Refused(TOO_MANY_REQUESTS)
     }
 
+    /// Whether the log refused the call as it has more to do than it can.
+    pub fn is_overloaded(self) -> bool {
+        self.is_throttled() || self == Self::Refused(SERVICE_UNAVAILABLE)
+    }
+
     /// Whether it is certain that nothing was done and nothing will be.
     pub fn is_not_done(self) -> bool {
         matches!(
@@ -147,6 +154,9 @@
         from: u64,
         wait: Duration,
     ) -> Result<LogPage, LogError>;
+
+    /// From now on a call is given up after so long without an answer, besides the time that it is asked to wait.
+    fn set_answer_timeout(&self, _timeout: Duration) {}
 }
 
 /// Newest values by name, which are kept for good.
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -97,7 +97,7 @@
             }
             Err(error) => {
                 view.read_failed();
-                dependency.pause_after(error).await;
+                dependency.pause_after(error, context.read_gap()).await;
             }
         }
     }
@@ -146,6 +146,7 @@
         {
             checkpoints::restore_control(&context).await;
         }
+        context.follow_fleet_size();
         context.note_observed_versions();
         crash_guard::tell_newly_barred(&context);
         context.work.notify_one();
@@ -197,7 +198,7 @@
         }
         Err(error) => {
             view.read_failed();
-            dependency.pause_after(error).await;
+            dependency.pause_after(error, context.read_gap()).await;
             ReadOutcome::Failed
         }
     }
