--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod followers;
 pub mod held_answers;
 pub mod intake;
+pub mod knowledge_metrics;
 pub mod lease_grant;
 pub mod log_writes;
 pub mod logging;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,33 @@
     counter!("gateway_callers_denied", "reason" => reason).increment(1);
 }
 
+/// What a node knows of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Knowledge {
+    /// Machines, about.
+    pub machines: usize,
+    /// Back ends that are known.
+    pub backends: usize,
+    /// Whether these are from the digest of the directory.
+    pub follows_digest: bool,
+    /// Age of the routes, in milliseconds.
+    pub routes_age_ms: u64,
+    /// Time since the log last answered, in milliseconds.
+    pub log_age_ms: u64,
+    /// Bytes of answers that callers have not taken yet.
+    pub held_answer_bytes: usize,
+}
+
+/// Takes what a node knows of the fleet now.
+pub fn knowledge(known: Knowledge) {
+    gauge!("gateway_fleet_machines").set(known.machines as f64);
+    gauge!("gateway_backends_known").set(known.backends as f64);
+    gauge!("gateway_follows_digest").set(f64::from(u8::from(known.follows_digest)));
+    gauge!("gateway_routes_age_ms").set(known.routes_age_ms as f64);
+    gauge!("gateway_log_age_ms").set(known.log_age_ms as f64);
+    gauge!("gateway_held_answer_bytes").set(known.held_answer_bytes as f64);
+}
+
 /// A caller's connection was closed, as its answer was taken too slowly and memory was short.
 pub fn slow_reader_closed() {
     counter!("gateway_slow_readers_closed_total").increment(1);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use crate::edge::Surroundings;
 use crate::engine::Engine;
 use crate::followers;
+use crate::knowledge_metrics;
 use crate::metering::{self, UsageReporter};
 use crate::metrics::{self, MetricsError};
 use crate::server::{self, InFlight, ListenError};
@@ -144,6 +145,7 @@
     tasks.spawn(directories::follow_backends(context.clone()));
     tasks.spawn(digest_writer::write_digest(context.clone()));
     tasks.spawn(followers::follow_control(context.clone()));
+    tasks.spawn(knowledge_metrics::report(context.clone()));
     tasks.spawn(checkpoints::write_checkpoints(context.clone()));
     tasks.spawn(followers::follow_occupancy(context.clone()));
     tasks.spawn(followers::follow_batches(context.clone()));
