Appends wait 1 s for their answers again; first claims come at once; usage is not gathered for an unknown fleet

Cause 1: with 71 machines the fleet counted as large, and an append whose answer was lost was waited for 3 s: heartbeats stalled and batches changed hands. Now only reads wait longer, by what the whole fleet reads at a start (1.17 s at 71 machines, 3 s at 985). Cause 2: a claim that came to nothing was made again after 7 s by every node of such a fleet, and a third of the leases had nobody who claimed at once.

--- a/crates/gateway/src/claim_timing.rs
+++ b/crates/gateway/src/claim_timing.rs
@@ -1,5 +1,6 @@
 //! When this node may claim a lease whose holder is silent.
 
+use havenstage_rollout::Millis;
 use havenstage_rollout::claim_delay::ClaimSpread;
 use havenstage_rollout::lease::ClaimTiming;
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,8 +17,14 @@
     }
 }
 
+/// Time until this node makes a claim again that came to nothing.
+pub fn claim_again_after_ms(context: &Context, claim: &str) -> Millis {
+    let silence_ms = context.settings.tuning.silence_ms;
+    claim_spread(context).again_after_ms(xxh3_64(claim.as_bytes()), silence_ms)
+}
+
 /// How this fleet spreads its claims.
-pub fn claim_spread(context: &Context) -> ClaimSpread {
+fn claim_spread(context: &Context) -> ClaimSpread {
     ClaimSpread {
         machines: context.fleet_size(),
         spread_ms: context.settings.tuning.spread_ms,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -69,13 +69,15 @@
 const ALWAYS_FOLLOWED: usize = 3;
 /// Batches of a trainer that its owner follows: a step may carry items of the ones before it.
 const FOLLOWED_OF_TRAINER: usize = 4;
-/// Time after which a call to the log is given up in a small fleet, whose calls take milliseconds: where the log says
-/// nothing, the next call may reach it.
+/// Time after which a read of the log is given up in a small fleet, whose reads take milliseconds: where the log says
+/// nothing, the next one may reach it.
 const SMALL_FLEET_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The same in a large fleet: the log's queues are up to two seconds long, and it does what waits there whether it is
-/// waited for or not. With one second each restart of 985 nodes kept the log overloaded for good, as everything was
-/// asked for again.
-const LARGE_FLEET_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Bytes that a node reads when it starts, as measured at 985 nodes. A read may wait behind those of all others, and the
+/// log answers it whether it is waited for or not: given up after one second, each restart of 985 nodes kept the log
+/// overloaded for good, as everything was asked for again.
+const START_BYTES: f64 = 190_000.0;
+/// Longest time that a read is waited for: the log refuses what would wait longer.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time within which all nodes can read what they read each time that the fleet starts.
 const SHARED_READ_TIME: Duration = Duration::from_secs(2);
 /// Time within which all nodes have their answers, if all ask at once: well within the time after which an answer is
@@ -332,6 +334,14 @@
         self.control.lock().state.fleet().estimate(read_for)
     }
 
+    /// The same for work that is due soon: while the size of the fleet is hardly known only the machines that are.
+    pub fn known_machines(&self) -> usize {
+        if self.control_read_for() < FLEET_UNKNOWN_FOR {
+            return self.control.lock().state.machine_count();
+        }
+        self.fleet_size()
+    }
+
     /// How often this node reads, among all machines.
     pub fn pace(&self) -> Pace {
         let machines = self.fleet_size();
@@ -347,13 +357,12 @@
         Duration::from_millis(self.pace().gap_ms)
     }
 
-    /// Has calls to the log wait for their answers as long as the fleet's calls may take together.
+    /// Has reads of the log wait for their answers as long as those of the whole fleet may take together.
     pub fn follow_fleet_size(&self) {
-        let is_large = self.pace().gap_ms > 0;
-        self.log.set_answer_timeout(match is_large {
-            true => LARGE_FLEET_TIMEOUT,
-            false => SMALL_FLEET_TIMEOUT,
-        });
+        let start_bytes = START_BYTES * self.fleet_size() as f64;
+        let start = Duration::from_secs_f64(start_bytes / self.settings.log.read_bytes_per_s());
+        let timeout = SMALL_FLEET_TIMEOUT + start;
+        self.log.set_read_timeout(timeout.min(LONGEST_TIMEOUT));
     }
 
     /// Time since the control stream was first read to its end.
--- a/crates/gateway/src/counted_log.rs
+++ b/crates/gateway/src/counted_log.rs
@@ -57,8 +57,8 @@
         page
     }
 
-    fn set_answer_timeout(&self, timeout: Duration) {
-        self.log.set_answer_timeout(timeout);
+    fn set_read_timeout(&self, timeout: Duration) {
+        self.log.set_read_timeout(timeout);
     }
 }
 
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -155,8 +155,8 @@
         wait: Duration,
     ) -> Result<LogPage, LogError>;
 
-    /// From now on a call is given up after so long without an answer, besides the time that it is asked to wait.
-    fn set_answer_timeout(&self, _timeout: Duration) {}
+    /// From now on a read is given up after so long without an answer, besides the time that it is asked to wait.
+    fn set_read_timeout(&self, _timeout: Duration) {}
 }
 
 /// Newest values by name, which are kept for good.
--- a/crates/gateway/src/engine/leases.rs
+++ b/crates/gateway/src/engine/leases.rs
@@ -16,7 +16,7 @@
 use super::Engine;
 use super::claim::{self, ClaimOutcome, timing_of};
 use super::run::ItemKey;
-use crate::claim_timing::claim_spread;
+use crate::claim_timing::claim_again_after_ms;
 use crate::context::{CONTROL, Context};
 use crate::log_writes::{append_control, append_repeated};
 
@@ -131,7 +131,8 @@
         self.needs_plan = true;
         let now = self.context.now();
         let silence_ms = self.context.settings.tuning.silence_ms;
-        let again_after_ms = claim_spread(&self.context).again_after_ms(silence_ms);
+        let claim = format!("{} {batch}", self.context.node);
+        let again_after_ms = claim_again_after_ms(&self.context, &claim);
         match outcome {
             ClaimOutcome::Claimed => {}
             ClaimOutcome::Closed => self.tell_closed(batch, now),
--- a/crates/gateway/src/metering/writer.rs
+++ b/crates/gateway/src/metering/writer.rs
@@ -33,7 +33,7 @@
 }
 
 fn gathering(context: &Context) -> Duration {
-    let machines = context.fleet_size() as u64;
+    let machines = context.known_machines() as u64;
     let spread = Duration::from_millis(machines * GATHER_MS_PER_MACHINE);
     // What is left when a node stops must be written before its process ends.
     match context.is_stopping() {
--- a/crates/rollout/src/claim_delay.rs
+++ b/crates/rollout/src/claim_delay.rs
@@ -10,6 +10,8 @@
 
 /// Machines up to which claims are spread evenly: there are few of them.
 const FEW_MACHINES: usize = 20;
+/// Nodes that are expected to claim at once: with one, a third of the leases would wait for the next.
+const FIRST_CLAIMS: f64 = 2.0;
 /// Claims of one lease that the whole fleet makes in a second, once those are many that may claim: a batch that nobody
 /// could claim within seconds is hardly waited for, and each try reads it.
 const MOST_CLAIMS_PER_S: f64 = 10.0;
@@ -39,18 +41,16 @@
         let doubling_ms = (spread_ms + self.seen_after_ms) as f64;
         let claims_per_ms = MOST_CLAIMS_PER_S / MS_PER_S;
         // From this rank on doublings would bring more claims a second than are wanted.
-        let last_doubled = (claims_per_ms * doubling_ms / std::f64::consts::LN_2).max(1.0);
-        let doubled_ms = doubling_ms * rank.clamp(1.0, last_doubled).log2();
+        let last_doubled = (claims_per_ms * doubling_ms / std::f64::consts::LN_2).max(FIRST_CLAIMS);
+        let doubled_ms =
+            doubling_ms * (rank.clamp(FIRST_CLAIMS, last_doubled) / FIRST_CLAIMS).log2();
         let evenly_ms = (rank - last_doubled).max(0.0) / claims_per_ms;
         (doubled_ms + evenly_ms) as Millis
     }
 
-    /// Time until a node tries again whose claim came to nothing.
-    pub fn again_after_ms(&self, silence_ms: Millis) -> Millis {
-        let fleet_ms = self.machines as f64 / MOST_CLAIMS_PER_S * MS_PER_S;
-        match self.machines <= FEW_MACHINES {
-            true => silence_ms,
-            false => silence_ms.max(fleet_ms as Millis),
-        }
+    /// Time until a node tries again whose claim came to nothing: those that may claim first try often, and the many
+    /// that come after them as seldom as they came late.
+    pub fn again_after_ms(&self, draw: u64, silence_ms: Millis) -> Millis {
+        silence_ms.max(self.delay_ms(draw))
     }
 }
