Listings of a directory that nobody digests are spread over 8 s at most

Cause: the spread followed from the log's bandwidth without a bound, so that a node behind a slow log waited on and on. Found by tests/backend_digest.rs (where_nobody_keeps_a_digest_each_node_lists_the_directory), which passes again.

--- a/crates/gateway/src/digest_reader.rs
+++ b/crates/gateway/src/digest_reader.rs
@@ -26,6 +26,8 @@
 const LISTED_BYTES: f64 = 250_000.0;
 /// Share of the log's bandwidth that these listings may take.
 const LISTING_SHARE: f64 = 0.5;
+/// Longest time over which they are spread: what a node knows grows older meanwhile.
+const LONGEST_SPREAD_MS: f64 = 8_000.0;
 /// Nodes that ask for more back ends in a second, of a whole fleet that wants more.
 const ASKERS_PER_S: f64 = 16.0;
 /// Pause between two looks whether this node asks.
@@ -133,10 +135,11 @@
     is_abandoned
 }
 
-/// Time that the log needs for a listing by each node.
+/// Time over which the listings of all nodes are spread: what the log needs for them.
 fn listing_time_ms(context: &Context) -> f64 {
     let bytes_per_s = context.settings.log.read_bytes_per_s() * LISTING_SHARE;
-    LISTED_BYTES * context.fleet_size() as f64 * 1_000.0 / bytes_per_s
+    let time_ms = LISTED_BYTES * context.fleet_size() as f64 * 1_000.0 / bytes_per_s;
+    time_ms.min(LONGEST_SPREAD_MS)
 }
 
 /// Says that all back ends of a pool are taken, whenever this node finds that, for a few of the nodes that do.
