All nodes find a directory large alike, also one that grew entry by entry

Cause: a node found the directory of back ends too large only from what a listing or one answer of changes brought. Nodes that started before the back ends read their entries one by one and never did; those that started later followed a digest that the holder of the orders lease, one of the former, had no reason to keep. They knew old versions for seconds at a time, and a trainer whose owner was one of them lost its steps. Change: what is known counts too; the holder keeps a digest from half of the size on, as each node has its own estimate of the fleet. Test: a_directory_that_grew_large_is_digested_too.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -508,9 +508,18 @@
 
     /// Whether the log can give so many bytes to every node within [`SHARED_READ_TIME`].
     pub fn can_all_read(&self, bytes: u64) -> bool {
+        self.can_all_read_within(bytes, SHARED_READ_TIME)
+    }
+
+    /// Whether some node may find that the log cannot: each has its own estimate of how many there are.
+    pub fn some_may_not_read(&self, bytes: u64) -> bool {
+        !self.can_all_read_within(bytes, SHARED_READ_TIME / 2)
+    }
+
+    fn can_all_read_within(&self, bytes: u64, time: Duration) -> bool {
         let fleet_bytes = bytes as f64 * self.fleet_size() as f64;
         let bytes_per_s = self.settings.log.read_bytes_per_s();
-        fleet_bytes <= bytes_per_s * SHARED_READ_TIME.as_secs_f64()
+        fleet_bytes <= bytes_per_s * time.as_secs_f64()
     }
 
     /// Bytes that a node may ask for at once, so that all nodes can at the same time.
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -16,6 +16,7 @@
 
 use crate::context::{BACKEND_DIGEST, Context};
 use crate::dependency::Dependency;
+use crate::directories::ENTRY_BYTES;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
 use crate::log_writes::append;
 
@@ -58,7 +59,13 @@
 fn term_to_write(context: &Context) -> Option<Term> {
     let grant = context.lease_grant()?;
     let is_relied_on = grant.reliable_for(context.now()).is_some();
-    (is_relied_on && context.directory_is_large()).then_some(grant.term)
+    (is_relied_on && is_wanted(context)).then_some(grant.term)
+}
+
+/// Whether some node may follow the digest.
+fn is_wanted(context: &Context) -> bool {
+    let known = context.backends.lock().list.len() as u64;
+    context.directory_is_large() || context.some_may_not_read(known * ENTRY_BYTES)
 }
 
 struct DigestWriter<'a> {
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -24,7 +24,7 @@
 /// Back ends of each pool that a node lists where it cannot list all: as many as take the calls of some hundred nodes.
 const ENOUGH_BACKENDS: usize = 64;
 /// Bytes of an entry of a back end, with its models; some have 250 and some 600.
-const ENTRY_BYTES: u64 = 400;
+pub(crate) const ENTRY_BYTES: u64 = 400;
 
 /// Follows the operators' directory.
 pub async fn follow_operators(context: Arc<Context>) {
@@ -108,6 +108,7 @@
                     take_entry(&context, entry, None);
                 }
                 self.look_at_size(page.behind);
+                self.look_at_known_size();
                 context.control_changed.notify_one();
                 if page.behind > 0 {
                     self.catch_up();
@@ -175,6 +176,14 @@
         }
     }
 
+    /// The same of what is known already: entries may have come one by one. Without this the nodes that started before
+    /// the back ends read the directory, and those that started after them a digest that the former had no reason to
+    /// keep: a trainer whose owner was one of the latter lost a third of its steps, among 300 machines.
+    fn look_at_known_size(&self) {
+        let known = self.context.backends.lock().list.len();
+        self.look_at_size(known as u64);
+    }
+
     async fn read_page(&mut self) -> ListingPage {
         loop {
             let after = self.unlisted_after.as_deref();
--- a/crates/gateway/tests/backend_digest.rs
+++ b/crates/gateway/tests/backend_digest.rs
@@ -75,6 +75,33 @@
     );
 }
 
+/// The nodes started before the back ends, whose entries came one by one.
+#[tokio::test]
+async fn a_directory_that_grew_large_is_digested_too() {
+    let deployment = Deployment::start(0, 0).await;
+    let first = start(&deployment, "a", LogFaults::default()).await;
+    wait_until("it has listed what there is", || {
+        first.context().backends_are_listed()
+    })
+    .await;
+    let grown = Deployment::start(0, 4).await;
+    for (at, backend) in grown.applications.iter().enumerate() {
+        let entry = listed(backend, APPLICATIONS, false);
+        deployment.log.write_backends(entry);
+        knows_ready(&first, at + 1).await;
+    }
+    wait_until("a digest is kept", || {
+        deployment.log.has_checkpoint("backends")
+    })
+    .await;
+    let second = start(&deployment, "b", LogFaults::default()).await;
+    knows_ready(&second, 4).await;
+    let draining = listed(&grown.applications[0], APPLICATIONS, true);
+    deployment.log.write_backends(draining);
+    knows_ready(&first, 3).await;
+    knows_ready(&second, 3).await;
+}
+
 /// A node that starts later takes up the checkpoint and the records behind it.
 #[tokio::test]
 async fn a_node_that_starts_later_reads_the_digest_only() {
