--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Tells other nodes which batches this one runs, and which places its items take.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -73,6 +73,7 @@
         let record = OccupancyRecord {
             node: self.context.node.clone(),
             running: self.running_here(),
+            details: BTreeMap::new(),
         };
         let told = self.heartbeats.occupied.as_ref();
         let is_same = told.map_or(record.running.is_empty(), |told| *told == record);
--- /dev/null
+++ b/crates/rollout/src/schedule/mod.rs
@@ -0,0 +1,88 @@
+//! Which item runs next, on which back end, and which one is moved.
+
+mod order;
+mod placement;
+mod relocation;
+mod required_groups;
+
+use std::collections::{BTreeMap, HashSet};
+
+use crate::Millis;
+use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, RegionName, Version};
+use crate::residency::Residency;
+
+pub use order::sort_waiting;
+pub use placement::choose;
+pub use relocation::{Relocation, RunningItem, relocations};
+pub use required_groups::optional_items;
+
+/// An item that waits for a place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WaitingItem {
+    /// Batch.
+    pub batch: BatchId,
+    /// Item.
+    pub item: ItemId,
+    /// Whether its step can be whole without it.
+    pub optional: bool,
+    /// Tokens still expected.
+    pub expected_tokens: u32,
+    /// When its batch was first seen.
+    pub since: Millis,
+    /// Model it needs.
+    pub model: Option<ModelName>,
+    /// Oldest version it may run on.
+    pub minimum_version: Version,
+    /// The only version it may run on, where its output so far binds it to one.
+    pub exact_version: Option<Version>,
+    /// Group, to place items with the same prompt together.
+    pub group: Option<GroupId>,
+    /// Where it may run.
+    pub residency: Residency,
+}
+
+impl WaitingItem {
+    /// Whether it may run on a version.
+    pub fn allows(&self, version: Version) -> bool {
+        match self.exact_version {
+            Some(exact) => version == exact,
+            None => version >= self.minimum_version,
+        }
+    }
+}
+
+/// A place that an item may take.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// The back end.
+    pub backend: BackendId,
+    /// Region it stands in, if that is known.
+    pub region: Option<RegionName>,
+    /// Items that run there now, of all nodes.
+    pub running: u32,
+    /// Items it may run at a time: its places, or fewer while it is cold.
+    pub slots: u32,
+    /// Milliseconds between two events of a stream there.
+    pub event_gap_ms: f64,
+    /// Versions of its models.
+    pub models: BTreeMap<ModelName, Version>,
+    /// Groups whose prompt it holds.
+    pub groups: HashSet<GroupId>,
+}
+
+impl Candidate {
+    /// Whether it has a free place and new enough weights for the item.
+    pub fn accepts(&self, item: &WaitingItem) -> bool {
+        let is_allowed = item.residency.allows(self.region.as_ref());
+        self.running < self.slots && is_allowed && self.has_version_for(item)
+    }
+
+    fn has_version_for(&self, item: &WaitingItem) -> bool {
+        let Some(model) = &item.model else {
+            return true;
+        };
+        self.models
+            .get(model)
+            .is_some_and(|version| item.allows(*version))
+    }
+}
--- a/crates/rollout/tests/occupancy.rs
+++ b/crates/rollout/tests/occupancy.rs
@@ -4,9 +4,11 @@
 
 use std::collections::BTreeMap;
 
+use havenstage_rollout::ids::BackendId;
 use havenstage_rollout::ids::NodeId;
-use havenstage_rollout::occupancy::{Occupancy, OccupancyRecord};
+use havenstage_rollout::occupancy::{BackendDetail, Occupancy, OccupancyRecord};
 use havenstage_rollout::stored::Stored;
+use serde::{Deserialize, Serialize};
 use support::{backend, node};
 
 fn told(node: NodeId, running: &[(&str, u32)]) -> OccupancyRecord {
@@ -14,6 +16,7 @@
     OccupancyRecord {
         node,
         running: running.collect(),
+        details: BTreeMap::new(),
     }
 }
 
@@ -51,3 +54,50 @@
     assert_eq!(OccupancyRecord::decode(&record.encode()), Ok(record));
     assert!(OccupancyRecord::decode(b"\xff").is_err());
 }
+
+/// The record as builds write and read it that know no details.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct PlainRecord {
+    node: NodeId,
+    running: BTreeMap<BackendId, u32>,
+}
+
+#[test]
+fn builds_with_and_without_details_read_each_others_records() {
+    let plain = PlainRecord {
+        node: node("a", 1),
+        running: BTreeMap::from([(backend("x"), 2)]),
+    };
+    let bytes = postcard::to_stdvec(&plain).expect("plain data");
+    let read = OccupancyRecord::decode(&bytes).expect("a record without details");
+    assert_eq!(read, told(node("a", 1), &[("x", 2)]));
+
+    let mut detailed = told(node("a", 1), &[("x", 2)]);
+    let detail = BackendDetail {
+        expected_tokens: 9_000,
+        event_gap_us: Some(46_400),
+    };
+    detailed.details.insert(backend("x"), detail);
+    let bytes = detailed.encode();
+    assert_eq!(postcard::from_bytes(&bytes), Ok(plain));
+    assert_eq!(OccupancyRecord::decode(&bytes), Ok(detailed));
+}
+
+#[test]
+fn details_are_those_of_nodes_that_told_of_them_lately() {
+    let mut occupancy = Occupancy::default();
+    for (name, at, tokens) in [("old", 10, 1), ("new", 50, 2)] {
+        let mut record = told(node(name, 1), &[]);
+        let detail = BackendDetail {
+            expected_tokens: tokens,
+            event_gap_us: None,
+        };
+        record.details.insert(backend("x"), detail);
+        occupancy.apply(record, at);
+    }
+    let recent: Vec<u32> = occupancy
+        .details(20, |_| true)
+        .map(|(_, detail)| detail.expected_tokens)
+        .collect();
+    assert_eq!(recent, [2]);
+}
