Retire the experiments of the old node in bench

Cause: `bench run` and `bench compare` measured placement policies of `havenstage node` on a virtual clock. The gateway has none of these policies, nothing else used the code, and its page of results was never written.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,3 @@
-//! Measurements of the service: what a node adds to a request, how many it serves, and which policies
-//! bring a step of training to its end sooner.
+//! Measurements of the service: what a node adds to a request, and how many it serves.
 
-pub mod experiment;
 pub mod latency;
--- a/crates/havenstage/src/commands/bench/mod.rs
+++ b/crates/havenstage/src/commands/bench/mod.rs
@@ -1,12 +1,11 @@
 //! `havenstage bench`: measures the system, one module for each measurement.
 
-mod experiment;
 mod latency;
 
 use crate::arguments::{CommandLine, UsageError};
 use crate::exit::Failure;
 
-const CHOICES: &str = "run, compare, latency";
+const CHOICES: &str = "latency";
 
 /// Runs the command.
 pub fn run(mut line: CommandLine) -> Result<(), Failure> {
@@ -17,8 +16,6 @@
         }));
     };
     match measurement.as_str() {
-        "run" => experiment::run(line),
-        "compare" => experiment::run_comparison(line),
         "latency" => latency::run(line),
         _ => Err(Failure::usage(UsageError::UnknownCommand {
             command: format!("bench {measurement}"),
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -156,27 +156,14 @@
 pub const BENCH: &str = "\
 havenstage bench - measure the system
 
-usage: havenstage bench run EXPERIMENT.toml [--seed N] [--json FILE] [--svg FILE]
-       havenstage bench compare A.toml B.toml [C.toml ..] [--seeds N] [--parallel N] [--json FILE]
-       havenstage bench latency [OPTIONS]
+usage: havenstage bench latency [OPTIONS]
        havenstage bench latency --engine ADDR --home ADDR --front ADDR --pool NAME [OPTIONS]
 
-run drives an experiment on a virtual clock through the real node code and prints what came of it;
-the same file and seed give the same digits. compare runs several experiments on the same seeds
-(default 3) and prints ratios to the first one with their spread.
-
 latency measures the time a node adds to a request against calling the engine directly, and the
 requests a second one node serves. Without addresses it starts everything in this process, each
 node on two threads. With addresses it measures an engine that answers at once and two nodes.
 
-options of run and compare:
-  --seed N       seed instead of the file's
-  --seeds N      seeds, counted up from that of the first file
-  --parallel N   runs at once (default 2)
-  --json FILE    also write everything measured as JSON
-  --svg FILE     also draw step times, staleness, live latencies and swap times
-
-options of latency:
+options:
   --seconds N               time of the whole measurement (default 60)
   --rounds N                alternations of the latency cases (default 10)
   --latency-connections N   connections while latency is measured (default 1)
@@ -192,7 +179,6 @@
 exit codes: 0 ok, 1 failed, 2 usage
 
 example:
-  havenstage bench run crates/bench/experiments/po-valley.toml --svg po-valley.svg
   havenstage bench latency --seconds 120 --json latency.json
 ";
 
