Remove code of the old node that only its own tests used

Change: they go, and the test of the last tenth of a step and one assertion on forgotten groups with them. Ruled out: the emulator's export and import of KV memory, also without a caller: its setting may stand in files. Figures: found by counting each public name's uses in sources. Conclusion: nothing that a program runs has changed.

--- a/crates/config/src/lookup.rs
+++ b/crates/config/src/lookup.rs
@@ -1,6 +1,6 @@
 //! Typed look-ups on the configuration.
 
-use havenstage_types::ids::{CallerName, EngineName, JobName, ModelName, PoolName, VersionNumber};
+use havenstage_types::ids::{CallerName, EngineName, JobName, ModelName, PoolName};
 use havenstage_types::resource::{
     EngineSpec, JobSpec, PoolSpec, PriorityRuleSpec, Resource, ResourceKey, ResourceKind,
     ResourceSpec,
@@ -69,11 +69,6 @@
         self.resources.versions().newest(model).cloned()
     }
 
-    /// The highest version number `model` ever had, deleted versions included.
-    pub fn highest_version_number(&self, model: &ModelName) -> Option<VersionNumber> {
-        self.resources.versions().highest(model)
-    }
-
     /// The rule for a caller: its own, or else the rule for callers without one.
     pub fn rule_for(&self, caller: &CallerName) -> Option<&PriorityRuleSpec> {
         let name = self
--- a/crates/emulator/src/clock.rs
+++ b/crates/emulator/src/clock.rs
@@ -15,11 +15,6 @@
 pub struct EngineTime(pub u64);
 
 impl EngineTime {
-    /// The moment in whole milliseconds, rounded up so that an event is due then.
-    pub fn to_moment(self) -> Moment {
-        Moment(self.0.div_ceil(MICROSECONDS_PER_MILLISECOND))
-    }
-
     /// The time from `earlier` to `self`, or zero when `earlier` is later.
     pub fn since(self, earlier: EngineTime) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -23,17 +23,6 @@
     highest(view.owners(), Role::Partition, &partition.0.to_le_bytes())
 }
 
-/// The members that may own roles in the order in which they would lead a partition.
-pub fn ranked_for_partition(view: &MembershipView, partition: Partition) -> Vec<&Member> {
-    let role_hash = xxh3_64_with_seed(&partition.0.to_le_bytes(), Role::Partition as u64);
-    let mut ranked: Vec<&Member> = view.owners().collect();
-    ranked.sort_by_key(|member| {
-        let id = member.identity.id;
-        std::cmp::Reverse((weight(id, role_hash), id))
-    });
-    ranked
-}
-
 /// The member that admits work to an engine, preferably one in the engine's zone.
 pub fn home_of_engine(view: &MembershipView, engine: &EngineName, zone: &Zone) -> Option<NodeId> {
     let name = engine.as_str().as_bytes();
--- a/crates/placement/src/stragglers.rs
+++ b/crates/placement/src/stragglers.rs
@@ -1,10 +1,9 @@
-//! The long tail of a step: which open samples start first, and which of them are stragglers.
+//! The long tail of a step: which open samples start first.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use crate::lengths::RunningLength;
-use crate::settings::InvalidSetting;
 
 /// An open sample with the length it is expected to reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,40 +47,4 @@
             .or(self.all.mean())
             .map_or(max_tokens, |tokens| tokens.min(max_tokens))
     }
-
-    /// Forgets the groups that `keep` does not want, to bound memory over many steps.
-    pub fn retain_groups(&mut self, mut keep: impl FnMut(u32) -> bool) {
-        self.groups.retain(|&prompt_index, _| keep(prompt_index));
-    }
-}
-
-/// When samples of a step count as stragglers.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StragglerSettings {
-    /// Share of a step's samples, in percent, that are stragglers when only so many are open.
-    pub tail_percent: u8,
-}
-
-impl Default for StragglerSettings {
-    fn default() -> Self {
-        Self { tail_percent: 10 }
-    }
-}
-
-impl StragglerSettings {
-    /// Checks the ranges.
-    pub fn validate(&self) -> Result<(), InvalidSetting> {
-        InvalidSetting::unless(
-            self.tail_percent <= 100,
-            "stragglers.tail_percent",
-            self.tail_percent,
-            "0 to 100",
-        )
-    }
-
-    /// Whether the `open_samples` of a step of `step_samples` are its last ones.
-    pub fn is_tail(&self, open_samples: u32, step_samples: u32) -> bool {
-        let tail = u64::from(step_samples) * u64::from(self.tail_percent);
-        u64::from(open_samples) * 100 <= tail
-    }
 }
--- a/crates/placement/tests/retries_limits_and_stragglers.rs
+++ b/crates/placement/tests/retries_limits_and_stragglers.rs
@@ -4,9 +4,7 @@
 
 use havenstage_placement::limits::InFlightLimiter;
 use havenstage_placement::retry::{Backoff, BackoffSettings, RetryBudget, RetryBudgetSettings};
-use havenstage_placement::stragglers::{
-    ExpectedSample, LengthEstimator, StragglerSettings, dispatch_order,
-};
+use havenstage_placement::stragglers::{ExpectedSample, LengthEstimator, dispatch_order};
 use havenstage_types::clock::Moment;
 use havenstage_types::ids::CallerName;
 use havenstage_types::refusal::{Execution, RefusalReason};
@@ -99,13 +97,4 @@
     lengths.observe(2, 100);
     assert_eq!(lengths.expected_tokens(2, 500), 100);
     assert_eq!(lengths.expected_tokens(1, 200), 200);
-    lengths.retain_groups(|prompt_index| prompt_index != 2);
-    assert_eq!(lengths.expected_tokens(2, 500), 275);
-}
-
-#[test]
-fn the_last_tenth_of_a_step_are_stragglers() {
-    let settings = StragglerSettings::default();
-    assert!(!settings.is_tail(11, 100));
-    assert!(settings.is_tail(10, 100));
 }
