A store in the memory of one process, and the gateway's tests on it

Cause: the gateway runs only where the users' platform gives a store; its tests used a fake log of their own. Change: crate `memory-store`: SharedLog, CheckpointStore and Directory in memory. Appends are conditional on nothing and taken whole or not at all, offsets rise by one, records are dropped after their retention and told as dropped, directories keep the newest entry of each name, appends beyond a bound of bytes are refused as not done (507). The gateway's test log is this store with faults for each node and a recording of all appends, in place of a state of its own. What the gateway relies on in any store is one set of nine tests (store_contract.rs), to be run against each driver. Ruled out: a store server beside the gateway (a protocol of its own); the old log stand-in (its own wire, no directories); a list of all changes in directories (unbounded; removals are kept for the retention, and a reader who was away for longer is told to list anew). Open: against the driver of the platform's store the ninth test fails: `load` of a checkpoint reads the first page of the listing only, so that a name on a later page is taken for one without a checkpoint. The gateway writes two names, which one page holds today. Conclusion: one store in memory serves tests and, next, `havenstage serve`.

--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -1,6 +1,6 @@
 //! A shared log and directories in memory, with faults for each node that uses them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -12,32 +12,38 @@
     Appended, CheckpointStore, Directory, DirectoryEntry, DirectoryKind, DirectoryPage,
     ListingPage, LogError, LogPage, LogStream, SharedLog, StreamPartition,
 };
+use havenstage_memory_store::{MemoryStore, MemoryStoreSettings};
 use havenstage_rollout::checkpoint::ControlCheckpoint;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::framing::Joiner;
 use havenstage_rollout::stored::Stored;
-use tokio::sync::Notify;
 
 pub use super::log_faults::LogFaults;
 
-/// What all nodes share.
-#[derive(Default)]
+/// What all nodes share: a store in memory, and all records that were ever appended to it.
 pub struct MemoryLog {
-    state: Mutex<State>,
-    changed: Notify,
+    store: MemoryStore,
+    history: Mutex<Vec<Appending>>,
 }
 
-#[derive(Default)]
-struct State {
-    partitions: HashMap<StreamPartition, Vec<Bytes>>,
-    /// When each record of a partition came to stand there.
-    times: HashMap<StreamPartition, Vec<Instant>>,
-    /// Offset of the oldest record kept; 0 where none is named.
-    first_kept: HashMap<StreamPartition, u64>,
-    history: Vec<(StreamPartition, Bytes)>,
-    checkpoints: HashMap<String, Bytes>,
-    operators: Vec<DirectoryEntry>,
-    backends: Vec<DirectoryEntry>,
+/// A record and when it came to stand in its partition.
+struct Appending {
+    partition: StreamPartition,
+    record: Bytes,
+    at: Instant,
+}
+
+/// Longer than any test: records are dropped when a test says so.
+const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
+/// One entry a page, so that listings of several pages are read, and whole partitions in one answer.
+fn store_settings() -> MemoryStoreSettings {
+    MemoryStoreSettings {
+        retention: RETENTION,
+        read_page_bytes: usize::MAX,
+        listing_page_entries: 1,
+        most_bytes: usize::MAX,
+    }
 }
 
 /// Whether an append writes an order down.
@@ -60,8 +66,6 @@
     bytes_read: AtomicU64,
 }
 
-/// What an entry of a directory counts for in bytes.
-const ENTRY_BYTES: u32 = 400;
 /// How long a call takes that is answered at once.
 const AT_ONCE: Duration = Duration::from_millis(1);
 
@@ -75,109 +79,93 @@
 
 impl MemoryLog {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self::default())
+        Arc::new(Self {
+            store: MemoryStore::new(store_settings()).unwrap(),
+            history: Mutex::default(),
+        })
     }
 
     pub fn write_operators(&self, entry: DirectoryEntry) {
-        self.state.lock().unwrap().operators.push(entry);
-        self.changed.notify_waiters();
+        self.store.write_entry(DirectoryKind::Operators, entry);
     }
 
     pub fn write_backends(&self, entry: DirectoryEntry) {
-        self.state.lock().unwrap().backends.push(entry);
-        self.changed.notify_waiters();
+        self.store.write_entry(DirectoryKind::Backends, entry);
+    }
+
+    /// What is told of each record ever appended to a partition, in the order of their offsets.
+    fn of_partition<T>(
+        &self,
+        partition: StreamPartition,
+        tell: impl Fn(&Appending) -> T,
+    ) -> Vec<T> {
+        let history = self.history.lock().unwrap();
+        let records = history.iter().filter(|kept| kept.partition == partition);
+        records.map(tell).collect()
     }
 
     pub fn records(&self, partition: StreamPartition) -> Vec<Bytes> {
-        self.state
-            .lock()
-            .unwrap()
-            .partitions
-            .get(&partition)
-            .cloned()
-            .unwrap_or_default()
+        self.of_partition(partition, |kept| kept.record.clone())
     }
 
     /// When each record of a partition came to stand there.
     pub fn times(&self, partition: StreamPartition) -> Vec<Instant> {
-        let state = self.state.lock().unwrap();
-        state.times.get(&partition).cloned().unwrap_or_default()
+        self.of_partition(partition, |kept| kept.at)
     }
 
     /// Bytes of all records of all partitions.
     pub fn bytes(&self) -> u64 {
-        let state = self.state.lock().unwrap();
-        let records = state.partitions.values().flatten();
-        records.map(|record| record.len() as u64).sum()
+        let history = self.history.lock().unwrap();
+        history.iter().map(|kept| kept.record.len() as u64).sum()
     }
 
     /// Bytes of all records of a partition.
     pub fn bytes_of(&self, partition: StreamPartition) -> u64 {
-        let records = self.records(partition);
-        records.iter().map(|record| record.len() as u64).sum()
+        let lengths = self.of_partition(partition, |kept| kept.record.len() as u64);
+        lengths.into_iter().sum()
     }
 
     /// Offset up to which the newest checkpoint of the control stream goes.
     pub fn checkpointed(&self) -> u64 {
-        let state = self.state.lock().unwrap();
-        let checkpoint = state.checkpoints.get("control");
-        checkpoint.map_or(0, |value| ControlCheckpoint::decode(value).unwrap().next)
+        let checkpoint = self.store.checkpoint("control");
+        checkpoint.map_or(0, |value| ControlCheckpoint::decode(&value).unwrap().next)
     }
 
     /// Whether a checkpoint of that name is kept.
     pub fn has_checkpoint(&self, name: &str) -> bool {
-        self.state.lock().unwrap().checkpoints.contains_key(name)
+        self.store.checkpoint(name).is_some()
     }
 
     /// Drops all records of a partition so far.
     pub fn drop_history(&self, partition: StreamPartition) {
-        let mut state = self.state.lock().unwrap();
-        let end = state.partitions.get(&partition).map_or(0, Vec::len) as u64;
-        state.first_kept.insert(partition, end);
+        let end = self.records(partition).len() as u64;
+        self.store.drop_before(partition, end);
     }
 
     /// All records in the order of their appends.
     pub fn history(&self) -> Vec<(StreamPartition, Bytes)> {
-        self.state.lock().unwrap().history.clone()
-    }
-
-    fn append_now(&self, partition: StreamPartition, records: Vec<Bytes>) -> Appended {
-        let mut state = self.state.lock().unwrap();
-        let in_order = records.iter().map(|record| (partition, record.clone()));
-        state.history.extend(in_order);
-        let kept = state.partitions.entry(partition).or_default();
-        let offset = kept.len() as u64;
-        kept.extend(records);
-        let end = kept.len() as u64;
-        let times = state.times.entry(partition).or_default();
-        times.resize(end as usize, Instant::now());
-        drop(state);
-        self.changed.notify_waiters();
-        Appended { offset, end }
-    }
-
-    fn check_kept(&self, partition: StreamPartition, from: u64) -> Result<(), LogError> {
-        let state = self.state.lock().unwrap();
-        let first = state.first_kept.get(&partition).copied().unwrap_or(0);
-        if from < first {
-            return Err(LogError::HistoryDropped { first });
-        }
-        Ok(())
+        let history = self.history.lock().unwrap();
+        let records = history.iter();
+        records
+            .map(|kept| (kept.partition, kept.record.clone()))
+            .collect()
     }
 
-    async fn wait_for<T>(&self, wait: Duration, look: impl Fn(&State) -> Option<T>) -> Option<T> {
-        let until = havenstage_clock::Instant::now() + wait;
-        loop {
-            let changed = self.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if let Some(found) = look(&self.state.lock().unwrap()) {
-                return Some(found);
-            }
-            if havenstage_clock::timeout_at(until, changed).await.is_err() {
-                return None;
-            }
-        }
+    fn append_now(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError> {
+        // Held over the append, so that both have the same order.
+        let mut history = self.history.lock().unwrap();
+        let appended = self.store.append_now(partition, records.clone())?;
+        let at = Instant::now();
+        history.extend(records.into_iter().map(|record| Appending {
+            partition,
+            record,
+            at,
+        }));
+        Ok(appended)
     }
 }
 
@@ -300,7 +288,7 @@
             true => self.faults().late_answers_to_orders,
             false => Duration::ZERO,
         };
-        let appended = self.shared.append_now(partition, records);
+        let appended = self.shared.append_now(partition, records)?;
         tokio::time::sleep(answer_delay).await;
         if self.faults().loses_answers {
             tokio::time::sleep(NO_ANSWER).await;
@@ -322,28 +310,10 @@
             tokio::time::sleep(AT_ONCE).await;
             return Err(LogError::HistoryDropped { first: from });
         }
-        self.shared.check_kept(partition, from)?;
-        let page = |state: &State| {
-            let records = state
-                .partitions
-                .get(&partition)
-                .cloned()
-                .unwrap_or_default();
-            let end = records.len() as u64;
-            LogPage {
-                from,
-                end,
-                records: records.into_iter().skip(from as usize).collect(),
-            }
-        };
-        let found = self.shared.wait_for(wait, |state| {
-            let page = page(state);
-            (!page.records.is_empty()).then_some(page)
-        });
-        let found = found.await;
+        let read = self.shared.store.read(partition, from, wait).await;
         // A fault that began while the call waited takes its answer too.
         self.check_readable().await?;
-        let mut page = found.unwrap_or_else(|| page(&self.shared.state.lock().unwrap()));
+        let mut page = read?;
         page.records = first_records(page.records, self.faults().page_bytes);
         tokio::time::sleep(self.faults().read_delay).await;
         let bytes: usize = page.records.iter().map(Bytes::len).sum();
@@ -356,35 +326,18 @@
 impl CheckpointStore for NodeLog {
     async fn save(&self, name: &str, value: Bytes) -> Result<(), LogError> {
         self.check_reachable().await?;
-        let mut state = self.shared.state.lock().unwrap();
-        state.checkpoints.insert(name.to_owned(), value);
-        Ok(())
+        self.shared.store.save(name, value).await
     }
 
     async fn load(&self, name: &str) -> Result<Option<Bytes>, LogError> {
         self.check_readable().await?;
         self.let_read_in().await?;
-        Ok(self
-            .shared
-            .state
-            .lock()
-            .unwrap()
-            .checkpoints
-            .get(name)
-            .cloned())
-    }
-}
-
-fn entries(state: &State, kind: DirectoryKind) -> &Vec<DirectoryEntry> {
-    match kind {
-        DirectoryKind::Operators => &state.operators,
-        DirectoryKind::Backends => &state.backends,
+        self.shared.store.load(name).await
     }
 }
 
 #[async_trait]
 impl Directory for NodeLog {
-    /// One entry a page, so that listings of several pages are read.
     async fn list(
         &self,
         kind: DirectoryKind,
@@ -395,16 +348,7 @@
         if is_refused || self.faults().refuses_listings || self.refuses_next_listing() {
             return Err(LogError::Refused(429));
         }
-        let state = self.shared.state.lock().unwrap();
-        let entries = entries(&state, kind);
-        let from: usize = after.map_or(0, |after| after.parse().unwrap());
-        let page: Vec<DirectoryEntry> = entries.iter().skip(from).take(1).cloned().collect();
-        let more = (from + 1 < entries.len()).then(|| (from + 1).to_string());
-        Ok(ListingPage {
-            entries: page,
-            end: entries.len() as u64,
-            more,
-        })
+        self.shared.store.list(kind, after).await
     }
 
     async fn changes(
@@ -424,25 +368,13 @@
             tokio::time::sleep(AT_ONCE).await;
             return Err(LogError::HistoryDropped { first: from });
         }
-        let found = self.shared.wait_for(wait, |state| {
-            let new: Vec<_> = entries(state, kind)
-                .iter()
-                .skip(from as usize)
-                .cloned()
-                .collect();
-            (!new.is_empty()).then_some(new)
-        });
-        let mut entries = found.await.unwrap_or_default();
+        let changes = self
+            .shared
+            .store
+            .changes(kind, from, wait, most_bytes)
+            .await;
         self.check_reachable().await?;
-        let there = entries.len();
-        entries.truncate((most_bytes / ENTRY_BYTES).max(1) as usize);
-        let next = from + entries.len() as u64;
-        let behind = (there - entries.len()) as u64;
-        Ok(DirectoryPage {
-            entries,
-            next,
-            behind,
-        })
+        changes
     }
 }
 
--- /dev/null
+++ b/crates/memory-store/src/store.rs
@@ -0,0 +1,190 @@
+//! The store: its state, and the gateway's traits over it.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use havenstage_clock::Instant;
+use havenstage_gateway::edge::{
+    Appended, CheckpointStore, Directory, DirectoryEntry, DirectoryKind, DirectoryPage,
+    ListingPage, LogError, LogPage, SharedLog, StreamPartition,
+};
+use tokio::sync::Notify;
+
+use crate::entry_log::EntryLog;
+use crate::records::Records;
+use crate::settings::{InvalidStoreSetting, MemoryStoreSettings};
+
+/// A store in the memory of this process, shared by all gateways in it.
+#[derive(Debug)]
+pub struct MemoryStore {
+    settings: MemoryStoreSettings,
+    state: Mutex<State>,
+    /// Wakes the reads that wait, at each append and each entry of a directory.
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    records: Records,
+    checkpoints: HashMap<String, Bytes>,
+    operators: EntryLog,
+    backends: EntryLog,
+}
+
+impl State {
+    fn directory(&self, kind: DirectoryKind) -> &EntryLog {
+        match kind {
+            DirectoryKind::Operators => &self.operators,
+            DirectoryKind::Backends => &self.backends,
+        }
+    }
+
+    fn directory_mut(&mut self, kind: DirectoryKind) -> &mut EntryLog {
+        match kind {
+            DirectoryKind::Operators => &mut self.operators,
+            DirectoryKind::Backends => &mut self.backends,
+        }
+    }
+}
+
+impl MemoryStore {
+    /// An empty store.
+    pub fn new(settings: MemoryStoreSettings) -> Result<Self, InvalidStoreSetting> {
+        settings.validate()?;
+        let state = State {
+            records: Records::new(&settings),
+            checkpoints: HashMap::new(),
+            operators: EntryLog::default(),
+            backends: EntryLog::default(),
+        };
+        Ok(Self {
+            settings,
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Writes an entry of a directory in place of the one of its name; answers its offset there.
+    pub fn write_entry(&self, kind: DirectoryKind, entry: DirectoryEntry) -> u64 {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let directory = state.directory_mut(kind);
+        directory.forget_removals(self.settings.retention, now);
+        let offset = directory.write(entry, now);
+        drop(state);
+        self.changed.notify_waiters();
+        offset
+    }
+
+    /// Appends records to a partition, all or none.
+    pub fn append_now(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError> {
+        let appended = self
+            .lock()
+            .records
+            .append(partition, records, Instant::now())?;
+        self.changed.notify_waiters();
+        Ok(appended)
+    }
+
+    /// Drops the records of a partition before an offset, as if they were past their retention.
+    pub fn drop_before(&self, partition: StreamPartition, offset: u64) {
+        self.lock().records.drop_before(partition, offset);
+    }
+
+    /// The value of a checkpoint, if there is one.
+    pub fn checkpoint(&self, name: &str) -> Option<Bytes> {
+        self.lock().checkpoints.get(name).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks until there is something new or the time is over, and answers the last look.
+    async fn look_until_new<T>(
+        &self,
+        wait: Duration,
+        look: impl Fn(&State) -> Result<T, LogError>,
+        is_new: impl Fn(&T) -> bool,
+    ) -> Result<T, LogError> {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Before the look, so that no change between look and wait is missed.
+            changed.as_mut().enable();
+            let found = look(&self.lock())?;
+            if is_new(&found) {
+                return Ok(found);
+            }
+            if havenstage_clock::timeout_at(until, changed).await.is_err() {
+                return look(&self.lock());
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl SharedLog for MemoryStore {
+    async fn append(
+        &self,
+        partition: StreamPartition,
+        records: Vec<Bytes>,
+    ) -> Result<Appended, LogError> {
+        self.append_now(partition, records)
+    }
+
+    async fn read(
+        &self,
+        partition: StreamPartition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<LogPage, LogError> {
+        let look = |state: &State| state.records.read(partition, from);
+        self.look_until_new(wait, look, |page| !page.records.is_empty())
+            .await
+    }
+}
+
+#[async_trait]
+impl CheckpointStore for MemoryStore {
+    async fn save(&self, name: &str, value: Bytes) -> Result<(), LogError> {
+        self.lock().checkpoints.insert(name.to_owned(), value);
+        Ok(())
+    }
+
+    async fn load(&self, name: &str) -> Result<Option<Bytes>, LogError> {
+        Ok(self.checkpoint(name))
+    }
+}
+
+#[async_trait]
+impl Directory for MemoryStore {
+    async fn list(
+        &self,
+        kind: DirectoryKind,
+        after: Option<&str>,
+    ) -> Result<ListingPage, LogError> {
+        let most_entries = self.settings.listing_page_entries;
+        Ok(self.lock().directory(kind).list(after, most_entries))
+    }
+
+    async fn changes(
+        &self,
+        kind: DirectoryKind,
+        from: u64,
+        wait: Duration,
+        most_bytes: u32,
+    ) -> Result<DirectoryPage, LogError> {
+        let look = |state: &State| state.directory(kind).changes(from, most_bytes);
+        self.look_until_new(wait, look, |page| !page.entries.is_empty())
+            .await
+    }
+}
