havenstage serve: the gateway in one process under havenstage's own interface

Cause: a newcomer could not run the gateway without the users' platform, and havenstage's interface (completions, steps of samples, resources) belonged to a program that nobody runs. Change: crate `service` and the command `serve`: settings whose keys all have defaults, checked with file, key, value and what is allowed; the store in memory; a dialect for completions, batches of samples and their results; emulated engines as the gateway's back ends, each on a port of its own; `ctl get pools|routes|engines`, which shows what the node was told by its directories and how old that is; `ctl versions publish`, which names a version that the node then has its engines load. The stand-in of an engine takes other routes than its own, so that its driver is not written twice. Nothing in rollout, gateway or platform is changed. Ruled out: an axum server in front of the gateway's (a second way through a node for each call: callers and trainers are served by the gateway's server through the dialect, operators by axum); answers to operators from what was written instead of what was read back; `[DONE]` at the end of samples (an event that no version made). Found by its test: an engine that asks for a content type turns away samples, which carry none; it reads the body now. Partial: pools and routes cannot be changed at run time; no watch, drain, jobs; a refused batch says why in a log line only; emulated engines record all that they ran. Conclusion: a batch, a call, resources and a version go the whole path on the gateway's engine of work.

--- a/crates/havenstage/src/commands/ctl/action.rs
+++ b/crates/havenstage/src/commands/ctl/action.rs
@@ -28,6 +28,11 @@
         /// Its key.
         key: ResourceKey,
     },
+    /// Show what a served gateway knows of a kind.
+    GetKnown {
+        /// The kind.
+        kind: havenstage_service::operators::ResourceKind,
+    },
     /// Show all resources of a kind.
     List {
         /// The kind.
@@ -86,7 +91,7 @@
             "apply" => Ok(Self::Apply {
                 manifests: read_manifests(&line.required_path("-f")?)?,
             }),
-            "get" => Ok(Self::Get { key: key(line)? }),
+            "get" => get(line),
             "list" => Ok(Self::List { kind: kind(line)? }),
             "watch" => Ok(Self::Watch { kind: kind(line)? }),
             "delete" => Ok(Self::Delete { key: key(line)? }),
@@ -104,6 +109,19 @@
     }
 }
 
+/// A kind in the plural names all that a served gateway knows; else a kind and a name follow.
+fn get(line: &mut CommandLine) -> Result<Action, Failure> {
+    let text: String = line.required()?;
+    if let Ok(kind) = text.parse() {
+        return Ok(Action::GetKnown { kind });
+    }
+    let kind = parse_kind(&text).map_err(Failure::usage)?;
+    let name = name(line)?;
+    Ok(Action::Get {
+        key: ResourceKey { kind, name },
+    })
+}
+
 fn engine_state(line: &mut CommandLine, state: EngineDesiredState) -> Result<Action, Failure> {
     let engine = EngineName(name(line)?);
     Ok(Action::SetEngineState { engine, state })
--- a/crates/havenstage/src/commands/ctl/mod.rs
+++ b/crates/havenstage/src/commands/ctl/mod.rs
@@ -74,6 +74,7 @@
         }
         Action::Publish { model, version } => changes.publish(model, version, output).await,
         Action::Get { key } => read::get(&client, &key, output).await,
+        Action::GetKnown { kind } => read::get_known(&client, kind, output).await,
         Action::List { kind } => read::list(&client, kind, output).await,
         Action::Explain { subject } => read::explain(&client, &subject, output).await,
         Action::Status => read::status(&client, output).await,
--- a/crates/havenstage/src/commands/ctl/table.rs
+++ b/crates/havenstage/src/commands/ctl/table.rs
@@ -6,6 +6,7 @@
 use comfy_table::presets::NOTHING;
 use havenstage_config::manifest::Manifest;
 use havenstage_node::node::NodeStatus;
+use havenstage_service::operators::KnownResources;
 use havenstage_types::decision::DecisionRecord;
 use havenstage_types::ids::NodeId;
 use serde_json::Value;
@@ -36,15 +37,44 @@
 
 /// Resources of one kind, one a line, with a column for every field that one of them has.
 pub fn resources(manifests: &[Manifest]) -> String {
-    let fields: BTreeSet<&str> = manifests.iter().flat_map(field_names).collect();
+    let rows = manifests.iter().map(|manifest| Row {
+        name: &manifest.name,
+        revision: revision(manifest),
+        spec: &manifest.spec,
+    });
+    rows_of_fields(&rows.collect::<Vec<_>>())
+}
+
+/// What a gateway knows, one resource a line, and how old that is.
+pub fn known_resources(known: &KnownResources) -> String {
+    let rows = known.items.iter().map(|resource| Row {
+        name: &resource.name,
+        revision: resource
+            .revision
+            .map_or_else(String::new, |revision| revision.to_string()),
+        spec: &resource.spec,
+    });
+    let table = rows_of_fields(&rows.collect::<Vec<_>>());
+    format!("{table}\nknown {} ms ago", known.age_ms)
+}
+
+/// A resource in a table.
+struct Row<'a> {
+    name: &'a str,
+    revision: String,
+    spec: &'a Value,
+}
+
+fn rows_of_fields(rows: &[Row<'_>]) -> String {
+    let fields: BTreeSet<&str> = rows.iter().flat_map(|row| field_names(row.spec)).collect();
     let mut header = vec!["NAME", "REVISION"];
     header.extend(&fields);
     let mut table = table(&header);
-    for manifest in manifests {
-        let mut row = vec![manifest.name.clone(), revision(manifest)];
-        let values = fields.iter().map(|field| manifest.spec.get(*field));
-        row.extend(values.map(|value| value.map_or_else(String::new, cell)));
-        table.add_row(row);
+    for row in rows {
+        let mut cells = vec![row.name.to_owned(), row.revision.clone()];
+        let values = fields.iter().map(|field| row.spec.get(*field));
+        cells.extend(values.map(|value| value.map_or_else(String::new, cell)));
+        table.add_row(cells);
     }
     table.to_string()
 }
@@ -136,8 +166,8 @@
     format!("{:016x}", id.0)
 }
 
-fn field_names(manifest: &Manifest) -> impl Iterator<Item = &str> {
-    let fields = manifest.spec.as_object();
+fn field_names(spec: &Value) -> impl Iterator<Item = &str> {
+    let fields = spec.as_object();
     fields.into_iter().flatten().map(|(name, _)| name.as_str())
 }
 
--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod ctl;
 mod demo;
 mod node;
+mod serve;
 mod simulate;
 mod standin;
 
@@ -24,6 +25,7 @@
         return without_command(line);
     };
     let (text, run): (&str, Run) = match command.as_str() {
+        "serve" => (help::SERVE, serve::run),
         "node" => (help::NODE, node::run),
         "ctl" => (help::CTL, ctl::run),
         "standin" => (help::STANDIN, standin::run),
@@ -49,7 +51,7 @@
     line.finish()?;
     Err(Failure::usage(UsageError::MissingWord {
         command: "havenstage",
-        choices: "node, ctl, standin, check, demo, simulate, bench",
+        choices: "serve, node, ctl, standin, check, demo, simulate, bench",
     }))
 }
 
--- /dev/null
+++ b/crates/havenstage/src/commands/serve.rs
@@ -0,0 +1,41 @@
+//! `havenstage serve`: the gateway in one process, until it is told to stop.
+
+use havenstage_gateway::logging;
+use havenstage_service::settings::{self, ServeSettings};
+
+use crate::arguments::CommandLine;
+use crate::commands::{block_on, print};
+use crate::exit::Failure;
+
+/// Runs the command.
+pub fn run(mut line: CommandLine) -> Result<(), Failure> {
+    let only_check = line.flag("--check-config");
+    let settings = read_settings(&mut line)?;
+    line.finish()?;
+    if only_check {
+        return print("settings ok\n");
+    }
+    let _logger = logging::start(settings.log_lines_per_s)?;
+    let served = block_on(async { Ok(havenstage_service::run(&settings).await?) });
+    logging::wait_until_written();
+    served
+}
+
+/// The file that `--config` names, and the options that stand over it.
+fn read_settings(line: &mut CommandLine) -> Result<ServeSettings, Failure> {
+    let mut settings = match line.path("--config")? {
+        Some(file) => settings::read(&file).map_err(Failure::usage)?,
+        None => ServeSettings::default(),
+    };
+    let listen = &mut settings.listen;
+    if let Some(address) = line.option("--callers")? {
+        listen.callers = address;
+    }
+    if let Some(address) = line.option("--operators")? {
+        listen.operators = address;
+    }
+    if let Some(address) = line.option("--ready")? {
+        listen.ready = address;
+    }
+    Ok(settings)
+}
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -7,6 +7,7 @@
 usage: havenstage COMMAND [OPTIONS]
 
 commands:
+  serve     run the rollout service in one process, with a store in memory
   node      run a node
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
@@ -25,6 +26,31 @@
   havenstage node --config node.toml
 ";
 
+/// `havenstage serve`
+pub const SERVE: &str = "\
+havenstage serve - run the rollout service in one process
+
+usage: havenstage serve [--config FILE] [OPTIONS]
+
+Runs the gateway with a store in the memory of the process. Without a file it serves the model
+policy on two emulated engines: batches of samples at /v1/batches/ and completions at
+/v1/completions. Nothing outlives the process. Logs are JSON lines on standard output.
+
+options (each stands before the file's value):
+  --config FILE      settings, in TOML; every key has a default
+  --check-config     check the settings and exit
+  --callers ADDR     IP:PORT for callers and trainers (default 127.0.0.1:7800)
+  --operators ADDR   IP:PORT for operators, asked with ctl get (default 127.0.0.1:7801)
+  --ready ADDR       IP:PORT that tells whether it takes requests (default 127.0.0.1:7802)
+
+SIGTERM or SIGINT starts a planned stop: no new work, work in flight finishes, exit 0.
+
+exit codes: 0 ok, 1 failed (such as an address in use), 2 usage or settings
+
+example:
+  havenstage serve --callers 127.0.0.1:7800
+";
+
 /// `havenstage node`
 pub const NODE: &str = "\
 havenstage node - run a node
@@ -62,6 +88,7 @@
 actions:
   apply -f FILE                    create or update the resources of a .json or .toml file
   get KIND NAME                    show a resource
+  get pools|routes|engines         show what a served gateway knows, and how old that is
   list KIND                        show all resources of a kind
   watch KIND                       show changes of a kind as they happen
   delete KIND NAME                 delete a resource
--- a/crates/havenstage/tests/command_line.rs
+++ b/crates/havenstage/tests/command_line.rs
@@ -8,6 +8,7 @@
 fn every_command_has_a_help_text_with_an_example() {
     for arguments in [
         &["--help"][..],
+        &["serve", "--help"],
         &["node", "--help"],
         &["ctl", "--help"],
         &["standin", "-h"],
--- /dev/null
+++ b/crates/service/src/engines/announcer.rs
@@ -0,0 +1,83 @@
+//! Keeps an engine's entry in the directory of back ends.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_gateway::edge::{DirectoryEntry, DirectoryKind};
+use havenstage_memory_store::MemoryStore;
+use havenstage_rollout::backend::{BackendChange, BackendRecord};
+use havenstage_standin::engine::EngineStandin;
+use log::info;
+
+use super::EngineIdentity;
+
+/// Time between two looks at what the engine holds.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Writes an engine's entry whenever it changes.
+pub(super) struct Announcer {
+    identity: Arc<EngineIdentity>,
+    engine: Arc<EngineStandin>,
+    address: SocketAddr,
+    store: Arc<MemoryStore>,
+}
+
+impl Announcer {
+    /// The announcer of an engine that serves at an address.
+    pub(super) fn new(
+        identity: Arc<EngineIdentity>,
+        engine: Arc<EngineStandin>,
+        address: SocketAddr,
+        store: Arc<MemoryStore>,
+    ) -> Self {
+        Self {
+            identity,
+            engine,
+            address,
+            store,
+        }
+    }
+
+    /// Announces until the task is ended.
+    pub(super) async fn run(self) {
+        let mut announced = None;
+        loop {
+            let record = self.record();
+            if announced.as_ref() != Some(&record) {
+                self.announce(&record);
+                announced = Some(record);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    fn record(&self) -> BackendRecord {
+        let load = self.engine.true_load();
+        let version = load.version.map(|version| version.0);
+        let models = version.map(|version| (self.identity.model.clone(), version));
+        BackendRecord {
+            pool: self.identity.pool.clone(),
+            address: self.address,
+            zone: self.identity.zone.clone(),
+            slots: self.identity.settings.max_running_requests,
+            draining: load.leaving,
+            cold_left_ms: 0,
+            models: models.into_iter().collect::<BTreeMap<_, _>>(),
+            started_at: Some(self.identity.started_at_ms),
+        }
+    }
+
+    fn announce(&self, record: &BackendRecord) {
+        let change = BackendChange {
+            name: self.identity.name.clone(),
+            record: Some(record.clone()),
+        };
+        let entry = DirectoryEntry::Backend(change);
+        self.store.write_entry(DirectoryKind::Backends, entry);
+        info!(event = "engine_announced", engine = self.identity.name.as_str(),
+            address = self.address.to_string().as_str(), is_leaving = record.draining,
+            models = format!("{:?}", record.models).as_str(); "");
+    }
+}
--- /dev/null
+++ b/crates/service/src/engines/server.rs
@@ -0,0 +1,252 @@
+//! The HTTP interface of an emulated engine, in havenstage's dialect.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Extension, Json, Router};
+use bytes::Bytes;
+use havenstage_emulator::SubmitRefusal;
+use havenstage_emulator::content::Answer;
+use havenstage_standin::engine::EngineStandin;
+use havenstage_types::engine::{EngineAction, EngineOrder, GenerateRequest};
+use havenstage_types::ids::{AttemptId, FencingToken, NodeId, VersionNumber};
+use havenstage_types::resource::PriorityClass;
+use log::{info, warn};
+
+use super::EngineIdentity;
+use super::output::{self, EventStart};
+use crate::dialect::{
+    COMPLETIONS_PATH, CompletionRequest, ENGINE_ORDER_PATH, ENGINE_REPORT_PATH, EngineReportBody,
+    LoadOrder, headers,
+};
+
+type Identity = Extension<Arc<EngineIdentity>>;
+
+/// The engine's routes.
+pub(super) fn routes(identity: Arc<EngineIdentity>) -> Router<Arc<EngineStandin>> {
+    Router::new()
+        .route(COMPLETIONS_PATH, post(complete))
+        .route(ENGINE_ORDER_PATH, post(take_order))
+        .route(ENGINE_REPORT_PATH, get(report))
+        .layer(Extension(identity))
+}
+
+/// Why an engine does not run a request.
+enum Refusal {
+    /// The request is meant for another engine.
+    Misdirected,
+    /// It names no id, or one that cannot be read.
+    NoRequestId,
+    /// Its body is not a request for a completion; the text names the key and what is wrong.
+    Unreadable(String),
+    /// The engine has no place for it now.
+    NotRun(SubmitRefusal),
+    /// It can never run here.
+    Impossible(SubmitRefusal),
+}
+
+impl From<SubmitRefusal> for Refusal {
+    fn from(refusal: SubmitRefusal) -> Self {
+        match refusal {
+            SubmitRefusal::TooLong { .. } => Self::Impossible(refusal),
+            SubmitRefusal::NoVersion
+            | SubmitRefusal::Leaving
+            | SubmitRefusal::KnownAttempt
+            | SubmitRefusal::QueueFull => Self::NotRun(refusal),
+        }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let not_run = (headers().not_run, HeaderValue::from_static("1"));
+        match self {
+            Self::Misdirected => StatusCode::MISDIRECTED_REQUEST.into_response(),
+            Self::NoRequestId => StatusCode::BAD_REQUEST.into_response(),
+            Self::Unreadable(reason) => (StatusCode::UNPROCESSABLE_ENTITY, reason).into_response(),
+            Self::NotRun(refusal) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                (status, [not_run], refusal.to_string()).into_response()
+            }
+            Self::Impossible(refusal) => {
+                (StatusCode::UNPROCESSABLE_ENTITY, refusal.to_string()).into_response()
+            }
+        }
+    }
+}
+
+async fn complete(
+    State(engine): State<Arc<EngineStandin>>,
+    Extension(identity): Identity,
+    head: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let id = match request_id(&head, &identity) {
+        Ok(id) => id,
+        Err(refusal) => return refusal.into_response(),
+    };
+    let answered = match run(&engine, &identity, &head, id, &body).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(),
+    };
+    signed(answered, &identity, head.get(headers().request_id))
+}
+
+fn request_id<'a>(head: &'a HeaderMap, identity: &EngineIdentity) -> Result<&'a str, Refusal> {
+    let names = headers();
+    let expected = text(head, &names.expected_backend);
+    if expected.is_some_and(|expected| expected != identity.name.as_str()) {
+        return Err(Refusal::Misdirected);
+    }
+    text(head, &names.request_id).ok_or(Refusal::NoRequestId)
+}
+
+fn text<'a>(head: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    head.get(name)?.to_str().ok()
+}
+
+fn read_request(body: &[u8]) -> Result<CompletionRequest, Refusal> {
+    let document = &mut serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(document)
+        .map_err(|error| Refusal::Unreadable(format!("{}: {}", error.path(), error.inner())))
+}
+
+async fn run(
+    engine: &EngineStandin,
+    identity: &EngineIdentity,
+    head: &HeaderMap,
+    id: &str,
+    body: &[u8],
+) -> Result<Response, Refusal> {
+    let names = headers();
+    let request = read_request(body)?;
+    let resumed_from = text(head, &names.last_event_id).and_then(|id| id.parse().ok());
+    let resumed_from: u32 = resumed_from.unwrap_or(0);
+    let settings = &identity.settings;
+    let answer = Answer::to_prompt(
+        settings.content_seed,
+        id,
+        &request.prompt,
+        settings.prompt_length_share,
+        &settings.output_length,
+        request.max_tokens,
+    );
+    if resumed_from >= answer.length() {
+        return Ok(ended(&answer, &request, resumed_from));
+    }
+    let version = engine.true_load().version;
+    let version = version.ok_or(SubmitRefusal::NoVersion)?.0;
+    let is_sample = head.contains_key(&names.urgency);
+    let output = engine.generate(GenerateRequest {
+        attempt: AttemptId {
+            node: NodeId(identity.number),
+            sequence: identity.executions.fetch_add(1, Ordering::Relaxed),
+        },
+        subject: id.to_owned(),
+        prompt: request.prompt,
+        resume_tokens: (0..resumed_from).map(|at| answer.token(at)).collect(),
+        max_tokens: request.max_tokens,
+        class: match is_sample {
+            true => PriorityClass::Training,
+            false => PriorityClass::Live,
+        },
+    })?;
+    if !request.stream {
+        return Ok(match output::whole(output).await {
+            Ok(answer) => Json(answer).into_response(),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+        });
+    }
+    let start = EventStart {
+        resumed_from,
+        version,
+        has_end_mark: request.has_end_mark,
+    };
+    let mut response = event_stream(Body::from_stream(output::events(output, start)));
+    let version = HeaderValue::from(version);
+    response.headers_mut().insert(names.weight_version, version);
+    Ok(response)
+}
+
+/// The answer to a request whose reader has all tokens.
+fn ended(answer: &Answer, request: &CompletionRequest, resumed_from: u32) -> Response {
+    let lacks_end_mark = request.has_end_mark && resumed_from == answer.length();
+    event_stream(match lacks_end_mark {
+        true => Body::from(output::end_mark(resumed_from + 1)),
+        false => Body::empty(),
+    })
+}
+
+fn event_stream(body: Body) -> Response {
+    ([(header::CONTENT_TYPE, "text/event-stream")], body).into_response()
+}
+
+/// The answer with the request's id and the engine's name, which tell a caller whose answer it is.
+fn signed(mut response: Response, identity: &EngineIdentity, id: Option<&HeaderValue>) -> Response {
+    let names = headers();
+    let head = response.headers_mut();
+    if let Some(id) = id {
+        head.insert(names.request_id, id.clone());
+    }
+    if let Ok(name) = HeaderValue::from_str(identity.name.as_str()) {
+        head.insert(names.signature, name);
+    }
+    response
+}
+
+async fn take_order(
+    State(engine): State<Arc<EngineStandin>>,
+    Extension(identity): Identity,
+    Json(order): Json<LoadOrder>,
+) -> StatusCode {
+    let taken_before = identity.orders_taken.load(Ordering::Relaxed);
+    let is_expected = order
+        .expected_orders
+        .is_none_or(|count| count == taken_before);
+    if order.model != identity.model.as_str() || !is_expected {
+        warn!(event = "engine_refused_order", engine = identity.name.as_str(),
+            model = order.model.as_str(), expected_orders = format!("{:?}", order.expected_orders).as_str(),
+            orders_taken = taken_before; "");
+        return StatusCode::CONFLICT;
+    }
+    let version = VersionNumber(order.version);
+    let taken = engine.take_order(EngineOrder {
+        token: FencingToken(order.fence),
+        action: EngineAction::LoadVersion {
+            version,
+            location: String::new(),
+        },
+    });
+    let status = match taken {
+        Err(_) => StatusCode::CONFLICT,
+        Ok(()) if engine.true_load().version == Some(version) => StatusCode::OK,
+        Ok(()) => StatusCode::ACCEPTED,
+    };
+    if taken.is_ok() {
+        identity.orders_taken.fetch_add(1, Ordering::Relaxed);
+    }
+    info!(event = "engine_took_order", engine = identity.name.as_str(), version = order.version,
+        holder = order.holder.as_str(), fence = order.fence, status = status.as_u16(); "");
+    status
+}
+
+async fn report(
+    State(engine): State<Arc<EngineStandin>>,
+    Extension(identity): Identity,
+) -> Json<EngineReportBody> {
+    let load = engine.true_load();
+    let version = load.version.map(|version| version.0);
+    let models = version.map(|version| (identity.model.to_string(), version));
+    Json(EngineReportBody {
+        models: models.into_iter().collect::<BTreeMap<_, _>>(),
+        is_loading: load.swapping,
+        orders_taken: identity.orders_taken.load(Ordering::Relaxed),
+        started_at_ms: identity.started_at_ms,
+    })
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,9 +8,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use havenstage_emulator::{Engine, EngineOutput, EngineSettings, EngineTime, ExecutionRecord};
+use axum::Router;
+use havenstage_emulator::{
+    Engine, EngineOutput, EngineSettings, EngineTime, ExecutionRecord, OrderRefusal, SubmitRefusal,
+};
 use havenstage_platform_http::http_client::{HttpClient, HttpClientSettings};
-use havenstage_types::engine::{LoadReport, TokenChunk};
+use havenstage_types::engine::{EngineOrder, GenerateRequest, LoadReport, TokenChunk};
 use havenstage_types::ids::{AttemptId, VersionNumber};
 use http::{StatusCode, Uri};
 use serde::{Deserialize, Serialize};
@@ -120,8 +123,17 @@
 impl EngineStandin {
     /// Starts an engine on `listener`.
     pub async fn start(
+        listener: TcpListener,
+        settings: EngineStandinSettings,
+    ) -> Result<Running<Self>, StandinError> {
+        Self::start_with(listener, settings, routes::routes()).await
+    }
+
+    /// Starts an engine on `listener` behind the routes of another dialect.
+    pub async fn start_with(
         listener: TcpListener,
         mut settings: EngineStandinSettings,
+        routes: Router<Arc<Self>>,
     ) -> Result<Running<Self>, StandinError> {
         settings.validate()?;
         settings.engine.swap.external_fetch = settings.weight_store.is_some();
@@ -143,10 +155,48 @@
             wake: Notify::new(),
         });
         let driver = tokio::spawn(drive(state.clone()));
-        let running = Running::start(listener, gate, state, routes::routes())?;
+        let running = Running::start(listener, gate, state, routes)?;
         Ok(running.with_task(driver))
     }
 
+    /// Starts an execution; its output comes in pieces. Dropping the receiver cancels it.
+    pub fn generate(
+        &self,
+        request: GenerateRequest,
+    ) -> Result<mpsc::UnboundedReceiver<TokenChunk>, SubmitRefusal> {
+        let attempt = request.attempt;
+        // An answer has a bounded number of tokens, and so has the channel.
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut inner = self.lock();
+        inner.engine.submit(self.now(), request)?;
+        inner.streams.insert(attempt, sender);
+        drop(inner);
+        self.wake.notify_one();
+        Ok(receiver)
+    }
+
+    /// Stops an execution; an unknown attempt is ignored.
+    pub fn cancel(&self, attempt: AttemptId) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.engine.cancel(now, attempt);
+        inner.streams.remove(&attempt);
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    /// Takes a fenced order.
+    pub fn take_order(&self, order: EngineOrder) -> Result<(), OrderRefusal> {
+        let taken = self.lock().engine.order(self.now(), order);
+        self.wake.notify_one();
+        taken
+    }
+
+    /// What is true of the engine now, without the lag of its report.
+    pub fn true_load(&self) -> LoadReport {
+        self.lock().engine.true_load()
+    }
+
     /// What the engine says about itself now.
     pub fn load_report(&self) -> LoadReport {
         self.lock().engine.load_report(self.now())
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -42,23 +42,10 @@
     Json(request): Json<CompletionRequest>,
 ) -> Response {
     let request = GenerateRequest::from(request);
-    let attempt = request.attempt;
-    let (sender, receiver) = mpsc::unbounded_channel();
-    let submitted = {
-        let mut inner = standin.lock();
-        let submitted = inner.engine.submit(standin.now(), request);
-        if submitted.is_ok() {
-            inner.streams.insert(attempt, sender);
-        }
-        submitted
-    };
-    match submitted {
-        Ok(()) => {
-            standin.wake.notify_one();
-            Sse::new(event_stream(receiver))
-                .keep_alive(KeepAlive::default())
-                .into_response()
-        }
+    match standin.generate(request) {
+        Ok(receiver) => Sse::new(event_stream(receiver))
+            .keep_alive(KeepAlive::default())
+            .into_response(),
         Err(refusal) => not_run(refusal),
     }
 }
@@ -119,12 +106,7 @@
     State(standin): State<Arc<EngineStandin>>,
     Json(request): Json<CancelRequest>,
 ) -> Result<(), Infallible> {
-    let now = standin.now();
-    let mut inner = standin.lock();
-    inner.engine.cancel(now, request.attempt);
-    inner.streams.remove(&request.attempt);
-    drop(inner);
-    standin.wake.notify_one();
+    standin.cancel(request.attempt);
     Ok(())
 }
 
@@ -132,10 +114,7 @@
     State(standin): State<Arc<EngineStandin>>,
     Json(order): Json<EngineOrder>,
 ) -> Response {
-    let now = standin.now();
-    let taken = standin.lock().engine.order(now, order);
-    standin.wake.notify_one();
-    match taken {
+    match standin.take_order(order) {
         Ok(()) => StatusCode::OK.into_response(),
         Err(OrderRefusal::Fenced { highest }) => {
             (StatusCode::CONFLICT, Json(FencedAnswer { highest })).into_response()
