Placement: an engine's memory in tokens is a second capacity; length is expected from finished items

Cause: placement counted items, not the tokens that they hold. What is still expected of an item was the caller's guess, and beyond it as much again as it made.

Change: the size of an engine's memory comes with the configuration. Each back end is known by the tokens that all nodes' items are expected to hold there when they end; no item is placed, or moved, where the memory would run out while there is another place. What is left of an item is the mean of what was left, at the same share of their guesses, of finished items that got that far. Among places, the gap between events counts, longer in proportion to the share of memory expected to be taken.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -485,6 +485,19 @@
         self.occupancy.lock().state.running(since, counts)
     }
 
+    /// Tokens that items are expected to hold on each back end when they end, of the nodes that `counts`
+    /// takes, as they tell.
+    pub fn expected_tokens(&self, counts: impl Fn(&NodeId) -> bool) -> BTreeMap<BackendId, u32> {
+        let since = self.now().saturating_sub(OCCUPANCY_COUNTS_MS);
+        let occupancy = self.occupancy.lock();
+        let mut tokens: BTreeMap<BackendId, u32> = BTreeMap::new();
+        for (backend, detail) in occupancy.state.details(since, counts) {
+            let of_backend = tokens.entry(backend.clone()).or_default();
+            *of_backend = of_backend.saturating_add(detail.expected_tokens);
+        }
+        tokens
+    }
+
     /// Whether this node runs batches, or ran one a moment ago.
     pub fn is_busy(&self) -> bool {
         self.busy_until.load(Ordering::Relaxed) > self.now()
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use havenstage_rollout::Millis;
 use havenstage_rollout::backend::BackendChange;
-use havenstage_rollout::batch::Submission;
+use havenstage_rollout::batch::{Item, Submission};
 use havenstage_rollout::batch_state::ItemResult;
 use havenstage_rollout::ids::{BackendName, BatchId, ItemId, ModelName, Version, ZoneName};
 use havenstage_rollout::route::RoutingConfig;
@@ -372,6 +372,9 @@
         body: &[u8],
     ) -> Result<Submission, UnreadableSubmission>;
 
+    /// Tokens of an item's prompt; zero if its caller doesn't tell.
+    fn prompt_tokens(&self, item: &Item) -> u32;
+
     /// Bytes that a result takes in a page, at most.
     fn result_bytes(&self, result: &ItemResult) -> usize;
 
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -6,7 +6,7 @@
 use havenstage_rollout::event_gap::median;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
-use havenstage_rollout::schedule::Candidate;
+use havenstage_rollout::schedule::{Candidate, TokenMemory};
 use havenstage_rollout::slow_start::Sender;
 
 use super::Engine;
@@ -39,6 +39,8 @@
     ) -> Vec<Candidate> {
         let own_node = &self.context.node;
         let elsewhere = self.context.occupied(|node| node != own_node);
+        let tokens_elsewhere = self.tokens_elsewhere();
+        let capacity = pool.and_then(|pool| pool.memory_tokens);
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let owners = self.context.batch_owners();
@@ -71,12 +73,16 @@
             let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
             let running =
                 own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
+            let tokens = |of: &BTreeMap<BackendId, u32>| of.get(id).copied().unwrap_or(0);
+            let expected =
+                tokens(self.lengths.on_backends()).saturating_add(tokens(&tokens_elsewhere));
             let allowance = backends.cold_allowance(id, sender, now);
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
                 running,
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
+                memory: TokenMemory { capacity, expected },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
@@ -97,6 +103,12 @@
         running
     }
 
+    /// Tokens that other nodes' items are expected to hold on each back end, as they tell.
+    fn tokens_elsewhere(&self) -> BTreeMap<BackendId, u32> {
+        let own_node = &self.context.node;
+        self.context.expected_tokens(|node| node != own_node)
+    }
+
     fn groups_by_backend(&self) -> HashMap<BackendId, HashSet<GroupId>> {
         let mut groups: HashMap<BackendId, HashSet<GroupId>> = HashMap::new();
         for item in self.items.values() {
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -6,8 +6,8 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
-use havenstage_rollout::ids::BatchId;
-use havenstage_rollout::occupancy::OccupancyRecord;
+use havenstage_rollout::ids::{BackendId, BatchId};
+use havenstage_rollout::occupancy::{BackendDetail, OccupancyRecord};
 
 use super::Engine;
 use super::leases::{HeldBatch, open_ids};
@@ -69,14 +69,29 @@
         routes.into_iter().collect()
     }
 
+    fn backend_details(&self) -> BTreeMap<BackendId, BackendDetail> {
+        let tokens = self.lengths.on_backends().iter();
+        let details = tokens.map(|(backend, tokens)| {
+            let detail = BackendDetail {
+                expected_tokens: *tokens,
+                event_gap_us: None,
+            };
+            (backend.clone(), detail)
+        });
+        details.collect()
+    }
+
     fn tell_places(&mut self, now: Millis) {
         let record = OccupancyRecord {
             node: self.context.node.clone(),
             running: self.running_here(),
-            details: BTreeMap::new(),
+            details: self.backend_details(),
         };
+        // Expected tokens change with each event; they go along when the places are told.
         let told = self.heartbeats.occupied.as_ref();
-        let is_same = told.map_or(record.running.is_empty(), |told| *told == record);
+        let is_same = told.map_or(record.running.is_empty(), |told| {
+            told.running == record.running
+        });
         let age = now.saturating_sub(self.heartbeats.occupied_at);
         let pause_ms = match is_same {
             true if record.running.is_empty() => return,
--- /dev/null
+++ b/crates/gateway/src/engine/lengths.rs
@@ -0,0 +1,80 @@
+//! How long items become: what this node saw of each pool's items, and what it expects of those that run.
+
+use std::collections::BTreeMap;
+
+use havenstage_rollout::batch_state::ItemState;
+use havenstage_rollout::expected_length::LengthHistory;
+use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::schedule::RunningItem;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Engine;
+use super::plan::tokens_per_event;
+use super::run::ItemKey;
+
+/// What is known of the lengths of items, and of the memory that they take.
+#[derive(Debug, Default)]
+pub(super) struct Lengths {
+    by_pool: BTreeMap<PoolName, LengthHistory>,
+    /// Tokens that this node's items are expected to hold on each back end when they end, as of the
+    /// last plan.
+    on_backends: BTreeMap<BackendId, u32>,
+}
+
+impl Lengths {
+    /// Tokens still expected of an item that made so many.
+    pub(super) fn remaining(&self, pool: &PoolName, item: &ItemState, made_tokens: u32) -> u32 {
+        match self.by_pool.get(pool) {
+            Some(history) => history.remaining(item.expected_tokens, made_tokens),
+            None => LengthHistory::default().remaining(item.expected_tokens, made_tokens),
+        }
+    }
+
+    /// Tokens that this node's items are expected to hold on each back end when they end.
+    pub(super) fn on_backends(&self) -> &BTreeMap<BackendId, u32> {
+        &self.on_backends
+    }
+
+    /// Begins to count anew what runs.
+    pub(super) fn clear_backends(&mut self) {
+        self.on_backends.clear();
+    }
+
+    /// Counts what runs in a pool.
+    pub(super) fn count_running(&mut self, running: &[RunningItem]) {
+        for running in running {
+            self.count(&running.backend, running.item.tokens_at_end());
+        }
+    }
+
+    /// Counts an item on a back end.
+    pub(super) fn count(&mut self, backend: &BackendId, tokens: u32) {
+        let counted = self.on_backends.entry(backend.clone()).or_default();
+        *counted = counted.saturating_add(tokens);
+    }
+}
+
+impl Engine {
+    /// Remembers how long an item became that ended whole.
+    pub(super) fn note_length(&mut self, key: &ItemKey) {
+        let Some(item) = self.items.get(key) else {
+            return;
+        };
+        let (events, guessed_tokens) = (item.events, item.spec.expected_tokens);
+        let Some((pool, tokens_per_event)) = self.pool_of(key) else {
+            return;
+        };
+        let history = self.lengths.by_pool.entry(pool).or_default();
+        history.finished(guessed_tokens, events.saturating_mul(tokens_per_event));
+    }
+
+    /// The pool that runs an item, and the tokens of its events.
+    fn pool_of(&self, key: &ItemKey) -> Option<(PoolName, u32)> {
+        let table = self.context.routes()?;
+        let inner = self.context.partition_of(&key.batch).lock();
+        let batch = inner.state.batch(&key.batch)?;
+        let route = table.batch_route(&batch.host, &batch.path)?;
+        let pool = route.pool_for(xxh3_64(key.item.as_str().as_bytes()))?;
+        Some((pool.clone(), tokens_per_event(&table, pool)))
+    }
+}
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeat;
 mod held_back;
 mod leases;
+mod lengths;
 mod live;
 mod outbox;
 mod plan;
@@ -39,6 +40,7 @@
 use ends_seen::BATCH_ENDED;
 use heartbeat::Heartbeats;
 use held_back::HeldBack;
+use lengths::Lengths;
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
@@ -74,6 +76,7 @@
     releases: Vec<BatchId>,
     has_told_release: bool,
     pauses: HashMap<BackendId, Pause>,
+    lengths: Lengths,
     carried: HashMap<BatchId, Carried>,
     held_back: BTreeMap<usize, HeldBack>,
     /// Items of which it was told that they are barred.
@@ -124,6 +127,7 @@
             releases: Vec::new(),
             has_told_release: false,
             pauses: HashMap::new(),
+            lengths: Lengths::default(),
             carried: HashMap::new(),
             held_back: BTreeMap::new(),
             told_barred: HashSet::new(),
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -7,7 +7,7 @@
 use havenstage_rollout::ids::{BackendId, PoolName, Version};
 use havenstage_rollout::record::GiveUpReason;
 use havenstage_rollout::route::{Route, RouteTable};
-use havenstage_rollout::schedule::{self, Relocation, RunningItem, WaitingItem};
+use havenstage_rollout::schedule::{self, Candidate, Relocation, RunningItem, WaitingItem};
 use log::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -15,6 +15,7 @@
 use super::live::{LiveItem, Phase};
 use super::run::ItemKey;
 use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
+use crate::metrics;
 
 /// Urgency at back ends of items that their step needs.
 const NEEDED_URGENCY: u8 = 4;
@@ -66,6 +67,7 @@
                 self.give_up(&key, GiveUpReason::TooLate);
             }
         }
+        self.lengths.clear_backends();
         for (pool, work) in work {
             self.place(&table, &pool, work, now);
         }
@@ -102,11 +104,14 @@
             .carried
             .get(&batch.id)
             .map_or(&none, |carried| &carried.items);
-        let tokens_per_event = route
-            .pools
-            .first()
-            .map_or(1, |first| tokens_per_event(table, &first.pool));
-        let optional = schedule::optional_items(batch, carried, tokens_per_event);
+        let Some(first) = route.pools.first() else {
+            return;
+        };
+        let tokens_per_event = tokens_per_event(table, &first.pool);
+        let optional = schedule::optional_items(batch, carried, |item| {
+            let made_tokens = item.events.len() as u32 * tokens_per_event;
+            self.lengths.remaining(&first.pool, item, made_tokens)
+        });
         let residency = table.residency(route, batch.tenant.as_ref());
         for item in batch.items.iter().filter(|item| item.result.is_none()) {
             let hash = xxh3_64(item.id.as_str().as_bytes());
@@ -119,11 +124,15 @@
                 item: item.id.clone(),
             };
             let live = self.items.get(&key);
+            let made_tokens = events_of(live, item) * tokens_per_event;
+            let spec = item.spec.as_ref();
+            let prompt_tokens = spec.map_or(0, |spec| self.context.dialect.prompt_tokens(spec));
             let item = WaitingItem {
                 batch: batch.id.clone(),
                 item: item.id.clone(),
                 optional: optional.contains(&item.id),
-                expected_tokens: item.remaining_after(events_of(live, item), tokens_per_event),
+                expected_tokens: self.lengths.remaining(pool, item, made_tokens),
+                held_tokens: prompt_tokens + made_tokens,
                 since: batch.first_seen,
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
@@ -155,6 +164,7 @@
         }
         let usual_gap_ms = self.usual_gap_ms(pool, now);
         let oldest = oldest_versions(&work);
+        self.lengths.count_running(&work.running);
         let mut candidates = self.candidates(table.pool(pool), pool, &oldest, usual_gap_ms, now);
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
         schedule::sort_waiting(&mut work.waiting, now, token_ms);
@@ -168,10 +178,11 @@
                 continue;
             };
             let backend = chosen.backend.clone();
+            tell_if_memory_is_short(item, chosen);
             for candidate in candidates.iter_mut().filter(|c| c.backend == backend) {
-                candidate.running += 1;
-                candidate.groups.extend(item.group.clone());
+                candidate.take(item);
             }
+            self.lengths.count(&backend, item.tokens_at_end());
             self.begin(item, &backend, now);
         }
         let are_all_taken = candidates.iter().all(|c| c.running >= c.slots);
@@ -232,6 +243,18 @@
     }
 }
 
+/// Tells of an item that is placed where the memory is expected to run out, for want of another place.
+fn tell_if_memory_is_short(item: &WaitingItem, chosen: &Candidate) {
+    let tokens = item.tokens_at_end();
+    if chosen.memory.fits(tokens) {
+        return;
+    }
+    metrics::placed_short_of_memory();
+    info!(event = "item_placed_short_of_memory", request = item.item.as_str(), batch = item.batch.as_str(),
+        backend = chosen.backend.as_str(), tokens = tokens, expected_tokens = chosen.memory.expected,
+        memory_tokens = chosen.memory.capacity; "");
+}
+
 pub(super) fn key_of(item: &WaitingItem) -> ItemKey {
     ItemKey {
         batch: item.batch.clone(),
@@ -252,7 +275,7 @@
     now.saturating_sub(batch.first_seen) > limit
 }
 
-fn tokens_per_event(table: &RouteTable, pool: &PoolName) -> u32 {
+pub(super) fn tokens_per_event(table: &RouteTable, pool: &PoolName) -> u32 {
     table
         .pool(pool)
         .map_or(1, |pool| pool.tokens_per_event.max(1))
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -55,7 +55,10 @@
         }
         self.judge_backend(key, &backend, end, made_progress);
         match end {
-            RunEnd::Whole => self.text_is_whole(key),
+            RunEnd::Whole => {
+                self.note_length(key);
+                self.text_is_whole(key);
+            }
             RunEnd::Impossible => self.give_up(key, GiveUpReason::Impossible),
             RunEnd::Failed => self.run_failed(key),
             RunEnd::NotRun
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -104,6 +104,11 @@
     histogram!(KNOWLEDGE_AGE).record(known_age_ms as f64);
 }
 
+/// An item was placed where the memory is expected to run out, for want of another place.
+pub fn placed_short_of_memory() {
+    counter!("gateway_items_placed_short_of_memory_total").increment(1);
+}
+
 /// A run of an item ended.
 pub fn run_ended(outcome: &'static str, took_ms: u64) {
     counter!("gateway_runs_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -257,6 +257,7 @@
         connections: 100,
         models,
         tokens_per_event: 1,
+        memory_tokens: None,
         scaling: None,
         cold_limit: None,
     };
--- a/crates/gateway/tests/support/dialect.rs
+++ b/crates/gateway/tests/support/dialect.rs
@@ -143,6 +143,10 @@
         })
     }
 
+    fn prompt_tokens(&self, _: &Item) -> u32 {
+        0
+    }
+
     fn result_bytes(&self, result: &ItemResult) -> usize {
         result.text().len()
     }
--- a/crates/rollout/src/batch_state.rs
+++ b/crates/rollout/src/batch_state.rs
@@ -94,24 +94,6 @@
     pub(crate) index: HashMap<ItemId, usize>,
 }
 
-impl ItemState {
-    /// Tokens still expected. An output that has outgrown the guess is expected to go on for as
-    /// long again as it already has.
-    pub fn remaining_tokens(&self, tokens_per_event: u32) -> u32 {
-        self.remaining_after(self.events.len() as u32, tokens_per_event)
-    }
-
-    /// The same after so many events, of which some may not be written down yet.
-    pub fn remaining_after(&self, events: u32, tokens_per_event: u32) -> u32 {
-        let made = events * tokens_per_event;
-        if made < self.expected_tokens {
-            self.expected_tokens - made
-        } else {
-            made.max(1)
-        }
-    }
-}
-
 impl BatchState {
     /// A batch as it was handed in.
     pub(crate) fn new(
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod crash_ledger;
 pub mod event_gap;
 pub mod event_stream;
+pub mod expected_length;
 pub mod fleet_size;
 pub mod fold;
 pub mod framing;
--- a/crates/rollout/src/route.rs
+++ b/crates/rollout/src/route.rs
@@ -106,6 +106,8 @@
     pub models: Vec<ModelName>,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u32,
+    /// Tokens that the memory of one back end takes; `None` where it is not told.
+    pub memory_tokens: Option<u32>,
     /// What may be ordered of it; `None` where its size is the operator's.
     pub scaling: Option<PoolScaling>,
     /// What its back ends bear while they are cold; `None` where they start warm.
--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -1,5 +1,6 @@
 //! Which item runs next, on which back end, and which one is moved.
 
+mod memory;
 mod order;
 mod placement;
 mod relocation;
@@ -11,6 +12,7 @@
 use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, RegionName, Version};
 use crate::residency::Residency;
 
+pub use memory::TokenMemory;
 pub use order::sort_waiting;
 pub use placement::choose;
 pub use relocation::{Relocation, RunningItem, relocations};
@@ -27,6 +29,8 @@
     pub optional: bool,
     /// Tokens still expected.
     pub expected_tokens: u32,
+    /// Tokens of its prompt and of its output so far.
+    pub held_tokens: u32,
     /// When its batch was first seen.
     pub since: Millis,
     /// Model it needs.
@@ -42,6 +46,11 @@
 }
 
 impl WaitingItem {
+    /// Tokens that it is expected to hold in a back end's memory when it ends.
+    pub fn tokens_at_end(&self) -> u32 {
+        self.held_tokens.saturating_add(self.expected_tokens)
+    }
+
     /// Whether it may run on a version.
     pub fn allows(&self, version: Version) -> bool {
         match self.exact_version {
@@ -62,6 +71,8 @@
     pub running: u32,
     /// Items it may run at a time: its places, or fewer while it is cold.
     pub slots: u32,
+    /// Its memory, in tokens.
+    pub memory: TokenMemory,
     /// Milliseconds between two events of a stream there.
     pub event_gap_ms: f64,
     /// Versions of its models.
@@ -71,6 +82,19 @@
 }
 
 impl Candidate {
+    /// An item takes a place there.
+    pub fn take(&mut self, item: &WaitingItem) {
+        self.running += 1;
+        self.memory.take(item.tokens_at_end());
+        self.groups.extend(item.group.clone());
+    }
+
+    /// An item gives its place back.
+    pub fn give_back(&mut self, item: &WaitingItem) {
+        self.running = self.running.saturating_sub(1);
+        self.memory.give_back(item.tokens_at_end());
+    }
+
     /// Whether it has a free place and new enough weights for the item.
     pub fn accepts(&self, item: &WaitingItem) -> bool {
         let is_allowed = item.residency.allows(self.region.as_ref());
--- a/crates/rollout/src/schedule/relocation.rs
+++ b/crates/rollout/src/schedule/relocation.rs
@@ -64,8 +64,8 @@
         let Some(to) = best_target(&running, &candidates, from) else {
             continue;
         };
-        candidates[from].running = candidates[from].running.saturating_sub(1);
-        candidates[to].running += 1;
+        candidates[from].give_back(&running.item);
+        candidates[to].take(&running.item);
         moves.push(Relocation {
             to: candidates[to].backend.clone(),
             item: running.item,
@@ -83,7 +83,8 @@
     let fitting = candidates
         .iter()
         .enumerate()
-        .filter(|(at, target)| *at != from && target.accepts(&running.item) && pays(target));
+        .filter(|(at, target)| *at != from && target.accepts(&running.item) && pays(target))
+        .filter(|(_, target)| target.memory.fits(running.item.tokens_at_end()));
     fitting
         .min_by(|left, right| {
             let order = left.1.cost_for(&running.item);
--- a/crates/rollout/src/schedule/required_groups.rs
+++ b/crates/rollout/src/schedule/required_groups.rs
@@ -2,17 +2,18 @@
 
 use std::collections::{HashMap, HashSet};
 
-use crate::batch_state::BatchState;
+use crate::batch_state::{BatchState, ItemState};
 use crate::ids::{GroupId, ItemId};
 
 /// Items of a batch whose step can be whole without them. Groups carried over from an earlier batch
-/// are always needed; of the others as many as are still missing, the shortest first.
+/// are always needed; of the others as many as are still missing, the shortest first, by the tokens
+/// that `remaining` expects of an item.
 pub fn optional_items(
     batch: &BatchState,
     carried: &HashSet<ItemId>,
-    tokens_per_event: u32,
+    remaining: impl Fn(&ItemState) -> u32,
 ) -> HashSet<ItemId> {
-    let groups = group_summaries(batch, carried, tokens_per_event);
+    let groups = group_summaries(batch, carried, remaining);
     if batch.desired_groups == 0 || groups.is_empty() {
         return HashSet::new();
     }
@@ -37,7 +38,7 @@
 fn group_summaries(
     batch: &BatchState,
     carried: &HashSet<ItemId>,
-    tokens_per_event: u32,
+    remaining: impl Fn(&ItemState) -> u32,
 ) -> HashMap<GroupId, GroupSummary> {
     let mut groups: HashMap<GroupId, GroupSummary> = HashMap::new();
     for (at, item) in batch.items.iter().enumerate() {
@@ -52,8 +53,7 @@
         summary.carried |= carried.contains(&item.id);
         if item.result.is_none() {
             summary.whole = false;
-            let remaining = item.remaining_tokens(tokens_per_event);
-            summary.longest_remaining = summary.longest_remaining.max(remaining);
+            summary.longest_remaining = summary.longest_remaining.max(remaining(item));
             summary.items.push(item.id.clone());
         }
     }
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -4,11 +4,14 @@
 
 use std::collections::{BTreeMap, HashSet};
 
+use havenstage_rollout::batch_state::ItemState;
+use havenstage_rollout::expected_length::LengthHistory;
 use havenstage_rollout::fold::PartitionState;
 use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName, RegionName};
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{
-    Candidate, RunningItem, WaitingItem, choose, optional_items, relocations, sort_waiting,
+    Candidate, RunningItem, TokenMemory, WaitingItem, choose, optional_items, relocations,
+    sort_waiting,
 };
 use support::{backend, item, submitted};
 
@@ -18,6 +21,7 @@
         item: ItemId::from(id),
         optional,
         expected_tokens,
+        held_tokens: 0,
         since: 0,
         model: Some(ModelName::from("model")),
         minimum_version: 3,
@@ -34,6 +38,7 @@
         region: None,
         running,
         slots: 8,
+        memory: TokenMemory::default(),
         event_gap_ms: 40.0 / speed,
         models: BTreeMap::from([(ModelName::from("model"), version)]),
         groups: HashSet::new(),
@@ -103,6 +108,10 @@
     assert_eq!(chosen(&both).as_deref(), Some("with"));
 }
 
+fn by_guess(item: &ItemState) -> u32 {
+    LengthHistory::default().remaining(item.expected_tokens, item.events.len() as u32)
+}
+
 #[test]
 fn groups_with_the_longest_items_are_optional_unless_carried_over() {
     let mut state = PartitionState::default();
@@ -113,13 +122,13 @@
     ];
     state.apply(submitted("batch", items, None), 0);
     let batch = state.batch(&BatchId::from("batch")).unwrap();
-    let optional = optional_items(batch, &HashSet::new(), 1);
+    let optional = optional_items(batch, &HashSet::new(), by_guess);
     assert_eq!(
         optional,
         HashSet::from([ItemId::from("b"), ItemId::from("c")])
     );
     let carried = HashSet::from([ItemId::from("c")]);
-    let optional = optional_items(batch, &carried, 1);
+    let optional = optional_items(batch, &carried, by_guess);
     assert_eq!(
         optional,
         HashSet::from([ItemId::from("a"), ItemId::from("b")])
@@ -245,3 +254,94 @@
     near.region = Some(RegionName::from("west"));
     assert!(near.accepts(&restricted));
 }
+
+/// A back end whose memory takes 30,000 tokens, of which some are expected to be taken.
+fn with_memory(id: &str, running: u32, expected: u32, speed: f64) -> Candidate {
+    Candidate {
+        memory: TokenMemory {
+            capacity: Some(30_000),
+            expected,
+        },
+        ..candidate(id, running, 3, speed)
+    }
+}
+
+fn placed(tokens: u32, candidates: &[Candidate]) -> Option<String> {
+    let chosen = choose(&waiting("item", false, tokens), candidates);
+    chosen.map(|chosen| chosen.backend.to_string())
+}
+
+#[test]
+fn an_item_goes_where_the_fewest_tokens_are_expected() {
+    let both = [
+        with_memory("one long", 1, 11_000, 1.0),
+        with_memory("five short", 5, 8_000, 1.0),
+    ];
+    assert_eq!(placed(9_000, &both).as_deref(), Some("five short"));
+    assert_eq!(placed(500, &both).as_deref(), Some("five short"));
+}
+
+#[test]
+fn memory_does_not_drive_items_to_a_slow_back_end() {
+    let both = [
+        with_memory("slow", 0, 0, 0.4),
+        with_memory("usual", 4, 18_000, 1.0),
+    ];
+    assert_eq!(placed(2_000, &both).as_deref(), Some("usual"));
+}
+
+#[test]
+fn a_back_end_that_would_run_out_of_memory_is_taken_only_for_want_of_others() {
+    let full = with_memory("full", 3, 25_000, 1.0);
+    let fuller = with_memory("fuller", 3, 29_000, 1.0);
+    let slow = with_memory("slow", 1, 1_000, 0.4);
+    let three = [full.clone(), fuller.clone(), slow];
+    assert_eq!(placed(9_000, &three).as_deref(), Some("slow"));
+    assert_eq!(placed(9_000, &[fuller, full]).as_deref(), Some("full"));
+}
+
+#[test]
+fn an_item_larger_than_any_memory_goes_to_an_empty_back_end() {
+    let both = [
+        with_memory("busy", 1, 2_000, 1.0),
+        with_memory("empty", 0, 0, 0.9),
+    ];
+    assert_eq!(placed(50_000, &both).as_deref(), Some("empty"));
+}
+
+#[test]
+fn a_memory_of_unknown_size_turns_nothing_away() {
+    let mut unknown = candidate("unknown", 0, 3, 1.0);
+    unknown.memory.expected = 1_000_000;
+    assert_eq!(placed(9_000, &[unknown]).as_deref(), Some("unknown"));
+}
+
+#[test]
+fn items_placed_one_after_the_other_fill_memories_evenly() {
+    let mut candidates: Vec<Candidate> = ["a", "b", "c"]
+        .map(|id| with_memory(id, 0, 0, 1.0))
+        .to_vec();
+    let mut long = waiting("long", false, 9_000);
+    long.group = None;
+    for _ in 0..9 {
+        let chosen = choose(&long, &candidates).unwrap().backend.clone();
+        let at = candidates.iter().position(|c| c.backend == chosen).unwrap();
+        candidates[at].take(&long);
+    }
+    assert!(candidates.iter().all(|c| c.memory.expected == 27_000));
+    candidates[0].give_back(&long);
+    assert_eq!(
+        (candidates[0].running, candidates[0].memory.expected),
+        (2, 18_000)
+    );
+}
+
+#[test]
+fn an_item_is_not_moved_to_where_the_memory_would_run_out() {
+    let item = || vec![running("item", "slow", 9_000, 900)];
+    let slow = with_memory("slow", 1, 9_000, 0.3);
+    let full = with_memory("full", 2, 25_000, 1.0);
+    assert!(moved(item(), vec![slow.clone(), full]).is_empty());
+    let roomy = with_memory("roomy", 2, 20_000, 1.0);
+    assert_eq!(moved(item(), vec![slow, roomy]).len(), 1);
+}
--- a/crates/rollout/tests/support/mod.rs
+++ b/crates/rollout/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Builders shared by the tests.
 #![allow(dead_code)]
 
+pub mod draws;
+pub mod steps;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
