--- a/crates/service/src/dialect/mod.rs
+++ b/crates/service/src/dialect/mod.rs
@@ -10,7 +10,7 @@
 use havenstage_gateway::edge::{
     BackendReport, BatchCall, Dialect, HeaderNames, ResultPage, UnreadableSubmission, VersionOrder,
 };
-use havenstage_rollout::batch::Submission;
+use havenstage_rollout::batch::{Item, Submission};
 use havenstage_rollout::batch_state::ItemResult;
 use havenstage_rollout::ids::{BatchId, ItemId};
 use http::{Method, Request, Uri};
@@ -85,6 +85,11 @@
         submission::read(batch, host, path, body)
     }
 
+    /// Prompts are texts, of which only engines know the tokens.
+    fn prompt_tokens(&self, _: &Item) -> u32 {
+        0
+    }
+
     fn result_bytes(&self, result: &ItemResult) -> usize {
         results::most_bytes(result)
     }
--- a/crates/service/src/settings/deployment.rs
+++ b/crates/service/src/settings/deployment.rs
@@ -50,6 +50,7 @@
             connections: ENGINE_CONNECTIONS,
             models: vec![ModelName::from(self.model.as_str())],
             tokens_per_event: TOKENS_PER_EVENT,
+            memory_tokens: None,
             scaling: None,
             cold_limit: None,
         }
