Questions about a batch go to the node that runs it

Cause: each read of a trainer reaches another node, which read the whole batch (some 1 MB) from the log before it could answer and kept it; a node that the store turned away answered 503 though a neighbour knew the batch.

Change: nodes listen for each other (`listen.peers`); an owner tells its address in the control stream; a pure decision (rollout::peer_question) sends results, bodies of items and ends that were certainly not appended to the owner, or to the log as before when no answer comes in time. The owner answers as it answers its own callers, and declines everything else. Bounded connections, questions and bytes.

Ruled out: taking "there is no such batch" from a peer; one patience for a whole waiting answer (the head comes at once instead); a hedge to the log; handing in through a neighbour.

--- a/crates/gateway/src/batch_ends.rs
+++ b/crates/gateway/src/batch_ends.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use havenstage_clock::Instant;
 use havenstage_rollout::access::Caller;
 use havenstage_rollout::ids::BatchId;
+use havenstage_rollout::peer_message::{PeerAnswer, PeerRefusal};
 use havenstage_rollout::record::BatchRecord;
 use havenstage_rollout::stored::Stored;
 use http::StatusCode;
@@ -12,6 +14,7 @@
 
 use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
+use crate::peers::{self, OwnersEnd};
 use crate::questions::{self, NotFound};
 use crate::repeated_append::{AppendOutcome, append};
 
@@ -51,13 +54,44 @@
 /// Ends a batch.
 pub(crate) async fn end(context: &Arc<Context>, caller: &Caller, id: &BatchId) -> BatchAnswer {
     let began = Instant::now();
-    let outcome = try_to_end(context, caller, id).await;
+    let outcome = match try_to_end(context, caller, id).await {
+        EndOutcome::NotAppended { may_be_done: false } => end_at_owner(context, caller, id).await,
+        outcome => outcome,
+    };
     let status = outcome.status();
     info!(event = "batch_end", batch = id.as_str(), outcome = outcome.name(),
         status = status.as_u16(), took_ms = began.elapsed().as_millis() as u64; "");
     BatchAnswer::empty(status)
 }
 
+/// Passes an end that was certainly not appended here to the node that runs the batch.
+async fn end_at_owner(context: &Context, caller: &Caller, id: &BatchId) -> EndOutcome {
+    match peers::end(context, caller, id).await {
+        OwnersEnd::Done => EndOutcome::Appended,
+        OwnersEnd::MayBeDone => EndOutcome::NotAppended { may_be_done: true },
+        OwnersEnd::NotDone => EndOutcome::NotAppended { may_be_done: false },
+    }
+}
+
+/// Ends a batch for another node. It is not passed on.
+pub(crate) async fn end_for_peer(
+    context: &Arc<Context>,
+    caller: &Caller,
+    id: &BatchId,
+) -> PeerAnswer {
+    match try_to_end(context, caller, id).await {
+        EndOutcome::AlreadyEnded | EndOutcome::Appended => PeerAnswer::Answered {
+            body: Bytes::new(),
+            is_own_format: false,
+        },
+        EndOutcome::NotThere => PeerAnswer::Declined(PeerRefusal::NotHere),
+        EndOutcome::NotAppended { may_be_done: true } => PeerAnswer::MayBeDone,
+        EndOutcome::NotAppended { may_be_done: false } => {
+            PeerAnswer::Declined(PeerRefusal::NotConfirmed)
+        }
+    }
+}
+
 /// A batch that some node runs is ended without being read here: reading may take seconds when all nodes
 /// have just started, in which its items would go on.
 async fn try_to_end(context: &Arc<Context>, caller: &Caller, id: &BatchId) -> EndOutcome {
--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -18,6 +18,7 @@
 use crate::batch_partitions::BatchView;
 use crate::context::Context;
 use crate::edge::{LogError, ResultPage};
+use crate::peers;
 use crate::questions::{self, NotFound};
 
 /// Age of a node's knowledge that is still good enough to say that nothing is new.
@@ -25,7 +26,8 @@
 /// Longest time that a reader may wait.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Reads results from a position on; waits up to `wait` for one.
+/// Reads results from a position on; waits up to `wait` for one. The node that runs the batch is asked first, if
+/// another does.
 pub(crate) async fn read(
     context: &Arc<Context>,
     caller: &Caller,
@@ -41,6 +43,38 @@
         from,
         asked: Instant::now(),
         wait: wait.min(LONGEST_WAIT),
+        page_bytes: context.answers.page_bytes(),
+        is_for_peer: false,
+    };
+    if call.has_results() {
+        return call.answer().await;
+    }
+    let owner = peers::results(context, caller, id, from, call.asked, call.wait);
+    match owner.await {
+        Some(answer) => answer,
+        None => call.answer().await,
+    }
+}
+
+/// The same for another node, which goes to the log itself if this one can't confirm what it knows in time.
+pub(crate) async fn read_for_peer(
+    context: &Arc<Context>,
+    caller: &Caller,
+    id: &BatchId,
+    from: usize,
+    wait: Duration,
+    most_bytes: usize,
+) -> BatchAnswer {
+    let call = ReadCall {
+        context,
+        caller,
+        partition: context.partition_of(id),
+        id,
+        from,
+        asked: Instant::now(),
+        wait: wait.min(LONGEST_WAIT),
+        page_bytes: context.answers.page_bytes().min(most_bytes),
+        is_for_peer: true,
     };
     call.answer().await
 }
@@ -54,6 +88,9 @@
     from: usize,
     asked: Instant,
     wait: Duration,
+    /// Bytes that a page may have.
+    page_bytes: usize,
+    is_for_peer: bool,
 }
 
 enum Found {
@@ -115,12 +152,11 @@
 
     fn page(&self, batch: &BatchState) -> BatchAnswer {
         let dialect = &self.context.dialect;
-        let page_bytes = self.context.answers.page_bytes();
         let mut bytes = 0;
         let mut results = Vec::new();
         for (item, result) in batch.results_from(self.from) {
             bytes += dialect.result_bytes(result);
-            if bytes > page_bytes && !results.is_empty() {
+            if bytes > self.page_bytes && !results.is_empty() {
                 break;
             }
             results.push((item, result));
@@ -143,7 +179,10 @@
     /// listed never changes, so it is answered before the rest of the partition is read, and whatever
     /// failed.
     async fn ask(&self, most_age: Duration) -> Result<(), LogError> {
-        let until = questions::deadline(self.context, self.asked, self.wait);
+        let until = match self.is_for_peer {
+            true => self.asked + self.wait,
+            false => questions::deadline(self.context, self.asked, self.wait),
+        };
         let question = questions::ask(self.context, self.id, most_age, until);
         tokio::pin!(question);
         loop {
@@ -201,6 +240,9 @@
     if let Some(answer) = known_body(partition, caller, id, item) {
         return answer;
     }
+    if let Some(answer) = peers::item_body(context, caller, id, item, asked).await {
+        return answer;
+    }
     if questions::ask_now(context, id).await.is_err() {
         return BatchAnswer::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -230,7 +272,8 @@
     }
 }
 
-fn known_body(
+/// The body of an item, if this node knows it.
+pub(crate) fn known_body(
     partition: &BatchView,
     caller: &Caller,
     id: &BatchId,
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -35,6 +35,7 @@
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
+use crate::peers::Peers;
 use crate::reward_pace::RewardPace;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
@@ -140,6 +141,8 @@
     pub answers: Arc<HeldAnswers>,
     /// How the taking of callers' connections goes.
     pub intake: Intake,
+    /// Other nodes that run batches.
+    pub peers: Peers,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) watched: Watched,
     pub(crate) reward_pace: RewardPace,
@@ -220,6 +223,7 @@
             takes_part: watch::Sender::new(false),
             answers,
             intake: Intake::default(),
+            peers: Peers::default(),
             crash_guard: CrashGuard::default(),
             watched: Watched::default(),
             reward_pace: RewardPace::new(clock),
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -18,12 +18,18 @@
 /// up to which they count.
 const TELL_PLACES_AGAIN_MS: Millis = 1_000;
 
+/// Time after which this node's address is told again, for nodes that missed it.
+const TELL_ADDRESS_AGAIN_MS: Millis = 20_000;
+/// The same while it was not read back: the record may be lost.
+const ADDRESS_UNREAD_MS: Millis = 1_000;
+
 /// What was last told, and when.
 #[derive(Debug, Default)]
 pub(super) struct Heartbeats {
     served_at: Millis,
     batches: BTreeSet<BatchId>,
     is_telling: Arc<AtomicBool>,
+    address_at: Option<Millis>,
     occupied_at: Millis,
     occupied: Option<OccupancyRecord>,
 }
@@ -39,6 +45,7 @@
         if held.is_empty() || !is_due || !begin(&self.heartbeats.is_telling) {
             return;
         }
+        self.tell_address(now);
         self.heartbeats.served_at = now;
         self.heartbeats.batches = batches.clone();
         let record = ControlRecord::Heartbeat {
@@ -53,6 +60,30 @@
         });
     }
 
+    /// Says where this node answers questions about the batches that it runs, once more if that cannot be read
+    /// in the control stream.
+    fn tell_address(&mut self, now: Millis) {
+        let Some(address) = self.context.peers.own_address() else {
+            return;
+        };
+        let node = &self.context.node;
+        let is_known = self.context.control.lock().state.peers().of(node).is_some();
+        let pause_ms = match is_known {
+            true => TELL_ADDRESS_AGAIN_MS,
+            false => ADDRESS_UNREAD_MS,
+        };
+        let told_at = self.heartbeats.address_at;
+        if told_at.is_some_and(|at| now.saturating_sub(at) < pause_ms) {
+            return;
+        }
+        self.heartbeats.address_at = Some(now);
+        let record = ControlRecord::PeerListens {
+            node: node.clone(),
+            address,
+        };
+        tokio::spawn(append_repeated(self.context.clone(), CONTROL, record));
+    }
+
     /// Routes of the batches, so that this node is handed their next ones; none while it stops.
     fn served_routes(&self, held: &[HeldBatch]) -> Vec<String> {
         let Some(table) = self.context.routes() else {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -173,6 +173,19 @@
     }
 }
 
+/// The node that runs a batch was asked about it for a caller.
+pub fn owner_asked(question: &'static str, outcome: &'static str, took_ms: u64) {
+    counter!("gateway_owner_questions_total", "question" => question, "outcome" => outcome)
+        .increment(1);
+    histogram!("gateway_owner_question_ms", "question" => question).record(took_ms as f64);
+}
+
+/// A question of another node was answered, or declined.
+pub fn peer_answered(outcome: &'static str, bytes: usize) {
+    counter!("gateway_peer_answers_total", "outcome" => outcome).increment(1);
+    counter!("gateway_peer_answer_bytes_total").increment(bytes as u64);
+}
+
 /// Items that run on this node now.
 pub fn items_running(count: usize) {
     gauge!("gateway_items_running").set(count as f64);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::knowledge_metrics;
 use crate::metering::{self, UsageReporter};
 use crate::metrics::{self, MetricsError};
+use crate::peers;
 use crate::server::{self, InFlight, ListenError};
 use crate::settings::Settings;
 use crate::sizing::SizeKeeper;
@@ -47,8 +48,8 @@
     /// Metrics cannot be collected.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
-    /// The address listened on cannot be told.
-    #[error("the callers' address cannot be told: {0}")]
+    /// An address listened on cannot be told.
+    #[error("an address listened on cannot be told: {0}")]
     Address(std::io::Error),
     /// Signals cannot be received.
     #[error("signals cannot be received: {0}")]
@@ -115,6 +116,12 @@
         let listener = server::listen("metrics", address).await?;
         tasks.spawn(server::serve_metrics(handle, listener));
     }
+    if let Some(address) = listen.peers {
+        let listener = server::listen("peers'", address).await?;
+        let address = listener.local_addr().map_err(NodeError::Address)?;
+        context.peers.listens_at(address);
+        tasks.spawn(peers::serve(context.clone(), listener));
+    }
     let in_flight = Arc::new(InFlight::default());
     let (close, closing) = watch::channel(false);
     start_followers(&context, &mut tasks);
--- /dev/null
+++ b/crates/gateway/src/peers/answers.rs
@@ -0,0 +1,111 @@
+//! What this node answers other nodes about batches that it runs: what it would answer its own callers, or nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use havenstage_clock::Instant;
+use havenstage_rollout::access::Caller;
+use havenstage_rollout::ids::{BatchId, ItemId, ZoneName};
+use havenstage_rollout::peer_message::{PeerAnswer, PeerQuestion, PeerRefusal, PeerRequest};
+use http::StatusCode;
+
+use crate::batch_answer::BatchAnswer;
+use crate::context::Context;
+use crate::{batch_ends, batch_reads, questions};
+
+/// Most bytes of a page: the asking node's caller reads on from where it ends.
+const MOST_PAGE_BYTES: usize = 256 * 1024;
+/// Time for the log to give a batch that was handed to this node a moment ago.
+const LOAD_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Answers a question.
+pub(super) async fn answer(context: &Arc<Context>, request: &PeerRequest) -> PeerAnswer {
+    let answer = try_to_answer(context, request).await;
+    answer.unwrap_or_else(PeerAnswer::Declined)
+}
+
+async fn try_to_answer(
+    context: &Arc<Context>,
+    request: &PeerRequest,
+) -> Result<PeerAnswer, PeerRefusal> {
+    let batch = &request.batch;
+    if request.to != context.node {
+        return Err(PeerRefusal::OtherLife);
+    }
+    // It could not confirm anything, and the asking node may reach the log.
+    if !questions::is_in_touch(context) {
+        return Err(PeerRefusal::NotConfirmed);
+    }
+    know(context, batch).await?;
+    check_region(context, batch, &request.zone)?;
+    let caller = Caller::admitted_elsewhere(request.tenants.clone());
+    match &request.question {
+        PeerQuestion::Results { from, wait_ms } => {
+            let from = usize::try_from(*from).map_err(|_| PeerRefusal::Unreadable)?;
+            let wait = Duration::from_millis(*wait_ms);
+            let most = MOST_PAGE_BYTES;
+            let read = batch_reads::read_for_peer(context, &caller, batch, from, wait, most);
+            answered(read.await)
+        }
+        PeerQuestion::ItemBody { item } => item_body(context, &caller, batch, item),
+        PeerQuestion::End => Ok(batch_ends::end_for_peer(context, &caller, batch).await),
+    }
+}
+
+/// Makes sure that a batch which this node runs, or was given, is known here.
+async fn know(context: &Arc<Context>, batch: &BatchId) -> Result<(), PeerRefusal> {
+    if context.holds(batch) {
+        return Ok(());
+    }
+    if !is_named_owner(context, batch) {
+        return Err(PeerRefusal::NotHere);
+    }
+    let until = Instant::now() + LOAD_PATIENCE;
+    let asked = questions::ask(context, batch, Duration::ZERO, until).await;
+    asked.map_err(|_| PeerRefusal::NotConfirmed)?;
+    match context.holds(batch) {
+        true => Ok(()),
+        false => Err(PeerRefusal::NotHere),
+    }
+}
+
+fn is_named_owner(context: &Context, batch: &BatchId) -> bool {
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(batch);
+    indexed.is_some_and(|indexed| indexed.owner.is_held_by(&context.node))
+}
+
+/// What a batch holds leaves this node only for regions in which it may be kept.
+fn check_region(context: &Context, batch: &BatchId, zone: &ZoneName) -> Result<(), PeerRefusal> {
+    let residency = {
+        let inner = context.partition_of(batch).lock();
+        let state = inner.state.batch(batch).ok_or(PeerRefusal::NotHere)?;
+        context.batch_residency(&state.host, &state.path, state.tenant.as_ref())
+    };
+    let regions = context.settings.region_map();
+    match residency.allows(regions.region_of(zone.as_str())) {
+        true => Ok(()),
+        false => Err(PeerRefusal::Region),
+    }
+}
+
+fn item_body(
+    context: &Context,
+    caller: &Caller,
+    batch: &BatchId,
+    item: &ItemId,
+) -> Result<PeerAnswer, PeerRefusal> {
+    let known = batch_reads::known_body(context.partition_of(batch), caller, batch, item);
+    known.map_or(Err(PeerRefusal::NotHere), answered)
+}
+
+fn answered(answer: BatchAnswer) -> Result<PeerAnswer, PeerRefusal> {
+    match answer.status {
+        StatusCode::OK => Ok(PeerAnswer::Answered {
+            body: answer.body,
+            is_own_format: answer.is_own_format,
+        }),
+        StatusCode::NOT_FOUND => Err(PeerRefusal::NotHere),
+        _ => Err(PeerRefusal::NotConfirmed),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/questions.rs
@@ -0,0 +1,201 @@
+//! Callers' questions that are passed to the node that runs the batch.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use havenstage_clock::Instant;
+use havenstage_rollout::Millis;
+use havenstage_rollout::access::Caller;
+use havenstage_rollout::ids::{BatchId, ItemId, NodeId, ZoneName};
+use havenstage_rollout::peer_message::{PeerAnswer, PeerQuestion, PeerRequest};
+use havenstage_rollout::peer_question::{self, OwnerFacts, QuestionFacts, QuestionRoute};
+use http::StatusCode;
+use log::info;
+
+use super::client::{self, PeerError};
+use crate::batch_answer::BatchAnswer;
+use crate::context::Context;
+use crate::metrics;
+
+/// Time beyond the caller's wait in which an owner's answer must be whole. What is left of the time after which
+/// callers leave is for the log.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
+/// Time for the owner to append an end.
+const END_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The node that runs a batch, as far as is known here.
+struct Owner {
+    node: NodeId,
+    address: SocketAddr,
+    silent_ms: Millis,
+}
+
+/// What came of an end that was passed to the node that runs the batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OwnersEnd {
+    /// It stands in the log.
+    Done,
+    /// It may come to stand there.
+    MayBeDone,
+    /// It was not appended.
+    NotDone,
+}
+
+/// The owner's answer to a call for results made at `asked`; `None` if the call is to be answered here.
+pub(crate) async fn results(
+    context: &Context,
+    caller: &Caller,
+    batch: &BatchId,
+    from: usize,
+    asked: Instant,
+    wait: Duration,
+) -> Option<BatchAnswer> {
+    let owner = owner_to_ask(context, batch)?;
+    let question = PeerQuestion::Results {
+        from: from as u64,
+        wait_ms: wait.as_millis() as u64,
+    };
+    let until = asked + wait + ANSWER_PATIENCE;
+    answer_of(ask(context, &owner, caller, batch, question, until).await)
+}
+
+/// The owner's answer to a call for the body of an item; `None` if the call is to be answered here.
+pub(crate) async fn item_body(
+    context: &Context,
+    caller: &Caller,
+    batch: &BatchId,
+    item: &ItemId,
+    asked: Instant,
+) -> Option<BatchAnswer> {
+    let owner = owner_to_ask(context, batch)?;
+    let question = PeerQuestion::ItemBody { item: item.clone() };
+    let until = asked + ANSWER_PATIENCE;
+    answer_of(ask(context, &owner, caller, batch, question, until).await)
+}
+
+/// Has the owner end a batch.
+pub(crate) async fn end(context: &Context, caller: &Caller, batch: &BatchId) -> OwnersEnd {
+    let Some(owner) = owner_of(context, batch).filter(|owner| !is_paused(context, owner)) else {
+        return OwnersEnd::NotDone;
+    };
+    let until = Instant::now() + END_PATIENCE;
+    match ask(context, &owner, caller, batch, PeerQuestion::End, until).await {
+        None | Some(Ok(PeerAnswer::Declined(_))) => OwnersEnd::NotDone,
+        Some(Ok(PeerAnswer::Answered { .. })) => OwnersEnd::Done,
+        Some(Ok(PeerAnswer::MayBeDone)) => OwnersEnd::MayBeDone,
+        Some(Err(error)) if error.is_unsent() => OwnersEnd::NotDone,
+        Some(Err(_)) => OwnersEnd::MayBeDone,
+    }
+}
+
+fn answer_of(asked: Option<Result<PeerAnswer, PeerError>>) -> Option<BatchAnswer> {
+    match asked?.ok()? {
+        PeerAnswer::Answered {
+            body,
+            is_own_format,
+        } => Some(BatchAnswer {
+            status: StatusCode::OK,
+            body,
+            is_own_format,
+        }),
+        PeerAnswer::MayBeDone | PeerAnswer::Declined(_) => None,
+    }
+}
+
+/// The owner of a batch, if it is to be asked rather than the log.
+fn owner_to_ask(context: &Context, batch: &BatchId) -> Option<Owner> {
+    let now = context.now();
+    let view = context.partition_of(batch);
+    let owner = owner_of(context, batch)?;
+    let facts = QuestionFacts {
+        is_followed_here: view.is_followed(now) && !view.is_behind(now),
+        owner: Some(OwnerFacts {
+            silent_ms: owner.silent_ms,
+            is_paused: is_paused(context, &owner),
+        }),
+        hears_others: context.control.is_current(now),
+        read_gap_ms: context.pace().gap_ms,
+    };
+    let is_asked = peer_question::route(&facts) == QuestionRoute::Owner;
+    is_asked.then_some(owner)
+}
+
+fn is_paused(context: &Context, owner: &Owner) -> bool {
+    context.peers.links.is_paused(&owner.node, context.now())
+}
+
+/// Another node that runs a batch and told its address.
+fn owner_of(context: &Context, batch: &BatchId) -> Option<Owner> {
+    let now = context.now();
+    let control = context.control.lock();
+    let indexed = control.state.index().batch(batch)?;
+    let node = indexed.owner.holder()?;
+    let (address, heard) = control.state.peers().of(node)?;
+    (*node != context.node).then(|| Owner {
+        node: node.clone(),
+        address,
+        silent_ms: now.saturating_sub(heard),
+    })
+}
+
+/// Asks an owner; `None` for a caller of whom nothing is known yet.
+async fn ask(
+    context: &Context,
+    owner: &Owner,
+    caller: &Caller,
+    batch: &BatchId,
+    question: PeerQuestion,
+    until: Instant,
+) -> Option<Result<PeerAnswer, PeerError>> {
+    if *caller == Caller::Unverified {
+        return None;
+    }
+    let began = Instant::now();
+    let name = name_of(&question);
+    let request = PeerRequest {
+        to: owner.node.clone(),
+        zone: ZoneName::from(context.settings.zone.as_str()),
+        tenants: caller.acts_for(),
+        batch: batch.clone(),
+        question,
+    };
+    let links = &context.peers.links;
+    let link = links.to(&owner.node, owner.address, context.now());
+    let most_bytes = context.settings.log.call_bytes;
+    let asked = client::ask(&link, &request, most_bytes, until).await;
+    let now = context.now();
+    links.note(&owner.node, |record| match &asked {
+        Ok(PeerAnswer::Declined(_)) => record.declined(now),
+        Ok(_) => record.answered(),
+        Err(_) => record.failed(now),
+    });
+    let outcome = outcome_of(&asked);
+    let took_ms = began.elapsed().as_millis() as u64;
+    metrics::owner_asked(name, outcome, took_ms);
+    info!(event = "owner_asked", batch = batch.as_str(), question = name,
+        owner = owner.node.to_string().as_str(), silent_ms = owner.silent_ms, outcome = outcome,
+        reason = reason_of(&asked).as_str(), took_ms = took_ms; "");
+    Some(asked)
+}
+
+fn name_of(question: &PeerQuestion) -> &'static str {
+    match question {
+        PeerQuestion::Results { .. } => "results",
+        PeerQuestion::ItemBody { .. } => "item_body",
+        PeerQuestion::End => "end",
+    }
+}
+
+fn outcome_of(asked: &Result<PeerAnswer, PeerError>) -> &'static str {
+    match asked {
+        Ok(PeerAnswer::Answered { .. }) => "answered",
+        Ok(PeerAnswer::MayBeDone) => "may_be_done",
+        Ok(PeerAnswer::Declined(refusal)) => refusal.name(),
+        Err(_) => "failed",
+    }
+}
+
+fn reason_of(asked: &Result<PeerAnswer, PeerError>) -> String {
+    let error = asked.as_ref().err();
+    error.map_or_else(String::new, ToString::to_string)
+}
--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -26,10 +26,14 @@
 /// Why calls are refused on a batch that may lie in records that were missed.
 const MISSED: &str = "records were dropped before they were read here";
 
+/// Whether the log has answered this node a moment ago.
+pub(crate) fn is_in_touch(context: &Context) -> bool {
+    context.contact_age() < IN_TOUCH_MS
+}
+
 /// Until when to ask again for a caller that asked at `asked` and allows `wait`.
 pub(crate) fn deadline(context: &Context, asked: Instant, wait: Duration) -> Instant {
-    let is_in_touch = context.contact_age() < IN_TOUCH_MS;
-    let patience = if is_in_touch {
+    let patience = if is_in_touch(context) {
         PATIENCE
     } else {
         Duration::ZERO
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -121,7 +121,7 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+pub(crate) async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
             // A connection works without this, only less promptly.
@@ -255,7 +255,7 @@
         .to_owned()
 }
 
-async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, StatusCode> {
+pub(crate) async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, StatusCode> {
     let read = Limited::new(body, most_bytes).collect();
     match tokio::time::timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,6 +52,9 @@
     pub ready: SocketAddr,
     /// Metrics; none are served without it.
     pub metrics: Option<SocketAddr>,
+    /// Other nodes' questions about batches that this one runs; without it none are answered, and others are told
+    /// of no address.
+    pub peers: Option<SocketAddr>,
 }
 
 /// The shared log.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,4 +10,5 @@
 pub mod log;
 pub mod log_faults;
 pub mod operations;
+pub mod peers;
 pub mod suspension;
--- /dev/null
+++ b/crates/gateway/tests/support/peers.rs
@@ -0,0 +1,108 @@
+//! Nodes that answer each other's questions about batches.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use havenstage_gateway::settings::Settings;
+use havenstage_http_link::{Link, LinkSettings, WholeAnswer};
+use havenstage_rollout::ids::{BatchId, TenantName, ZoneName};
+use havenstage_rollout::peer_message::{PeerAnswer, PeerQuestion, PeerRequest};
+use havenstage_rollout::stored::Stored;
+use http::{Method, Request};
+use http_body_util::Full;
+
+use super::caller::submit;
+use super::deployment::{Deployment, TestNode, settings, wait_until};
+use super::log::NodeLog;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Settings of a node that answers others.
+pub fn peer_settings(name: &str) -> Settings {
+    let mut settings = settings(name);
+    settings.listen.peers = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    settings
+}
+
+/// A node that answers others, once it knows all back ends.
+pub async fn peer_node(deployment: &Deployment, name: &str) -> TestNode {
+    let log = NodeLog::new(&deployment.log);
+    let node = TestNode::start_so(log, peer_settings(name)).await;
+    let backends = deployment.engines.len() + deployment.applications.len();
+    node.knows(backends).await;
+    node
+}
+
+/// Hands a batch to the only node that runs, which then owns it.
+pub async fn own(node: &TestNode, batch: &str, body: &str) {
+    assert_eq!(submit(node.callers, batch, body).await, 202);
+    let id = BatchId::from(batch);
+    wait_until("the node runs the batch", || node.context().holds(&id)).await;
+}
+
+/// Waits until `reader` knows that `owner` runs a batch, and where it answers.
+pub async fn wait_until_asked(reader: &TestNode, owner: &TestNode, batch: &str) {
+    let id = BatchId::from(batch);
+    wait_until("the owner and its address are known", || {
+        let control = reader.context().control.lock();
+        let indexed = control.state.index().batch(&id);
+        let is_owner = indexed.is_some_and(|b| b.owner.is_held_by(&owner.context().node));
+        is_owner && control.state.peers().of(&owner.context().node).is_some()
+    })
+    .await;
+}
+
+/// Records of the batch's partition that a node has read.
+pub fn records_read(node: &TestNode, batch: &str) -> u64 {
+    let id = BatchId::from(batch);
+    let partitions = &node.context().partitions;
+    partitions.of(&id).lock().next
+}
+
+/// A question about a batch to a node, as another node of its zone asks it.
+pub fn request(to: &TestNode, batch: &str, question: PeerQuestion) -> PeerRequest {
+    PeerRequest {
+        to: to.context().node.clone(),
+        zone: ZoneName::from("zone"),
+        tenants: Vec::<TenantName>::new(),
+        batch: BatchId::from(batch),
+        question,
+    }
+}
+
+pub fn results_from(from: u64, wait_ms: u64) -> PeerQuestion {
+    PeerQuestion::Results { from, wait_ms }
+}
+
+/// Sends bytes as a question.
+pub async fn send_bytes(to: SocketAddr, path: &str, body: Bytes) -> WholeAnswer {
+    let link = Link::new(
+        to,
+        LinkSettings {
+            connect_timeout: PATIENCE,
+            keep_idle: PATIENCE,
+            most_idle: 0,
+        },
+    );
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header("host", "peer")
+        .body(Full::new(body))
+        .unwrap();
+    let answer = link.send(request, PATIENCE).await.unwrap();
+    answer.whole(1 << 20).await.unwrap()
+}
+
+/// Where a node answers others.
+pub fn address_of(node: &TestNode) -> SocketAddr {
+    node.context().peers.own_address().expect("it listens")
+}
+
+/// Asks a node.
+pub async fn ask(node: &TestNode, request: &PeerRequest) -> PeerAnswer {
+    let body = Bytes::from(request.encode());
+    let answer = send_bytes(address_of(node), "/batch-question", body).await;
+    PeerAnswer::decode(&answer.body).unwrap()
+}
--- a/crates/rollout/src/access.rs
+++ b/crates/rollout/src/access.rs
@@ -36,6 +36,22 @@
     former: BTreeSet<TenantName>,
 }
 
+impl KeyHolder {
+    /// The holder as which another node has admitted a caller, by every tenant that it acts for; `None` if there
+    /// is none. Its rank is not known.
+    fn acting_for(mut tenants: Vec<TenantName>) -> Option<Self> {
+        if tenants.is_empty() {
+            return None;
+        }
+        let tenant = tenants.remove(0);
+        Some(Self {
+            tenant,
+            priority: None,
+            former: tenants.into_iter().collect(),
+        })
+    }
+}
+
 /// Who makes a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Caller {
@@ -69,6 +85,12 @@
         }
     }
 
+    /// The caller that another node admitted as these tenants ([`Self::acts_for`]), or without a key.
+    pub fn admitted_elsewhere(tenants: Vec<TenantName>) -> Self {
+        let holder = KeyHolder::acting_for(tenants);
+        holder.map_or(Self::Anonymous, |holder| Self::KeyHolder(Arc::new(holder)))
+    }
+
     /// Every tenant as which this caller may act on what lies in the log; empty for one without a key.
     pub fn acts_for(&self) -> Vec<TenantName> {
         match self {
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -15,6 +15,7 @@
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::LeaseState;
+use crate::peer_addresses::PeerAddresses;
 use crate::sizing::OrderedSizes;
 use crate::usage::UsageLedger;
 
@@ -61,6 +62,7 @@
     crashes: CrashLedger,
     usage: UsageLedger,
     sizes: OrderedSizes,
+    peers: PeerAddresses,
 }
 
 /// The node that last told that it runs batches of a route.
@@ -87,6 +89,7 @@
             log_time: 0,
             usage: UsageLedger::default(),
             sizes: OrderedSizes::new(),
+            peers: PeerAddresses::default(),
         }
     }
 
@@ -120,6 +123,7 @@
             crashes: self.crashes.checkpoint(),
             usage: self.usage.decided().to_vec(),
             sizes: self.sizes.clone(),
+            peers: self.peers.checkpoint(),
         }
     }
 
@@ -136,6 +140,7 @@
         state.crashes = CrashLedger::restored(state.own_machine.clone(), checkpoint.crashes, now);
         state.usage = UsageLedger::restored(checkpoint.usage);
         state.sizes = checkpoint.sizes;
+        state.peers = PeerAddresses::restored(checkpoint.peers, now);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -168,6 +173,7 @@
                 batches,
             } => {
                 self.index.held(&node, &batches, now);
+                self.peers.lives(&node, now);
                 for route in routes {
                     let serving = Serving {
                         node: node.clone(),
@@ -239,6 +245,7 @@
                 self.sizes.entry(pool).or_default().insert(zone, size);
             }
             ControlRecord::UsageSettled { window } => self.usage.settle(window),
+            ControlRecord::PeerListens { node, address } => self.peers.listens(node, address, now),
         }
     }
 
@@ -283,9 +290,15 @@
         &self.index
     }
 
-    /// Forgets batches first heard of before `before`.
+    /// Addresses at which nodes that run batches answer others.
+    pub fn peers(&self) -> &PeerAddresses {
+        &self.peers
+    }
+
+    /// Forgets batches first heard of before `before`, and addresses of nodes not heard of since.
     pub fn forget_batches_before(&mut self, before: Millis) {
         self.index.forget_before(before);
+        self.peers.forget_before(before);
     }
 
     /// Requests under which back ends ended.
--- a/crates/rollout/src/control_record.rs
+++ b/crates/rollout/src/control_record.rs
@@ -1,5 +1,7 @@
 //! What nodes write to the control stream.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
@@ -127,6 +129,13 @@
         /// The window.
         window: UsageWindow,
     },
+    /// A node that runs batches answers other nodes' questions about them at an address.
+    PeerListens {
+        /// The node.
+        node: NodeId,
+        /// Its address.
+        address: SocketAddr,
+    },
 }
 
 impl Stored for ControlRecord {
--- a/crates/rollout/src/stored.rs
+++ b/crates/rollout/src/stored.rs
@@ -1,4 +1,4 @@
-//! Values as they are kept in the log: one codec for all of them.
+//! Values as they are kept in the log and told to other nodes: one codec for all of them.
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,17 +20,17 @@
     }
 }
 
-/// A value that is kept in the log. It holds only plain data.
+/// A value that is kept in the log, or told to another node. It holds only plain data.
 pub trait Stored: Serialize + DeserializeOwned {
     /// What it is, with its article, for errors.
     const WHAT: &'static str;
 
-    /// The bytes kept in the log.
+    /// The bytes that stand for it.
     fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("the value holds only plain data")
     }
 
-    /// Reads the bytes of the log.
+    /// Reads such bytes.
     fn decode(bytes: &[u8]) -> Result<Self, UnreadableValue> {
         postcard::from_bytes(bytes).map_err(|source| UnreadableValue::new(Self::WHAT, source))
     }
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::checkpoint::{BatchCheckpoint, ControlCheckpoint, OrderTime};
@@ -144,6 +145,17 @@
     assert_eq!(state.machine_count(), 3);
 }
 
+fn listens(machine: &str, life: u32) -> ControlRecord {
+    ControlRecord::PeerListens {
+        node: node(machine, life),
+        address: address_of(life),
+    }
+}
+
+fn address_of(life: u32) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], life as u16))
+}
+
 /// Records of a while in which a node and its successor gave orders and ran batches.
 fn history() -> Vec<ControlRecord> {
     let notice = |batch: &str| {
@@ -183,6 +195,7 @@
             batch: BatchId::from("first"),
         },
         ordered("b", "z"),
+        listens("c", 1),
         kept("c", 2, 300),
     ]
 }
@@ -281,3 +294,39 @@
         (new.next, new.batches, new.last_orders)
     );
 }
+
+/// A node of the build before reads all but the addresses, which stand behind the rest; its own checkpoints,
+/// which end before them, are read here.
+#[test]
+fn a_checkpoint_of_the_build_before_is_read_without_addresses() {
+    let mut old = checkpoint_of_history();
+    old.form = 5;
+    old.peers = Vec::new();
+    let mut written = old.encode();
+    written.pop();
+    let read = ControlCheckpoint::decode(&written).unwrap();
+    assert_eq!(read, old);
+}
+
+#[test]
+fn the_address_of_a_nodes_newest_life_counts_as_long_as_it_lives() {
+    let mut state = ControlState::new(MachineName::from("a"));
+    let lives = |life| ControlRecord::Heartbeat {
+        node: node("b", life),
+        routes: Vec::new(),
+        batches: Vec::new(),
+    };
+    state.apply(lives(1), 1_000);
+    assert_eq!(state.peers().of(&node("b", 1)), None);
+    state.apply(listens("b", 1), 1_000);
+    state.apply(lives(1), 2_000);
+    let told = state.peers().of(&node("b", 1));
+    assert_eq!(told, Some((address_of(1), 2_000)));
+    state.apply(listens("b", 2), 3_000);
+    state.apply(lives(1), 4_000);
+    assert_eq!(state.peers().of(&node("b", 1)), None);
+    let told = state.peers().of(&node("b", 2));
+    assert_eq!(told, Some((address_of(2), 3_000)));
+    state.forget_batches_before(3_001);
+    assert_eq!(state.peers().of(&node("b", 2)), None);
+}
