What a dying node alone knew of ends of back ends: told to neighbours, and held back until it is told

Cause: a node saw three back ends end under a request, was turned away by the store (429) and killed before it could write.

Change: a word that the log refuses, or has not taken after 50 ms, goes to two other nodes in a datagram (`peer_words`, `listen.datagrams`, UDP), then to others each 0.1 s until one answers; whoever hears it goes by it and writes it. Up to 32 machines tell their addresses in the control stream (record `Reachable`, at the end of the enum) and its checkpoints (form 6; the build before passes the field over, its form 5 is read). While neither log nor node has them, a request with two untold ends is not sent again: calls and streams end after 0.5 s, items wait.

Ruled out: holding back alone (it stops at 2 untold ends, and the next node lets 3 more end: the test wants 3 in all), and holding back after one end (each call under which a back end ends would lose its second send while the log is away).

`a_node_without_the_log_goes_by_its_own_sight` waits, before its fault, until the node knows its neighbour's address; its checks are as they were.

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -74,6 +74,8 @@
     tried: Vec<BackendId>,
     /// When the first send was begun that a back end has run, or may have run.
     ran_since: Option<UnixMillis>,
+    /// Since when it waits for the ends under it to be told.
+    untold_since: Option<Instant>,
     sends: u32,
     may_have_run: u32,
     fell_silent: bool,
@@ -111,6 +113,7 @@
             under_way: Vec::new(),
             tried: Vec::new(),
             ran_since: None,
+            untold_since: None,
             sends: 0,
             may_have_run: 0,
             fell_silent: false,
@@ -180,18 +183,30 @@
         if matches!(admission, Admission::Send(_) | Admission::Wait) {
             return None;
         }
+        if matches!(admission, Admission::Untold) && self.waits_to_be_told() {
+            return None;
+        }
         let (request, id) = (self.call.fingerprint(), self.call.id_text());
-        if matches!(admission, Admission::Barred) {
-            crash_guard::tell_barred(self.context, &request, &id);
-            return Some(CallOutcome::Barred);
+        match admission {
+            Admission::Barred => {
+                crash_guard::tell_barred(self.context, &request, &id);
+                return Some(CallOutcome::Barred);
+            }
+            Admission::Untold => crash_guard::tell_untold(self.context, &request, &id),
+            _ => crash_guard::tell_left_to_another(self.context, &request, &id),
         }
-        crash_guard::tell_left_to_another(self.context, &request, &id);
         Some(match self.may_have_run {
             0 => refused(),
             _ => self.ended_in_failure(),
         })
     }
 
+    /// Whether it may wait on until the ends under it are told to other nodes.
+    fn waits_to_be_told(&mut self) -> bool {
+        let since = *self.untold_since.get_or_insert_with(Instant::now);
+        since.elapsed() < crash_guard::UNTOLD_PATIENCE
+    }
+
     fn may_run_again(&self) -> bool {
         self.route.kind.may_repeat() && self.may_have_run < self.route.attempts.max(1)
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -35,6 +35,7 @@
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
+use crate::peer_words::PeerSocket;
 use crate::reward_pace::RewardPace;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
@@ -142,6 +143,8 @@
     pub intake: Intake,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) watched: Watched,
+    /// Where datagrams of other nodes come in, if the node listens for them.
+    pub(crate) peer_socket: OnceLock<PeerSocket>,
     pub(crate) reward_pace: RewardPace,
     /// Set once the node was told to stop.
     pub stopping: AtomicBool,
@@ -222,6 +225,7 @@
             intake: Intake::default(),
             crash_guard: CrashGuard::default(),
             watched: Watched::default(),
+            peer_socket: OnceLock::new(),
             reward_pace: RewardPace::new(clock),
             stopping: AtomicBool::new(false),
             ends_at: OnceLock::new(),
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
@@ -11,11 +11,13 @@
 use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint, Suspicion};
 use havenstage_rollout::ids::BackendId;
 use log::{info, warn};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::context::Context;
 use crate::log_writes::append_control;
 use crate::metrics;
+use crate::peer_words;
 
 /// Time after the end of a back end's life by which its next one is listed: back ends start again after two seconds
 /// and write an entry at once, and each 1.2 s from then on.
@@ -27,8 +29,17 @@
 const TELL_AGAIN_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time that a broken send waits for its word to be written: over ten times what an append takes.
 const TELL_PATIENCE: Duration = Duration::from_millis(50);
+/// Longest time that it waits besides for another node to hear it, where the log refuses it: two tries. The caller may
+/// ask another node as soon as it has its answer, and this one may die.
+const PEER_PATIENCE: Duration = Duration::from_millis(200);
+/// Longest time for which a request waits for the ends under it to be told: two further tries at the log.
+pub(crate) const UNTOLD_PATIENCE: Duration = Duration::from_millis(500);
 /// Most words that wait to be written while the log is away; each holds some 100 bytes.
 const MOST_WAITING: usize = 256;
+/// Ends under a request that no other node knows of, from which on it is not sent here: they are forgotten if this
+/// node dies, and with one more the others would begin anew after as many ends as bar a request. One alone is no
+/// reason to keep a request back, else each crash while the log is away would cost its callers their answers.
+const MOST_UNTOLD_ENDS: usize = 2;
 
 /// Sends of suspected requests that are under way here, and words for other nodes.
 #[derive(Default)]
@@ -36,6 +47,8 @@
     under_way: Mutex<HashMap<Fingerprint, usize>>,
     /// Words that wait to be written.
     waiting: AtomicUsize,
+    /// Back ends of whose ends these tell, for each request.
+    untold: Mutex<HashMap<Fingerprint, Vec<BackendId>>>,
 }
 
 /// Whether a request may be sent to a back end now.
@@ -46,6 +59,8 @@
     LeftToAnother,
     /// Not yet: as many sends of it are under way as back ends may still end under it.
     Wait,
+    /// Not before the ends under it that only this node knows of are told.
+    Untold,
     /// It must not be sent any more.
     Barred,
 }
@@ -79,7 +94,51 @@
 }
 
 impl CrashGuard {
-    fn lock_under_way(&self) -> std::sync::MutexGuard<'_, HashMap<Fingerprint, usize>> {
+    /// Whether any request is kept back until the ends under it are told.
+    pub(crate) fn keeps_back(&self) -> bool {
+        let untold = self.lock_untold();
+        self.is_full() || untold.values().any(|ends| ends.len() >= MOST_UNTOLD_ENDS)
+    }
+
+    /// How many back ends may still end under a request before its ends must be told.
+    fn ends_left(&self, request: &Fingerprint) -> usize {
+        // A word that found no room is never told, and it may be one on this request.
+        if self.is_full() {
+            return 0;
+        }
+        let untold = self.lock_untold();
+        let ends = untold.get(request).map_or(0, Vec::len);
+        MOST_UNTOLD_ENDS.saturating_sub(ends)
+    }
+
+    fn is_full(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed) >= MOST_WAITING
+    }
+
+    fn begin_to_tell(&self, request: &Fingerprint, backend: &BackendId) {
+        let mut untold = self.lock_untold();
+        let ends = untold.entry(*request).or_default();
+        if !ends.contains(backend) {
+            ends.push(backend.clone());
+        }
+    }
+
+    fn told(&self, request: &Fingerprint, backend: &BackendId) {
+        let mut untold = self.lock_untold();
+        let Some(ends) = untold.get_mut(request) else {
+            return;
+        };
+        ends.retain(|other| other != backend);
+        if ends.is_empty() {
+            untold.remove(request);
+        }
+    }
+
+    fn lock_untold(&self) -> MutexGuard<'_, HashMap<Fingerprint, Vec<BackendId>>> {
+        self.untold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_under_way(&self) -> MutexGuard<'_, HashMap<Fingerprint, usize>> {
         self.under_way
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -114,6 +173,11 @@
         Suspicion::Barred { .. } => return Admission::Barred,
         Suspicion::Suspected { runs_left, .. } => runs_left,
     };
+    let ends_left = context.crash_guard.ends_left(request);
+    if ends_left == 0 {
+        return Admission::Untold;
+    }
+    let runs_left = runs_left.min(ends_left);
     let mut under_way = context.crash_guard.lock_under_way();
     let count = under_way.entry(*request).or_default();
     if *count >= runs_left {
@@ -126,6 +190,22 @@
     }))
 }
 
+/// Whether a suspected request is kept back until the ends under it are told.
+pub(crate) fn is_kept_back(context: &Context, request: &Fingerprint) -> bool {
+    context.crash_guard.ends_left(request) == 0
+        && !matches!(suspicion(context, request), Suspicion::None)
+}
+
+/// A request is given up as the ends under it could not be told: says so.
+pub(crate) fn tell_untold(context: &Context, request: &Fingerprint, id: &str) {
+    let waiting = context.crash_guard.waiting.load(Ordering::Relaxed);
+    let suspicion = suspicion(context, request);
+    metrics::untold_request_given_up();
+    info!(event = "request_given_up_as_its_ends_are_untold", request = id,
+        content = request.to_string().as_str(), suspicion = format!("{suspicion:?}").as_str(),
+        words_waiting = waiting, contact_age_ms = context.contact_age(); "");
+}
+
 /// A barred request came again: tells why it is not sent. `id` is the id of this try.
 pub(crate) fn tell_barred(context: &Context, request: &Fingerprint, id: &str) {
     let now = context.now();
@@ -200,10 +280,8 @@
     };
     note_ended(context, request, ended.clone());
     tell_newly_barred(context);
-    let told = tell(context, ControlRecord::BackendEnded { request, ended });
-    if let Some(told) = told {
-        // Without the log's answer the request goes on; the word is told as soon as it can be.
-        let _ = tokio::time::timeout(TELL_PATIENCE, told).await;
+    if let Some(telling) = tell_an_end(context, request, ended) {
+        telling.wait_a_moment(context).await;
     }
 }
 
@@ -269,9 +347,95 @@
     }
 }
 
-/// Tells the other nodes, again and again until it stands in the log. While the log is away only so many
-/// words wait; more are dropped, as this node goes by its own sight all the same.
-fn tell(context: &Arc<Context>, record: ControlRecord) -> Option<JoinHandle<()>> {
+/// Another node told of an end that the log did not take from it: goes by it, and writes it. False if there is no room
+/// for it.
+pub(crate) fn end_was_told(
+    context: &Arc<Context>,
+    request: Fingerprint,
+    ended: &EndedBackend,
+) -> bool {
+    let is_known = {
+        let control = context.control.lock();
+        control.state.crashes().names(&request, &ended.backend)
+    };
+    if is_known {
+        return true;
+    }
+    if context.crash_guard.is_full() {
+        return false;
+    }
+    note_ended(context, request, ended.clone());
+    tell_newly_barred(context);
+    let ended = ended.clone();
+    // Two machines know of it: nothing is kept back for it.
+    tell(context, ControlRecord::BackendEnded { request, ended });
+    true
+}
+
+/// How far a word is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    /// The first append is under way.
+    NotYet,
+    /// The log did not take it at once.
+    LogFails,
+    /// It stands in the log.
+    Written,
+}
+
+/// An end that is being told.
+struct Telling {
+    /// Over as soon as it stands in the log, or another node knows it.
+    task: JoinHandle<()>,
+    told: watch::Receiver<Told>,
+}
+
+impl Telling {
+    /// Waits for that, but not for long: without an answer the request goes on, and the word is told as soon as it can
+    /// be.
+    async fn wait_a_moment(mut self, context: &Context) {
+        let is_told = tokio::time::timeout(TELL_PATIENCE, &mut self.task).await;
+        let is_refused = *self.told.borrow() == Told::LogFails;
+        if is_told.is_err() && is_refused && peer_words::has_hearers(context) {
+            let _ = tokio::time::timeout(PEER_PATIENCE, self.task).await;
+        }
+    }
+}
+
+/// Tells of an end.
+fn tell_an_end(
+    context: &Arc<Context>,
+    request: Fingerprint,
+    ended: EndedBackend,
+) -> Option<Telling> {
+    let record = ControlRecord::BackendEnded {
+        request,
+        ended: ended.clone(),
+    };
+    let told = tell(context, record)?;
+    let mut writing = told.clone();
+    context.crash_guard.begin_to_tell(&request, &ended.backend);
+    let context = context.clone();
+    let task = tokio::spawn(async move {
+        let fails = writing.wait_for(|told| *told != Told::NotYet);
+        // After this time the request goes on without the word's being known.
+        let _ = tokio::time::timeout(TELL_PATIENCE, fails).await;
+        tokio::select! {
+            _ = writing.wait_for(|told| *told == Told::Written) => {}
+            hearer = peer_words::tell_an_end(&context, request, &ended) => {
+                info!(event = "end_told_to_peer", content = request.to_string().as_str(),
+                    backend = ended.backend.as_str(), peer = hearer.to_string().as_str(); "");
+                metrics::crash_told("to_peer");
+            }
+        }
+        context.crash_guard.told(&request, &ended.backend);
+    });
+    Some(Telling { task, told })
+}
+
+/// Writes a word for the other nodes, again and again until it stands in the log. While the log is away only so many
+/// words wait; more are dropped, and no suspected request is sent until there is room again.
+fn tell(context: &Arc<Context>, record: ControlRecord) -> Option<watch::Receiver<Told>> {
     let waiting = &context.crash_guard.waiting;
     if waiting.fetch_add(1, Ordering::Relaxed) >= MOST_WAITING {
         waiting.fetch_sub(1, Ordering::Relaxed);
@@ -279,9 +443,11 @@
         metrics::crash_told("dropped");
         return None;
     }
+    let (tell, told) = watch::channel(Told::NotYet);
     let context = context.clone();
-    let told = tokio::spawn(async move {
+    tokio::spawn(async move {
         while let Err(error) = append_control(&context, &record).await {
+            tell.send_replace(Told::LogFails);
             warn!(event = "crash_not_told_yet", record = format!("{record:?}").as_str(),
                 reason = error.to_string().as_str(); "");
             metrics::crash_told("failed");
@@ -289,6 +455,7 @@
         }
         metrics::crash_told("written");
         context.crash_guard.waiting.fetch_sub(1, Ordering::Relaxed);
+        tell.send_replace(Told::Written);
     });
     Some(told)
 }
--- a/crates/gateway/src/engine/barred.rs
+++ b/crates/gateway/src/engine/barred.rs
@@ -1,5 +1,5 @@
 //! Items under which back ends ended: they wait until the bar is lifted, their batch ends, or they may be
-//! given up, and take no place meanwhile.
+//! given up, and take no place meanwhile. So do those whose ends no other node could be told of yet.
 
 use std::collections::HashSet;
 
@@ -19,7 +19,7 @@
     /// Those of the waiting items that must not be run, or not yet.
     pub(super) fn barred_items(&mut self, waiting: &[WaitingItem]) -> HashSet<ItemKey> {
         let may_bar = self.context.control.lock().state.crashes().may_bar();
-        if !may_bar {
+        if !may_bar && !self.context.crash_guard.keeps_back() {
             return HashSet::new();
         }
         let mut barred = HashSet::new();
@@ -28,6 +28,10 @@
             let Some(request) = self.fingerprint_of(&key) else {
                 continue;
             };
+            if crash_guard::is_kept_back(&self.context, &request) {
+                barred.insert(key);
+                continue;
+            }
             match crash_guard::suspicion(&self.context, &request) {
                 Suspicion::Barred { .. } => {
                     self.tell_barred(&key, &request);
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -5,7 +5,6 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
-use havenstage_rollout::fleet_size;
 use log::warn;
 use tokio::task::JoinSet;
 
@@ -103,29 +102,49 @@
     }
 }
 
-/// Says in the log that a node started here, if that is wanted to know how many machines read
-/// ([`fleet_size`]).
+/// Says in the log what the others are to know of this machine: that a node started here, which tells how many
+/// machines read ([`fleet_size`](havenstage_rollout::fleet_size)), and where it can be reached
+/// ([`peer_addresses`](havenstage_rollout::peer_addresses)).
 async fn announce(context: &Context) {
     let machine = &context.node.machine;
-    let mut pause = fleet_size::announce_delay(machine);
-    loop {
-        tokio::time::sleep(pause).await;
-        if !context.control.lock().state.fleet().is_wanted(machine) {
+    tokio::time::sleep(context.settings.announce_delay(machine)).await;
+    announce_one(context, wanted_start).await;
+    announce_one(context, wanted_address).await;
+}
+
+/// Writes an announcement, again and again while it is wanted.
+async fn announce_one(context: &Context, wanted: impl Fn(&Context) -> Option<ControlRecord>) {
+    while let Some(record) = wanted(context) {
+        let Err(error) = append_control(context, &record).await else {
             return;
-        }
-        let record = ControlRecord::Joined {
-            machine: machine.clone(),
         };
-        match append_control(context, &record).await {
-            Ok(_) => return,
-            Err(error) => {
-                warn!(event = "start_not_announced", reason = error.to_string().as_str(); "");
-                pause = ANNOUNCE_AGAIN_PAUSE.mul_f64(rand::random());
-            }
-        }
+        warn!(event = "not_announced", record = format!("{record:?}").as_str(),
+            reason = error.to_string().as_str(); "");
+        tokio::time::sleep(ANNOUNCE_AGAIN_PAUSE.mul_f64(rand::random())).await;
     }
 }
 
+/// That a node started here, if the others are to know.
+fn wanted_start(context: &Context) -> Option<ControlRecord> {
+    let machine = &context.node.machine;
+    let is_wanted = context.control.lock().state.fleet().is_wanted(machine);
+    is_wanted.then(|| ControlRecord::Joined {
+        machine: machine.clone(),
+    })
+}
+
+/// Where this machine can be reached, if the others are to know.
+fn wanted_address(context: &Context) -> Option<ControlRecord> {
+    let machine = &context.node.machine;
+    let address = context.peer_socket.get()?.address();
+    let control = context.control.lock();
+    let is_wanted = control.state.peer_addresses().is_wanted(machine, address);
+    is_wanted.then(|| ControlRecord::Reachable {
+        machine: machine.clone(),
+        address,
+    })
+}
+
 /// Follows the control stream.
 pub async fn follow_control(context: Arc<Context>) {
     let mut dependency = Dependency::new(context.control.id.to_string());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod operator;
 mod order_exchange;
 pub mod order_run;
+mod peer_words;
 mod questions;
 pub mod relay;
 mod repeated_append;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -154,11 +154,21 @@
     counter!("gateway_barred_requests_total").increment(1);
 }
 
+/// A request was given up as the ends under it could not be told to other nodes.
+pub fn untold_request_given_up() {
+    counter!("gateway_untold_requests_total").increment(1);
+}
+
 /// A word for the other nodes about a request or a back end was written, failed or was dropped.
 pub fn crash_told(outcome: &'static str) {
     counter!("gateway_crash_words_total", "outcome" => outcome).increment(1);
 }
 
+/// A datagram of another node came.
+pub fn peer_word(outcome: &'static str) {
+    counter!("gateway_peer_words_total", "outcome" => outcome).increment(1);
+}
+
 /// Requests that are suspected or barred, and how those before were forgotten.
 pub fn suspects(remembered: usize, forgotten: &ForgottenRequests) {
     gauge!("gateway_suspects").set(remembered as f64);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use crate::knowledge_metrics;
 use crate::metering::{self, UsageReporter};
 use crate::metrics::{self, MetricsError};
+use crate::peer_words::{self, PeerSocket};
 use crate::server::{self, InFlight, ListenError};
 use crate::settings::Settings;
 use crate::sizing::SizeKeeper;
@@ -109,6 +110,11 @@
     let callers_address = callers.local_addr().map_err(NodeError::Address)?;
     let ready = server::listen("readiness", listen.ready).await?;
     let context = Context::new(settings, node, surroundings);
+    if let Some(address) = listen.datagrams {
+        let socket = PeerSocket::bind(address).await?;
+        // Set once: a node starts once.
+        let _ = context.peer_socket.set(socket);
+    }
     let mut tasks = JoinSet::new();
     if let Some(address) = listen.metrics {
         let handle = metrics::start(address)?;
@@ -118,6 +124,7 @@
     let in_flight = Arc::new(InFlight::default());
     let (close, closing) = watch::channel(false);
     start_followers(&context, &mut tasks);
+    tasks.spawn(peer_words::serve(context.clone()));
     tasks.spawn(server::serve_readiness(context.clone(), ready));
     tasks.spawn(server::serve_callers(
         context.clone(),
--- /dev/null
+++ b/crates/gateway/src/peer_words.rs
@@ -0,0 +1,244 @@
+//! Words from node to node, past the log: where the log does not take what a node saw, another node hears it, goes by it
+//! and writes it. What then stands in two machines' memory is not lost with one of them.
+//!
+//! A word is one datagram, and so is its answer; both may be lost, so a word is sent until it is answered, each time to other
+//! machines.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint};
+use havenstage_rollout::stored::{Stored, UnreadableValue};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::context::Context;
+use crate::crash_guard;
+use crate::metrics;
+use crate::server::ListenError;
+
+/// First bytes of each datagram: what it is, and the form of what follows.
+const MARK: &[u8] = b"havenstage1";
+/// Longest datagram that is read. A word holds some 200 bytes.
+const MOST_BYTES: usize = 1_024;
+/// Other machines that hear a word at a time.
+const HEARERS: usize = 2;
+/// Time after which a word without an answer is sent to others: some ten round trips between zones.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Pause after a failure to receive, so that one that stays does not take a whole processor.
+const RECEIVE_AGAIN_PAUSE: Duration = Duration::from_millis(100);
+/// Most words that wait for an answer.
+const MOST_ASKED: usize = 256;
+
+/// Number of a word, by which its answer names it.
+type WordId = u64;
+
+/// What nodes say to each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum PeerWord {
+    /// A back end ended while it ran a request, and the log does not take that.
+    BackendEnded {
+        id: WordId,
+        request: Fingerprint,
+        ended: EndedBackend,
+    },
+    /// The word is known here, and will be written.
+    Heard { id: WordId },
+}
+
+impl Stored for PeerWord {
+    const WHAT: &'static str = "a word of another node";
+}
+
+/// Why a datagram is no word of a node.
+#[derive(Debug, Error)]
+enum BadDatagram {
+    #[error("it does not begin as the words of nodes do")]
+    NoMark,
+    #[error(transparent)]
+    Unreadable(#[from] UnreadableValue),
+}
+
+impl PeerWord {
+    fn to_datagram(&self) -> Vec<u8> {
+        let mut datagram = MARK.to_vec();
+        datagram.extend(self.encode());
+        datagram
+    }
+
+    fn from_datagram(datagram: &[u8]) -> Result<Self, BadDatagram> {
+        let word = datagram.strip_prefix(MARK).ok_or(BadDatagram::NoMark)?;
+        Ok(Self::decode(word)?)
+    }
+}
+
+/// Where datagrams of other nodes come in, and what this node waits to be answered.
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+    address: SocketAddr,
+    asked: Mutex<HashMap<WordId, oneshot::Sender<SocketAddr>>>,
+}
+
+impl PeerSocket {
+    /// Takes datagrams at an address.
+    pub(crate) async fn bind(address: SocketAddr) -> Result<Self, ListenError> {
+        let failed = |source| ListenError {
+            purpose: "datagrams'",
+            address,
+            source,
+        };
+        let socket = UdpSocket::bind(address).await.map_err(failed)?;
+        Ok(Self {
+            address: socket.local_addr().map_err(failed)?,
+            socket,
+            asked: Mutex::default(),
+        })
+    }
+
+    /// Where it takes them.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn lock_asked(&self) -> MutexGuard<'_, HashMap<WordId, oneshot::Sender<SocketAddr>>> {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn send(&self, word: &PeerWord, to: SocketAddr) {
+        // One that cannot be sent is one that is lost.
+        if let Err(error) = self.socket.send_to(&word.to_datagram(), to).await {
+            warn!(event = "peer_word_not_sent", to = to.to_string().as_str(),
+                reason = error.to_string().as_str(); "");
+        }
+    }
+}
+
+/// Whether this node knows of others that could hear it.
+pub(crate) fn has_hearers(context: &Context) -> bool {
+    context.peer_socket.get().is_some() && !hearers(context, 1).is_empty()
+}
+
+/// Addresses of some other nodes.
+fn hearers(context: &Context, count: usize) -> Vec<SocketAddr> {
+    let control = context.control.lock();
+    let addresses = control.state.peer_addresses();
+    addresses.some_others(&context.node.machine, count, rand::random())
+}
+
+/// Tells other nodes that a back end ended under a request, until one has heard it; answers where that is. Without a
+/// socket of its own a node tells nobody, and this never ends.
+pub(crate) async fn tell_an_end(
+    context: &Context,
+    request: Fingerprint,
+    ended: &EndedBackend,
+) -> SocketAddr {
+    let Some(socket) = context.peer_socket.get() else {
+        return std::future::pending().await;
+    };
+    loop {
+        if let Some(hearer) = tell_once(context, socket, request, ended).await {
+            return hearer;
+        }
+    }
+}
+
+/// Tells some other nodes, and waits a moment for the answer of one.
+async fn tell_once(
+    context: &Context,
+    socket: &PeerSocket,
+    request: Fingerprint,
+    ended: &EndedBackend,
+) -> Option<SocketAddr> {
+    let hearers = hearers(context, HEARERS);
+    if hearers.is_empty() || socket.lock_asked().len() >= MOST_ASKED {
+        tokio::time::sleep(ANSWER_TIME).await;
+        return None;
+    }
+    let id = rand::random();
+    let (answer, asking) = Asking::begin(socket, id);
+    let word = PeerWord::BackendEnded {
+        id,
+        request,
+        ended: ended.clone(),
+    };
+    for hearer in hearers {
+        socket.send(&word, hearer).await;
+    }
+    let answer = tokio::time::timeout(ANSWER_TIME, answer).await;
+    drop(asking);
+    answer.ok()?.ok()
+}
+
+/// A word that waits for its answer, until this is dropped.
+struct Asking<'a> {
+    socket: &'a PeerSocket,
+    id: WordId,
+}
+
+impl<'a> Asking<'a> {
+    fn begin(socket: &'a PeerSocket, id: WordId) -> (oneshot::Receiver<SocketAddr>, Self) {
+        let (answered, answer) = oneshot::channel();
+        socket.lock_asked().insert(id, answered);
+        (answer, Self { socket, id })
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.socket.lock_asked().remove(&self.id);
+    }
+}
+
+/// Takes the words of other nodes, and ends with the process.
+pub(crate) async fn serve(context: Arc<Context>) {
+    let Some(socket) = context.peer_socket.get() else {
+        return;
+    };
+    let mut buffer = [0; MOST_BYTES];
+    loop {
+        let (length, from) = match socket.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // Also told here is that an earlier datagram reached nobody.
+                warn!(event = "peer_word_not_received", reason = error.to_string().as_str(); "");
+                tokio::time::sleep(RECEIVE_AGAIN_PAUSE).await;
+                continue;
+            }
+        };
+        match PeerWord::from_datagram(&buffer[..length]) {
+            Ok(word) => take(&context, socket, word, from).await,
+            Err(error) => {
+                metrics::peer_word("unreadable");
+                warn!(event = "peer_word_unreadable", from = from.to_string().as_str(),
+                    reason = error.to_string().as_str(); "");
+            }
+        }
+    }
+}
+
+async fn take(context: &Arc<Context>, socket: &PeerSocket, word: PeerWord, from: SocketAddr) {
+    match word {
+        PeerWord::BackendEnded { id, request, ended } => {
+            let is_kept = crash_guard::end_was_told(context, request, &ended);
+            metrics::peer_word(if is_kept { "heard" } else { "no_room" });
+            info!(event = "peer_word_heard", from = from.to_string().as_str(),
+                content = request.to_string().as_str(), backend = ended.backend.as_str(),
+                seen_by = ended.seen_by.as_str(), is_kept = is_kept; "");
+            if is_kept {
+                socket.send(&PeerWord::Heard { id }, from).await;
+            }
+        }
+        PeerWord::Heard { id } => {
+            // Nobody waits for the second answer to one word.
+            if let Some(answered) = socket.lock_asked().remove(&id) {
+                metrics::peer_word("answered");
+                let _ = answered.send(from);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,6 +140,7 @@
             .current
             .take()
             .map(|current| current.backend.id.clone());
+        let mut untold_since = None;
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.ends {
             let request = self.call.fingerprint();
             let slot = match crash_guard::admit(&self.context, &request, Sender::Any) {
@@ -148,6 +149,16 @@
                     tokio::time::sleep(ADMISSION_PAUSE).await;
                     continue;
                 }
+                Admission::Untold => {
+                    let since = *untold_since.get_or_insert_with(Instant::now);
+                    if since.elapsed() < crash_guard::UNTOLD_PATIENCE {
+                        tokio::time::sleep(ADMISSION_PAUSE).await;
+                        continue;
+                    }
+                    let id = self.call.id_text();
+                    crash_guard::tell_untold(&self.context, &request, &id);
+                    break;
+                }
                 Admission::LeftToAnother => {
                     let id = self.call.id_text();
                     crash_guard::tell_left_to_another(&self.context, &request, &id);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,7 +7,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use havenstage_rollout::ids::{RegionName, ZoneName};
+use havenstage_rollout::fleet_size;
+use havenstage_rollout::ids::{MachineName, RegionName, ZoneName};
 use havenstage_rollout::residency::RegionMap;
 use serde::Deserialize;
 use thiserror::Error;
@@ -52,6 +53,8 @@
     pub ready: SocketAddr,
     /// Metrics; none are served without it.
     pub metrics: Option<SocketAddr>,
+    /// Datagrams of other nodes; without it nodes say to each other only what stands in the log.
+    pub datagrams: Option<SocketAddr>,
 }
 
 /// The shared log.
@@ -161,6 +164,9 @@
     pub silence_ms: u64,
     /// Milliseconds over which claims of several nodes are spread.
     pub spread_ms: u64,
+    /// Milliseconds after a start within which nodes announce themselves and their addresses. A small fleet may do so
+    /// sooner than the users' store could bear of a large one.
+    pub announce_ms: u64,
     /// Loads of weights that may be under way together.
     pub loads_at_once: usize,
     /// Log lines a second.
@@ -176,6 +182,7 @@
             keep_ms: 300,
             silence_ms: 1_300,
             spread_ms: 300,
+            announce_ms: fleet_size::ANNOUNCE_SPREAD.as_millis() as u64,
             loads_at_once: 2,
             log_lines_per_s: 200,
         }
@@ -324,6 +331,12 @@
             .collect()
     }
 
+    /// Time after its start at which a machine looks whether it has to announce itself.
+    pub fn announce_delay(&self, machine: &MachineName) -> Duration {
+        let usual = fleet_size::ANNOUNCE_SPREAD.as_millis() as f64;
+        fleet_size::announce_delay(machine).mul_f64(self.tuning.announce_ms as f64 / usual)
+    }
+
     /// How long a reading call waits for a record.
     pub fn read_wait(&self) -> Duration {
         Duration::from_millis(self.tuning.read_wait_ms)
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -229,6 +229,7 @@
     let deployment = Deployment::start(0, 8).await;
     end_by_harmful(&deployment.applications);
     let nodes = nodes(&deployment, &["a", "b"]).await;
+    nodes[0].knows_addresses(nodes.len()).await;
     nodes[0].set_faults(LogFaults {
         is_cut: true,
         ..LogFaults::default()
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -19,9 +19,10 @@
 
 use http::Method;
 use support::backend::{CallBehaviour, StandInBackend};
-use support::caller::{call, send};
+use support::caller::{call, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, wait_until};
-use support::ends::{MOST_ENDS, end_by_harmful, ended, known_ends};
+use support::dialect::write_batch;
+use support::ends::{MOST_ENDS, all_know_of_all_ends, end_by_harmful, ended, known_ends};
 use support::log::LogFaults;
 
 /// Time after which a caller leaves: before its request has ended the back end.
@@ -215,3 +216,124 @@
     }
     assert_eq!(ended(backends), MOST_ENDS);
 }
+
+/// Nobody can be told: neither does the log take the word, nor is another node there. What would be lost with this node
+/// stays below what bars a request, and its callers have their answers.
+#[tokio::test]
+async fn a_request_is_not_sent_on_while_its_ends_cannot_be_told() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_by_harmful(backends);
+    let node = deployment.node("a").await;
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    for number in 0..3 * MOST_ENDS {
+        let answer = call(node.callers, &format!("first-{number}"), "/calls/harmful").await;
+        assert!(answer.status.is_server_error(), "{}", answer.status);
+    }
+    assert!(ended(backends) < MOST_ENDS, "{} ended", ended(backends));
+    node.set_faults(LogFaults::default());
+    let other = deployment.node("b").await;
+    let nodes = [node, other];
+    for number in 0..3 * MOST_ENDS {
+        all_know_of_all_ends(&nodes, backends).await;
+        let asked = &nodes[number % nodes.len()];
+        call(asked.callers, &format!("next-{number}"), "/calls/harmful").await;
+    }
+    assert_eq!(ended(backends), MOST_ENDS);
+}
+
+/// Calls of which one is sent first to the back end that ends.
+const MOST_CALLS: usize = 200;
+
+/// A back end that ends under an honest call, while nobody can be told, costs its caller nothing.
+#[tokio::test]
+async fn a_call_is_sent_again_after_an_end_that_cannot_be_told() {
+    let deployment = Deployment::start(0, 4).await;
+    let backends = &deployment.applications;
+    let node = deployment.node("a").await;
+    call(node.callers, "honest", "/calls/honest").await;
+    let served = |backend: &&Arc<StandInBackend>| !backend.seen().is_empty();
+    let preferred = backends.iter().find(served).unwrap().clone();
+    end_by_harmful(&[preferred]);
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    for number in 0..MOST_CALLS {
+        let path = format!("/calls/harmful-{number}");
+        let answer = call(node.callers, &format!("first-{number}"), &path).await;
+        assert_eq!(answer.status, 200);
+        if ended(backends) == 1 {
+            return;
+        }
+    }
+    panic!("none of the calls was sent to the back end that ends");
+}
+
+/// An item waits as a call does, and is run on when its ends are told.
+#[tokio::test]
+async fn an_item_is_not_run_on_while_its_ends_cannot_be_told() {
+    let deployment = Deployment::start(8, 0).await;
+    let engines = &deployment.engines;
+    let node = deployment.node("a").await;
+    let items = [("harmful-1", "g1"), ("i2", "g2")];
+    end_by_harmful(engines);
+    node.set_faults(LogFaults {
+        refuses_ends: true,
+        ..LogFaults::default()
+    });
+    let body = write_batch(1, &items, false);
+    assert_eq!(submit(node.callers, "batch", &body).await, 202);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(ended(engines) < MOST_ENDS, "{} ended", ended(engines));
+    for engine in engines {
+        engine.behave(|told| told.ended_by = None);
+    }
+    node.set_faults(LogFaults::default());
+    let lines = wait_for_results(node.callers, "batch", items.len()).await;
+    assert!(
+        lines.iter().all(|line| line.contains("|completed|")),
+        "{lines:?}"
+    );
+}
+
+/// Bytes that no node sent cost nothing but a line.
+#[tokio::test]
+async fn datagrams_from_elsewhere_change_nothing() {
+    let deployment = Deployment::start(0, 8).await;
+    end_by_harmful(&deployment.applications);
+    let (mut sees, other) = (deployment.node("a").await, deployment.node("b").await);
+    let address = reachable_at(&other).await;
+    let stranger = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for bytes in [
+        &b""[..],
+        b"havenstage1",
+        b"havenstage1\xff\xff\xff",
+        &[0; 4_096],
+    ] {
+        stranger.send_to(bytes, address).await.unwrap();
+    }
+    sees.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    call(sees.callers, "harmful", "/calls/harmful").await;
+    let before = ended(&deployment.applications);
+    sees.kill();
+    assert_eq!(known_ends(&other), before);
+}
+
+/// Where a node takes datagrams, once it has said so.
+async fn reachable_at(node: &TestNode) -> std::net::SocketAddr {
+    let machine = node.context().node.machine.clone();
+    let known = || {
+        let control = node.context().control.lock();
+        let addresses = control.state.peer_addresses().checkpoint();
+        addresses.get(&machine).copied()
+    };
+    wait_until("its address is told", || known().is_some()).await;
+    known().unwrap()
+}
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -135,6 +135,15 @@
         self.log.set_faults(faults);
     }
 
+    /// Waits until the node knows where so many machines can be reached.
+    pub async fn knows_addresses(&self, machines: usize) {
+        wait_until("the node knows the others' addresses", || {
+            let control = self.context().control.lock();
+            control.state.peer_addresses().checkpoint().len() == machines
+        })
+        .await;
+    }
+
     /// Waits until the node knows the routes and so many back ends.
     pub async fn knows(&self, backends: usize) {
         wait_until("the node knows its surroundings", || {
@@ -184,6 +193,7 @@
         [listen]
         callers = "127.0.0.1:0"
         ready = "127.0.0.1:0"
+        datagrams = "127.0.0.1:0"
         [log]
         address = "127.0.0.1:1"
         partitions = 2
@@ -202,6 +212,7 @@
         keep_ms = 100
         silence_ms = 600
         spread_ms = 50
+        announce_ms = 50
         "#
     );
     Settings::parse(Path::new("test settings"), &text).unwrap()
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -42,11 +42,28 @@
 
 /// Whether an append writes an order down.
 fn is_order(partition: StreamPartition, records: &[Bytes]) -> bool {
+    holds(partition, records, |record| {
+        matches!(record, ControlRecord::Ordered { .. })
+    })
+}
+
+/// Whether an append tells of the end of a back end.
+fn is_end(partition: StreamPartition, records: &[Bytes]) -> bool {
+    holds(partition, records, |record| {
+        matches!(record, ControlRecord::BackendEnded { .. })
+    })
+}
+
+/// Whether an append writes such a record to the control stream.
+fn holds(
+    partition: StreamPartition,
+    records: &[Bytes],
+    is_such: impl Fn(&ControlRecord) -> bool,
+) -> bool {
     let mut joiner = Joiner::default();
     let values = records.iter().filter_map(|r| joiner.push(r.clone()));
-    let mut values = values.map(|value| ControlRecord::decode(&value));
-    partition.stream == LogStream::Control
-        && values.any(|record| matches!(record, Ok(ControlRecord::Ordered { .. })))
+    let mut values = values.filter_map(|value| ControlRecord::decode(&value).ok());
+    partition.stream == LogStream::Control && values.any(|record| is_such(&record))
 }
 
 /// One node's way to the log.
@@ -289,7 +306,8 @@
         records: Vec<Bytes>,
     ) -> Result<Appended, LogError> {
         self.check_reachable().await?;
-        if self.faults().refuses_appends {
+        let refuses_end = self.faults().refuses_ends && is_end(partition, &records);
+        if self.faults().refuses_appends || refuses_end {
             return Err(LogError::Refused(503));
         }
         let is_batch = matches!(partition.stream, LogStream::Batches(_));
--- a/crates/gateway/tests/support/log_faults.rs
+++ b/crates/gateway/tests/support/log_faults.rs
@@ -13,6 +13,8 @@
     pub loses_answers: bool,
     /// Appends are refused; nothing is done.
     pub refuses_appends: bool,
+    /// Appends that tell of ends of back ends are refused; nothing is done.
+    pub refuses_ends: bool,
     /// Reads are refused at once; nothing is told.
     pub refuses_reads: bool,
     /// Reads are refused at once because too many calls are made.
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -17,14 +17,15 @@
 use crate::crash_ledger::CrashCheckpoint;
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
+use crate::peer_addresses::KnownAddresses;
 use crate::sizing::OrderedSizes;
 use crate::stored::{Stored, UnreadableValue};
 use crate::usage::DecidedUsage;
 
 /// Number of the present form of checkpoints; rises with each field that is added.
-pub const FORM: u8 = 5;
+pub const FORM: u8 = 6;
 /// Number of the oldest form that names its number. Each one since has one more list at its end: the requests
-/// under which back ends ended, the decided windows of usage, the ordered sizes.
+/// under which back ends ended, the decided windows of usage, the ordered sizes, the addresses of machines.
 const SECOND_FORM: u8 = 2;
 /// An empty list, as it is encoded.
 const ENCODED_EMPTY_LIST: u8 = 0;
@@ -64,6 +65,8 @@
     pub usage: Vec<DecidedUsage>,
     /// Sizes of pools that were ordered. Not in the fourth form.
     pub sizes: OrderedSizes,
+    /// Where some machines can be reached. Not in the fifth form.
+    pub peer_addresses: KnownAddresses,
 }
 
 /// The fold as it was kept first: what all forms begin with.
@@ -113,6 +116,7 @@
             crashes: Vec::new(),
             usage: Vec::new(),
             sizes: OrderedSizes::new(),
+            peer_addresses: KnownAddresses::new(),
         }
     }
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -15,6 +15,7 @@
 use crate::ids::{BackendId, MachineName, ModelName, NodeId, Version};
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::LeaseState;
+use crate::peer_addresses::PeerAddresses;
 use crate::sizing::OrderedSizes;
 use crate::usage::UsageLedger;
 
@@ -61,6 +62,7 @@
     crashes: CrashLedger,
     usage: UsageLedger,
     sizes: OrderedSizes,
+    peer_addresses: PeerAddresses,
 }
 
 /// The node that last told that it runs batches of a route.
@@ -87,6 +89,7 @@
             log_time: 0,
             usage: UsageLedger::default(),
             sizes: OrderedSizes::new(),
+            peer_addresses: PeerAddresses::default(),
         }
     }
 
@@ -120,6 +123,7 @@
             crashes: self.crashes.checkpoint(),
             usage: self.usage.decided().to_vec(),
             sizes: self.sizes.clone(),
+            peer_addresses: self.peer_addresses.checkpoint(),
         }
     }
 
@@ -136,6 +140,7 @@
         state.crashes = CrashLedger::restored(state.own_machine.clone(), checkpoint.crashes, now);
         state.usage = UsageLedger::restored(checkpoint.usage);
         state.sizes = checkpoint.sizes;
+        state.peer_addresses = PeerAddresses::restored(checkpoint.peer_addresses);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -239,6 +244,9 @@
                 self.sizes.entry(pool).or_default().insert(zone, size);
             }
             ControlRecord::UsageSettled { window } => self.usage.settle(window),
+            ControlRecord::Reachable { machine, address } => {
+                self.peer_addresses.told(machine, address);
+            }
         }
     }
 
@@ -308,6 +316,11 @@
         &self.sizes
     }
 
+    /// Where other machines can be reached.
+    pub fn peer_addresses(&self) -> &PeerAddresses {
+        &self.peer_addresses
+    }
+
     /// Machines that announced themselves.
     pub fn machine_count(&self) -> usize {
         self.fleet.machines().len()
--- a/crates/rollout/src/control_record.rs
+++ b/crates/rollout/src/control_record.rs
@@ -1,5 +1,7 @@
 //! What nodes write to the control stream.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::Millis;
@@ -127,6 +129,13 @@
         /// The window.
         window: UsageWindow,
     },
+    /// A machine can be reached by other nodes. A part of the fleet says so ([`crate::peer_addresses`]).
+    Reachable {
+        /// The machine.
+        machine: MachineName,
+        /// Where it takes datagrams of other nodes.
+        address: SocketAddr,
+    },
 }
 
 impl Stored for ControlRecord {
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -266,6 +266,12 @@
         true
     }
 
+    /// Whether it is known that a back end ended under a request.
+    pub fn names(&self, request: &Fingerprint, backend: &BackendId) -> bool {
+        let suspect = self.suspects.get(request);
+        suspect.is_some_and(|suspect| suspect.names(backend))
+    }
+
     /// Time since the last end of a request that a back end is held to have ended under; `None` if it is not.
     pub fn last_end_age(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
         let running = self.running_at.get(backend)?;
--- a/crates/rollout/src/fleet_size.rs
+++ b/crates/rollout/src/fleet_size.rs
@@ -18,7 +18,7 @@
 pub const SKETCH_MACHINES: usize = 64;
 /// Time after a start by which the machine with the largest hash has announced itself. Among 2,000 machines those in
 /// the sketch take 0.5 s then, twice what the users' store needs for them (4 ms each).
-const ANNOUNCE_SPREAD: Duration = Duration::from_secs(16);
+pub const ANNOUNCE_SPREAD: Duration = Duration::from_secs(16);
 /// Time that an announcement takes to be read, at most as long as nothing is known that would slow reads down.
 const READ_LAG: Duration = Duration::from_millis(100);
 /// Machines that are assumed while nobody has said anything: a pace that a fleet of hundreds can bear until the
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod occupancy;
 pub mod order_plan;
 pub mod pacing;
+pub mod peer_addresses;
 pub mod record;
 pub mod residency;
 pub mod route;
--- /dev/null
+++ b/crates/rollout/src/peer_addresses.rs
@@ -0,0 +1,84 @@
+//! Where some of the machines can be reached by others, for what cannot wait until the log takes it.
+//!
+//! The load that this answers: the log turns a part of the nodes away for seconds, and one of them dies with what it
+//! alone knows. Only the machines whose names have the smallest hashes tell their addresses, as with
+//! [`fleet_size`](crate::fleet_size): what is written and kept does not grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ids::MachineName;
+
+/// Most addresses that are kept; 32 take 1 KB in a checkpoint. They stand in all zones, so that some are left when a zone
+/// is gone.
+pub const MOST_ADDRESSES: usize = 32;
+
+/// Addresses of machines as a checkpoint keeps them.
+pub type KnownAddresses = BTreeMap<MachineName, SocketAddr>;
+
+/// Addresses that machines told.
+#[derive(Debug, Clone, Default)]
+pub struct PeerAddresses {
+    addresses: KnownAddresses,
+}
+
+fn hash(machine: &MachineName) -> u64 {
+    xxh3_64(machine.as_str().as_bytes())
+}
+
+impl PeerAddresses {
+    /// What a checkpoint kept.
+    pub fn restored(addresses: KnownAddresses) -> Self {
+        let mut restored = Self::default();
+        for (machine, address) in addresses {
+            restored.told(machine, address);
+        }
+        restored
+    }
+
+    /// What a checkpoint keeps.
+    pub fn checkpoint(&self) -> KnownAddresses {
+        self.addresses.clone()
+    }
+
+    /// A machine told its address; its newest one counts.
+    pub fn told(&mut self, machine: MachineName, address: SocketAddr) {
+        self.addresses.insert(machine, address);
+        if self.addresses.len() > MOST_ADDRESSES
+            && let Some(largest) = self.largest().cloned()
+        {
+            self.addresses.remove(&largest);
+        }
+    }
+
+    /// Whether the others are to be told this address of a machine.
+    pub fn is_wanted(&self, machine: &MachineName, address: SocketAddr) -> bool {
+        match self.addresses.get(machine) {
+            Some(known) => *known != address,
+            None if self.addresses.len() < MOST_ADDRESSES => true,
+            None => self
+                .largest()
+                .is_some_and(|largest| hash(machine) < hash(largest)),
+        }
+    }
+
+    /// Up to `count` addresses of other machines than `own`. Which ones, the draw decides, so that a machine that is
+    /// gone is not asked again and again.
+    pub fn some_others(&self, own: &MachineName, count: usize, draw: u64) -> Vec<SocketAddr> {
+        let others = self.addresses.iter().filter(|(machine, _)| *machine != own);
+        let mut others: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
+        if others.is_empty() {
+            return others;
+        }
+        let first = draw % others.len() as u64;
+        others.rotate_left(first as usize);
+        others.truncate(count);
+        others
+    }
+
+    fn largest(&self) -> Option<&MachineName> {
+        self.addresses.keys().max_by_key(|machine| hash(machine))
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/peer_addresses.rs
@@ -0,0 +1,104 @@
+//! Addresses of machines: how many are told and kept, and whom a node asks.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use havenstage_rollout::checkpoint::{ControlCheckpoint, FORM};
+use havenstage_rollout::control::ControlState;
+use havenstage_rollout::control_record::ControlRecord;
+use havenstage_rollout::ids::MachineName;
+use havenstage_rollout::peer_addresses::{KnownAddresses, MOST_ADDRESSES, PeerAddresses};
+use havenstage_rollout::stored::Stored;
+
+fn machine(number: u16) -> MachineName {
+    MachineName::from(format!("n{number}").as_str())
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+/// Machines that tell their addresses one after the other, each if the others want it; answers how many did.
+fn tell_all(addresses: &mut PeerAddresses, machines: u16) -> usize {
+    let mut told = 0;
+    for number in 0..machines {
+        let machine = machine(number);
+        if addresses.is_wanted(&machine, address(number)) {
+            addresses.told(machine, address(number));
+            told += 1;
+        }
+    }
+    told
+}
+
+#[test]
+fn a_small_fleet_knows_all_its_addresses() {
+    let mut addresses = PeerAddresses::default();
+    assert_eq!(tell_all(&mut addresses, 4), 4);
+    let others = addresses.some_others(&machine(1), 8, 0);
+    let expected = [address(0), address(2), address(3)];
+    assert_eq!(others, expected);
+}
+
+#[test]
+fn what_is_kept_does_not_grow_with_the_fleet() {
+    let mut addresses = PeerAddresses::default();
+    tell_all(&mut addresses, 2_000);
+    assert_eq!(addresses.checkpoint().len(), MOST_ADDRESSES);
+    let again = tell_all(&mut addresses, 2_000);
+    assert_eq!(again, 0, "all that are wanted are known");
+}
+
+#[test]
+fn nodes_that_read_in_another_order_keep_the_same() {
+    let (mut one, mut other) = (PeerAddresses::default(), PeerAddresses::default());
+    for number in 0..100 {
+        one.told(machine(number), address(number));
+        other.told(machine(99 - number), address(99 - number));
+    }
+    assert_eq!(one.checkpoint(), other.checkpoint());
+}
+
+#[test]
+fn a_machine_that_moved_tells_its_new_address() {
+    let mut addresses = PeerAddresses::default();
+    addresses.told(machine(1), address(1));
+    assert!(!addresses.is_wanted(&machine(1), address(1)));
+    assert!(addresses.is_wanted(&machine(1), address(2)));
+    addresses.told(machine(1), address(2));
+    assert_eq!(addresses.some_others(&machine(0), 8, 0), [address(2)]);
+}
+
+#[test]
+fn each_draw_asks_others() {
+    let mut addresses = PeerAddresses::default();
+    tell_all(&mut addresses, 6);
+    let asked = (0..5).map(|draw| addresses.some_others(&machine(0), 1, draw));
+    let asked: BTreeSet<SocketAddr> = asked.flatten().collect();
+    assert_eq!(asked.len(), 5);
+    let alone = PeerAddresses::default();
+    assert!(alone.some_others(&machine(0), 1, 7).is_empty());
+}
+
+/// While a release goes on, the checkpoint may be of the build before.
+#[test]
+fn a_checkpoint_keeps_them_and_one_of_the_build_before_has_none() {
+    let mut state = ControlState::new(MachineName::from("writer"));
+    let (machine, address) = (machine(1), address(1));
+    state.apply(ControlRecord::Reachable { machine, address }, 7);
+    let written = state.checkpoint(16);
+    let read = ControlCheckpoint::decode(&written.encode()).unwrap();
+    let restored = ControlState::restored(MachineName::from("reader"), read, 9);
+    let others = restored
+        .peer_addresses()
+        .some_others(&MachineName::from("reader"), 1, 0);
+    assert_eq!(others, [address]);
+    let before = ControlCheckpoint {
+        form: FORM - 1,
+        peer_addresses: KnownAddresses::new(),
+        ..written
+    };
+    let mut bytes = before.encode();
+    assert_eq!(bytes.pop(), Some(0), "the list that it did not have");
+    assert_eq!(ControlCheckpoint::decode(&bytes), Ok(before));
+}
