--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -16,6 +16,7 @@
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::LeaseState;
 use crate::peer_addresses::PeerAddresses;
+use crate::reachable_machines::ReachableMachines;
 use crate::sizing::OrderedSizes;
 use crate::usage::UsageLedger;
 
@@ -63,6 +64,7 @@
     usage: UsageLedger,
     sizes: OrderedSizes,
     peers: PeerAddresses,
+    reachable: ReachableMachines,
 }
 
 /// The node that last told that it runs batches of a route.
@@ -90,6 +92,7 @@
             usage: UsageLedger::default(),
             sizes: OrderedSizes::new(),
             peers: PeerAddresses::default(),
+            reachable: ReachableMachines::default(),
         }
     }
 
@@ -124,6 +127,7 @@
             usage: self.usage.decided().to_vec(),
             sizes: self.sizes.clone(),
             peers: self.peers.checkpoint(),
+            reachable: self.reachable.checkpoint(),
         }
     }
 
@@ -141,6 +145,7 @@
         state.usage = UsageLedger::restored(checkpoint.usage);
         state.sizes = checkpoint.sizes;
         state.peers = PeerAddresses::restored(checkpoint.peers, now);
+        state.reachable = ReachableMachines::restored(checkpoint.reachable);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -246,6 +251,9 @@
             }
             ControlRecord::UsageSettled { window } => self.usage.settle(window),
             ControlRecord::PeerListens { node, address } => self.peers.listens(node, address, now),
+            ControlRecord::Reachable { machine, address } => {
+                self.reachable.told(machine, address);
+            }
         }
     }
 
@@ -321,6 +329,11 @@
         &self.sizes
     }
 
+    /// Where other machines can be reached.
+    pub fn reachable(&self) -> &ReachableMachines {
+        &self.reachable
+    }
+
     /// Machines that announced themselves.
     pub fn machine_count(&self) -> usize {
         self.fleet.machines().len()
--- a/crates/rollout/src/control_record.rs
+++ b/crates/rollout/src/control_record.rs
@@ -136,6 +136,13 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// A machine can be reached by other nodes. A part of the fleet says so ([`crate::reachable_machines`]).
+    Reachable {
+        /// The machine.
+        machine: MachineName,
+        /// Where it takes datagrams of other nodes.
+        address: SocketAddr,
+    },
 }
 
 impl Stored for ControlRecord {
