Logging: a writer of log lines can be combined with another

Cause: explain of havenstage serve reads the node's own lines, which went to standard output only. Change: start is split into the writer and start_with; nothing else.

--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -28,19 +28,26 @@
 
 /// Starts logging, with so many lines a second for ordinary lines and as many for warnings.
 pub fn start(lines_per_s: u32) -> Result<LoggerHandle, FlexiLoggerError> {
-    let (sender, receiver) = sync_channel(QUEUE_LINES);
-    thread::spawn(move || write_lines(&receiver));
+    start_with(writer(lines_per_s))
+}
+
+/// Starts logging to a writer.
+pub fn start_with(writer: Box<dyn LogWriter>) -> Result<LoggerHandle, FlexiLoggerError> {
     let specification = LogSpecification::builder()
         .default(log::LevelFilter::Info)
         .build();
-    let writer = QueueWriter {
+    Logger::with(specification).log_to_writer(writer).start()
+}
+
+/// A writer to standard output, with so many lines a second for ordinary lines and as many for warnings.
+pub fn writer(lines_per_s: u32) -> Box<dyn LogWriter> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    thread::spawn(move || write_lines(&receiver));
+    Box::new(QueueWriter {
         sender,
         ordinary: Mutex::new(Budget::new(lines_per_s)),
         warnings: Mutex::new(Budget::new(lines_per_s)),
-    };
-    Logger::with(specification)
-        .log_to_writer(Box::new(writer))
-        .start()
+    })
 }
 
 fn write_lines(receiver: &Receiver<String>) {
