Who goes first when places are short: rank, then shares of tokens; engines are told the rank

Cause: priorities of routes and tenants were read and changed nothing, and a tenant's flood went before everybody's later batches.

Change: with fewer free places than waiting items, an owner orders all its batches' items by rank (the tenant's priority before the route's) and, among equals, by the tokens that a claimant's items hold. Items that waited half of their time compete with the most urgent. With places for all nothing changes. The urgency of items and streams at engines follows from the rank (it was 4, and 7 for optional items).

Ruled out: virtual time over work done (state that must be handed over, and old floods are paid for); strict ranks (the last starve).

Figures (tests/claims.rs, 20 places, items of 1 s, one tenant at ten times its share): the other waits at most 1 s, before more than 10 s.

Between owners only the urgency told to engines holds; shares between owners are not built.

--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -7,7 +7,7 @@
 use havenstage_rollout::ids::{BackendId, PoolName, Version};
 use havenstage_rollout::record::GiveUpReason;
 use havenstage_rollout::route::{Route, RouteTable};
-use havenstage_rollout::schedule::{self, Candidate, Relocation, RunningItem, WaitingItem};
+use havenstage_rollout::schedule::{self, Candidate, Claim, Relocation, RunningItem, WaitingItem};
 use log::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -17,11 +17,6 @@
 use super::{DEFAULT_GIVE_UP_MS, Engine, events_of};
 use crate::metrics;
 
-/// Urgency at back ends of items that their step needs.
-const NEEDED_URGENCY: u8 = 4;
-/// Urgency at back ends of items that their step can do without.
-const OPTIONAL_URGENCY: u8 = 7;
-
 /// Work of this node in one pool.
 #[derive(Default)]
 pub(super) struct PoolWork {
@@ -113,6 +108,7 @@
             self.lengths.remaining(&first.pool, item, made_tokens)
         });
         let residency = table.residency(route, batch.tenant.as_ref());
+        let claim = claim_of(batch, route, table);
         for item in batch.items.iter().filter(|item| item.result.is_none()) {
             let hash = xxh3_64(item.id.as_str().as_bytes());
             let Some(pool) = route.pool_for(hash) else {
@@ -131,6 +127,7 @@
                 batch: batch.id.clone(),
                 item: item.id.clone(),
                 optional: optional.contains(&item.id),
+                claim: claim.clone(),
                 expected_tokens: self.lengths.remaining(pool, item, made_tokens),
                 held_tokens: prompt_tokens + made_tokens,
                 since: batch.first_seen,
@@ -167,7 +164,9 @@
         self.lengths.count_running(&work.running);
         let mut candidates = self.candidates(table.pool(pool), pool, &oldest, usual_gap_ms, now);
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
-        schedule::sort_waiting(&mut work.waiting, now, token_ms);
+        let free_places = candidates.iter().map(Candidate::free_places).sum();
+        let running = &work.running;
+        schedule::order_waiting(&mut work.waiting, running, free_places, now, token_ms);
         let barred = self.barred_items(&work.waiting);
         for item in &work.waiting {
             if barred.contains(&key_of(item)) {
@@ -263,10 +262,17 @@
 }
 
 fn urgency(item: &WaitingItem) -> u8 {
-    if item.optional {
-        OPTIONAL_URGENCY
-    } else {
-        NEEDED_URGENCY
+    schedule::urgency(item.claim.rank, item.optional)
+}
+
+/// On whose behalf a batch's items run.
+fn claim_of(batch: &BatchState, route: &Route, table: &RouteTable) -> Claim {
+    let tenant = batch.tenant.as_ref();
+    let claimant = tenant.map_or(route.name.as_str(), |tenant| tenant.as_str());
+    Claim {
+        rank: table.priority(route, tenant),
+        claimant: claimant.into(),
+        longest_wait_ms: route.give_up_after_ms.unwrap_or(DEFAULT_GIVE_UP_MS),
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use havenstage_http_link::{WholeAnswer, end_when_unacknowledged};
 use havenstage_rollout::access::Caller;
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
+use havenstage_rollout::schedule::urgency;
 use http::header::HeaderValue;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
@@ -281,6 +282,14 @@
     send::remove_connection_headers(&mut headers);
     headers.remove(&names.expected_backend);
     access::name_tenant(names, &mut headers, caller.tenant());
+    if matches!(route.kind, RequestKind::Stream { .. }) {
+        // It shares engines with items, which tell theirs.
+        let rank = caller.priority().unwrap_or(route.priority);
+        headers.insert(
+            names.urgency.clone(),
+            u64::from(urgency(rank, false)).into(),
+        );
+    }
     let call = Call {
         id: id.clone(),
         method: head.method,
--- a/crates/rollout/src/access.rs
+++ b/crates/rollout/src/access.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Rank of this caller's requests, where 0 is the most urgent; `None` leaves it to the route.
+    pub fn priority(&self) -> Option<u32> {
+        match self {
+            Self::Unverified | Self::Anonymous => None,
+            Self::KeyHolder(holder) => holder.priority,
+        }
+    }
+
     /// Whether something that belongs to `owner` exists for this caller. A key that was passed on to another
     /// tenant a moment ago still shows its former holder's batches: the change reaches callers and nodes at
     /// different times.
@@ -101,6 +109,7 @@
     /// Tenants that held each key in any configuration so far, of keys that changed hands or were taken away.
     former: HashMap<ApiKey, BTreeSet<TenantName>>,
     residencies: HashMap<TenantName, Residency>,
+    priorities: HashMap<TenantName, u32>,
 }
 
 impl AccessTable {
@@ -129,6 +138,10 @@
                 .iter()
                 .map(|tenant| (tenant.name.clone(), tenant.residency.clone()))
                 .collect(),
+            priorities: tenants
+                .iter()
+                .filter_map(|tenant| Some((tenant.name.clone(), tenant.priority?)))
+                .collect(),
         }
     }
 
@@ -137,6 +150,11 @@
         self.residencies.get(tenant).cloned().unwrap_or_default()
     }
 
+    /// Rank of a tenant's requests, where 0 is the most urgent; `None` leaves it to the route.
+    pub fn priority_of(&self, tenant: &TenantName) -> Option<u32> {
+        self.priorities.get(tenant).copied()
+    }
+
     /// Former holders once `tenants` hold what they are given.
     fn former_after(&self, tenants: &[Tenant]) -> HashMap<ApiKey, BTreeSet<TenantName>> {
         let mut next: HashMap<&ApiKey, &TenantName> = HashMap::new();
--- a/crates/rollout/src/route.rs
+++ b/crates/rollout/src/route.rs
@@ -239,6 +239,14 @@
         }
     }
 
+    /// Rank of a tenant's requests on a route, where 0 is the most urgent: the tenant's own takes
+    /// precedence over the route's.
+    pub fn priority(&self, route: &Route, tenant: Option<&TenantName>) -> u32 {
+        tenant
+            .and_then(|tenant| self.access.priority_of(tenant))
+            .unwrap_or(route.priority)
+    }
+
     /// What the back ends of each pool bear while they are cold.
     pub fn cold_limits(&self) -> HashMap<PoolName, ColdLimit> {
         let pools = self.pools.values();
--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -1,5 +1,6 @@
 //! Which item runs next, on which back end, and which one is moved.
 
+mod claim;
 mod memory;
 mod order;
 mod placement;
@@ -12,6 +13,7 @@
 use crate::ids::{BackendId, BatchId, GroupId, ItemId, ModelName, RegionName, Version};
 use crate::residency::Residency;
 
+pub use claim::{Claim, order_waiting, urgency};
 pub use memory::TokenMemory;
 pub use order::sort_waiting;
 pub use placement::choose;
@@ -27,6 +29,8 @@
     pub item: ItemId,
     /// Whether its step can be whole without it.
     pub optional: bool,
+    /// On whose behalf it runs.
+    pub claim: Claim,
     /// Tokens still expected.
     pub expected_tokens: u32,
     /// Tokens of its prompt and of its output so far.
@@ -82,6 +86,11 @@
 }
 
 impl Candidate {
+    /// Places that are free.
+    pub fn free_places(&self) -> usize {
+        self.slots.saturating_sub(self.running) as usize
+    }
+
     /// An item takes a place there.
     pub fn take(&mut self, item: &WaitingItem) {
         self.running += 1;
--- /dev/null
+++ b/crates/rollout/tests/claims.rs
@@ -0,0 +1,229 @@
+//! Callers who compete for too few places, in virtual time.
+
+mod support;
+
+use havenstage_rollout::ids::{BatchId, ItemId};
+use havenstage_rollout::residency::Residency;
+use havenstage_rollout::schedule::{
+    Claim, RunningItem, WaitingItem, order_waiting, sort_waiting, urgency,
+};
+use support::{backend, claim};
+
+const SLICE_MS: u64 = 100;
+const ITEM_MS: u64 = 1_000;
+const TOKENS: u32 = 1_000;
+
+/// Items handed in together.
+struct Burst {
+    at_ms: u64,
+    claim: Claim,
+    count: usize,
+}
+
+fn burst(at_ms: u64, claim: Claim, count: usize) -> Burst {
+    Burst {
+        at_ms,
+        claim,
+        count,
+    }
+}
+
+/// How long an item waited for its place.
+struct Wait {
+    claimant: String,
+    ms: u64,
+}
+
+/// A way to order what waits: the items, what runs, free places and the time.
+type Order = fn(&mut Vec<WaitingItem>, &[RunningItem], usize, u64);
+
+fn by_claims(waiting: &mut Vec<WaitingItem>, running: &[RunningItem], free: usize, now: u64) {
+    order_waiting(waiting, running, free, now, 1.0);
+}
+
+/// Plays bursts on a pool whose places change: pairs of a time and a number.
+fn play(bursts: &[Burst], places: &[(u64, usize)], order: Order) -> Vec<Wait> {
+    let (mut waiting, mut waits) = (Vec::new(), Vec::new());
+    let mut running: Vec<RunningItem> = Vec::new();
+    let mut now = 0;
+    while now < 120_000 {
+        for burst in bursts.iter().filter(|burst| burst.at_ms == now) {
+            let items = (0..burst.count).map(|at| waiting_item(burst, at));
+            waiting.extend(items);
+        }
+        running.retain(|running| running.running_ms < ITEM_MS);
+        let known = places.iter().rev().find(|(from, _)| *from <= now);
+        let free = known.map_or(0, |(_, places)| places.saturating_sub(running.len()));
+        order(&mut waiting, &running, free, now);
+        for item in waiting.drain(..free.min(waiting.len())) {
+            waits.push(Wait {
+                claimant: item.claim.claimant.to_string(),
+                ms: now - item.since,
+            });
+            running.push(started(item));
+        }
+        now += SLICE_MS;
+        for running in &mut running {
+            running.running_ms += SLICE_MS;
+        }
+    }
+    waits
+}
+
+fn waiting_item(burst: &Burst, at: usize) -> WaitingItem {
+    WaitingItem {
+        batch: BatchId::from("batch"),
+        item: ItemId::from(format!("{} {} {at}", burst.claim.claimant, burst.at_ms)),
+        optional: false,
+        claim: burst.claim.clone(),
+        expected_tokens: TOKENS,
+        held_tokens: 0,
+        since: burst.at_ms,
+        model: None,
+        minimum_version: 0,
+        exact_version: None,
+        group: None,
+        residency: Residency::anywhere(),
+    }
+}
+
+fn started(item: WaitingItem) -> RunningItem {
+    RunningItem {
+        item,
+        backend: backend("any"),
+        running_ms: 0,
+        expected_events: 0,
+        moves: 0,
+    }
+}
+
+fn longest_wait(waits: &[Wait], claimant: &str) -> u64 {
+    let of = waits.iter().filter(|wait| wait.claimant == claimant);
+    of.map(|wait| wait.ms).max().expect("some ran")
+}
+
+fn mean_wait(waits: &[Wait], claimant: &str) -> u64 {
+    let of: Vec<u64> = waits
+        .iter()
+        .filter(|wait| wait.claimant == claimant)
+        .map(|wait| wait.ms)
+        .collect();
+    of.iter().sum::<u64>() / of.len() as u64
+}
+
+/// Every second for so long.
+fn each_second(seconds: u64, claim: &Claim, count: usize) -> Vec<Burst> {
+    let times = (0..seconds).map(|second| second * 1_000);
+    times.map(|at| burst(at, claim.clone(), count)).collect()
+}
+
+#[test]
+fn a_tenant_at_ten_times_its_share_delays_nobody_else() {
+    let mut bursts = each_second(20, &claim(1, "steady"), 10);
+    bursts.extend(each_second(20, &claim(1, "flood"), 100));
+    let waits = play(&bursts, &[(0, 20)], by_claims);
+    assert!(longest_wait(&waits, "steady") <= ITEM_MS);
+    let before = play(&bursts, &[(0, 20)], |waiting, _, _, now| {
+        sort_waiting(waiting, now, 1.0);
+    });
+    assert!(
+        longest_wait(&before, "steady") > 10 * ITEM_MS,
+        "what fair shares answer"
+    );
+}
+
+#[test]
+fn what_others_leave_unused_goes_to_the_flood() {
+    let mut bursts = each_second(10, &claim(1, "steady"), 2);
+    bursts.push(burst(0, claim(1, "flood"), 180));
+    let waits = play(&bursts, &[(0, 20)], by_claims);
+    assert_eq!(
+        longest_wait(&waits, "flood"),
+        9 * ITEM_MS,
+        "no place stood empty"
+    );
+}
+
+#[test]
+fn a_halved_pool_serves_the_urgent_as_before() {
+    let mut bursts = each_second(20, &claim(0, "urgent"), 8);
+    bursts.extend(each_second(20, &claim(2, "patient"), 12));
+    let places = [(0, 20), (5_000, 10), (15_000, 20)];
+    let waits = play(&bursts, &places, by_claims);
+    assert!(longest_wait(&waits, "urgent") <= ITEM_MS);
+    assert!(longest_wait(&waits, "patient") > ITEM_MS);
+}
+
+#[test]
+fn all_tenants_late_at_once_get_the_same() {
+    let names = ["a", "b", "c", "d", "e"];
+    let bursts: Vec<Burst> = names
+        .iter()
+        .map(|name| burst(0, claim(1, name), 100))
+        .collect();
+    let waits = play(&bursts, &[(0, 20)], by_claims);
+    let means = names.map(|name| mean_wait(&waits, name));
+    let (least, most) = (means.iter().min().unwrap(), means.iter().max().unwrap());
+    assert!(most - least <= ITEM_MS, "{means:?}");
+}
+
+#[test]
+fn the_less_urgent_run_before_they_are_given_up() {
+    let patient = Claim {
+        longest_wait_ms: 20_000,
+        ..claim(2, "patient")
+    };
+    let mut bursts = each_second(60, &claim(0, "urgent"), 30);
+    bursts.push(burst(0, patient, 10));
+    let waits = play(&bursts, &[(0, 20)], by_claims);
+    let waited = longest_wait(&waits, "patient");
+    assert!(waited > 10_000, "the urgent go first: {waited}");
+    assert!(waited < 12_000, "{waited}");
+}
+
+#[test]
+fn with_places_for_all_the_longest_goes_first_whoever_it_belongs_to() {
+    let item = |name: &str, rank, tokens| WaitingItem {
+        expected_tokens: tokens,
+        ..waiting_item(&burst(0, claim(rank, name), 1), 0)
+    };
+    let mut waiting = vec![
+        item("urgent", 0, 10),
+        item("long", 3, 900),
+        item("mid", 1, 50),
+    ];
+    let mut sorted = waiting.clone();
+    order_waiting(&mut waiting, &[], 3, 0, 1.0);
+    sort_waiting(&mut sorted, 0, 1.0);
+    assert_eq!(waiting, sorted);
+    order_waiting(&mut waiting, &[], 2, 0, 1.0);
+    let order: Vec<&str> = waiting.iter().map(|item| &*item.claim.claimant).collect();
+    assert_eq!(
+        order,
+        ["mid", "urgent", "long"],
+        "the two that get places, the longest first"
+    );
+}
+
+#[test]
+fn shares_are_of_tokens_not_of_items() {
+    let item = |name: &str, tokens, at| WaitingItem {
+        expected_tokens: tokens,
+        item: ItemId::from(format!("{name} {at}")),
+        ..waiting_item(&burst(0, claim(1, name), 1), at)
+    };
+    let mut waiting: Vec<WaitingItem> = (0..9).map(|at| item("long", 1_000, at)).collect();
+    waiting.extend((0..90).map(|at| item("short", 100, at)));
+    order_waiting(&mut waiting, &[], 22, 0, 1.0);
+    let long = waiting[..22]
+        .iter()
+        .filter(|item| &*item.claim.claimant == "long");
+    assert_eq!(long.count(), 2, "beside twenty short ones");
+}
+
+#[test]
+fn engines_are_told_ranks_and_what_a_step_can_do_without() {
+    assert_eq!((urgency(0, false), urgency(0, true)), (0, 1));
+    assert_eq!((urgency(1, false), urgency(4, true)), (2, 9));
+    assert_eq!(urgency(1_000, true), 9);
+}
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -13,13 +13,14 @@
     Candidate, RunningItem, TokenMemory, WaitingItem, choose, optional_items, relocations,
     sort_waiting,
 };
-use support::{backend, item, submitted};
+use support::{backend, claim, item, submitted};
 
 fn waiting(id: &str, optional: bool, expected_tokens: u32) -> WaitingItem {
     WaitingItem {
         batch: BatchId::from("batch"),
         item: ItemId::from(id),
         optional,
+        claim: claim(0, "route"),
         expected_tokens,
         held_tokens: 0,
         since: 0,
--- a/crates/rollout/tests/support/mod.rs
+++ b/crates/rollout/tests/support/mod.rs
@@ -12,6 +12,7 @@
     BackendId, BatchId, GroupId, ItemId, MachineName, ModelName, NodeId, RunId,
 };
 use havenstage_rollout::record::{BatchRecord, Outcome, OutputEvent};
+use havenstage_rollout::schedule::Claim;
 
 pub fn node(machine: &str, life: u32) -> NodeId {
     NodeId {
@@ -87,3 +88,11 @@
 pub fn backend(id: &str) -> BackendId {
     BackendId::from(id)
 }
+
+pub fn claim(rank: u32, claimant: &str) -> Claim {
+    Claim {
+        rank,
+        claimant: claimant.into(),
+        longest_wait_ms: 60_000,
+    }
+}
--- a/crates/rollout/tests/support/steps.rs
+++ b/crates/rollout/tests/support/steps.rs
@@ -8,8 +8,8 @@
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{Candidate, TokenMemory, WaitingItem, sort_waiting};
 
-use super::backend;
 use super::draws::Draws;
+use super::{backend, claim};
 
 const SLICE_MS: f64 = 20.0;
 const TOKENS_PER_EVENT: u32 = 68;
@@ -150,6 +150,7 @@
             batch: BatchId::from(item.step.to_string()),
             item: ItemId::from(at.to_string()),
             optional: false,
+            claim: claim(0, "route"),
             expected_tokens: self.history.remaining(item.guess, made),
             held_tokens: self.engines.prompt_tokens + made,
             since: self.steps[item.step].from_ms as u64,
