--- a/crates/rollout/tests/claims.rs
+++ b/crates/rollout/tests/claims.rs
@@ -167,18 +167,24 @@
     assert!(most - least <= ITEM_MS, "{means:?}");
 }
 
-#[test]
-fn the_less_urgent_run_before_they_are_given_up() {
+/// A patient claimant's burst beside more of the urgent than there are places for, for a minute.
+fn patient_beside_urgent(longest_wait_ms: u64) -> u64 {
     let patient = Claim {
-        longest_wait_ms: 20_000,
+        longest_wait_ms,
         ..claim(2, "patient")
     };
     let mut bursts = each_second(60, &claim(0, "urgent"), 30);
     bursts.push(burst(0, patient, 10));
-    let waits = play(&bursts, &[(0, 20)], by_claims);
-    let waited = longest_wait(&waits, "patient");
+    longest_wait(&play(&bursts, &[(0, 20)], by_claims), "patient")
+}
+
+#[test]
+fn the_less_urgent_run_before_they_are_given_up() {
+    let waited = patient_beside_urgent(20_000);
     assert!(waited > 10_000, "the urgent go first: {waited}");
     assert!(waited < 12_000, "{waited}");
+    let without_end = patient_beside_urgent(u64::MAX);
+    assert!(without_end > 60_000, "{without_end}");
 }
 
 #[test]
