--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::circuit_breaker::Admission;
 use havenstage_rollout::event_gap::median;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
@@ -13,7 +14,7 @@
 use super::plan::PoolWork;
 
 /// Time after which an order of which nothing was heard no longer keeps items away.
-const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
+pub(super) const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
 /// Gap between events of a back end whose speed is not known yet.
 const USUAL_GAP_MS: f64 = 30.0;
 /// Shortest gap that is told apart from none.
@@ -55,7 +56,10 @@
             if has_warm && backends.is_cold(id, now) {
                 continue;
             }
-            let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
+            let admission = self
+                .breakers
+                .get(id)
+                .map_or(Admission::All, |breaker| breaker.admission(now));
             let is_loading = control
                 .state
                 .pending(id)
@@ -64,14 +68,19 @@
                 && oldest
                     .iter()
                     .all(|(model, version)| backends.version(id, model) < *version);
-            if is_paused || is_loading || serves_none {
+            if admission == Admission::None || is_loading || serves_none {
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
             let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
             let running =
                 own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
-            let allowance = backends.cold_allowance(id, sender, now);
+            let allowance = match admission {
+                Admission::One => Some(1),
+                Admission::All | Admission::None => None,
+            };
+            let cold_allowance = backends.cold_allowance(id, sender, now);
+            let allowance = allowance.into_iter().chain(cold_allowance).min();
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -7,6 +7,7 @@
 use havenstage_rollout::batch_state::ItemState;
 use havenstage_rollout::ids::{BackendId, RunId, Version};
 use havenstage_rollout::record::{BatchRecord, OutputEvent};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use super::run::ItemKey;
@@ -32,6 +33,10 @@
         backend: BackendId,
         /// Since when.
         since: Millis,
+        /// When its last event came, if one has.
+        last_event: Option<Millis>,
+        /// Has the run end as one that is stalled, unless it was told to already.
+        stalled: Option<Arc<Notify>>,
         /// The run.
         _task: OwnedTask,
     },
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod reward;
 mod run;
 mod runs;
+mod stalls;
 mod start;
 mod writing;
 
@@ -27,6 +28,7 @@
 use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_state::ItemState;
+use havenstage_rollout::circuit_breaker::CircuitBreaker;
 use havenstage_rollout::ids::{BackendId, BatchId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -42,6 +44,7 @@
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
+use stalls::StallWatch;
 
 /// Rest after a plan, as a multiple of the time it took: planning uses at most a third of the processor.
 const PLAN_REST: u32 = 2;
@@ -73,7 +76,8 @@
     /// Batches whose release is to be told once it is written.
     releases: Vec<BatchId>,
     has_told_release: bool,
-    pauses: HashMap<BackendId, Pause>,
+    breakers: HashMap<BackendId, CircuitBreaker>,
+    stalls: StallWatch,
     carried: HashMap<BatchId, Carried>,
     held_back: BTreeMap<usize, HeldBack>,
     /// Items of which it was told that they are barred.
@@ -86,13 +90,6 @@
     pace: WorkPace,
 }
 
-/// A back end that gets no items for a while.
-#[derive(Debug, Clone, Copy, Default)]
-struct Pause {
-    until: Millis,
-    failures: u32,
-}
-
 /// A helper task ended.
 enum TaskEnded {
     Append {
@@ -123,7 +120,8 @@
             has_released: false,
             releases: Vec::new(),
             has_told_release: false,
-            pauses: HashMap::new(),
+            breakers: HashMap::new(),
+            stalls: StallWatch::default(),
             carried: HashMap::new(),
             held_back: BTreeMap::new(),
             told_barred: HashSet::new(),
@@ -150,6 +148,7 @@
             while let Ok(message) = self.news.try_recv() {
                 self.take_news(message);
             }
+            self.end_stalled_runs();
             if self.needs_plan && self.pace.is_due() {
                 self.needs_plan = false;
                 let began = Instant::now();
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -13,6 +13,7 @@
 use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::reward::ScoreEnd;
@@ -76,6 +77,8 @@
     Unreachable,
     /// The stream broke off, fell silent, or brought something else.
     Broken,
+    /// Nothing came any more, and the item goes on elsewhere.
+    Stalled,
     /// The back end failed.
     Failed,
     /// The back end said that it can never be done.
@@ -93,6 +96,7 @@
             Self::TooLate => "too_late",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Stalled => "stalled",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
             Self::WrongVersion(_) => "wrong_version",
@@ -141,6 +145,8 @@
     pub write_by: Instant,
     /// How urgent the back end is to take it.
     pub urgency: u8,
+    /// Told when the run counts as stalled.
+    pub stalled: Arc<Notify>,
 }
 
 /// Makes a run and tells the engine of each event and of the end.
@@ -151,7 +157,11 @@
     news: UnboundedSender<RunMessage>,
 ) {
     let mut events = 0;
-    let end = run_to_end(&context, &backend, &order, &news, &mut events).await;
+    let end = tokio::select! {
+        end = run_to_end(&context, &backend, &order, &news, &mut events) => end,
+        // Drops the exchange, which resets its connection.
+        () = order.stalled.notified() => RunEnd::Stalled,
+    };
     note_crashes(&context, &backend, &order, &end, events).await;
     drop(backend);
     // The engine is gone only when the process ends.
@@ -176,7 +186,7 @@
             let is_success = *end == RunEnd::Whole;
             crash_guard::answered(context, &backend.id, is_success, request);
         }
-        RunEnd::Broken if events < EVENTS_OF_A_SOUND_RUN => {
+        RunEnd::Broken | RunEnd::Stalled if events < EVENTS_OF_A_SOUND_RUN => {
             let broken = UnansweredSend {
                 request: request(),
                 id: order.key.item.to_string(),
@@ -187,6 +197,7 @@
             crash_evidence::send_broke(context, broken).await;
         }
         RunEnd::Broken
+        | RunEnd::Stalled
         | RunEnd::NotRun
         | RunEnd::TooLate
         | RunEnd::Unreachable
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -1,8 +1,9 @@
 //! What runs and reward calls bring, and how an item ends.
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::circuit_breaker::CircuitBreaker;
 use havenstage_rollout::ids::{BackendId, ModelName};
-use havenstage_rollout::record::{BatchRecord, GiveUpReason, Outcome};
+use havenstage_rollout::record::{BatchRecord, GiveUpReason, Outcome, OutputEvent};
 use log::{info, warn};
 
 use super::Engine;
@@ -11,28 +12,45 @@
 use super::run::{ItemKey, RunEnd, RunMessage, RunNews};
 use crate::metrics;
 
-/// First pause of a back end that turned an item away.
-const TURNED_AWAY_PAUSE_MS: Millis = 60;
-/// First pause of a back end that failed at an item; doubles with each further failure.
-const FAILED_PAUSE_MS: Millis = 250;
-/// Longest pause of a back end.
-const LONGEST_PAUSE_MS: Millis = 2_000;
-
 impl Engine {
     pub(super) fn take_news(&mut self, message: RunMessage) {
-        let Some(item) = self.items.get_mut(&message.key) else {
+        let Some(item) = self.items.get(&message.key) else {
             return;
         };
         if item.run != message.run {
             return;
         }
         match message.news {
-            RunNews::Event(event) => item.add_event(event),
+            RunNews::Event(event) => self.take_event(&message.key, event),
             RunNews::Ended(end) => self.run_ended(&message.key, &end),
             RunNews::Scored(end) => self.scored(&message.key, end),
         }
     }
 
+    fn take_event(&mut self, key: &ItemKey, event: OutputEvent) {
+        let now = self.context.now();
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        item.add_event(event);
+        let Phase::Running {
+            backend,
+            since,
+            last_event,
+            ..
+        } = &mut item.phase
+        else {
+            return;
+        };
+        let before = last_event.replace(now);
+        let gap_ms = before.map(|before| now.saturating_sub(before));
+        let (backend, began) = (backend.clone(), *since);
+        self.stalls.detector.heard(&backend, gap_ms, now);
+        if before.is_none() {
+            self.breaker_answered(&backend, began);
+        }
+    }
+
     pub(super) fn run_ended(&mut self, key: &ItemKey, end: &RunEnd) {
         self.needs_plan = true;
         let now = self.context.now();
@@ -42,7 +60,8 @@
         let Phase::Running { backend, since, .. } = &item.phase else {
             return;
         };
-        let (backend, took_ms) = (backend.clone(), now - since);
+        let (backend, began) = (backend.clone(), *since);
+        let took_ms = now - began;
         metrics::run_ended(end.name(), took_ms);
         info!(event = "run_ended", request = key.item.as_str(), batch = key.batch.as_str(),
             backend = backend.as_str(), outcome = end.name(), resumed_from = item.resumed_from,
@@ -53,7 +72,7 @@
         if let Some(progress) = item.take_progress(key) {
             self.push(partition, &progress);
         }
-        self.judge_backend(key, &backend, end, made_progress);
+        self.judge_backend(key, &backend, end, began, made_progress);
         match end {
             RunEnd::Whole => self.text_is_whole(key),
             RunEnd::Impossible => self.give_up(key, GiveUpReason::Impossible),
@@ -62,6 +81,7 @@
             | RunEnd::TooLate
             | RunEnd::Unreachable
             | RunEnd::Broken
+            | RunEnd::Stalled
             | RunEnd::WrongVersion(_) => {}
         }
     }
@@ -71,18 +91,20 @@
         key: &ItemKey,
         backend: &BackendId,
         end: &RunEnd,
+        began: Millis,
         made_progress: bool,
     ) {
         let now = self.context.now();
         match end {
             RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => {
-                self.pauses.remove(backend);
+                self.breaker_answered(backend, began);
             }
             RunEnd::NotRun => {
-                let pause = self.pauses.entry(backend.clone()).or_default();
-                pause.until = pause.until.max(now + TURNED_AWAY_PAUSE_MS);
+                self.breaker_answered(backend, began);
+                self.breaker(backend).turned_away(now);
             }
             RunEnd::WrongVersion(version) => {
+                self.breaker_answered(backend, began);
                 if let Some(model) = self.model_of(key) {
                     self.context
                         .backends
@@ -91,17 +113,46 @@
                     self.context.control_changed.notify_one();
                 }
             }
-            RunEnd::TooLate => {}
-            RunEnd::Broken if made_progress => {}
+            // Its breaker opened when it was told to end.
+            RunEnd::TooLate | RunEnd::Stalled => {}
+            RunEnd::Broken if made_progress => {
+                let open_ms = self.breaker(backend).cut_short(now);
+                tell_opened(backend, end.name(), open_ms);
+            }
             RunEnd::Broken | RunEnd::Unreachable => {
-                let pause = self.pauses.entry(backend.clone()).or_default();
-                let length = FAILED_PAUSE_MS << pause.failures.min(4);
-                pause.failures += 1;
-                pause.until = now + length.min(LONGEST_PAUSE_MS);
+                if *end == RunEnd::Unreachable {
+                    self.stalls.detector.unreachable(backend, now);
+                }
+                self.backend_failed(backend, end.name(), began);
             }
         }
     }
 
+    /// A run that began at `began` failed without progress, or its back end is silent now.
+    pub(super) fn backend_failed(
+        &mut self,
+        backend: &BackendId,
+        cause: &'static str,
+        began: Millis,
+    ) {
+        let now = self.context.now();
+        let open_ms = self.breaker(backend).failed(began, now);
+        tell_opened(backend, cause, open_ms);
+    }
+
+    fn breaker(&mut self, backend: &BackendId) -> &mut CircuitBreaker {
+        self.breakers.entry(backend.clone()).or_default()
+    }
+
+    fn breaker_answered(&mut self, backend: &BackendId, began: Millis) {
+        let Some(breaker) = self.breakers.get_mut(backend) else {
+            return;
+        };
+        if breaker.answered(began) {
+            info!(event = "breaker_closed", backend = backend.as_str(); "");
+        }
+    }
+
     pub(super) fn model_of(&self, key: &ItemKey) -> Option<ModelName> {
         let inner = self.context.partition_of(&key.batch).lock();
         inner.state.batch(&key.batch)?.model.clone()
@@ -201,3 +252,11 @@
         self.outbox(partition).is_urgent = true;
     }
 }
+
+/// Tells that a breaker opened, if it did.
+fn tell_opened(backend: &BackendId, cause: &'static str, open_ms: Option<Millis>) {
+    let Some(open_ms) = open_ms else { return };
+    metrics::breaker_opened(cause);
+    info!(event = "breaker_opened", backend = backend.as_str(), cause = cause,
+        open_ms = open_ms; "");
+}
--- /dev/null
+++ b/crates/gateway/src/engine/stalls.rs
@@ -0,0 +1,95 @@
+//! Ends runs that are stalled, so that their items go on elsewhere.
+
+use havenstage_rollout::Millis;
+use havenstage_rollout::stall::{Stall, StallDetector, WatchedRun};
+use log::info;
+
+use super::Engine;
+use super::candidates::ORDER_KEEPS_AWAY_MS;
+use super::live::Phase;
+use super::run::{ItemKey, RunEnd};
+use crate::metrics;
+
+/// Time between two looks at the runs under way.
+const LOOK_AGAIN_MS: Millis = 100;
+
+/// When the runs under way were last looked at, and what is heard of their back ends.
+#[derive(Debug, Default)]
+pub(super) struct StallWatch {
+    pub(super) detector: StallDetector,
+    looked_at: Millis,
+}
+
+impl Engine {
+    /// Ends the runs that are stalled, when it is time to look again.
+    pub(super) fn end_stalled_runs(&mut self) {
+        let now = self.context.now();
+        if now.saturating_sub(self.stalls.looked_at) < LOOK_AGAIN_MS {
+            return;
+        }
+        self.stalls.looked_at = now;
+        self.forget_unlisted();
+        let runs = self.items.iter().filter_map(|(key, item)| {
+            let Phase::Running {
+                backend,
+                since,
+                last_event,
+                stalled: Some(_),
+                ..
+            } = &item.phase
+            else {
+                return None;
+            };
+            let watched = WatchedRun {
+                backend,
+                began: *since,
+                last_event: *last_event,
+            };
+            Some((key.clone(), watched))
+        });
+        let (keys, watched): (Vec<ItemKey>, Vec<WatchedRun<'_>>) = runs.unzip();
+        let control = &self.context.control;
+        let stalls = self.stalls.detector.look(
+            &watched,
+            |backend| {
+                let control = control.lock();
+                let order = control.state.pending(backend);
+                order.is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS)
+            },
+            now,
+        );
+        for stall in stalls {
+            self.end_stalled(&keys[stall.run], &stall);
+        }
+    }
+
+    /// The run tells its end itself, once it is known whether the back end ended under it.
+    fn end_stalled(&mut self, key: &ItemKey, stall: &Stall) {
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        let Phase::Running {
+            backend, stalled, ..
+        } = &mut item.phase
+        else {
+            return;
+        };
+        let Some(stalled) = stalled.take() else {
+            return;
+        };
+        let backend = backend.clone();
+        metrics::run_stalled(stall.reason.name());
+        info!(event = "run_stalled", request = key.item.as_str(), batch = key.batch.as_str(),
+            backend = backend.as_str(), reason = stall.reason.name(), quiet_ms = stall.quiet_ms,
+            events = item.events; "");
+        stalled.notify_one();
+        self.backend_failed(&backend, RunEnd::Stalled.name(), self.context.now());
+    }
+
+    fn forget_unlisted(&mut self) {
+        let backends = self.context.backends.lock();
+        let list = &backends.list;
+        self.breakers.retain(|id, _| list.get(id).is_some());
+        self.stalls.detector.retain(|id| list.get(id).is_some());
+    }
+}
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -1,5 +1,6 @@
 //! Starts runs of items, with the output that is kept of them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use havenstage_clock::Instant;
@@ -9,6 +10,7 @@
 use havenstage_rollout::record::OutputEvent;
 use havenstage_rollout::slow_start::Sender;
 use log::info;
+use tokio::sync::Notify;
 
 use super::live::{LiveItem, OwnedTask, Phase};
 use super::run::{self, ItemKey, RunOrder, VersionRule};
@@ -46,6 +48,7 @@
             return;
         };
         let run = item.begin_run();
+        let stalled = Arc::new(Notify::new());
         let order = RunOrder {
             key: key.clone(),
             run,
@@ -61,6 +64,7 @@
             deadline: start.deadline,
             write_by,
             urgency,
+            stalled: stalled.clone(),
         };
         let resumed_from = item.resumed_from;
         let known_age_ms = self
@@ -73,8 +77,14 @@
         item.phase = Phase::Running {
             backend: backend_id.clone(),
             since: now,
+            last_event: None,
+            stalled: Some(stalled),
             _task: OwnedTask(task.abort_handle()),
         };
+        self.breakers
+            .entry(backend_id.clone())
+            .or_default()
+            .started(now);
         // Nothing is started of a partition that was never read to its end.
         if let Some(known_age_ms) = known_age_ms {
             metrics::run_started(known_age_ms);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -110,6 +110,16 @@
     histogram!("gateway_run_ms", "outcome" => outcome).record(took_ms as f64);
 }
 
+/// A back end gets no items for a while after a run ended there so.
+pub fn breaker_opened(cause: &'static str) {
+    counter!("gateway_breakers_opened_total", "cause" => cause).increment(1);
+}
+
+/// A run was ended as its back end fell silent.
+pub fn run_stalled(reason: &'static str) {
+    counter!("gateway_runs_stalled_total", "reason" => reason).increment(1);
+}
+
 /// Results were written to the log, or not.
 pub fn results_written(outcome: &'static str, took_ms: u64) {
     counter!("gateway_appends_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -54,6 +54,8 @@
     pub ended_by: Option<String>,
     /// Its process ends a moment after it begins to load this version.
     pub ended_by_version: Option<u64>,
+    /// Time that a load of weights takes, in which streams pause.
+    pub load_time: Duration,
     /// Time for which a process that ends still listens after its connections closed.
     pub listens_on: Duration,
 }
@@ -97,6 +99,7 @@
     pub address: SocketAddr,
     behaviour: Mutex<Behaviour>,
     seen: Mutex<Vec<Seen>>,
+    loads_until: Mutex<Option<Instant>>,
     orders: Mutex<Vec<(String, Instant)>>,
     at_work: Arc<AtomicUsize>,
     turned_away: AtomicUsize,
@@ -140,6 +143,7 @@
             places: None,
             ended_by: None,
             ended_by_version: None,
+            load_time: Duration::ZERO,
             listens_on: Duration::ZERO,
         };
         let backend = Arc::new(Self {
@@ -147,6 +151,7 @@
             address: listener.local_addr().unwrap(),
             behaviour: Mutex::new(behaviour),
             seen: Mutex::default(),
+            loads_until: Mutex::default(),
             orders: Mutex::default(),
             at_work: Arc::default(),
             turned_away: AtomicUsize::new(0),
@@ -216,6 +221,23 @@
         runs
     }
 
+    /// Loads weights.
+    async fn load(&self) {
+        let load_time = self.behaviour().load_time;
+        if load_time.is_zero() {
+            return;
+        }
+        *self.loads_until.lock().unwrap() = Some(Instant::now() + load_time);
+        tokio::time::sleep(load_time).await;
+    }
+
+    async fn until_loaded(&self) {
+        let until = *self.loads_until.lock().unwrap();
+        if let Some(until) = until {
+            havenstage_clock::sleep_until(until).await;
+        }
+    }
+
     fn behaviour(&self) -> Behaviour {
         self.behaviour.lock().unwrap().clone()
     }
@@ -264,7 +286,7 @@
     let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
     let path = head.uri.path().to_owned();
     match path.as_str() {
-        "/order" => return Ok(take_order(&backend, &body)),
+        "/order" => return Ok(take_order(&backend, &body).await),
         "/report" => {
             return Ok(whole(
                 StatusCode::OK,
@@ -314,7 +336,7 @@
     });
 }
 
-fn take_order(backend: &Arc<StandInBackend>, body: &Bytes) -> Response<Body> {
+async fn take_order(backend: &Arc<StandInBackend>, body: &Bytes) -> Response<Body> {
     if backend.behaviour().refuses_orders {
         return whole(StatusCode::CONFLICT, String::new());
     }
@@ -325,8 +347,9 @@
         end_soon(backend);
         return whole(StatusCode::ACCEPTED, String::new());
     }
-    backend.behave(|behaviour| behaviour.version = version);
     backend.orders.lock().unwrap().push((order, Instant::now()));
+    backend.load().await;
+    backend.behave(|behaviour| behaviour.version = version);
     whole(StatusCode::OK, String::new())
 }
 
@@ -412,6 +435,7 @@
                 return None;
             }
             tokio::time::sleep(pause).await;
+            backend.until_loaded().await;
             let now_version = backend.behaviour().version;
             let change = match now_version == version {
                 true => String::new(),
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod batch_index;
 pub mod batch_state;
 pub mod checkpoint;
+pub mod circuit_breaker;
 pub mod claim_delay;
 pub mod concurrency_limit;
 pub mod control;
@@ -33,6 +34,7 @@
 pub mod schedule;
 pub mod sizing;
 pub mod slow_start;
+pub mod stall;
 pub mod stored;
 pub mod usage;
 
