--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -9,8 +9,8 @@
 
 use havenstage_http_link::{Link, LinkSettings};
 use havenstage_rollout::Millis;
+use havenstage_rollout::back_end_speed::{BackEndSpeed, SharedGap};
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
-use havenstage_rollout::event_gap::RecentGaps;
 use havenstage_rollout::health::HealthBoard;
 use havenstage_rollout::ids::{
     BackendId, BackendName, ModelName, PoolName, RegionName, Version, ZoneName,
@@ -61,7 +61,7 @@
     links: HashMap<BackendId, Link>,
     in_flight: HashMap<BackendId, u32>,
     versions: HashMap<(BackendId, ModelName), Version>,
-    event_gaps: HashMap<BackendId, RecentGaps>,
+    speeds: HashMap<BackendId, BackEndSpeed>,
     regions: RegionMap,
     slow_start: SlowStart,
     /// What the back ends of each pool bear while they are cold, as configured.
@@ -291,7 +291,7 @@
         self.links.retain(|id, _| list.get(id).is_some());
         self.health.retain(|id| list.get(id).is_some());
         self.versions.retain(|(id, _), _| list.get(id).is_some());
-        self.event_gaps.retain(|id, _| list.get(id).is_some());
+        self.speeds.retain(|id, _| list.get(id).is_some());
     }
 
     fn best_for_call(
@@ -384,16 +384,13 @@
         self.versions.insert((id.clone(), model.clone()), version);
     }
 
-    /// Two events of a stream came so far apart.
-    pub fn saw_event_gap(&mut self, id: &BackendId, gap_ms: f64, now: Millis) {
-        self.event_gaps
-            .entry(id.clone())
-            .or_default()
-            .saw(gap_ms, now);
+    /// Events of a stream came so far apart.
+    pub fn saw_event_gap(&mut self, id: &BackendId, gap: SharedGap, now: Millis) {
+        self.speeds.entry(id.clone()).or_default().saw(gap, now);
     }
 
-    /// Usual time between two events of a stream, if any came lately.
+    /// Lasting time between two events of a stream, if this node knows it.
     pub fn event_gap_ms(&self, id: &BackendId, now: Millis) -> Option<f64> {
-        self.event_gaps.get(id)?.median_ms(now)
+        self.speeds.get(id)?.lasting_ms(now)
     }
 }
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::back_end_speed::median;
 use havenstage_rollout::circuit_breaker::Admission;
-use havenstage_rollout::event_gap::median;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
 use havenstage_rollout::schedule::Candidate;
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, LinkError, Sending};
+use havenstage_rollout::back_end_speed::StreamGaps;
 use havenstage_rollout::batch::Item;
 use havenstage_rollout::event_stream::EventReader;
 use havenstage_rollout::ids::{BackendId, BatchId, ItemId, RunId, TenantName, Version};
@@ -334,6 +335,7 @@
     let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
     let mut count = u64::from(order.resumed_from);
     let mut last_event = Instant::now();
+    let mut gaps = StreamGaps::default();
     let is_framed = answer.is_framed();
     loop {
         let bytes = match tokio::time::timeout(EVENT_TIMEOUT, answer.next_bytes()).await {
@@ -359,11 +361,11 @@
             }
             let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
             last_event = Instant::now();
-            let now = context.now();
-            context
-                .backends
-                .lock()
-                .saw_event_gap(&backend.id, gap_ms, now);
+            if let Some(gap) = gaps.saw(gap_ms) {
+                let now = context.now();
+                let mut backends = context.backends.lock();
+                backends.saw_event_gap(&backend.id, gap, now);
+            }
             let event = OutputEvent {
                 version: made_by,
                 data: event.data,
--- a/crates/gateway/src/engine/stalls.rs
+++ b/crates/gateway/src/engine/stalls.rs
@@ -1,7 +1,7 @@
 //! Ends runs that are stalled, so that their items go on elsewhere.
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::stall::{Stall, StallDetector, WatchedRun};
+use havenstage_rollout::stall::{NodeState, Stall, StallDetector, WatchedRun};
 use log::info;
 
 use super::Engine;
@@ -49,6 +49,10 @@
         });
         let (keys, watched): (Vec<ItemKey>, Vec<WatchedRun<'_>>) = runs.unzip();
         let control = &self.context.control;
+        let node = NodeState {
+            now,
+            contact_age_ms: self.context.contact_age(),
+        };
         let stalls = self.stalls.detector.look(
             &watched,
             |backend| {
@@ -56,7 +60,7 @@
                 let order = control.state.pending(backend);
                 order.is_some_and(|order| now.saturating_sub(order.since) < ORDER_KEEPS_AWAY_MS)
             },
-            now,
+            node,
         );
         for stall in stalls {
             self.end_stalled(&keys[stall.run], &stall);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -3,6 +3,7 @@
 //! end loads which version next. Time is passed in as milliseconds on a steady clock.
 
 pub mod access;
+pub mod back_end_speed;
 pub mod backend;
 pub mod backend_digest;
 pub mod batch;
@@ -15,7 +16,6 @@
 pub mod control;
 pub mod control_record;
 pub mod crash_ledger;
-pub mod event_gap;
 pub mod event_stream;
 pub mod fleet_size;
 pub mod fold;
--- a/crates/rollout/src/stall.rs
+++ b/crates/rollout/src/stall.rs
@@ -2,9 +2,9 @@
 //!
 //! The load that this answers: a back end goes dark under its runs. Nothing comes any more, and no connection breaks.
 //! Its silence is measured against the gaps that its events had before. It is explained otherwise, and waited for,
-//! while weights are loaded there, while this node stood still, and while more of the back ends that this node uses
-//! are silent than are heard from: then it is this node's own link or processor, and its items would be no better
-//! off elsewhere. A false alarm costs a connection and a prompt that is read again, as output is resumed.
+//! while weights are loaded there, while this node stood still, and while so many of the back ends that this node
+//! uses are silent that it is this node's own link or processor: its items would be no better off elsewhere. How many
+//! that are depends on whether the log answers this node: a node that it answers has a link. A false alarm costs a connection and a prompt that is read again, as output is resumed.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -27,6 +27,11 @@
 const UNREACHABLE_PATIENCE_MS: Millis = 300;
 /// Silence for which a back end counts as silent when this node's back ends are compared.
 const SILENT_MS: Millis = 300;
+/// Back ends that may be silent for a node that the log answers though none is heard from: the last items of a step
+/// run on few.
+const FEW_BACKENDS: usize = 3;
+/// Silent ones for each that is heard from, for such a node: one in a zone that was cut off hears a third of all.
+const MOST_SILENT_PER_HEARD: usize = 4;
 /// Time between two looks above which this node stood still, and what came meanwhile may not be read yet.
 const LATE_LOOK_MS: Millis = 400;
 /// Share of the runs that may be handed over within a second: those of one zone of three.
@@ -84,6 +89,15 @@
     pub quiet_ms: Millis,
 }
 
+/// What this node knows of itself when it looks at its runs.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeState {
+    /// Now.
+    pub now: Millis,
+    /// Time since the log last answered this node.
+    pub contact_age_ms: Millis,
+}
+
 /// What this node hears from back ends, and which of its runs there are stalled.
 #[derive(Debug, Default)]
 pub struct StallDetector {
@@ -140,15 +154,16 @@
         &mut self,
         runs: &[WatchedRun<'_>],
         is_loading: impl Fn(&BackendId) -> bool,
-        now: Millis,
+        node: NodeState,
     ) -> Vec<Stall> {
+        let now = node.now;
         let last_look = self.last_look.replace(now);
         if last_look.is_none_or(|last| now.saturating_sub(last) > LATE_LOOK_MS) {
             self.counted_from = now;
             return Vec::new();
         }
         let used = by_backend(runs);
-        if self.is_this_node_silent(&used, runs, now) {
+        if self.is_this_node_silent(&used, runs, node) {
             self.counted_from = now;
             return Vec::new();
         }
@@ -183,13 +198,14 @@
         heard.max(of_run).max(counted_from).max(self.counted_from)
     }
 
-    /// Whether more back ends are silent than are heard from.
+    /// Whether silence is this node's own, by how many back ends are silent and how many are heard from.
     fn is_this_node_silent(
         &self,
         used: &BTreeMap<&BackendId, Vec<usize>>,
         runs: &[WatchedRun<'_>],
-        now: Millis,
+        node: NodeState,
     ) -> bool {
+        let now = node.now;
         let (mut silent, mut heard) = (0, 0);
         for (backend, of_backend) in used {
             let latest = self.backends.get(*backend).and_then(|seen| seen.heard);
@@ -201,7 +217,10 @@
                 false => {}
             }
         }
-        heard < silent
+        match node.contact_age_ms < SILENT_MS {
+            true => silent > FEW_BACKENDS.max(heard * MOST_SILENT_PER_HEARD),
+            false => heard < silent,
+        }
     }
 
     fn judge(&self, run: usize, watched: &WatchedRun<'_>, now: Millis) -> Option<Stall> {
