--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -7,7 +7,7 @@
 use havenstage_rollout::circuit_breaker::Admission;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
-use havenstage_rollout::schedule::Candidate;
+use havenstage_rollout::schedule::{Candidate, TokenMemory};
 use havenstage_rollout::slow_start::Sender;
 
 use super::Engine;
@@ -40,6 +40,8 @@
     ) -> Vec<Candidate> {
         let own_node = &self.context.node;
         let elsewhere = self.context.occupied(|node| node != own_node);
+        let tokens_elsewhere = self.tokens_elsewhere();
+        let capacity = pool.and_then(|pool| pool.memory_tokens);
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let owners = self.context.batch_owners();
@@ -81,11 +83,15 @@
             };
             let cold_allowance = backends.cold_allowance(id, sender, now);
             let allowance = allowance.into_iter().chain(cold_allowance).min();
+            let tokens = |of: &BTreeMap<BackendId, u32>| of.get(id).copied().unwrap_or(0);
+            let expected =
+                tokens(self.lengths.on_backends()).saturating_add(tokens(&tokens_elsewhere));
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
                 running,
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
+                memory: TokenMemory { capacity, expected },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
@@ -106,6 +112,12 @@
         running
     }
 
+    /// Tokens that other nodes' items are expected to hold on each back end, as they tell.
+    fn tokens_elsewhere(&self) -> BTreeMap<BackendId, u32> {
+        let own_node = &self.context.node;
+        self.context.expected_tokens(|node| node != own_node)
+    }
+
     fn groups_by_backend(&self) -> HashMap<BackendId, HashSet<GroupId>> {
         let mut groups: HashMap<BackendId, HashSet<GroupId>> = HashMap::new();
         for item in self.items.values() {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeat;
 mod held_back;
 mod leases;
+mod lengths;
 mod live;
 mod outbox;
 mod plan;
@@ -41,6 +42,7 @@
 use ends_seen::BATCH_ENDED;
 use heartbeat::Heartbeats;
 use held_back::HeldBack;
+use lengths::Lengths;
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
@@ -78,6 +80,7 @@
     has_told_release: bool,
     breakers: HashMap<BackendId, CircuitBreaker>,
     stalls: StallWatch,
+    lengths: Lengths,
     carried: HashMap<BatchId, Carried>,
     held_back: BTreeMap<usize, HeldBack>,
     /// Items of which it was told that they are barred.
@@ -122,6 +125,7 @@
             has_told_release: false,
             breakers: HashMap::new(),
             stalls: StallWatch::default(),
+            lengths: Lengths::default(),
             carried: HashMap::new(),
             held_back: BTreeMap::new(),
             told_barred: HashSet::new(),
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -7,6 +7,7 @@
 usage: havenstage COMMAND [OPTIONS]
 
 commands:
+  serve     run the rollout service in one process, with a store in memory
   node      run a node
   ctl       create, read and watch resources; ask why things happened
   standin   run a stand-in of a platform service, for tests and trials
@@ -25,6 +26,31 @@
   havenstage node --config node.toml
 ";
 
+/// `havenstage serve`
+pub const SERVE: &str = "\
+havenstage serve - run the rollout service in one process
+
+usage: havenstage serve [--config FILE] [OPTIONS]
+
+Runs the gateway with a store in the memory of the process. Without a file it serves the model
+policy on two emulated engines: batches of samples at /v1/batches/ and completions at
+/v1/completions. Nothing outlives the process. Logs are JSON lines on standard output.
+
+options (each stands before the file's value):
+  --config FILE      settings, in TOML; every key has a default
+  --check-config     check the settings and exit
+  --callers ADDR     IP:PORT for callers and trainers (default 127.0.0.1:7800)
+  --operators ADDR   IP:PORT for operators, asked with ctl get (default 127.0.0.1:7801)
+  --ready ADDR       IP:PORT that tells whether it takes requests (default 127.0.0.1:7802)
+
+SIGTERM or SIGINT starts a planned stop: no new work, work in flight finishes, exit 0.
+
+exit codes: 0 ok, 1 failed (such as an address in use), 2 usage or settings
+
+example:
+  havenstage serve --callers 127.0.0.1:7800
+";
+
 /// `havenstage node`
 pub const NODE: &str = "\
 havenstage node - run a node
@@ -62,6 +88,7 @@
 actions:
   apply -f FILE                    create or update the resources of a .json or .toml file
   get KIND NAME                    show a resource
+  get pools|routes|engines         show what a served gateway knows, and how old that is
   list KIND                        show all resources of a kind
   watch KIND                       show changes of a kind as they happen
   delete KIND NAME                 delete a resource
@@ -156,27 +183,14 @@
 pub const BENCH: &str = "\
 havenstage bench - measure the system
 
-usage: havenstage bench run EXPERIMENT.toml [--seed N] [--json FILE] [--svg FILE]
-       havenstage bench compare A.toml B.toml [C.toml ..] [--seeds N] [--parallel N] [--json FILE]
-       havenstage bench latency [OPTIONS]
+usage: havenstage bench latency [OPTIONS]
        havenstage bench latency --engine ADDR --home ADDR --front ADDR --pool NAME [OPTIONS]
 
-run drives an experiment on a virtual clock through the real node code and prints what came of it;
-the same file and seed give the same digits. compare runs several experiments on the same seeds
-(default 3) and prints ratios to the first one with their spread.
-
 latency measures the time a node adds to a request against calling the engine directly, and the
 requests a second one node serves. Without addresses it starts everything in this process, each
 node on two threads. With addresses it measures an engine that answers at once and two nodes.
 
-options of run and compare:
-  --seed N       seed instead of the file's
-  --seeds N      seeds, counted up from that of the first file
-  --parallel N   runs at once (default 2)
-  --json FILE    also write everything measured as JSON
-  --svg FILE     also draw step times, staleness, live latencies and swap times
-
-options of latency:
+options:
   --seconds N               time of the whole measurement (default 60)
   --rounds N                alternations of the latency cases (default 10)
   --latency-connections N   connections while latency is measured (default 1)
@@ -192,7 +206,6 @@
 exit codes: 0 ok, 1 failed, 2 usage
 
 example:
-  havenstage bench run crates/bench/experiments/po-valley.toml --svg po-valley.svg
   havenstage bench latency --seconds 120 --json latency.json
 ";
 
