--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, LinkError, Sending};
+use havenstage_rollout::back_end_speed::StreamGaps;
 use havenstage_rollout::batch::Item;
 use havenstage_rollout::event_stream::EventReader;
 use havenstage_rollout::ids::{BackendId, BatchId, ItemId, RunId, TenantName, Version};
@@ -13,6 +14,7 @@
 use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::reward::ScoreEnd;
@@ -76,6 +78,8 @@
     Unreachable,
     /// The stream broke off, fell silent, or brought something else.
     Broken,
+    /// Nothing came any more, and the item goes on elsewhere.
+    Stalled,
     /// The back end failed.
     Failed,
     /// The back end said that it can never be done.
@@ -93,6 +97,7 @@
             Self::TooLate => "too_late",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Stalled => "stalled",
             Self::Failed => "failed",
             Self::Impossible => "impossible",
             Self::WrongVersion(_) => "wrong_version",
@@ -141,6 +146,8 @@
     pub write_by: Instant,
     /// How urgent the back end is to take it.
     pub urgency: u8,
+    /// Told when the run counts as stalled.
+    pub stalled: Arc<Notify>,
 }
 
 /// Makes a run and tells the engine of each event and of the end.
@@ -151,7 +158,11 @@
     news: UnboundedSender<RunMessage>,
 ) {
     let mut events = 0;
-    let end = run_to_end(&context, &backend, &order, &news, &mut events).await;
+    let end = tokio::select! {
+        end = run_to_end(&context, &backend, &order, &news, &mut events) => end,
+        // Drops the exchange, which resets its connection.
+        () = order.stalled.notified() => RunEnd::Stalled,
+    };
     note_crashes(&context, &backend, &order, &end, events).await;
     drop(backend);
     // The engine is gone only when the process ends.
@@ -176,7 +187,7 @@
             let is_success = *end == RunEnd::Whole;
             crash_guard::answered(context, &backend.id, is_success, request);
         }
-        RunEnd::Broken if events < EVENTS_OF_A_SOUND_RUN => {
+        RunEnd::Broken | RunEnd::Stalled if events < EVENTS_OF_A_SOUND_RUN => {
             let broken = UnansweredSend {
                 request: request(),
                 id: order.key.item.to_string(),
@@ -187,6 +198,7 @@
             crash_evidence::send_broke(context, broken).await;
         }
         RunEnd::Broken
+        | RunEnd::Stalled
         | RunEnd::NotRun
         | RunEnd::TooLate
         | RunEnd::Unreachable
@@ -323,6 +335,7 @@
     let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
     let mut count = u64::from(order.resumed_from);
     let mut last_event = Instant::now();
+    let mut gaps = StreamGaps::default();
     let is_framed = answer.is_framed();
     loop {
         let bytes = match tokio::time::timeout(EVENT_TIMEOUT, answer.next_bytes()).await {
@@ -348,11 +361,11 @@
             }
             let gap_ms = last_event.elapsed().as_secs_f64() * 1_000.0;
             last_event = Instant::now();
-            let now = context.now();
-            context
-                .backends
-                .lock()
-                .saw_event_gap(&backend.id, gap_ms, now);
+            if let Some(gap) = gaps.saw(gap_ms) {
+                let now = context.now();
+                let mut backends = context.backends.lock();
+                backends.saw_event_gap(&backend.id, gap, now);
+            }
             let event = OutputEvent {
                 version: made_by,
                 data: event.data,
