havenstage serve: operators apply, get, watch, drain and delete resources

Cause: pools and routes of `serve` came from its settings file only; nothing could be changed or watched at run time. Change: pools and routes are applied against revisions, checked like the settings file (key, value, what is allowed), and written as one new configuration of the operators' directory, so that a change is there whole or not at all; the answer comes once the node works by it. A change that is there already changes nothing, so that a lost answer costs nothing. A new pool starts its emulated engines. `ctl get|watch|apply|delete` take the kinds pools, routes and engines; `ctl drain|undrain` ask a served gateway first, which a node of `havenstage node` answers with unknown_kind. Two routes of one prefix are refused now, in the settings file too: the second was never reached. Ruled out: a revision for each resource (the directory holds one configuration; a conflict too much costs one repeat); ids of changes as in the old node (a repeat is seen by its content); deletion of pools with engines. Partial: a pool's engines stay as they were created; engines that are not emulated cannot be added.

--- a/crates/havenstage/src/commands/ctl/action.rs
+++ b/crates/havenstage/src/commands/ctl/action.rs
@@ -6,11 +6,13 @@
 use havenstage_config::manifest::{self, Manifest, ManifestFormat};
 use havenstage_http_api::kinds::parse_kind;
 use havenstage_http_api::routes::trainers::PublishBody;
+use havenstage_service::operators::{ResourceKind as ServedKind, ServedManifest};
 use havenstage_types::ids::{EngineName, ModelName, VersionNumber};
 use havenstage_types::resource::{EngineDesiredState, ResourceKey, ResourceKind};
 use thiserror::Error;
 
 use crate::arguments::{CommandLine, UsageError};
+use crate::commands::ctl::served;
 use crate::exit::Failure;
 
 const ACTIONS: &str =
@@ -28,10 +30,29 @@
         /// Its key.
         key: ResourceKey,
     },
-    /// Show what a served gateway knows of a kind.
-    GetKnown {
+    /// Create or update resources of a served gateway.
+    ApplyServed {
+        /// Resources in the file's order.
+        manifests: Vec<ServedManifest>,
+    },
+    /// Show what a served gateway knows of a kind, or of one resource of it.
+    GetServed {
+        /// The kind.
+        kind: ServedKind,
+        /// The resource.
+        name: Option<String>,
+    },
+    /// Show changes of a kind at a served gateway as they happen.
+    WatchServed {
+        /// The kind.
+        kind: ServedKind,
+    },
+    /// Delete a resource of a served gateway.
+    DeleteServed {
         /// The kind.
-        kind: havenstage_service::operators::ResourceKind,
+        kind: ServedKind,
+        /// The resource.
+        name: String,
     },
     /// Show all resources of a kind.
     List {
@@ -88,13 +109,11 @@
             }));
         };
         match action.as_str() {
-            "apply" => Ok(Self::Apply {
-                manifests: read_manifests(&line.required_path("-f")?)?,
-            }),
+            "apply" => apply(line),
             "get" => get(line),
             "list" => Ok(Self::List { kind: kind(line)? }),
-            "watch" => Ok(Self::Watch { kind: kind(line)? }),
-            "delete" => Ok(Self::Delete { key: key(line)? }),
+            "watch" => watch(line),
+            "delete" => delete(line),
             "explain" => Ok(Self::Explain {
                 subject: name(line)?,
             }),
@@ -109,17 +128,65 @@
     }
 }
 
-/// A kind in the plural names all that a served gateway knows; else a kind and a name follow.
+/// A kind of a served gateway may stand without a name.
 fn get(line: &mut CommandLine) -> Result<Action, Failure> {
+    let name_of = |line: &mut CommandLine| match line.word()? {
+        Some(name) => require_fit(&name).map(|()| Some(name)),
+        None => Ok(None),
+    };
+    Ok(match any_kind(line)? {
+        AnyKind::Served(kind) => Action::GetServed {
+            kind,
+            name: name_of(line)?,
+        },
+        AnyKind::OfNode(kind) => Action::Get {
+            key: key(kind, line)?,
+        },
+    })
+}
+
+fn watch(line: &mut CommandLine) -> Result<Action, Failure> {
+    Ok(match any_kind(line)? {
+        AnyKind::Served(kind) => Action::WatchServed { kind },
+        AnyKind::OfNode(kind) => Action::Watch { kind },
+    })
+}
+
+fn delete(line: &mut CommandLine) -> Result<Action, Failure> {
+    Ok(match any_kind(line)? {
+        AnyKind::Served(kind) => Action::DeleteServed {
+            kind,
+            name: name(line)?,
+        },
+        AnyKind::OfNode(kind) => Action::Delete {
+            key: key(kind, line)?,
+        },
+    })
+}
+
+fn apply(line: &mut CommandLine) -> Result<Action, Failure> {
+    let path = line.required_path("-f")?;
+    Ok(match served::read_manifests(&path)? {
+        Some(manifests) => Action::ApplyServed { manifests },
+        None => Action::Apply {
+            manifests: read_manifests(&path)?,
+        },
+    })
+}
+
+/// A kind of a served gateway, in the plural, or of `havenstage node`.
+enum AnyKind {
+    Served(ServedKind),
+    OfNode(ResourceKind),
+}
+
+fn any_kind(line: &mut CommandLine) -> Result<AnyKind, Failure> {
     let text: String = line.required()?;
     if let Ok(kind) = text.parse() {
-        return Ok(Action::GetKnown { kind });
+        return Ok(AnyKind::Served(kind));
     }
     let kind = parse_kind(&text).map_err(Failure::usage)?;
-    let name = name(line)?;
-    Ok(Action::Get {
-        key: ResourceKey { kind, name },
-    })
+    Ok(AnyKind::OfNode(kind))
 }
 
 fn engine_state(line: &mut CommandLine, state: EngineDesiredState) -> Result<Action, Failure> {
@@ -148,8 +215,7 @@
     parse_kind(&text).map_err(Failure::usage)
 }
 
-fn key(line: &mut CommandLine) -> Result<ResourceKey, Failure> {
-    let kind = kind(line)?;
+fn key(kind: ResourceKind, line: &mut CommandLine) -> Result<ResourceKey, Failure> {
     let name = name(line)?;
     Ok(ResourceKey { kind, name })
 }
--- a/crates/havenstage/src/commands/ctl/mod.rs
+++ b/crates/havenstage/src/commands/ctl/mod.rs
@@ -5,12 +5,16 @@
 mod client;
 mod output;
 mod read;
+mod served;
 mod table;
 mod watch;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use havenstage_service::operators::EngineState;
+use havenstage_types::resource::EngineDesiredState;
+
 use crate::arguments::CommandLine;
 use crate::commands::block_on;
 use crate::exit::Failure;
@@ -70,11 +74,24 @@
         Action::Apply { manifests } => changes.apply(manifests, output).await,
         Action::Delete { key } => changes.delete(key, output).await,
         Action::SetEngineState { engine, state } => {
+            let served_state = match state {
+                EngineDesiredState::Active => EngineState::Active,
+                EngineDesiredState::Draining => EngineState::Draining,
+            };
+            let name = engine.as_str();
+            if served::set_engine_state(&client, name, served_state, output).await? {
+                return Ok(());
+            }
             changes.set_engine_state(engine, state, output).await
         }
         Action::Publish { model, version } => changes.publish(model, version, output).await,
         Action::Get { key } => read::get(&client, &key, output).await,
-        Action::GetKnown { kind } => read::get_known(&client, kind, output).await,
+        Action::ApplyServed { manifests } => served::apply(&client, manifests, output).await,
+        Action::GetServed { kind, name } => {
+            served::get(&client, kind, name.as_deref(), output).await
+        }
+        Action::WatchServed { kind } => served::watch(&client, kind, output).await,
+        Action::DeleteServed { kind, name } => served::delete(&client, kind, &name, output).await,
         Action::List { kind } => read::list(&client, kind, output).await,
         Action::Explain { subject } => read::explain(&client, &subject, output).await,
         Action::Status => read::status(&client, output).await,
--- a/crates/havenstage/src/commands/ctl/read.rs
+++ b/crates/havenstage/src/commands/ctl/read.rs
@@ -5,7 +5,6 @@
 use havenstage_config::manifest::Manifest;
 use havenstage_http_api::routes::operators::{Explanation, ResourceList};
 use havenstage_node::node::NodeStatus;
-use havenstage_service::operators::{KnownResources, ResourceKind as KnownKind};
 use havenstage_types::resource::{ResourceKey, ResourceKind};
 
 use crate::commands::ctl::client::ApiClient;
@@ -24,13 +23,6 @@
     output.show(&manifest, table::resource)
 }
 
-/// Shows what a served gateway knows of a kind, and how old that is.
-pub async fn get_known(client: &ApiClient, kind: KnownKind, output: Output) -> Result<(), Failure> {
-    let path = format!("/apis/v1/{kind}");
-    let known: KnownResources = client.get(&path, Duration::ZERO).await?;
-    output.show(&known, table::known_resources)
-}
-
 /// Shows all resources of a kind.
 pub async fn list(client: &ApiClient, kind: ResourceKind, output: Output) -> Result<(), Failure> {
     let path = format!("/apis/v1/{kind}");
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -88,7 +88,6 @@
 actions:
   apply -f FILE                    create or update the resources of a .json or .toml file
   get KIND NAME                    show a resource
-  get pools|routes|engines         show what a served gateway knows, and how old that is
   list KIND                        show all resources of a kind
   watch KIND                       show changes of a kind as they happen
   delete KIND NAME                 delete a resource
@@ -99,7 +98,9 @@
   versions publish MODEL NUMBER --location LOCATION
                                    publish a weight version
 
-kinds: Job, WeightVersion, Pool, PriorityRule, Engine
+kinds of havenstage node: Job, WeightVersion, Pool, PriorityRule, Engine
+kinds of havenstage serve: pools, routes, engines; get shows what it was told by its directories and
+how old that is, with a name or all; changes are waited for
 
 options:
   --server ADDR       IP:PORT of any node
--- a/crates/havenstage/tests/serve.rs
+++ b/crates/havenstage/tests/serve.rs
@@ -275,3 +275,176 @@
     let ran = havenstage(&["serve", "--check-config"]);
     assert_eq!((ran.code, ran.stdout.as_str()), (Some(0), "settings ok\n"));
 }
+
+fn apply(served: &Served, name: &str, manifests: &str) -> support::Ran {
+    let path = file(name, manifests);
+    served.ctl(&["apply", "-f", path.to_str().unwrap()])
+}
+
+const SECOND_POOL: &str = r#"
+[[resource]]
+kind = "pools"
+name = "second"
+spec = { model = "second", emulated_engines = 1 }
+
+[[resource]]
+kind = "routes"
+name = "second"
+spec = { path_prefix = "/second/", kind = "batch", pools = [{ pool = "second" }] }
+"#;
+
+fn revision(served: &Served, kind: &str, name: &str) -> u64 {
+    let known = served.ctl_json(&["get", kind, name]);
+    known["items"][0]["revision"].as_u64().unwrap()
+}
+
+#[test]
+fn operators_change_pools_and_routes_against_revisions() {
+    let served = Served::start(&[]);
+    served.wait_for_engines(2);
+    let applied = apply(&served, "second.toml", SECOND_POOL);
+    assert_eq!(applied.code, Some(0), "{}", applied.stderr);
+    assert!(
+        applied.stdout.contains("in force everywhere"),
+        "{}",
+        applied.stdout
+    );
+    assert_eq!(revision(&served, "routes", "second"), 3);
+    let again = apply(&served, "second.toml", SECOND_POOL);
+    assert_eq!(
+        (again.code, revision(&served, "routes", "second")),
+        (Some(0), 3)
+    );
+
+    served.wait_for_engines(3);
+    let body = batch(&["g1-a", "g1-b"], 1).replace("\"policy\"", "\"second\"");
+    let hand_in = |id: &str| {
+        let headers = [("x-request-id", id)];
+        served.call("POST", "/second/", &headers, &body).status
+    };
+    assert_eq!(hand_in("of-second"), 202);
+    assert!(
+        results(&served, "of-second")
+            .iter()
+            .all(|result| result["state"] == "completed")
+    );
+
+    let stale = SECOND_POOL.replace("kind = \"routes\"", "kind = \"routes\"\nrevision = 1");
+    let stale = apply(&served, "stale.toml", &stale.replace("/second/", "/third/"));
+    assert_eq!(stale.code, Some(3), "{}", stale.stderr);
+    assert!(
+        stale.stderr.contains("revision 1, found 3"),
+        "{}",
+        stale.stderr
+    );
+
+    let refused = [
+        (
+            "pool = \"second\"",
+            "pool = \"third\"",
+            vec!["pools[0].pool", "third", "policy, second"],
+        ),
+        ("/second/", "second", vec!["path_prefix", "slash"]),
+        (
+            "/second/",
+            "/v1/",
+            vec!["path_prefix", "/v1/", "no other route"],
+        ),
+        ("\"batch\"", "\"bunch\"", vec!["kind", "bunch", "call_once"]),
+        (
+            "emulated_engines = 1",
+            "emulated_engines = 2",
+            vec!["emulated_engines"],
+        ),
+        (
+            "model = \"second\"",
+            "modle = \"second\"",
+            vec!["modle", "model"],
+        ),
+    ];
+    for (before, after, expected) in refused {
+        let ran = apply(&served, "refused.toml", &SECOND_POOL.replace(before, after));
+        assert_eq!(ran.code, Some(1), "{after}: {}", ran.stderr);
+        for part in expected {
+            assert!(ran.stderr.contains(part), "{after}: {part}: {}", ran.stderr);
+        }
+        assert_eq!(
+            revision(&served, "routes", "second"),
+            3,
+            "{after}: nothing is kept"
+        );
+    }
+
+    let in_use = served.ctl(&["delete", "pools", "second"]);
+    assert_eq!(in_use.code, Some(1), "{}", in_use.stderr);
+    let deleted = served.ctl(&["delete", "routes", "second"]);
+    assert_eq!(deleted.code, Some(0), "{}", deleted.stderr);
+    assert_eq!(hand_in("after-deletion"), 404);
+    assert_eq!(served.ctl(&["get", "routes", "second"]).code, Some(1));
+}
+
+/// The engine that answers each of some calls.
+fn answering_engines(served: &Served, calls: &str) -> BTreeSet<String> {
+    let engine = |at: usize| {
+        let answer = completion(served, &format!("{calls}-{at}"), "hello", false);
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let name = answer
+            .head
+            .lines()
+            .find_map(|line| line.strip_prefix("x-engine: "));
+        name.expect("the engine is named").to_owned()
+    };
+    (0..8).map(engine).collect()
+}
+
+#[test]
+fn a_drained_engine_gets_nothing_new_until_it_is_undrained() {
+    let served = Served::start(&[]);
+    served.wait_for_engines(2);
+    let drained = served.ctl(&["drain", "policy-1"]);
+    assert_eq!(drained.code, Some(0), "{}", drained.stderr);
+    let known = served.ctl_json(&["get", "engines", "policy-1"]);
+    assert_eq!(known["items"][0]["spec"]["is_leaving"], true);
+    let engines = answering_engines(&served, "drained");
+    assert_eq!(engines, BTreeSet::from(["policy-2".to_owned()]));
+    assert_eq!(served.ctl(&["undrain", "policy-1"]).code, Some(0));
+    assert_eq!(served.ctl(&["drain", "policy-2"]).code, Some(0));
+    let engines = answering_engines(&served, "undrained");
+    assert_eq!(engines, BTreeSet::from(["policy-1".to_owned()]));
+    let unknown = served.ctl(&["drain", "policy-9"]);
+    assert_eq!(unknown.code, Some(1), "{}", unknown.stderr);
+    assert!(
+        unknown.stderr.contains("policy-1, policy-2"),
+        "{}",
+        unknown.stderr
+    );
+}
+
+#[test]
+fn a_watch_shows_what_is_there_and_then_each_change() {
+    let served = Served::start(&[]);
+    served.wait_for_engines(2);
+    let watch = served.watch("routes");
+    let next = || {
+        let line = watch.next();
+        let words = ["change", "name"].map(|field| line[field].as_str().unwrap().to_owned());
+        words.join(" ")
+    };
+    // Each stands once for each of two hosts.
+    let mut present: Vec<String> = (0..4).map(|_| next()).collect();
+    present.sort();
+    let expected = [
+        "present batches",
+        "present batches",
+        "present completions",
+        "present completions",
+    ];
+    assert_eq!(present, expected);
+    assert_eq!(apply(&served, "watched.toml", SECOND_POOL).code, Some(0));
+    assert_eq!([next(), next()], ["present second", "present second"]);
+    let changed = SECOND_POOL.replace("kind = \"batch\"", "kind = \"batch\", priority = 2");
+    assert_eq!(apply(&served, "watched-2.toml", &changed).code, Some(0));
+    assert_eq!([next(), next()], ["changed second", "changed second"]);
+    assert_eq!(served.ctl(&["delete", "routes", "second"]).code, Some(0));
+    assert_eq!([next(), next()], ["deleted second", "deleted second"]);
+}
--- a/crates/havenstage/tests/support/served.rs
+++ b/crates/havenstage/tests/support/served.rs
@@ -111,6 +111,18 @@
         serde_json::from_str(&ran.stdout).expect("the output is JSON")
     }
 
+    /// Starts `ctl watch` of a kind.
+    pub fn watch(&self, kind: &str) -> Watch {
+        let server = self.operators.to_string();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_havenstage"))
+            .args(["ctl", "--server", &server, "-o", "json", "watch", kind])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = read_log(child.stdout.take().expect("standard output is piped"));
+        Watch { child, lines }
+    }
+
     /// Waits until so many engines are known.
     pub fn wait_for_engines(&self, count: usize) {
         for _ in 0..NEVER.as_millis() / 50 {
@@ -141,6 +153,29 @@
     }
 }
 
+/// A running `ctl watch`; it is killed when dropped.
+pub struct Watch {
+    child: Child,
+    lines: mpsc::Receiver<Value>,
+}
+
+impl Watch {
+    /// The next line.
+    pub fn next(&self) -> Value {
+        self.lines
+            .recv_timeout(NEVER)
+            .expect("there is a next line")
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        // Fails only for a process that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 /// Reads on after the receiver has gone, so that the process never waits for its reader.
 fn read_log(output: impl Read + Send + 'static) -> mpsc::Receiver<Value> {
     let (sender, receiver) = mpsc::channel();
--- a/crates/service/src/engines/announcer.rs
+++ b/crates/service/src/engines/announcer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use havenstage_gateway::edge::{DirectoryEntry, DirectoryKind};
@@ -62,7 +63,7 @@
             address: self.address,
             zone: self.identity.zone.clone(),
             slots: self.identity.settings.max_running_requests,
-            draining: load.leaving,
+            draining: load.leaving || self.identity.is_draining.load(Ordering::Relaxed),
             cold_left_ms: 0,
             models: models.into_iter().collect::<BTreeMap<_, _>>(),
             started_at: Some(self.identity.started_at_ms),
--- a/crates/service/src/engines/mod.rs
+++ b/crates/service/src/engines/mod.rs
@@ -4,9 +4,10 @@
 mod output;
 mod server;
 
+use std::collections::BTreeMap;
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use havenstage_emulator::EngineSettings;
@@ -18,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
+use self::announcer::Announcer;
 use crate::settings::{PoolSettings, ServeSettings};
 
 /// What others know of an engine, and what it counts.
@@ -33,6 +35,8 @@
     number: u64,
     executions: AtomicU64,
     orders_taken: AtomicU64,
+    /// Whether operators want it to get nothing new.
+    is_draining: AtomicBool,
 }
 
 /// An engine cannot be started.
@@ -56,36 +60,91 @@
     },
 }
 
-/// Engines at work. Dropping them ends them.
+/// No emulated engine has that name.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("engine {name}: allowed are {}", known.join(", "))]
+pub(crate) struct UnknownEngine {
+    name: String,
+    known: Vec<String>,
+}
+
+/// Engines at work, each with an entry in the store. Dropping them ends them.
 pub(crate) struct EmulatedEngines {
-    _engines: Vec<Running<EngineStandin>>,
-    _announcers: JoinSet<()>,
+    store: Arc<MemoryStore>,
+    running: Mutex<RunningEngines>,
+}
+
+#[derive(Default)]
+struct RunningEngines {
+    engines: BTreeMap<BackendName, RunningEngine>,
+    announcers: JoinSet<()>,
+}
+
+struct RunningEngine {
+    identity: Arc<EngineIdentity>,
+    _engine: Running<EngineStandin>,
 }
 
 impl EmulatedEngines {
-    /// Starts the engines of all pools; each writes its entry into the store.
+    /// Starts the engines of all pools.
     pub(crate) async fn start(
         settings: &ServeSettings,
         store: &Arc<MemoryStore>,
     ) -> Result<Self, EngineStartError> {
-        let mut engines = Vec::new();
-        let mut announcers = JoinSet::new();
+        let engines = Self {
+            store: store.clone(),
+            running: Mutex::default(),
+        };
         for pool in &settings.pools {
-            for at in 1..=pool.emulated_engines {
-                let number = engines.len() as u64;
-                let identity = Arc::new(identity(pool, &settings.zone, at, number));
-                let engine = start_engine(&identity).await?;
-                let address = engine.address();
-                let state = engine.state().clone();
-                let announcer = announcer::Announcer::new(identity, state, address, store.clone());
-                announcers.spawn(announcer.run());
-                engines.push(engine);
-            }
+            engines.start_pool(pool, &settings.zone).await?;
         }
-        Ok(Self {
-            _engines: engines,
-            _announcers: announcers,
-        })
+        Ok(engines)
+    }
+
+    /// Starts the engines of a pool.
+    pub(crate) async fn start_pool(
+        &self,
+        pool: &PoolSettings,
+        zone: &str,
+    ) -> Result<(), EngineStartError> {
+        for at in 1..=pool.emulated_engines {
+            let number = self.lock().engines.len() as u64;
+            let identity = Arc::new(identity(pool, zone, at, number));
+            let engine = start_engine(&identity).await?;
+            let announcer = Announcer::new(
+                identity.clone(),
+                engine.state().clone(),
+                engine.address(),
+                self.store.clone(),
+            );
+            let mut running = self.lock();
+            running.announcers.spawn(announcer.run());
+            let name = identity.name.clone();
+            let engine = RunningEngine {
+                identity,
+                _engine: engine,
+            };
+            running.engines.insert(name, engine);
+        }
+        Ok(())
+    }
+
+    /// Has an engine say that it leaves, or that it does not any more.
+    pub(crate) fn set_draining(&self, name: &str, is_draining: bool) -> Result<(), UnknownEngine> {
+        let running = self.lock();
+        let Some(engine) = running.engines.get(name) else {
+            return Err(UnknownEngine {
+                name: name.to_owned(),
+                known: running.engines.keys().map(BackendName::to_string).collect(),
+            });
+        };
+        let state = &engine.identity.is_draining;
+        state.store(is_draining, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunningEngines> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -103,6 +162,7 @@
         number,
         executions: AtomicU64::new(0),
         orders_taken: AtomicU64::new(0),
+        is_draining: AtomicBool::new(false),
     }
 }
 
--- a/crates/service/src/operators/error.rs
+++ b/crates/service/src/operators/error.rs
@@ -6,8 +6,10 @@
 use serde_json::json;
 use thiserror::Error;
 
+use super::configuration::ChangeRefusal;
 use super::resources::UnknownKind;
 use super::versions::VersionRefusal;
+use crate::engines::UnknownEngine;
 
 /// Why an operator's request is not served.
 #[derive(Debug, Error)]
@@ -17,18 +19,28 @@
     UnknownKind(#[from] UnknownKind),
     /// There is no such path.
     #[error(
-        "path {path}: allowed are /apis/v1/pools, /apis/v1/routes, /apis/v1/engines and /v1/models/MODEL/versions"
+        "path {path}: allowed are /apis/v1/KIND, /apis/v1/KIND/NAME, /apis/v1/watch/KIND and \
+         /v1/models/MODEL/versions"
     )]
     UnknownPath {
         /// The path.
         path: String,
     },
-    /// A body or query cannot be read; the text names the key and what is wrong.
-    #[error("the request cannot be read: {reason}")]
-    Malformed {
-        /// What is wrong.
-        reason: String,
+    /// The node knows no such resource.
+    #[error("{name}: the node knows none of that name")]
+    UnknownName {
+        /// The name.
+        name: String,
     },
+    /// There is no such engine in this process.
+    #[error(transparent)]
+    UnknownEngine(#[from] UnknownEngine),
+    /// Engines come and go by themselves.
+    #[error("engines are not deleted; allowed is to drain them")]
+    EnginesAreNotDeleted,
+    /// A change is not made.
+    #[error(transparent)]
+    Change(#[from] ChangeRefusal),
     /// A version is not taken.
     #[error(transparent)]
     Version(#[from] VersionRefusal),
@@ -38,40 +50,50 @@
 }
 
 impl OperatorError {
-    fn status(&self) -> StatusCode {
+    /// Status, and a stable name for programs.
+    fn kind(&self) -> (StatusCode, &'static str) {
         match self {
-            Self::UnknownKind(_)
-            | Self::UnknownPath { .. }
-            | Self::Version(VersionRefusal::UnknownModel { .. }) => StatusCode::NOT_FOUND,
-            Self::Malformed { .. } => StatusCode::BAD_REQUEST,
-            Self::Version(VersionRefusal::Outdated { .. }) => StatusCode::CONFLICT,
-            Self::NothingKnown => StatusCode::SERVICE_UNAVAILABLE,
+            Self::UnknownKind(_) => (StatusCode::NOT_FOUND, "unknown_kind"),
+            Self::UnknownPath { .. } => (StatusCode::NOT_FOUND, "unknown_path"),
+            Self::UnknownName { .. } => (StatusCode::NOT_FOUND, "unknown_name"),
+            Self::UnknownEngine(_) => (StatusCode::NOT_FOUND, "unknown_engine"),
+            Self::EnginesAreNotDeleted => (StatusCode::METHOD_NOT_ALLOWED, "not_deleted"),
+            Self::Change(refusal) => match refusal {
+                ChangeRefusal::Malformed { .. } => (StatusCode::BAD_REQUEST, "malformed"),
+                ChangeRefusal::NotAllowed(_) => (StatusCode::UNPROCESSABLE_ENTITY, "not_allowed"),
+                ChangeRefusal::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+                ChangeRefusal::Engines(_) => {
+                    (StatusCode::INTERNAL_SERVER_ERROR, "engines_not_started")
+                }
+            },
+            Self::Version(VersionRefusal::UnknownModel { .. }) => {
+                (StatusCode::NOT_FOUND, "unknown_model")
+            }
+            Self::Version(VersionRefusal::Outdated { .. }) => (StatusCode::CONFLICT, "conflict"),
+            Self::NothingKnown => (StatusCode::SERVICE_UNAVAILABLE, "nothing_known"),
         }
     }
 
-    /// Stable name for programs.
-    fn code(&self) -> &'static str {
+    fn found_revision(&self) -> Option<u64> {
         match self {
-            Self::UnknownKind(_) => "unknown_kind",
-            Self::UnknownPath { .. } => "unknown_path",
-            Self::Malformed { .. } => "malformed",
-            Self::Version(VersionRefusal::UnknownModel { .. }) => "unknown_model",
-            Self::Version(VersionRefusal::Outdated { .. }) => "conflict",
-            Self::NothingKnown => "nothing_known",
+            Self::Change(ChangeRefusal::Conflict { found, .. }) => *found,
+            _ => None,
         }
     }
 }
 
 impl IntoResponse for OperatorError {
     fn into_response(self) -> Response {
-        let body = json!({
-            "error": {
-                "code": self.code(),
-                "message": self.to_string(),
-                "execution": "not_run",
-                "retry_after_ms": null,
-            }
+        let (status, code) = self.kind();
+        let mut error = json!({
+            "code": code,
+            "message": self.to_string(),
+            "execution": "not_run",
+            "retry_after_ms": null,
         });
-        (self.status(), Json(body)).into_response()
+        if let Some(found) = self.found_revision() {
+            error["found_revision"] = found.into();
+        }
+        (status, Json(json!({ "error": error }))).into_response()
     }
 }
--- a/crates/service/src/operators/resources.rs
+++ b/crates/service/src/operators/resources.rs
@@ -71,6 +71,16 @@
     pub age_ms: u64,
 }
 
+/// The resources of a kind after a change, or unchanged when the wait ended first.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WatchAnswer {
+    /// What to ask with next.
+    pub state: u64,
+    /// The resources.
+    #[serde(flatten)]
+    pub known: KnownResources,
+}
+
 /// The pools of a configuration, with what the node knows of their engines.
 pub(super) fn pools(config: &RoutingConfig, context: &Context) -> Vec<KnownResource> {
     let pools = config.pools.iter();
--- a/crates/service/src/operators/versions.rs
+++ b/crates/service/src/operators/versions.rs
@@ -47,14 +47,20 @@
 }
 
 impl NamedVersions {
-    /// No versions yet of the models that are served.
-    pub(crate) fn new(store: Arc<MemoryStore>, models: impl Iterator<Item = ModelName>) -> Self {
+    /// No models yet.
+    pub(crate) fn new(store: Arc<MemoryStore>) -> Self {
         Self {
             store,
-            newest: Mutex::new(models.map(|model| (model, None)).collect()),
+            newest: Mutex::default(),
         }
     }
 
+    /// A pool serves a model from now on.
+    pub(crate) fn serve(&self, model: ModelName) {
+        let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
+        newest.entry(model).or_insert(None);
+    }
+
     /// Names a version; answers the revision. Repeating the newest one changes nothing.
     pub(crate) fn name(&self, model: ModelName, version: Version) -> Result<u64, VersionRefusal> {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/service/src/serve.rs
+++ b/crates/service/src/serve.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use havenstage_gateway::edge::{DirectoryEntry, DirectoryKind, Surroundings};
+use havenstage_gateway::edge::Surroundings;
 use havenstage_gateway::node::{self, NodeError, RunningNode};
 use havenstage_memory_store::{InvalidStoreSetting, MemoryStore};
-use havenstage_rollout::ids::ModelName;
 use log::{error, info};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -16,12 +15,9 @@
 
 use crate::dialect::HavenstageDialect;
 use crate::engines::{EmulatedEngines, EngineStartError};
-use crate::operators::{KnownDirectory, NamedVersions, OperatorState, router};
+use crate::operators::{Configuration, KnownDirectory, NamedVersions, OperatorState, router};
 use crate::settings::ServeSettings;
 
-/// Version of the configuration that the settings describe; changes of operators count on from it.
-const FIRST_CONFIGURATION: u64 = 1;
-
 /// The service cannot run.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -52,7 +48,6 @@
     node: RunningNode,
     operators: SocketAddr,
     tasks: JoinSet<()>,
-    _engines: EmulatedEngines,
 }
 
 impl RunningService {
@@ -101,13 +96,15 @@
             source,
         })?;
     let store = Arc::new(MemoryStore::new(settings.memory_store())?);
-    let routing = DirectoryEntry::Routing(settings.routing(FIRST_CONFIGURATION));
-    store.write_entry(DirectoryKind::Operators, routing);
-    let engines = EmulatedEngines::start(settings, &store).await?;
+    let engines = Arc::new(EmulatedEngines::start(settings, &store).await?);
+    let versions = Arc::new(NamedVersions::new(store.clone()));
+    let configuration = Configuration::new(
+        settings.clone(),
+        store.clone(),
+        engines.clone(),
+        versions.clone(),
+    );
     let directory = Arc::new(KnownDirectory::new(store.clone()));
-    let models = settings.pools.iter();
-    let models = models.map(|pool| ModelName::from(pool.model.as_str()));
-    let versions = Arc::new(NamedVersions::new(store.clone(), models));
     let surroundings = Surroundings {
         log: store.clone(),
         checkpoints: store,
@@ -119,6 +116,8 @@
     let state = OperatorState {
         context: node.context().clone(),
         directory,
+        configuration: Arc::new(configuration),
+        engines,
         versions,
     };
     let mut tasks = JoinSet::new();
@@ -129,7 +128,6 @@
         node,
         operators,
         tasks,
-        _engines: engines,
     })
 }
 
--- a/crates/service/src/settings/check.rs
+++ b/crates/service/src/settings/check.rs
@@ -92,8 +92,13 @@
 
     fn check_routes(&self, pools: &BTreeSet<&str>) -> Result<(), InvalidServeSetting> {
         let mut names = BTreeSet::new();
+        let mut prefixes = BTreeSet::new();
         for (at, route) in self.routes.iter().enumerate() {
             let is_new = names.insert(route.name.as_str());
+            let prefix = &route.path_prefix;
+            let is_other = prefixes.insert(prefix.as_str());
+            let key = format!("routes[{at}].path_prefix");
+            require(is_other, key, prefix, "a prefix that no other route has")?;
             let key = format!("routes[{at}].name");
             require(is_new, key, &route.name, "a name that no other route has")?;
             route.check(at, pools)?;
@@ -107,6 +112,13 @@
         let key = |field: &str| format!("pools[{at}].{field}");
         require(is_name(&self.name), key("name"), &self.name, NAME)?;
         require(is_name(&self.model), key("model"), &self.model, NAME)?;
+        let connections = self.connections;
+        require(
+            connections > 0,
+            key("connections"),
+            connections,
+            "at least 1",
+        )?;
         let engines = self.emulated_engines;
         let allowed = format!("0 to {MOST_EMULATED_ENGINES}");
         let fits = engines <= MOST_EMULATED_ENGINES;
--- a/crates/service/src/settings/deployment.rs
+++ b/crates/service/src/settings/deployment.rs
@@ -8,8 +8,6 @@
 
 use super::{PoolSettings, RouteKind, RouteSettings, ServeSettings};
 
-/// Most connections that one engine accepts from all callers.
-const ENGINE_CONNECTIONS: u32 = 256;
 /// Time after which an item of a batch may be given up, in milliseconds: as long as a step may take.
 const GIVE_UP_AFTER_MS: u64 = 26 * 60 * 1_000;
 /// Each event of an emulated engine holds one token.
@@ -47,7 +45,7 @@
     fn pool(&self) -> Pool {
         Pool {
             name: PoolName::from(self.name.as_str()),
-            connections: ENGINE_CONNECTIONS,
+            connections: self.connections,
             models: vec![ModelName::from(self.model.as_str())],
             tokens_per_event: TOKENS_PER_EVENT,
             scaling: None,
--- a/crates/service/src/settings/mod.rs
+++ b/crates/service/src/settings/mod.rs
@@ -70,6 +70,9 @@
     pub name: String,
     /// The model that its engines serve.
     pub model: String,
+    /// Most connections that one engine accepts from all callers.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
     /// Emulated engines that are started for it in this process.
     #[serde(default)]
     pub emulated_engines: u32,
@@ -141,6 +144,10 @@
     3
 }
 
+fn default_connections() -> u32 {
+    256
+}
+
 fn default_weight() -> u32 {
     1
 }
@@ -185,6 +192,7 @@
         let pool = PoolSettings {
             name: "policy".to_owned(),
             model: "policy".to_owned(),
+            connections: default_connections(),
             emulated_engines: 2,
             engine: default_engine(),
         };
