ctl drain asks which kind of server it speaks to before it changes anything

Change: the kind `engines` is listed first; only its `unknown_kind` means a node of the old kind. Ruled out: telling the two by the malformed body's text. Conclusion: ctl serves both programs until the old one goes.

--- a/crates/havenstage/src/commands/ctl/mod.rs
+++ b/crates/havenstage/src/commands/ctl/mod.rs
@@ -78,9 +78,9 @@
                 EngineDesiredState::Active => EngineState::Active,
                 EngineDesiredState::Draining => EngineState::Draining,
             };
-            let name = engine.as_str();
-            if served::set_engine_state(&client, name, served_state, output).await? {
-                return Ok(());
+            if served::is_served(&client).await? {
+                let name = engine.as_str();
+                return served::set_engine_state(&client, name, served_state, output).await;
             }
             changes.set_engine_state(engine, state, output).await
         }
--- a/crates/havenstage/src/commands/ctl/served.rs
+++ b/crates/havenstage/src/commands/ctl/served.rs
@@ -39,7 +39,7 @@
         Some("json") => serde_json::from_str(&text).ok(),
         _ => None,
     };
-    let Some(manifests) = document.map(manifests_of).filter(|all| is_served(all)) else {
+    let Some(manifests) = document.map(manifests_of).filter(|all| are_served(all)) else {
         return Ok(None);
     };
     let manifests = manifests.into_iter().map(serde_path_to_error::deserialize);
@@ -66,7 +66,7 @@
     }
 }
 
-fn is_served(manifests: &[Value]) -> bool {
+fn are_served(manifests: &[Value]) -> bool {
     let is_plural = |manifest: &Value| {
         let kind = manifest.get("kind").and_then(Value::as_str);
         kind.is_some_and(|kind| kind.parse::<ResourceKind>().is_ok())
@@ -127,13 +127,24 @@
     change(client, Method::DELETE, &path, &Value::Null, &what, output).await
 }
 
-/// Drains or undrains an engine; false if the server is no served gateway.
+/// Whether the server is a served gateway: a node of `havenstage node` has no kinds in the plural.
+pub async fn is_served(client: &ApiClient) -> Result<bool, Failure> {
+    let path = format!("/apis/v1/{}", ResourceKind::Engines);
+    let known: Result<KnownResources, ClientError> = client.get(&path, Duration::ZERO).await;
+    match known {
+        Ok(_) => Ok(true),
+        Err(ClientError::Refused { detail, .. }) => Ok(detail.code != UNKNOWN_KIND),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Drains or undrains an engine.
 pub async fn set_engine_state(
     client: &ApiClient,
     name: &str,
     desired_state: EngineState,
     output: Output,
-) -> Result<bool, Failure> {
+) -> Result<(), Failure> {
     let kind = ResourceKind::Engines;
     let manifest = ServedManifest {
         kind,
@@ -141,17 +152,16 @@
         revision: None,
         spec: serde_json::to_value(EngineSpec { desired_state })?,
     };
-    let answer: Result<ChangeAnswer, ClientError> = client
-        .send(Method::PUT, &path(kind, name), &manifest, IN_FORCE_WAIT)
-        .await;
-    match answer {
-        Ok(answer) => {
-            output.accepted(&format!("{kind} {name}"), &answer)?;
-            Ok(true)
-        }
-        Err(ClientError::Refused { detail, .. }) if detail.code == UNKNOWN_KIND => Ok(false),
-        Err(error) => Err(refusal(error)),
-    }
+    let what = format!("{kind} {name}");
+    change(
+        client,
+        Method::PUT,
+        &path(kind, name),
+        &manifest,
+        &what,
+        output,
+    )
+    .await
 }
 
 /// Shows the resources of a kind, and then their changes until it is stopped.
