--- a/crates/service/src/settings/deployment.rs
+++ b/crates/service/src/settings/deployment.rs
@@ -48,6 +48,7 @@
             connections: self.connections,
             models: vec![ModelName::from(self.model.as_str())],
             tokens_per_event: TOKENS_PER_EVENT,
+            memory_tokens: None,
             scaling: None,
             cold_limit: None,
         }
