Emulated engines keep a bounded number of records where they serve

Change: `most_records` of the engine's settings bounds the ended executions that are kept (at least so many, twice as many at most; those that run always stay); `serve` sets 1,000 where the settings don't say. Without it all are kept. Ruled out: no records at all in serve (the stand-in's /record stays useful there). Conclusion: memory of an emulated engine no longer grows with what it served.

--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -85,7 +85,7 @@
             cache_events: CacheEventQueue::new(&settings.kv),
             imports: BTreeMap::new(),
             load_history: LoadHistory::new(lag, now, first_report),
-            log: ExecutionLog::default(),
+            log: ExecutionLog::keeping(settings.most_records),
             prefilled_before: 0,
             outputs: Vec::new(),
             settings,
@@ -262,7 +262,7 @@
         self.prefilled_before + self.batch.prefilled_tokens
     }
 
-    /// Everything run since the first start, in order of submission.
+    /// What ran since the first start, in order of submission: everything, unless the settings bound it.
     pub fn executions(&self) -> &[ExecutionRecord] {
         self.log.records()
     }
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -56,15 +56,25 @@
     Crashed,
 }
 
-/// Records of all executions since the engine's first start.
+/// Records of executions since the engine's first start: all, or the newest.
 #[derive(Debug, Default)]
 pub(crate) struct ExecutionLog {
+    /// Most executions that are kept after they ended; `None` keeps all.
+    most_records: Option<usize>,
     records: Vec<ExecutionRecord>,
     /// Attempts of the present boot, with the index of their record.
     known: BTreeMap<AttemptId, usize>,
 }
 
 impl ExecutionLog {
+    /// No executions yet.
+    pub(crate) fn keeping(most_records: Option<u32>) -> Self {
+        Self {
+            most_records: most_records.map(|most| most as usize),
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn records(&self) -> &[ExecutionRecord] {
         &self.records
     }
@@ -76,6 +86,7 @@
 
     /// Begins the record of a request that was taken.
     pub(crate) fn start(&mut self, now: EngineTime, boot: u64, request: &GenerateRequest) {
+        self.forget_oldest();
         self.known.insert(request.attempt, self.records.len());
         self.records.push(ExecutionRecord {
             attempt: request.attempt,
@@ -133,6 +144,28 @@
         self.known.clear();
     }
 
+    /// Forgets the oldest executions that have ended, once there are twice as many as are to be kept, so that
+    /// each is looked at a few times only.
+    fn forget_oldest(&mut self) {
+        let Some(most) = self.most_records else {
+            return;
+        };
+        if self.records.len() < 2 * most {
+            return;
+        }
+        let old = self.records.len() - most;
+        let mut index = 0;
+        self.records.retain(|record| {
+            index += 1;
+            index > old || record.outcome == ExecutionOutcome::Running
+        });
+        let records = self.records.iter().enumerate();
+        let known = records.filter(|(_, record)| self.known.contains_key(&record.attempt));
+        self.known = known
+            .map(|(index, record)| (record.attempt, index))
+            .collect();
+    }
+
     fn record_mut(&mut self, attempt: AttemptId) -> Option<&mut ExecutionRecord> {
         let index = *self.known.get(&attempt)?;
         self.records.get_mut(index)
--- a/crates/emulator/src/settings.rs
+++ b/crates/emulator/src/settings.rs
@@ -38,6 +38,9 @@
     pub swap: SwapSettings,
     /// Microseconds by which the load report is behind.
     pub load_report_lag_us: u64,
+    /// Ended executions whose records are kept at least, and twice as many at most; `None` keeps all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub most_records: Option<u32>,
 }
 
 /// Distribution of answer lengths.
@@ -144,6 +147,7 @@
             kv: KvSettings::default(),
             swap: SwapSettings::default(),
             load_report_lag_us: 200_000,
+            most_records: None,
         }
     }
 }
@@ -210,6 +214,7 @@
     /// Checks every field against its allowed range.
     pub fn validate(&self) -> Result<(), InvalidEngineSettings> {
         at_least_one("tokens_per_chunk", self.tokens_per_chunk)?;
+        at_least_one("most_records", self.most_records.unwrap_or(1))?;
         if let Some(tokens) = self.training_tokens_per_chunk {
             at_least_one("training_tokens_per_chunk", tokens)?;
         }
--- a/crates/service/src/engines/mod.rs
+++ b/crates/service/src/engines/mod.rs
@@ -22,6 +22,9 @@
 use self::announcer::Announcer;
 use crate::settings::{PoolSettings, ServeSettings};
 
+/// Executions whose records an engine keeps where the settings don't say: a process may serve for days.
+const MOST_RECORDS: u32 = 1_000;
+
 /// What others know of an engine, and what it counts.
 struct EngineIdentity {
     name: BackendName,
@@ -175,8 +178,10 @@
         name: name(),
         source,
     })?;
+    let mut engine = identity.settings.clone();
+    engine.most_records.get_or_insert(MOST_RECORDS);
     let settings = EngineStandinSettings {
-        engine: identity.settings.clone(),
+        engine,
         seed: identity.number,
         ..EngineStandinSettings::default()
     };
