--- a/crates/service/src/settings/gateway.rs
+++ b/crates/service/src/settings/gateway.rs
@@ -44,6 +44,8 @@
                 callers: self.listen.callers,
                 ready: self.listen.ready,
                 metrics: self.listen.metrics,
+                // There are no other nodes.
+                peers: None,
             },
             log: LogSettings {
                 // The store in the process has no address.
