havenstage serve: explain, from the node's decisions and the log

Cause: `ctl explain` was answered by `havenstage node` only; the gateway told its reasons in log lines alone. Change: `serve` keeps what the gateway decides on a request, a sample, a batch, an engine or a model, with its inputs, on the way to the log's output (RecordingWriter over the gateway's own writer), up to 8 MB, and says when older decisions are gone. `GET /apis/v1/explain/SUBJECT` answers with these and with what the log keeps of the subject's batch, read from its partition: who took it, each run's progress with its versions, how each sample ended. `ctl explain` asks a served gateway so, and a node of `havenstage node` as before. Ruled out: decisions written to the log as records of their own (new records for every run on the users' platform); reading the process's output back; the old node's typed decision records (the gateway's lines hold the same with inputs and ages, and tests/explain.rs of the gateway holds them to it). Partial: for one process; why a sample still waits is not a decision, so that only its batch's records are shown. Tests: why a sample ran where it ran; why a batch was refused, with the key; a sample that no version could make; two engines of which one crashes in the middle: all samples once, the output joined without a gap, each run going on from exactly the event at which the one before it ended. Its first form held that the second run is never at the crashed engine; a trace showed runs in the 50 ms before that engine stops listening, so that it now holds each run to the one before it, and one sample to both engines. Conclusion: an operator gets a true answer to why on the gateway's engine of work.

--- a/crates/havenstage/src/commands/ctl/mod.rs
+++ b/crates/havenstage/src/commands/ctl/mod.rs
@@ -93,7 +93,12 @@
         Action::WatchServed { kind } => served::watch(&client, kind, output).await,
         Action::DeleteServed { kind, name } => served::delete(&client, kind, &name, output).await,
         Action::List { kind } => read::list(&client, kind, output).await,
-        Action::Explain { subject } => read::explain(&client, &subject, output).await,
+        Action::Explain { subject } => {
+            if served::is_served(&client).await? {
+                return served::explain(&client, &subject, output).await;
+            }
+            read::explain(&client, &subject, output).await
+        }
         Action::Status => read::status(&client, output).await,
         Action::Watch { kind } => watch::watch(&client, kind, output).await,
     }
--- a/crates/havenstage/src/commands/ctl/served.rs
+++ b/crates/havenstage/src/commands/ctl/served.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use havenstage_http_api::routes::operators::ChangeAnswer;
+use havenstage_service::explain::Explanation;
 use havenstage_service::operators::{
     EngineSpec, EngineState, KnownResource, KnownResources, ResourceKind, ServedManifest,
     WatchAnswer,
@@ -127,6 +128,13 @@
     change(client, Method::DELETE, &path, &Value::Null, &what, output).await
 }
 
+/// Shows what was decided about a subject, and what the log keeps of it.
+pub async fn explain(client: &ApiClient, subject: &str, output: Output) -> Result<(), Failure> {
+    let path = format!("/apis/v1/explain/{subject}");
+    let explanation: Explanation = client.get(&path, Duration::ZERO).await?;
+    output.show(&explanation, table::explanation)
+}
+
 /// Whether the server is a served gateway: a node of `havenstage node` has no kinds in the plural.
 pub async fn is_served(client: &ApiClient) -> Result<bool, Failure> {
     let path = format!("/apis/v1/{}", ResourceKind::Engines);
--- a/crates/havenstage/src/commands/ctl/table.rs
+++ b/crates/havenstage/src/commands/ctl/table.rs
@@ -6,6 +6,7 @@
 use comfy_table::presets::NOTHING;
 use havenstage_config::manifest::Manifest;
 use havenstage_node::node::NodeStatus;
+use havenstage_service::explain::Explanation;
 use havenstage_service::operators::KnownResources;
 use havenstage_types::decision::DecisionRecord;
 use havenstage_types::ids::NodeId;
@@ -94,6 +95,38 @@
     table.to_string()
 }
 
+/// Decisions of a served gateway and what its log keeps, in order.
+pub fn explanation(explanation: &Explanation) -> String {
+    let mut decisions = table(&["TIME (MS SINCE 1970)", "DECISION", "INPUTS AND OUTCOME"]);
+    for decision in &explanation.decisions {
+        let fields = decision.fields.iter();
+        let fields: Vec<String> = fields
+            .map(|(name, value)| format!("{name}={}", cell(value)))
+            .collect();
+        let time = decision.at_ms.to_string();
+        decisions.add_row([time, decision.event.clone(), fields.join(" ")]);
+    }
+    let mut text = match explanation.decisions.is_empty() {
+        true => format!("nothing is recorded about {}", explanation.subject),
+        false => decisions.to_string(),
+    };
+    if explanation.decisions_forgotten > 0 {
+        let forgotten = explanation.decisions_forgotten;
+        text.push_str(&format!(
+            "\n{forgotten} older decisions are not kept any more"
+        ));
+    }
+    if let Some(logged) = &explanation.logged {
+        let mut records = table(&["RECORDS OF THE LOG"]);
+        for record in &logged.records {
+            let record = serde_json::to_value(record).unwrap_or(Value::Null);
+            records.add_row([record.to_string()]);
+        }
+        text.push_str(&format!("\n\n{records}"));
+    }
+    text
+}
+
 /// A node's status: itself, its members, engines and jobs.
 pub fn status(status: &NodeStatus) -> String {
     let mut node = table(&["NODE", "NAME", "ZONE", "READY", "CONFIG", "IN FLIGHT"]);
--- a/crates/havenstage/src/commands/serve.rs
+++ b/crates/havenstage/src/commands/serve.rs
@@ -1,12 +1,18 @@
 //! `havenstage serve`: the gateway in one process, until it is told to stop.
 
+use std::sync::Arc;
+
 use havenstage_gateway::logging;
+use havenstage_service::explain::{DecisionRecords, RecordingWriter};
 use havenstage_service::settings::{self, ServeSettings};
 
 use crate::arguments::CommandLine;
 use crate::commands::{block_on, print};
 use crate::exit::Failure;
 
+/// Bytes of decisions that are kept for `ctl explain`: some ten thousand of them.
+const MOST_DECISION_BYTES: usize = 8 * 1024 * 1024;
+
 /// Runs the command.
 pub fn run(mut line: CommandLine) -> Result<(), Failure> {
     let only_check = line.flag("--check-config");
@@ -15,8 +21,11 @@
     if only_check {
         return print("settings ok\n");
     }
-    let _logger = logging::start(settings.log_lines_per_s)?;
-    let served = block_on(async { Ok(havenstage_service::run(&settings).await?) });
+    let records = Arc::new(DecisionRecords::new(MOST_DECISION_BYTES));
+    let output = logging::writer(settings.log_lines_per_s);
+    let writer = RecordingWriter::new(output, records.clone());
+    let _logger = logging::start_with(Box::new(writer))?;
+    let served = block_on(async { Ok(havenstage_service::run(&settings, records).await?) });
     logging::wait_until_written();
     served
 }
--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -91,7 +91,8 @@
   list KIND                        show all resources of a kind
   watch KIND                       show changes of a kind as they happen
   delete KIND NAME                 delete a resource
-  explain SUBJECT                  why: a request id, a sample JOB/STEP/INDEX or an engine
+  explain SUBJECT                  why: a request id, an engine, a sample JOB/STEP/INDEX (of serve:
+                                   BATCH/SAMPLE, a batch, a model)
   drain ENGINE                     let an engine finish its work and give it no more
   undrain ENGINE                   give an engine work again
   status                           what the node knows about itself
--- a/crates/havenstage/tests/serve.rs
+++ b/crates/havenstage/tests/serve.rs
@@ -448,3 +448,224 @@
     assert_eq!(served.ctl(&["delete", "routes", "second"]).code, Some(0));
     assert_eq!([next(), next()], ["deleted second", "deleted second"]);
 }
+
+fn explain(served: &Served, subject: &str) -> Value {
+    served.ctl_json(&["explain", subject])
+}
+
+/// The decisions of an event, in order.
+fn decisions<'a>(explanation: &'a Value, event: &str) -> Vec<&'a Value> {
+    let decisions = explanation["decisions"].as_array().unwrap().iter();
+    let of_event = decisions.filter(|decision| decision["event"] == event);
+    of_event.map(|decision| &decision["fields"]).collect()
+}
+
+/// The kinds of the records of the log, in order.
+fn logged(explanation: &Value) -> Vec<&str> {
+    let records = explanation["logged"]["records"].as_array();
+    let records = records.map(Vec::as_slice).unwrap_or_default();
+    let kinds = records
+        .iter()
+        .map(|record| record["record"].as_str().unwrap());
+    kinds.collect()
+}
+
+#[test]
+fn an_operator_learns_why_a_sample_ran_where_it_ran() {
+    let served = Served::start(&[]);
+    served.wait_for_engines(2);
+    let headers = [("x-request-id", "why")];
+    let body = batch(&["g1-a", "g1-b"], 1);
+    assert_eq!(
+        served.call("POST", "/v1/batches/", &headers, &body).status,
+        202
+    );
+    results(&served, "why");
+
+    let sample = explain(&served, "why/g1-a");
+    let started = decisions(&sample, "run_started");
+    assert_eq!(started.len(), 1, "{sample}");
+    let backend = started[0]["backend"].as_str().unwrap();
+    assert!(backend.starts_with("policy-"), "{sample}");
+    for input in [
+        "urgency",
+        "minimum_version",
+        "known_age_ms",
+        "expected_tokens",
+    ] {
+        assert!(started[0][input].is_number(), "{input}: {sample}");
+    }
+    assert_eq!(decisions(&sample, "run_ended")[0]["outcome"], "whole");
+    assert_eq!(
+        decisions(&sample, "item_finished")[0]["outcome"],
+        "completed"
+    );
+    let records = logged(&sample);
+    assert_eq!(
+        (records[0], records[records.len() - 1]),
+        ("submitted", "finished")
+    );
+    let others = sample["logged"]["records"].as_array().unwrap().iter();
+    let mut others = others.filter(|record| record["sample"] == "g1-b");
+    assert!(others.next().is_none(), "only of the sample: {sample}");
+
+    let engine = backend.split('@').next().unwrap();
+    assert!(!decisions(&explain(&served, engine), "run_started").is_empty());
+    completion(&served, "a-call", "hello", false);
+    let call = explain(&served, "a-call");
+    assert_eq!(decisions(&call, "call")[0]["outcome"], "answered", "{call}");
+    assert!(logged(&call).is_empty());
+    let table = served.ctl(&["explain", "why/g1-a"]).stdout;
+    assert!(
+        table.contains("run_started") && table.contains("finished"),
+        "{table}"
+    );
+    let nobody = served.ctl(&["explain", "nobody"]).stdout;
+    assert!(
+        nobody.contains("nothing is recorded about nobody"),
+        "{nobody}"
+    );
+}
+
+#[test]
+fn an_operator_learns_why_a_sample_was_left_out_or_refused() {
+    let served = Served::start(&[]);
+    served.wait_for_engines(2);
+    let spoilt = json!({ "model": "policy", "samples": [{ "id": "a", "prompt": "p" }] });
+    let headers = [("x-request-id", "spoilt")];
+    let answer = served.call("POST", "/v1/batches/", &headers, &spoilt.to_string());
+    assert_eq!(answer.status, 400);
+    let refused = explain(&served, "spoilt");
+    let reason = decisions(&refused, "batch_refused")[0]["reason"]
+        .as_str()
+        .unwrap();
+    assert!(
+        reason.contains("samples[0]: missing field `max_tokens`"),
+        "{refused}"
+    );
+
+    // No engine has the version, so that the samples wait until the trainer ends the batch.
+    let headers = [("x-request-id", "too-new")];
+    let body = batch(&["g1-a"], 9);
+    assert_eq!(
+        served.call("POST", "/v1/batches/", &headers, &body).status,
+        202
+    );
+    assert_eq!(
+        served.call("DELETE", "/v1/batches/too-new", &[], "").status,
+        200
+    );
+    let left_out = explain(&served, "too-new/g1-a");
+    assert!(decisions(&left_out, "run_started").is_empty(), "{left_out}");
+    assert_eq!(logged(&left_out), ["submitted", "ended"], "{left_out}");
+    assert_eq!(left_out["logged"]["records"][0]["minimum_version"], 9);
+}
+
+/// Two engines whose answers take some seconds.
+const SLOW_ENGINES: &str = r#"
+[[pools]]
+name = "policy"
+model = "policy"
+emulated_engines = 2
+engine = { initial_version = 1, tokens_per_chunk = 1, output_length = { fixed = { tokens = 600 } } }
+[[routes]]
+name = "batches"
+path_prefix = "/v1/batches/"
+kind = "batch"
+pools = [{ pool = "policy" }]
+[[routes]]
+name = "completions"
+path_prefix = "/v1/"
+kind = "stream"
+pools = [{ pool = "policy" }]
+"#;
+
+/// The address of an engine, at which it takes commands too.
+fn engine_address(served: &Served, engine: &str) -> std::net::SocketAddr {
+    let known = served.ctl_json(&["get", "engines", engine]);
+    let address = known["items"][0]["spec"]["address"].as_str().unwrap();
+    address.parse().unwrap()
+}
+
+/// The engines at which a sample's runs were started; each run must go on from the output that the one
+/// before it left.
+fn engines_of_runs(explanation: &Value) -> BTreeSet<String> {
+    let mut engines = BTreeSet::new();
+    let mut events = 0;
+    for decision in explanation["decisions"].as_array().unwrap() {
+        let fields = &decision["fields"];
+        match decision["event"].as_str().unwrap() {
+            "run_started" => {
+                assert_eq!(fields["resumed_from"], events, "{explanation}");
+                let life = fields["backend"].as_str().unwrap();
+                let name = life.split('@').next().unwrap();
+                engines.insert(name.to_owned());
+            }
+            "run_ended" | "item_relocated" => events = fields["events"].as_u64().unwrap(),
+            _ => {}
+        }
+    }
+    engines
+}
+
+/// Waits until output of each of six samples is in the log.
+fn wait_for_progress(served: &Served, batch: &str) {
+    for _ in 0..MOST_READS * 20 {
+        let explanation = explain(served, batch);
+        let records = explanation["logged"]["records"].as_array().unwrap().iter();
+        let in_progress = records.filter(|record| record["record"] == "progress");
+        let samples: BTreeSet<&str> = in_progress
+            .map(|record| record["sample"].as_str().unwrap())
+            .collect();
+        if samples.len() == 6 {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    panic!("no output is ever written down");
+}
+
+#[test]
+fn samples_of_an_engine_that_crashes_go_on_at_another_from_the_output_that_is_there() {
+    let path = file("slow-engines.toml", SLOW_ENGINES);
+    let served = Served::start(&["--config", path.to_str().unwrap()]);
+    served.wait_for_engines(2);
+    let engine = engine_address(&served, "policy-1");
+    let samples = ["g1-a", "g1-b", "g2-a", "g2-b", "g3-a", "g3-b"];
+    let body = batch(&samples, 1).replace("\"max_tokens\":40", "\"max_tokens\":600");
+    let headers = [("x-request-id", "crash")];
+    assert_eq!(
+        served.call("POST", "/v1/batches/", &headers, &body).status,
+        202
+    );
+    wait_for_progress(&served, "crash");
+    let crash = [("content-type", "application/json")];
+    let told = served::call(engine, "POST", "/misbehave", &crash, "\"crash\"");
+    assert_eq!(told.status, 200, "{told:?}");
+
+    let results = results(&served, "crash");
+    let listed = results
+        .iter()
+        .map(|result| result["sample"].as_str().unwrap());
+    assert_eq!(
+        (results.len(), listed.collect()),
+        (6, BTreeSet::from(samples))
+    );
+    let mut moved = Vec::new();
+    for result in &results {
+        assert_eq!(result["state"], "completed", "{result}");
+        let sample = result["sample"].as_str().unwrap();
+        let engines = engines_of_runs(&explain(&served, &format!("crash/{sample}")));
+        if engines.contains("policy-1") && engines.contains("policy-2") {
+            moved.push((sample, &result["text"]));
+        }
+    }
+    let (sample, text) = moved
+        .first()
+        .expect("some ran at the engine that crashed, then elsewhere");
+    // An engine answers an id and a prompt alike each time, so that joints would show.
+    let body = json!({ "model": "policy", "prompt": prompt(sample), "max_tokens": 600 });
+    let headers = [("x-request-id", *sample)];
+    let whole = served.call("POST", "/v1/completions", &headers, &body.to_string());
+    assert_eq!(**text, whole.json()["choices"][0]["text"]);
+}
--- a/crates/havenstage/tests/support/served.rs
+++ b/crates/havenstage/tests/support/served.rs
@@ -72,26 +72,7 @@
 
     /// Makes a call and reads the answer to its end.
     pub fn call(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
-        let mut stream = TcpStream::connect(self.callers).expect("the service takes connections");
-        stream
-            .set_read_timeout(Some(NEVER))
-            .expect("a time-out can be set");
-        let length = body.len();
-        let mut request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\ncontent-length: {length}\r\n",
-            self.callers
-        );
-        for (name, value) in headers {
-            request.push_str(&format!("{name}: {value}\r\n"));
-        }
-        request.push_str("\r\n");
-        request.push_str(body);
-        stream
-            .write_all(request.as_bytes())
-            .expect("the request is taken");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).expect("the answer ends");
-        read_answer(&text)
+        call(self.callers, method, path, headers, body)
     }
 
     /// Runs `ctl`.
@@ -153,6 +134,35 @@
     }
 }
 
+/// Makes a call to an address and reads the answer to its end.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut stream = TcpStream::connect(address).expect("connections are taken");
+    stream
+        .set_read_timeout(Some(NEVER))
+        .expect("a time-out can be set");
+    let length = body.len();
+    let mut request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: {length}\r\n"
+    );
+    for (name, value) in headers {
+        request.push_str(&format!("{name}: {value}\r\n"));
+    }
+    request.push_str("\r\n");
+    request.push_str(body);
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request is taken");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the answer ends");
+    read_answer(&text)
+}
+
 /// A running `ctl watch`; it is killed when dropped.
 pub struct Watch {
     child: Child,
--- /dev/null
+++ b/crates/service/src/explain/writer.rs
@@ -0,0 +1,64 @@
+//! Keeps the node's decisions on their way to the log's output.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::Value as Json;
+
+use super::decisions::{Decision, DecisionRecords};
+
+/// Name of the field that tells what happened.
+const EVENT: &str = "event";
+
+/// Keeps decisions and passes all lines on.
+pub struct RecordingWriter {
+    output: Box<dyn LogWriter>,
+    records: Arc<DecisionRecords>,
+}
+
+impl RecordingWriter {
+    /// Keeps decisions in `records`, and passes all lines on to `output`, which may drop some.
+    pub fn new(output: Box<dyn LogWriter>, records: Arc<DecisionRecords>) -> Self {
+        Self { output, records }
+    }
+}
+
+impl LogWriter for RecordingWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        if let Some(decision) = decision(now, record) {
+            self.records.keep(decision);
+        }
+        self.output.write(now, record)
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        self.output.flush()
+    }
+}
+
+fn decision(now: &mut DeferredNow, record: &Record<'_>) -> Option<Decision> {
+    let mut fields = Fields(BTreeMap::new());
+    // Pairs that cannot be visited are left out.
+    let _ = record.key_values().visit(&mut fields);
+    let event = fields.0.remove(EVENT)?;
+    Some(Decision {
+        at_ms: u64::try_from(now.now().timestamp_millis()).unwrap_or(0),
+        event: event.as_str()?.to_owned(),
+        fields: fields.0,
+    })
+}
+
+struct Fields(BTreeMap<String, Json>);
+
+impl<'a> VisitSource<'a> for Fields {
+    fn visit_pair(&mut self, key: Key<'a>, value: Value<'a>) -> Result<(), Error> {
+        let json = serde_json::to_value(&value).unwrap_or(Json::Null);
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod dialect;
 mod engines;
+pub mod explain;
 pub mod operators;
 mod serve;
 pub mod settings;
--- a/crates/service/src/operators/error.rs
+++ b/crates/service/src/operators/error.rs
@@ -3,6 +3,7 @@
 use axum::Json;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
+use havenstage_gateway::edge::LogError;
 use serde_json::json;
 use thiserror::Error;
 
@@ -19,8 +20,8 @@
     UnknownKind(#[from] UnknownKind),
     /// There is no such path.
     #[error(
-        "path {path}: allowed are /apis/v1/KIND, /apis/v1/KIND/NAME, /apis/v1/watch/KIND and \
-         /v1/models/MODEL/versions"
+        "path {path}: allowed are /apis/v1/KIND, /apis/v1/KIND/NAME, /apis/v1/watch/KIND, \
+         /apis/v1/explain/SUBJECT and /v1/models/MODEL/versions"
     )]
     UnknownPath {
         /// The path.
@@ -44,6 +45,9 @@
     /// A version is not taken.
     #[error(transparent)]
     Version(#[from] VersionRefusal),
+    /// The log cannot be read.
+    #[error("the log: {0}")]
+    Log(#[from] LogError),
     /// Nothing has been read from the directories yet.
     #[error("the node has not read its directories yet")]
     NothingKnown,
@@ -70,6 +74,7 @@
                 (StatusCode::NOT_FOUND, "unknown_model")
             }
             Self::Version(VersionRefusal::Outdated { .. }) => (StatusCode::CONFLICT, "conflict"),
+            Self::Log(_) => (StatusCode::SERVICE_UNAVAILABLE, "log_not_read"),
             Self::NothingKnown => (StatusCode::SERVICE_UNAVAILABLE, "nothing_known"),
         }
     }
--- a/crates/service/src/operators/mod.rs
+++ b/crates/service/src/operators/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod configuration;
 mod error;
+mod explain;
 mod known;
 mod manifest;
 mod publish;
--- a/crates/service/src/operators/router.rs
+++ b/crates/service/src/operators/router.rs
@@ -17,11 +17,13 @@
 use super::changes::{delete, put, read_query};
 use super::configuration::Configuration;
 use super::error::OperatorError;
+use super::explain::explain;
 use super::known::KnownDirectory;
 use super::publish::publish;
 use super::resources::{self, KnownResources, ResourceKind, WatchAnswer};
 use super::versions::NamedVersions;
 use crate::engines::EmulatedEngines;
+use crate::explain::DecisionRecords;
 
 /// Longest wait of a watch.
 const LONGEST_WATCH: Duration = Duration::from_secs(30);
@@ -36,6 +38,7 @@
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) engines: Arc<EmulatedEngines>,
     pub(crate) versions: Arc<NamedVersions>,
+    pub(crate) records: Arc<DecisionRecords>,
 }
 
 /// The interface for operators.
@@ -44,6 +47,7 @@
         .route("/apis/v1/{kind}", get(list))
         .route("/apis/v1/watch/{kind}", get(watch))
         .route("/apis/v1/{kind}/{name}", get(one).put(put).delete(delete))
+        .route("/apis/v1/explain/{*subject}", get(explain))
         .route("/v1/models/{model}/versions", post(publish))
         .fallback(unknown_path)
         .with_state(state)
--- a/crates/service/src/serve.rs
+++ b/crates/service/src/serve.rs
@@ -15,6 +15,7 @@
 
 use crate::dialect::HavenstageDialect;
 use crate::engines::{EmulatedEngines, EngineStartError};
+use crate::explain::DecisionRecords;
 use crate::operators::{Configuration, KnownDirectory, NamedVersions, OperatorState, router};
 use crate::settings::ServeSettings;
 
@@ -69,11 +70,14 @@
 }
 
 /// Runs the service until SIGTERM or SIGINT.
-pub async fn run(settings: &ServeSettings) -> Result<(), ServeError> {
+pub async fn run(
+    settings: &ServeSettings,
+    records: Arc<DecisionRecords>,
+) -> Result<(), ServeError> {
     // Before anything is served, so that no signal finds the default action, which kills.
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
-    let service = start(settings).await?;
+    let service = start(settings, records).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -86,8 +90,12 @@
     signal(kind).map_err(ServeError::Signals)
 }
 
-/// Starts the service; `settings` have passed their checks.
-pub async fn start(settings: &ServeSettings) -> Result<RunningService, ServeError> {
+/// Starts the service; `settings` have passed their checks, and `records` are those that the process's log
+/// keeps (`explain::RecordingWriter`).
+pub async fn start(
+    settings: &ServeSettings,
+    records: Arc<DecisionRecords>,
+) -> Result<RunningService, ServeError> {
     let listener = listen(settings.listen.operators).await?;
     let operators = listener
         .local_addr()
@@ -119,6 +127,7 @@
         configuration: Arc::new(configuration),
         engines,
         versions,
+        records,
     };
     let mut tasks = JoinSet::new();
     tasks.spawn(serve_operators(listener, state));
