Service: what stood twice stands once

No message and no exit code changes. Ruled out: sharing the dialects' and stores' method heads, which the traits give.

--- a/crates/havenstage/tests/support/mod.rs
+++ b/crates/havenstage/tests/support/mod.rs
@@ -1,7 +1,11 @@
 //! Runs the built program.
 
+use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::sync::mpsc;
+
+use serde_json::Value;
 
 /// What the program did.
 pub struct Ran {
@@ -39,3 +43,16 @@
     std::fs::write(&path, content).expect("the file can be written");
     path
 }
+
+/// Reads on after the receiver has gone, so that the process never waits for its reader.
+#[allow(dead_code, reason = "some test files only run the program to its end")]
+pub fn read_log(output: impl Read + Send + 'static) -> mpsc::Receiver<Value> {
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let parsed = serde_json::from_str(&line).unwrap_or(Value::String(line));
+            let _ = sender.send(parsed);
+        }
+    });
+    receiver
+}
--- a/crates/havenstage/tests/support/process.rs
+++ b/crates/havenstage/tests/support/process.rs
@@ -1,6 +1,5 @@
 //! Processes of the program, and `ctl` against a node.
 
-use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -8,7 +7,7 @@
 
 use serde_json::Value;
 
-use crate::support::{Ran, havenstage};
+use crate::support::{Ran, havenstage, read_log};
 
 /// Far above what any step takes; reached only when something never happens.
 pub const NEVER: Duration = Duration::from_secs(60);
@@ -69,18 +68,6 @@
     }
 }
 
-/// Reads on after the receiver has gone, so that the process never waits for its reader.
-fn read_log(stderr: impl Read + Send + 'static) -> mpsc::Receiver<Value> {
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-            let parsed = serde_json::from_str(&line).unwrap_or(Value::String(line));
-            let _ = sender.send(parsed);
-        }
-    });
-    receiver
-}
-
 /// A stand-in with its address.
 pub struct Service {
     /// Where it serves.
--- a/crates/havenstage/tests/support/served.rs
+++ b/crates/havenstage/tests/support/served.rs
@@ -1,6 +1,6 @@
 //! A running `havenstage serve`, and calls to it.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -8,7 +8,7 @@
 
 use serde_json::Value;
 
-use crate::support::{Ran, havenstage};
+use crate::support::{Ran, havenstage, read_log};
 
 /// Far above what any step takes; reached only when something never happens.
 const NEVER: Duration = Duration::from_secs(60);
@@ -186,18 +186,6 @@
     }
 }
 
-/// Reads on after the receiver has gone, so that the process never waits for its reader.
-fn read_log(output: impl Read + Send + 'static) -> mpsc::Receiver<Value> {
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(output).lines().map_while(Result::ok) {
-            let parsed = serde_json::from_str(&line).unwrap_or(Value::String(line));
-            let _ = sender.send(parsed);
-        }
-    });
-    receiver
-}
-
 fn read_answer(text: &str) -> Answer {
     let (head, body) = text.split_once("\r\n\r\n").expect("the head ends");
     let status = head.split(' ').nth(1).and_then(|word| word.parse().ok());
--- a/crates/service/src/operators/configuration.rs
+++ b/crates/service/src/operators/configuration.rs
@@ -62,6 +62,20 @@
 }
 
 impl Current {
+    /// Whether a resource is so already; else the change must be made against what is there.
+    fn is_so<T: PartialEq>(
+        &self,
+        found: Option<&T>,
+        wanted: &T,
+        expected: Option<u64>,
+    ) -> Result<bool, ChangeRefusal> {
+        if found == Some(wanted) {
+            return Ok(true);
+        }
+        self.require(found.is_some(), expected)?;
+        Ok(false)
+    }
+
     /// Checks that a change is made against what is there.
     fn require(&self, is_there: bool, expected: Option<u64>) -> Result<(), ChangeRefusal> {
         let found = is_there.then_some(self.version);
@@ -107,14 +121,14 @@
         let route: RouteSettings = manifest::read_named(name, spec)?;
         let mut current = self.current.lock().await;
         let mut settings = current.settings.clone();
-        let found = settings.routes.iter_mut().find(|route| route.name == name);
-        if found.as_deref() == Some(&route) {
+        let routes = &mut settings.routes;
+        let at = routes.iter().position(|route| route.name == name);
+        if current.is_so(at.map(|at| &routes[at]), &route, expected)? {
             return Ok(current.version);
         }
-        current.require(found.is_some(), expected)?;
-        match found {
-            Some(found) => *found = route,
-            None => settings.routes.push(route),
+        match at {
+            Some(at) => routes[at] = route,
+            None => routes.push(route),
         }
         settings.validate()?;
         Ok(self.write(&mut current, settings))
@@ -147,19 +161,19 @@
         let pool: PoolSettings = manifest::read_named(name, spec)?;
         let mut current = self.current.lock().await;
         let mut settings = current.settings.clone();
-        let found = settings.pools.iter_mut().find(|pool| pool.name == name);
-        if found.as_deref() == Some(&pool) {
+        let pools = &mut settings.pools;
+        let at = pools.iter().position(|pool| pool.name == name);
+        if current.is_so(at.map(|at| &pools[at]), &pool, expected)? {
             return Ok(current.version);
         }
-        current.require(found.is_some(), expected)?;
-        match found {
-            Some(found) => {
-                require_same_engines(found, &pool)?;
-                *found = pool;
+        match at {
+            Some(at) => {
+                require_same_engines(&pools[at], &pool)?;
+                pools[at] = pool;
                 settings.validate()?;
             }
             None => {
-                settings.pools.push(pool.clone());
+                pools.push(pool.clone());
                 settings.validate()?;
                 self.engines.start_pool(&pool, &settings.zone).await?;
                 self.versions.serve(ModelName::from(pool.model.as_str()));
--- a/crates/service/src/settings/file.rs
+++ b/crates/service/src/settings/file.rs
@@ -1,14 +1,15 @@
-//! Reading the settings file.
+//! Reading a TOML file into typed settings, with errors that name file, key and value.
 
 use std::path::{Path, PathBuf};
 
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 use super::{InvalidServeSetting, ServeSettings};
 
-/// Settings that cannot be used.
+/// A settings file that cannot be read.
 #[derive(Debug, Error)]
-pub enum ServeSettingsError {
+pub enum SettingsFileError {
     /// The file could not be read.
     #[error("{}: cannot be read", file.display())]
     Unreadable {
@@ -35,6 +36,14 @@
         /// What the parser said, with the value and what is allowed.
         reason: String,
     },
+}
+
+/// Settings of `serve` that cannot be used.
+#[derive(Debug, Error)]
+pub enum ServeSettingsError {
+    /// The file cannot be read.
+    #[error(transparent)]
+    File(#[from] SettingsFileError),
     /// A value is not allowed.
     #[error("{}", file.display())]
     NotAllowed {
@@ -45,29 +54,27 @@
     },
 }
 
-/// Reads and checks a file.
-pub fn read(file: &Path) -> Result<ServeSettings, ServeSettingsError> {
-    let text = std::fs::read_to_string(file).map_err(|source| ServeSettingsError::Unreadable {
+/// Reads a file of any settings; nothing but the types of the values is checked.
+pub fn read_file<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsFileError> {
+    let text = std::fs::read_to_string(file).map_err(|source| SettingsFileError::Unreadable {
         file: file.to_owned(),
         source,
     })?;
-    parse(file, &text)
-}
-
-/// Reads and checks a text; `file` is only named in errors.
-pub fn parse(file: &Path, text: &str) -> Result<ServeSettings, ServeSettingsError> {
     let document =
-        toml::Deserializer::parse(text).map_err(|error| ServeSettingsError::NotToml {
+        toml::Deserializer::parse(&text).map_err(|error| SettingsFileError::NotToml {
             file: file.to_owned(),
             reason: error.to_string().trim_end().to_owned(),
         })?;
-    let settings: ServeSettings = serde_path_to_error::deserialize(document).map_err(|error| {
-        ServeSettingsError::WrongKey {
-            file: file.to_owned(),
-            key: error.path().to_string(),
-            reason: error.inner().message().to_owned(),
-        }
-    })?;
+    serde_path_to_error::deserialize(document).map_err(|error| SettingsFileError::WrongKey {
+        file: file.to_owned(),
+        key: error.path().to_string(),
+        reason: error.inner().message().to_owned(),
+    })
+}
+
+/// Reads and checks the settings of `serve`.
+pub fn read(file: &Path) -> Result<ServeSettings, ServeSettingsError> {
+    let settings: ServeSettings = read_file(file)?;
     let checked = settings.validate();
     checked.map_err(|source| ServeSettingsError::NotAllowed {
         file: file.to_owned(),
--- a/crates/service/src/settings/mod.rs
+++ b/crates/service/src/settings/mod.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 
 pub use check::InvalidServeSetting;
-pub use file::{ServeSettingsError, parse, read};
+pub use file::{ServeSettingsError, SettingsFileError, read, read_file};
 
 /// All settings.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
