Memory of an engine: the most that is held at one time counts, not the sum of all ends

Change: TokenMemory knows this node's items with what each holds and still expects; the memory that is needed is the most that is held just before one of them ends. Other nodes' items count whole, as their ends are not known. The model hands in at once and splits engines by trainer in a test of its own.

--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -73,16 +73,17 @@
             let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
             let running =
                 own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
-            let tokens = |of: &BTreeMap<BackendId, u32>| of.get(id).copied().unwrap_or(0);
-            let expected =
-                tokens(self.lengths.on_backends()).saturating_add(tokens(&tokens_elsewhere));
             let allowance = backends.cold_allowance(id, sender, now);
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
                 running,
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
-                memory: TokenMemory { capacity, expected },
+                memory: TokenMemory {
+                    capacity,
+                    elsewhere: tokens_elsewhere.get(id).copied().unwrap_or(0),
+                    items: self.lengths.on(id),
+                },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -70,10 +70,10 @@
     }
 
     fn backend_details(&self) -> BTreeMap<BackendId, BackendDetail> {
-        let tokens = self.lengths.on_backends().iter();
+        let tokens = self.lengths.expected_tokens();
         let details = tokens.map(|(backend, tokens)| {
             let detail = BackendDetail {
-                expected_tokens: *tokens,
+                expected_tokens: tokens,
                 event_gap_us: None,
             };
             (backend.clone(), detail)
--- a/crates/gateway/src/engine/lengths.rs
+++ b/crates/gateway/src/engine/lengths.rs
@@ -5,7 +5,7 @@
 use havenstage_rollout::batch_state::ItemState;
 use havenstage_rollout::expected_length::LengthHistory;
 use havenstage_rollout::ids::{BackendId, PoolName};
-use havenstage_rollout::schedule::RunningItem;
+use havenstage_rollout::schedule::{ItemTokens, RunningItem};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Engine;
@@ -16,9 +16,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Lengths {
     by_pool: BTreeMap<PoolName, LengthHistory>,
-    /// Tokens that this node's items are expected to hold on each back end when they end, as of the
-    /// last plan.
-    on_backends: BTreeMap<BackendId, u32>,
+    /// This node's items on each back end, as of the last plan.
+    on_backends: BTreeMap<BackendId, Vec<ItemTokens>>,
 }
 
 impl Lengths {
@@ -30,9 +29,17 @@
         }
     }
 
+    /// This node's items on a back end.
+    pub(super) fn on(&self, backend: &BackendId) -> Vec<ItemTokens> {
+        self.on_backends.get(backend).cloned().unwrap_or_default()
+    }
+
     /// Tokens that this node's items are expected to hold on each back end when they end.
-    pub(super) fn on_backends(&self) -> &BTreeMap<BackendId, u32> {
-        &self.on_backends
+    pub(super) fn expected_tokens(&self) -> impl Iterator<Item = (&BackendId, u32)> {
+        self.on_backends.iter().map(|(backend, items)| {
+            let at_end = items.iter().map(|item| item.at_end());
+            (backend, at_end.fold(0, u32::saturating_add))
+        })
     }
 
     /// Begins to count anew what runs.
@@ -43,14 +50,14 @@
     /// Counts what runs in a pool.
     pub(super) fn count_running(&mut self, running: &[RunningItem]) {
         for running in running {
-            self.count(&running.backend, running.item.tokens_at_end());
+            self.count(&running.backend, running.item.tokens());
         }
     }
 
     /// Counts an item on a back end.
-    pub(super) fn count(&mut self, backend: &BackendId, tokens: u32) {
-        let counted = self.on_backends.entry(backend.clone()).or_default();
-        *counted = counted.saturating_add(tokens);
+    pub(super) fn count(&mut self, backend: &BackendId, tokens: ItemTokens) {
+        let items = self.on_backends.entry(backend.clone()).or_default();
+        items.push(tokens);
     }
 }
 
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -181,7 +181,7 @@
             for candidate in candidates.iter_mut().filter(|c| c.backend == backend) {
                 candidate.take(item);
             }
-            self.lengths.count(&backend, item.tokens_at_end());
+            self.lengths.count(&backend, item.tokens());
             self.begin(item, &backend, now);
         }
         let are_all_taken = candidates.iter().all(|c| c.running >= c.slots);
@@ -244,13 +244,13 @@
 
 /// Tells of an item that is placed where the memory is expected to run out, for want of another place.
 fn tell_if_memory_is_short(item: &WaitingItem, chosen: &Candidate) {
-    let tokens = item.tokens_at_end();
+    let tokens = item.tokens();
     if chosen.memory.fits(tokens) {
         return;
     }
     metrics::placed_short_of_memory();
     info!(event = "item_placed_short_of_memory", request = item.item.as_str(), batch = item.batch.as_str(),
-        backend = chosen.backend.as_str(), tokens = tokens, expected_tokens = chosen.memory.expected,
+        backend = chosen.backend.as_str(), tokens = tokens.at_end(), expected_tokens = chosen.memory.expected(),
         memory_tokens = chosen.memory.capacity; "");
 }
 
--- a/crates/rollout/src/schedule/claim.rs
+++ b/crates/rollout/src/schedule/claim.rs
@@ -81,7 +81,7 @@
     for mut queues in by_rank.into_values() {
         while let Some(item) = take_next(&mut queues, &held) {
             let held = held.entry(item.claim.claimant.clone()).or_default();
-            *held += u64::from(item.tokens_at_end());
+            *held += u64::from(item.tokens().at_end());
             ordered.push(item);
         }
     }
@@ -109,7 +109,7 @@
     let mut held: BTreeMap<Arc<str>, u64> = BTreeMap::new();
     for running in running {
         let claimant = running.item.claim.claimant.clone();
-        *held.entry(claimant).or_default() += u64::from(running.item.tokens_at_end());
+        *held.entry(claimant).or_default() += u64::from(running.item.tokens().at_end());
     }
     held
 }
--- a/crates/rollout/src/schedule/memory.rs
+++ b/crates/rollout/src/schedule/memory.rs
@@ -1,46 +1,86 @@
 //! A back end's memory in tokens, which its running items share.
 //!
 //! A back end that runs out of memory preempts an item and later reads its prompt and output again.
+//! Items grow while they run and give their memory back when they end, so what counts is the most
+//! that they are expected to hold at one time.
+
+/// Tokens of an item in a back end's memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ItemTokens {
+    /// Of its prompt and its output so far.
+    pub held: u32,
+    /// Still expected.
+    pub remaining: u32,
+}
+
+impl ItemTokens {
+    /// Tokens that it is expected to hold when it ends.
+    pub fn at_end(self) -> u32 {
+        self.held.saturating_add(self.remaining)
+    }
+}
 
 /// What a back end's memory takes and what its items are expected to need.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TokenMemory {
     /// Tokens that it takes; `None` if that is not known, or its work holds none.
     pub capacity: Option<u32>,
-    /// Tokens that the items there, of all nodes, are expected to hold when they end.
-    pub expected: u32,
+    /// Tokens that other nodes' items there are expected to hold when they end.
+    pub elsewhere: u32,
+    /// This node's items there.
+    pub items: Vec<ItemTokens>,
 }
 
 impl TokenMemory {
-    /// Whether an item of so many tokens at its end fits beside the others. An empty back end takes
-    /// whatever comes.
-    pub fn fits(&self, tokens: u32) -> bool {
-        self.expected == 0 || self.shortage(tokens) == 0
+    /// Tokens that all items there are expected to hold when they end.
+    pub fn expected(&self) -> u32 {
+        let own = self.items.iter().map(|item| item.at_end());
+        own.fold(self.elsewhere, u32::saturating_add)
     }
 
-    /// Tokens by which an item's end would exceed the memory.
-    pub fn shortage(&self, tokens: u32) -> u32 {
-        let needed = self.expected.saturating_add(tokens);
+    /// Whether an item fits beside the others. An empty back end takes whatever comes.
+    pub fn fits(&self, item: ItemTokens) -> bool {
+        self.expected() == 0 || self.shortage(item) == 0
+    }
+
+    /// Tokens by which the memory is expected to be exceeded with an item more.
+    pub fn shortage(&self, item: ItemTokens) -> u32 {
+        let needed = self.most_with(item);
         self.capacity
             .map_or(0, |capacity| needed.saturating_sub(capacity))
     }
 
-    /// Share of the memory that is expected to be taken with an item more; `None` if its size is not
-    /// known.
-    pub fn share_with(&self, tokens: u32) -> Option<f64> {
-        let needed = f64::from(self.expected) + f64::from(tokens);
+    /// The most that is expected to be held at one time with an item more: just before one of them
+    /// ends, by those that run at least as long. All make tokens at the same rate.
+    fn most_with(&self, item: ItemTokens) -> u32 {
+        let items = || self.items.iter().chain([&item]);
+        let held_before_end_of = |ending: &ItemTokens| {
+            let running = items().filter(|other| other.remaining >= ending.remaining);
+            running
+                .map(|other| other.held.saturating_add(ending.remaining))
+                .fold(self.elsewhere, u32::saturating_add)
+        };
+        items().map(held_before_end_of).max().unwrap_or(0)
+    }
+
+    /// Share of the memory that is expected to be taken when all items there and one more end; `None`
+    /// if its size is not known.
+    pub fn share_with(&self, item: ItemTokens) -> Option<f64> {
+        let needed = f64::from(self.expected()) + f64::from(item.at_end());
         self.capacity
             .filter(|capacity| *capacity > 0)
             .map(|capacity| needed / f64::from(capacity))
     }
 
     /// An item is added.
-    pub fn take(&mut self, tokens: u32) {
-        self.expected = self.expected.saturating_add(tokens);
+    pub fn take(&mut self, item: ItemTokens) {
+        self.items.push(item);
     }
 
     /// An item is taken away.
-    pub fn give_back(&mut self, tokens: u32) {
-        self.expected = self.expected.saturating_sub(tokens);
+    pub fn give_back(&mut self, item: ItemTokens) {
+        if let Some(at) = self.items.iter().position(|other| *other == item) {
+            self.items.swap_remove(at);
+        }
     }
 }
--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -14,7 +14,7 @@
 use crate::residency::Residency;
 
 pub use claim::{Claim, order_waiting, urgency};
-pub use memory::TokenMemory;
+pub use memory::{ItemTokens, TokenMemory};
 pub use order::sort_waiting;
 pub use placement::choose;
 pub use relocation::{Relocation, RunningItem, relocations};
@@ -50,9 +50,12 @@
 }
 
 impl WaitingItem {
-    /// Tokens that it is expected to hold in a back end's memory when it ends.
-    pub fn tokens_at_end(&self) -> u32 {
-        self.held_tokens.saturating_add(self.expected_tokens)
+    /// Its tokens in a back end's memory.
+    pub fn tokens(&self) -> ItemTokens {
+        ItemTokens {
+            held: self.held_tokens,
+            remaining: self.expected_tokens,
+        }
     }
 
     /// Whether it may run on a version.
@@ -94,14 +97,14 @@
     /// An item takes a place there.
     pub fn take(&mut self, item: &WaitingItem) {
         self.running += 1;
-        self.memory.take(item.tokens_at_end());
+        self.memory.take(item.tokens());
         self.groups.extend(item.group.clone());
     }
 
     /// An item gives its place back.
     pub fn give_back(&mut self, item: &WaitingItem) {
         self.running = self.running.saturating_sub(1);
-        self.memory.give_back(item.tokens_at_end());
+        self.memory.give_back(item.tokens());
     }
 
     /// Whether it has a free place and new enough weights for the item.
--- a/crates/rollout/src/schedule/placement.rs
+++ b/crates/rollout/src/schedule/placement.rs
@@ -19,7 +19,7 @@
 /// The best place for an item, or none. One where the memory would run out is taken only for want
 /// of others, and then the one that lacks the least.
 pub fn choose<'a>(item: &WaitingItem, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
-    let tokens = item.tokens_at_end();
+    let tokens = item.tokens();
     let fitting = candidates
         .iter()
         .filter(|candidate| candidate.accepts(item));
@@ -48,7 +48,7 @@
 
     /// What a step takes longer for what runs there, this item among it.
     fn crowd_cost(&self, item: &WaitingItem) -> f64 {
-        match self.memory.share_with(item.tokens_at_end()) {
+        match self.memory.share_with(item.tokens()) {
             Some(share) => FULL_MEMORY_COST * share,
             None => STEP_COST_PER_ITEM * f64::from(self.running + 1),
         }
--- a/crates/rollout/src/schedule/relocation.rs
+++ b/crates/rollout/src/schedule/relocation.rs
@@ -84,7 +84,7 @@
         .iter()
         .enumerate()
         .filter(|(at, target)| *at != from && target.accepts(&running.item) && pays(target))
-        .filter(|(_, target)| target.memory.fits(running.item.tokens_at_end()));
+        .filter(|(_, target)| target.memory.fits(running.item.tokens()));
     fitting
         .min_by(|left, right| {
             let order = left.1.cost_for(&running.item);
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -10,8 +10,8 @@
 use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName, RegionName};
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{
-    Candidate, RunningItem, TokenMemory, WaitingItem, choose, optional_items, relocations,
-    sort_waiting,
+    Candidate, ItemTokens, RunningItem, TokenMemory, WaitingItem, choose, optional_items,
+    relocations, sort_waiting,
 };
 use support::{backend, claim, item, submitted};
 
@@ -261,7 +261,8 @@
     Candidate {
         memory: TokenMemory {
             capacity: Some(30_000),
-            expected,
+            elsewhere: expected,
+            items: Vec::new(),
         },
         ..candidate(id, running, 3, speed)
     }
@@ -313,7 +314,7 @@
 #[test]
 fn a_memory_of_unknown_size_turns_nothing_away() {
     let mut unknown = candidate("unknown", 0, 3, 1.0);
-    unknown.memory.expected = 1_000_000;
+    unknown.memory.elsewhere = 1_000_000;
     assert_eq!(placed(9_000, &[unknown]).as_deref(), Some("unknown"));
 }
 
@@ -329,10 +330,10 @@
         let at = candidates.iter().position(|c| c.backend == chosen).unwrap();
         candidates[at].take(&long);
     }
-    assert!(candidates.iter().all(|c| c.memory.expected == 27_000));
+    assert!(candidates.iter().all(|c| c.memory.expected() == 27_000));
     candidates[0].give_back(&long);
     assert_eq!(
-        (candidates[0].running, candidates[0].memory.expected),
+        (candidates[0].running, candidates[0].memory.expected()),
         (2, 18_000)
     );
 }
@@ -346,3 +347,46 @@
     let roomy = with_memory("roomy", 2, 20_000, 1.0);
     assert_eq!(moved(item(), vec![slow, roomy]).len(), 1);
 }
+
+#[test]
+fn short_items_give_their_memory_back_before_long_ones_need_it() {
+    let memory = |items: &[(u32, u32)]| TokenMemory {
+        capacity: Some(30_000),
+        elsewhere: 0,
+        items: items.iter().map(|item| tokens(*item)).collect(),
+    };
+    let long = tokens((300, 9_700));
+    let with_short = memory(&[
+        (300, 9_700),
+        (300, 1_500),
+        (300, 1_500),
+        (900, 900),
+        (1_500, 300),
+    ]);
+    assert_eq!(with_short.expected(), 17_200);
+    assert!(with_short.fits(long));
+    let with_many = memory(&[(300, 9_700), (2_000, 3_000), (2_000, 3_000), (1_800, 100)]);
+    assert!(with_many.expected() + long.at_end() > 30_000);
+    assert!(with_many.fits(long), "20,000 at the end of the long ones");
+    assert!(!memory(&[(300, 9_700), (300, 9_800), (9_000, 9_000)]).fits(long));
+}
+
+#[test]
+fn what_others_hold_counts_whole_as_its_end_is_not_known() {
+    let mut memory = with_memory("shared", 2, 25_000, 1.0).memory;
+    assert!(memory.fits(tokens((1_000, 4_000))));
+    assert!(!memory.fits(tokens((1_000, 4_001))));
+    memory.take(tokens((3_000, 1)));
+    assert_eq!(
+        memory.shortage(tokens((1_000, 4_000))),
+        0,
+        "it ends long before"
+    );
+    assert_eq!(memory.shortage(tokens((1_001, 4_000))), 1);
+    memory.give_back(tokens((3_000, 1)));
+    assert_eq!(memory.expected(), 25_000);
+}
+
+fn tokens((held, remaining): (u32, u32)) -> ItemTokens {
+    ItemTokens { held, remaining }
+}
--- a/crates/rollout/tests/step_model.rs
+++ b/crates/rollout/tests/step_model.rs
@@ -33,7 +33,7 @@
 /// The engine with the fewest expected tokens, whatever its speed.
 fn fewest_tokens(item: &WaitingItem, candidates: &[Candidate]) -> Option<usize> {
     best(item, candidates, |candidate| {
-        f64::from(candidate.memory.expected)
+        f64::from(candidate.memory.expected())
     })
 }
 
@@ -62,7 +62,7 @@
         .iter()
         .cloned()
         .map(|mut candidate| {
-            if candidate.memory.expected > 6_000 {
+            if candidate.memory.expected() > 6_000 {
                 candidate.slots = candidate.slots.min(4);
             }
             candidate
@@ -76,6 +76,8 @@
         speeds: vec![1.0; 45],
         memory_tokens: 81_646,
         prompt_tokens: 1_016,
+        is_shared: true,
+        at_once: false,
         step_ms: (0.683, 0.00151, 0.00287),
     }
 }
@@ -85,6 +87,8 @@
         speeds: [0.7, 0.7, 1.7].repeat(15),
         memory_tokens: 30_990,
         prompt_tokens: 276,
+        is_shared: true,
+        at_once: false,
         step_ms: (0.694, 0.00363, 0.00191),
     }
 }
@@ -149,3 +153,16 @@
     assert!(outcomes[0].over_bound < outcomes[1].over_bound);
     assert!(outcomes[1].short_of_memory > 0, "what the memory answers");
 }
+
+/// Four bursts at once are more than there are places for.
+#[test]
+fn items_that_come_at_once_are_not_driven_to_slow_engines() {
+    let engines = Engines {
+        at_once: true,
+        is_shared: false,
+        ..uneven()
+    };
+    let outcomes = ranked(&engines, &WAYS[..2]);
+    assert!(outcomes[0].over_bound < outcomes[1].over_bound + TOLERANCE);
+    assert!(outcomes[0].short_of_memory < outcomes[1].short_of_memory);
+}
--- a/crates/rollout/tests/support/steps.rs
+++ b/crates/rollout/tests/support/steps.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use havenstage_rollout::expected_length::LengthHistory;
-use havenstage_rollout::ids::{BatchId, GroupId, ItemId};
+use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName};
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{Candidate, TokenMemory, WaitingItem, sort_waiting};
 
@@ -29,6 +29,10 @@
     pub speeds: Vec<f64>,
     pub memory_tokens: u32,
     pub prompt_tokens: u32,
+    /// Trainers that share each engine: all, or just one whose model it holds.
+    pub is_shared: bool,
+    /// Whether trainers hand in their steps at the same moments.
+    pub at_once: bool,
     /// Milliseconds of a step, for each run beside, and for each 1,000 tokens in memory.
     pub step_ms: (f64, f64, f64),
 }
@@ -103,7 +107,10 @@
             let of_trainer = self.steps.iter().filter(|step| step.trainer == trainer);
             let handed_in = of_trainer.clone().count();
             let open = of_trainer.filter(|step| step.took_ms.is_none()).count();
-            let offset_ms = STEP_EVERY_MS * trainer as f64 / TRAINERS as f64;
+            let offset_ms = match self.engines.at_once {
+                true => 0.0,
+                false => STEP_EVERY_MS * trainer as f64 / TRAINERS as f64,
+            };
             let due_ms = STEP_EVERY_MS * handed_in as f64 + offset_ms;
             if self.now_ms >= due_ms && open < OPEN_STEPS {
                 self.new_step(trainer);
@@ -143,6 +150,18 @@
             .collect()
     }
 
+    fn model_of(&self, trainer: usize) -> ModelName {
+        ModelName::from(trainer.to_string())
+    }
+
+    fn models_on(&self, engine: usize) -> BTreeMap<ModelName, u64> {
+        let trainers =
+            (0..TRAINERS).filter(|trainer| self.engines.is_shared || engine % TRAINERS == *trainer);
+        trainers
+            .map(|trainer| (self.model_of(trainer), 0))
+            .collect()
+    }
+
     fn waiting_item(&self, at: usize) -> WaitingItem {
         let item = &self.items[at];
         let made = item.made as u32 * TOKENS_PER_EVENT;
@@ -154,7 +173,7 @@
             expected_tokens: self.history.remaining(item.guess, made),
             held_tokens: self.engines.prompt_tokens + made,
             since: self.steps[item.step].from_ms as u64,
-            model: None,
+            model: Some(self.model_of(self.steps[item.step].trainer)),
             minimum_version: 0,
             exact_version: None,
             group: Some(GroupId::from(format!("{} {}", item.step, item.group))),
@@ -194,10 +213,10 @@
                 slots: 8,
                 memory: TokenMemory {
                     capacity: Some(self.engines.memory_tokens),
-                    expected: 0,
+                    ..TokenMemory::default()
                 },
                 event_gap_ms: gap_ms * (1.0 + GAP_NOISE * self.draws.normal()),
-                models: BTreeMap::new(),
+                models: self.models_on(engine),
                 groups: HashSet::new(),
             });
         }
