--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod reward;
 mod run;
 mod runs;
+mod stalls;
 mod start;
 mod writing;
 
@@ -28,6 +29,7 @@
 use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_state::ItemState;
+use havenstage_rollout::circuit_breaker::CircuitBreaker;
 use havenstage_rollout::ids::{BackendId, BatchId, NodeId};
 use log::info;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -44,6 +46,7 @@
 use live::{LiveItem, Phase};
 use outbox::Outbox;
 use run::{ItemKey, RunMessage};
+use stalls::StallWatch;
 
 /// Rest after a plan, as a multiple of the time it took: planning uses at most a third of the processor.
 const PLAN_REST: u32 = 2;
@@ -75,7 +78,8 @@
     /// Batches whose release is to be told once it is written.
     releases: Vec<BatchId>,
     has_told_release: bool,
-    pauses: HashMap<BackendId, Pause>,
+    breakers: HashMap<BackendId, CircuitBreaker>,
+    stalls: StallWatch,
     lengths: Lengths,
     carried: HashMap<BatchId, Carried>,
     held_back: BTreeMap<usize, HeldBack>,
@@ -89,13 +93,6 @@
     pace: WorkPace,
 }
 
-/// A back end that gets no items for a while.
-#[derive(Debug, Clone, Copy, Default)]
-struct Pause {
-    until: Millis,
-    failures: u32,
-}
-
 /// A helper task ended.
 enum TaskEnded {
     Append {
@@ -126,7 +123,8 @@
             has_released: false,
             releases: Vec::new(),
             has_told_release: false,
-            pauses: HashMap::new(),
+            breakers: HashMap::new(),
+            stalls: StallWatch::default(),
             lengths: Lengths::default(),
             carried: HashMap::new(),
             held_back: BTreeMap::new(),
@@ -154,6 +152,7 @@
             while let Ok(message) = self.news.try_recv() {
                 self.take_news(message);
             }
+            self.end_stalled_runs();
             if self.needs_plan && self.pace.is_due() {
                 self.needs_plan = false;
                 let began = Instant::now();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -115,6 +115,16 @@
     histogram!("gateway_run_ms", "outcome" => outcome).record(took_ms as f64);
 }
 
+/// A back end gets no items for a while after a run ended there so.
+pub fn breaker_opened(cause: &'static str) {
+    counter!("gateway_breakers_opened_total", "cause" => cause).increment(1);
+}
+
+/// A run was ended as its back end fell silent.
+pub fn run_stalled(reason: &'static str) {
+    counter!("gateway_runs_stalled_total", "reason" => reason).increment(1);
+}
+
 /// Results were written to the log, or not.
 pub fn results_written(outcome: &'static str, took_ms: u64) {
     counter!("gateway_appends_total", "outcome" => outcome).increment(1);
@@ -159,11 +169,21 @@
     counter!("gateway_barred_requests_total").increment(1);
 }
 
+/// A request was given up as the ends under it could not be told to other nodes.
+pub fn untold_request_given_up() {
+    counter!("gateway_untold_requests_total").increment(1);
+}
+
 /// A word for the other nodes about a request or a back end was written, failed or was dropped.
 pub fn crash_told(outcome: &'static str) {
     counter!("gateway_crash_words_total", "outcome" => outcome).increment(1);
 }
 
+/// A datagram of another node came.
+pub fn peer_word(outcome: &'static str) {
+    counter!("gateway_peer_words_total", "outcome" => outcome).increment(1);
+}
+
 /// Requests that are suspected or barred, and how those before were forgotten.
 pub fn suspects(remembered: usize, forgotten: &ForgottenRequests) {
     gauge!("gateway_suspects").set(remembered as f64);
@@ -178,6 +198,19 @@
     }
 }
 
+/// The node that runs a batch was asked about it for a caller.
+pub fn owner_asked(question: &'static str, outcome: &'static str, took_ms: u64) {
+    counter!("gateway_owner_questions_total", "question" => question, "outcome" => outcome)
+        .increment(1);
+    histogram!("gateway_owner_question_ms", "question" => question).record(took_ms as f64);
+}
+
+/// A question of another node was answered, or declined.
+pub fn peer_answered(outcome: &'static str, bytes: usize) {
+    counter!("gateway_peer_answers_total", "outcome" => outcome).increment(1);
+    counter!("gateway_peer_answer_bytes_total").increment(bytes as u64);
+}
+
 /// Items that run on this node now.
 pub fn items_running(count: usize) {
     gauge!("gateway_items_running").set(count as f64);
--- a/crates/havenstage/tests/support/served.rs
+++ b/crates/havenstage/tests/support/served.rs
@@ -1,6 +1,6 @@
 //! A running `havenstage serve`, and calls to it.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -8,7 +8,7 @@
 
 use serde_json::Value;
 
-use crate::support::{Ran, havenstage};
+use crate::support::{Ran, havenstage, read_log};
 
 /// Far above what any step takes; reached only when something never happens.
 const NEVER: Duration = Duration::from_secs(60);
@@ -72,26 +72,7 @@
 
     /// Makes a call and reads the answer to its end.
     pub fn call(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
-        let mut stream = TcpStream::connect(self.callers).expect("the service takes connections");
-        stream
-            .set_read_timeout(Some(NEVER))
-            .expect("a time-out can be set");
-        let length = body.len();
-        let mut request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\ncontent-length: {length}\r\n",
-            self.callers
-        );
-        for (name, value) in headers {
-            request.push_str(&format!("{name}: {value}\r\n"));
-        }
-        request.push_str("\r\n");
-        request.push_str(body);
-        stream
-            .write_all(request.as_bytes())
-            .expect("the request is taken");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).expect("the answer ends");
-        read_answer(&text)
+        call(self.callers, method, path, headers, body)
     }
 
     /// Runs `ctl`.
@@ -111,6 +92,18 @@
         serde_json::from_str(&ran.stdout).expect("the output is JSON")
     }
 
+    /// Starts `ctl watch` of a kind.
+    pub fn watch(&self, kind: &str) -> Watch {
+        let server = self.operators.to_string();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_havenstage"))
+            .args(["ctl", "--server", &server, "-o", "json", "watch", kind])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = read_log(child.stdout.take().expect("standard output is piped"));
+        Watch { child, lines }
+    }
+
     /// Waits until so many engines are known.
     pub fn wait_for_engines(&self, count: usize) {
         for _ in 0..NEVER.as_millis() / 50 {
@@ -141,16 +134,56 @@
     }
 }
 
-/// Reads on after the receiver has gone, so that the process never waits for its reader.
-fn read_log(output: impl Read + Send + 'static) -> mpsc::Receiver<Value> {
-    let (sender, receiver) = mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(output).lines().map_while(Result::ok) {
-            let parsed = serde_json::from_str(&line).unwrap_or(Value::String(line));
-            let _ = sender.send(parsed);
-        }
-    });
-    receiver
+/// Makes a call to an address and reads the answer to its end.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut stream = TcpStream::connect(address).expect("connections are taken");
+    stream
+        .set_read_timeout(Some(NEVER))
+        .expect("a time-out can be set");
+    let length = body.len();
+    let mut request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-length: {length}\r\n"
+    );
+    for (name, value) in headers {
+        request.push_str(&format!("{name}: {value}\r\n"));
+    }
+    request.push_str("\r\n");
+    request.push_str(body);
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request is taken");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the answer ends");
+    read_answer(&text)
+}
+
+/// A running `ctl watch`; it is killed when dropped.
+pub struct Watch {
+    child: Child,
+    lines: mpsc::Receiver<Value>,
+}
+
+impl Watch {
+    /// The next line.
+    pub fn next(&self) -> Value {
+        self.lines
+            .recv_timeout(NEVER)
+            .expect("there is a next line")
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        // Fails only for a process that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
 }
 
 fn read_answer(text: &str) -> Answer {
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -3,18 +3,19 @@
 //! end loads which version next. Time is passed in as milliseconds on a steady clock.
 
 pub mod access;
+pub mod back_end_speed;
 pub mod backend;
 pub mod backend_digest;
 pub mod batch;
 pub mod batch_index;
 pub mod batch_state;
 pub mod checkpoint;
+pub mod circuit_breaker;
 pub mod claim_delay;
 pub mod concurrency_limit;
 pub mod control;
 pub mod control_record;
 pub mod crash_ledger;
-pub mod event_gap;
 pub mod event_stream;
 pub mod expected_length;
 pub mod fleet_size;
@@ -28,12 +29,17 @@
 pub mod occupancy;
 pub mod order_plan;
 pub mod pacing;
+pub mod peer_addresses;
+pub mod peer_message;
+pub mod peer_question;
+pub mod reachable_machines;
 pub mod record;
 pub mod residency;
 pub mod route;
 pub mod schedule;
 pub mod sizing;
 pub mod slow_start;
+pub mod stall;
 pub mod stored;
 pub mod usage;
 
