Peers: whole pages, ends within the caller's time; the soak disturbs the ways between nodes

Change: pages as for callers, bounded by 2 MB of answers on their way; an owner is asked to end a batch only as long as its answer comes 1.3 s after the call. `listen.peers_told` for nodes behind another address, which the soak uses to put a proxy in front of each node: delayed, cut, reset, silenced, and no machine is excused for that.

--- a/crates/gateway/src/batch_ends.rs
+++ b/crates/gateway/src/batch_ends.rs
@@ -55,7 +55,9 @@
 pub(crate) async fn end(context: &Arc<Context>, caller: &Caller, id: &BatchId) -> BatchAnswer {
     let began = Instant::now();
     let outcome = match try_to_end(context, caller, id).await {
-        EndOutcome::NotAppended { may_be_done: false } => end_at_owner(context, caller, id).await,
+        EndOutcome::NotAppended { may_be_done: false } => {
+            end_at_owner(context, caller, id, began).await
+        }
         outcome => outcome,
     };
     let status = outcome.status();
@@ -65,8 +67,13 @@
 }
 
 /// Passes an end that was certainly not appended here to the node that runs the batch.
-async fn end_at_owner(context: &Context, caller: &Caller, id: &BatchId) -> EndOutcome {
-    match peers::end(context, caller, id).await {
+async fn end_at_owner(
+    context: &Context,
+    caller: &Caller,
+    id: &BatchId,
+    began: Instant,
+) -> EndOutcome {
+    match peers::end(context, caller, id, began).await {
         OwnersEnd::Done => EndOutcome::Appended,
         OwnersEnd::MayBeDone => EndOutcome::NotAppended { may_be_done: true },
         OwnersEnd::NotDone => EndOutcome::NotAppended { may_be_done: false },
--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -43,7 +43,6 @@
         from,
         asked: Instant::now(),
         wait: wait.min(LONGEST_WAIT),
-        page_bytes: context.answers.page_bytes(),
         is_for_peer: false,
     };
     if call.has_results() {
@@ -63,7 +62,6 @@
     id: &BatchId,
     from: usize,
     wait: Duration,
-    most_bytes: usize,
 ) -> BatchAnswer {
     let call = ReadCall {
         context,
@@ -73,7 +71,6 @@
         from,
         asked: Instant::now(),
         wait: wait.min(LONGEST_WAIT),
-        page_bytes: context.answers.page_bytes().min(most_bytes),
         is_for_peer: true,
     };
     call.answer().await
@@ -88,8 +85,6 @@
     from: usize,
     asked: Instant,
     wait: Duration,
-    /// Bytes that a page may have.
-    page_bytes: usize,
     is_for_peer: bool,
 }
 
@@ -152,11 +147,12 @@
 
     fn page(&self, batch: &BatchState) -> BatchAnswer {
         let dialect = &self.context.dialect;
+        let page_bytes = self.context.answers.page_bytes();
         let mut bytes = 0;
         let mut results = Vec::new();
         for (item, result) in batch.results_from(self.from) {
             bytes += dialect.result_bytes(result);
-            if bytes > self.page_bytes && !results.is_empty() {
+            if bytes > page_bytes && !results.is_empty() {
                 break;
             }
             results.push((item, result));
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -118,8 +118,10 @@
     }
     if let Some(address) = listen.peers {
         let listener = server::listen("peers'", address).await?;
-        let address = listener.local_addr().map_err(NodeError::Address)?;
-        context.peers.listens_at(address);
+        let listened = listener.local_addr().map_err(NodeError::Address)?;
+        context
+            .peers
+            .listens_at(listen.peers_told.unwrap_or(listened));
         tasks.spawn(peers::serve(context.clone(), listener));
     }
     let in_flight = Arc::new(InFlight::default());
--- a/crates/gateway/src/peers/answers.rs
+++ b/crates/gateway/src/peers/answers.rs
@@ -13,8 +13,6 @@
 use crate::context::Context;
 use crate::{batch_ends, batch_reads, questions};
 
-/// Most bytes of a page: the asking node's caller reads on from where it ends.
-const MOST_PAGE_BYTES: usize = 256 * 1024;
 /// Time for the log to give a batch that was handed to this node a moment ago.
 const LOAD_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -43,8 +41,7 @@
         PeerQuestion::Results { from, wait_ms } => {
             let from = usize::try_from(*from).map_err(|_| PeerRefusal::Unreadable)?;
             let wait = Duration::from_millis(*wait_ms);
-            let most = MOST_PAGE_BYTES;
-            let read = batch_reads::read_for_peer(context, &caller, batch, from, wait, most);
+            let read = batch_reads::read_for_peer(context, &caller, batch, from, wait);
             answered(read.await)
         }
         PeerQuestion::ItemBody { item } => item_body(context, &caller, batch, item),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,15 +21,16 @@
 
 /// Questions that are answered at a time, those that wait for a result among them.
 const MOST_QUESTIONS: usize = 64;
-/// Answers with a body that are on their way at a time: with 256 KB each they take 0.4 s of a link of 45 Mbit/s.
-const MOST_BODIES: usize = 8;
+/// Kilobytes of answers that are on their way at a time, two of the longest pages: 0.4 s of a link of 45 Mbit/s.
+const MOST_ANSWER_KB: usize = 2_048;
 
 /// Other nodes that run batches, and what this one answers them.
 pub struct Peers {
     own_address: OnceLock<SocketAddr>,
     links: PeerLinks,
     questions: Arc<Semaphore>,
-    bodies: Arc<Semaphore>,
+    /// Kilobytes of answers that may still be sent.
+    answer_kb: Arc<Semaphore>,
 }
 
 impl Default for Peers {
@@ -38,7 +39,7 @@
             own_address: OnceLock::new(),
             links: PeerLinks::default(),
             questions: Arc::new(Semaphore::new(MOST_QUESTIONS)),
-            bodies: Arc::new(Semaphore::new(MOST_BODIES)),
+            answer_kb: Arc::new(Semaphore::new(MOST_ANSWER_KB)),
         }
     }
 }
--- a/crates/gateway/src/peers/questions.rs
+++ b/crates/gateway/src/peers/questions.rs
@@ -20,8 +20,10 @@
 /// Time beyond the caller's wait in which an owner's answer must be whole. What is left of the time after which
 /// callers leave is for the log.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(500);
-/// Time for the owner to append an end.
-const END_PATIENCE: Duration = Duration::from_millis(700);
+/// Time after a call to end a batch came in by which an owner's answer must be there; callers leave 1.5 s after it.
+const END_PATIENCE: Duration = Duration::from_millis(1_300);
+/// Least time for an owner to append an end: with less it is not asked.
+const LEAST_END_TIME: Duration = Duration::from_millis(200);
 
 /// The node that runs a batch, as far as is known here.
 struct Owner {
@@ -73,12 +75,19 @@
     answer_of(ask(context, &owner, caller, batch, question, until).await)
 }
 
-/// Has the owner end a batch.
-pub(crate) async fn end(context: &Context, caller: &Caller, batch: &BatchId) -> OwnersEnd {
-    let Some(owner) = owner_of(context, batch).filter(|owner| !is_paused(context, owner)) else {
+/// Has the owner end a batch, for a call that came in at `began`.
+pub(crate) async fn end(
+    context: &Context,
+    caller: &Caller,
+    batch: &BatchId,
+    began: Instant,
+) -> OwnersEnd {
+    let until = began + END_PATIENCE;
+    let is_in_time = Instant::now() + LEAST_END_TIME <= until;
+    let owner = owner_of(context, batch).filter(|owner| is_in_time && !is_paused(context, owner));
+    let Some(owner) = owner else {
         return OwnersEnd::NotDone;
     };
-    let until = Instant::now() + END_PATIENCE;
     match ask(context, &owner, caller, batch, PeerQuestion::End, until).await {
         None | Some(Ok(PeerAnswer::Declined(_))) => OwnersEnd::NotDone,
         Some(Ok(PeerAnswer::Answered { .. })) => OwnersEnd::Done,
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -44,8 +44,8 @@
 const BUFFER_BYTES: usize = 32 * 1024;
 /// Bytes given to a connection at a time.
 const PIECE_BYTES: usize = 16 * 1024;
-/// Answers up to this size count for no body.
-const SMALL_ANSWER_BYTES: usize = 1_024;
+/// Unit in which the bytes of answers are counted.
+const BYTES_PER_KB: usize = 1_024;
 
 /// Answers other nodes.
 pub async fn serve(context: Arc<Context>, listener: TcpListener) {
@@ -150,16 +150,15 @@
     })
 }
 
-/// Takes a place for an answer with a body; declined if there is none.
+/// Takes place for the bytes of an answer; it is declined if there is none.
 fn with_place(context: &Context, answer: PeerAnswer) -> (PeerAnswer, Option<OwnedSemaphorePermit>) {
     let bytes = match &answer {
         PeerAnswer::Answered { body, .. } => body.len(),
         PeerAnswer::MayBeDone | PeerAnswer::Declined(_) => 0,
     };
-    if bytes <= SMALL_ANSWER_BYTES {
-        return (answer, None);
-    }
-    match context.peers.bodies.clone().try_acquire_owned() {
+    let kilobytes = u32::try_from(bytes / BYTES_PER_KB).unwrap_or(u32::MAX);
+    let places = context.peers.answer_kb.clone();
+    match places.try_acquire_many_owned(kilobytes) {
         Ok(place) => (answer, Some(place)),
         Err(_) => (PeerAnswer::Declined(PeerRefusal::Overloaded), None),
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -55,6 +55,8 @@
     /// Other nodes' questions about batches that this one runs; without it none are answered, and others are told
     /// of no address.
     pub peers: Option<SocketAddr>,
+    /// The address that others are told, where it is not the one listened on.
+    pub peers_told: Option<SocketAddr>,
 }
 
 /// The shared log.
