--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -252,7 +252,12 @@
 
     /// The region in which a back end stands, if it is known.
     pub fn region_of(&self, record: &BackendRecord) -> Option<&RegionName> {
-        self.regions.region_of(&record.zone)
+        self.region_of_zone(&record.zone)
+    }
+
+    /// The region of a zone, if it is known.
+    pub fn region_of_zone(&self, zone: &str) -> Option<&RegionName> {
+        self.regions.region_of(zone)
     }
 
     /// Back ends that may be sent a call, apart from what slow start allows.
--- a/crates/gateway/src/batch_ends.rs
+++ b/crates/gateway/src/batch_ends.rs
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::peers::{self, OwnersEnd};
 use crate::questions::{self, NotFound};
-use crate::repeated_append::{AppendOutcome, append};
+use crate::repeated_append::{AppendFor, AppendOutcome, append};
 
 /// What came of a call that ends a batch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,7 +54,7 @@
 /// Ends a batch.
 pub(crate) async fn end(context: &Arc<Context>, caller: &Caller, id: &BatchId) -> BatchAnswer {
     let began = Instant::now();
-    let outcome = match try_to_end(context, caller, id).await {
+    let outcome = match try_to_end(context, caller, id, AppendFor::Caller).await {
         EndOutcome::NotAppended { may_be_done: false } => {
             end_at_owner(context, caller, id, began).await
         }
@@ -86,7 +86,7 @@
     caller: &Caller,
     id: &BatchId,
 ) -> PeerAnswer {
-    match try_to_end(context, caller, id).await {
+    match try_to_end(context, caller, id, AppendFor::Peer).await {
         EndOutcome::AlreadyEnded | EndOutcome::Appended => PeerAnswer::Answered {
             body: Bytes::new(),
             is_own_format: false,
@@ -101,15 +101,20 @@
 
 /// A batch that some node runs is ended without being read here: reading may take seconds when all nodes
 /// have just started, in which its items would go on.
-async fn try_to_end(context: &Arc<Context>, caller: &Caller, id: &BatchId) -> EndOutcome {
+async fn try_to_end(
+    context: &Arc<Context>,
+    caller: &Caller,
+    id: &BatchId,
+    whom: AppendFor,
+) -> EndOutcome {
     // Whether an end of a caller that nothing is known of counts is told by the batch itself: it must be read.
     let is_verified = *caller != Caller::Unverified;
     if is_verified && was_found_in_the_log(context, id) {
-        return append_end(context, caller, id).await;
+        return append_end(context, caller, id, whom).await;
     }
     let asked = Instant::now();
     match questions::ask_now(context, id).await {
-        Ok(()) => append_end_if_known(context, caller, id, asked).await,
+        Ok(()) => append_end_if_known(context, caller, id, asked, whom).await,
         // That the partition could not be read was told, with the reason.
         Err(_) => EndOutcome::NotAppended { may_be_done: false },
     }
@@ -131,12 +136,13 @@
     caller: &Caller,
     id: &BatchId,
     asked: Instant,
+    whom: AppendFor,
 ) -> EndOutcome {
     // A heartbeat may have named it while the log was asked.
     let lies_here = context.partition_of(id).lock().state.batch(id).is_some();
     let is_verified = *caller != Caller::Unverified;
     if lies_here || is_verified && was_found_in_the_log(context, id) {
-        return append_end(context, caller, id).await;
+        return append_end(context, caller, id, whom).await;
     }
     match questions::not_found(context, caller, id) {
         NotFound::NotThere => EndOutcome::NotThere,
@@ -153,7 +159,12 @@
 
 /// Appends the end of a batch that lies in the log, unless it is known to be there. Where the batch belongs
 /// to a tenant, the fold decides whether this caller's end counts: the batch need not be read here.
-async fn append_end(context: &Context, caller: &Caller, id: &BatchId) -> EndOutcome {
+async fn append_end(
+    context: &Context,
+    caller: &Caller,
+    id: &BatchId,
+    whom: AppendFor,
+) -> EndOutcome {
     let partition = context.partition_of(id);
     if let Some(outcome) = known_outcome(context, caller, id) {
         return outcome;
@@ -165,7 +176,7 @@
             batch: id.clone(),
         },
     };
-    match append(context, partition, &record.encode()).await {
+    match append(context, partition, &record.encode(), whom).await {
         AppendOutcome::Done => EndOutcome::Appended,
         AppendOutcome::NotDone | AppendOutcome::TooLarge => {
             EndOutcome::NotAppended { may_be_done: false }
--- a/crates/gateway/src/batch_submissions.rs
+++ b/crates/gateway/src/batch_submissions.rs
@@ -17,7 +17,7 @@
 
 use crate::batch_answer::BatchAnswer;
 use crate::context::Context;
-use crate::repeated_append::{AppendOutcome, append};
+use crate::repeated_append::{AppendFor, AppendOutcome, append};
 
 /// Age of a sign of life up to which its node is taken to be alive.
 const ALIVE_MS: Millis = 700;
@@ -69,14 +69,20 @@
     let notice = ControlRecord::BatchAccepted(BatchNotice::of(&submission, owner.clone()));
     let partition = context.partition_of(&submission.id);
     let record = record_of(submission, tenant, owner);
-    let items = append(context, partition, &record.encode()).await;
+    let items = append(context, partition, &record.encode(), AppendFor::Caller).await;
     match items {
         AppendOutcome::TooLarge => return StatusCode::PAYLOAD_TOO_LARGE,
         AppendOutcome::NotDone => return StatusCode::SERVICE_UNAVAILABLE,
         // Items that may be there are run if they are.
         AppendOutcome::Done | AppendOutcome::Unknown => {}
     }
-    let told = append(context, &context.control, &notice.encode()).await;
+    let told = append(
+        context,
+        &context.control,
+        &notice.encode(),
+        AppendFor::Caller,
+    )
+    .await;
     // This node hears of it at once, in case it is the owner.
     context.control.want(context.now());
     match (items, told) {
--- a/crates/gateway/src/peers/answers.rs
+++ b/crates/gateway/src/peers/answers.rs
@@ -79,8 +79,8 @@
         let state = inner.state.batch(batch).ok_or(PeerRefusal::NotHere)?;
         context.batch_residency(&state.host, &state.path, state.tenant.as_ref())
     };
-    let regions = context.settings.region_map();
-    match residency.allows(regions.region_of(zone.as_str())) {
+    let backends = context.backends.lock();
+    match residency.allows(backends.region_of_zone(zone.as_str())) {
         true => Ok(()),
         false => Err(PeerRefusal::Region),
     }
--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -73,7 +73,7 @@
             .is_some_and(|peer| peer.record.is_paused(now))
     }
 
-    /// Notes how a node answered.
+    /// Notes how a node answered. One whose connections made place for others meanwhile begins anew.
     pub(super) fn note(&self, node: &NodeId, change: impl FnOnce(&mut PeerRecord)) {
         if let Some(peer) = self.lock().get_mut(node) {
             change(&mut peer.record);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -21,6 +21,8 @@
 
 /// Questions that are answered at a time, those that wait for a result among them.
 const MOST_QUESTIONS: usize = 64;
+/// Questions that this node asks at a time for its callers; others go to the log. Each may bring a page of 1 MB.
+const MOST_ASKED: usize = 32;
 /// Kilobytes of answers that are on their way at a time, two of the longest pages: 0.4 s of a link of 45 Mbit/s.
 const MOST_ANSWER_KB: usize = 2_048;
 
@@ -28,6 +30,7 @@
 pub struct Peers {
     own_address: OnceLock<SocketAddr>,
     links: PeerLinks,
+    asked: Semaphore,
     questions: Arc<Semaphore>,
     /// Kilobytes of answers that may still be sent.
     answer_kb: Arc<Semaphore>,
@@ -38,6 +41,7 @@
         Self {
             own_address: OnceLock::new(),
             links: PeerLinks::default(),
+            asked: Semaphore::new(MOST_ASKED),
             questions: Arc::new(Semaphore::new(MOST_QUESTIONS)),
             answer_kb: Arc::new(Semaphore::new(MOST_ANSWER_KB)),
         }
--- a/crates/gateway/src/peers/questions.rs
+++ b/crates/gateway/src/peers/questions.rs
@@ -147,7 +147,7 @@
     })
 }
 
-/// Asks an owner; `None` for a caller of whom nothing is known yet.
+/// Asks an owner; `None` for a caller of whom nothing is known yet, and where enough questions are being asked.
 async fn ask(
     context: &Context,
     owner: &Owner,
@@ -159,8 +159,12 @@
     if *caller == Caller::Unverified {
         return None;
     }
-    let began = Instant::now();
     let name = name_of(&question);
+    let Ok(_place) = context.peers.asked.try_acquire() else {
+        metrics::owner_asked(name, "too_many", 0);
+        return None;
+    };
+    let began = Instant::now();
     let request = PeerRequest {
         to: owner.node.clone(),
         zone: ZoneName::from(context.settings.zone.as_str()),
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -55,7 +55,7 @@
             continue;
         };
         let Ok(place) = connections.clone().try_acquire_owned() else {
-            warn!(event = "peer_connection_refused", most = MOST_CONNECTIONS; "");
+            metrics::peer_answered("no_connection", 0);
             continue;
         };
         let context = context.clone();
--- a/crates/gateway/src/repeated_append.rs
+++ b/crates/gateway/src/repeated_append.rs
@@ -13,6 +13,8 @@
 
 /// Time for which an append that was certainly not done is repeated.
 const REPEAT_NOT_DONE: Duration = Duration::from_millis(600);
+/// The same for a caller of another node, which has tried that long itself.
+const REPEAT_NOT_DONE_FOR_PEER: Duration = Duration::from_millis(200);
 /// Time for which an append is repeated whose outcome is not known.
 const REPEAT_UNKNOWN: Duration = Duration::from_millis(3_500);
 /// Pause between two appends of the same records.
@@ -20,6 +22,24 @@
 /// Bytes that framing adds to a record of the largest allowed size, at most.
 const FRAMING_ALLOWANCE: usize = 256;
 
+/// For whom an append is repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AppendFor {
+    /// A caller of this node.
+    Caller,
+    /// A caller of another node.
+    Peer,
+}
+
+impl AppendFor {
+    fn repeat_not_done(self) -> Duration {
+        match self {
+            Self::Caller => REPEAT_NOT_DONE,
+            Self::Peer => REPEAT_NOT_DONE_FOR_PEER,
+        }
+    }
+}
+
 /// What came of an append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AppendOutcome {
@@ -38,6 +58,7 @@
     context: &Context,
     partition: &StreamView<S>,
     encoded: &[u8],
+    whom: AppendFor,
 ) -> AppendOutcome {
     if encoded.len() + FRAMING_ALLOWANCE > context.settings.log.call_bytes {
         return AppendOutcome::TooLarge;
@@ -53,7 +74,7 @@
                 let limit = if is_unknown {
                     REPEAT_UNKNOWN
                 } else {
-                    REPEAT_NOT_DONE
+                    whom.repeat_not_done()
                 };
                 if began.elapsed() >= limit {
                     report_append(partition, error, is_unknown);
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -8,11 +8,13 @@
 
 use havenstage_gateway::edge::DirectoryEntry;
 use havenstage_rollout::ids::ModelName;
+use havenstage_rollout::peer_message::{PeerAnswer, PeerRefusal};
 use support::backend::CallBehaviour;
 use support::caller::{call, submit};
 use support::deployment::{Deployment, wait_until};
 use support::dialect::{MODEL, write_batch};
 use support::log::LogFaults;
+use support::peers::{ask, own, peer_node, request, results_from};
 use support::suspension;
 
 /// Longer than any knowledge, lease or deadline of the tests lasts.
@@ -42,6 +44,26 @@
     assert!(contact_age >= SUSPENDED.as_millis() as u64);
 }
 
+/// What other nodes' callers are told is as fresh as for its own.
+#[tokio::test]
+async fn an_owner_that_was_suspended_says_nothing_new_from_no_old_knowledge() {
+    suspension::prepare();
+    let deployment = Deployment::start(1, 0).await;
+    deployment.engines[0].behave(|told| told.event_pause = Duration::from_secs(60));
+    let owner = peer_node(&deployment, "owner").await;
+    own(&owner, "batch", &write_batch(1, &[("i1", "g1")], false)).await;
+    let question = request(&owner, "batch", results_from(0, 0));
+    let answer = ask(&owner, &question).await;
+    assert!(matches!(answer, PeerAnswer::Answered { .. }), "{answer:?}");
+    owner.set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    owner.suspend(SUSPENDED).await;
+    let answer = ask(&owner, &question).await;
+    assert_eq!(answer, PeerAnswer::Declined(PeerRefusal::NotConfirmed));
+}
+
 #[tokio::test]
 async fn a_call_whose_time_passed_in_a_suspension_is_not_sent_again() {
     suspension::prepare();
