--- a/crates/service/src/settings/gateway.rs
+++ b/crates/service/src/settings/gateway.rs
@@ -45,6 +45,7 @@
                 ready: self.listen.ready,
                 metrics: self.listen.metrics,
                 peers: None,
+                peers_told: None,
                 datagrams: None,
             },
             log: LogSettings {
