Test: a batch for which the store of serve has no room is refused as not run

Cause: the store's bound was tested in its own crate only. Change: two batches of 600 KB against a store of 1 MB: 202 and 503, nothing of the second is there, a small one is taken and runs. Ruled out: one batch larger than the store: the gateway refuses it with 413, as it exceeds a call of the store. Conclusion: the refusal by a full store is true.

--- a/crates/havenstage/tests/serve.rs
+++ b/crates/havenstage/tests/serve.rs
@@ -669,3 +669,27 @@
     let whole = served.call("POST", "/v1/completions", &headers, &body.to_string());
     assert_eq!(**text, whole.json()["choices"][0]["text"]);
 }
+
+/// A refusal by a full store is true: nothing of the batch is there, and others are taken.
+#[test]
+fn a_batch_for_which_the_store_has_no_room_is_refused_as_not_run() {
+    let path = file("small-store.toml", "[store]\nmost_mb = 1\n");
+    let served = Served::start(&["--config", path.to_str().unwrap()]);
+    served.wait_for_engines(2);
+    // One word, so that engines have little to do.
+    let prompt = "w".repeat(600_000);
+    let sample = json!({ "id": "a", "prompt": prompt, "max_tokens": 4 });
+    let body = json!({ "model": "policy", "samples": [sample] }).to_string();
+    let hand_in = |id: &str| {
+        let headers = [("x-request-id", id)];
+        served.call("POST", "/v1/batches/", &headers, &body).status
+    };
+    assert_eq!((hand_in("first"), hand_in("second")), (202, 503));
+    assert_eq!(results(&served, "first").len(), 1);
+    let read = served.call("GET", "/v1/batches/second/results", &[], "");
+    assert_eq!(read.status, 404, "{read:?}");
+    let headers = [("x-request-id", "small")];
+    let answer = served.call("POST", "/v1/batches/", &headers, &batch(&["g1-a"], 1));
+    assert_eq!(answer.status, 202, "{answer:?}");
+    assert_eq!(results(&served, "small").len(), 1);
+}
