--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -36,6 +36,7 @@
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
 use crate::peer_words::PeerSocket;
+use crate::peers::Peers;
 use crate::reward_pace::RewardPace;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
@@ -141,6 +142,8 @@
     pub answers: Arc<HeldAnswers>,
     /// How the taking of callers' connections goes.
     pub intake: Intake,
+    /// Other nodes that run batches.
+    pub peers: Peers,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) watched: Watched,
     /// Where datagrams of other nodes come in, if the node listens for them.
@@ -223,6 +226,7 @@
             takes_part: watch::Sender::new(false),
             answers,
             intake: Intake::default(),
+            peers: Peers::default(),
             crash_guard: CrashGuard::default(),
             watched: Watched::default(),
             peer_socket: OnceLock::new(),
@@ -489,6 +493,19 @@
         self.occupancy.lock().state.running(since, counts)
     }
 
+    /// Tokens that items are expected to hold on each back end when they end, of the nodes that `counts`
+    /// takes, as they tell.
+    pub fn expected_tokens(&self, counts: impl Fn(&NodeId) -> bool) -> BTreeMap<BackendId, u32> {
+        let since = self.now().saturating_sub(OCCUPANCY_COUNTS_MS);
+        let occupancy = self.occupancy.lock();
+        let mut tokens: BTreeMap<BackendId, u32> = BTreeMap::new();
+        for (backend, detail) in occupancy.state.details(since, counts) {
+            let of_backend = tokens.entry(backend.clone()).or_default();
+            *of_backend = of_backend.saturating_add(detail.expected_tokens);
+        }
+        tokens
+    }
+
     /// Whether this node runs batches, or ran one a moment ago.
     pub fn is_busy(&self) -> bool {
         self.busy_until.load(Ordering::Relaxed) > self.now()
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -3,17 +3,18 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::event_gap::median;
+use havenstage_rollout::back_end_speed::median;
+use havenstage_rollout::circuit_breaker::Admission;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
-use havenstage_rollout::schedule::Candidate;
+use havenstage_rollout::schedule::{Candidate, TokenMemory};
 use havenstage_rollout::slow_start::Sender;
 
 use super::Engine;
 use super::plan::PoolWork;
 
 /// Time after which an order of which nothing was heard no longer keeps items away.
-const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
+pub(super) const ORDER_KEEPS_AWAY_MS: Millis = 4_000;
 /// Gap between events of a back end whose speed is not known yet.
 const USUAL_GAP_MS: f64 = 30.0;
 /// Shortest gap that is told apart from none.
@@ -39,6 +40,8 @@
     ) -> Vec<Candidate> {
         let own_node = &self.context.node;
         let elsewhere = self.context.occupied(|node| node != own_node);
+        let tokens_elsewhere = self.tokens_elsewhere();
+        let capacity = pool.and_then(|pool| pool.memory_tokens);
         let groups = self.groups_by_backend();
         let own = self.running_here();
         let owners = self.context.batch_owners();
@@ -55,7 +58,10 @@
             if has_warm && backends.is_cold(id, now) {
                 continue;
             }
-            let is_paused = self.pauses.get(id).is_some_and(|pause| pause.until > now);
+            let admission = self
+                .breakers
+                .get(id)
+                .map_or(Admission::All, |breaker| breaker.admission(now));
             let is_loading = control
                 .state
                 .pending(id)
@@ -64,19 +70,28 @@
                 && oldest
                     .iter()
                     .all(|(model, version)| backends.version(id, model) < *version);
-            if is_paused || is_loading || serves_none {
+            if admission == Admission::None || is_loading || serves_none {
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
             let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
             let running =
                 own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
-            let allowance = backends.cold_allowance(id, sender, now);
+            let allowance = match admission {
+                Admission::One => Some(1),
+                Admission::All | Admission::None => None,
+            };
+            let cold_allowance = backends.cold_allowance(id, sender, now);
+            let allowance = allowance.into_iter().chain(cold_allowance).min();
+            let tokens = |of: &BTreeMap<BackendId, u32>| of.get(id).copied().unwrap_or(0);
+            let expected =
+                tokens(self.lengths.on_backends()).saturating_add(tokens(&tokens_elsewhere));
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
                 running,
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
+                memory: TokenMemory { capacity, expected },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
@@ -97,6 +112,12 @@
         running
     }
 
+    /// Tokens that other nodes' items are expected to hold on each back end, as they tell.
+    fn tokens_elsewhere(&self) -> BTreeMap<BackendId, u32> {
+        let own_node = &self.context.node;
+        self.context.expected_tokens(|node| node != own_node)
+    }
+
     fn groups_by_backend(&self) -> HashMap<BackendId, HashSet<GroupId>> {
         let mut groups: HashMap<BackendId, HashSet<GroupId>> = HashMap::new();
         for item in self.items.values() {
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -104,7 +104,7 @@
 
 /// Says in the log what the others are to know of this machine: that a node started here, which tells how many
 /// machines read ([`fleet_size`](havenstage_rollout::fleet_size)), and where it can be reached
-/// ([`peer_addresses`](havenstage_rollout::peer_addresses)).
+/// ([`reachable_machines`](havenstage_rollout::reachable_machines)).
 async fn announce(context: &Context) {
     let machine = &context.node.machine;
     tokio::time::sleep(context.settings.announce_delay(machine)).await;
@@ -138,7 +138,7 @@
     let machine = &context.node.machine;
     let address = context.peer_socket.get()?.address();
     let control = context.control.lock();
-    let is_wanted = control.state.peer_addresses().is_wanted(machine, address);
+    let is_wanted = control.state.reachable().is_wanted(machine, address);
     is_wanted.then(|| ControlRecord::Reachable {
         machine: machine.clone(),
         address,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod order_exchange;
 pub mod order_run;
 mod peer_words;
+pub mod peers;
 mod questions;
 pub mod relay;
 mod repeated_append;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -104,12 +104,27 @@
     histogram!(KNOWLEDGE_AGE).record(known_age_ms as f64);
 }
 
+/// An item was placed where the memory is expected to run out, for want of another place.
+pub fn placed_short_of_memory() {
+    counter!("gateway_items_placed_short_of_memory_total").increment(1);
+}
+
 /// A run of an item ended.
 pub fn run_ended(outcome: &'static str, took_ms: u64) {
     counter!("gateway_runs_total", "outcome" => outcome).increment(1);
     histogram!("gateway_run_ms", "outcome" => outcome).record(took_ms as f64);
 }
 
+/// A back end gets no items for a while after a run ended there so.
+pub fn breaker_opened(cause: &'static str) {
+    counter!("gateway_breakers_opened_total", "cause" => cause).increment(1);
+}
+
+/// A run was ended as its back end fell silent.
+pub fn run_stalled(reason: &'static str) {
+    counter!("gateway_runs_stalled_total", "reason" => reason).increment(1);
+}
+
 /// Results were written to the log, or not.
 pub fn results_written(outcome: &'static str, took_ms: u64) {
     counter!("gateway_appends_total", "outcome" => outcome).increment(1);
@@ -183,6 +198,19 @@
     }
 }
 
+/// The node that runs a batch was asked about it for a caller.
+pub fn owner_asked(question: &'static str, outcome: &'static str, took_ms: u64) {
+    counter!("gateway_owner_questions_total", "question" => question, "outcome" => outcome)
+        .increment(1);
+    histogram!("gateway_owner_question_ms", "question" => question).record(took_ms as f64);
+}
+
+/// A question of another node was answered, or declined.
+pub fn peer_answered(outcome: &'static str, bytes: usize) {
+    counter!("gateway_peer_answers_total", "outcome" => outcome).increment(1);
+    counter!("gateway_peer_answer_bytes_total").increment(bytes as u64);
+}
+
 /// Items that run on this node now.
 pub fn items_running(count: usize) {
     gauge!("gateway_items_running").set(count as f64);
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -126,7 +126,7 @@
 /// Addresses of some other nodes.
 fn hearers(context: &Context, count: usize) -> Vec<SocketAddr> {
     let control = context.control.lock();
-    let addresses = control.state.peer_addresses();
+    let addresses = control.state.reachable();
     addresses.some_others(&context.node.machine, count, rand::random())
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -12,6 +12,7 @@
 use havenstage_http_link::{WholeAnswer, end_when_unacknowledged};
 use havenstage_rollout::access::Caller;
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
+use havenstage_rollout::schedule::urgency;
 use http::header::HeaderValue;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
@@ -121,7 +122,7 @@
     }
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+pub(crate) async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
             // A connection works without this, only less promptly.
@@ -255,7 +256,7 @@
         .to_owned()
 }
 
-async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, StatusCode> {
+pub(crate) async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, StatusCode> {
     let read = Limited::new(body, most_bytes).collect();
     match tokio::time::timeout(BODY_TIMEOUT, read).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
@@ -281,6 +282,14 @@
     send::remove_connection_headers(&mut headers);
     headers.remove(&names.expected_backend);
     access::name_tenant(names, &mut headers, caller.tenant());
+    if matches!(route.kind, RequestKind::Stream { .. }) {
+        // It shares engines with items, which tell theirs.
+        let rank = caller.priority().unwrap_or(route.priority);
+        headers.insert(
+            names.urgency.clone(),
+            u64::from(urgency(rank, false)).into(),
+        );
+    }
     let call = Call {
         id: id.clone(),
         method: head.method,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,7 +53,11 @@
     pub ready: SocketAddr,
     /// Metrics; none are served without it.
     pub metrics: Option<SocketAddr>,
-    /// Datagrams of other nodes; without it nodes say to each other only what stands in the log.
+    /// Other nodes' questions about batches that this one runs; without it none are answered, and others are told
+    /// of no address.
+    pub peers: Option<SocketAddr>,
+    /// Datagrams of other nodes, which tell what the log does not take from them; without it nodes tell each other
+    /// only what stands in the log.
     pub datagrams: Option<SocketAddr>,
 }
 
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -331,7 +331,7 @@
     let machine = node.context().node.machine.clone();
     let known = || {
         let control = node.context().control.lock();
-        let addresses = control.state.peer_addresses().checkpoint();
+        let addresses = control.state.reachable().checkpoint();
         addresses.get(&machine).copied()
     };
     wait_until("its address is told", || known().is_some()).await;
--- a/crates/gateway/tests/support/deployment.rs
+++ b/crates/gateway/tests/support/deployment.rs
@@ -139,7 +139,7 @@
     pub async fn knows_addresses(&self, machines: usize) {
         wait_until("the node knows the others' addresses", || {
             let control = self.context().control.lock();
-            control.state.peer_addresses().checkpoint().len() == machines
+            control.state.reachable().checkpoint().len() == machines
         })
         .await;
     }
@@ -268,6 +268,7 @@
         connections: 100,
         models,
         tokens_per_event: 1,
+        memory_tokens: None,
         scaling: None,
         cold_limit: None,
     };
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -17,15 +17,17 @@
 use crate::crash_ledger::CrashCheckpoint;
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
-use crate::peer_addresses::KnownAddresses;
+use crate::peer_addresses::PeerAddress;
+use crate::reachable_machines::ReachableAddresses;
 use crate::sizing::OrderedSizes;
 use crate::stored::{Stored, UnreadableValue};
 use crate::usage::DecidedUsage;
 
 /// Number of the present form of checkpoints; rises with each field that is added.
-pub const FORM: u8 = 6;
+pub const FORM: u8 = 7;
 /// Number of the oldest form that names its number. Each one since has one more list at its end: the requests
-/// under which back ends ended, the decided windows of usage, the ordered sizes, the addresses of machines.
+/// under which back ends ended, the decided windows of usage, the ordered sizes, the addresses of nodes that run
+/// batches, the addresses of other machines.
 const SECOND_FORM: u8 = 2;
 /// An empty list, as it is encoded.
 const ENCODED_EMPTY_LIST: u8 = 0;
@@ -65,8 +67,10 @@
     pub usage: Vec<DecidedUsage>,
     /// Sizes of pools that were ordered. Not in the fourth form.
     pub sizes: OrderedSizes,
-    /// Where some machines can be reached. Not in the fifth form.
-    pub peer_addresses: KnownAddresses,
+    /// Addresses at which nodes that run batches answer others. Not in the fifth form.
+    pub peers: Vec<PeerAddress>,
+    /// Where some machines can be reached. Not in the sixth form.
+    pub reachable: ReachableAddresses,
 }
 
 /// The fold as it was kept first: what all forms begin with.
@@ -116,7 +120,8 @@
             crashes: Vec::new(),
             usage: Vec::new(),
             sizes: OrderedSizes::new(),
-            peer_addresses: KnownAddresses::new(),
+            peers: Vec::new(),
+            reachable: ReachableAddresses::new(),
         }
     }
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -16,6 +16,7 @@
 use crate::last_orders::{LastOrder, LastOrders};
 use crate::lease::LeaseState;
 use crate::peer_addresses::PeerAddresses;
+use crate::reachable_machines::ReachableMachines;
 use crate::sizing::OrderedSizes;
 use crate::usage::UsageLedger;
 
@@ -62,7 +63,8 @@
     crashes: CrashLedger,
     usage: UsageLedger,
     sizes: OrderedSizes,
-    peer_addresses: PeerAddresses,
+    peers: PeerAddresses,
+    reachable: ReachableMachines,
 }
 
 /// The node that last told that it runs batches of a route.
@@ -89,7 +91,8 @@
             log_time: 0,
             usage: UsageLedger::default(),
             sizes: OrderedSizes::new(),
-            peer_addresses: PeerAddresses::default(),
+            peers: PeerAddresses::default(),
+            reachable: ReachableMachines::default(),
         }
     }
 
@@ -123,7 +126,8 @@
             crashes: self.crashes.checkpoint(),
             usage: self.usage.decided().to_vec(),
             sizes: self.sizes.clone(),
-            peer_addresses: self.peer_addresses.checkpoint(),
+            peers: self.peers.checkpoint(),
+            reachable: self.reachable.checkpoint(),
         }
     }
 
@@ -140,7 +144,8 @@
         state.crashes = CrashLedger::restored(state.own_machine.clone(), checkpoint.crashes, now);
         state.usage = UsageLedger::restored(checkpoint.usage);
         state.sizes = checkpoint.sizes;
-        state.peer_addresses = PeerAddresses::restored(checkpoint.peer_addresses);
+        state.peers = PeerAddresses::restored(checkpoint.peers, now);
+        state.reachable = ReachableMachines::restored(checkpoint.reachable);
         for (backend, (model, version)) in checkpoint.pending {
             let order = PendingOrder {
                 model,
@@ -173,6 +178,7 @@
                 batches,
             } => {
                 self.index.held(&node, &batches, now);
+                self.peers.lives(&node, now);
                 for route in routes {
                     let serving = Serving {
                         node: node.clone(),
@@ -244,8 +250,9 @@
                 self.sizes.entry(pool).or_default().insert(zone, size);
             }
             ControlRecord::UsageSettled { window } => self.usage.settle(window),
+            ControlRecord::PeerListens { node, address } => self.peers.listens(node, address, now),
             ControlRecord::Reachable { machine, address } => {
-                self.peer_addresses.told(machine, address);
+                self.reachable.told(machine, address);
             }
         }
     }
@@ -291,9 +298,15 @@
         &self.index
     }
 
-    /// Forgets batches first heard of before `before`.
+    /// Addresses at which nodes that run batches answer others.
+    pub fn peers(&self) -> &PeerAddresses {
+        &self.peers
+    }
+
+    /// Forgets batches first heard of before `before`, and addresses of nodes not heard of since.
     pub fn forget_batches_before(&mut self, before: Millis) {
         self.index.forget_before(before);
+        self.peers.forget_before(before);
     }
 
     /// Requests under which back ends ended.
@@ -317,8 +330,8 @@
     }
 
     /// Where other machines can be reached.
-    pub fn peer_addresses(&self) -> &PeerAddresses {
-        &self.peer_addresses
+    pub fn reachable(&self) -> &ReachableMachines {
+        &self.reachable
     }
 
     /// Machines that announced themselves.
--- a/crates/rollout/src/control_record.rs
+++ b/crates/rollout/src/control_record.rs
@@ -129,7 +129,14 @@
         /// The window.
         window: UsageWindow,
     },
-    /// A machine can be reached by other nodes. A part of the fleet says so ([`crate::peer_addresses`]).
+    /// A node that runs batches answers other nodes' questions about them at an address.
+    PeerListens {
+        /// The node.
+        node: NodeId,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// A machine can be reached by other nodes. A part of the fleet says so ([`crate::reachable_machines`]).
     Reachable {
         /// The machine.
         machine: MachineName,
--- a/crates/rollout/src/peer_addresses.rs
+++ b/crates/rollout/src/peer_addresses.rs
@@ -1,84 +1,84 @@
-//! Where some of the machines can be reached by others, for what cannot wait until the log takes it.
-//!
-//! The load that this answers: the log turns a part of the nodes away for seconds, and one of them dies with what it
-//! alone knows. Only the machines whose names have the smallest hashes tell their addresses, as with
-//! [`fleet_size`](crate::fleet_size): what is written and kept does not grow with the fleet.
+//! Where nodes that run batches answer other nodes, as they tell in the control stream.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use xxhash_rust::xxh3::xxh3_64;
+use serde::{Deserialize, Serialize};
 
-use crate::ids::MachineName;
+use crate::Millis;
+use crate::ids::{MachineName, NodeId};
 
-/// Most addresses that are kept; 32 take 1 KB in a checkpoint. They stand in all zones, so that some are left when a zone
-/// is gone.
-pub const MOST_ADDRESSES: usize = 32;
-
-/// Addresses of machines as a checkpoint keeps them.
-pub type KnownAddresses = BTreeMap<MachineName, SocketAddr>;
-
-/// Addresses that machines told.
-#[derive(Debug, Clone, Default)]
-pub struct PeerAddresses {
-    addresses: KnownAddresses,
+/// The address of a node in a checkpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAddress {
+    /// The node.
+    pub node: NodeId,
+    /// Where it answers.
+    pub address: SocketAddr,
 }
 
-fn hash(machine: &MachineName) -> u64 {
-    xxh3_64(machine.as_str().as_bytes())
+/// The addresses of the newest life of each machine that told one.
+#[derive(Debug, Default)]
+pub struct PeerAddresses(BTreeMap<MachineName, KnownPeer>);
+
+#[derive(Debug)]
+struct KnownPeer {
+    life: u32,
+    address: SocketAddr,
+    /// When a sign of its life was last read.
+    heard: Millis,
 }
 
 impl PeerAddresses {
-    /// What a checkpoint kept.
-    pub fn restored(addresses: KnownAddresses) -> Self {
-        let mut restored = Self::default();
-        for (machine, address) in addresses {
-            restored.told(machine, address);
-        }
-        restored
+    /// A node told its address.
+    pub fn listens(&mut self, node: NodeId, address: SocketAddr, now: Millis) {
+        let peer = KnownPeer {
+            life: node.life,
+            address,
+            heard: now,
+        };
+        self.0.insert(node.machine, peer);
     }
 
-    /// What a checkpoint keeps.
-    pub fn checkpoint(&self) -> KnownAddresses {
-        self.addresses.clone()
+    /// A node told that it is alive.
+    pub fn lives(&mut self, node: &NodeId, now: Millis) {
+        let known = self.0.get_mut(&node.machine);
+        if let Some(known) = known.filter(|known| known.life == node.life) {
+            known.heard = now;
+        }
     }
 
-    /// A machine told its address; its newest one counts.
-    pub fn told(&mut self, machine: MachineName, address: SocketAddr) {
-        self.addresses.insert(machine, address);
-        if self.addresses.len() > MOST_ADDRESSES
-            && let Some(largest) = self.largest().cloned()
-        {
-            self.addresses.remove(&largest);
-        }
+    /// Where a node answers, and when a sign of its life was last read.
+    pub fn of(&self, node: &NodeId) -> Option<(SocketAddr, Millis)> {
+        let known = self.0.get(&node.machine)?;
+        (known.life == node.life).then_some((known.address, known.heard))
     }
 
-    /// Whether the others are to be told this address of a machine.
-    pub fn is_wanted(&self, machine: &MachineName, address: SocketAddr) -> bool {
-        match self.addresses.get(machine) {
-            Some(known) => *known != address,
-            None if self.addresses.len() < MOST_ADDRESSES => true,
-            None => self
-                .largest()
-                .is_some_and(|largest| hash(machine) < hash(largest)),
-        }
+    /// Forgets nodes that were not heard of since `before`.
+    pub fn forget_before(&mut self, before: Millis) {
+        self.0.retain(|_, known| known.heard >= before);
     }
 
-    /// Up to `count` addresses of other machines than `own`. Which ones, the draw decides, so that a machine that is
-    /// gone is not asked again and again.
-    pub fn some_others(&self, own: &MachineName, count: usize, draw: u64) -> Vec<SocketAddr> {
-        let others = self.addresses.iter().filter(|(machine, _)| *machine != own);
-        let mut others: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
-        if others.is_empty() {
-            return others;
-        }
-        let first = draw % others.len() as u64;
-        others.rotate_left(first as usize);
-        others.truncate(count);
-        others
+    /// All addresses, without times.
+    pub fn checkpoint(&self) -> Vec<PeerAddress> {
+        let known = self.0.iter();
+        known
+            .map(|(machine, known)| PeerAddress {
+                node: NodeId {
+                    machine: machine.clone(),
+                    life: known.life,
+                },
+                address: known.address,
+            })
+            .collect()
     }
 
-    fn largest(&self) -> Option<&MachineName> {
-        self.addresses.keys().max_by_key(|machine| hash(machine))
+    /// The addresses of a checkpoint, heard of now.
+    pub fn restored(peers: Vec<PeerAddress>, now: Millis) -> Self {
+        let mut addresses = Self::default();
+        for PeerAddress { node, address } in peers {
+            addresses.listens(node, address, now);
+        }
+        addresses
     }
 }
--- a/crates/rollout/src/route.rs
+++ b/crates/rollout/src/route.rs
@@ -106,6 +106,8 @@
     pub models: Vec<ModelName>,
     /// Tokens that one event of a stream holds.
     pub tokens_per_event: u32,
+    /// Tokens that the memory of one back end takes; `None` where it is not told.
+    pub memory_tokens: Option<u32>,
     /// What may be ordered of it; `None` where its size is the operator's.
     pub scaling: Option<PoolScaling>,
     /// What its back ends bear while they are cold; `None` where they start warm.
@@ -237,6 +239,14 @@
         }
     }
 
+    /// Rank of a tenant's requests on a route, where 0 is the most urgent: the tenant's own takes
+    /// precedence over the route's.
+    pub fn priority(&self, route: &Route, tenant: Option<&TenantName>) -> u32 {
+        tenant
+            .and_then(|tenant| self.access.priority_of(tenant))
+            .unwrap_or(route.priority)
+    }
+
     /// What the back ends of each pool bear while they are cold.
     pub fn cold_limits(&self) -> HashMap<PoolName, ColdLimit> {
         let pools = self.pools.values();
--- a/crates/rollout/tests/peer_addresses.rs
+++ b/crates/rollout/tests/reachable_machines.rs
@@ -7,7 +7,9 @@
 use havenstage_rollout::control::ControlState;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::MachineName;
-use havenstage_rollout::peer_addresses::{KnownAddresses, MOST_ADDRESSES, PeerAddresses};
+use havenstage_rollout::reachable_machines::{
+    MOST_ADDRESSES, ReachableAddresses, ReachableMachines,
+};
 use havenstage_rollout::stored::Stored;
 
 fn machine(number: u16) -> MachineName {
@@ -19,7 +21,7 @@
 }
 
 /// Machines that tell their addresses one after the other, each if the others want it; answers how many did.
-fn tell_all(addresses: &mut PeerAddresses, machines: u16) -> usize {
+fn tell_all(addresses: &mut ReachableMachines, machines: u16) -> usize {
     let mut told = 0;
     for number in 0..machines {
         let machine = machine(number);
@@ -33,7 +35,7 @@
 
 #[test]
 fn a_small_fleet_knows_all_its_addresses() {
-    let mut addresses = PeerAddresses::default();
+    let mut addresses = ReachableMachines::default();
     assert_eq!(tell_all(&mut addresses, 4), 4);
     let others = addresses.some_others(&machine(1), 8, 0);
     let expected = [address(0), address(2), address(3)];
@@ -42,7 +44,7 @@
 
 #[test]
 fn what_is_kept_does_not_grow_with_the_fleet() {
-    let mut addresses = PeerAddresses::default();
+    let mut addresses = ReachableMachines::default();
     tell_all(&mut addresses, 2_000);
     assert_eq!(addresses.checkpoint().len(), MOST_ADDRESSES);
     let again = tell_all(&mut addresses, 2_000);
@@ -51,7 +53,7 @@
 
 #[test]
 fn nodes_that_read_in_another_order_keep_the_same() {
-    let (mut one, mut other) = (PeerAddresses::default(), PeerAddresses::default());
+    let (mut one, mut other) = (ReachableMachines::default(), ReachableMachines::default());
     for number in 0..100 {
         one.told(machine(number), address(number));
         other.told(machine(99 - number), address(99 - number));
@@ -61,7 +63,7 @@
 
 #[test]
 fn a_machine_that_moved_tells_its_new_address() {
-    let mut addresses = PeerAddresses::default();
+    let mut addresses = ReachableMachines::default();
     addresses.told(machine(1), address(1));
     assert!(!addresses.is_wanted(&machine(1), address(1)));
     assert!(addresses.is_wanted(&machine(1), address(2)));
@@ -71,12 +73,12 @@
 
 #[test]
 fn each_draw_asks_others() {
-    let mut addresses = PeerAddresses::default();
+    let mut addresses = ReachableMachines::default();
     tell_all(&mut addresses, 6);
     let asked = (0..5).map(|draw| addresses.some_others(&machine(0), 1, draw));
     let asked: BTreeSet<SocketAddr> = asked.flatten().collect();
     assert_eq!(asked.len(), 5);
-    let alone = PeerAddresses::default();
+    let alone = ReachableMachines::default();
     assert!(alone.some_others(&machine(0), 1, 7).is_empty());
 }
 
@@ -90,12 +92,12 @@
     let read = ControlCheckpoint::decode(&written.encode()).unwrap();
     let restored = ControlState::restored(MachineName::from("reader"), read, 9);
     let others = restored
-        .peer_addresses()
+        .reachable()
         .some_others(&MachineName::from("reader"), 1, 0);
     assert_eq!(others, [address]);
     let before = ControlCheckpoint {
         form: FORM - 1,
-        peer_addresses: KnownAddresses::new(),
+        reachable: ReachableAddresses::new(),
         ..written
     };
     let mut bytes = before.encode();
