--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -83,15 +83,16 @@
             };
             let cold_allowance = backends.cold_allowance(id, sender, now);
             let allowance = allowance.into_iter().chain(cold_allowance).min();
-            let tokens = |of: &BTreeMap<BackendId, u32>| of.get(id).copied().unwrap_or(0);
-            let expected =
-                tokens(self.lengths.on_backends()).saturating_add(tokens(&tokens_elsewhere));
             candidates.push(Candidate {
                 backend: id.clone(),
                 region: backends.region_of(record).cloned(),
                 running,
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
-                memory: TokenMemory { capacity, expected },
+                memory: TokenMemory {
+                    capacity,
+                    elsewhere: tokens_elsewhere.get(id).copied().unwrap_or(0),
+                    items: self.lengths.on(id),
+                },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
                 models: models
                     .iter()
