--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_words.rs
@@ -30,6 +30,8 @@
 const HEARERS: usize = 2;
 /// Time after which a word without an answer is sent to others: some ten round trips between zones.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Longest pause between two tries to tell a word: what waits while everything is away must not take up a small machine.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after a failure to receive, so that one that stays does not take a whole processor.
 const RECEIVE_AGAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Most words that wait for an answer.
@@ -140,10 +142,13 @@
     let Some(socket) = context.peer_socket.get() else {
         return std::future::pending().await;
     };
+    let mut pause = Duration::ZERO;
     loop {
         if let Some(hearer) = tell_once(context, socket, request, ended).await {
             return hearer;
         }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).clamp(ANSWER_TIME, LONGEST_PAUSE);
     }
 }
 
@@ -204,7 +209,6 @@
         let (length, from) = match socket.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                // Also told here is that an earlier datagram reached nobody.
                 warn!(event = "peer_word_not_received", reason = error.to_string().as_str(); "");
                 tokio::time::sleep(RECEIVE_AGAIN_PAUSE).await;
                 continue;
--- a/crates/rollout/src/reachable_machines.rs
+++ b/crates/rollout/src/reachable_machines.rs
@@ -65,17 +65,16 @@
     }
 
     /// Up to `count` addresses of other machines than `own`. Which ones, the draw decides, so that a machine that is
-    /// gone is not asked again and again.
+    /// gone is not asked again and again. They lie far apart in the order of names, which often name the zone.
     pub fn some_others(&self, own: &MachineName, count: usize, draw: u64) -> Vec<SocketAddr> {
         let others = self.addresses.iter().filter(|(machine, _)| *machine != own);
-        let mut others: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
-        if others.is_empty() {
-            return others;
-        }
-        let first = draw % others.len() as u64;
-        others.rotate_left(first as usize);
-        others.truncate(count);
-        others
+        let others: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
+        let count = count.min(others.len());
+        let at = |number: usize| {
+            let first = draw % others.len() as u64;
+            (first as usize + number * others.len() / count) % others.len()
+        };
+        (0..count).map(|number| others[at(number)]).collect()
     }
 
     fn largest(&self) -> Option<&MachineName> {
--- a/crates/rollout/tests/reachable_machines.rs
+++ b/crates/rollout/tests/reachable_machines.rs
@@ -104,3 +104,14 @@
     assert_eq!(bytes.pop(), Some(0), "the list that it did not have");
     assert_eq!(ControlCheckpoint::decode(&bytes), Ok(before));
 }
+
+#[test]
+fn those_that_are_asked_together_lie_far_apart() {
+    let mut addresses = ReachableMachines::default();
+    tell_all(&mut addresses, 9);
+    for draw in 0..8 {
+        let asked = addresses.some_others(&machine(0), 2, draw);
+        let ports: Vec<u16> = asked.iter().map(SocketAddr::port).collect();
+        assert_eq!(ports[0].abs_diff(ports[1]), 4, "{ports:?}");
+    }
+}
