--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -9,7 +9,7 @@
 
 use havenstage_http_link::{Link, LinkSettings};
 use havenstage_rollout::Millis;
-use havenstage_rollout::back_end_speed::{BackEndSpeed, SharedGap};
+use havenstage_rollout::back_end_speed::{BackEndSpeed, KnownGap, SharedGap};
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
 use havenstage_rollout::health::HealthBoard;
 use havenstage_rollout::ids::{
@@ -390,7 +390,7 @@
     }
 
     /// Lasting time between two events of a stream, if this node knows it.
-    pub fn event_gap_ms(&self, id: &BackendId, now: Millis) -> Option<f64> {
-        self.speeds.get(id)?.lasting_ms(now)
+    pub fn event_gap(&self, id: &BackendId, now: Millis) -> Option<KnownGap> {
+        self.speeds.get(id)?.known(now)
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,6 +7,7 @@
 use havenstage_clock::Instant;
 use havenstage_clock::time_of_day::TimeOfDay;
 use havenstage_rollout::Millis;
+use havenstage_rollout::back_end_speed::median;
 use havenstage_rollout::backend_digest::DigestState;
 use havenstage_rollout::batch_index::BatchNotice;
 use havenstage_rollout::control::ControlState;
@@ -94,6 +95,8 @@
 const READ_SLACK_MS: Millis = 500;
 /// Age up to which a node's word on the places that it takes counts.
 const OCCUPANCY_COUNTS_MS: Millis = 2_500;
+/// Age up to which counts what a node tells of the speeds of back ends, which lasts longer than its places.
+const TOLD_GAPS_COUNT_MS: Millis = 30_000;
 /// Reads of batches that lie far behind, at one time: they share the node's link with its answers.
 const CATCH_UP_READS: usize = 4;
 
@@ -498,6 +501,23 @@
         tokens
     }
 
+    /// Lasting gap between events of each back end, in milliseconds, as the nodes that `counts` takes tell.
+    pub fn told_gaps_ms(&self, counts: impl Fn(&NodeId) -> bool) -> BTreeMap<BackendId, f64> {
+        let since = self.now().saturating_sub(TOLD_GAPS_COUNT_MS);
+        let occupancy = self.occupancy.lock();
+        let mut told: BTreeMap<BackendId, Vec<f64>> = BTreeMap::new();
+        for (backend, detail) in occupancy.state.details(since, counts) {
+            if let Some(gap_us) = detail.event_gap_us {
+                let gaps_ms = told.entry(backend.clone()).or_default();
+                gaps_ms.push(f64::from(gap_us) / 1_000.0);
+            }
+        }
+        let medians = told
+            .into_iter()
+            .map(|(backend, gaps_ms)| Some((backend, median(gaps_ms)?)));
+        medians.flatten().collect()
+    }
+
     /// Whether this node runs batches, or ran one a moment ago.
     pub fn is_busy(&self) -> bool {
         self.busy_until.load(Ordering::Relaxed) > self.now()
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::back_end_speed::median;
+use havenstage_rollout::back_end_speed::{expected_gap_ms, median};
 use havenstage_rollout::circuit_breaker::Admission;
 use havenstage_rollout::ids::{BackendId, GroupId, ModelName, PoolName, Version};
 use havenstage_rollout::route::Pool;
@@ -25,7 +25,7 @@
     pub(super) fn usual_gap_ms(&self, pool: &PoolName, now: Millis) -> f64 {
         let backends = self.context.backends.lock();
         let ready = backends.list.ready_in(pool);
-        let gaps_ms = ready.filter_map(|(id, _)| backends.event_gap_ms(id, now));
+        let gaps_ms = ready.filter_map(|(id, _)| Some(backends.event_gap(id, now)?.gap_ms));
         median(gaps_ms.collect()).unwrap_or(USUAL_GAP_MS)
     }
 
@@ -40,6 +40,7 @@
     ) -> Vec<Candidate> {
         let own_node = &self.context.node;
         let elsewhere = self.context.occupied(|node| node != own_node);
+        let told_gaps_ms = self.context.told_gaps_ms(|node| node != own_node);
         let tokens_elsewhere = self.tokens_elsewhere();
         let capacity = pool.and_then(|pool| pool.memory_tokens);
         let groups = self.groups_by_backend();
@@ -74,7 +75,8 @@
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
-            let gap_ms = backends.event_gap_ms(id, now).unwrap_or(usual_gap_ms);
+            let own_gap = backends.event_gap(id, now);
+            let gap_ms = expected_gap_ms(own_gap, told_gaps_ms.get(id).copied(), usual_gap_ms);
             let running =
                 own.get(id).copied().unwrap_or(0) + elsewhere.get(id).copied().unwrap_or(0);
             let allowance = match admission {
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::back_end_speed::KnownGap;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::{BackendId, BatchId};
 use havenstage_rollout::occupancy::{BackendDetail, OccupancyRecord};
@@ -69,12 +70,15 @@
         routes.into_iter().collect()
     }
 
-    fn backend_details(&self) -> BTreeMap<BackendId, BackendDetail> {
+    fn backend_details(&self, now: Millis) -> BTreeMap<BackendId, BackendDetail> {
+        let backends = self.context.backends.lock();
         let tokens = self.lengths.on_backends().iter();
         let details = tokens.map(|(backend, tokens)| {
+            let gap = backends.event_gap(backend, now);
+            let gap_ms = gap.filter(KnownGap::is_fresh).map(|gap| gap.gap_ms);
             let detail = BackendDetail {
                 expected_tokens: *tokens,
-                event_gap_us: None,
+                event_gap_us: gap_ms.map(|gap_ms| (gap_ms * 1_000.0) as u32),
             };
             (backend.clone(), detail)
         });
@@ -85,7 +89,7 @@
         let record = OccupancyRecord {
             node: self.context.node.clone(),
             running: self.running_here(),
-            details: self.backend_details(),
+            details: self.backend_details(now),
         };
         // Expected tokens change with each event; they go along when the places are told.
         let told = self.heartbeats.occupied.as_ref();
--- a/crates/rollout/src/back_end_speed.rs
+++ b/crates/rollout/src/back_end_speed.rs
@@ -24,6 +24,8 @@
 const WINDOWS_OF_CHANGE: usize = 4;
 /// Ratio to what lasted from which on a window may be one of a change: batches of all sizes differ by less.
 const RATIO_OF_CHANGE: f64 = 1.3;
+/// Age up to which what a node knows itself goes before what others tell.
+const FRESH_MS: Millis = 5_000;
 /// Time without an event after which nothing is known any more: a back end may be another then.
 const VALID_MS: Millis = 300_000;
 
@@ -103,9 +105,13 @@
         median(self.medians_ms.iter().copied().collect())
     }
 
-    /// Time since this node saw an event there.
-    pub fn age_ms(&self, now: Millis) -> Millis {
-        now.saturating_sub(self.seen)
+    /// The same with its age.
+    pub fn known(&self, now: Millis) -> Option<KnownGap> {
+        let gap_ms = self.lasting_ms(now)?;
+        Some(KnownGap {
+            gap_ms,
+            age_ms: now.saturating_sub(self.seen),
+        })
     }
 
     fn close_window(&mut self) {
@@ -134,6 +140,31 @@
     }
 }
 
+/// What one node knows of a back end's lasting gap.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KnownGap {
+    /// The gap.
+    pub gap_ms: f64,
+    /// Time since that node saw an event there.
+    pub age_ms: Millis,
+}
+
+impl KnownGap {
+    /// Whether it goes before what others tell.
+    pub fn is_fresh(&self) -> bool {
+        self.age_ms < FRESH_MS
+    }
+}
+
+/// The gap that an item is to expect at a back end: as this node knows it; where it has seen nothing there lately, as
+/// others tell; else as this node knew it, or as it is usual.
+pub fn expected_gap_ms(own: Option<KnownGap>, told_ms: Option<f64>, usual_ms: f64) -> f64 {
+    let fresh = own.filter(KnownGap::is_fresh);
+    let own_ms = own.map(|known| known.gap_ms);
+    let fresh_ms = fresh.map(|known| known.gap_ms);
+    fresh_ms.or(told_ms).or(own_ms).unwrap_or(usual_ms)
+}
+
 /// The median of some values; the upper one of two.
 pub fn median(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
--- a/crates/rollout/tests/back_end_speed.rs
+++ b/crates/rollout/tests/back_end_speed.rs
@@ -1,7 +1,9 @@
 //! How long a back end takes for an event: what lasts, under all that disturbs it for moments.
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::back_end_speed::{BackEndSpeed, SharedGap, StreamGaps};
+use havenstage_rollout::back_end_speed::{
+    BackEndSpeed, KnownGap, SharedGap, StreamGaps, expected_gap_ms,
+};
 
 /// Gap between two events of an idle engine of the usual kind.
 const USUAL_GAP_MS: f64 = 46.4;
@@ -200,3 +202,19 @@
     assert_eq!(speed.lasting_ms(250_000), Some(120.0));
     assert_eq!(speed.lasting_ms(320_000), None);
 }
+
+/// A node that has not seen an engine lately goes by what others tell of it.
+#[test]
+fn what_others_tell_counts_where_this_node_has_seen_nothing_lately() {
+    let own = |age_ms| {
+        Some(KnownGap {
+            gap_ms: 40.0,
+            age_ms,
+        })
+    };
+    assert_eq!(expected_gap_ms(own(1_000), Some(80.0), 46.0), 40.0);
+    assert_eq!(expected_gap_ms(own(10_000), Some(80.0), 46.0), 80.0);
+    assert_eq!(expected_gap_ms(None, Some(80.0), 46.0), 80.0);
+    assert_eq!(expected_gap_ms(own(10_000), None, 46.0), 40.0);
+    assert_eq!(expected_gap_ms(None, None, 46.0), 46.0);
+}
