--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -36,6 +36,7 @@
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
+use crate::peers::Peers;
 use crate::reward_pace::RewardPace;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
@@ -143,6 +144,8 @@
     pub answers: Arc<HeldAnswers>,
     /// How the taking of callers' connections goes.
     pub intake: Intake,
+    /// Other nodes that run batches.
+    pub peers: Peers,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) watched: Watched,
     pub(crate) reward_pace: RewardPace,
@@ -223,6 +226,7 @@
             takes_part: watch::Sender::new(false),
             answers,
             intake: Intake::default(),
+            peers: Peers::default(),
             crash_guard: CrashGuard::default(),
             watched: Watched::default(),
             reward_pace: RewardPace::new(clock),
