--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -95,6 +95,7 @@
                 slots: allowance.map_or(record.slots, |more| record.slots.min(running + more)),
                 memory: TokenMemory { capacity, expected },
                 event_gap_ms: gap_ms.max(SHORTEST_GAP_MS),
+                on_trial: admission == Admission::One,
                 models: models
                     .iter()
                     .map(versions)
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -1,6 +1,6 @@
 //! Gives waiting items their places.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::batch_state::{BatchState, ItemState};
@@ -169,11 +169,15 @@
         let token_ms = usual_gap_ms / f64::from(tokens_per_event(table, pool));
         schedule::sort_waiting(&mut work.waiting, now, token_ms);
         let barred = self.barred_items(&work.waiting);
-        for item in &work.waiting {
-            if barred.contains(&key_of(item)) {
-                continue;
-            }
-            let Some(chosen) = schedule::choose(item, &candidates) else {
+        work.waiting.retain(|item| !barred.contains(&key_of(item)));
+        let trials: HashMap<usize, BackendId> = schedule::trials(&work.waiting, &candidates)
+            .into_iter()
+            .collect();
+        for (at, item) in work.waiting.iter().enumerate() {
+            let on_trial = trials.get(&at);
+            let on_trial = on_trial.and_then(|id| candidates.iter().find(|c| c.backend == *id));
+            let chosen = on_trial.or_else(|| schedule::choose(item, &candidates));
+            let Some(chosen) = chosen else {
                 self.restart_if_version_is_gone(item, pool, now);
                 continue;
             };
--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod relocation;
 mod required_groups;
+mod trial;
 
 use std::collections::{BTreeMap, HashSet};
 
@@ -17,6 +18,7 @@
 pub use placement::choose;
 pub use relocation::{Relocation, RunningItem, relocations};
 pub use required_groups::optional_items;
+pub use trial::trials;
 
 /// An item that waits for a place.
 #[derive(Debug, Clone, PartialEq)]
@@ -75,6 +77,8 @@
     pub memory: TokenMemory,
     /// Milliseconds between two events of a stream there.
     pub event_gap_ms: f64,
+    /// Whether it failed before and is given one item to see if it does still.
+    pub on_trial: bool,
     /// Versions of its models.
     pub models: BTreeMap<ModelName, Version>,
     /// Groups whose prompt it holds.
@@ -95,8 +99,13 @@
         self.memory.give_back(item.tokens_at_end());
     }
 
-    /// Whether it has a free place and new enough weights for the item.
+    /// Whether the item may run there now: not where it would be on trial.
     pub fn accepts(&self, item: &WaitingItem) -> bool {
+        !self.on_trial && self.has_place_for(item)
+    }
+
+    /// Whether it has a free place and new enough weights for the item.
+    fn has_place_for(&self, item: &WaitingItem) -> bool {
         let is_allowed = item.residency.allows(self.region.as_ref());
         self.running < self.slots && is_allowed && self.has_version_for(item)
     }
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -11,7 +11,7 @@
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{
     Candidate, RunningItem, TokenMemory, WaitingItem, choose, optional_items, relocations,
-    sort_waiting,
+    sort_waiting, trials,
 };
 use support::{backend, item, submitted};
 
@@ -40,6 +40,7 @@
         slots: 8,
         memory: TokenMemory::default(),
         event_gap_ms: 40.0 / speed,
+        on_trial: false,
         models: BTreeMap::from([(ModelName::from("model"), version)]),
         groups: HashSet::new(),
     }
@@ -345,3 +346,57 @@
     let roomy = with_memory("roomy", 2, 20_000, 1.0);
     assert_eq!(moved(item(), vec![slow, roomy]).len(), 1);
 }
+
+fn on_trial(id: &str) -> Candidate {
+    let candidate = candidate(id, 0, 3, 1.0);
+    Candidate {
+        on_trial: true,
+        ..candidate
+    }
+}
+
+/// One item after the other was sent to engines that had gone dark, and lost 0.4 s each time.
+#[test]
+fn back_ends_on_trial_get_the_items_that_end_first() {
+    let items = [
+        waiting("longest", false, 500),
+        waiting("long", false, 400),
+        waiting("short", false, 50),
+        waiting("shortest", true, 20),
+    ];
+    let candidates = [
+        candidate("sound", 7, 3, 1.0),
+        on_trial("dark-1"),
+        on_trial("dark-2"),
+        on_trial("dark-3"),
+    ];
+    let sent = trials(&items, &candidates);
+    assert_eq!(sent, [(3, backend("dark-1")), (2, backend("dark-2"))]);
+    assert_eq!(chosen(&candidates), Some("sound".to_owned()));
+}
+
+#[test]
+fn a_single_item_is_sent_on_trial_only_where_no_other_back_end_takes_it() {
+    let items = [waiting("item", false, 500)];
+    let sound = candidate("sound", 7, 3, 1.0);
+    assert_eq!(trials(&items, &[sound, on_trial("dark")]), []);
+    let full = candidate("full", 8, 3, 1.0);
+    let sent = trials(&items, &[full, on_trial("dark")]);
+    assert_eq!(sent, [(0, backend("dark"))]);
+}
+
+#[test]
+fn no_item_is_moved_to_a_back_end_on_trial() {
+    let slow = candidate("slow", 1, 3, 0.2);
+    let running = RunningItem {
+        item: waiting("item", false, 500),
+        backend: backend("slow"),
+        running_ms: 10_000,
+        expected_events: 500,
+        moves: 0,
+    };
+    let moves = relocations(vec![running.clone()], vec![slow.clone(), on_trial("dark")]);
+    assert_eq!(moves, []);
+    let sound = candidate("sound", 1, 3, 1.0);
+    assert_eq!(relocations(vec![running], vec![slow, sound]).len(), 1);
+}
--- a/crates/rollout/tests/support/steps.rs
+++ b/crates/rollout/tests/support/steps.rs
@@ -196,6 +196,7 @@
                     expected: 0,
                 },
                 event_gap_ms: gap_ms * (1.0 + GAP_NOISE * self.draws.normal()),
+                on_trial: false,
                 models: BTreeMap::new(),
                 groups: HashSet::new(),
             });
