--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -18,14 +18,16 @@
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
 use crate::peer_addresses::PeerAddress;
+use crate::reachable_machines::ReachableAddresses;
 use crate::sizing::OrderedSizes;
 use crate::stored::{Stored, UnreadableValue};
 use crate::usage::DecidedUsage;
 
 /// Number of the present form of checkpoints; rises with each field that is added.
-pub const FORM: u8 = 6;
+pub const FORM: u8 = 7;
 /// Number of the oldest form that names its number. Each one since has one more list at its end: the requests
-/// under which back ends ended, the decided windows of usage, the ordered sizes, the addresses of nodes.
+/// under which back ends ended, the decided windows of usage, the ordered sizes, the addresses of nodes that run
+/// batches, the addresses of other machines.
 const SECOND_FORM: u8 = 2;
 /// An empty list, as it is encoded.
 const ENCODED_EMPTY_LIST: u8 = 0;
@@ -67,6 +69,8 @@
     pub sizes: OrderedSizes,
     /// Addresses at which nodes that run batches answer others. Not in the fifth form.
     pub peers: Vec<PeerAddress>,
+    /// Where some machines can be reached. Not in the sixth form.
+    pub reachable: ReachableAddresses,
 }
 
 /// The fold as it was kept first: what all forms begin with.
@@ -117,6 +121,7 @@
             usage: Vec::new(),
             sizes: OrderedSizes::new(),
             peers: Vec::new(),
+            reachable: ReachableAddresses::new(),
         }
     }
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peer_addresses;
 pub mod peer_message;
 pub mod peer_question;
+pub mod reachable_machines;
 pub mod record;
 pub mod residency;
 pub mod route;
