--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -90,8 +90,11 @@
 }
 
 impl Candidate {
-    /// Places that are free.
+    /// Places that are free for any item.
     pub fn free_places(&self) -> usize {
+        if self.on_trial {
+            return 0;
+        }
         self.slots.saturating_sub(self.running) as usize
     }
 
--- a/crates/rollout/src/schedule/trial.rs
+++ b/crates/rollout/src/schedule/trial.rs
@@ -10,21 +10,21 @@
 
 use super::{Candidate, WaitingItem};
 
-/// Sends an item to each back end on trial: of the half of the waiting items that end first, the one that ends first; or one
-/// that no other back end takes. `waiting` is as [`sort_waiting`](super::sort_waiting) leaves it. Answers the
-/// places of the items among these, and where they go.
+/// Sends an item to each back end on trial: the last of the waiting items, if it is in the second half of them; or
+/// one that no other back end takes. `waiting` is in the order in which items get places. Answers the positions of
+/// these items, and where they go.
 pub fn trials(waiting: &[WaitingItem], candidates: &[Candidate]) -> Vec<(usize, BackendId)> {
     let mut used = HashSet::new();
     let mut trials = Vec::new();
     let on_trial = candidates.iter().filter(|candidate| candidate.on_trial);
     for candidate in on_trial {
         let fits = |at: &usize| !used.contains(at) && candidate.has_place_for(&waiting[*at]);
-        let ends_first = (waiting.len().div_ceil(2)..waiting.len()).rev().find(fits);
+        let goes_last = (waiting.len().div_ceil(2)..waiting.len()).rev().find(fits);
         let only_here = || {
             let mut all = (0..waiting.len()).rev();
             all.find(|at| fits(at) && !is_accepted(&waiting[*at], candidates))
         };
-        if let Some(at) = ends_first.or_else(only_here) {
+        if let Some(at) = goes_last.or_else(only_here) {
             used.insert(at);
             trials.push((at, candidate.backend.clone()));
         }
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -358,7 +358,7 @@
 
 /// One item after the other was sent to engines that had gone dark, and lost 0.4 s each time.
 #[test]
-fn back_ends_on_trial_get_the_items_that_end_first() {
+fn back_ends_on_trial_get_the_items_that_go_last() {
     let items = [
         waiting("longest", false, 500),
         waiting("long", false, 400),
