--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -389,6 +389,12 @@
         self.speeds.entry(id.clone()).or_default().saw(gap, now);
     }
 
+    /// Lasting time between two events of a stream, of the back ends of which this node knows it.
+    pub fn event_gaps(&self, now: Millis) -> impl Iterator<Item = (&BackendId, KnownGap)> {
+        let speeds = self.speeds.iter();
+        speeds.filter_map(move |(id, speed)| Some((id, speed.known(now)?)))
+    }
+
     /// Lasting time between two events of a stream, if this node knows it.
     pub fn event_gap(&self, id: &BackendId, now: Millis) -> Option<KnownGap> {
         self.speeds.get(id)?.known(now)
--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::back_end_speed::KnownGap;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::{BackendId, BatchId};
 use havenstage_rollout::occupancy::{BackendDetail, OccupancyRecord};
@@ -24,6 +23,9 @@
 /// The same while it was not read back: the record may be lost.
 const ADDRESS_UNREAD_MS: Millis = 1_000;
 
+/// Microseconds in a millisecond.
+const US_PER_MS: f64 = 1_000.0;
+
 /// What was last told, and when.
 #[derive(Debug, Default)]
 pub(super) struct Heartbeats {
@@ -101,19 +103,19 @@
         routes.into_iter().collect()
     }
 
+    /// Back ends with items of this node, and those of which it has lately seen how quick they are: others are
+    /// to leave a slow one alone also when no item runs there any more.
     fn backend_details(&self, now: Millis) -> BTreeMap<BackendId, BackendDetail> {
+        let mut details: BTreeMap<BackendId, BackendDetail> = BTreeMap::new();
+        for (backend, tokens) in self.lengths.on_backends() {
+            details.entry(backend.clone()).or_default().expected_tokens = *tokens;
+        }
         let backends = self.context.backends.lock();
-        let tokens = self.lengths.on_backends().iter();
-        let details = tokens.map(|(backend, tokens)| {
-            let gap = backends.event_gap(backend, now);
-            let gap_ms = gap.filter(KnownGap::is_fresh).map(|gap| gap.gap_ms);
-            let detail = BackendDetail {
-                expected_tokens: *tokens,
-                event_gap_us: gap_ms.map(|gap_ms| (gap_ms * 1_000.0) as u32),
-            };
-            (backend.clone(), detail)
-        });
-        details.collect()
+        for (backend, gap) in backends.event_gaps(now).filter(|(_, gap)| gap.is_fresh()) {
+            let detail = details.entry(backend.clone()).or_default();
+            detail.event_gap_us = Some((gap.gap_ms * US_PER_MS) as u32);
+        }
+        details
     }
 
     fn tell_places(&mut self, now: Millis) {
