--- a/crates/havenstage/src/help.rs
+++ b/crates/havenstage/src/help.rs
@@ -88,18 +88,20 @@
 actions:
   apply -f FILE                    create or update the resources of a .json or .toml file
   get KIND NAME                    show a resource
-  get pools|routes|engines         show what a served gateway knows, and how old that is
   list KIND                        show all resources of a kind
   watch KIND                       show changes of a kind as they happen
   delete KIND NAME                 delete a resource
-  explain SUBJECT                  why: a request id, a sample JOB/STEP/INDEX or an engine
+  explain SUBJECT                  why: a request id, an engine, a sample JOB/STEP/INDEX (of serve:
+                                   BATCH/SAMPLE, a batch, a model)
   drain ENGINE                     let an engine finish its work and give it no more
   undrain ENGINE                   give an engine work again
   status                           what the node knows about itself
   versions publish MODEL NUMBER --location LOCATION
                                    publish a weight version
 
-kinds: Job, WeightVersion, Pool, PriorityRule, Engine
+kinds of havenstage node: Job, WeightVersion, Pool, PriorityRule, Engine
+kinds of havenstage serve: pools, routes, engines; get shows what it was told by its directories and
+how old that is, with a name or all; changes are waited for
 
 options:
   --server ADDR       IP:PORT of any node
