--- a/crates/gateway/src/engine/live.rs
+++ b/crates/gateway/src/engine/live.rs
@@ -33,7 +33,7 @@
         backend: BackendId,
         /// Since when.
         since: Millis,
-        /// When its last event came, if one has.
+        /// When its last event came, or the head of its answer, if one has.
         last_event: Option<Millis>,
         /// Has the run end as one that is stalled, unless it was told to already.
         stalled: Option<Arc<Notify>>,
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -57,6 +57,8 @@
 /// What happened in a run.
 #[derive(Debug)]
 pub enum RunNews {
+    /// The head of the answer came, so the back end is there.
+    Answered,
     /// One more event.
     Event(OutputEvent),
     /// The run ended.
@@ -237,7 +239,10 @@
         Err(_) => return RunEnd::Broken,
     };
     match check_head(context, order, &answer) {
-        Ok(version) => read_events(context, backend, order, answer, version, news, events).await,
+        Ok(version) => {
+            tell_answered(order, news);
+            read_events(context, backend, order, answer, version, news, events).await
+        }
         Err(end) => {
             // Read to the end, so that the connection is kept.
             let rest = answer.whole(MOST_REFUSAL_BYTES);
@@ -247,6 +252,15 @@
     }
 }
 
+fn tell_answered(order: &RunOrder, news: &UnboundedSender<RunMessage>) {
+    // The engine is gone only when the process ends.
+    let _ = news.send(RunMessage {
+        key: order.key.clone(),
+        run: order.run,
+        news: RunNews::Answered,
+    });
+}
+
 /// Longest body of a refusal that is read.
 const MOST_REFUSAL_BYTES: usize = 64 * 1024;
 
--- a/crates/gateway/src/engine/runs.rs
+++ b/crates/gateway/src/engine/runs.rs
@@ -21,18 +21,36 @@
             return;
         }
         match message.news {
+            RunNews::Answered => self.take_answer(&message.key),
             RunNews::Event(event) => self.take_event(&message.key, event),
             RunNews::Ended(end) => self.run_ended(&message.key, &end),
             RunNews::Scored(end) => self.scored(&message.key, end),
         }
     }
 
+    /// Silence is counted from the head of the answer on. Whether the back end serves is not known before an event.
+    fn take_answer(&mut self, key: &ItemKey) {
+        let now = self.context.now();
+        let phase = self.items.get_mut(key).map(|item| &mut item.phase);
+        let Some(Phase::Running {
+            backend,
+            last_event,
+            ..
+        }) = phase
+        else {
+            return;
+        };
+        *last_event = Some(now);
+        self.stalls.detector.heard(backend, None, now);
+    }
+
     fn take_event(&mut self, key: &ItemKey, event: OutputEvent) {
         let now = self.context.now();
         let Some(item) = self.items.get_mut(key) else {
             return;
         };
         item.add_event(event);
+        let is_first = item.events == item.resumed_from + 1;
         let Phase::Running {
             backend,
             since,
@@ -43,10 +61,11 @@
             return;
         };
         let before = last_event.replace(now);
-        let gap_ms = before.map(|before| now.saturating_sub(before));
+        let since_before = before.map(|before| now.saturating_sub(before));
+        let gap_ms = since_before.filter(|_| !is_first);
         let (backend, began) = (backend.clone(), *since);
         self.stalls.detector.heard(&backend, gap_ms, now);
-        if before.is_none() {
+        if is_first {
             self.breaker_answered(&backend, began);
         }
     }
--- a/crates/rollout/src/stall.rs
+++ b/crates/rollout/src/stall.rs
@@ -52,7 +52,7 @@
     pub backend: &'a BackendId,
     /// When it began.
     pub began: Millis,
-    /// When its last event came, if one has.
+    /// When its last event came, or the head of its answer, if one has.
     pub last_event: Option<Millis>,
 }
 
