--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -107,8 +107,8 @@
     /// to leave a slow one alone also when no item runs there any more.
     fn backend_details(&self, now: Millis) -> BTreeMap<BackendId, BackendDetail> {
         let mut details: BTreeMap<BackendId, BackendDetail> = BTreeMap::new();
-        for (backend, tokens) in self.lengths.on_backends() {
-            details.entry(backend.clone()).or_default().expected_tokens = *tokens;
+        for (backend, tokens) in self.lengths.expected_tokens() {
+            details.entry(backend.clone()).or_default().expected_tokens = tokens;
         }
         let backends = self.context.backends.lock();
         for (backend, gap) in backends.event_gaps(now).filter(|(_, gap)| gap.is_fresh()) {
--- a/crates/gateway/src/peers/answers.rs
+++ b/crates/gateway/src/peers/answers.rs
@@ -13,8 +13,9 @@
 use crate::context::Context;
 use crate::{batch_ends, batch_reads, questions};
 
-/// Most bytes of a page: the asking node's caller reads on from where it ends.
-const MOST_PAGE_BYTES: usize = 256 * 1024;
+/// Most bytes of results that stand at the asked position already: what a trainer reads that keeps up. Longer ones are for
+/// the log, which many nodes read: this node's link also carries the output of its items.
+const MOST_RESULT_BYTES: usize = 128 * 1024;
 /// Time for the log to give a batch that was handed to this node a moment ago.
 const LOAD_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -42,9 +43,11 @@
     match &request.question {
         PeerQuestion::Results { from, wait_ms } => {
             let from = usize::try_from(*from).map_err(|_| PeerRefusal::Unreadable)?;
+            if result_bytes(context, batch, from) > MOST_RESULT_BYTES {
+                return Err(PeerRefusal::TooLong);
+            }
             let wait = Duration::from_millis(*wait_ms);
-            let most = MOST_PAGE_BYTES;
-            let read = batch_reads::read_for_peer(context, &caller, batch, from, wait, most);
+            let read = batch_reads::read_for_peer(context, &caller, batch, from, wait);
             answered(read.await)
         }
         PeerQuestion::ItemBody { item } => item_body(context, &caller, batch, item),
@@ -82,13 +85,25 @@
         let state = inner.state.batch(batch).ok_or(PeerRefusal::NotHere)?;
         context.batch_residency(&state.host, &state.path, state.tenant.as_ref())
     };
-    let regions = context.settings.region_map();
-    match residency.allows(regions.region_of(zone.as_str())) {
+    let backends = context.backends.lock();
+    match residency.allows(backends.region_of_zone(zone.as_str())) {
         true => Ok(()),
         false => Err(PeerRefusal::Region),
     }
 }
 
+/// Bytes of the results of a batch from a position on.
+fn result_bytes(context: &Context, batch: &BatchId, from: usize) -> usize {
+    let inner = context.partition_of(batch).lock();
+    let Some(state) = inner.state.batch(batch) else {
+        return 0;
+    };
+    let results = state.results_from(from);
+    results
+        .map(|(_, result)| context.dialect.result_bytes(result))
+        .sum()
+}
+
 fn item_body(
     context: &Context,
     caller: &Caller,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,6 +56,8 @@
     /// Other nodes' questions about batches that this one runs; without it none are answered, and others are told
     /// of no address.
     pub peers: Option<SocketAddr>,
+    /// The address that others are told, where it is not the one listened on.
+    pub peers_told: Option<SocketAddr>,
     /// Datagrams of other nodes, which tell what the log does not take from them; without it nodes tell each other
     /// only what stands in the log.
     pub datagrams: Option<SocketAddr>,
