--- a/crates/gateway/src/engine/heartbeat.rs
+++ b/crates/gateway/src/engine/heartbeat.rs
@@ -23,6 +23,9 @@
 /// The same while it was not read back: the record may be lost.
 const ADDRESS_UNREAD_MS: Millis = 1_000;
 
+/// Microseconds in a millisecond.
+const US_PER_MS: f64 = 1_000.0;
+
 /// What was last told, and when.
 #[derive(Debug, Default)]
 pub(super) struct Heartbeats {
@@ -100,23 +103,26 @@
         routes.into_iter().collect()
     }
 
-    fn backend_details(&self) -> BTreeMap<BackendId, BackendDetail> {
-        let tokens = self.lengths.expected_tokens();
-        let details = tokens.map(|(backend, tokens)| {
-            let detail = BackendDetail {
-                expected_tokens: tokens,
-                event_gap_us: None,
-            };
-            (backend.clone(), detail)
-        });
-        details.collect()
+    /// Back ends with items of this node, and those of which it has lately seen how quick they are: others are
+    /// to leave a slow one alone also when no item runs there any more.
+    fn backend_details(&self, now: Millis) -> BTreeMap<BackendId, BackendDetail> {
+        let mut details: BTreeMap<BackendId, BackendDetail> = BTreeMap::new();
+        for (backend, tokens) in self.lengths.expected_tokens() {
+            details.entry(backend.clone()).or_default().expected_tokens = tokens;
+        }
+        let backends = self.context.backends.lock();
+        for (backend, gap) in backends.event_gaps(now).filter(|(_, gap)| gap.is_fresh()) {
+            let detail = details.entry(backend.clone()).or_default();
+            detail.event_gap_us = Some((gap.gap_ms * US_PER_MS) as u32);
+        }
+        details
     }
 
     fn tell_places(&mut self, now: Millis) {
         let record = OccupancyRecord {
             node: self.context.node.clone(),
             running: self.running_here(),
-            details: self.backend_details(),
+            details: self.backend_details(now),
         };
         // Expected tokens change with each event; they go along when the places are told.
         let told = self.heartbeats.occupied.as_ref();
--- a/crates/rollout/tests/support/steps.rs
+++ b/crates/rollout/tests/support/steps.rs
@@ -216,6 +216,7 @@
                     ..TokenMemory::default()
                 },
                 event_gap_ms: gap_ms * (1.0 + GAP_NOISE * self.draws.normal()),
+                on_trial: false,
                 models: self.models_on(engine),
                 groups: HashSet::new(),
             });
