Time in which a node looked late does not count as silence of back ends

Cause: three tests of stalled runs failed at times with 12 copies at once on a busy machine (6, 3 and 1 of 12): looks at the runs came late without being late enough (400 ms) to be left out, and events that waited to be read counted as silence. Change: what is longer than 150 ms between two looks is taken off the silence of back ends. Ruled out: a lower bound for leaving a look out (a node of a tenth of a core would never judge).

--- a/crates/rollout/src/stall.rs
+++ b/crates/rollout/src/stall.rs
@@ -6,7 +6,7 @@
 //! uses are silent that it is this node's own link or processor: its items would be no better off elsewhere. How many
 //! that are depends on whether the log answers this node: a node that it answers has a link. A false alarm costs a connection and a prompt that is read again, as output is resumed.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::Millis;
 use crate::ids::BackendId;
@@ -34,6 +34,11 @@
 const MOST_SILENT_PER_HEARD: usize = 4;
 /// Time between two looks above which this node stood still, and what came meanwhile may not be read yet.
 const LATE_LOOK_MS: Millis = 400;
+/// Time between two looks up to which this node kept up. What is longer does not count as silence of others: their
+/// events wait to be read.
+const USUAL_LOOK_MS: Millis = 150;
+/// Time for which it is remembered how late looks were: longer than any patience.
+const LATENESS_KEPT_MS: Millis = 4_000;
 /// Share of the runs that may be handed over within a second: those of one zone of three.
 const MOST_HANDED_OVER_SHARE: f64 = 1.0 / 3.0;
 /// Runs that may be handed over within a second however few there are: those of one back end.
@@ -105,10 +110,18 @@
     last_look: Option<Millis>,
     /// Silence before this says nothing of any back end.
     counted_from: Millis,
+    lateness: Lateness,
     window_began: Millis,
     handed_over: usize,
 }
 
+/// How late this node's looks were.
+#[derive(Debug, Default)]
+struct Lateness {
+    /// When it looked, and how late it was in all up to then.
+    looks: VecDeque<(Millis, Millis)>,
+}
+
 /// What was heard from a back end.
 #[derive(Debug, Default)]
 struct Activity {
@@ -158,6 +171,7 @@
     ) -> Vec<Stall> {
         let now = node.now;
         let last_look = self.last_look.replace(now);
+        self.lateness.looked(last_look.unwrap_or(now), now);
         if last_look.is_none_or(|last| now.saturating_sub(last) > LATE_LOOK_MS) {
             self.counted_from = now;
             return Vec::new();
@@ -225,7 +239,9 @@
 
     fn judge(&self, run: usize, watched: &WatchedRun<'_>, now: Millis) -> Option<Stall> {
         let quiet_since = self.quiet_since(watched);
-        let quiet_ms = now.saturating_sub(quiet_since);
+        let quiet_ms = now
+            .saturating_sub(quiet_since)
+            .saturating_sub(self.lateness.since(quiet_since));
         let activity = self.backends.get(watched.backend);
         let unreachable = activity.and_then(|activity| activity.unreachable);
         let is_unreachable = unreachable.is_some_and(|at| at >= quiet_since);
@@ -261,6 +277,29 @@
     }
 }
 
+impl Lateness {
+    fn looked(&mut self, last: Millis, now: Millis) {
+        let before = self.looks.back().map_or(0, |(_, late_ms)| *late_ms);
+        let late_ms = now.saturating_sub(last).saturating_sub(USUAL_LOOK_MS);
+        self.looks.push_back((now, before + late_ms));
+        let kept_from = now.saturating_sub(LATENESS_KEPT_MS);
+        while self.looks.front().is_some_and(|(at, _)| *at < kept_from) {
+            self.looks.pop_front();
+        }
+    }
+
+    /// How late looks were since then, in all.
+    fn since(&self, since: Millis) -> Millis {
+        let until_now = self.looks.back().map_or(0, |(_, late_ms)| *late_ms);
+        let looks_before = self.looks.partition_point(|(at, _)| *at <= since);
+        let until_then = match looks_before.checked_sub(1) {
+            Some(last) => self.looks[last].1,
+            None => self.looks.front().map_or(0, |(_, late_ms)| *late_ms),
+        };
+        until_now - until_then
+    }
+}
+
 impl GapSpread {
     fn saw(&mut self, gap_ms: f64) {
         let Some(mean_ms) = self.mean_ms else {
--- a/crates/rollout/tests/stall.rs
+++ b/crates/rollout/tests/stall.rs
@@ -247,3 +247,29 @@
     fleet.pass(700, |at, _| (at >= 8).then_some(GAP_MS), &[]);
     assert_eq!(fleet.ended.len(), 18);
 }
+
+/// A node whose processor is busy with other things looks late, and reads late what came.
+#[test]
+fn time_in_which_this_node_was_late_does_not_count_as_silence() {
+    const LATE_LOOK_MS: Millis = 350;
+    let engine = BackendId::from("engine");
+    let mut detector = StallDetector::default();
+    let mut stalls_at = |silent_ms: Millis| {
+        let run = WatchedRun {
+            backend: &engine,
+            began: 1_000,
+            last_event: Some(5_000),
+        };
+        let node = NodeState {
+            now: 5_000 + silent_ms,
+            contact_age_ms: 20,
+        };
+        detector.look(&[run], |_| false, node)
+    };
+    for look in 0..8 {
+        assert_eq!(stalls_at(look * LATE_LOOK_MS), [], "{look} looks");
+    }
+    // Silent for longer than the looks were late and than any patience.
+    let stalls = (8..20).flat_map(|look| stalls_at(look * LATE_LOOK_MS));
+    assert!(stalls.count() > 0);
+}
