Notices between nodes are called so; a read of results is begun in one place

Cause: 'words' and 'hearers' are no terms of the field; two functions built the same call. Change: names of module, types, log events and counters (peer_notice_*); ReadCall::begin. No behaviour changed.

--- a/crates/gateway/src/batch_reads.rs
+++ b/crates/gateway/src/batch_reads.rs
@@ -38,16 +38,7 @@
     from: usize,
     wait: Duration,
 ) -> BatchAnswer {
-    let call = ReadCall {
-        context,
-        caller,
-        partition: context.partition_of(id),
-        id,
-        from,
-        asked: Instant::now(),
-        wait: wait.min(LONGEST_WAIT),
-        is_for_peer: false,
-    };
+    let call = ReadCall::begin(context, caller, id, from, wait);
     if call.has_results() {
         return call.answer().await;
     }
@@ -67,14 +58,8 @@
     wait: Duration,
 ) -> BatchAnswer {
     let call = ReadCall {
-        context,
-        caller,
-        partition: context.partition_of(id),
-        id,
-        from,
-        asked: Instant::now(),
-        wait: wait.min(LONGEST_WAIT),
         is_for_peer: true,
+        ..ReadCall::begin(context, caller, id, from, wait)
     };
     call.answer().await
 }
@@ -97,6 +82,28 @@
     Page(BatchAnswer),
 }
 
+impl<'a> ReadCall<'a> {
+    /// A call of this node's own caller.
+    fn begin(
+        context: &'a Arc<Context>,
+        caller: &'a Caller,
+        id: &'a BatchId,
+        from: usize,
+        wait: Duration,
+    ) -> Self {
+        Self {
+            context,
+            caller,
+            partition: context.partition_of(id),
+            id,
+            from,
+            asked: Instant::now(),
+            wait: wait.min(LONGEST_WAIT),
+            is_for_peer: false,
+        }
+    }
+}
+
 impl ReadCall<'_> {
     async fn answer(&self) -> BatchAnswer {
         if !self.wait.is_zero() {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -36,7 +36,7 @@
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
-use crate::peer_words::PeerSocket;
+use crate::peer_notices::PeerSocket;
 use crate::peers::Peers;
 use crate::reward_pace::RewardPace;
 use crate::settings::Settings;
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -17,7 +17,7 @@
 use crate::context::Context;
 use crate::log_writes::append_control;
 use crate::metrics;
-use crate::peer_words;
+use crate::peer_notices;
 
 /// Time after the end of a back end's life by which its next one is listed: back ends start again after two seconds
 /// and write an entry at once, and each 1.2 s from then on.
@@ -396,7 +396,7 @@
     async fn wait_a_moment(mut self, context: &Context) {
         let is_told = tokio::time::timeout(TELL_PATIENCE, &mut self.task).await;
         let is_refused = *self.told.borrow() == Told::LogFails;
-        if is_told.is_err() && is_refused && peer_words::has_hearers(context) {
+        if is_told.is_err() && is_refused && peer_notices::has_recipients(context) {
             let _ = tokio::time::timeout(PEER_PATIENCE, self.task).await;
         }
     }
@@ -422,9 +422,9 @@
         let _ = tokio::time::timeout(TELL_PATIENCE, fails).await;
         tokio::select! {
             _ = writing.wait_for(|told| *told == Told::Written) => {}
-            hearer = peer_words::tell_an_end(&context, request, &ended) => {
+            recipient = peer_notices::tell_an_end(&context, request, &ended) => {
                 info!(event = "end_told_to_peer", content = request.to_string().as_str(),
-                    backend = ended.backend.as_str(), peer = hearer.to_string().as_str(); "");
+                    backend = ended.backend.as_str(), peer = recipient.to_string().as_str(); "");
                 metrics::crash_told("to_peer");
             }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
 pub mod operator;
 mod order_exchange;
 pub mod order_run;
-mod peer_words;
+mod peer_notices;
 pub mod peers;
 mod questions;
 pub mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -180,8 +180,8 @@
 }
 
 /// A datagram of another node came.
-pub fn peer_word(outcome: &'static str) {
-    counter!("gateway_peer_words_total", "outcome" => outcome).increment(1);
+pub fn peer_notice(outcome: &'static str) {
+    counter!("gateway_peer_notices_total", "outcome" => outcome).increment(1);
 }
 
 /// Requests that are suspected or barred, and how those before were forgotten.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,7 @@
 use crate::knowledge_metrics;
 use crate::metering::{self, UsageReporter};
 use crate::metrics::{self, MetricsError};
-use crate::peer_words::{self, PeerSocket};
+use crate::peer_notices::{self, PeerSocket};
 use crate::peers;
 use crate::server::{self, InFlight, ListenError};
 use crate::settings::Settings;
@@ -133,7 +133,7 @@
     let in_flight = Arc::new(InFlight::default());
     let (close, closing) = watch::channel(false);
     start_followers(&context, &mut tasks);
-    tasks.spawn(peer_words::serve(context.clone()));
+    tasks.spawn(peer_notices::serve(context.clone()));
     tasks.spawn(server::serve_readiness(context.clone(), ready));
     tasks.spawn(server::serve_callers(
         context.clone(),
--- a/crates/gateway/src/peer_words.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -1,7 +1,7 @@
-//! Words from node to node, past the log: where the log does not take what a node saw, another node hears it, goes by it
+//! Notices from node to node, past the log: where the log does not take what a node saw, another node takes it, goes by it
 //! and writes it. What then stands in two machines' memory is not lost with one of them.
 //!
-//! A word is one datagram, and so is its answer; both may be lost, so a word is sent until it is answered, each time to other
+//! A notice is one datagram, and so is its answer; both may be lost, so a notice is sent until it is answered, each time to other
 //! machines.
 
 use std::collections::HashMap;
@@ -24,49 +24,49 @@
 
 /// First bytes of each datagram: what it is, and the form of what follows.
 const MARK: &[u8] = b"havenstage1";
-/// Longest datagram that is read. A word holds some 200 bytes.
+/// Longest datagram that is read. A notice holds some 200 bytes.
 const MOST_BYTES: usize = 1_024;
-/// Other machines that hear a word at a time.
-const HEARERS: usize = 2;
-/// Time after which a word without an answer is sent to others: some ten round trips between zones.
+/// Other machines that get a notice at a time.
+const RECIPIENTS: usize = 2;
+/// Time after which a notice without an answer is sent to others: some ten round trips between zones.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
-/// Longest pause between two tries to tell a word: what waits while everything is away must not take up a small machine.
+/// Longest pause between two tries to tell a notice: what waits while everything is away must not take up a small machine.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after a failure to receive, so that one that stays does not take a whole processor.
 const RECEIVE_AGAIN_PAUSE: Duration = Duration::from_millis(100);
-/// Most words that wait for an answer.
+/// Most notices that wait for an answer.
 const MOST_ASKED: usize = 256;
 
-/// Number of a word, by which its answer names it.
-type WordId = u64;
+/// Number of a notice, by which its answer names it.
+type NoticeId = u64;
 
 /// What nodes say to each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-enum PeerWord {
+enum PeerNotice {
     /// A back end ended while it ran a request, and the log does not take that.
     BackendEnded {
-        id: WordId,
+        id: NoticeId,
         request: Fingerprint,
         ended: EndedBackend,
     },
-    /// The word is known here, and will be written.
-    Heard { id: WordId },
+    /// The notice is known here, and will be written.
+    Heard { id: NoticeId },
 }
 
-impl Stored for PeerWord {
-    const WHAT: &'static str = "a word of another node";
+impl Stored for PeerNotice {
+    const WHAT: &'static str = "a notice of another node";
 }
 
-/// Why a datagram is no word of a node.
+/// Why a datagram is no notice of a node.
 #[derive(Debug, Error)]
 enum BadDatagram {
-    #[error("it does not begin as the words of nodes do")]
+    #[error("it does not begin as the notices of nodes do")]
     NoMark,
     #[error(transparent)]
     Unreadable(#[from] UnreadableValue),
 }
 
-impl PeerWord {
+impl PeerNotice {
     fn to_datagram(&self) -> Vec<u8> {
         let mut datagram = MARK.to_vec();
         datagram.extend(self.encode());
@@ -74,8 +74,8 @@
     }
 
     fn from_datagram(datagram: &[u8]) -> Result<Self, BadDatagram> {
-        let word = datagram.strip_prefix(MARK).ok_or(BadDatagram::NoMark)?;
-        Ok(Self::decode(word)?)
+        let notice = datagram.strip_prefix(MARK).ok_or(BadDatagram::NoMark)?;
+        Ok(Self::decode(notice)?)
     }
 }
 
@@ -83,7 +83,7 @@
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
     address: SocketAddr,
-    asked: Mutex<HashMap<WordId, oneshot::Sender<SocketAddr>>>,
+    asked: Mutex<HashMap<NoticeId, oneshot::Sender<SocketAddr>>>,
 }
 
 impl PeerSocket {
@@ -107,26 +107,26 @@
         self.address
     }
 
-    fn lock_asked(&self) -> MutexGuard<'_, HashMap<WordId, oneshot::Sender<SocketAddr>>> {
+    fn lock_asked(&self) -> MutexGuard<'_, HashMap<NoticeId, oneshot::Sender<SocketAddr>>> {
         self.asked.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn send(&self, word: &PeerWord, to: SocketAddr) {
+    async fn send(&self, notice: &PeerNotice, to: SocketAddr) {
         // One that cannot be sent is one that is lost.
-        if let Err(error) = self.socket.send_to(&word.to_datagram(), to).await {
-            warn!(event = "peer_word_not_sent", to = to.to_string().as_str(),
+        if let Err(error) = self.socket.send_to(&notice.to_datagram(), to).await {
+            warn!(event = "peer_notice_not_sent", to = to.to_string().as_str(),
                 reason = error.to_string().as_str(); "");
         }
     }
 }
 
 /// Whether this node knows of others that could hear it.
-pub(crate) fn has_hearers(context: &Context) -> bool {
-    context.peer_socket.get().is_some() && !hearers(context, 1).is_empty()
+pub(crate) fn has_recipients(context: &Context) -> bool {
+    context.peer_socket.get().is_some() && !recipients(context, 1).is_empty()
 }
 
 /// Addresses of some other nodes.
-fn hearers(context: &Context, count: usize) -> Vec<SocketAddr> {
+fn recipients(context: &Context, count: usize) -> Vec<SocketAddr> {
     let control = context.control.lock();
     let addresses = control.state.reachable();
     addresses.some_others(&context.node.machine, count, rand::random())
@@ -144,8 +144,8 @@
     };
     let mut pause = Duration::ZERO;
     loop {
-        if let Some(hearer) = tell_once(context, socket, request, ended).await {
-            return hearer;
+        if let Some(recipient) = tell_once(context, socket, request, ended).await {
+            return recipient;
         }
         tokio::time::sleep(pause).await;
         pause = (pause * 2).clamp(ANSWER_TIME, LONGEST_PAUSE);
@@ -159,34 +159,34 @@
     request: Fingerprint,
     ended: &EndedBackend,
 ) -> Option<SocketAddr> {
-    let hearers = hearers(context, HEARERS);
-    if hearers.is_empty() || socket.lock_asked().len() >= MOST_ASKED {
+    let recipients = recipients(context, RECIPIENTS);
+    if recipients.is_empty() || socket.lock_asked().len() >= MOST_ASKED {
         tokio::time::sleep(ANSWER_TIME).await;
         return None;
     }
     let id = rand::random();
     let (answer, asking) = Asking::begin(socket, id);
-    let word = PeerWord::BackendEnded {
+    let notice = PeerNotice::BackendEnded {
         id,
         request,
         ended: ended.clone(),
     };
-    for hearer in hearers {
-        socket.send(&word, hearer).await;
+    for recipient in recipients {
+        socket.send(&notice, recipient).await;
     }
     let answer = tokio::time::timeout(ANSWER_TIME, answer).await;
     drop(asking);
     answer.ok()?.ok()
 }
 
-/// A word that waits for its answer, until this is dropped.
+/// A notice that waits for its answer, until this is dropped.
 struct Asking<'a> {
     socket: &'a PeerSocket,
-    id: WordId,
+    id: NoticeId,
 }
 
 impl<'a> Asking<'a> {
-    fn begin(socket: &'a PeerSocket, id: WordId) -> (oneshot::Receiver<SocketAddr>, Self) {
+    fn begin(socket: &'a PeerSocket, id: NoticeId) -> (oneshot::Receiver<SocketAddr>, Self) {
         let (answered, answer) = oneshot::channel();
         socket.lock_asked().insert(id, answered);
         (answer, Self { socket, id })
@@ -199,7 +199,7 @@
     }
 }
 
-/// Takes the words of other nodes, and ends with the process.
+/// Takes the notices of other nodes, and ends with the process.
 pub(crate) async fn serve(context: Arc<Context>) {
     let Some(socket) = context.peer_socket.get() else {
         return;
@@ -209,38 +209,38 @@
         let (length, from) = match socket.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                warn!(event = "peer_word_not_received", reason = error.to_string().as_str(); "");
+                warn!(event = "peer_notice_not_received", reason = error.to_string().as_str(); "");
                 tokio::time::sleep(RECEIVE_AGAIN_PAUSE).await;
                 continue;
             }
         };
-        match PeerWord::from_datagram(&buffer[..length]) {
-            Ok(word) => take(&context, socket, word, from).await,
+        match PeerNotice::from_datagram(&buffer[..length]) {
+            Ok(notice) => take(&context, socket, notice, from).await,
             Err(error) => {
-                metrics::peer_word("unreadable");
-                warn!(event = "peer_word_unreadable", from = from.to_string().as_str(),
+                metrics::peer_notice("unreadable");
+                warn!(event = "peer_notice_unreadable", from = from.to_string().as_str(),
                     reason = error.to_string().as_str(); "");
             }
         }
     }
 }
 
-async fn take(context: &Arc<Context>, socket: &PeerSocket, word: PeerWord, from: SocketAddr) {
-    match word {
-        PeerWord::BackendEnded { id, request, ended } => {
+async fn take(context: &Arc<Context>, socket: &PeerSocket, notice: PeerNotice, from: SocketAddr) {
+    match notice {
+        PeerNotice::BackendEnded { id, request, ended } => {
             let is_kept = crash_guard::end_was_told(context, request, &ended);
-            metrics::peer_word(if is_kept { "heard" } else { "no_room" });
-            info!(event = "peer_word_heard", from = from.to_string().as_str(),
+            metrics::peer_notice(if is_kept { "heard" } else { "no_room" });
+            info!(event = "peer_notice_heard", from = from.to_string().as_str(),
                 content = request.to_string().as_str(), backend = ended.backend.as_str(),
                 seen_by = ended.seen_by.as_str(), is_kept = is_kept; "");
             if is_kept {
-                socket.send(&PeerWord::Heard { id }, from).await;
+                socket.send(&PeerNotice::Heard { id }, from).await;
             }
         }
-        PeerWord::Heard { id } => {
-            // Nobody waits for the second answer to one word.
+        PeerNotice::Heard { id } => {
+            // Nobody waits for the second answer to one notice.
             if let Some(answered) = socket.lock_asked().remove(&id) {
-                metrics::peer_word("answered");
+                metrics::peer_notice("answered");
                 let _ = answered.send(from);
             }
         }
