Token counts that a caller names cannot overflow the engine's sums

Cause: review of placement: a header may name four billion tokens; sums of it wrapped in release builds and panicked in debug builds. Change: saturating arithmetic in the three places. No test of its own.

--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -104,7 +104,7 @@
         };
         let tokens_per_event = tokens_per_event(table, &first.pool);
         let optional = schedule::optional_items(batch, carried, |item| {
-            let made_tokens = item.events.len() as u32 * tokens_per_event;
+            let made_tokens = (item.events.len() as u32).saturating_mul(tokens_per_event);
             self.lengths.remaining(&first.pool, item, made_tokens)
         });
         let residency = table.residency(route, batch.tenant.as_ref());
@@ -120,7 +120,7 @@
                 item: item.id.clone(),
             };
             let live = self.items.get(&key);
-            let made_tokens = events_of(live, item) * tokens_per_event;
+            let made_tokens = events_of(live, item).saturating_mul(tokens_per_event);
             let spec = item.spec.as_ref();
             let prompt_tokens = spec.map_or(0, |spec| self.context.dialect.prompt_tokens(spec));
             let item = WaitingItem {
@@ -129,7 +129,7 @@
                 optional: optional.contains(&item.id),
                 claim: claim.clone(),
                 expected_tokens: self.lengths.remaining(pool, item, made_tokens),
-                held_tokens: prompt_tokens + made_tokens,
+                held_tokens: prompt_tokens.saturating_add(made_tokens),
                 since: batch.first_seen,
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
