--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -8,7 +8,7 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
-use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint, Suspicion};
+use havenstage_rollout::crash_ledger::{EndCompany, EndedBackend, Fingerprint, Suspicion};
 use havenstage_rollout::ids::BackendId;
 use log::{info, warn};
 use tokio::sync::watch;
@@ -234,20 +234,41 @@
     let mut control = context.control.lock();
     let newly = control.state.crashes_mut().take_newly_barred(now);
     let crashes = control.state.crashes();
-    let told: Vec<(Fingerprint, Suspicion)> = newly
+    let told: Vec<BarredRequest> = newly
         .into_iter()
-        .map(|request| (request, crashes.suspicion(&request, now)))
+        .map(|request| BarredRequest {
+            request,
+            suspicion: crashes.suspicion(&request, now),
+            company: crashes.company(&request),
+        })
         .collect();
     let remembered = crashes.len();
     drop(control);
-    for (request, suspicion) in told {
-        if let Suspicion::Barred { ended, .. } = suspicion {
-            warn!(event = "request_barred", content = request.to_string().as_str(),
-                ended = name_all(&ended).as_str(), remembered = remembered; "");
+    for barred in told {
+        if let Suspicion::Barred { ended, .. } = barred.suspicion {
+            warn!(event = "request_barred", content = barred.request.to_string().as_str(),
+                ended = name_all(&ended).as_str(),
+                company = describe_company(&barred.company).as_str(), remembered = remembered; "");
         }
     }
 }
 
+/// A request that was barred, and what tells whether that is right.
+struct BarredRequest {
+    request: Fingerprint,
+    suspicion: Suspicion,
+    company: Vec<EndCompany>,
+}
+
+/// For each end, how many other requests were there and the most ends that one of them has.
+fn describe_company(company: &[EndCompany]) -> String {
+    let described = company.iter().map(|end| {
+        let (backend, others, most_ends) = (&end.backend, end.others, end.most_ends);
+        format!("{backend}: {others} others with {most_ends} ends at most")
+    });
+    described.collect::<Vec<String>>().join(", ")
+}
+
 /// Forgets requests of which nothing was heard for long, and counts.
 pub(crate) fn forget_old(context: &Context) {
     let now = context.now();
--- a/crates/rollout/src/crash_ledger/blame.rs
+++ b/crates/rollout/src/crash_ledger/blame.rs
@@ -163,7 +163,7 @@
     }
 
     /// Other requests that ran at a back end when it ended.
-    fn others_at<'a>(
+    pub(super) fn others_at<'a>(
         &'a self,
         backend: &BackendId,
         request: &'a Fingerprint,
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -79,6 +79,17 @@
     pub seen_by: MachineName,
 }
 
+/// Other requests that were there when a back end ended under one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndCompany {
+    /// The back end.
+    pub backend: BackendId,
+    /// How many there were.
+    pub others: usize,
+    /// The most ends that one of them has, here and elsewhere; 0 without any.
+    pub most_ends: usize,
+}
+
 /// What a checkpoint keeps of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashCheckpoint {
@@ -303,6 +314,22 @@
         }
     }
 
+    /// Who else was there at each end of a request, which tells whether it was barred rightly.
+    pub fn company(&self, request: &Fingerprint) -> Vec<EndCompany> {
+        let suspect = self.suspects.get(request);
+        let ended = suspect.into_iter().flat_map(|suspect| &suspect.ended);
+        let company = ended.map(|ended| {
+            let others = self.others_at(&ended.backend, request);
+            let ends: Vec<usize> = others.map(|other| other.ended.len()).collect();
+            EndCompany {
+                backend: ended.backend.clone(),
+                others: ends.len(),
+                most_ends: ends.into_iter().max().unwrap_or(0),
+            }
+        });
+        company.collect()
+    }
+
     /// A request that is known came again: it is not forgotten yet.
     pub fn came_again(&mut self, request: &Fingerprint, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(request) {
