A machine that was suspended says so, with the time that its clock counts for it

Change: the coordinator writes `machine_was_suspended` (suspended_ms, age of the last contact with the log, whether it holds the lease for orders) and counts `gateway_suspended_ms_total`. It looks with each of its rounds, 100 to 250 ms apart. No decision changes.

--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod harmful_loads;
 mod lease;
+mod suspension;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use self::harmful_loads::HarmfulLoads;
+use self::suspension::SuspensionWatch;
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode};
 use crate::fingerprint;
@@ -52,6 +54,7 @@
     /// Until when the lease is relied on; read right before each order is sent.
     reliable_until: Arc<AtomicU64>,
     pace: WorkPace,
+    suspension: SuspensionWatch,
     ended: UnboundedReceiver<OrderEnded>,
     ended_sender: UnboundedSender<OrderEnded>,
 }
@@ -100,6 +103,7 @@
             reliable_until: Arc::new(AtomicU64::new(0)),
             avoided_until: BTreeMap::new(),
             pace: WorkPace::new(PLAN_REST),
+            suspension: SuspensionWatch::start(),
             ended,
             ended_sender,
         }
@@ -119,6 +123,7 @@
                 () = context.control_changed.notified() => {}
                 () = tokio::time::sleep(pause) => {}
             }
+            self.note_suspension();
             self.follow_lease();
             if context.is_stopping() {
                 self.release().await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms, served as text.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use havenstage_rollout::access::Denied;
 use havenstage_rollout::crash_ledger::ForgottenRequests;
@@ -179,6 +180,11 @@
     counter!("gateway_crash_words_total", "outcome" => outcome).increment(1);
 }
 
+/// The machine was suspended for so long.
+pub fn machine_suspended(time: Duration) {
+    counter!("gateway_suspended_ms_total").increment(time.as_millis() as u64);
+}
+
 /// A datagram of another node came.
 pub fn peer_notice(outcome: &'static str) {
     counter!("gateway_peer_notices_total", "outcome" => outcome).increment(1);
