An honest request with more ends than the harmful ones beside it is not barred

Cause: the ledger held the request with more ends for the likelier cause, counting ends that a barred request explains. An item that is retried is at the ends of one harmful request after the other and has more than each.

Change: `judgement.rs` finds causes one after the other, the surest first, and what one explains counts for no other; culprits that others explain are taken back. Where several have the same ends, or one more than another, a next run tells them apart. With five ends, one more bars a request only if it was alone there. The verdict is kept until something is told or a moment passes that counts.

Why it works: an honest request has, beside the ends that barred ones explain, fewer than three of its own at which nobody else could be the cause.

Ruled out: that trials of engines choose the same item (all items of the batch have the same ends); ends that nobody told. Tried first: weights without explained ends in order of time, and starting from the plain weights: each barred another of the recorded items.

--- a/crates/rollout/src/crash_ledger/blame.rs
+++ b/crates/rollout/src/crash_ledger/blame.rs
@@ -1,13 +1,24 @@
-//! Which of the requests that were there is the cause of an end, as far as can be told.
+//! What may be done with a request under which back ends ended: whether it is run, waits, is left to another machine or
+//! is barred.
 
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::sync::Arc;
+
+use super::judgement::Judgement;
 use super::{
     BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, DOUBT_MS, Fingerprint, SETTLING_MS, Suspect,
 };
 use crate::Millis;
 use crate::ids::BackendId;
 
-/// How likely a request is the cause of its ends: those at which no other one was, and all.
-type Weight = (usize, usize);
+/// The requests that were found to be the cause of their ends.
+#[derive(Debug, Clone)]
+pub(super) struct Verdict {
+    culprits: Arc<BTreeSet<Fingerprint>>,
+    /// When it holds if nothing is told meanwhile.
+    valid: Range<Millis>,
+}
 
 impl CrashLedger {
     /// Runs of a request that is not barred that may be under way here together, as if each ended its back end.
@@ -27,68 +38,41 @@
 
     /// Whether a request is the cause of its ends, as far as can be told.
     pub(super) fn is_culprit(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> bool {
-        if suspect.ended.len() < BAR_AFTER_ENDS {
-            return false;
-        }
-        let weight = self.weight(suspect);
-        let is_peer = |peer: &Suspect, peer_weight| {
-            peer_weight == weight && peer.told_order <= suspect.told_order
-        };
-        self.culprits_among(is_peer, now).contains(request)
+        suspect.ended.len() >= BAR_AFTER_ENDS && self.all_culprits(now).contains(request)
     }
 
-    /// All requests that are the cause of their ends. In one pass: asking for each one by itself takes 0.2 s where 256
-    /// are remembered with three ends each, and this is asked after each read of what others told.
-    pub(super) fn all_culprits(&self, now: Millis) -> Vec<Fingerprint> {
-        self.culprits_among(|_, _| true, now)
-    }
-
-    /// Those of some requests that are the cause of their ends. Ones that are as likely are judged in the order in
-    /// which they had their ends, so that none excuses another one for what a third one explains.
-    fn culprits_among(
-        &self,
-        is_asked: impl Fn(&Suspect, Weight) -> bool,
-        now: Millis,
-    ) -> Vec<Fingerprint> {
-        let may_be = self.suspects.iter();
-        let may_be = may_be.filter(|(_, suspect)| suspect.ended.len() >= BAR_AFTER_ENDS);
-        let mut asked: Vec<(Weight, &Fingerprint, &Suspect)> = may_be
-            .map(|(request, suspect)| (self.weight(suspect), request, suspect))
-            .filter(|(weight, _, suspect)| is_asked(suspect, *weight))
-            .collect();
-        asked.sort_by_key(|(weight, _, suspect)| (*weight, suspect.told_order));
-        let mut culprits = Vec::new();
-        for peers in asked.chunk_by(|one, next| one.0 == next.0) {
-            let mut earlier = Vec::new();
-            for (_, request, suspect) in peers {
-                if self.is_culprit_beside(request, suspect, &earlier, now) {
-                    earlier.push(*suspect);
-                    culprits.push(**request);
-                }
+    /// All requests that are the cause of their ends. Judged anew only if something was told or a moment has passed that
+    /// counts: this is asked before each send of a suspected request.
+    pub(super) fn all_culprits(&self, now: Millis) -> Arc<BTreeSet<Fingerprint>> {
+        if !self.may_bar() {
+            return Arc::default();
+        }
+        let mut verdict = self.verdict.borrow_mut();
+        match &*verdict {
+            Some(known) if known.valid.contains(&now) => known.culprits.clone(),
+            _ => {
+                let culprits = Arc::new(Judgement::new(self, now).culprits());
+                *verdict = Some(Verdict {
+                    culprits: culprits.clone(),
+                    valid: self.unchanged_around(now),
+                });
+                culprits
             }
         }
-        culprits
     }
 
-    /// Whether a request with ends enough is their cause, given which others are that had as many before.
-    fn is_culprit_beside(
-        &self,
-        request: &Fingerprint,
-        suspect: &Suspect,
-        earlier_culprits: &[&Suspect],
-        now: Millis,
-    ) -> bool {
-        if self.is_settling(request, suspect, now) {
-            return false;
-        }
-        let unexplained = self.unexplained_ends(request, suspect, earlier_culprits);
-        // A likelier cause of each is barred, or soon will be, so the next run shows it.
-        if suspect.ended.len() >= BAR_AFTER_SHARED_ENDS {
-            return unexplained > 0;
-        }
-        let may_be_another =
-            is_in_doubt(suspect, now) && self.another_shares_all_of(request, suspect);
-        unexplained >= BAR_AFTER_ENDS && !may_be_another
+    /// The span of time around `now` in which the passing of time changes no verdict.
+    fn unchanged_around(&self, now: Millis) -> Range<Millis> {
+        let suspects = self.suspects.values();
+        let suspects = suspects.filter(|suspect| suspect.ended.len() >= BAR_AFTER_ENDS);
+        let moments = suspects.flat_map(|suspect| {
+            let settled = suspect.last_end + SETTLING_MS;
+            [settled, suspect.told_at + DOUBT_MS]
+        });
+        let (past, coming): (Vec<Millis>, Vec<Millis>) = moments.partition(|at| *at <= now);
+        let begins = past.into_iter().max().unwrap_or(0);
+        let ends = coming.into_iter().min().unwrap_or(Millis::MAX);
+        begins..ends
     }
 
     /// Whether others' words on the ends that may bar a request may be on their way: an end is seen by each node that
@@ -114,34 +98,6 @@
         seen_by.min() == Some(&self.own_machine)
     }
 
-    /// Ends at which no request was that is a likelier cause. Of two that are as likely the earlier one explains what
-    /// both were at, if it is the cause of its own and not just of the same: without this an honest item that had been
-    /// beside harmful ones with as many ends was barred for good in a soaked seed.
-    fn unexplained_ends(
-        &self,
-        request: &Fingerprint,
-        suspect: &Suspect,
-        earlier_culprits: &[&Suspect],
-    ) -> usize {
-        let weight = self.weight(suspect);
-        let explainers: Vec<&&Suspect> = earlier_culprits
-            .iter()
-            .filter(|culprit| !culprit.shares_all_of(suspect))
-            .collect();
-        let unexplained = suspect.ended.iter().filter(|ended| {
-            let mut others = self.others_at(&ended.backend, request);
-            let is_beside_likelier = others.any(|other| self.weight(other) > weight);
-            let mut explainers = explainers.iter();
-            !is_beside_likelier && !explainers.any(|culprit| culprit.names(&ended.backend))
-        });
-        unexplained.count()
-    }
-
-    /// How likely a request is the cause of its ends.
-    fn weight(&self, suspect: &Suspect) -> Weight {
-        (self.ends_alone(suspect), suspect.ended.len())
-    }
-
     /// Whether a request was alone at an end before its last one, of which others may still tell.
     fn was_alone_before_the_last(&self, suspect: &Suspect) -> bool {
         let (_last, earlier) = suspect.ended.split_last().unzip();
@@ -149,14 +105,6 @@
         earlier.any(|ended| self.was_alone_at(&ended.backend))
     }
 
-    /// Ends at which no other request was.
-    fn ends_alone(&self, suspect: &Suspect) -> usize {
-        let ended = suspect.ended.iter();
-        ended
-            .filter(|ended| self.was_alone_at(&ended.backend))
-            .count()
-    }
-
     fn was_alone_at(&self, backend: &BackendId) -> bool {
         let running = self.running_at.get(backend);
         running.is_none_or(|running| running.len() == 1)
@@ -183,6 +131,6 @@
 }
 
 /// Whether callers may not yet have come again since the end that may bar a request.
-fn is_in_doubt(suspect: &Suspect, now: Millis) -> bool {
+pub(super) fn is_in_doubt(suspect: &Suspect, now: Millis) -> bool {
     now.saturating_sub(suspect.told_at) < DOUBT_MS
 }
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -5,12 +5,15 @@
 //! which another request can be the cause just as well count for less.
 
 mod blame;
+mod judgement;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
+use self::blame::Verdict;
 use crate::Millis;
 use crate::ids::{BackendId, MachineName};
 
@@ -169,6 +172,8 @@
     /// Which of them ran at each back end when it ended.
     running_at: BTreeMap<BackendId, Vec<Fingerprint>>,
     told_barred: BTreeSet<Fingerprint>,
+    /// The newest verdict on all of them; `None` since something was told.
+    verdict: RefCell<Option<Verdict>>,
     next_order: u64,
     forgotten: ForgottenRequests,
 }
@@ -181,6 +186,7 @@
             suspects: BTreeMap::new(),
             running_at: BTreeMap::new(),
             told_barred: BTreeSet::new(),
+            verdict: RefCell::default(),
             next_order: 0,
             forgotten: ForgottenRequests::default(),
         }
@@ -240,6 +246,7 @@
         if suspect.names(&ended.backend) || suspect.ended.len() >= MOST_BACKENDS {
             return;
         }
+        self.verdict.take();
         let backend = ended.backend.clone();
         suspect.ended.push(ended);
         suspect.last_end = now;
@@ -265,6 +272,7 @@
         let Some(running) = self.running_at.remove(backend) else {
             return false;
         };
+        self.verdict.take();
         for request in running {
             let Some(suspect) = self.suspects.get_mut(&request) else {
                 continue;
@@ -348,10 +356,11 @@
         if !self.may_bar() {
             return Vec::new();
         }
-        let mut barred = self.all_culprits(now);
-        barred.retain(|request| !self.told_barred.contains(request));
-        self.told_barred.extend(&barred);
-        barred
+        let culprits = self.all_culprits(now);
+        let newly = culprits.difference(&self.told_barred);
+        let newly: Vec<Fingerprint> = newly.copied().collect();
+        self.told_barred.extend(&newly);
+        newly
     }
 
     /// Forgets what nothing was heard of for long.
@@ -391,6 +400,7 @@
 
     fn forget(&mut self, request: &Fingerprint) -> bool {
         self.told_barred.remove(request);
+        self.verdict.take();
         let Some(suspect) = self.suspects.remove(request) else {
             return false;
         };
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -231,6 +231,93 @@
     );
 }
 
+fn is_barred_at(ledger: &CrashLedger, number: u128, now: Millis) -> bool {
+    let suspicion = ledger.suspicion(&request(number), now);
+    matches!(suspicion, Suspicion::Barred { .. })
+}
+
+/// Guards against a refused honest item: in a pool whose engines all ended it was beside one harmful request once and
+/// beside another one each time, so that it had more ends than either.
+#[test]
+fn an_honest_request_with_more_ends_than_the_harmful_ones_is_not_barred() {
+    let (first, second, honest) = (HARMFUL, 2, 30);
+    let mut ledger = ledger();
+    let mut at = |now, backend: &str, running: &[u128]| {
+        for number in running {
+            ledger.backend_ended(request(*number), ended(backend, "a"), now);
+        }
+    };
+    at(1_000, "p", &[first, 7]);
+    at(1_400, "q", &[first, 8]);
+    at(1_900, "r", &[honest, 9, first]);
+    at(3_100, "s", &[honest, 10, second]);
+    at(3_800, "t", &[honest, 11, second]);
+    at(3_900, "u", &[second, 12, honest]);
+    for now in [3_900, 3_900 + SETTLING_MS, 3_800 + DOUBT_MS, 60_000] {
+        assert!(!is_barred_at(&ledger, honest, now), "{now}");
+        assert!(is_barred_at(&ledger, first, now), "{now}");
+    }
+    let next_run = 60_000;
+    for number in [second, 13] {
+        ledger.backend_ended(request(number), ended("v", "a"), next_run);
+    }
+    let settled = next_run + SETTLING_MS;
+    assert!(is_barred_at(&ledger, second, settled));
+    assert!(!is_barred_at(&ledger, honest, settled));
+}
+
+/// The same with five ends, of which a barred request explains two, and two that came together the others.
+#[test]
+fn an_honest_request_with_five_ends_beside_three_harmful_ones_is_not_barred() {
+    let (barred, second, third, honest) = (HARMFUL, 2, 3, 30);
+    let mut ledger = ledger();
+    for (backend, running) in [
+        ("a", [barred, honest, 7].as_slice()),
+        ("b", &[barred, 8]),
+        ("c", &[barred, 9]),
+        ("d", &[barred, honest, second, 10]),
+        ("e", &[second, third, 11]),
+        ("f", &[second, third, honest]),
+        ("g", &[third, honest, 12]),
+        ("h", &[second, honest, 13]),
+    ] {
+        end(&mut ledger, backend, running);
+    }
+    for now in [1_000, 1_000 + SETTLING_MS, 1_000 + DOUBT_MS, 60_000] {
+        assert!(!is_barred_at(&ledger, honest, now), "{now}");
+    }
+    assert!(is_barred_at(&ledger, barred, 1_000 + SETTLING_MS));
+    for backend in ["i", "j"] {
+        end(&mut ledger, backend, &[second, 14]);
+        end(&mut ledger, &format!("{backend}'"), &[third, 15]);
+    }
+    let settled = 1_000 + SETTLING_MS;
+    assert!(is_barred_at(&ledger, second, settled) && is_barred_at(&ledger, third, settled));
+    assert!(!is_barred_at(&ledger, honest, settled));
+}
+
+/// Guards against the refusal of all items of a batch that were moved together: a next run of each tells which one it is.
+#[test]
+fn requests_that_are_moved_together_are_tried_before_they_are_barred() {
+    let items = [20, 21, 22];
+    let mut ledger = ledger_of("a");
+    for backend in ["x", "y", "z"] {
+        end(&mut ledger, backend, &items);
+    }
+    let later = 1_000 + DOUBT_MS;
+    for item in items {
+        let suspicion = ledger.suspicion(&request(item), later);
+        let tried = Suspicion::Suspected {
+            ends: 3,
+            runs_left: 1,
+        };
+        assert_eq!(suspicion, tried);
+    }
+    end(&mut ledger, "v", &[21]);
+    let barred = items.map(|item| is_barred_at(&ledger, item, later));
+    assert_eq!(barred, [false, true, false]);
+}
+
 /// An honest request that had as many ends before a harmful one does not excuse it: its own ends are explained, or
 /// it was at exactly the same ones.
 #[test]
