What is owed to another holder's orders is not measured by a clock that leaps

Cause: the age of the other holder's order was measured by the clock that counts suspensions. It leaps by more than the others' time where the boot clock does, as the soak's does by 4 s.

Evidence: n3 wrote `order_ended` with took_ms 5,509, 0.81 s after it took the lease; n0's order was known to it (it settled it) and given under n0's lease. Ruled out with that: an order that n3 did not know, and one without a lease.

Change: `clock::AwakeInstant` stands still while the machine is suspended. By it go the age of other machines' orders (`machine_was_suspended`), and, as the same fault was found there, the signs of life, which told the leap to all nodes, and the wait before calls that one node makes for all.

Why it works: that clock never tells more time than passed for the others, so these waits can only get longer.

Tests: `a_suspension_makes_no_order_of_another_holder_older` fails without the mend (2.75 s instead of 5 s), and still with the age of orders alone mended; `time_in_which_the_machine_was_suspended_makes_no_order_older` and `a_suspension_does_not_end_the_wait_for_a_former_holders_calls` are new with what they test. The soak and its bound are as they were.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -98,6 +98,24 @@
     }
 }
 
+/// A moment on the steady clock, which stands still while the machine is suspended. It measures what is owed to others
+/// before something new may begin: a clock that leaps ends no such wait too soon. What must not outlive a suspension is
+/// measured by [`Instant`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AwakeInstant(tokio::time::Instant);
+
+impl AwakeInstant {
+    /// This moment.
+    pub fn now() -> Self {
+        Self(tokio::time::Instant::now())
+    }
+
+    /// Time in which the machine ran since this moment.
+    pub fn elapsed(&self) -> Duration {
+        self.0.elapsed()
+    }
+}
+
 /// Waits until a moment; later by the time for which the machine is suspended meanwhile.
 pub async fn sleep_until(moment: Instant) {
     tokio::time::sleep(moment.saturating_duration_since(Instant::now())).await;
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -29,11 +29,14 @@
 
 impl Coordinator {
     pub(super) fn plan(
-        &self,
+        &mut self,
         pool: &Pool,
         named: &BTreeMap<ModelName, Version>,
     ) -> Vec<PlannedOrder> {
-        let targets = self.targets(pool);
+        // In this order: a suspension in between makes the orders of others look younger, never older.
+        let now = self.context.now();
+        self.note_suspension();
+        let targets = self.targets(pool, now);
         let work: BTreeMap<ModelName, ModelWork> = pool
             .models
             .iter()
@@ -97,8 +100,7 @@
         )
     }
 
-    pub(super) fn targets(&self, pool: &Pool) -> Vec<OrderTarget> {
-        let now = self.context.now();
+    pub(super) fn targets(&self, pool: &Pool, now: Millis) -> Vec<OrderTarget> {
         let running = self.context.occupied(|_| true);
         self.context.note_observed_versions();
         let control = self.context.control.lock();
--- a/crates/gateway/src/coordinator/lease.rs
+++ b/crates/gateway/src/coordinator/lease.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use havenstage_clock::AwakeInstant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::lease::Term;
@@ -30,7 +31,7 @@
                 info!(event = "order_lease_held", term = term; "");
                 self.context.set_lease_grant(Some(LeaseGrant {
                     term,
-                    since: now,
+                    since: AwakeInstant::now(),
                     reliable_until: self.reliable_until.clone(),
                 }));
                 // Not reliable until a sign of life was answered.
@@ -101,15 +102,15 @@
             return;
         }
         let reliable_ms = (tuning.silence_ms as f64 * RELIABLE_SHARE) as Millis;
-        let after_ms = lease.sign_stood_at.map_or(0, |at| sent.saturating_sub(at));
+        let after = lease.sign_stood_at.map(|at| at.elapsed());
         let holder = self.context.node.clone();
         let record = ControlRecord::LeaseKept {
             term: lease.term,
             holder,
-            after_ms,
+            after_ms: after.unwrap_or_default().as_millis() as Millis,
         };
         let appended = append_sign_of_life(&self.context, &record).await.ok();
-        let sign_stood_at = appended.map(|_| self.context.now());
+        let sign_stood_at = appended.map(|_| AwakeInstant::now());
         let is_current = match appended {
             Some(appended) => self.is_kept(appended, lease.term).await,
             None => false,
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use havenstage_clock::Instant;
+use havenstage_clock::{AwakeInstant, Instant};
 use havenstage_rollout::Millis;
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
@@ -68,7 +68,7 @@
     kept_at: Millis,
     /// When the last sign of life certainly stood in the log; `None` if its append had no answer. The time
     /// that the next one tells begins here: an order in front of the former sign is older than that.
-    sign_stood_at: Option<Millis>,
+    sign_stood_at: Option<AwakeInstant>,
 }
 
 struct OrderEnded {
--- a/crates/gateway/src/coordinator/suspension.rs
+++ b/crates/gateway/src/coordinator/suspension.rs
@@ -32,7 +32,7 @@
 }
 
 impl Coordinator {
-    /// Tells of a suspension since the last call.
+    /// Tells of a suspension since the last call, and counts none of it as time that other machines' orders are old.
     pub(super) fn note_suspension(&mut self) {
         let Some(suspended) = self.suspension.newly_suspended() else {
             return;
@@ -41,5 +41,7 @@
         warn!(event = "machine_was_suspended", suspended_ms = suspended_ms,
             contact_age_ms = self.context.contact_age(), holds_order_lease = self.lease.is_some(); "");
         metrics::machine_suspended(suspended);
+        let mut control = self.context.control.lock();
+        control.state.machine_was_suspended(suspended_ms);
     }
 }
--- a/crates/gateway/src/lease_grant.rs
+++ b/crates/gateway/src/lease_grant.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use havenstage_clock::Instant;
+use havenstage_clock::{AwakeInstant, Instant};
 use havenstage_rollout::Millis;
 use havenstage_rollout::lease::Term;
 
@@ -18,7 +18,7 @@
     /// The holder's term, which is its fencing token.
     pub term: Term,
     /// When this node learned that it holds the lease.
-    pub since: Millis,
+    pub since: AwakeInstant,
     /// Until when the lease is relied on; moves on with each sign of life.
     pub reliable_until: Arc<AtomicU64>,
 }
@@ -39,18 +39,19 @@
     /// What a call to the platform needs to be made under it now; `None` if none may be.
     pub fn authority(&self, context: &Context, timeout: Duration) -> Option<DutyAuthority> {
         let now = context.now();
-        let quiet_ms = context.settings.bounds.order_lease_ms + ORDER_TIMEOUT.as_millis() as Millis;
+        let order_lease = Duration::from_millis(context.settings.bounds.order_lease_ms);
         let reliable_for = self.reliable_for(now)?;
-        self.is_settled(now, quiet_ms).then(|| DutyAuthority {
-            holder: context.node.to_string(),
-            fence: self.term,
-            write_by: Instant::now() + reliable_for.min(timeout),
-            timeout,
-        })
+        self.is_settled(order_lease + ORDER_TIMEOUT)
+            .then(|| DutyAuthority {
+                holder: context.node.to_string(),
+                fence: self.term,
+                write_by: Instant::now() + reliable_for.min(timeout),
+                timeout,
+            })
     }
 
-    /// Whether the last act of any holder before this one is at least `quiet_ms` old: it ended with its lease.
-    pub fn is_settled(&self, now: Millis, quiet_ms: Millis) -> bool {
-        self.term <= FIRST_TERM || now.saturating_sub(self.since) >= quiet_ms
+    /// Whether the last act of any holder before this one is at least `quiet` old: it ended with its lease.
+    pub fn is_settled(&self, quiet: Duration) -> bool {
+        self.term <= FIRST_TERM || self.since.elapsed() >= quiet
     }
 }
--- a/crates/gateway/tests/suspended.rs
+++ b/crates/gateway/tests/suspended.rs
@@ -6,19 +6,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::AwakeInstant;
 use havenstage_gateway::edge::DirectoryEntry;
+use havenstage_gateway::lease_grant::LeaseGrant;
 use havenstage_rollout::ids::ModelName;
 use havenstage_rollout::peer_message::{PeerAnswer, PeerRefusal};
 use support::backend::CallBehaviour;
 use support::caller::{call, submit};
-use support::deployment::{Deployment, wait_until};
+use support::deployment::{Deployment, TestNode, settings, wait_until};
 use support::dialect::{MODEL, write_batch};
-use support::log::LogFaults;
+use support::log::{LogFaults, NodeLog};
 use support::peers::{ask, own, peer_node, request, results_from};
 use support::suspension;
 
 /// Longer than any knowledge, lease or deadline of the tests lasts.
 const SUSPENDED: Duration = Duration::from_secs(20);
+/// Time that must lie between orders of two holders: longer than it takes the second one to hold the lease.
+const ORDER_LEASE: Duration = Duration::from_secs(5);
 
 #[tokio::test]
 async fn what_a_node_knew_is_as_old_as_for_everybody() {
@@ -123,3 +127,53 @@
     })
     .await;
 }
+
+/// Guards against orders of two holders to one engine: the second holder was suspended after the first one's order, and
+/// by its clock that was long past.
+#[tokio::test]
+async fn a_suspension_makes_no_order_of_another_holder_older() {
+    suspension::prepare();
+    let deployment = Deployment::start(1, 0).await;
+    let start = async |name| {
+        let mut settings = settings(name);
+        settings.bounds.order_lease_ms = ORDER_LEASE.as_millis() as u64;
+        let node = TestNode::start_so(NodeLog::new(&deployment.log), settings).await;
+        node.knows(1).await;
+        node
+    };
+    let first = start("a").await;
+    let name = |version| {
+        let model = ModelName::from(MODEL);
+        deployment
+            .log
+            .write_operators(DirectoryEntry::NamedVersion { model, version });
+    };
+    let orders = || deployment.engines[0].order_times();
+    name(2);
+    wait_until("the first holder gives an order", || orders().len() == 1).await;
+    let second = start("b").await;
+    first.stop().await;
+    wait_until("the second one holds the lease", || {
+        let control = second.context().control.lock();
+        control.state.lease().is_held_by(&second.context().node)
+    })
+    .await;
+    name(3);
+    second.suspend(SUSPENDED).await;
+    wait_until("the second one gives an order", || orders().len() == 2).await;
+    let apart = orders()[1] - orders()[0];
+    assert!(apart >= ORDER_LEASE, "{apart:?} apart");
+}
+
+/// The same for calls that one node makes for all.
+#[tokio::test]
+async fn a_suspension_does_not_end_the_wait_for_a_former_holders_calls() {
+    suspension::prepare();
+    let grant = LeaseGrant {
+        term: 2,
+        since: AwakeInstant::now(),
+        reliable_until: Arc::default(),
+    };
+    suspension::suspend_this_thread(SUSPENDED);
+    assert!(!grant.is_settled(SUSPENDED));
+}
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -381,6 +381,13 @@
         Some(by_own_clock.max(by_the_log))
     }
 
+    /// This machine was suspended for so long, which its clock counts in all that is told here as now. What is owed to
+    /// other machines' orders is waited for all the same: only time in which this machine ran, or that the log tells of,
+    /// has certainly passed for everybody.
+    pub fn machine_was_suspended(&mut self, suspended_ms: Millis) {
+        self.last_orders.clock_leapt(suspended_ms);
+    }
+
     /// Forgets back ends that `keep` does not name.
     pub fn retain(&mut self, keep: impl Fn(&BackendId) -> bool) {
         self.pending.retain(|backend, _| keep(backend));
--- a/crates/rollout/src/last_orders.rs
+++ b/crates/rollout/src/last_orders.rs
@@ -13,7 +13,7 @@
 pub struct LastOrder {
     /// The machine.
     pub machine: MachineName,
-    /// When this node read of it, on its own clock.
+    /// When this node read of it, on its own clock; later by the time in which its machine was suspended since.
     pub read_at: Millis,
     /// The first sign of life behind it, in time that certainly passed in the log; `None` until there is
     /// one. Time between two signs counts only if the order stands in front of both.
@@ -48,6 +48,13 @@
         }
     }
 
+    /// The reader's clock counts a span of time in which its machine was suspended.
+    pub fn clock_leapt(&mut self, leap_ms: Millis) {
+        for order in self.by_backend.values_mut().flatten() {
+            order.read_at += leap_ms;
+        }
+    }
+
     /// The last order that a machine other than `own` gave a back end.
     pub fn of_another(&self, backend: &BackendId, own: &MachineName) -> Option<&LastOrder> {
         let orders = self.by_backend.get(&without_life(backend))?;
--- a/crates/rollout/tests/control.rs
+++ b/crates/rollout/tests/control.rs
@@ -330,3 +330,16 @@
     state.forget_batches_before(3_001);
     assert_eq!(state.peers().of(&node("b", 2)), None);
 }
+
+/// Guards against orders of two holders to one back end: the second one's clock had leapt by a suspension, and told that
+/// the first one's order was long past.
+#[test]
+fn time_in_which_the_machine_was_suspended_makes_no_order_older() {
+    let mut state = ControlState::new(MachineName::from("a"));
+    state.apply(ordered("b", "x"), 20);
+    assert_eq!(state.quiet_ms(&backend("x"), 50), Some(30));
+    state.machine_was_suspended(4_000);
+    assert_eq!(state.quiet_ms(&backend("x"), 4_060), Some(40));
+    state.apply(ordered("b", "y"), 4_070);
+    assert_eq!(state.quiet_ms(&backend("y"), 4_100), Some(30));
+}
