A node tells when its address stands in the log, and when nobody can hear of an end from it

Whether it knew nobody to tell, or its notices were lost on the way, could not be told from the lines.

No decision changes.

--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -441,6 +441,11 @@
         let fails = writing.wait_for(|told| *told != Told::NotYet);
         // After this time the request goes on without the word's being known.
         let _ = tokio::time::timeout(TELL_PATIENCE, fails).await;
+        let is_written = *writing.borrow() == Told::Written;
+        if !is_written && !peer_notices::has_recipients(&context) {
+            warn!(event = "end_known_here_alone", content = request.to_string().as_str(),
+                backend = ended.backend.as_str(), contact_age_ms = context.contact_age(); "");
+        }
         tokio::select! {
             _ = writing.wait_for(|told| *told == Told::Written) => {}
             recipient = peer_notices::tell_an_end(&context, request, &ended) => {
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -5,7 +5,7 @@
 
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
-use log::warn;
+use log::{info, warn};
 use tokio::task::JoinSet;
 
 use crate::checkpoints;
@@ -116,6 +116,8 @@
 async fn announce_one(context: &Context, wanted: impl Fn(&Context) -> Option<ControlRecord>) {
     while let Some(record) = wanted(context) {
         let Err(error) = append_control(context, &record).await else {
+            info!(event = "announced", record = format!("{record:?}").as_str(),
+                fleet = context.fleet_size(); "");
             return;
         };
         warn!(event = "not_announced", record = format!("{record:?}").as_str(),
