A small fleet tells its addresses within a second of its start, not within 16

Cause: a node that the store turned away (429) saw three ends 4 s after its start and was killed. It could tell nobody past the log, as machines told their addresses up to 16 s after their start, in the order of their names' hashes. Three sends had begun before the first end, so holding back came too late.

With the same moments in a test no address is known.

Change: a machine tells its address as soon as the fleet is known to be so small that all addresses are kept (32); larger fleets are as before.

Why it works: four machines know that by 0.6 to 1 s after their start, by the announcements read so far; from then on another machine hears of an end within 0.1 s.

Cost: in a fleet of 33 to some 200 machines up to that many addresses may be told in the first second, once, of which 32 are kept.

--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
+use havenstage_rollout::reachable_machines::is_told_at_once;
 use log::{info, warn};
 use tokio::task::JoinSet;
 
@@ -20,6 +22,9 @@
 const RETENTION_SLACK_MS: Millis = 10_000;
 /// Longest pause before an announcement that failed is made again: whoever reads has a pace meanwhile.
 const ANNOUNCE_AGAIN_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between two looks at how many machines there are, half as long or half longer at random: not all that find the
+/// fleet small tell their addresses in the same moment.
+const FLEET_LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks for batches that may be forgotten.
 const FORGET_PAUSE: Duration = Duration::from_secs(5);
 
@@ -106,10 +111,33 @@
 /// machines read ([`fleet_size`](havenstage_rollout::fleet_size)), and where it can be reached
 /// ([`reachable_machines`](havenstage_rollout::reachable_machines)).
 async fn announce(context: &Context) {
-    let machine = &context.node.machine;
-    tokio::time::sleep(context.settings.announce_delay(machine)).await;
-    announce_one(context, wanted_start).await;
-    announce_one(context, wanted_address).await;
+    let start = async {
+        tokio::time::sleep(announce_delay(context)).await;
+        announce_one(context, wanted_start).await;
+    };
+    let address = async {
+        wait_to_tell_address(context).await;
+        announce_one(context, wanted_address).await;
+    };
+    tokio::join!(start, address);
+}
+
+fn announce_delay(context: &Context) -> Duration {
+    context.settings.announce_delay(&context.node.machine)
+}
+
+/// Waits until this machine may tell its address: soon in a fleet that is known to be small. A node that the log turned
+/// away 4 s after its start was killed with three ends that it alone knew, as no machine had told where it can be reached.
+async fn wait_to_tell_address(context: &Context) {
+    let latest = Instant::now() + announce_delay(context);
+    while !is_told_at_once(context.fleet_size()) {
+        let left = latest.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return;
+        }
+        let pause = FLEET_LOOK_PAUSE.mul_f64(0.5 + rand::random::<f64>());
+        tokio::time::sleep(pause.min(left)).await;
+    }
 }
 
 /// Writes an announcement, again and again while it is wanted.
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -17,13 +17,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_rollout::fleet_size::ANNOUNCE_SPREAD;
 use http::Method;
 use support::backend::{CallBehaviour, StandInBackend};
 use support::caller::{call, send, submit, wait_for_results};
-use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, wait_until};
+use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, settings, wait_until};
 use support::dialect::write_batch;
 use support::ends::{MOST_ENDS, all_know_of_all_ends, end_by_harmful, ended, known_ends};
-use support::log::LogFaults;
+use support::log::{LogFaults, NodeLog};
 
 /// Time after which a caller leaves: before its request has ended the back end.
 const LEAVES_AFTER: Duration = Duration::from_millis(10);
@@ -217,6 +218,57 @@
     assert_eq!(ended(backends), MOST_ENDS);
 }
 
+/// Guards against the same soon after a start, with sends that began before the first end: no machine had told its address
+/// yet, and three more back ends ended. Seen in the soak, seed 9114.
+#[tokio::test]
+async fn ends_are_known_though_the_node_that_saw_them_dies_soon_after_its_start() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_by_harmful(backends);
+    let (mut sees, other) = (
+        late_announcer(&deployment, 0).await,
+        late_announcer(&deployment, 1).await,
+    );
+    tokio::time::sleep(FIRST_SECONDS).await;
+    sees.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    let calls = (0..MOST_ENDS).map(|number| {
+        let address = sees.callers;
+        async move { call(address, &format!("first-{number}"), "/once/harmful").await }
+    });
+    futures::future::join_all(calls).await;
+    assert_eq!(ended(backends), MOST_ENDS);
+    sees.kill();
+    for number in 0..3 * MOST_ENDS {
+        call(other.callers, &format!("next-{number}"), "/once/harmful").await;
+    }
+    assert_eq!(ended(backends), MOST_ENDS);
+}
+
+/// Time after its start in which a node of a small fleet has told its address.
+const FIRST_SECONDS: Duration = Duration::from_secs(4);
+
+/// A node with the usual settings whose name has it wait for longer than that before it announces itself, if it does not
+/// find the fleet small.
+async fn late_announcer(deployment: &Deployment, number: usize) -> TestNode {
+    let settings = |name: &str| {
+        let mut settings = settings(name);
+        settings.tuning.announce_ms = ANNOUNCE_SPREAD.as_millis() as u64;
+        settings
+    };
+    let names = (0..).map(|at| format!("late-{at}"));
+    let late = names.filter(|name| {
+        let delay = settings(name).announce_delay(&name.as_str().into());
+        delay > 2 * FIRST_SECONDS
+    });
+    let name = late.skip(number).next().expect("one of endless names");
+    let node = TestNode::start_so(NodeLog::new(&deployment.log), settings(&name)).await;
+    node.knows(deployment.applications.len()).await;
+    node
+}
+
 /// Nobody can be told: neither does the log take the word, nor is another node there. What would be lost with this node
 /// stays below what bars a request, and its callers have their answers.
 #[tokio::test]
--- a/crates/rollout/src/reachable_machines.rs
+++ b/crates/rollout/src/reachable_machines.rs
@@ -15,6 +15,12 @@
 /// is gone.
 pub const MOST_ADDRESSES: usize = 32;
 
+/// Whether all machines of a fleet may tell their addresses at once: each is kept, so none has to wait for those with
+/// smaller hashes. Until a machine has told its own, nobody hears from others what it alone knows.
+pub fn is_told_at_once(fleet: usize) -> bool {
+    fleet <= MOST_ADDRESSES
+}
+
 /// Addresses of machines as a checkpoint keeps them.
 pub type ReachableAddresses = BTreeMap<MachineName, SocketAddr>;
 
--- a/crates/rollout/tests/reachable_machines.rs
+++ b/crates/rollout/tests/reachable_machines.rs
@@ -8,7 +8,7 @@
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::MachineName;
 use havenstage_rollout::reachable_machines::{
-    MOST_ADDRESSES, ReachableAddresses, ReachableMachines,
+    MOST_ADDRESSES, ReachableAddresses, ReachableMachines, is_told_at_once,
 };
 use havenstage_rollout::stored::Stored;
 
@@ -115,3 +115,10 @@
         assert_eq!(ports[0].abs_diff(ports[1]), 4, "{ports:?}");
     }
 }
+
+/// A fleet of which each machine's address is kept has nobody wait for a turn.
+#[test]
+fn only_small_fleets_tell_their_addresses_at_once() {
+    assert!(is_told_at_once(1) && is_told_at_once(MOST_ADDRESSES));
+    assert!(!is_told_at_once(MOST_ADDRESSES + 1));
+}
