--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,7 @@
 use havenstage_rollout::ids::{MachineName, NodeId};
 use log::info;
 use thiserror::Error;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -90,8 +90,10 @@
     surroundings: Surroundings,
     reload: impl Fn(),
 ) -> Result<(), NodeError> {
+    // Before anything is served, so that no signal finds the default action, which kills.
+    let signals = Signals::listen()?;
     let running = start(settings, surroundings).await?;
-    wait_for_stop(reload).await?;
+    signals.wait_for_stop(reload).await;
     running.stop().await;
     Ok(())
 }
@@ -186,15 +188,30 @@
     }
 }
 
-async fn wait_for_stop(reload: impl Fn()) -> Result<(), NodeError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
-    let mut hang_up = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hang_up.recv() => reload(),
+/// Signals with which a node is told to stop or to read its settings anew.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, NodeError> {
+        let listen_for = |kind| signal(kind).map_err(NodeError::Signals);
+        Ok(Self {
+            terminate: listen_for(SignalKind::terminate())?,
+            interrupt: listen_for(SignalKind::interrupt())?,
+            hang_up: listen_for(SignalKind::hangup())?,
+        })
+    }
+
+    async fn wait_for_stop(mut self, reload: impl Fn()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hang_up.recv() => reload(),
+            }
         }
     }
 }
