A call that waits for another copy of it is not refused before it is known what came of that

What callers saw: a call under which back ends had ended was refused (503) at a fifth of its objective, while a copy of it that its caller had given up before a back end began it was watched for 0.3 s.

Cause: the wait for the copy counted as time in which nobody took the call; when the copy's slot became free, its patience was over.

Ruled out: words that are not told in time (none waits), a slot that is never freed (the next try was sent).

Change: such a call waits until the copy's fate is known (0.4 s), but not past its objective; what it waited so does not count.

Why it works: the copy's slot is free after 0.3 s, and the call then has the usual time to find a back end.

Tests: `a_call_outwaits_a_copy_that_was_given_up_before_it_began` (503 instead of 200 before).

Looked for elsewhere: items wait in their owner and are refused to nobody; streams go the same way as calls.

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -69,6 +69,8 @@
     ends: Instant,
     /// When the second send is due, or the next look for a back end that can take it.
     hedge_at: Instant,
+    /// Until when it waited for another copy of it; its beginning if it did not.
+    waited_for_copy_until: Instant,
     running: FuturesUnordered<SendFuture<'a>>,
     under_way: Vec<SendUnderWay>,
     tried: Vec<BackendId>,
@@ -109,6 +111,7 @@
             began,
             ends: call.deadline.min(timeout).min(answer_by),
             hedge_at: began + share_of_objective(route, HEDGE_SHARE),
+            waited_for_copy_until: began,
             running: FuturesUnordered::new(),
             under_way: Vec::new(),
             tried: Vec::new(),
@@ -243,11 +246,24 @@
 
     /// Whether a call that nobody took is refused now. A reward call waits in its node for the next turn, so that
     /// turned away calls don't crowd out those of callers.
-    fn has_waited_enough(&self) -> bool {
-        match self.call.batch {
-            Some(_) => self.were_all_tried(),
-            None => self.began.elapsed() > share_of_objective(self.route, REFUSE_SHARE),
+    fn has_waited_enough(&mut self) -> bool {
+        if self.call.batch.is_some() {
+            return self.were_all_tried();
         }
+        if matches!(self.admission(), Admission::Wait) {
+            self.waited_for_copy_until = Instant::now();
+            return self.began.elapsed() > self.copy_patience();
+        }
+        let since = self.waited_for_copy_until;
+        since.elapsed() > share_of_objective(self.route, REFUSE_SHARE)
+    }
+
+    /// Time for which it waits to learn what came of another copy of it, but not past its objective. A copy whose caller left
+    /// before a back end began it takes no more than that, and the call can be sent then.
+    fn copy_patience(&self) -> Duration {
+        let usual = share_of_objective(self.route, REFUSE_SHARE);
+        let objective = share_of_objective(self.route, 1.0);
+        usual.max(crash_evidence::FATE_KNOWN_AFTER.min(objective))
     }
 
     fn may_hedge(&self) -> bool {
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -33,6 +33,8 @@
 /// Time for which the address is watched after a send was given up: longer than it took from the start of a
 /// harmful run to its end (40 to 170 ms in a recorded incident).
 const GIVEN_UP_TIME: Duration = Duration::from_millis(300);
+/// Time after which it is known what came of a send that was given up.
+pub(crate) const FATE_KNOWN_AFTER: Duration = GIVEN_UP_TIME.saturating_add(PROBE_TIMEOUT);
 /// Most connections tried for one send. One that closes while the address is still open shows nothing: the process
 /// may be ending, or takes no more connections.
 const MOST_PROBES: usize = 3;
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -93,6 +93,40 @@
     assert_eq!(ended(&deployment.applications), MOST_ENDS);
 }
 
+/// Guards against the refusal of a call that waits for another copy of it, which was given up before a back end began it: it
+/// can be sent as soon as that is known.
+#[tokio::test]
+async fn a_call_outwaits_a_copy_that_was_given_up_before_it_began() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_by_harmful(backends);
+    let node = deployment.node("a").await;
+    for number in 0..MOST_ENDS - 1 {
+        let id = format!("try-{number}");
+        call(node.callers, &id, "/once/harmful").await;
+    }
+    for backend in backends {
+        backend.behave(|told| {
+            told.ended_by = None;
+            told.call = CallBehaviour::Silent;
+        });
+    }
+    let headers = [("x-id", "leaves"), ("x-deadline", "2000")];
+    let asked = send(
+        node.callers,
+        Method::POST,
+        "/once/harmful",
+        &headers,
+        "call",
+    );
+    let _ = tokio::time::timeout(NEXT_TRY, asked).await;
+    for backend in backends {
+        backend.behave(|told| told.call = CallBehaviour::Answer);
+    }
+    let answer = call(node.callers, "next", "/once/harmful").await;
+    assert_eq!(answer.status, 200);
+}
+
 /// The node learns of the end only when somebody else listens at the address.
 #[tokio::test]
 async fn an_end_that_a_node_slept_through_counts() {
