--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -293,11 +293,11 @@
         settings
     };
     let names = (0..).map(|at| format!("late-{at}"));
-    let late = names.filter(|name| {
+    let mut late = names.filter(|name| {
         let delay = settings(name).announce_delay(&name.as_str().into());
         delay > 2 * FIRST_SECONDS
     });
-    let name = late.skip(number).next().expect("one of endless names");
+    let name = late.nth(number).expect("one of endless names");
     let node = TestNode::start_so(NodeLog::new(&deployment.log), settings(&name)).await;
     node.knows(deployment.applications.len()).await;
     node
