Crash evidence: check the listener with two connections and a second attempt

What callers saw: a request that ends back ends was sent on to a fourth one, though three may end under it (`ends_are_known_though_the_node_that_saw_them_dies_before_it_can_write`, failures at its first assertion).

Cause: one connection decided whether a back end's process had ended. If its listener closes while that connection is being established, the connection can (1) get no answer until its first packet is repeated after 1 s, so that it timed out after 100 ms, or (2) be established on this side and never closed, as the other side is left half open without a process. Both were taken for a back end that may live, so the end was in no ledger. (3) A process that closes new connections for some ms before it is gone used up the three checks within one ms.

A broken send at a back end that lives costs two connections instead of one.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use havenstage_http_link::{Link, Probe};
+use havenstage_http_link::{Link, OpenProbe, Probe};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::BackendId;
 use log::info;
@@ -36,9 +36,12 @@
 const GIVEN_UP_SEND_WATCH: Duration = Duration::from_millis(300);
 /// Time after which it is known whether the back end of a send that was given up has ended.
 pub(crate) const OUTCOME_KNOWN_AFTER: Duration = GIVEN_UP_SEND_WATCH.saturating_add(PROBE_TIMEOUT);
-/// Maximum number of connections opened to check one send. A connection that closes while the address still accepts
-/// others shows nothing: the process may be ending, or it may be at its limit of connections.
-const MAX_PROBES: usize = 3;
+/// Pause before the listener of a process that closes new connections is checked again: such a process ends within some
+/// 5 ms, and checks without a pause would all be over by then.
+const CLOSING_CHECK_PAUSE: Duration = Duration::from_millis(5);
+/// Maximum number of times that the listener is checked for one send. A connection that closes while the address still
+/// accepts others shows nothing: the process may be ending, or it may be at its limit of connections.
+const MAX_CHECKS: usize = 3;
 /// Delay of the check for another incarnation at the address. If one is listed by then, the former one ended with the
 /// send: a back end that announces that it leaves serves for longer than this.
 const ADDRESS_REUSE_CHECK_DELAY: Duration = Duration::from_millis(1_500);
@@ -158,17 +161,14 @@
     watch_time: Duration,
     retry_signal: &mut Option<RetrySignal>,
 ) -> bool {
-    for _ in 0..MAX_PROBES {
-        match link.probe(PROBE_TIMEOUT).await {
-            Probe::Refused => return true,
-            Probe::Unknown => return false,
-            Probe::Reset => {}
-            Probe::Open(mut probe) => {
-                if probe.closes_within(PROBE_CLOSE_WAIT).await {
-                    continue;
-                }
+    for _ in 0..MAX_CHECKS {
+        match check_listener(link).await {
+            Listener::Gone => return true,
+            Listener::Unknown => return false,
+            Listener::Closing => tokio::time::sleep(CLOSING_CHECK_PAUSE).await,
+            Listener::Open(connections) => {
                 drop(retry_signal.take());
-                if !probe.closes_within(watch_time).await {
+                if !one_closes_within(connections, watch_time).await {
                     return false;
                 }
             }
@@ -177,6 +177,46 @@
     false
 }
 
+/// What connections to an address show about the listener there.
+enum Listener {
+    /// No process listens there.
+    Gone,
+    /// Connections were closed as soon as they were established.
+    Closing,
+    /// Connections stay open. Once the process ends, at least one of these closes.
+    Open([OpenProbe; 2]),
+    /// No connection was established in time, or the attempt failed otherwise.
+    Unknown,
+}
+
+/// Checks with two connections, one after the other, whether a process listens at an address. A single one that stays
+/// open shows nothing: if the listener closed while it was being established, it is never closed on this side.
+async fn check_listener(link: &Link) -> Listener {
+    let mut first = match link.probe(PROBE_TIMEOUT).await {
+        Probe::Refused => return Listener::Gone,
+        Probe::Reset => return Listener::Closing,
+        Probe::Unknown => return Listener::Unknown,
+        Probe::Open(first) => first,
+    };
+    if first.closes_within(PROBE_CLOSE_WAIT).await {
+        return Listener::Closing;
+    }
+    match link.probe(PROBE_TIMEOUT).await {
+        Probe::Refused => Listener::Gone,
+        Probe::Reset => Listener::Closing,
+        Probe::Unknown => Listener::Unknown,
+        Probe::Open(second) => Listener::Open([first, second]),
+    }
+}
+
+/// Whether one of these connections closes within `time`.
+async fn one_closes_within([mut first, mut second]: [OpenProbe; 2], time: Duration) -> bool {
+    tokio::select! {
+        closes = first.closes_within(time) => closes,
+        closes = second.closes_within(time) => closes,
+    }
+}
+
 /// Whether a back end announced that it leaves, or is no longer listed, so that its end is expected.
 fn is_leaving(context: &Context, backend: &BackendId) -> bool {
     let backends = context.backends.lock();
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -15,8 +15,8 @@
 
 use havenstage_rollout::fleet_size::ANNOUNCE_SPREAD;
 use http::Method;
-use support::backend::{CallBehaviour, StandInBackend};
-use support::caller::{call, send, submit, wait_for_results};
+use support::backend::{CallBehaviour, ConnectionsAtEnd, StandInBackend};
+use support::caller::{call, results, send, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, settings, wait_until};
 use support::dialect::write_batch;
 use support::ends::{
@@ -190,6 +190,83 @@
     assert!(ended <= MAX_ENDS, "{ended} back ends ended");
 }
 
+/// Time for which a process that ends still listens in the tests of checks of the address.
+const LISTEN_TIME_AFTER_END: Duration = Duration::from_millis(5);
+/// Number of back ends in these tests: more than the sends of all calls together.
+const MANY_BACKENDS: usize = 4 * MAX_ENDS;
+
+/// Makes each of these back ends end when it runs a harmful request, and sets what happens to new connections between
+/// the close of its connections and that of its listener.
+fn end_with_connections_at_end(
+    backends: &[Arc<StandInBackend>],
+    connections_at_end: ConnectionsAtEnd,
+) {
+    end_on_harmful_requests(backends);
+    for backend in backends {
+        backend.behave(|behaviour| {
+            behaviour.listen_time_after_end = LISTEN_TIME_AFTER_END;
+            behaviour.connections_at_end = connections_at_end;
+        });
+    }
+}
+
+/// How many back ends end under the tries of a harmful call.
+async fn ends_with_connections_at_end(connections_at_end: ConnectionsAtEnd) -> usize {
+    let deployment = Deployment::start(0, MANY_BACKENDS).await;
+    end_with_connections_at_end(&deployment.applications, connections_at_end);
+    let node = deployment.node("a").await;
+    for number in 0..MAX_ENDS {
+        let id = format!("try-{number}");
+        assert_eq!(call(node.callers, &id, "/calls/harmful").await.status, 502);
+    }
+    count_ended(&deployment.applications)
+}
+
+/// The connection that checks the address gets no answer, as its first packet met a full queue or a listener that was
+/// just closing. A moment later new connections are refused.
+#[tokio::test]
+async fn a_check_of_the_address_without_an_answer_hides_no_end() {
+    let ended = ends_with_connections_at_end(ConnectionsAtEnd::Dropped).await;
+    assert!(ended <= MAX_ENDS, "{ended} back ends ended");
+}
+
+/// The connection that checks the address is established and never closes, as the system did not reset it when the
+/// listener closed. A moment later new connections are refused.
+#[tokio::test]
+async fn a_check_of_the_address_that_stays_open_hides_no_end() {
+    let ended = ends_with_connections_at_end(ConnectionsAtEnd::KeptOpen).await;
+    assert!(ended <= MAX_ENDS, "{ended} back ends ended");
+}
+
+/// All connections that check the address are closed at once, as the process still accepts and closes connections for a
+/// moment. After that, new connections are refused.
+#[tokio::test]
+async fn checks_of_the_address_that_close_at_once_hide_no_end() {
+    let ended = ends_with_connections_at_end(ConnectionsAtEnd::Closed).await;
+    assert!(ended <= MAX_ENDS, "{ended} back ends ended");
+}
+
+/// Like the tests above, for an item: it ends no further back ends, and no result of it is listed.
+#[tokio::test]
+async fn checks_of_the_address_that_find_nothing_do_not_run_an_item_again() {
+    let deployment = Deployment::start(MANY_BACKENDS, 0).await;
+    let engines = &deployment.engines;
+    end_with_connections_at_end(engines, ConnectionsAtEnd::KeptOpen);
+    let nodes = [deployment.node("a").await, deployment.node("b").await];
+    let items = [("harmful-1", "g1"), ("i2", "g2"), ("i3", "g2")];
+    let body = write_batch(1, &items, false);
+    assert_eq!(submit(nodes[0].callers, "batch", &body).await, 202);
+    wait_for_results(nodes[0].callers, "batch", 2).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (_, lines) = results(nodes[0].callers, "batch", 0).await;
+    assert!(
+        lines.iter().all(|line| !line.starts_with("harmful")),
+        "{lines:?}"
+    );
+    let ended = count_ended(engines);
+    assert!(ended <= MAX_ENDS, "{ended} back ends ended");
+}
+
 /// The end of a back end that announced its leave while it was watched after a given-up send counts against no request.
 #[tokio::test]
 async fn an_announced_end_counts_against_no_request() {
@@ -429,9 +506,14 @@
 
 /// Waits until a node has announced its address for datagrams, and returns it.
 async fn announced_address(node: &TestNode) -> std::net::SocketAddr {
+    announced_address_at(node, node).await
+}
+
+/// Waits until `reader` knows the address for datagrams that a node announced, and returns it.
+async fn announced_address_at(reader: &TestNode, node: &TestNode) -> std::net::SocketAddr {
     let machine = node.context().node.machine.clone();
     let announced = || {
-        let control = node.context().control.lock();
+        let control = reader.context().control.lock();
         let addresses = control.state.reachable().checkpoint();
         addresses.get(&machine).copied()
     };
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -16,7 +16,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
@@ -58,6 +59,22 @@
     pub load_time: Duration,
     /// Time for which a process that ends still listens after it closed its connections.
     pub listen_time_after_end: Duration,
+    /// What happens meanwhile to new connections.
+    pub connections_at_end: ConnectionsAtEnd,
+}
+
+/// What happens to new connections to a process that ends, in the time in which it still listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionsAtEnd {
+    /// They are established, and reset when the process stops listening.
+    Reset,
+    /// They are established and closed at once.
+    Closed,
+    /// They are established and never closed, also when the process no longer listens.
+    KeptOpen,
+    /// They get no answer: the system drops their first packets, and they are refused only when these are sent again
+    /// a second later.
+    Dropped,
 }
 
 /// How a back end answers calls.
@@ -149,6 +166,7 @@
             ends_on_version: None,
             load_time: Duration::ZERO,
             listen_time_after_end: Duration::ZERO,
+            connections_at_end: ConnectionsAtEnd::Reset,
         };
         let backend = Arc::new(Self {
             id: id.to_owned(),
@@ -257,8 +275,7 @@
             Ok((stream, _)) = listener.accept() => Some(stream),
         };
         let Some(stream) = stream else {
-            connections.shutdown().await;
-            return tokio::time::sleep(backend.behaviour().listen_time_after_end).await;
+            return stop_listening(&backend.behaviour(), listener, connections).await;
         };
         let backend = backend.clone();
         connections.spawn(async move {
@@ -270,6 +287,57 @@
     }
 }
 
+/// Closes the connections of a process that ends, and its listener after the configured time.
+async fn stop_listening(
+    behaviour: &Behaviour,
+    listener: TcpListener,
+    mut connections: JoinSet<()>,
+) {
+    let listen_time = behaviour.listen_time_after_end;
+    match behaviour.connections_at_end {
+        ConnectionsAtEnd::Reset => {
+            connections.shutdown().await;
+            tokio::time::sleep(listen_time).await;
+        }
+        ConnectionsAtEnd::Closed => {
+            connections.shutdown().await;
+            let _ = tokio::time::timeout(listen_time, accept_all(&listener, drop)).await;
+        }
+        ConnectionsAtEnd::KeptOpen => {
+            connections.shutdown().await;
+            let mut kept = Vec::new();
+            let keep = |stream| kept.push(stream);
+            let _ = tokio::time::timeout(listen_time, accept_all(&listener, keep)).await;
+            drop(listener);
+            std::future::pending::<()>().await;
+        }
+        ConnectionsAtEnd::Dropped => {
+            let _only_queued = fill_accept_queue(&listener).await;
+            connections.shutdown().await;
+            tokio::time::sleep(listen_time).await;
+        }
+    }
+}
+
+/// Hands over each new connection; never returns.
+async fn accept_all(listener: &TcpListener, mut hand_over: impl FnMut(TcpStream)) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            hand_over(stream);
+        }
+    }
+}
+
+/// Fills the queue of connections that wait to be accepted, so that the system drops the first packets of others.
+/// Returns the connection that fills it.
+async fn fill_accept_queue(listener: &TcpListener) -> TcpStream {
+    // With this length, the queue is full with one connection.
+    SockRef::from(listener).listen(0).unwrap();
+    TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap()
+}
+
 /// Ends the connection without an answer.
 #[derive(Debug)]
 struct Broken;
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -1,6 +1,5 @@
 //! The connection pool of one address, and the sending of requests over it.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,12 +10,11 @@
 use http::Request;
 use http_body_util::Full;
 use log::warn;
-use tokio::net::TcpStream;
 
 use crate::answer::Answer;
 use crate::connection::Connection;
 use crate::error::LinkError;
-use crate::probe::{OpenProbe, Probe};
+use crate::probe::{self, Probe};
 use crate::send_options::SendOptions;
 use crate::silence::{PendingExchange, Silence};
 
@@ -212,18 +210,7 @@
 
     /// Opens a connection to check whether the process at the address is alive; nothing is sent over it.
     pub async fn probe(&self, timeout: Duration) -> Probe {
-        let connect = TcpStream::connect(self.shared.address);
-        match tokio::time::timeout(timeout, connect).await {
-            Ok(Ok(stream)) => Probe::Open(OpenProbe(stream)),
-            Ok(Err(error)) => match error.kind() {
-                ErrorKind::ConnectionRefused => Probe::Refused,
-                // The listener closed while this connection was in its accept queue, or it accepts no more
-                // connections.
-                ErrorKind::ConnectionReset => Probe::Reset,
-                _ => Probe::Unknown,
-            },
-            Err(_) => Probe::Unknown,
-        }
+        probe::connect(self.shared.address, timeout).await
     }
 
     /// Whether there is an idle connection that can be reused.
