Crash guard: report an end as soon as another node's address is known

What callers saw: a request under which three back ends had ended at a node that then crashed ended a fourth one at the next node (`ends_are_known_though_the_node_that_saw_them_dies_before_it_can_write`, failures at its last assertion).

Cause: a node that the log turned away and that knew no other node's address slept 100 ms and more between tries to report an end, and did not notice that it learnt an address meanwhile. Later ends were reported at once, and only the report of the latest one was waited for. So the third end could come, and the node crash, before the first was told.

Change: notices that wait are tried again when the number of known nodes changes, and a broken send waits until all ends under its request are reported, for as long as before (50 ms, or 250 ms where the log refuses and somebody is known).

--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -5,6 +5,7 @@
 //! a request may be sent.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -14,8 +15,7 @@
 use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint, OtherRequestsAtEnd, Suspicion};
 use havenstage_rollout::ids::BackendId;
 use log::{info, warn};
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
 use crate::log_writes::append_control;
@@ -54,6 +54,8 @@
     waiting_records: AtomicUsize,
     /// For each request, the back ends whose ends under it are reported neither to the log nor to a peer.
     unreported: Mutex<HashMap<Fingerprint, Vec<BackendId>>>,
+    /// Notified each time an end is reported.
+    end_reported: Notify,
 }
 
 /// Whether a request may be sent to a back end now.
@@ -140,6 +142,21 @@
         if ends.is_empty() {
             unreported.remove(request);
         }
+        drop(unreported);
+        self.end_reported.notify_waiters();
+    }
+
+    /// Waits until all ends under a request are reported.
+    async fn wait_until_reported(&self, request: &Fingerprint) {
+        loop {
+            let mut end_reported = pin!(self.end_reported.notified());
+            // Registers the wait before the check, so that no report between the two is missed.
+            end_reported.as_mut().enable();
+            if !self.lock_unreported().contains_key(request) {
+                return;
+            }
+            end_reported.await;
+        }
     }
 
     fn lock_unreported(&self) -> MutexGuard<'_, HashMap<Fingerprint, Vec<BackendId>>> {
@@ -317,8 +334,8 @@
     };
     record_end(context, request, ended.clone());
     log_newly_barred(context);
-    if let Some(report) = report_end(context, request, ended) {
-        report.wait_briefly(context).await;
+    if let Some(append_state) = report_end(context, request, ended) {
+        wait_briefly_for_reports(context, &request, append_state).await;
     }
 }
 
@@ -422,32 +439,28 @@
     Written,
 }
 
-/// An end that is being reported.
-struct EndReport {
-    /// Completes as soon as the end is in the log or a peer confirmed it.
-    task: JoinHandle<()>,
+/// Waits until all ends under a request are reported, those before the latest one too, but only for a limited time.
+/// After that the request continues, and the reports go on in the background. `append_state` is that of the latest end.
+async fn wait_briefly_for_reports(
+    context: &Context,
+    request: &Fingerprint,
     append_state: watch::Receiver<AppendState>,
-}
-
-impl EndReport {
-    /// Waits until the end is reported, but only for a limited time. After that the request continues, and the report
-    /// goes on in the background.
-    async fn wait_briefly(mut self, context: &Context) {
-        let reported = tokio::time::timeout(APPEND_WAIT_TIMEOUT, &mut self.task).await;
-        let is_refused = *self.append_state.borrow() == AppendState::Retrying;
-        if reported.is_err() && is_refused && peer_notices::has_recipients(context) {
-            let _ = tokio::time::timeout(PEER_WAIT_TIMEOUT, self.task).await;
-        }
+) {
+    let mut all_reported = pin!(context.crash_guard.wait_until_reported(request));
+    let reported = tokio::time::timeout(APPEND_WAIT_TIMEOUT, &mut all_reported).await;
+    let is_refused = *append_state.borrow() == AppendState::Retrying;
+    if reported.is_err() && is_refused && peer_notices::has_recipients(context) {
+        let _ = tokio::time::timeout(PEER_WAIT_TIMEOUT, all_reported).await;
     }
 }
 
-/// Reports an end through the log and, if the log does not accept it in time, also to a peer. Returns `None` if the
-/// queue of waiting records is full and the report is dropped.
+/// Reports an end through the log and, if the log does not accept it in time, also to a peer. Returns the progress of
+/// its append, `None` if the queue of waiting records is full and the report is dropped.
 fn report_end(
     context: &Arc<Context>,
     request: Fingerprint,
     ended: EndedBackend,
-) -> Option<EndReport> {
+) -> Option<watch::Receiver<AppendState>> {
     let record = ControlRecord::BackendEnded {
         request,
         ended: ended.clone(),
@@ -458,7 +471,7 @@
         .crash_guard
         .add_unreported_end(&request, &ended.backend);
     let context = context.clone();
-    let task = tokio::spawn(async move {
+    tokio::spawn(async move {
         let first_try = watched_state.wait_for(|state| *state != AppendState::FirstTry);
         // After this time the request continues, even if no other node knows of the end.
         let _ = tokio::time::timeout(APPEND_WAIT_TIMEOUT, first_try).await;
@@ -479,7 +492,7 @@
             .crash_guard
             .remove_unreported_end(&request, &ended.backend);
     });
-    Some(EndReport { task, append_state })
+    Some(append_state)
 }
 
 /// Appends a record to the control stream in the background and retries until it is in the log. The number of waiting
--- a/crates/gateway/src/followers.rs
+++ b/crates/gateway/src/followers.rs
@@ -16,6 +16,7 @@
 use crate::dependency::Dependency;
 use crate::edge::LogError;
 use crate::log_writes::append_control;
+use crate::peer_notices;
 use crate::stream_view::{StreamState, StreamView};
 
 /// Time for which batches are kept beyond the promised retention, since nodes first see a batch at different times.
@@ -201,6 +202,7 @@
         context.adapt_read_timeout();
         context.apply_observed_versions();
         crash_guard::log_newly_barred(&context);
+        peer_notices::update_recipients(&context);
         context.work.notify_one();
     }
 }
--- a/crates/gateway/src/peer_notices.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::context::Context;
 use crate::crash_guard;
@@ -87,6 +87,8 @@
     address: SocketAddr,
     /// For each notice without an answer, where to send the address of the node that answers it.
     unanswered: Mutex<HashMap<NoticeId, oneshot::Sender<SocketAddr>>>,
+    /// Number of other nodes whose addresses are known.
+    known_recipients: watch::Sender<usize>,
 }
 
 impl PeerSocket {
@@ -102,6 +104,7 @@
             address: socket.local_addr().map_err(failed)?,
             socket,
             unanswered: Mutex::default(),
+            known_recipients: watch::Sender::default(),
         })
     }
 
@@ -147,16 +150,38 @@
     let Some(socket) = context.peer_socket.get() else {
         return std::future::pending().await;
     };
+    let mut known_recipients = socket.known_recipients.subscribe();
     let mut pause = Duration::ZERO;
     loop {
+        known_recipients.mark_unchanged();
         if let Some(recipient) = try_report_end(context, socket, request, ended).await {
             return recipient;
         }
-        tokio::time::sleep(pause).await;
+        // A recipient that becomes known is asked at once: this node may crash before the pause is over.
+        let _ = tokio::time::timeout(pause, known_recipients.changed()).await;
         pause = (pause * 2).clamp(ANSWER_TIMEOUT, MAX_RETRY_PAUSE);
     }
 }
 
+/// Wakes the notices that wait for another try if the number of known other nodes changed since the last call.
+pub(crate) fn update_recipients(context: &Context) {
+    let Some(socket) = context.peer_socket.get() else {
+        return;
+    };
+    let known = {
+        let control = context.control.lock();
+        control
+            .state
+            .reachable()
+            .count_others(&context.node.machine)
+    };
+    socket.known_recipients.send_if_modified(|former| {
+        let is_changed = *former != known;
+        *former = known;
+        is_changed
+    });
+}
+
 /// Sends the notice to some other nodes once. Returns the address of the first one that answers, `None` after
 /// [`ANSWER_TIMEOUT`] without an answer.
 async fn try_report_end(
@@ -167,7 +192,6 @@
 ) -> Option<SocketAddr> {
     let recipients = recipients(context, RECIPIENTS);
     if recipients.is_empty() || socket.lock_unanswered().len() >= MAX_UNANSWERED_NOTICES {
-        tokio::time::sleep(ANSWER_TIMEOUT).await;
         return None;
     }
     let id = rand::random();
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -362,6 +362,50 @@
     assert_eq!(count_ended(backends), MAX_ENDS);
 }
 
+/// Time for which a node knows no other node's address after the first end: its pauses between two tries to report the
+/// end have then grown to over half a second.
+const WITHOUT_ADDRESS: Duration = Duration::from_millis(1_300);
+
+/// A node learns where another node can be reached between the first end and the second, and crashes right after the
+/// third. If it reported the first end only at its next try, which may be after the crash, the other node would know
+/// of two ends and let a fourth back end end.
+#[tokio::test]
+async fn an_end_seen_before_an_address_was_known_is_reported_as_soon_as_it_is() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_on_harmful_requests(backends);
+    let mut observer = deployment.node("a").await;
+    let refuses_appends = LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    };
+    observer.set_faults(LogFaults {
+        refuses_reads: true,
+        ..refuses_appends
+    });
+    let other = deployment.node("b").await;
+    announced_address(&other).await;
+    call(observer.callers, "first", "/once/harmful").await;
+    assert_eq!(count_known_ends(&observer), 1);
+    tokio::time::sleep(WITHOUT_ADDRESS).await;
+    observer.set_faults(refuses_appends);
+    announced_address_at(&observer, &other).await;
+    for number in 1..MAX_ENDS {
+        call(
+            observer.callers,
+            &format!("first-{number}"),
+            "/once/harmful",
+        )
+        .await;
+    }
+    assert_eq!(count_known_ends(&observer), MAX_ENDS);
+    observer.kill();
+    for number in 0..3 * MAX_ENDS {
+        call(other.callers, &format!("next-{number}"), "/once/harmful").await;
+    }
+    assert_eq!(count_ended(backends), MAX_ENDS);
+}
+
 /// Time after its start by which a node of a small fleet has announced its address.
 const ANNOUNCED_AFTER: Duration = Duration::from_secs(4);
 
--- a/crates/rollout/src/reachable_machines.rs
+++ b/crates/rollout/src/reachable_machines.rs
@@ -86,6 +86,12 @@
         (0..count).map(|number| others[at(number)]).collect()
     }
 
+    /// Number of machines other than `own` whose addresses are known.
+    pub fn count_others(&self, own: &MachineName) -> usize {
+        let others = self.addresses.keys().filter(|machine| *machine != own);
+        others.count()
+    }
+
     fn machine_with_largest_hash(&self) -> Option<&MachineName> {
         self.addresses.keys().max_by_key(|machine| hash(machine))
     }
