Peer notices: ask all known machines after two unanswered tries

What callers saw: a request under which two back ends had ended at a node that then crashed ended three more at the next node, where most machines whose addresses are known were gone. Found by reading while the known failure of `missed_ends` was traced; the same class: ends that die with the one node that knows of them.

Change: two machines at first, then 8, then all that are known (32 at most); the pause grows from there on.

Cost: where the first machines do not answer in 100 ms, up to 8, then 31 nodes append the same record.

--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -32,7 +32,7 @@
 const APPEND_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum time that a broken send waits until the end under it is in the log: over ten times what an append takes.
 const APPEND_WAIT_TIMEOUT: Duration = Duration::from_millis(50);
-/// Further time that a broken send waits for a peer to confirm the end if the log refused it: two tries. The caller may
+/// Further time that a broken send waits for a peer to confirm the end if the log refused it: three tries. The caller may
 /// ask another node as soon as it has its answer, and this node may crash before the end is known elsewhere.
 const PEER_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time that a request waits until the ends under it are reported: two further appends to the log.
--- a/crates/gateway/src/peer_notices.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint};
+use havenstage_rollout::reachable_machines::MAX_ADDRESSES;
 use havenstage_rollout::stored::{Stored, UnreadableValue};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
@@ -27,8 +28,9 @@
 const MARK: &[u8] = b"havenstage1";
 /// Maximum length of a datagram that is read. A notice takes some 200 bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_024;
-/// Number of other machines that a notice is sent to at a time.
-const RECIPIENTS: usize = 2;
+/// Number of other machines that a notice is sent to at the first, the second and each further try. Most of the known
+/// machines may be gone, and the sender may crash soon; but each machine that receives a notice appends it to the log.
+const RECIPIENTS: [usize; 3] = [2, 8, MAX_ADDRESSES];
 /// Time after which a notice without an answer is sent to other machines: some ten round trips between zones.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum pause between two tries to send a notice. The backoff up to it keeps notices that wait while the log and all
@@ -151,15 +153,23 @@
         return std::future::pending().await;
     };
     let mut known_recipients = socket.known_recipients.subscribe();
-    let mut pause = Duration::ZERO;
+    let mut pause = ANSWER_TIMEOUT;
+    let mut unanswered_tries = 0;
     loop {
         known_recipients.mark_unchanged();
-        if let Some(recipient) = try_report_end(context, socket, request, ended).await {
-            return recipient;
+        let asked = recipients(context, RECIPIENTS[unanswered_tries]);
+        if !asked.is_empty() {
+            if let Some(recipient) = try_report_end(socket, request, ended, &asked).await {
+                return recipient;
+            }
+            if unanswered_tries + 1 < RECIPIENTS.len() {
+                unanswered_tries += 1;
+                continue;
+            }
         }
         // A recipient that becomes known is asked at once: this node may crash before the pause is over.
         let _ = tokio::time::timeout(pause, known_recipients.changed()).await;
-        pause = (pause * 2).clamp(ANSWER_TIMEOUT, MAX_RETRY_PAUSE);
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
 
@@ -182,16 +192,16 @@
     });
 }
 
-/// Sends the notice to some other nodes once. Returns the address of the first one that answers, `None` after
+/// Sends the notice to these nodes once. Returns the address of the first one that answers, `None` after
 /// [`ANSWER_TIMEOUT`] without an answer.
 async fn try_report_end(
-    context: &Context,
     socket: &PeerSocket,
     request: Fingerprint,
     ended: &EndedBackend,
+    recipients: &[SocketAddr],
 ) -> Option<SocketAddr> {
-    let recipients = recipients(context, RECIPIENTS);
-    if recipients.is_empty() || socket.lock_unanswered().len() >= MAX_UNANSWERED_NOTICES {
+    if socket.lock_unanswered().len() >= MAX_UNANSWERED_NOTICES {
+        tokio::time::sleep(ANSWER_TIMEOUT).await;
         return None;
     }
     let id = rand::random();
@@ -202,7 +212,7 @@
         ended: ended.clone(),
     };
     for recipient in recipients {
-        socket.send(&notice, recipient).await;
+        socket.send(&notice, *recipient).await;
     }
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
     drop(unanswered);
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -13,7 +13,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_gateway::context::CONTROL;
+use havenstage_gateway::edge::SharedLog;
+use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::fleet_size::ANNOUNCE_SPREAD;
+use havenstage_rollout::framing;
+use havenstage_rollout::reachable_machines::MAX_ADDRESSES;
+use havenstage_rollout::stored::Stored;
 use http::Method;
 use support::backend::{CallBehaviour, ConnectionsAtEnd, StandInBackend};
 use support::caller::{call, results, send, submit, wait_for_results};
@@ -406,6 +412,54 @@
     assert_eq!(count_ended(backends), MAX_ENDS);
 }
 
+/// Number of machines that announced an address and are gone: with the two nodes, as many as addresses are kept.
+const GONE_MACHINES: usize = MAX_ADDRESSES - 2;
+
+/// Most machines whose addresses are known are gone. A node that sees two ends and crashes has still reported them to
+/// the one that is left; otherwise that one would let three more back ends end.
+#[tokio::test]
+async fn ends_are_known_though_most_known_machines_are_gone() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_on_harmful_requests(backends);
+    let log = NodeLog::new(&deployment.log);
+    for number in 0..GONE_MACHINES {
+        let announced = ControlRecord::Reachable {
+            machine: format!("gone-{number}").as_str().into(),
+            address: closed_udp_address().await,
+        };
+        log.append(CONTROL, framing::split(&announced.encode(), 512))
+            .await
+            .unwrap();
+    }
+    let (mut observer, other) = (deployment.node("a").await, deployment.node("b").await);
+    announced_address_at(&observer, &other).await;
+    observer.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    for number in 1..MAX_ENDS {
+        call(
+            observer.callers,
+            &format!("first-{number}"),
+            "/once/harmful",
+        )
+        .await;
+    }
+    assert_eq!(count_ended(backends), MAX_ENDS - 1);
+    observer.kill();
+    for number in 0..3 * MAX_ENDS {
+        call(other.callers, &format!("next-{number}"), "/once/harmful").await;
+    }
+    assert_eq!(count_ended(backends), MAX_ENDS);
+}
+
+/// An address at which nothing receives datagrams.
+async fn closed_udp_address() -> std::net::SocketAddr {
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.local_addr().unwrap()
+}
+
 /// Time after its start by which a node of a small fleet has announced its address.
 const ANNOUNCED_AFTER: Duration = Duration::from_secs(4);
 
