Crash evidence: check a given-up send with one connection while it stays open

Cause: the check with two connections also ran for each send whose caller left, at a back end that mostly lives. There the first connection is hardly ever established at the moment at which the listener closes, and callers leave most when back ends are overloaded.

Change: one connection is watched as before; once it closes, the listener is checked with two, as after a break.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -52,6 +52,14 @@
 /// Signals, by being dropped, that a request may be sent to another back end.
 type RetrySignal = oneshot::Sender<Infallible>;
 
+/// Why a send got no complete answer.
+enum SendOutcome {
+    /// Its connection broke.
+    Broken(RetrySignal),
+    /// Its caller left or its time ran out.
+    GivenUp,
+}
+
 /// Number of sends that were given up and whose back ends are watched.
 #[derive(Default)]
 pub(crate) struct WatchedSends(AtomicUsize);
@@ -90,12 +98,8 @@
 /// end ended, or after a short wait without evidence, so that the request is not sent to another back end before.
 pub(crate) async fn check_broken_send(context: &Arc<Context>, send: UnansweredSend) {
     let (retry_signal, may_retry) = oneshot::channel();
-    tokio::spawn(detect_end(
-        context.clone(),
-        send,
-        BROKEN_SEND_WATCH,
-        Some(retry_signal),
-    ));
+    let outcome = SendOutcome::Broken(retry_signal);
+    tokio::spawn(detect_end(context.clone(), send, outcome));
     // No value is ever sent: the receiver completes when the sender is dropped.
     let _ = may_retry.await;
 }
@@ -113,19 +117,13 @@
     }
     let context = context.clone();
     runtime.spawn(async move {
-        detect_end(context.clone(), send, GIVEN_UP_SEND_WATCH, None).await;
+        detect_end(context.clone(), send, SendOutcome::GivenUp).await;
         context.watched_sends.end();
     });
 }
 
-/// Records and reports the end of a send's back end if the back end has ended, or ends within `watch_time`. Drops
-/// `retry_signal` when the request may be sent to another back end.
-async fn detect_end(
-    context: Arc<Context>,
-    mut send: UnansweredSend,
-    watch_time: Duration,
-    mut retry_signal: Option<RetrySignal>,
-) {
+/// Records and reports the end of a send's back end if the back end has ended, or ends while it is watched.
+async fn detect_end(context: Arc<Context>, mut send: UnansweredSend, outcome: SendOutcome) {
     if is_leaving(&context, &send.backend) {
         report(&context, &send, "was_leaving");
         return;
@@ -134,7 +132,14 @@
         record_end(&context, &send, "next_life").await;
         return;
     }
-    let has_ended = stops_listening(&send.link, watch_time, &mut retry_signal).await;
+    let mut retry_signal = None;
+    let has_ended = match outcome {
+        SendOutcome::Broken(signal) => {
+            retry_signal = Some(signal);
+            stops_listening(&send.link, &mut retry_signal).await
+        }
+        SendOutcome::GivenUp => ends_after_given_up_send(&send.link).await,
+    };
     // The back end may have announced its leave while its address was watched.
     if is_leaving(&context, &send.backend) {
         report(&context, &send, "was_leaving");
@@ -155,12 +160,25 @@
     });
 }
 
-/// Whether nobody listens at an address, now or within `watch_time`.
-async fn stops_listening(
-    link: &Link,
-    watch_time: Duration,
-    retry_signal: &mut Option<RetrySignal>,
-) -> bool {
+/// Whether the back end of a send that was given up ends within [`GIVEN_UP_SEND_WATCH`]. Unlike after a break, one
+/// connection is enough until it closes: a listener hardly ever closes at the moment at which it is established.
+async fn ends_after_given_up_send(link: &Link) -> bool {
+    match link.probe(PROBE_TIMEOUT).await {
+        Probe::Refused => return true,
+        Probe::Unknown => return false,
+        Probe::Reset => {}
+        Probe::Open(mut connection) => {
+            if !connection.closes_within(GIVEN_UP_SEND_WATCH).await {
+                return false;
+            }
+        }
+    }
+    stops_listening(link, &mut None).await
+}
+
+/// Whether nobody listens at an address, now or within [`BROKEN_SEND_WATCH`]. Drops `retry_signal` when the request may be
+/// sent to another back end.
+async fn stops_listening(link: &Link, retry_signal: &mut Option<RetrySignal>) -> bool {
     for _ in 0..MAX_CHECKS {
         match check_listener(link).await {
             Listener::Gone => return true,
@@ -168,7 +186,7 @@
             Listener::Closing => tokio::time::sleep(CLOSING_CHECK_PAUSE).await,
             Listener::Open(connections) => {
                 drop(retry_signal.take());
-                if !one_closes_within(connections, watch_time).await {
+                if !one_closes_within(connections, BROKEN_SEND_WATCH).await {
                     return false;
                 }
             }
