Crash evidence: a given-up send waits to be watched instead of being passed over

What callers saw: a request that ends back ends and whose callers leave early ended 5 or 6 of them, where three may, if callers of other calls left at the same time. Found by reading while the known failure of `missed_ends` was traced.

Cause: at most eight given-up sends were watched at a time; the back end of a ninth was not looked at at all.

Change: up to 32 more wait until one of the eight is done; a suspected request does not wait. The rate of connections under a steady overload stays as it was, a burst costs up to 32 more.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -9,14 +9,13 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use havenstage_http_link::{Link, OpenProbe, Probe};
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::BackendId;
 use log::info;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::context::Context;
 use crate::crash_guard::{self, SuspectSlot};
@@ -45,9 +44,12 @@
 /// Delay of the check for another incarnation at the address. If one is listed by then, the former one ended with the
 /// send: a back end that announces that it leaves serves for longer than this.
 const ADDRESS_REUSE_CHECK_DELAY: Duration = Duration::from_millis(1_500);
-/// Maximum number of given-up sends whose back ends are watched at a time: each holds a connection, and when callers
-/// leave because back ends are overloaded, more connections would add to the overload.
+/// Maximum number of given-up sends of unsuspected requests whose back ends are watched at a time: each holds a
+/// connection, and when callers leave because back ends are overloaded, more connections would add to the overload.
 const MAX_WATCHED_SENDS: usize = 8;
+/// Maximum number of given-up sends that wait until fewer are watched. An end is still found then: back ends restart
+/// after two seconds, and the next incarnation is listed.
+const MAX_WAITING_SENDS: usize = 32;
 
 /// Signals, by being dropped, that a request may be sent to another back end.
 type RetrySignal = oneshot::Sender<Infallible>;
@@ -60,22 +62,20 @@
     GivenUp,
 }
 
-/// Number of sends that were given up and whose back ends are watched.
-#[derive(Default)]
-pub(crate) struct WatchedSends(AtomicUsize);
-
-impl WatchedSends {
-    /// Counts one more send; false if the maximum is reached.
-    fn begin(&self) -> bool {
-        let increment = |count| (count < MAX_WATCHED_SENDS).then_some(count + 1);
-        let updated = self
-            .0
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, increment);
-        updated.is_ok()
-    }
+/// Limits how many sends that were given up are watched at a time.
+pub(crate) struct WatchedSends {
+    /// A send holds a permit while its back end is watched.
+    watching: Semaphore,
+    /// A send holds a permit until its back end was watched.
+    waiting_or_watching: Semaphore,
+}
 
-    fn end(&self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+impl Default for WatchedSends {
+    fn default() -> Self {
+        Self {
+            watching: Semaphore::new(MAX_WATCHED_SENDS),
+            waiting_or_watching: Semaphore::new(MAX_WATCHED_SENDS + MAX_WAITING_SENDS),
+        }
     }
 }
 
@@ -111,14 +111,21 @@
     let Ok(runtime) = tokio::runtime::Handle::try_current() else {
         return;
     };
-    if !context.watched_sends.begin() {
-        report(context, &send, "not_watched");
-        return;
-    }
     let context = context.clone();
     runtime.spawn(async move {
+        // A suspected request is watched at once, as other copies of it wait meanwhile.
+        if send.slot.is_some() {
+            return detect_end(context, send, SendOutcome::GivenUp).await;
+        }
+        let sends = &context.watched_sends;
+        let Ok(_place) = sends.waiting_or_watching.try_acquire() else {
+            return report(&context, &send, "not_watched");
+        };
+        // The semaphore is never closed.
+        let Ok(_watching) = sends.watching.acquire().await else {
+            return;
+        };
         detect_end(context.clone(), send, SendOutcome::GivenUp).await;
-        context.watched_sends.end();
     });
 }
 
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -273,6 +273,42 @@
     assert!(ended <= MAX_ENDS, "{ended} back ends ended");
 }
 
+/// Number of calls of other callers that leave at the same time.
+const OTHER_CALLERS: usize = 8;
+/// Time after which a node no longer watches the back end of a send that was given up.
+const NOT_WATCHED_AFTER: Duration = Duration::from_millis(600);
+
+/// The end under a given-up harmful call is found although the back ends of many other given-up sends are watched.
+#[tokio::test]
+async fn given_up_sends_of_other_calls_hide_no_end() {
+    let deployment = Deployment::start(0, MANY_BACKENDS).await;
+    let backends = &deployment.applications;
+    end_on_harmful_requests(backends);
+    for backend in backends {
+        backend.behave(|behaviour| behaviour.call = CallBehaviour::Silent);
+    }
+    let node = &deployment.node("a").await;
+    for number in 0..2 * MAX_ENDS {
+        let others = (0..OTHER_CALLERS).map(|other| {
+            let path = format!("/calls/honest-{number}-{other}");
+            async move { call_and_leave(node, &path).await }
+        });
+        futures::future::join_all(others).await;
+        call_and_leave(node, "/calls/harmful").await;
+        tokio::time::sleep(NOT_WATCHED_AFTER).await;
+    }
+    let ended = count_ended(backends);
+    assert!(ended <= MAX_ENDS, "{ended} back ends ended");
+}
+
+/// Makes a call whose caller disconnects before it has an answer.
+async fn call_and_leave(node: &TestNode, path: &str) {
+    let headers = [("x-id", path), ("x-deadline", "2000")];
+    let asked = send(node.callers, Method::POST, path, &headers, "call");
+    // Dropping the future closes the connection.
+    let _ = tokio::time::timeout(CALLER_LEAVES_AFTER, asked).await;
+}
+
 /// The end of a back end that announced its leave while it was watched after a given-up send counts against no request.
 #[tokio::test]
 async fn an_announced_end_counts_against_no_request() {
