Credit an end to the incarnation that ran the request

Cause: a back end's next incarnation listens at the same address under the same name before nodes have read its entry. A request that was sent to the former one ran there and ended it; the end was recorded for the former incarnation, under which the request had an end already, so it was lost. Honest items that started at the new incarnation once it was listed had an end without any cause, and the search for causes took one of them for it.

A request that was not suspected yet is sent as before, and if it breaks there 250 ms or more after that end was learnt, the end counts for the incarnation that is listed next at the address, for which the check waits up to 200 ms.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -1,6 +1,6 @@
 //! Back ends as this node uses them: which ones are listed, fast or avoided, and the idle connections to each.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -157,16 +157,18 @@
         is_new
     }
 
-    /// Chooses a back end for a call and reserves it. Back ends that are not in `tried`, then those that are not
-    /// avoided, come first; among these, the one with the least load for its speed. `draw` breaks ties.
+    /// Chooses a back end for a call and reserves it, none of those in `ended`. Back ends that are not in `tried`, then
+    /// those that are not avoided, come first; among these, the one with the least load for its speed. `draw` breaks
+    /// ties.
     pub fn choose_for_call(
         self: &Arc<Self>,
         target: &CallTarget<'_>,
         tried: &[BackendId],
+        ended: &BTreeSet<BackendId>,
         now: Millis,
         draw: u64,
     ) -> Option<ChosenBackend> {
-        let id = self.lock().best_for_call(target, tried, now, draw)?;
+        let id = self.lock().best_for_call(target, tried, ended, now, draw)?;
         self.take_for_request(&id, target.sender, now)
     }
 
@@ -303,10 +305,12 @@
         &self,
         target: &CallTarget<'_>,
         tried: &[BackendId],
+        ended: &BTreeSet<BackendId>,
         now: Millis,
         draw: u64,
     ) -> Option<BackendId> {
-        let allowed: Vec<&BackendId> = self.allowed_for_call(target).collect();
+        let allowed = self.allowed_for_call(target);
+        let allowed: Vec<&BackendId> = allowed.filter(|id| !ended.contains(*id)).collect();
         let has_warm = allowed.iter().any(|id| !self.is_cold(id, now));
         let is_allowed = |id: &BackendId| match has_warm {
             true => !self.is_cold(id, now),
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -1,6 +1,7 @@
 //! A call in progress: chooses the back ends to which the call is sent, retries and hedges it, and gives it up at its
 //! deadline. A call is sent to another back end only if its kind allows that or if it did not run.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -305,8 +306,13 @@
         };
         let (now, draw) = (self.context.now(), self.context.draw());
         let backends = &self.context.backends;
+        let ended = match slot {
+            Some(_) => crash_guard::recently_ended_backends(self.context),
+            None => BTreeSet::new(),
+        };
         let target = self.target();
-        let Some(chosen) = backends.choose_for_call(&target, &self.tried, now, draw) else {
+        let chosen = backends.choose_for_call(&target, &self.tried, &ended, now, draw);
+        let Some(chosen) = chosen else {
             return false;
         };
         if self.tried.contains(&chosen.id) && !self.running_sends.is_empty() {
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -11,7 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_http_link::{Link, OpenProbe, Probe};
+use havenstage_rollout::Millis;
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::BackendId;
 use log::info;
@@ -51,6 +53,14 @@
 /// after two seconds, and the next incarnation is listed.
 const MAX_WAITING_SENDS: usize = 32;
 
+/// Age of a back end's end from which on a send that breaks is taken to have begun after the end: longer than it takes
+/// until all nodes know of an end, and shorter than back ends take to restart.
+const MIN_AGE_OF_EARLIER_END_MS: Millis = 250;
+/// Maximum time that such a send waits for the entry of the next incarnation, which writes it as soon as it listens.
+const NEXT_ENTRY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause between two looks for that entry.
+const NEXT_ENTRY_POLL_PAUSE: Duration = Duration::from_millis(10);
+
 /// Signals, by being dropped, that a request may be sent to another back end.
 type RetrySignal = oneshot::Sender<Infallible>;
 
@@ -135,6 +145,11 @@
         report(&context, &send, "was_leaving");
         return;
     }
+    if was_sent_after_end(&context, &send.backend)
+        && let Some(next) = next_incarnation(&context, &send).await
+    {
+        send.backend = next;
+    }
     if has_crashed(&context, &send.backend) {
         record_end(&context, &send, "next_life").await;
         return;
@@ -167,6 +182,35 @@
     });
 }
 
+/// Whether a send that broke just now began after its back end had ended. A process that ends closes its connections, so
+/// that sends which it was running break at that time.
+fn was_sent_after_end(context: &Context, backend: &BackendId) -> bool {
+    let now = context.now();
+    let control = context.control.lock();
+    let age = control.state.crashes().end_age(backend, now);
+    age.is_some_and(|age| age >= MIN_AGE_OF_EARLIER_END_MS)
+}
+
+/// The incarnation that ran a send which began after the end of the back end that it was meant for. The next incarnation
+/// listens at the same address and accepts requests under the same name before its entry reaches this node.
+async fn next_incarnation(context: &Context, send: &UnansweredSend) -> Option<BackendId> {
+    let deadline = Instant::now() + NEXT_ENTRY_TIMEOUT;
+    loop {
+        let next = {
+            let backends = context.backends.lock();
+            let next = backends.list.next_incarnation(&send.backend).cloned();
+            next.filter(|next| {
+                let record = backends.list.get(next);
+                record.is_some_and(|record| record.address == send.link.address())
+            })
+        };
+        if next.is_some() || Instant::now() >= deadline {
+            return next;
+        }
+        tokio::time::sleep(NEXT_ENTRY_POLL_PAUSE).await;
+    }
+}
+
 /// Whether the back end of a send that was given up ends within [`GIVEN_UP_SEND_WATCH`]. Unlike after a break, one
 /// connection is enough until it closes: a listener hardly ever closes at the moment at which it is established.
 async fn ends_after_given_up_send(link: &Link) -> bool {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -4,7 +4,7 @@
 //! the end in the node's crash ledger at once, reports it to all nodes through the control stream, and decides whether
 //! a request may be sent.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -177,6 +177,19 @@
     context.control.lock().state.crashes().is_empty()
 }
 
+/// Back ends to which a suspected request is not sent, as they ended so recently that their next incarnations may not be
+/// listed yet. The request could reach the next incarnation, which listens at the same address and has the same name. If
+/// that ends, it would be taken for the end that is known already, and harmless requests that run there would have an end
+/// without a cause.
+pub(crate) fn recently_ended_backends(context: &Context) -> BTreeSet<BackendId> {
+    let now = context.now();
+    let control = context.control.lock();
+    control
+        .state
+        .crashes()
+        .ended_within(NEXT_INCARNATION_LISTED_MS, now)
+}
+
 /// How far a request is suspected of crashing back ends, by the ends known to this node.
 pub(crate) fn suspicion(context: &Context, request: &Fingerprint) -> Suspicion {
     let now = context.now();
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -12,6 +12,7 @@
 
 use super::Engine;
 use super::plan::PoolWork;
+use crate::crash_guard;
 
 /// Time after which an unanswered order to load a version no longer excludes its back end from items.
 pub(super) const LOAD_ORDER_TIMEOUT_MS: Millis = 4_000;
@@ -30,7 +31,8 @@
     }
 
     /// Back ends that may run items now and whose weights are new enough for at least one of them. Excludes
-    /// back ends whose circuit breaker is open, that load a version, or that are cold while others are warm.
+    /// back ends whose circuit breaker is open, that load a version, that ended a moment ago, or that are cold while
+    /// others are warm.
     /// `oldest` is the oldest version of each model that any item may run on; if it is empty, no back end is
     /// excluded for its version.
     pub(super) fn candidates(
@@ -53,6 +55,7 @@
             node: own_node,
             owners: &owners,
         };
+        let ended = crash_guard::recently_ended_backends(&self.context);
         let control = self.context.control.lock();
         let backends = self.context.backends.lock();
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
@@ -74,7 +77,7 @@
                 && oldest
                     .iter()
                     .all(|(model, version)| backends.version(id, model) < *version);
-            if admission == Admission::None || is_loading || serves_none {
+            if admission == Admission::None || is_loading || serves_none || ended.contains(id) {
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards an event stream to the caller as it arrives. If a resumable stream breaks, it is resumed at another back
 //! end within the same answer, after the last event that was forwarded whole.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -177,12 +178,17 @@
             self.resumes_left -= 1;
             let (now, draw) = (self.context.now(), self.context.draw());
             let backends = &self.context.backends;
+            let ended = match slot {
+                Some(_) => crash_guard::recently_ended_backends(&self.context),
+                None => BTreeSet::new(),
+            };
             let target = CallTarget {
                 pool: &self.pool,
                 residency: &self.residency,
                 sender: self.context.call_sender(),
             };
-            let Some(backend) = backends.choose_for_call(&target, &self.tried, now, draw) else {
+            let chosen = backends.choose_for_call(&target, &self.tried, &ended, now, draw);
+            let Some(backend) = chosen else {
                 break;
             };
             self.tried.push(backend.id.clone());
--- a/crates/gateway/tests/restarted_backends.rs
+++ b/crates/gateway/tests/restarted_backends.rs
@@ -11,7 +11,7 @@
 use support::caller::{call, submit, wait_for_results};
 use support::deployment::{APPLICATIONS, Deployment, ENGINES, TestNode, listed, wait_until};
 use support::dialect::write_batch;
-use support::ends::{count_known_ends, end_on_harmful_requests};
+use support::ends::{MAX_ENDS, count_ended, count_known_ends, end_on_harmful_requests};
 
 /// The directory entry of an incarnation that started at `started_at`, in milliseconds since the Unix epoch.
 fn incarnation_entry(backend: &StandInBackend, pool: &str, started_at: u64) -> DirectoryEntry {
@@ -118,3 +118,27 @@
     assert_eq!(next.seen().len(), 3);
     assert_eq!(count_known_ends(&node), 1);
 }
+
+/// A back end restarts under its name and address before its next entry is read, and a harmful request ends it again.
+/// If that end were recorded under the former incarnation, where the request has one already, it would not count: the
+/// request would be sent on without limit, and harmless requests that end there later would have no known cause.
+#[tokio::test]
+async fn an_end_of_an_incarnation_that_is_not_listed_yet_counts() {
+    let deployment = Deployment::start(0, 0).await;
+    let mut incarnations = vec![StandInBackend::start("application").await];
+    let address = incarnations[0].address;
+    let entry = incarnation_entry(&incarnations[0], APPLICATIONS, 100);
+    deployment.log.write_backends(entry);
+    let node = deployment.node_with_known_backends("a", 1).await;
+    for number in 0..2 * MAX_ENDS {
+        end_on_harmful_requests(&incarnations);
+        call(node.callers, &format!("try-{number}"), "/calls/harmful").await;
+        if incarnations.last().is_some_and(|last| last.has_ended()) {
+            wait_until("an end is known", || count_known_ends(&node) > 0).await;
+            incarnations.push(StandInBackend::start_at("application", address).await);
+        }
+    }
+    let ended = count_ended(&incarnations);
+    assert!(ended <= MAX_ENDS, "{ended} incarnations ended");
+    assert_eq!(count_known_ends(&node), ended, "each end is known");
+}
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -180,6 +180,13 @@
         &self.evacuated
     }
 
+    /// The incarnation that replaced one that has crashed; `None` if `former` is not known to have crashed.
+    pub fn next_incarnation(&self, former: &BackendId) -> Option<&BackendId> {
+        let name = BackendName::from(former.name());
+        let newest = self.incarnations.get(&name);
+        newest.filter(|newest| self.has_crashed(former) && *newest != former)
+    }
+
     /// The entry of the newest incarnation of a back end.
     pub fn by_name(&self, name: &BackendName) -> Option<&BackendRecord> {
         self.get(self.incarnations.get(name)?)
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -176,6 +176,8 @@
     suspects: BTreeMap<Fingerprint, Suspect>,
     /// The suspected requests that were running at each back end when it ended.
     requests_at: BTreeMap<BackendId, Vec<Fingerprint>>,
+    /// When this node learnt of the end of each of these back ends.
+    ended_at: BTreeMap<BackendId, Millis>,
     reported_barred: BTreeSet<Fingerprint>,
     /// Result of the latest attribution; `None` if a report arrived since.
     culprits_cache: RefCell<Option<CachedCulprits>>,
@@ -190,6 +192,7 @@
             own_machine,
             suspects: BTreeMap::new(),
             requests_at: BTreeMap::new(),
+            ended_at: BTreeMap::new(),
             reported_barred: BTreeSet::new(),
             culprits_cache: RefCell::default(),
             next_order: 0,
@@ -261,6 +264,7 @@
             suspect.barring_end_order = self.next_order;
             self.next_order += 1;
         }
+        self.ended_at.entry(backend.clone()).or_insert(now);
         let running = self.requests_at.entry(backend).or_default();
         running.push(request);
     }
@@ -277,6 +281,7 @@
         let Some(running) = self.requests_at.remove(backend) else {
             return false;
         };
+        self.ended_at.remove(backend);
         self.culprits_cache.take();
         for request in running {
             let Some(suspect) = self.suspects.get_mut(&request) else {
@@ -296,6 +301,19 @@
         suspect.is_some_and(|suspect| suspect.has_end_at(backend))
     }
 
+    /// Milliseconds since this node learnt of the end of `backend`; `None` if the ledger holds no end of it.
+    pub fn end_age(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
+        let ended_at = self.ended_at.get(backend)?;
+        Some(now.saturating_sub(*ended_at))
+    }
+
+    /// The back ends of whose end this node learnt less than `max_age_ms` ago.
+    pub fn ended_within(&self, max_age_ms: Millis, now: Millis) -> BTreeSet<BackendId> {
+        let ended = self.ended_at.iter();
+        let recently = ended.filter(|(_, at)| now.saturating_sub(**at) < max_age_ms);
+        recently.map(|(backend, _)| backend.clone()).collect()
+    }
+
     /// Milliseconds since the latest end, at any back end, of the requests that were running at `backend` when it ended;
     /// `None` if the ledger holds no end of `backend`.
     pub fn last_end_age(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
@@ -416,6 +434,7 @@
                 running.retain(|other| other != request);
                 if running.is_empty() {
                     self.requests_at.remove(&ended.backend);
+                    self.ended_at.remove(&ended.backend);
                 }
             }
         }
