Failing test: a node confirms its own notices under a former machine name

Cause: recipients are chosen by machine name. If another name is known at the node's own address, the node sends its notice to itself, answers it and takes the end as reported. The product is not changed.

--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -448,6 +448,37 @@
     assert_eq!(count_ended(backends), MAX_ENDS);
 }
 
+/// A machine that was given a new name is still known under the former one, at the same address. A node that sends its
+/// notices there would confirm them to itself, and no other machine would know of the ends.
+#[tokio::test]
+async fn a_node_does_not_confirm_its_own_notices() {
+    let deployment = Deployment::start(0, 8).await;
+    let backends = &deployment.applications;
+    end_on_harmful_requests(backends);
+    let node = deployment.node("a").await;
+    let former_name = ControlRecord::Reachable {
+        machine: "former-name".into(),
+        address: announced_address(&node).await,
+    };
+    let log = NodeLog::new(&deployment.log);
+    log.append(CONTROL, framing::split(&former_name.encode(), 512))
+        .await
+        .unwrap();
+    wait_until("the former name is known", || {
+        let control = node.context().control.lock();
+        control.state.reachable().checkpoint().len() == 2
+    })
+    .await;
+    node.set_faults(LogFaults {
+        refuses_appends: true,
+        ..LogFaults::default()
+    });
+    for number in 0..3 * MAX_ENDS {
+        call(node.callers, &format!("try-{number}"), "/once/harmful").await;
+    }
+    assert_eq!(count_ended(backends), MAX_ENDS - 1);
+}
+
 /// Number of machines that announced an address and are gone: with the two nodes, as many as addresses are kept.
 const GONE_MACHINES: usize = MAX_ADDRESSES - 2;
 
