Peer notices: wake on any new address; ask few machines again after the first tries

(3) With 256 ends that nobody answers, each try asked 32 machines, by reckoning 4,100 datagrams a second. (4) After the third check of a process that closes connections no check followed the pause.

Change: the known addresses are compared, not their number; after three tries a notice goes to two machines again; a last attempt ends the check of a listener.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -243,7 +243,7 @@
             }
         }
     }
-    false
+    matches!(link.probe(PROBE_TIMEOUT).await, Probe::Refused)
 }
 
 /// What connections to an address show about the listener there.
--- a/crates/gateway/src/peer_notices.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::crash_ledger::{EndedBackend, Fingerprint};
-use havenstage_rollout::reachable_machines::MAX_ADDRESSES;
+use havenstage_rollout::reachable_machines::{MAX_ADDRESSES, ReachableAddresses};
 use havenstage_rollout::stored::{Stored, UnreadableValue};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
@@ -28,9 +28,11 @@
 const MARK: &[u8] = b"havenstage1";
 /// Maximum length of a datagram that is read. A notice takes some 200 bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_024;
-/// Number of other machines that a notice is sent to at the first, the second and each further try. Most of the known
-/// machines may be gone, and the sender may crash soon; but each machine that receives a notice appends it to the log.
-const RECIPIENTS: [usize; 3] = [2, 8, MAX_ADDRESSES];
+/// Number of other machines that a notice is sent to at each of the first tries. Most of the known machines may be gone,
+/// and the sender may crash soon; but each machine that receives a notice appends it to the log.
+const RECIPIENTS_BY_TRY: [usize; 3] = [2, 8, MAX_ADDRESSES];
+/// Number of other machines that a notice is sent to at each later try.
+const RECIPIENTS_LATER: usize = 2;
 /// Time after which a notice without an answer is sent to other machines: some ten round trips between zones.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum pause between two tries to send a notice. The backoff up to it keeps notices that wait while the log and all
@@ -89,8 +91,8 @@
     address: SocketAddr,
     /// For each notice without an answer, where to send the address of the node that answers it.
     unanswered: Mutex<HashMap<NoticeId, oneshot::Sender<SocketAddr>>>,
-    /// Number of other nodes whose addresses are known.
-    known_recipients: watch::Sender<usize>,
+    /// The known addresses of machines.
+    known_addresses: watch::Sender<ReachableAddresses>,
 }
 
 impl PeerSocket {
@@ -106,7 +108,7 @@
             address: socket.local_addr().map_err(failed)?,
             socket,
             unanswered: Mutex::default(),
-            known_recipients: watch::Sender::default(),
+            known_addresses: watch::Sender::default(),
         })
     }
 
@@ -152,42 +154,40 @@
     let Some(socket) = context.peer_socket.get() else {
         return std::future::pending().await;
     };
-    let mut known_recipients = socket.known_recipients.subscribe();
+    let mut known_addresses = socket.known_addresses.subscribe();
     let mut pause = ANSWER_TIMEOUT;
     let mut unanswered_tries = 0;
     loop {
-        known_recipients.mark_unchanged();
-        let asked = recipients(context, RECIPIENTS[unanswered_tries]);
+        known_addresses.mark_unchanged();
+        let count = RECIPIENTS_BY_TRY.get(unanswered_tries);
+        let asked = recipients(context, *count.unwrap_or(&RECIPIENTS_LATER));
         if !asked.is_empty() {
             if let Some(recipient) = try_report_end(socket, request, ended, &asked).await {
                 return recipient;
             }
-            if unanswered_tries + 1 < RECIPIENTS.len() {
-                unanswered_tries += 1;
+            unanswered_tries += 1;
+            if unanswered_tries < RECIPIENTS_BY_TRY.len() {
                 continue;
             }
         }
-        // A recipient that becomes known is asked at once: this node may crash before the pause is over.
-        let _ = tokio::time::timeout(pause, known_recipients.changed()).await;
+        // An address that becomes known is tried at once: this node may crash before the pause is over.
+        let _ = tokio::time::timeout(pause, known_addresses.changed()).await;
         pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
 
-/// Wakes the notices that wait for another try if the number of known other nodes changed since the last call.
+/// Wakes the notices that wait for another try if the known addresses changed since the last call.
 pub(crate) fn update_recipients(context: &Context) {
     let Some(socket) = context.peer_socket.get() else {
         return;
     };
-    let known = {
-        let control = context.control.lock();
-        control
-            .state
-            .reachable()
-            .count_others(&context.node.machine)
-    };
-    socket.known_recipients.send_if_modified(|former| {
-        let is_changed = *former != known;
-        *former = known;
+    let control = context.control.lock();
+    let known = control.state.reachable().addresses();
+    socket.known_addresses.send_if_modified(|former| {
+        let is_changed = former != known;
+        if is_changed {
+            former.clone_from(known);
+        }
         is_changed
     });
 }
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -404,9 +404,9 @@
     assert_eq!(count_ended(backends), MAX_ENDS);
 }
 
-/// Time for which a node knows no other node's address after the first end: its pauses between two tries to report the
-/// end have then grown to over half a second.
-const WITHOUT_ADDRESS: Duration = Duration::from_millis(1_300);
+/// Time for which a node knows no other node's address after the first end. It ends soon after a try to report the end, and
+/// the next one would come only after the crash.
+const WITHOUT_ADDRESS: Duration = Duration::from_millis(1_800);
 
 /// A node learns where another node can be reached between the first end and the second, and crashes right after the
 /// third. If it reported the first end only at its next try, which may be after the crash, the other node would know
--- a/crates/rollout/src/reachable_machines.rs
+++ b/crates/rollout/src/reachable_machines.rs
@@ -86,10 +86,9 @@
         (0..count).map(|number| others[at(number)]).collect()
     }
 
-    /// Number of machines other than `own` whose addresses are known.
-    pub fn count_others(&self, own: &MachineName) -> usize {
-        let others = self.addresses.keys().filter(|machine| *machine != own);
-        others.count()
+    /// All known addresses.
+    pub fn addresses(&self) -> &ReachableAddresses {
+        &self.addresses
     }
 
     fn machine_with_largest_hash(&self) -> Option<&MachineName> {
