Peer notices: a node ignores its own

What callers saw: a request under which ends were known to one node only was sent on as if another node knew of them; a crash of that node lets three more back ends end. Found by a review.

Cause: a node left itself out by its machine's name only. Known under another name at its own address, or listening on all addresses, it sent the notice to itself, found the end known, and answered.

Change: a notice of an end that this machine saw itself is ignored, with a log line and a metric.

Left: an address that stands for any machine is still announced and kept; notices to it reach nobody else.

--- a/crates/gateway/src/peer_notices.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -272,6 +272,15 @@
     from: SocketAddr,
 ) {
     match notice {
+        // This node sent it to itself, under a former name of its machine or an address that stands for any machine. An
+        // answer would say that another node knows of the end.
+        PeerNotice::BackendEnded { request, ended, .. }
+            if ended.seen_by == context.node.machine =>
+        {
+            metrics::peer_notice("own");
+            warn!(event = "own_notice_ignored", from = from.to_string().as_str(),
+                content = request.to_string().as_str(), backend = ended.backend.as_str(); "");
+        }
         PeerNotice::BackendEnded { id, request, ended } => {
             let is_recorded = crash_guard::record_end_from_peer(context, request, &ended);
             metrics::peer_notice(if is_recorded { "heard" } else { "no_room" });
