Crash ledger: wait while reports on an end still come

Cause: a request with three ends waited for 300 ms after its own latest end for what other nodes saw there. Reports of an end under 26 requests came to that node for longer than that; the harmful one's was not among them yet, and the item was barred as the likeliest cause of what was known.

Change: the 300 ms count from the latest report on any back end that ended under the request, up to 1 s after its latest end. A harmful request in company is barred later by that; it is not run meanwhile.

Tests, failing before: `a_harmless_request_is_not_barred_while_reports_on_its_latest_end_come`, `a_request_does_not_wait_for_reports_without_end`. crash_ledger 23 of 23 after, the 21 older ones unchanged.

--- a/crates/rollout/src/crash_ledger/bar_rules.rs
+++ b/crates/rollout/src/crash_ledger/bar_rules.rs
@@ -7,7 +7,7 @@
 use super::attribution::Attribution;
 use super::{
     AMBIGUITY_GRACE_MS, BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, Fingerprint,
-    REPORT_WAIT_MS, Suspect,
+    MAX_REPORT_WAIT_MS, REPORT_WAIT_MS, Suspect,
 };
 use crate::Millis;
 use crate::ids::BackendId;
@@ -66,8 +66,11 @@
         let suspects = self.suspects.values();
         let suspects = suspects.filter(|suspect| suspect.ended.len() >= BAR_AFTER_ENDS);
         let moments = suspects.flat_map(|suspect| {
-            let settled = suspect.last_end + REPORT_WAIT_MS;
-            [settled, suspect.barring_end_at + AMBIGUITY_GRACE_MS]
+            [
+                self.latest_report(suspect) + REPORT_WAIT_MS,
+                suspect.last_end + MAX_REPORT_WAIT_MS,
+                suspect.barring_end_at + AMBIGUITY_GRACE_MS,
+            ]
         });
         let (past, coming): (Vec<Millis>, Vec<Millis>) = moments.partition(|at| *at <= now);
         let begins = past.into_iter().max().unwrap_or(0);
@@ -85,13 +88,22 @@
         suspect: &Suspect,
         now: Millis,
     ) -> bool {
-        let is_recent = now.saturating_sub(suspect.last_end) < REPORT_WAIT_MS;
+        let is_recent = now < self.latest_report(suspect) + REPORT_WAIT_MS
+            && now < suspect.last_end + MAX_REPORT_WAIT_MS;
         suspect.ended.len() >= BAR_AFTER_ENDS
             && is_recent
             && !self.was_alone_before_last_end(suspect)
             && !self.another_was_at_all_ends_of(request, suspect)
     }
 
+    /// When this node learnt of the latest end, under any request, of a back end that ended under this one.
+    fn latest_report(&self, suspect: &Suspect) -> Millis {
+        let ended = suspect.ended.iter();
+        let times = ended.filter_map(|ended| self.report_times.get(&ended.backend));
+        let latest = times.map(|times| times.latest).max();
+        latest.unwrap_or(suspect.last_end)
+    }
+
     /// Whether this machine is the one that may run a possibly harmful request, one run at a time. Without this rule
     /// several machines send it at the same moment: in one seed of the soak test four did, more than 3 s after the third
     /// end.
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -28,9 +28,13 @@
 /// which it reaches [`BAR_AFTER_ENDS`]. Callers retry within this time, and a retry tells the two requests apart. It is
 /// shorter than the time within which all nodes must stop sending a harmful request.
 pub const AMBIGUITY_GRACE_MS: Millis = 2_000;
-/// Time after each end of a request with at least [`BAR_AFTER_ENDS`] ends during which it is neither run nor barred if
-/// other requests were at all its earlier ends. Other nodes report what they saw of the same end within this time.
+/// Time after the latest report on an end of a request with at least [`BAR_AFTER_ENDS`] ends during which it is neither run
+/// nor barred if other requests were at all its earlier ends. Other nodes report what they saw of the same end within this
+/// time.
 pub const REPORT_WAIT_MS: Millis = 300;
+/// Maximum of that time since the latest end of the request. Reports keep coming for longer than [`REPORT_WAIT_MS`] when a
+/// back end ends under many requests and the log is slow.
+pub const MAX_REPORT_WAIT_MS: Millis = 1_000;
 /// Maximum number of tracked requests; 256 take some 30 KB in memory and 20 KB in a checkpoint.
 pub const MAX_REQUESTS: usize = 256;
 /// Maximum number of ends that are stored per request.
@@ -169,6 +173,13 @@
     }
 }
 
+/// When this node learnt of the end of a back end under the first and the latest of the requests that were running there.
+#[derive(Debug, Clone, Copy)]
+struct ReportTimes {
+    first: Millis,
+    latest: Millis,
+}
+
 /// The suspected requests and their ends. All times are on the clock of the node that reads the reports.
 #[derive(Debug, Clone)]
 pub struct CrashLedger {
@@ -177,7 +188,7 @@
     /// The suspected requests that were running at each back end when it ended.
     requests_at: BTreeMap<BackendId, Vec<Fingerprint>>,
     /// When this node learnt of the end of each of these back ends.
-    ended_at: BTreeMap<BackendId, Millis>,
+    report_times: BTreeMap<BackendId, ReportTimes>,
     reported_barred: BTreeSet<Fingerprint>,
     /// Result of the latest attribution; `None` if a report arrived since.
     culprits_cache: RefCell<Option<CachedCulprits>>,
@@ -192,7 +203,7 @@
             own_machine,
             suspects: BTreeMap::new(),
             requests_at: BTreeMap::new(),
-            ended_at: BTreeMap::new(),
+            report_times: BTreeMap::new(),
             reported_barred: BTreeSet::new(),
             culprits_cache: RefCell::default(),
             next_order: 0,
@@ -264,7 +275,12 @@
             suspect.barring_end_order = self.next_order;
             self.next_order += 1;
         }
-        self.ended_at.entry(backend.clone()).or_insert(now);
+        let times = self.report_times.entry(backend.clone());
+        let times = times.or_insert(ReportTimes {
+            first: now,
+            latest: now,
+        });
+        times.latest = now;
         let running = self.requests_at.entry(backend).or_default();
         running.push(request);
     }
@@ -281,7 +297,7 @@
         let Some(running) = self.requests_at.remove(backend) else {
             return false;
         };
-        self.ended_at.remove(backend);
+        self.report_times.remove(backend);
         self.culprits_cache.take();
         for request in running {
             let Some(suspect) = self.suspects.get_mut(&request) else {
@@ -303,14 +319,14 @@
 
     /// Milliseconds since this node learnt of the end of `backend`; `None` if the ledger holds no end of it.
     pub fn end_age(&self, backend: &BackendId, now: Millis) -> Option<Millis> {
-        let ended_at = self.ended_at.get(backend)?;
-        Some(now.saturating_sub(*ended_at))
+        let times = self.report_times.get(backend)?;
+        Some(now.saturating_sub(times.first))
     }
 
     /// The back ends of whose end this node learnt less than `max_age_ms` ago.
     pub fn ended_within(&self, max_age_ms: Millis, now: Millis) -> BTreeSet<BackendId> {
-        let ended = self.ended_at.iter();
-        let recently = ended.filter(|(_, at)| now.saturating_sub(**at) < max_age_ms);
+        let ended = self.report_times.iter();
+        let recently = ended.filter(|(_, times)| now.saturating_sub(times.first) < max_age_ms);
         recently.map(|(backend, _)| backend.clone()).collect()
     }
 
@@ -434,7 +450,7 @@
                 running.retain(|other| other != request);
                 if running.is_empty() {
                     self.requests_at.remove(&ended.backend);
-                    self.ended_at.remove(&ended.backend);
+                    self.report_times.remove(&ended.backend);
                 }
             }
         }
--- a/crates/rollout/tests/crash_ledger.rs
+++ b/crates/rollout/tests/crash_ledger.rs
@@ -6,7 +6,7 @@
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::crash_ledger::{
     AMBIGUITY_GRACE_MS, BAR_AFTER_ENDS, BAR_AFTER_SHARED_ENDS, CrashLedger, EndedBackend,
-    Fingerprint, ForgottenRequests, MAX_REQUESTS, REPORT_WAIT_MS, Suspicion,
+    Fingerprint, ForgottenRequests, MAX_REPORT_WAIT_MS, MAX_REQUESTS, REPORT_WAIT_MS, Suspicion,
 };
 use havenstage_rollout::ids::{BackendId, MachineName};
 use havenstage_rollout::stored::Stored;
@@ -387,6 +387,47 @@
     assert_ne!(ledger.suspicion(&request(2), settled), awaiting_reports);
 }
 
+/// A back end ends under many requests, whose reports come one after the other for longer than [`REPORT_WAIT_MS`]. A
+/// harmless one is neither run nor barred before that of the harmful one came.
+#[test]
+fn a_harmless_request_is_not_barred_while_reports_on_its_latest_end_come() {
+    let item = 2;
+    let mut ledger = ledger();
+    for (now, backend) in [(1_000, "x"), (1_500, "y")] {
+        for number in [HARMFUL, item] {
+            ledger.record_end(request(number), ended(backend, "a"), now);
+        }
+    }
+    for (now, number) in [(2_000, item), (2_200, 30), (2_400, 31)] {
+        ledger.record_end(request(number), ended("z", "a"), now);
+    }
+    assert!(is_awaiting_reports(&ledger, item, 2_000 + REPORT_WAIT_MS));
+    assert!(is_awaiting_reports(&ledger, item, 2_600));
+    ledger.record_end(request(HARMFUL), ended("z", "b"), 2_600);
+    ledger.record_end(request(HARMFUL), ended("w", "b"), 2_900);
+    for now in [2_900, 2_900 + REPORT_WAIT_MS, 60_000] {
+        assert!(!is_barred_at(&ledger, item, now), "{now}");
+    }
+    assert!(is_barred_at(&ledger, HARMFUL, 60_000));
+}
+
+/// The wait for reports is limited while they come without end.
+#[test]
+fn a_request_does_not_wait_for_reports_without_end() {
+    let mut ledger = ledger();
+    for (now, backend, other) in [(1_000, "x", 2), (1_500, "y", 3), (2_000, "z", 4)] {
+        ledger.record_end(request(HARMFUL), ended(backend, "a"), now);
+        ledger.record_end(request(other), ended(backend, "a"), now);
+    }
+    for number in 0..20 {
+        let now = 2_000 + number * REPORT_WAIT_MS / 2;
+        ledger.record_end(request(u128::from(30 + number)), ended("z", "a"), now);
+    }
+    let settled = 2_000 + MAX_REPORT_WAIT_MS;
+    assert!(is_awaiting_reports(&ledger, HARMFUL, settled - 1));
+    assert!(is_barred_at(&ledger, HARMFUL, settled));
+}
+
 /// Two harmful requests that came together are not sent indefinitely while it is unclear which one is the cause.
 #[test]
 fn ambiguity_between_requests_with_identical_ends_is_limited_in_time() {
