HTTP link: a request queued as its connection closes does not wait for its timeout

Seen: a request sent over a kept connection at the moment at which its server closes it was never written, and its sender waited for the whole timeout. It then counted as one that the server may have run, so what may run once was given up.

Cause: the HTTP library hands a request to the task of its connection through an unbounded queue of tokio. If the task ends, and with it the receiver, between the check of the queue for being closed and the write into it, the request stays in the queue until the sending side is dropped. The link held the sending side while it waited for the answer.

Change: while the link waits for the head of an answer, it also waits for the end of the connection's task; then it drops the sending side, which hands the request back as not written (it is then sent over another connection). An answer or a break that the task had told comes first, as before: the task tells it before it ends.

--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use havenstage_clock::Instant;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 
 use crate::error::LinkError;
 use crate::silence::ConnectionActivity;
@@ -38,11 +40,20 @@
 
 /// A connection that carries one exchange at a time. Dropping it closes the socket.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// `None` once the driver was seen to have ended.
+    sender: Option<SendRequest<Full<Bytes>>>,
     pub(crate) idle_since: Instant,
     pub(crate) idle_timeout: Duration,
     pub(crate) activity: Arc<ConnectionActivity>,
-    driver: AbortHandle,
+    driver: JoinHandle<()>,
+}
+
+/// Why a connection delivered no response.
+pub(crate) enum ExchangeError {
+    /// Nothing was written. Holds the request.
+    NotWritten(Box<Request<Full<Bytes>>>),
+    /// The connection broke after the request may have been written.
+    Broken,
 }
 
 impl Connection {
@@ -73,17 +84,44 @@
             let _ = connection.await;
         });
         Ok(Self {
-            sender,
+            sender: Some(sender),
             idle_since: Instant::now(),
             idle_timeout,
             activity: register(),
-            driver: driver.abort_handle(),
+            driver,
         })
     }
 
     /// Whether the connection is open and has not exceeded its idle timeout, so that it can carry another exchange.
     pub(crate) fn is_usable(&self) -> bool {
-        self.sender.is_ready() && self.idle_since.elapsed() < self.idle_timeout
+        let is_ready = self.sender.as_ref().is_some_and(SendRequest::is_ready);
+        is_ready && self.idle_since.elapsed() < self.idle_timeout
+    }
+
+    /// Sends a request and waits for the head of the response.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let Some(sender) = &mut self.sender else {
+            return Err(ExchangeError::NotWritten(Box::new(request)));
+        };
+        let response = sender.try_send_request(request);
+        tokio::pin!(response);
+        let response = tokio::select! {
+            biased;
+            response = response.as_mut() => response,
+            _ = &mut self.driver => {
+                // A request that is queued just as the driver ends stays in the queue as long as the sender exists.
+                // Dropping the sender returns it.
+                self.sender = None;
+                response.await
+            }
+        };
+        response.map_err(|mut failed| match failed.take_message() {
+            Some(unsent) => ExchangeError::NotWritten(Box::new(unsent)),
+            None => ExchangeError::Broken,
+        })
     }
 }
 
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -12,7 +12,7 @@
 use log::warn;
 
 use crate::answer::Answer;
-use crate::connection::Connection;
+use crate::connection::{Connection, ExchangeError};
 use crate::error::LinkError;
 use crate::probe::{self, Probe};
 use crate::send_options::SendOptions;
@@ -155,7 +155,7 @@
             min_silence_timeout: sending.min_silence_timeout,
             deadline,
         };
-        let head = connection.sender.try_send_request(request);
+        let head = connection.exchange(request);
         let silent = self.wait_until_silent(&exchange, is_reused, sending.aborts_when_silent);
         tokio::select! {
             biased;
@@ -165,11 +165,9 @@
                     self.shared.silence.record_response_time(&exchange);
                     SendOutcome::Answered(Answer::new(response, connection, self.shared.clone()))
                 }
-                Err(mut failed) => match failed.take_message() {
-                    Some(unsent) if is_reused => SendOutcome::NotWritten(unsent),
-                    Some(_) => SendOutcome::Failed(LinkError::NotSent),
-                    None => SendOutcome::Failed(LinkError::Broken),
-                },
+                Err(ExchangeError::NotWritten(unsent)) if is_reused => SendOutcome::NotWritten(*unsent),
+                Err(ExchangeError::NotWritten(_)) => SendOutcome::Failed(LinkError::NotSent),
+                Err(ExchangeError::Broken) => SendOutcome::Failed(LinkError::Broken),
             },
             () = silent => SendOutcome::Failed(LinkError::Silent),
             () = havenstage_clock::sleep_until(deadline) => {
