Stop: read what has arrived before connections are closed

Cause: a node that stood still when it had to close idle connections found that signal and the bytes of a request at once, and closed the connection before it read it. A new connection that is accepted later was closed unread as well.

Change: a connection is closed 20 ms after the signal, or after its accept; the node counts what is in flight 40 ms after the signal.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -230,6 +230,8 @@
     info!(event = "stopping", in_flight = in_flight.count(); "");
     havenstage_clock::sleep_until((began + READINESS_NOTICE_TIME).min(deadline)).await;
     close.send_replace(true);
+    // Requests that are read meanwhile count as in flight afterwards.
+    tokio::time::sleep(server::CLOSE_DELAY * 2).await;
     while context.holds_batches() && Instant::now() < release_at {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -39,6 +39,9 @@
 
 /// Age of the last answer of the log or a directory up to which a node reports ready.
 const MAX_READY_CONTACT_AGE_MS: u64 = 2_500;
+/// Time from the signal to close idle connections, or from the accept of a later one, until a connection is closed. A
+/// request whose bytes have arrived by then is read and answered first; a node that stood still finds both at once.
+pub const CLOSE_DELAY: Duration = Duration::from_millis(20);
 /// Timeout of receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time allowed for a call that gives no deadline.
@@ -169,10 +172,15 @@
         .serve_connection(TokioIo::new(stream), service);
     let served = async move {
         tokio::pin!(connection);
+        let close_is_due = async {
+            // The sender exists as long as the node runs.
+            let _ = closing.wait_for(|closing| *closing).await;
+            tokio::time::sleep(CLOSE_DELAY).await;
+        };
         tokio::select! {
             // Nothing is left to do for a caller that has disconnected.
             _ = connection.as_mut() => return,
-            _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+            () = close_is_due => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await;
     };
--- a/crates/gateway/tests/calls_during_stop.rs
+++ b/crates/gateway/tests/calls_during_stop.rs
@@ -47,3 +47,33 @@
     // The early call is still running at a back end when the node exits, so it may be cut off.
     let _ = early.await.unwrap();
 }
+
+/// Time from the start of the stop at which the node's thread stands still, as on a busy machine. Its connections are to
+/// be closed meanwhile.
+const STALL_DELAY: Duration = Duration::from_millis(2_400);
+const STALL_TIME: Duration = Duration::from_millis(400);
+/// Time from the start of the stop at which a call is sent, while the node stands still.
+const CALL_DELAY: Duration = Duration::from_millis(2_500);
+
+/// A call whose bytes arrived before the node closed its connections is answered, though the node reads them only then.
+/// Otherwise its connection closes without an answer, 0.3 s after its last byte.
+#[tokio::test]
+async fn a_call_that_arrived_while_the_node_stood_still_is_answered() {
+    let deployment = Deployment::start(0, 1).await;
+    let node = deployment.node("a").await;
+    let address = node.callers;
+    node.run_on_node_thread(|| {
+        tokio::spawn(async {
+            tokio::time::sleep(STALL_DELAY).await;
+            std::thread::sleep(STALL_TIME);
+        });
+    })
+    .await;
+    let stopping = tokio::spawn(node.stop());
+    tokio::time::sleep(CALL_DELAY).await;
+    let headers = [("x-id", "late"), ("x-deadline", "2000")];
+    let answer = send(address, Method::POST, "/calls/c", &headers, "call").await;
+    let status = answer.map(|answer| answer.status.as_u16());
+    assert!(status.is_ok(), "{status:?}");
+    stopping.await.unwrap();
+}
