Crash evidence: only a send that began after an end is credited to the next incarnation

A send that began before the end and was checked 0.25 s or more after another request's end there was credited to the next incarnation, which lives, so the end was lost and the honest request beside it had no harmful one.

Change: each send carries the time at which its back end was chosen (`SendTarget`), and counts for the next incarnation only if the end was known before that. Besides: back ends that tell no start time are not kept from requests after an end, as their next incarnation has the same id; a notice that wakes on a new address asks all known machines once.

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_http_link::{Link, LinkSettings};
 use havenstage_rollout::Millis;
 use havenstage_rollout::back_end_speed::{BackEndSpeed, EqualGaps, GapEstimate};
@@ -31,6 +32,8 @@
     pub id: BackendId,
     /// Connection pool to the back end.
     pub link: Link,
+    /// When it was chosen.
+    pub chosen_at: Instant,
     backends: Arc<Backends>,
 }
 
@@ -196,6 +199,7 @@
         Some(ChosenBackend {
             id: id.clone(),
             link,
+            chosen_at: Instant::now(),
             backends: self.clone(),
         })
     }
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -11,7 +11,7 @@
 use futures::stream::FuturesUnordered;
 use havenstage_clock::Instant;
 use havenstage_clock::time_of_day::UnixMillis;
-use havenstage_http_link::{Link, WholeAnswer};
+use havenstage_http_link::WholeAnswer;
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::residency::Residency;
@@ -25,7 +25,7 @@
     share_of_objective,
 };
 use crate::context::Context;
-use crate::crash_evidence;
+use crate::crash_evidence::{self, SendTarget};
 use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
 use crate::metrics;
 use crate::send::{self, SILENT, SendOutcome, SendTerms};
@@ -50,8 +50,7 @@
 
 /// A send whose outcome is not known yet.
 struct InFlightSend {
-    backend: BackendId,
-    link: Link,
+    target: SendTarget,
     /// Wall-clock time at which the send started.
     started_at_wall: UnixMillis,
     /// Held while the send of a suspected request is in flight; limits the number of such sends.
@@ -335,8 +334,7 @@
         };
         let backend = chosen.id.clone();
         self.in_flight.push(InFlightSend {
-            backend: backend.clone(),
-            link: chosen.link.clone(),
+            target: SendTarget::of(&chosen),
             started_at_wall: context.time_of_day.now(),
             slot,
         });
@@ -352,7 +350,7 @@
         let at = self
             .in_flight
             .iter()
-            .position(|send| send.backend == *backend)?;
+            .position(|send| send.target.backend == *backend)?;
         Some(self.in_flight.swap_remove(at))
     }
 
@@ -425,7 +423,7 @@
     fn abandon_sends(&mut self) {
         self.record_in_flight_sends();
         for send in self.in_flight.drain(..) {
-            let mut given_up = send::unanswered_send(self.call, send.backend, send.link);
+            let mut given_up = send::unanswered_send(self.call, send.target);
             given_up.slot = send.slot;
             crash_evidence::watch_given_up_send(self.context, given_up);
         }
--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -19,6 +19,7 @@
 use log::info;
 use tokio::sync::{Semaphore, oneshot};
 
+use crate::backends::ChosenBackend;
 use crate::context::Context;
 use crate::crash_guard::{self, SuspectSlot};
 use crate::metrics;
@@ -53,10 +54,8 @@
 /// after two seconds, and the next incarnation is listed.
 const MAX_WAITING_SENDS: usize = 32;
 
-/// Age of a back end's end from which on a send that breaks is taken to have begun after the end: longer than it takes
-/// until all nodes know of an end, and shorter than back ends take to restart.
-const MIN_AGE_OF_EARLIER_END_MS: Millis = 250;
-/// Maximum time that such a send waits for the entry of the next incarnation, which writes it as soon as it listens.
+/// Maximum time for which the check of a send that began after its back end had ended waits for the entry of the next
+/// incarnation, which writes it as soon as it listens.
 const NEXT_ENTRY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause between two looks for that entry.
 const NEXT_ENTRY_POLL_PAUSE: Duration = Duration::from_millis(10);
@@ -89,16 +88,34 @@
     }
 }
 
+/// The back end of a send.
+#[derive(Clone)]
+pub(crate) struct SendTarget {
+    pub(crate) backend: BackendId,
+    /// Connections to the back end.
+    pub(crate) link: Link,
+    /// When the back end was chosen, shortly before the send began.
+    pub(crate) chosen_at: Instant,
+}
+
+impl SendTarget {
+    pub(crate) fn of(chosen: &ChosenBackend) -> Self {
+        Self {
+            backend: chosen.id.clone(),
+            link: chosen.link.clone(),
+            chosen_at: chosen.chosen_at,
+        }
+    }
+}
+
 /// A send that got no complete answer.
 pub(crate) struct UnansweredSend {
     /// Fingerprint of the request that was sent.
     pub(crate) request: Fingerprint,
     /// Id of this try.
     pub(crate) id: String,
-    /// Back end that it was sent to.
-    pub(crate) backend: BackendId,
-    /// Connections to the back end.
-    pub(crate) link: Link,
+    /// Where and when it was sent.
+    pub(crate) target: SendTarget,
     /// Slot of a suspected request. It is held until it is known whether the back end ended, so that no other copy of
     /// the request is sent in its place: without that, one more back end ends under a request whose callers leave.
     pub(crate) slot: Option<SuspectSlot>,
@@ -141,16 +158,16 @@
 
 /// Records and reports the end of a send's back end if the back end has ended, or ends while it is watched.
 async fn detect_end(context: Arc<Context>, mut send: UnansweredSend, outcome: SendOutcome) {
-    if is_leaving(&context, &send.backend) {
+    if is_leaving(&context, &send.target.backend) {
         report(&context, &send, "was_leaving");
         return;
     }
-    if was_sent_after_end(&context, &send.backend)
-        && let Some(next) = next_incarnation(&context, &send).await
+    if was_sent_after_end(&context, &send.target)
+        && let Some(next) = next_incarnation(&context, &send.target).await
     {
-        send.backend = next;
+        send.target.backend = next;
     }
-    if has_crashed(&context, &send.backend) {
+    if has_crashed(&context, &send.target.backend) {
         record_end(&context, &send, "next_life").await;
         return;
     }
@@ -158,12 +175,12 @@
     let has_ended = match outcome {
         SendOutcome::Broken(signal) => {
             retry_signal = Some(signal);
-            stops_listening(&send.link, &mut retry_signal).await
+            stops_listening(&send.target.link, &mut retry_signal).await
         }
-        SendOutcome::GivenUp => ends_after_given_up_send(&send.link).await,
+        SendOutcome::GivenUp => ends_after_given_up_send(&send.target.link).await,
     };
     // The back end may have announced its leave while its address was watched.
-    if is_leaving(&context, &send.backend) {
+    if is_leaving(&context, &send.target.backend) {
         report(&context, &send, "was_leaving");
         return;
     }
@@ -176,32 +193,32 @@
     drop(send.slot.take());
     tokio::spawn(async move {
         tokio::time::sleep(ADDRESS_REUSE_CHECK_DELAY).await;
-        if is_address_reused(&context, send.link.address(), &send.backend) {
+        if is_address_reused(&context, send.target.link.address(), &send.target.backend) {
             record_end(&context, &send, "next_life").await;
         }
     });
 }
 
-/// Whether a send that broke just now began after its back end had ended. A process that ends closes its connections, so
-/// that sends which it was running break at that time.
-fn was_sent_after_end(context: &Context, backend: &BackendId) -> bool {
+/// Whether a send began when this node knew already that its back end had ended.
+fn was_sent_after_end(context: &Context, target: &SendTarget) -> bool {
     let now = context.now();
+    let since_send = target.chosen_at.elapsed().as_millis() as Millis;
     let control = context.control.lock();
-    let age = control.state.crashes().end_age(backend, now);
-    age.is_some_and(|age| age >= MIN_AGE_OF_EARLIER_END_MS)
+    let end_age = control.state.crashes().end_age(&target.backend, now);
+    end_age.is_some_and(|age| age > since_send)
 }
 
 /// The incarnation that ran a send which began after the end of the back end that it was meant for. The next incarnation
 /// listens at the same address and accepts requests under the same name before its entry reaches this node.
-async fn next_incarnation(context: &Context, send: &UnansweredSend) -> Option<BackendId> {
+async fn next_incarnation(context: &Context, target: &SendTarget) -> Option<BackendId> {
     let deadline = Instant::now() + NEXT_ENTRY_TIMEOUT;
     loop {
         let next = {
             let backends = context.backends.lock();
-            let next = backends.list.next_incarnation(&send.backend).cloned();
+            let next = backends.list.next_incarnation(&target.backend).cloned();
             next.filter(|next| {
                 let record = backends.list.get(next);
-                record.is_some_and(|record| record.address == send.link.address())
+                record.is_some_and(|record| record.address == target.link.address())
             })
         };
         if next.is_some() || Instant::now() >= deadline {
@@ -309,7 +326,7 @@
 }
 
 async fn record_end(context: &Arc<Context>, send: &UnansweredSend, evidence: &'static str) {
-    crash_guard::record_backend_end(context, send.request, &send.backend).await;
+    crash_guard::record_backend_end(context, send.request, &send.target.backend).await;
     report(context, send, evidence);
 }
 
@@ -317,6 +334,6 @@
     metrics::send_broke(evidence);
     let suspicion = crash_guard::suspicion(context, &send.request);
     info!(event = "send_broke", request = send.id.as_str(),
-        content = send.request.to_string().as_str(), backend = send.backend.as_str(),
+        content = send.request.to_string().as_str(), backend = send.target.backend.as_str(),
         evidence = evidence, suspicion = format!("{suspicion:?}").as_str(); "");
 }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -177,17 +177,18 @@
     context.control.lock().state.crashes().is_empty()
 }
 
-/// Back ends to which a suspected request is not sent, as they ended so recently that their next incarnations may not be
-/// listed yet. The request could reach the next incarnation, which listens at the same address and has the same name. If
+/// Back ends to which no suspected request and no item is sent, as they ended so recently that their next incarnations may
+/// not be listed yet. The request could reach the next incarnation, which listens at the same address and has the same name. If
 /// that ends, it would be taken for the end that is known already, and harmless requests that run there would have an end
 /// without a cause.
 pub(crate) fn recently_ended_backends(context: &Context) -> BTreeSet<BackendId> {
     let now = context.now();
     let control = context.control.lock();
-    control
-        .state
-        .crashes()
-        .ended_within(NEXT_INCARNATION_LISTED_MS, now)
+    let crashes = control.state.crashes();
+    let mut ended = crashes.ended_within(NEXT_INCARNATION_LISTED_MS, now);
+    // Without a start time, the next incarnation has the same id, and is listed already if it is listed at all.
+    ended.retain(|backend| backend.started_at().is_some());
+    ended
 }
 
 /// How far a request is suspected of crashing back ends, by the ends known to this node.
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -21,7 +21,7 @@
 use crate::access;
 use crate::backends::ChosenBackend;
 use crate::context::Context;
-use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
 use crate::fingerprint;
 use crate::send;
@@ -193,8 +193,7 @@
             let broken = UnansweredSend {
                 request: request(),
                 id: parameters.key.item.to_string(),
-                backend: backend.id.clone(),
-                link: backend.link.clone(),
+                target: SendTarget::of(backend),
                 slot: None,
             };
             crash_evidence::check_broken_send(context, broken).await;
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -13,7 +13,7 @@
 use log::{info, warn};
 
 use crate::context::Context;
-use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
 use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
 use crate::fingerprint;
@@ -131,7 +131,7 @@
         send_outcome = send(context, order, expected_orders, limits).await;
     }
     let report = await_outcome(context, order, send_outcome, began).await;
-    record_load_outcome(context, order, send_outcome, report.as_ref()).await;
+    record_load_outcome(context, order, began, send_outcome, report.as_ref()).await;
     let records = outcome_records(order, report.as_ref());
     info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, outcome = format!("{records:?}").as_str(),
@@ -149,6 +149,7 @@
 async fn record_load_outcome(
     context: &Arc<Context>,
     order: &Order,
+    began: Instant,
     send_outcome: SendOutcome,
     report: Option<&BackendReport>,
 ) {
@@ -167,8 +168,11 @@
             let unanswered = UnansweredSend {
                 request: load(),
                 id: format!("{} version {}", order.model, order.version),
-                backend: order.backend.clone(),
-                link: chosen.link.clone(),
+                target: SendTarget {
+                    backend: order.backend.clone(),
+                    link: chosen.link.clone(),
+                    chosen_at: began,
+                },
                 slot: None,
             };
             crash_evidence::check_broken_send(context, unanswered).await;
--- a/crates/gateway/src/peer_notices.rs
+++ b/crates/gateway/src/peer_notices.rs
@@ -171,7 +171,10 @@
             }
         }
         // An address that becomes known is tried at once: this node may crash before the pause is over.
-        let _ = tokio::time::timeout(pause, known_addresses.changed()).await;
+        let waited = tokio::time::timeout(pause, known_addresses.changed()).await;
+        if waited.is_ok() {
+            unanswered_tries = RECIPIENTS_BY_TRY.len() - 1;
+        }
         pause = (pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use havenstage_clock::Instant;
-use havenstage_http_link::{Answer, Link, LinkError, SendOptions};
+use havenstage_http_link::{Answer, LinkError, SendOptions};
 use havenstage_rollout::event_stream::EventReader;
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::residency::Residency;
@@ -19,7 +19,7 @@
 use crate::backends::{CallTarget, ChosenBackend};
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
-use crate::crash_evidence;
+use crate::crash_evidence::{self, SendTarget};
 use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
 use crate::send;
 
@@ -128,8 +128,8 @@
                     let error = broken.err();
                     self.had_silent_send = error.is_some_and(is_silence);
                     if error == Some(LinkError::Broken) {
-                        let (id, link) = (current.backend.id.clone(), current.backend.link.clone());
-                        self.record_broken_send(id, link).await;
+                        let target = SendTarget::of(&current.backend);
+                        self.record_broken_send(target).await;
                     }
                     if !self.resume().await {
                         self.current = None;
@@ -229,8 +229,7 @@
             Err(error) => {
                 self.had_silent_send |= is_silence(error);
                 if error == LinkError::Broken {
-                    self.record_broken_send(backend.id.clone(), backend.link.clone())
-                        .await;
+                    self.record_broken_send(SendTarget::of(backend)).await;
                 }
                 return None;
             }
@@ -239,8 +238,8 @@
         (answer.status().is_success() && has_request_id).then_some(answer)
     }
 
-    async fn record_broken_send(&self, backend: BackendId, link: Link) {
-        let broken = send::unanswered_send(&self.call, backend, link);
+    async fn record_broken_send(&self, target: SendTarget) {
+        let broken = send::unanswered_send(&self.call, target);
         crash_evidence::check_broken_send(&self.context, broken).await;
     }
 
@@ -256,8 +255,8 @@
     /// A stream that is dropped before its end was abandoned by its caller.
     fn drop(&mut self) {
         if let Some(current) = self.current.take() {
-            let (id, link) = (current.backend.id.clone(), current.backend.link.clone());
-            let mut given_up = send::unanswered_send(&self.call, id, link);
+            let target = SendTarget::of(&current.backend);
+            let mut given_up = send::unanswered_send(&self.call, target);
             given_up.slot = current.slot;
             crash_evidence::watch_given_up_send(&self.context, given_up);
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use havenstage_clock::Instant;
-use havenstage_http_link::{Answer, Link, LinkError, SendOptions, WholeAnswer};
+use havenstage_http_link::{Answer, LinkError, SendOptions, WholeAnswer};
 use havenstage_rollout::ids::BackendId;
 use http::Request;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -14,7 +14,7 @@
 use crate::backends::ChosenBackend;
 use crate::calls::Call;
 use crate::context::Context;
-use crate::crash_evidence::{self, UnansweredSend};
+use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
 
 /// Maximum size of an answer's body that is read whole before it is forwarded.
@@ -93,7 +93,8 @@
     call: &Call,
     terms: &SendTerms,
 ) -> SendOutcome {
-    let (backend, link) = (chosen.id.clone(), chosen.link.clone());
+    let target = SendTarget::of(&chosen);
+    let backend = chosen.id.clone();
     let started_at = Instant::now();
     let left = terms.deadline.saturating_duration_since(started_at);
     let request = backend_request(context, &chosen, call, left);
@@ -112,10 +113,10 @@
             crash_guard::record_answer(context, &backend, is_success, || call.fingerprint());
         }
         SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
-            crash_evidence::check_broken_send(context, unanswered_send(call, backend, link)).await;
+            crash_evidence::check_broken_send(context, unanswered_send(call, target)).await;
         }
         SendOutcome::MayHaveRun(SILENT) => {
-            crash_evidence::watch_given_up_send(context, unanswered_send(call, backend, link));
+            crash_evidence::watch_given_up_send(context, unanswered_send(call, target));
         }
         SendOutcome::Streaming(_) | SendOutcome::NotRun(_) | SendOutcome::MayHaveRun(_) => {}
     }
@@ -123,12 +124,11 @@
 }
 
 /// Describes a send that got no complete answer, for crash detection.
-pub(crate) fn unanswered_send(call: &Call, backend: BackendId, link: Link) -> UnansweredSend {
+pub(crate) fn unanswered_send(call: &Call, target: SendTarget) -> UnansweredSend {
     UnansweredSend {
         request: call.fingerprint(),
         id: call.id_text(),
-        backend,
-        link,
+        target,
         slot: None,
     }
 }
