Probe test: make sure that the accept queue is full

A connection is established on the client's side before it is in the listener's queue, which therefore was not full yet.

--- a/crates/http-link/tests/probe.rs
+++ b/crates/http-link/tests/probe.rs
@@ -20,14 +20,18 @@
     Link::new(address, settings)
 }
 
-/// A listener with room for one connection in its accept queue, which is taken: it drops all further attempts.
-async fn full_listener() -> (Socket, SocketAddr, TcpStream) {
+/// A listener whose accept queue is full, so that it drops all further attempts, and the connections that fill the queue.
+async fn full_listener() -> (Socket, SocketAddr, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     let any_port: SocketAddr = "127.0.0.1:0".parse().unwrap();
     socket.bind(&any_port.into()).unwrap();
     socket.listen(0).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
-    let queued = TcpStream::connect(address).await.unwrap();
+    let mut queued = Vec::new();
+    // A connection is established here before it is in the queue, so only a dropped attempt shows that the queue is full.
+    while let Ok(connected) = tokio::time::timeout(TIMEOUT, TcpStream::connect(address)).await {
+        queued.push(connected.unwrap());
+    }
     (socket, address, queued)
 }
 
