Crash evidence: a suspected request waits until its back end was watched

Change: a request under which back ends ended before waits for the whole watch of 60 ms. An unsuspected one goes on after 10 ms as before, so that a reset connection costs no more.

Left: a listener that stays open for over 60 ms.

--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -14,7 +14,7 @@
 use havenstage_clock::Instant;
 use havenstage_http_link::{Link, OpenProbe, Probe};
 use havenstage_rollout::Millis;
-use havenstage_rollout::crash_ledger::Fingerprint;
+use havenstage_rollout::crash_ledger::{Fingerprint, Suspicion};
 use havenstage_rollout::ids::BackendId;
 use log::info;
 use tokio::sync::{Semaphore, oneshot};
@@ -31,7 +31,7 @@
 /// does not close all its sockets at the same moment, and its address may accept connections for some 5 ms more. With
 /// this wait, such a request ends no more than the three back ends after which it is barred.
 const PROBE_CLOSE_WAIT: Duration = Duration::from_millis(10);
-/// Time for which the address is watched after a send broke, while the request is already sent elsewhere.
+/// Time for which the address is watched after a send broke. An unsuspected request may be sent elsewhere meanwhile.
 const BROKEN_SEND_WATCH: Duration = Duration::from_millis(60);
 /// Time for which the address is watched after a send was given up. It is longer than a harmful request takes from the
 /// start of its run to the end of the back end (40 to 170 ms in a recorded incident).
@@ -175,7 +175,11 @@
     let has_ended = match outcome {
         SendOutcome::Broken(signal) => {
             retry_signal = Some(signal);
-            stops_listening(&send.target.link, &mut retry_signal).await
+            let retry = match crash_guard::suspicion(&context, &send.request) {
+                Suspicion::None => Retry::WhileWatched,
+                _ => Retry::AfterWatch,
+            };
+            stops_listening(&send.target.link, retry, &mut retry_signal).await
         }
         SendOutcome::GivenUp => ends_after_given_up_send(&send.target.link).await,
     };
@@ -241,19 +245,35 @@
             }
         }
     }
-    stops_listening(link, &mut None).await
+    stops_listening(link, Retry::AfterWatch, &mut None).await
 }
 
-/// Whether nobody listens at an address, now or within [`BROKEN_SEND_WATCH`]. Drops `retry_signal` when the request may be
-/// sent to another back end.
-async fn stops_listening(link: &Link, retry_signal: &mut Option<RetrySignal>) -> bool {
+/// When a request whose send broke may be sent to another back end, if its back end still listens.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Retry {
+    /// While the address is still watched.
+    WhileWatched,
+    /// When the watch is over. A suspected request waits for that: on a busy machine, a process that ends can listen for
+    /// some tens of milliseconds longer, and the request would end one more back end meanwhile.
+    AfterWatch,
+}
+
+/// Whether nobody listens at an address, now or within [`BROKEN_SEND_WATCH`]. Drops `retry_signal` as soon as `retry`
+/// allows.
+async fn stops_listening(
+    link: &Link,
+    retry: Retry,
+    retry_signal: &mut Option<RetrySignal>,
+) -> bool {
     for _ in 0..MAX_CHECKS {
         match check_listener(link).await {
             Listener::Gone => return true,
             Listener::Unknown => return false,
             Listener::Closing => tokio::time::sleep(CLOSING_CHECK_PAUSE).await,
             Listener::Open(connections) => {
-                drop(retry_signal.take());
+                if retry == Retry::WhileWatched {
+                    drop(retry_signal.take());
+                }
                 if !one_closes_within(connections, BROKEN_SEND_WATCH).await {
                     return false;
                 }
--- a/crates/gateway/tests/missed_ends.rs
+++ b/crates/gateway/tests/missed_ends.rs
@@ -196,6 +196,30 @@
     assert!(ended <= MAX_ENDS, "{ended} back ends ended");
 }
 
+/// Time for which a process that ends on a busy machine still listens: longer than the first check of the address takes.
+const LONG_LISTEN_TIME: Duration = Duration::from_millis(40);
+
+/// The third end under a request is found although the address accepts connections for some tens of milliseconds longer. A
+/// request that was not suspected would be sent on meanwhile.
+#[tokio::test]
+async fn an_address_that_is_open_for_longer_hides_no_end_of_a_suspected_request() {
+    let deployment = Deployment::start(0, 8).await;
+    end_on_harmful_requests(&deployment.applications);
+    let node = deployment.node("a").await;
+    for number in 0..MAX_ENDS - 1 {
+        let id = format!("try-{number}");
+        call(node.callers, &id, "/once/harmful").await;
+    }
+    assert_eq!(count_known_ends(&node), MAX_ENDS - 1);
+    for backend in &deployment.applications {
+        backend.behave(|behaviour| behaviour.listen_time_after_end = LONG_LISTEN_TIME);
+    }
+    for number in 0..MAX_ENDS {
+        call(node.callers, &format!("late-{number}"), "/once/harmful").await;
+    }
+    assert_eq!(count_ended(&deployment.applications), MAX_ENDS);
+}
+
 /// Time for which a process that ends still listens in the tests of checks of the address.
 const LISTEN_TIME_AFTER_END: Duration = Duration::from_millis(5);
 /// Number of back ends in these tests: more than the sends of all calls together.
