--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -49,6 +49,8 @@
     work: Arc<Notify>,
     /// Whether the last listing was complete, rather than stopped once it had enough back ends.
     is_fully_listed: AtomicBool,
+    /// When the source of the list last confirmed it, in milliseconds of the node's clock; 0 before the first time.
+    confirmed_at_ms: AtomicU64,
     /// The pool for which more back ends were last requested.
     more_wanted: watch::Sender<Option<PoolName>>,
 }
@@ -91,6 +93,7 @@
             inner: Mutex::new(inner),
             work,
             is_fully_listed: AtomicBool::new(false),
+            confirmed_at_ms: AtomicU64::new(0),
             more_wanted: watch::Sender::new(None),
         })
     }
@@ -105,6 +108,17 @@
         self.is_fully_listed.store(is_complete, Ordering::Relaxed);
     }
 
+    /// Records that the directory was read to its end, or that the writer of its digest had read it, at `at`.
+    pub fn record_confirmation(&self, at: Millis) {
+        self.confirmed_at_ms.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Milliseconds since the list was last confirmed to be up to date; `None` before the first time.
+    pub fn age_ms(&self, now: Millis) -> Option<Millis> {
+        let confirmed_at = self.confirmed_at_ms.load(Ordering::Relaxed);
+        (confirmed_at > 0).then(|| now.saturating_sub(confirmed_at))
+    }
+
     /// Requests a listing of more back ends of a pool, if some are unlisted: for callers whose known back ends are all
     /// in use, or that know none.
     pub fn want_more(&self, pool: &PoolName) {
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -481,11 +481,12 @@
             .saturating_duration_since(Instant::now())
             .as_millis() as u64;
         let routes = self.context.routes().map_or(0, |table| table.version());
+        let backends_age_ms = self.context.backends.age_ms(self.context.now());
         metrics::call_ended(name, took_ms);
         info!(event = "call", request = request.as_str(), content = content.as_str(), route = self.route.name.as_str(),
             routes_version = routes, outcome = name, status = status, backends = tried.as_str(),
             sends = sends.as_str(), may_have_run = self.may_have_run, took_ms = took_ms,
-            left_ms = left_ms; "");
+            left_ms = left_ms, backends_age_ms = backends_age_ms; "");
     }
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -29,7 +29,7 @@
 use crate::crash_evidence::WatchedSends;
 use crate::crash_guard::CrashGuard;
 use crate::edge::{
-    CheckpointStore, Dialect, Directory, DirectoryKind, LogStream, NodeClock, NodeDependencies,
+    CheckpointStore, Dialect, Directory, LogStream, NodeClock, NodeDependencies,
     SharedLog, StreamPartition,
 };
 use crate::held_answers::HeldAnswers;
@@ -585,12 +585,10 @@
         (share as u32).clamp(MIN_READ_BYTES, MAX_READ_BYTES)
     }
 
-    /// Records that a directory was read to its end.
-    pub fn record_directory_read(&self, kind: DirectoryKind) {
-        if kind == DirectoryKind::Operators {
-            let now = self.now();
-            self.operators_read_at_ms.fetch_max(now, Ordering::Relaxed);
-        }
+    /// Records that the operators' directory was read to its end.
+    pub fn record_directory_read(&self) {
+        let now = self.now();
+        self.operators_read_at_ms.fetch_max(now, Ordering::Relaxed);
     }
 
     /// Time since the operators' directory was last read to its end.
--- a/crates/gateway/src/digest_reader.rs
+++ b/crates/gateway/src/digest_reader.rs
@@ -14,6 +14,7 @@
 use crate::context::{BACKEND_DIGEST, Context};
 use crate::dependency::Dependency;
 use crate::digest_writer::{CHECKPOINT, last_write_age_ms};
+use crate::directories::log_backend_leaving;
 use crate::followers::{ReadOutcome, read_once};
 use crate::log_writes::append_or_warn;
 
@@ -103,6 +104,7 @@
             }
             ReadOutcome::Failed => {}
         }
+        record_confirmation(context);
         if is_abandoned(context, began, timeout_ms) {
             break;
         }
@@ -110,10 +112,18 @@
     requester.abort();
 }
 
+/// Records when the writer of the digest last confirmed it.
+fn record_confirmation(context: &Context) {
+    if let Some(at) = context.digest.lock().state.last_holder_record_at() {
+        context.backends.record_confirmation(at);
+    }
+}
+
 fn apply_changes(context: &Context) {
     let changes = context.digest.lock().state.take_changes();
     let has_changes = !changes.is_empty();
     for change in changes {
+        log_backend_leaving(context, &change, "digest");
         context.backends.apply(change, context.now());
     }
     if has_changes {
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -49,8 +49,11 @@
         };
         info!(event = "digest_kept", term = term; "");
         let mut writer = DigestWriter::new(&context, term);
-        if let Err(error) = writer.run().await {
-            warn!(event = "digest_interrupted", term = term, reason = error.to_string().as_str(); "");
+        match writer.run().await {
+            Ok(()) => info!(event = "digest_not_kept", term = term; ""),
+            Err(error) => {
+                warn!(event = "digest_interrupted", term = term, reason = error.to_string().as_str(); "");
+            }
         }
     }
 }
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -114,7 +114,7 @@
                     self.prepare_catch_up();
                     return;
                 }
-                context.record_directory_read(self.kind);
+                self.record_read();
                 tokio::time::sleep(directory_read_interval(&context)).await;
             }
             Err(error @ LogError::HistoryDropped { .. }) => {
@@ -134,6 +134,15 @@
         }
     }
 
+    /// Records that the directory was read to its end.
+    fn record_read(&self) {
+        let context = &self.context;
+        match self.kind {
+            DirectoryKind::Operators => context.record_directory_read(),
+            DirectoryKind::Backends => context.backends.record_confirmation(context.now()),
+        }
+    }
+
     /// Prepares the next read, which follows at once. Only the newest entries of the operators' directory matter, so it
     /// is listed again: reading changes would fetch every configuration of a quick succession, each of them in full.
     fn prepare_catch_up(&mut self) {
@@ -161,7 +170,7 @@
             let is_enough = self.context.directory_is_large() && listed.is_enough(&self.context);
             if is_complete || is_enough {
                 listed.apply(&self.context, self.kind, is_complete);
-                self.context.record_directory_read(self.kind);
+                self.record_read();
                 self.context.control_changed.notify_one();
                 return end;
             }
@@ -305,7 +314,7 @@
                 listed.backends.remove(&change.name);
             }
             (None, _) => {
-                log_backend_leaving(context, &change);
+                log_backend_leaving(context, &change, "directory");
                 context.backends.apply(change, context.now());
             }
         },
@@ -326,7 +335,12 @@
     is_logged
 }
 
-fn log_backend_leaving(context: &Context, change: &BackendChange) {
+/// Logs that a back end drains or was removed, and by which source this node learned of it.
+pub(crate) fn log_backend_leaving(
+    context: &Context,
+    change: &BackendChange,
+    source: &'static str,
+) {
     let state = match &change.record {
         None => "removed",
         Some(record) if record.draining => "draining",
@@ -335,5 +349,5 @@
     if !logs_change(context, "backend_leaves") {
         return;
     }
-    info!(event = "backend_leaves", backend = change.name.as_str(), state = state; "");
+    info!(event = "backend_leaves", backend = change.name.as_str(), state = state, source = source; "");
 }
--- a/crates/gateway/src/engine/start.rs
+++ b/crates/gateway/src/engine/start.rs
@@ -74,6 +74,7 @@
         let known_age_ms = self
             .context
             .known_age_ms(self.context.partitions.at(item.partition));
+        let backends_age_ms = self.context.backends.age_ms(now);
         let group = item.spec.group.clone();
         let expected_tokens = item.spec.expected_tokens;
         let sender = self.run_message_sender.clone();
@@ -103,7 +104,7 @@
             backend = backend_id.as_str(), resumed_from = resumed_from, urgency = urgency,
             group = group.as_ref().map_or("", GroupId::as_str), expected_tokens = expected_tokens,
             minimum_version = start.minimum_version, batch_age_ms = start.batch_age_ms,
-            known_age_ms = known_age_ms; "");
+            known_age_ms = known_age_ms, backends_age_ms = backends_age_ms; "");
     }
 
     /// Adds the item to the active items, with the output that the log holds, if it is not one of them yet.
--- a/crates/gateway/src/knowledge_metrics.rs
+++ b/crates/gateway/src/knowledge_metrics.rs
@@ -18,6 +18,7 @@
             machines: context.fleet_size(),
             backends,
             follows_digest: context.directory_is_large(),
+            backends_age_ms: context.backends.age_ms(context.now()),
             routes_age_ms: context.operators_age_ms(),
             log_age_ms: context.contact_age(),
             held_answer_bytes: context.answers.bytes(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,8 @@
     pub backends: usize,
     /// Whether the back ends come from the digest of the directory.
     pub follows_digest: bool,
+    /// Time since the list of back ends was confirmed to be up to date, in milliseconds; `None` before the first time.
+    pub backends_age_ms: Option<u64>,
     /// Age of the routes, in milliseconds.
     pub routes_age_ms: u64,
     /// Time since the log last answered, in milliseconds.
@@ -84,6 +86,9 @@
     gauge!("gateway_fleet_machines").set(known.machines as f64);
     gauge!("gateway_backends_known").set(known.backends as f64);
     gauge!("gateway_follows_digest").set(f64::from(u8::from(known.follows_digest)));
+    if let Some(age_ms) = known.backends_age_ms {
+        gauge!("gateway_backends_age_ms").set(age_ms as f64);
+    }
     gauge!("gateway_routes_age_ms").set(known.routes_age_ms as f64);
     gauge!("gateway_log_age_ms").set(known.log_age_ms as f64);
     gauge!("gateway_held_answer_bytes").set(known.held_answer_bytes as f64);
