Digest of back ends: its writer confirms only what it has read

Callers: requests could go on to a back end that drains, for as long as the node that writes the digest cannot read the directory but can append. Cause: the writer's heartbeat said that it lives. Readers took it to mean that the digest is up to date, so they never turned to the directory, which they could have read. Evidence: a_drain_is_known_though_the_digest_writer_cannot_read_the_directory fails on the code before: no node learned of the drain within the test's 20 s. Change: a writer begins its term with Began and confirms the digest by Confirmed, which holds the offset up to which it has just read the directory; after a failed read it writes nothing, so the readers' timeout runs. It doesn't publish a listing that is older than what the former writer confirmed. Kept is still written for nodes of the build before, which skip the new records, and the heartbeats of a writer of that build still count. Ruled out: giving the order lease up when the directory can't be read; while the store refuses the directory to all, the lease would pass from node to node, and orders wait after each change of the holder.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -29,8 +29,8 @@
 use crate::crash_evidence::WatchedSends;
 use crate::crash_guard::CrashGuard;
 use crate::edge::{
-    CheckpointStore, Dialect, Directory, LogStream, NodeClock, NodeDependencies,
-    SharedLog, StreamPartition,
+    CheckpointStore, Dialect, Directory, LogStream, NodeClock, NodeDependencies, SharedLog,
+    StreamPartition,
 };
 use crate::held_answers::HeldAnswers;
 use crate::lease_grant::LeaseGrant;
--- a/crates/gateway/src/digest_reader.rs
+++ b/crates/gateway/src/digest_reader.rs
@@ -13,12 +13,12 @@
 use crate::checkpoints;
 use crate::context::{BACKEND_DIGEST, Context};
 use crate::dependency::Dependency;
-use crate::digest_writer::{CHECKPOINT, last_write_age_ms};
+use crate::digest_writer::{CHECKPOINT, confirmation_age_ms};
 use crate::directories::log_backend_leaving;
 use crate::followers::{ReadOutcome, read_once};
 use crate::log_writes::append_or_warn;
 
-/// Time without a record of the digest's writer after which the digest counts as abandoned. Within this time another
+/// Time without a confirmation by the digest's writer after which the digest counts as abandoned. Within this time another
 /// node can claim the order lease and list the directory.
 const ABANDONED_AFTER_MS: Millis = 4_000;
 /// Time for which a node reads the directory itself after the digest was abandoned, before it looks for a digest again.
@@ -114,7 +114,7 @@
 
 /// Records when the writer of the digest last confirmed it.
 fn record_confirmation(context: &Context) {
-    if let Some(at) = context.digest.lock().state.last_holder_record_at() {
+    if let Some(at) = context.digest.lock().state.confirmed_at() {
         context.backends.record_confirmation(at);
     }
 }
@@ -131,11 +131,11 @@
     }
 }
 
-/// Whether the digest has been readable for longer than the timeout, but its writer has been silent for as long. While
+/// Whether the digest has been readable for longer than the timeout, but its writer has not confirmed it for as long. While
 /// the digest can't be read, the directory can't be read either, so a node doesn't switch then.
 fn is_abandoned(context: &Context, since: Millis, timeout_ms: Millis) -> bool {
     let now = context.now();
-    let silent_ms = last_write_age_ms(context).unwrap_or(Millis::MAX);
+    let silent_ms = confirmation_age_ms(context).unwrap_or(Millis::MAX);
     let silent_ms = silent_ms.min(now.saturating_sub(since));
     let readable_ms = match context.digest.readable_since(now) {
         Some(readable_since) => now.saturating_sub(readable_since),
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -18,15 +18,15 @@
 use crate::dependency::Dependency;
 use crate::directories::ENTRY_BYTES;
 use crate::edge::{DirectoryEntry, DirectoryKind, LogError};
-use crate::log_writes::append;
+use crate::log_writes::append_all;
 
 /// Name of the digest's checkpoint in the checkpoint store.
 pub(crate) const CHECKPOINT: &str = "backends";
 /// Pause between two checks whether this node is to write the digest.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a change after which a heartbeat is written: a fraction of the time after which readers consider the
-/// digest abandoned.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without a change after which the digest is confirmed again: a fraction of the time after which readers consider
+/// it abandoned.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum wait for a change of the directory.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 /// Bytes of changes that one call asks for; it may be large, since only one node reads the whole directory.
@@ -77,7 +77,7 @@
     directory: BackendList,
     dependency: Dependency,
     pool_sizes: PoolSizes,
-    written_at: Instant,
+    confirmed_at: Option<Instant>,
     saved_at: Option<Instant>,
     has_unsaved: bool,
 }
@@ -90,7 +90,7 @@
             directory: BackendList::default(),
             dependency: Dependency::new("directory of all back ends"),
             pool_sizes: PoolSizes::default(),
-            written_at: Instant::now(),
+            confirmed_at: None,
             saved_at: None,
             has_unsaved: true,
         }
@@ -100,41 +100,50 @@
         term_to_write(self.context) == Some(self.term)
     }
 
-    /// Lists the directory and writes its changes to the digest until this node's term ends.
+    /// Reads the directory and writes its changes to the digest until this node's term ends.
     async fn run(&mut self) -> Result<(), LogError> {
-        // From this record on, readers ignore what earlier lease holders still write, and this node has read all that
+        let term = self.term;
+        // From these records on, readers ignore what earlier lease holders still write, and this node has read all that
         // they wrote before.
-        self.write(DigestRecord::Kept { term: self.term }).await?;
-        let Some(mut next) = self.list().await else {
-            return Ok(());
-        };
-        info!(event = "directory_listed", count = self.directory.len(), term = self.term; "");
+        self.write(&[DigestRecord::Began { term }, DigestRecord::Kept { term }])
+            .await?;
+        let mut next = None;
         while self.is_current_writer() {
-            self.write_changes().await?;
-            self.save().await;
-            let directory = self.context.directory.as_ref();
-            let kind = DirectoryKind::Backends;
-            let read = directory.changes(kind, next, DIRECTORY_WAIT, READ_BYTES);
-            match read.await {
-                Ok(page) => {
-                    self.dependency.record_success();
-                    next = page.next;
-                    self.apply_page(page.entries);
-                }
-                Err(LogError::HistoryDropped { .. }) => match self.list().await {
-                    Some(end) => next = end,
-                    None => return Ok(()),
-                },
-                Err(error) => {
-                    self.dependency
-                        .pause_after(error, self.context.read_interval())
-                        .await
-                }
+            // Only a directory that was read is published: readers take the digest for up to date after each record.
+            if let Some(read_to) = self.read_directory(next).await {
+                next = Some(read_to);
+                self.publish(read_to).await?;
+                self.save().await;
             }
         }
         Ok(())
     }
 
+    /// Lists the directory, or reads its changes from `from` on. Returns the offset up to which it is read now, or `None` if
+    /// the read failed or this node's term has ended.
+    async fn read_directory(&mut self, from: Option<u64>) -> Option<u64> {
+        let Some(from) = from else {
+            return self.list().await;
+        };
+        let directory = self.context.directory.as_ref();
+        let kind = DirectoryKind::Backends;
+        let read = directory.changes(kind, from, DIRECTORY_WAIT, READ_BYTES);
+        match read.await {
+            Ok(page) => {
+                self.dependency.record_success();
+                apply_entries(&mut self.directory, page.entries);
+                Some(page.next)
+            }
+            Err(LogError::HistoryDropped { .. }) => self.list().await,
+            Err(error) => {
+                self.dependency
+                    .pause_after(error, self.context.read_interval())
+                    .await;
+                None
+            }
+        }
+    }
+
     /// Lists the whole directory. Returns the offset from which its changes are to be read, or `None` once this node's term
     /// has ended.
     async fn list(&mut self) -> Option<u64> {
@@ -151,6 +160,8 @@
                     after = page.more;
                     if after.is_none() {
                         self.directory = directory;
+                        info!(event = "directory_listed", count = self.directory.len(), term = self.term,
+                            end = end; "");
                         return Some(end);
                     }
                 }
@@ -164,34 +175,51 @@
         None
     }
 
-    fn apply_page(&mut self, entries: Vec<DirectoryEntry>) {
-        apply_entries(&mut self.directory, entries);
-    }
-
-    async fn write_changes(&mut self) -> Result<(), LogError> {
-        let changes = {
+    /// Writes what has changed in the digest, now that the directory is read up to an offset, or confirms the digest when
+    /// that is due.
+    async fn publish(&mut self, directory_offset: u64) -> Result<(), LogError> {
+        let (changes, published_offset) = {
             let view = self.context.digest.lock();
             self.pool_sizes
                 .update(self.context, &view.state.wanted().clone());
-            compute_changes(&view.state, &self.directory, |pool| {
+            let changes = compute_changes(&view.state, &self.directory, |pool| {
                 self.pool_sizes.of(pool)
-            })
+            });
+            (changes, view.state.directory_offset())
+        };
+        // A listing may be older than what the former writer has published.
+        if published_offset.is_some_and(|published| directory_offset < published) {
+            return Ok(());
+        }
+        let term = self.term;
+        let confirmed = DigestRecord::Confirmed {
+            term,
+            directory_offset,
         };
         if !changes.is_empty() {
             self.has_unsaved = true;
-            let term = self.term;
-            return self.write(DigestRecord::Changed { term, changes }).await;
-        }
-        if self.written_at.elapsed() >= HEARTBEAT_INTERVAL {
-            return self.write(DigestRecord::Kept { term: self.term }).await;
+            self.confirm(&[DigestRecord::Changed { term, changes }, confirmed])
+                .await?;
+        } else if self.is_confirmation_due() {
+            self.confirm(&[confirmed, DigestRecord::Kept { term }])
+                .await?;
         }
         Ok(())
     }
 
-    /// Appends a record and reads the digest to its end.
-    async fn write(&mut self, record: DigestRecord) -> Result<(), LogError> {
-        self.written_at = Instant::now();
-        append(self.context, BACKEND_DIGEST, &record).await?;
+    fn is_confirmation_due(&self) -> bool {
+        self.confirmed_at
+            .is_none_or(|at| at.elapsed() >= CONFIRMATION_INTERVAL)
+    }
+
+    async fn confirm(&mut self, records: &[DigestRecord]) -> Result<(), LogError> {
+        self.confirmed_at = Some(Instant::now());
+        self.write(records).await
+    }
+
+    /// Appends records and reads the digest to its end.
+    async fn write(&mut self, records: &[DigestRecord]) -> Result<(), LogError> {
+        append_all(self.context, BACKEND_DIGEST, records).await?;
         let (log, clock) = (self.context.log.as_ref(), self.context.clock);
         self.context
             .digest
@@ -319,8 +347,8 @@
     }
 }
 
-/// Milliseconds since a record of the digest's writer was last read; `None` if none was read yet.
-pub(crate) fn last_write_age_ms(context: &Context) -> Option<Millis> {
-    let last_record_at = context.digest.lock().state.last_holder_record_at()?;
-    Some(context.now().saturating_sub(last_record_at))
+/// Milliseconds since the digest's writer last confirmed it; `None` if it has not been confirmed yet.
+pub(crate) fn confirmation_age_ms(context: &Context) -> Option<Millis> {
+    let confirmed_at = context.digest.lock().state.confirmed_at()?;
+    Some(context.now().saturating_sub(confirmed_at))
 }
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -336,11 +336,7 @@
 }
 
 /// Logs that a back end drains or was removed, and by which source this node learned of it.
-pub(crate) fn log_backend_leaving(
-    context: &Context,
-    change: &BackendChange,
-    source: &'static str,
-) {
+pub(crate) fn log_backend_leaving(context: &Context, change: &BackendChange, source: &'static str) {
     let state = match &change.record {
         None => "removed",
         Some(record) if record.draining => "draining",
--- a/crates/gateway/src/log_writes.rs
+++ b/crates/gateway/src/log_writes.rs
@@ -17,8 +17,20 @@
     partition: StreamPartition,
     value: &T,
 ) -> Result<Appended, LogError> {
-    let records = framing::split(&value.encode(), context.settings.log.record_bytes);
-    context.log.append(partition, records).await
+    append_all(context, partition, std::slice::from_ref(value)).await
+}
+
+/// Appends values in one call: all of them or none.
+pub async fn append_all<T: Stored>(
+    context: &Context,
+    partition: StreamPartition,
+    values: &[T],
+) -> Result<Appended, LogError> {
+    let record_bytes = context.settings.log.record_bytes;
+    let records = values
+        .iter()
+        .flat_map(|value| framing::split(&value.encode(), record_bytes));
+    context.log.append(partition, records.collect()).await
 }
 
 /// Appends a record to the control stream.
--- a/crates/gateway/tests/backend_digest.rs
+++ b/crates/gateway/tests/backend_digest.rs
@@ -142,3 +142,45 @@
     // The node reads the change from the directory, after it has waited for a digest in vain.
     wait_until_ready_count(&node, 3).await;
 }
+
+/// Three nodes that follow a digest.
+async fn start_fleet(deployment: &Deployment) -> Vec<TestNode> {
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c"] {
+        nodes.push(start(deployment, name, LogFaults::default()).await);
+    }
+    for node in &nodes {
+        wait_until_ready_count(node, 4).await;
+        wait_until("it finds the directory too large", || {
+            node.context().directory_is_large()
+        })
+        .await;
+    }
+    wait_until("a digest is written", || {
+        nodes.iter().any(writes_digest) && deployment.log.has_checkpoint("backends")
+    })
+    .await;
+    nodes
+}
+
+/// Longer than all nodes read the last record that the writer of the digest wrote before a fault.
+const FAULT_LEAD: Duration = Duration::from_millis(1_200);
+
+/// The writer goes on with its heartbeats, since only its reads of the directory fail.
+#[tokio::test]
+async fn a_drain_is_known_though_the_digest_writer_cannot_read_the_directory() {
+    let deployment = Deployment::start(1, 4).await;
+    let nodes = start_fleet(&deployment).await;
+    let writer = nodes.iter().position(writes_digest).unwrap();
+    nodes[writer].set_faults(LogFaults {
+        refuses_backends: true,
+        ..LogFaults::default()
+    });
+    tokio::time::sleep(FAULT_LEAD).await;
+    let draining = listed(&deployment.applications[0], APPLICATIONS, true);
+    deployment.log.write_backends(draining);
+    let others = nodes.iter().enumerate().filter(|(at, _)| *at != writer);
+    for (_, node) in others {
+        wait_until_ready_count(node, 3).await;
+    }
+}
--- a/crates/rollout/src/backend_digest.rs
+++ b/crates/rollout/src/backend_digest.rs
@@ -87,7 +87,8 @@
 /// A record of the log stream that holds the digest.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DigestRecord {
-    /// Heartbeat of the lease holder: it keeps the digest up to date, and nothing has changed since its last record.
+    /// Heartbeat of the lease holder. A holder that writes [`Began`](Self::Began) confirms the digest by
+    /// [`Confirmed`](Self::Confirmed); one that doesn't confirms it by this record and by `Changed`.
     Kept {
         /// Fencing token of the holder's lease; records with a lower term are ignored from here on.
         term: Term,
@@ -104,6 +105,19 @@
         /// Pool that needs more back ends in the digest.
         pool: PoolName,
     },
+    /// First record of a lease holder that confirms the digest by [`Confirmed`](Self::Confirmed). It has not read the
+    /// directory yet.
+    Began {
+        /// Fencing token of the holder's lease; records with a lower term are ignored from here on.
+        term: Term,
+    },
+    /// The lease holder has just read the directory up to an offset, and the digest includes all changes before it.
+    Confirmed {
+        /// Fencing token of the holder's lease.
+        term: Term,
+        /// Offset of the first change of the directory that the digest may lack.
+        directory_offset: u64,
+    },
 }
 
 impl Stored for DigestRecord {
@@ -134,8 +148,12 @@
     changes: Vec<DigestChange>,
     /// Number of [`DigestRecord::MoreWanted`] records for each pool.
     wanted: BTreeMap<PoolName, u64>,
-    /// When a record of the lease holder was last read.
-    last_holder_record_at: Option<Millis>,
+    /// Whether the holder of the current term confirms the digest by [`DigestRecord::Confirmed`].
+    holder_confirms: bool,
+    /// Offset of the first change of the directory that the entries may lack, if it is known.
+    directory_offset: Option<u64>,
+    /// When a record was last read by which the lease holder confirms the digest.
+    confirmed_at: Option<Millis>,
 }
 
 impl DigestState {
@@ -170,22 +188,47 @@
     /// a former lease holder.
     pub fn apply(&mut self, record: DigestRecord, now: Millis) {
         match record {
-            DigestRecord::Kept { term } => self.observe_term(term, now),
+            DigestRecord::Kept { term } => self.apply_heartbeat(term, now),
             DigestRecord::Changed { term, changes } if term >= self.term => {
-                self.observe_term(term, now);
+                self.apply_heartbeat(term, now);
                 for change in changes {
                     self.apply_change(change);
                 }
             }
-            DigestRecord::Changed { .. } => {}
+            DigestRecord::Began { term } if term >= self.term => self.begin_term(term),
+            DigestRecord::Confirmed {
+                term,
+                directory_offset,
+            } if term >= self.term => {
+                self.begin_term(term);
+                self.directory_offset = Some(directory_offset);
+                self.confirmed_at = Some(now);
+            }
+            DigestRecord::Changed { .. }
+            | DigestRecord::Began { .. }
+            | DigestRecord::Confirmed { .. } => {}
             DigestRecord::MoreWanted { pool } => *self.wanted.entry(pool).or_default() += 1,
         }
     }
 
-    fn observe_term(&mut self, term: Term, now: Millis) {
-        if term >= self.term {
+    /// Applies a term of a holder that confirms the digest by [`DigestRecord::Confirmed`].
+    fn begin_term(&mut self, term: Term) {
+        self.term = term;
+        self.holder_confirms = true;
+    }
+
+    /// Applies a heartbeat. If a new term begins with it, its holder doesn't write how far it has read the directory.
+    fn apply_heartbeat(&mut self, term: Term, now: Millis) {
+        if term < self.term {
+            return;
+        }
+        if term > self.term {
             self.term = term;
-            self.last_holder_record_at = Some(now);
+            self.holder_confirms = false;
+            self.directory_offset = None;
+        }
+        if !self.holder_confirms {
+            self.confirmed_at = Some(now);
         }
     }
 
@@ -201,9 +244,15 @@
         self.changes.push(change);
     }
 
-    /// When a record of the current lease holder was last read; `None` if none was read since the start or restore.
-    pub fn last_holder_record_at(&self) -> Option<Millis> {
-        self.last_holder_record_at
+    /// When a record was last read by which a lease holder confirms that the digest is up to date; `None` if none was
+    /// read since the start or restore.
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// Offset in the directory of the first change that the digest may lack; `None` if it is not known.
+    pub fn directory_offset(&self) -> Option<u64> {
+        self.directory_offset
     }
 
     /// For each pool, how many requests for more back ends were read ([`DigestRecord::MoreWanted`]).
--- a/crates/rollout/tests/backend_digest.rs
+++ b/crates/rollout/tests/backend_digest.rs
@@ -158,7 +158,7 @@
     digest.apply(late, 20);
     assert!(digest.take_changes().is_empty());
     assert_eq!(
-        digest.last_holder_record_at(),
+        digest.confirmed_at(),
         Some(10),
         "records of a former term are no heartbeats"
     );
@@ -177,8 +177,59 @@
     assert_eq!(restored.all(), digest.all());
     restored.apply(DigestRecord::Kept { term: 6 }, 5);
     assert_eq!(
-        restored.last_holder_record_at(),
+        restored.confirmed_at(),
         None,
         "the checkpoint holds the term"
     );
 }
+
+#[test]
+fn only_a_writer_that_has_read_the_directory_confirms_the_digest() {
+    let mut digest = DigestState::default();
+    digest.apply(DigestRecord::Began { term: 2 }, 100);
+    digest.apply(DigestRecord::Kept { term: 2 }, 100);
+    assert_eq!(digest.confirmed_at(), None);
+    let confirmed = DigestRecord::Confirmed {
+        term: 2,
+        directory_offset: 7,
+    };
+    digest.apply(confirmed, 200);
+    digest.apply(DigestRecord::Kept { term: 2 }, 900);
+    assert_eq!(digest.confirmed_at(), Some(200));
+    assert_eq!(digest.directory_offset(), Some(7));
+    digest.apply(DigestRecord::Began { term: 3 }, 1_000);
+    digest.apply(DigestRecord::Kept { term: 3 }, 1_000);
+    assert_eq!(digest.confirmed_at(), Some(200));
+    assert_eq!(
+        digest.directory_offset(),
+        Some(7),
+        "nothing has changed in the digest"
+    );
+}
+
+/// During a rolling upgrade the writer may be a node of a version that writes no offsets.
+#[test]
+fn the_heartbeats_of_a_writer_that_reports_no_offsets_confirm_the_digest() {
+    let mut digest = DigestState::default();
+    let confirmed = DigestRecord::Confirmed {
+        term: 2,
+        directory_offset: 7,
+    };
+    digest.apply(confirmed, 200);
+    digest.apply(DigestRecord::Kept { term: 3 }, 900);
+    assert_eq!(digest.confirmed_at(), Some(900));
+    assert_eq!(digest.directory_offset(), None);
+}
+
+#[test]
+fn confirmations_of_a_former_term_are_ignored() {
+    let mut digest = DigestState::default();
+    digest.apply(DigestRecord::Began { term: 3 }, 100);
+    let late = DigestRecord::Confirmed {
+        term: 2,
+        directory_offset: 9,
+    };
+    digest.apply(late, 200);
+    assert_eq!(digest.confirmed_at(), None);
+    assert_eq!(digest.directory_offset(), None);
+}
