Back ends: the list follows the newer of digest and directory, within the time in which a drain must be in force

Cause: digest and directory were not comparable, and nothing held the bound; the settings did not even name it. Change: bounds.drain_in_force_ms. The writer confirms the digest every fifth of it; a node whose digest was not confirmed for half of it reads the directory's changes from the offset up to which its list has come, some records in place of a listing, and returns to the digest only once that has come as far. The choice is a state machine without I/O (backend_source). Changes that are too many for all nodes to read are left to the digest, or to a listing as before. Why it works: both sources name offsets of one log, so the older one can't replace the newer; and a node no longer depends on how soon another one takes the lease.

--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use havenstage_clock::Instant;
-use havenstage_rollout::Millis;
 use havenstage_rollout::backend::{BackendChange, BackendList};
 use havenstage_rollout::backend_digest::{DigestRecord, compute_changes};
 use havenstage_rollout::ids::PoolName;
@@ -24,9 +23,9 @@
 pub(crate) const CHECKPOINT: &str = "backends";
 /// Pause between two checks whether this node is to write the digest.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without a change after which the digest is confirmed again: a fraction of the time after which readers consider
-/// it abandoned.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without a change after which the digest is confirmed again, as a share of `bounds.drain_in_force_ms`: less than
+/// half of the age up to which readers take it for up to date.
+const CONFIRMATION_SHARE: f64 = 0.2;
 /// Maximum wait for a change of the directory.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 /// Bytes of changes that one call asks for; it may be large, since only one node reads the whole directory.
@@ -208,8 +207,9 @@
     }
 
     fn is_confirmation_due(&self) -> bool {
-        self.confirmed_at
-            .is_none_or(|at| at.elapsed() >= CONFIRMATION_INTERVAL)
+        let drain_in_force = Duration::from_millis(self.context.settings.bounds.drain_in_force_ms);
+        let interval = drain_in_force.mul_f64(CONFIRMATION_SHARE);
+        self.confirmed_at.is_none_or(|at| at.elapsed() >= interval)
     }
 
     async fn confirm(&mut self, records: &[DigestRecord]) -> Result<(), LogError> {
@@ -346,9 +346,3 @@
         }
     }
 }
-
-/// Milliseconds since the digest's writer last confirmed it; `None` if it has not been confirmed yet.
-pub(crate) fn confirmation_age_ms(context: &Context) -> Option<Millis> {
-    let confirmed_at = context.digest.lock().state.confirmed_at()?;
-    Some(context.now().saturating_sub(confirmed_at))
-}
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -7,14 +7,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use havenstage_clock::Instant;
 use havenstage_rollout::backend::{BackendChange, BackendRecord};
 use havenstage_rollout::ids::{BackendName, PoolName, ZoneName};
 use log::{info, warn};
 
+use crate::backend_keeper::BackendKeeper;
 use crate::context::Context;
 use crate::dependency::Dependency;
-use crate::digest_reader::{self, DIRECTORY_FALLBACK_DURATION};
+use crate::digest_reader;
 use crate::edge::{DirectoryEntry, DirectoryKind, ListingPage, LogError};
 use crate::metrics;
 
@@ -39,23 +39,32 @@
     let mut follower = DirectoryFollower::new(context.clone(), DirectoryKind::Backends);
     if digest_reader::restore_from_checkpoint(&context).await {
         context.mark_directory_large();
-        digest_reader::follow(&context).await;
-        follower.follow_for_a_while().await;
     }
     while !context.directory_is_large() {
         follower.step().await;
     }
     info!(event = "directory_too_large", machines = context.fleet_size(); "");
-    loop {
-        digest_reader::follow(&context).await;
-        // No node maintains the digest, so this node lists the back ends that it needs.
-        follower.next = None;
-        follower.follow_for_a_while().await;
-    }
+    let list_offset = follower.next;
+    let keeper = BackendKeeper::new(context.clone(), follower, list_offset);
+    tokio::join!(
+        digest_reader::follow(&context),
+        digest_reader::request_more_backends(&context),
+        keeper.run(),
+    );
+}
+
+/// Outcome of a read of the directory's changes.
+pub(crate) enum ChangesRead {
+    /// The changes before `next` were applied, and `remaining` more can be read.
+    Applied { next: u64, remaining: u64 },
+    /// The directory no longer has the changes.
+    Dropped(LogError),
+    /// The read failed, and the pause before a retry has passed.
+    Failed,
 }
 
 /// Reads one directory and tracks how far it was read.
-struct DirectoryFollower {
+pub(crate) struct DirectoryFollower {
     context: Arc<Context>,
     kind: DirectoryKind,
     dependency: Dependency,
@@ -79,14 +88,6 @@
         }
     }
 
-    /// Follows the directory itself for as long as the digest is likely to be missing.
-    async fn follow_for_a_while(&mut self) {
-        let until = Instant::now() + DIRECTORY_FALLBACK_DURATION;
-        while Instant::now() < until {
-            self.step().await;
-        }
-    }
-
     /// Lists the directory, or reads its changes once.
     async fn step(&mut self) {
         let Some(from) = self.next else {
@@ -94,6 +95,33 @@
             self.is_just_listed = true;
             return;
         };
+        match self.read_changes(from).await {
+            ChangesRead::Applied { next, remaining } => {
+                self.next = Some(next);
+                self.is_just_listed = false;
+                self.check_directory_size(remaining);
+                self.check_known_size();
+                if remaining > 0 {
+                    self.prepare_catch_up();
+                    return;
+                }
+                tokio::time::sleep(directory_read_interval(&self.context)).await;
+            }
+            ChangesRead::Dropped(error) => {
+                self.next = None;
+                // A new listing did not help, so the next one waits.
+                if self.is_just_listed {
+                    self.dependency
+                        .pause_after(error, self.context.read_interval())
+                        .await;
+                }
+            }
+            ChangesRead::Failed => {}
+        }
+    }
+
+    /// Reads changes from an offset on, and applies them.
+    pub(crate) async fn read_changes(&mut self, from: u64) -> ChangesRead {
         let context = self.context.clone();
         let wait = context.settings.read_wait();
         let max_bytes = context.shared_read_bytes();
@@ -102,34 +130,24 @@
             Ok(page) => {
                 self.dependency.record_success();
                 context.record_contact();
-                self.next = Some(page.next);
-                self.is_just_listed = false;
                 for entry in page.entries {
                     apply_entry(&context, entry, None);
                 }
-                self.check_directory_size(page.remaining);
-                self.check_known_size();
                 context.control_changed.notify_one();
-                if page.remaining > 0 {
-                    self.prepare_catch_up();
-                    return;
+                if page.remaining == 0 {
+                    self.record_read();
                 }
-                self.record_read();
-                tokio::time::sleep(directory_read_interval(&context)).await;
-            }
-            Err(error @ LogError::HistoryDropped { .. }) => {
-                self.next = None;
-                // A new listing did not help, so the next one waits.
-                if self.is_just_listed {
-                    self.dependency
-                        .pause_after(error, self.context.read_interval())
-                        .await;
+                ChangesRead::Applied {
+                    next: page.next,
+                    remaining: page.remaining,
                 }
             }
+            Err(error @ LogError::HistoryDropped { .. }) => ChangesRead::Dropped(error),
             Err(error) => {
                 self.dependency
-                    .pause_after(error, self.context.read_interval())
-                    .await
+                    .pause_after(error, context.read_interval())
+                    .await;
+                ChangesRead::Failed
             }
         }
     }
@@ -154,7 +172,7 @@
     /// Reads a listing page by page until it is complete or, in a large directory, has enough back ends of each pool. A
     /// page that fails is requested again. Returns the offset from which changes must be read: the end that the first
     /// page gave, since the pages are not one snapshot.
-    async fn read_listing(&mut self) -> u64 {
+    pub(crate) async fn read_listing(&mut self) -> u64 {
         let mut listed = Listing::default();
         let mut first_end = None;
         self.last_listed = None;
@@ -214,7 +232,7 @@
 }
 
 /// Interval between two reads of a directory: zero in a small fleet, and bounded so that changes are seen in time.
-fn directory_read_interval(context: &Context) -> Duration {
+pub(crate) fn directory_read_interval(context: &Context) -> Duration {
     Duration::from_millis(context.pace().read_interval_ms).min(MAX_DIRECTORY_READ_INTERVAL)
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod accept_health;
 mod access;
+mod backend_keeper;
 pub mod backends;
 mod batch_answer;
 mod batch_ends;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -144,6 +144,9 @@
     /// Milliseconds after the end of a batch was acknowledged from which none of its items may reach a back end.
     #[serde(default = "default_end_in_force_ms")]
     pub end_in_force_ms: u64,
+    /// Milliseconds after a back end's entry says that it drains, or is removed, from which no request may reach it.
+    #[serde(default = "default_drain_in_force_ms")]
+    pub drain_in_force_ms: u64,
     /// Length of a window in which usage is counted, in seconds; without it nothing is metered.
     pub usage_window_s: Option<f64>,
     /// Seconds after a window's end within which its usage must be reported.
@@ -154,6 +157,11 @@
     3_000
 }
 
+// The shortest time for which a back end that drains is known to keep serving.
+fn default_drain_in_force_ms() -> u64 {
+    2_000
+}
+
 /// Timing and limits that the operator may tune.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default)]
@@ -258,6 +266,7 @@
             ("log.reads_per_s", u64::from(self.log.reads_per_s)),
             ("memory_mb", u64::from(self.memory_mb)),
             ("bounds.end_in_force_ms", self.bounds.end_in_force_ms),
+            ("bounds.drain_in_force_ms", self.bounds.drain_in_force_ms),
             ("tuning.read_wait_ms", self.tuning.read_wait_ms),
             ("tuning.flush_ms", self.tuning.flush_ms),
             ("tuning.progress_ms", self.tuning.progress_ms),
--- a/crates/gateway/tests/backend_digest.rs
+++ b/crates/gateway/tests/backend_digest.rs
@@ -143,11 +143,13 @@
     wait_until_ready_count(&node, 3).await;
 }
 
-/// Three nodes that follow a digest.
+/// Three nodes that follow a digest, with the time after which a drain must be in force on a large fleet.
 async fn start_fleet(deployment: &Deployment) -> Vec<TestNode> {
     let mut nodes = Vec::new();
     for name in ["a", "b", "c"] {
-        nodes.push(start(deployment, name, LogFaults::default()).await);
+        let mut settings = low_bandwidth_settings(name);
+        settings.bounds.drain_in_force_ms = DRAIN_IN_FORCE.as_millis() as u64;
+        nodes.push(TestNode::start_with_settings(NodeLog::new(&deployment.log), settings).await);
     }
     for node in &nodes {
         wait_until_ready_count(node, 4).await;
@@ -163,9 +165,25 @@
     nodes
 }
 
+const DRAIN_IN_FORCE: Duration = Duration::from_secs(5);
 /// Longer than all nodes read the last record that the writer of the digest wrote before a fault.
 const FAULT_LEAD: Duration = Duration::from_millis(1_200);
 
+async fn drain(deployment: &Deployment, at: usize) -> Instant {
+    let draining = listed(&deployment.applications[at], APPLICATIONS, true);
+    deployment.log.write_backends(draining);
+    Instant::now()
+}
+
+/// Checks that the nodes know this many ready applications before a drain must be in force.
+async fn check_known_in_time(nodes: &[&TestNode], count: usize, drained: Instant) {
+    for node in nodes {
+        wait_until_ready_count(node, count).await;
+    }
+    let took = drained.elapsed();
+    assert!(took < DRAIN_IN_FORCE, "known everywhere after {took:?}");
+}
+
 /// The writer goes on with its heartbeats, since only its reads of the directory fail.
 #[tokio::test]
 async fn a_drain_is_known_though_the_digest_writer_cannot_read_the_directory() {
@@ -177,10 +195,36 @@
         ..LogFaults::default()
     });
     tokio::time::sleep(FAULT_LEAD).await;
-    let draining = listed(&deployment.applications[0], APPLICATIONS, true);
-    deployment.log.write_backends(draining);
+    let drained = drain(&deployment, 0).await;
     let others = nodes.iter().enumerate().filter(|(at, _)| *at != writer);
-    for (_, node) in others {
-        wait_until_ready_count(node, 3).await;
+    let others: Vec<&TestNode> = others.map(|(_, node)| node).collect();
+    check_known_in_time(&others, 3, drained).await;
+}
+
+/// A node that read the drain from the directory must not return to the older digest.
+#[tokio::test]
+async fn a_known_drain_is_not_forgotten_while_nobody_can_write_the_digest() {
+    let deployment = Deployment::start(1, 4).await;
+    let nodes = start_fleet(&deployment).await;
+    for node in &nodes {
+        node.set_faults(LogFaults {
+            refuses_appends: true,
+            ..LogFaults::default()
+        });
+    }
+    let drained = drain(&deployment, 0).await;
+    let all: Vec<&TestNode> = nodes.iter().collect();
+    check_known_in_time(&all, 3, drained).await;
+    let watched_until = Instant::now() + 2 * DRAIN_IN_FORCE;
+    while Instant::now() < watched_until {
+        for (at, node) in nodes.iter().enumerate() {
+            assert_eq!(ready_count(node), 3, "node {at} forgot the drain");
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for node in &nodes {
+        node.set_faults(LogFaults::default());
     }
+    let drained = drain(&deployment, 1).await;
+    check_known_in_time(&all, 2, drained).await;
 }
--- a/crates/rollout/src/backend_digest.rs
+++ b/crates/rollout/src/backend_digest.rs
@@ -139,6 +139,15 @@
     const DESCRIPTION: &'static str = "a checkpoint of the digest of back ends";
 }
 
+/// What a list of back ends must apply to equal the digest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DigestUpdate {
+    /// All back ends of the digest; others are to be removed.
+    Whole(BTreeMap<BackendName, BackendRecord>),
+    /// Changes since the last update.
+    Changes(Vec<BackendChange>),
+}
+
 /// The state of the digest after the records that this node has read.
 #[derive(Debug, Default)]
 pub struct DigestState {
@@ -146,6 +155,8 @@
     entries: BTreeMap<BackendName, DigestEntry>,
     /// Changes since the last call of [`Self::take_changes`] or [`Self::all`].
     changes: Vec<DigestChange>,
+    /// Whether an update was taken to which `changes` can be applied.
+    has_update_base: bool,
     /// Number of [`DigestRecord::MoreWanted`] records for each pool.
     wanted: BTreeMap<PoolName, u64>,
     /// Whether the holder of the current term confirms the digest by [`DigestRecord::Confirmed`].
@@ -276,6 +287,21 @@
         changes.into_iter().map(BackendChange::from).collect()
     }
 
+    /// Takes what has changed since the last update, or the whole digest if no update was taken since the start, the
+    /// restore from a checkpoint or [`Self::discard_changes`].
+    pub fn take_update(&mut self) -> DigestUpdate {
+        match std::mem::replace(&mut self.has_update_base, true) {
+            true => DigestUpdate::Changes(self.take_changes()),
+            false => DigestUpdate::Whole(self.all()),
+        }
+    }
+
+    /// Discards the changes, as the list has followed another source meanwhile; the next update is the whole digest.
+    pub fn discard_changes(&mut self) {
+        self.changes.clear();
+        self.has_update_base = false;
+    }
+
     /// Number of entries in the digest.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod back_end_speed;
 pub mod backend;
 pub mod backend_digest;
+pub mod backend_source;
 pub mod batch;
 pub mod batch_index;
 pub mod batch_state;
--- a/crates/service/src/settings/gateway.rs
+++ b/crates/service/src/settings/gateway.rs
@@ -36,6 +36,8 @@
 const ORDER_THAW_MS: u64 = 100;
 /// Milliseconds after the end of a batch was acknowledged from which none of its items may reach an engine.
 const END_IN_FORCE_MS: u64 = 3_000;
+/// Milliseconds after an engine's entry says that it drains from which no request may reach it.
+const DRAIN_IN_FORCE_MS: u64 = 2_000;
 
 impl ServeSettings {
     /// Returns the settings of the gateway.
@@ -70,6 +72,7 @@
                 order_thaw_ms: ORDER_THAW_MS,
                 retention_s: self.store.retention_s,
                 end_in_force_ms: END_IN_FORCE_MS,
+                drain_in_force_ms: DRAIN_IN_FORCE_MS,
                 usage_window_s: None,
                 usage_due_s: None,
             },
