Digest of back ends: a node that missed dropped records does not take its copy for up to date

Callers: a node that was cut off while the log dropped records of the digest sent requests to a back end that drained meanwhile, for as long as that entry didn't change again. Cause: after a gap the node took up a checkpoint only if that was ahead of what the log retains; it never is while the digest doesn't change, as checkpoints were only written after changes. The node went on with the old entries and the new heartbeats. Change: a gap marks the digest as incomplete; it then replaces no list, and the node reads the directory's changes. It goes back to a checkpoint from which on all records are retained, and the writer saves one every 10 s. A writer that missed records itself doesn't know what others have, and replaces the whole digest (Replaced); without that, a_writer_that_missed_records_replaces_the_digest_for_all fails. Why it works: the list only ever follows a source that is known to be whole up to an offset.

--- a/crates/gateway/src/backend_keeper.rs
+++ b/crates/gateway/src/backend_keeper.rs
@@ -188,6 +188,7 @@
     DigestStatus {
         confirmed_at: digest.state.confirmed_at(),
         directory_offset: digest.state.directory_offset(),
+        is_complete: digest.state.is_complete(),
         readable_since,
     }
 }
--- a/crates/gateway/src/digest_reader.rs
+++ b/crates/gateway/src/digest_reader.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use havenstage_clock::Instant;
 use havenstage_rollout::backend_digest::{DigestCheckpoint, DigestRecord, DigestState};
 use havenstage_rollout::ids::PoolName;
 use havenstage_rollout::stored::Stored;
@@ -18,6 +19,9 @@
 
 /// Attempts to read the digest's checkpoint before the directory is read instead.
 const MAX_LOAD_ATTEMPTS: u32 = 8;
+/// Mean pause between two attempts to restore a checkpoint that includes dropped records: a fraction of the time in which
+/// the writer saves the next one.
+const RESTORE_PAUSE: Duration = Duration::from_secs(2);
 /// Requests for more back ends per second, if all nodes of the fleet need more.
 const FLEET_REQUESTS_PER_S: f64 = 16.0;
 /// Pause between two decisions whether this node requests more back ends.
@@ -55,14 +59,20 @@
     }
 }
 
-/// Reads the digest until the process ends.
+/// Reads the digest until the process ends. After records were dropped before they were read here, a checkpoint is restored
+/// that includes them.
 pub(crate) async fn follow(context: &Context) {
     let mut dependency = Dependency::new(context.digest.id.to_string());
+    let mut next_restore_at: Option<Instant> = None;
     loop {
         let interval_ms = context.pace().read_interval_ms;
         let outcome = read_once(context, &context.digest, &mut dependency, interval_ms).await;
-        if outcome == ReadOutcome::Dropped {
+        let is_incomplete = !context.digest.lock().state.is_complete();
+        let is_retry_due = next_restore_at.is_none_or(|at| Instant::now() >= at);
+        if outcome == ReadOutcome::Dropped || (is_incomplete && is_retry_due) {
             restore_from_checkpoint(context).await;
+            next_restore_at =
+                Some(Instant::now() + RESTORE_PAUSE.mul_f64(0.5 + rand::random::<f64>()));
         }
     }
 }
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -7,7 +7,7 @@
 
 use havenstage_clock::Instant;
 use havenstage_rollout::backend::{BackendChange, BackendList};
-use havenstage_rollout::backend_digest::{DigestRecord, compute_changes};
+use havenstage_rollout::backend_digest::{DigestRecord, DigestState, compute_changes};
 use havenstage_rollout::ids::PoolName;
 use havenstage_rollout::lease::Term;
 use havenstage_rollout::stored::Stored;
@@ -30,8 +30,11 @@
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 /// Bytes of changes that one call asks for; it may be large, since only one node reads the whole directory.
 const READ_BYTES: u32 = 256 * 1024;
-/// Pause between two checkpoints.
+/// Pause between two checkpoints while the digest changes.
 const CHECKPOINT_PAUSE: Duration = Duration::from_secs(5);
+/// Age of a checkpoint after which it is saved again though nothing has changed. A node that missed records which the log
+/// has dropped needs a checkpoint from which on all records are retained.
+const MAX_CHECKPOINT_AGE: Duration = Duration::from_secs(10);
 /// Initial number of back ends of each pool in the digest: enough for the calls of some hundred nodes.
 const INITIAL_POOL_SIZE: usize = 64;
 /// Slots in the digest for each item of the newest batches, since half of a pool may be loading weights.
@@ -177,14 +180,12 @@
     /// Writes what has changed in the digest, now that the directory is read up to an offset, or confirms the digest when
     /// that is due.
     async fn publish(&mut self, directory_offset: u64) -> Result<(), LogError> {
-        let (changes, published_offset) = {
+        let (update, published_offset) = {
             let view = self.context.digest.lock();
             self.pool_sizes
                 .update(self.context, &view.state.wanted().clone());
-            let changes = compute_changes(&view.state, &self.directory, |pool| {
-                self.pool_sizes.of(pool)
-            });
-            (changes, view.state.directory_offset())
+            let update = self.update_of(&view.state);
+            (update, view.state.directory_offset())
         };
         // A listing may be older than what the former writer has published.
         if published_offset.is_some_and(|published| directory_offset < published) {
@@ -195,10 +196,9 @@
             term,
             directory_offset,
         };
-        if !changes.is_empty() {
+        if let Some(update) = update {
             self.has_unsaved = true;
-            self.confirm(&[DigestRecord::Changed { term, changes }, confirmed])
-                .await?;
+            self.confirm(&[update, confirmed]).await?;
         } else if self.is_confirmation_due() {
             self.confirm(&[confirmed, DigestRecord::Kept { term }])
                 .await?;
@@ -206,6 +206,18 @@
         Ok(())
     }
 
+    /// The record that brings the digest up to date with the directory; `None` if it is. If this node has missed records, it
+    /// doesn't know all entries that others have, and replaces them.
+    fn update_of(&self, digest: &DigestState) -> Option<DigestRecord> {
+        let (term, wanted) = (self.term, |pool: &PoolName| self.pool_sizes.of(pool));
+        if !digest.is_complete() {
+            let entries = compute_changes(&DigestState::default(), &self.directory, wanted);
+            return Some(DigestRecord::Replaced { term, entries });
+        }
+        let changes = compute_changes(digest, &self.directory, wanted);
+        (!changes.is_empty()).then_some(DigestRecord::Changed { term, changes })
+    }
+
     fn is_confirmation_due(&self) -> bool {
         let drain_in_force = Duration::from_millis(self.context.settings.bounds.drain_in_force_ms);
         let interval = drain_in_force.mul_f64(CONFIRMATION_SHARE);
@@ -229,10 +241,11 @@
 
     /// Saves a checkpoint at regular intervals, so that a node that starts reads it and only a few seconds of records.
     async fn save(&mut self) {
-        let is_due = self
-            .saved_at
-            .is_none_or(|at| at.elapsed() >= CHECKPOINT_PAUSE);
-        if !is_due || !self.has_unsaved {
+        let pause = match self.has_unsaved {
+            true => CHECKPOINT_PAUSE,
+            false => MAX_CHECKPOINT_AGE,
+        };
+        if self.saved_at.is_some_and(|at| at.elapsed() < pause) {
             return;
         }
         self.saved_at = Some(Instant::now());
--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -29,6 +29,15 @@
     /// Called when the log has dropped records between the last one applied and the next one. By default the state is
     /// kept, for states that don't depend on every single record.
     fn handle_dropped_records(&mut self, _now: Millis) {}
+
+    /// Called when the log has dropped the first records of a partition of which nothing was read here. By default the
+    /// state counts as complete from the first record that the log retains.
+    fn handle_dropped_beginning(&mut self) {}
+
+    /// Whether the state may be acted on: no record is missing that it depends on.
+    fn is_complete(&self) -> bool {
+        true
+    }
 }
 
 impl StreamState for PartitionState {
@@ -54,6 +63,18 @@
         let record = DigestRecord::decode(bytes);
         record.map(|record| self.apply(record, now)).is_ok()
     }
+
+    fn handle_dropped_records(&mut self, _now: Millis) {
+        self.mark_incomplete();
+    }
+
+    fn handle_dropped_beginning(&mut self) {
+        self.mark_incomplete();
+    }
+
+    fn is_complete(&self) -> bool {
+        DigestState::is_complete(self)
+    }
 }
 
 impl StreamState for Occupancy {
@@ -98,6 +119,8 @@
     last_success: Millis,
     readable_since: Millis,
     is_caught_up: bool,
+    /// Offset of the first record that the log retained when it last reported dropped ones.
+    first_retained: u64,
     failed: FailedReads,
     /// Whether it was already logged that the partition's first records were dropped before anything was read.
     has_logged_lost_beginning: bool,
@@ -144,10 +167,11 @@
             return None;
         }
         let from = std::mem::replace(&mut self.next, first);
+        self.first_retained = first;
         self.joiner = Joiner::default();
-        // If nothing was read before, the state is complete from the first record that the log retains.
-        if from > 0 {
-            self.state.handle_dropped_records(now);
+        match from {
+            0 => self.state.handle_dropped_beginning(),
+            _ => self.state.handle_dropped_records(now),
         }
         self.should_log_skip(from).then_some(from)
     }
@@ -188,6 +212,7 @@
             last_success: 0,
             readable_since: 0,
             is_caught_up: false,
+            first_retained: 0,
             failed: FailedReads::default(),
             has_logged_lost_beginning: false,
             expected_read_interval_ms: 0,
@@ -299,11 +324,13 @@
         outcome
     }
 
-    /// Installs a state that holds all records before `next`; false if this view is at least as far.
+    /// Installs a state that holds all records before `next`; false if this view is at least as far. A view whose state is
+    /// incomplete goes back for it, if the log retains the records from `next` on.
     pub fn restore(&self, state: S, next: u64) -> bool {
         let mut inner = self.lock();
-        let is_ahead = next > inner.next;
-        if is_ahead {
+        let repairs = !inner.state.is_complete() && next >= inner.first_retained;
+        let is_taken = next > inner.next || repairs;
+        if is_taken {
             inner.state = state;
             inner.next = next;
             inner.joiner = Joiner::default();
@@ -311,7 +338,7 @@
         }
         drop(inner);
         self.wakes.notify_one();
-        is_ahead
+        is_taken
     }
 
     /// Records a failed read. The partition counts as not being read until the next success, because records may be
--- a/crates/gateway/tests/backend_digest.rs
+++ b/crates/gateway/tests/backend_digest.rs
@@ -5,7 +5,12 @@
 
 use std::time::{Duration, Instant};
 
+use havenstage_gateway::context::BACKEND_DIGEST;
+use havenstage_gateway::edge::SharedLog;
 use havenstage_gateway::settings::Settings;
+use havenstage_rollout::backend_digest::DigestRecord;
+use havenstage_rollout::framing;
+use havenstage_rollout::stored::Stored;
 use support::caller::call;
 use support::deployment::{APPLICATIONS, Deployment, TestNode, listed, settings, wait_until};
 use support::log::{LogFaults, NodeLog};
@@ -228,3 +233,69 @@
     let drained = drain(&deployment, 1).await;
     check_known_in_time(&all, 2, drained).await;
 }
+
+/// The log drops the record of a drain before a node reads it. A later record must not make the node's copy of the digest,
+/// which lacks the drain, count as up to date.
+#[tokio::test]
+async fn a_drain_in_dropped_records_of_the_digest_is_not_forgotten() {
+    let deployment = Deployment::start(1, 4).await;
+    let nodes = start_fleet(&deployment).await;
+    let cut_off = nodes.iter().position(|node| !writes_digest(node)).unwrap();
+    nodes[cut_off].set_faults(LogFaults {
+        is_cut: true,
+        ..LogFaults::default()
+    });
+    tokio::time::sleep(FAULT_LEAD).await;
+    let drained = drain(&deployment, 0).await;
+    let others = nodes.iter().enumerate().filter(|(at, _)| *at != cut_off);
+    let others: Vec<&TestNode> = others.map(|(_, node)| node).collect();
+    check_known_in_time(&others, 3, drained).await;
+    deployment.log.drop_history(BACKEND_DIGEST);
+    nodes[cut_off].set_faults(LogFaults::default());
+    check_known_in_time(&[&nodes[cut_off]], 3, Instant::now()).await;
+    let watched_until = Instant::now() + 2 * DRAIN_IN_FORCE;
+    while Instant::now() < watched_until {
+        assert_eq!(ready_count(&nodes[cut_off]), 3, "it forgot the drain");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    wait_until("it has a complete digest again", || {
+        nodes[cut_off].context().digest.lock().state.is_complete()
+    })
+    .await;
+}
+
+/// The former writer's last checkpoint is older than the records that the log retains, so no node knows the whole digest.
+#[tokio::test]
+async fn a_writer_that_missed_records_replaces_the_digest_for_all() {
+    let deployment = Deployment::start(1, 4).await;
+    let mut nodes = start_fleet(&deployment).await;
+    let writer = nodes.iter().position(writes_digest).unwrap();
+    nodes.remove(writer).kill();
+    for node in &nodes {
+        node.set_faults(LogFaults {
+            is_cut: true,
+            ..LogFaults::default()
+        });
+    }
+    tokio::time::sleep(FAULT_LEAD).await;
+    let change = DigestRecord::Kept { term: 1 };
+    let (log, record) = (NodeLog::new(&deployment.log), change.encode());
+    let records = framing::split(&record, low_bandwidth_settings("d").log.record_bytes);
+    log.append(BACKEND_DIGEST, records).await.unwrap();
+    deployment.log.drop_history(BACKEND_DIGEST);
+    let drained = drain(&deployment, 0).await;
+    for node in &nodes {
+        node.set_faults(LogFaults::default());
+    }
+    let all: Vec<&TestNode> = nodes.iter().collect();
+    check_known_in_time(&all, 3, drained).await;
+    for node in &nodes {
+        wait_until("it follows a complete digest", || {
+            let digest = node.context().digest.lock();
+            digest.state.is_complete() && !digest.state.is_empty()
+        })
+        .await;
+    }
+    let drained = drain(&deployment, 1).await;
+    check_known_in_time(&all, 2, drained).await;
+}
--- a/crates/rollout/src/backend_digest.rs
+++ b/crates/rollout/src/backend_digest.rs
@@ -118,6 +118,14 @@
         /// Offset of the first change of the directory that the digest may lack.
         directory_offset: u64,
     },
+    /// The whole digest, written by a lease holder that has missed records of it and so doesn't know all entries that
+    /// other nodes have.
+    Replaced {
+        /// Fencing token of the holder's lease.
+        term: Term,
+        /// All entries, as additions to an empty digest.
+        entries: Vec<DigestChange>,
+    },
 }
 
 impl Stored for DigestRecord {
@@ -159,6 +167,8 @@
     has_update_base: bool,
     /// Number of [`DigestRecord::MoreWanted`] records for each pool.
     wanted: BTreeMap<PoolName, u64>,
+    /// Whether records were dropped from the log before they were read here, so that entries may be missing or outdated.
+    is_incomplete: bool,
     /// Whether the holder of the current term confirms the digest by [`DigestRecord::Confirmed`].
     holder_confirms: bool,
     /// Offset of the first change of the directory that the entries may lack, if it is known.
@@ -215,9 +225,14 @@
                 self.directory_offset = Some(directory_offset);
                 self.confirmed_at = Some(now);
             }
+            DigestRecord::Replaced { term, entries } if term >= self.term => {
+                self.begin_term(term);
+                self.replace_entries(entries);
+            }
             DigestRecord::Changed { .. }
             | DigestRecord::Began { .. }
-            | DigestRecord::Confirmed { .. } => {}
+            | DigestRecord::Confirmed { .. }
+            | DigestRecord::Replaced { .. } => {}
             DigestRecord::MoreWanted { pool } => *self.wanted.entry(pool).or_default() += 1,
         }
     }
@@ -243,6 +258,25 @@
         }
     }
 
+    fn replace_entries(&mut self, entries: Vec<DigestChange>) {
+        self.entries.clear();
+        for change in entries {
+            self.apply_change(change);
+        }
+        self.discard_changes();
+        self.is_incomplete = false;
+    }
+
+    /// Records that records were dropped from the log before they were read.
+    pub fn mark_incomplete(&mut self) {
+        self.is_incomplete = true;
+    }
+
+    /// Whether the digest includes all records up to the last one that was read.
+    pub fn is_complete(&self) -> bool {
+        !self.is_incomplete
+    }
+
     fn apply_change(&mut self, change: DigestChange) {
         match &change.entry {
             Some(entry) => {
--- a/crates/rollout/src/backend_source.rs
+++ b/crates/rollout/src/backend_source.rs
@@ -14,6 +14,8 @@
     pub confirmed_at: Option<Millis>,
     /// Offset of the first change of the directory that the digest may lack; `None` if the writer doesn't report it.
     pub directory_offset: Option<u64>,
+    /// Whether no records of it are missing.
+    pub is_complete: bool,
     /// Since when the digest has been readable without a gap; `None` if it is not readable now.
     pub readable_since: Option<Millis>,
 }
@@ -70,8 +72,11 @@
         }
     }
 
-    /// Whether the digest may replace the list: it has come at least as far.
+    /// Whether the digest may replace the list: it is complete and has come at least as far.
     pub fn may_apply(&self, digest: &DigestStatus, now: Millis) -> bool {
+        if !digest.is_complete {
+            return false;
+        }
         match (self.list_offset, digest.directory_offset) {
             (None, _) => true,
             (Some(list), Some(digest)) => digest >= list,
--- a/crates/rollout/tests/backend_digest.rs
+++ b/crates/rollout/tests/backend_digest.rs
@@ -2,7 +2,7 @@
 
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
 use havenstage_rollout::backend_digest::{
-    DigestCheckpoint, DigestRecord, DigestState, compute_changes,
+    DigestCheckpoint, DigestRecord, DigestState, DigestUpdate, compute_changes,
 };
 use havenstage_rollout::ids::{BackendName, ModelName, PoolName};
 use havenstage_rollout::lease::Term;
@@ -233,3 +233,26 @@
     assert_eq!(digest.confirmed_at(), None);
     assert_eq!(digest.directory_offset(), None);
 }
+
+#[test]
+fn a_replaced_digest_completes_a_digest_that_lacks_records() {
+    let mut digest = DigestState::default();
+    update(&mut digest, &directory(), 1);
+    digest.take_update();
+    digest.mark_incomplete();
+    let mut directory = directory();
+    let removed = digest.all().keys().next().unwrap().clone();
+    directory.apply(BackendChange {
+        name: removed.clone(),
+        record: None,
+    });
+    let entries = compute_changes(&DigestState::default(), &directory, |_| WANTED);
+    let replaced = DigestRecord::Replaced { term: 2, entries };
+    digest.apply(DigestRecord::decode(&replaced.encode()).unwrap(), 0);
+    assert!(digest.is_complete());
+    let DigestUpdate::Whole(backends) = digest.take_update() else {
+        panic!("the list is replaced as a whole");
+    };
+    assert!(!backends.contains_key(&removed));
+    assert_eq!(backends.len(), 2 * WANTED);
+}
--- a/crates/rollout/tests/backend_source.rs
+++ b/crates/rollout/tests/backend_source.rs
@@ -13,6 +13,7 @@
     DigestStatus {
         confirmed_at: Some(at),
         directory_offset: Some(directory_offset),
+        is_complete: true,
         readable_since: Some(1),
     }
 }
@@ -59,6 +60,7 @@
 fn a_digest_without_an_offset_replaces_no_list_that_has_one() {
     let (source, _) = following();
     let restored = DigestStatus {
+        is_complete: true,
         readable_since: Some(1),
         ..DigestStatus::default()
     };
@@ -71,6 +73,7 @@
 fn a_node_without_an_offset_lists_the_directory_after_its_own_delay() {
     let mut source = BackendSource::new(LIMITS, None, 1_000);
     let missing = DigestStatus {
+        is_complete: true,
         readable_since: Some(1),
         ..DigestStatus::default()
     };
@@ -114,3 +117,14 @@
     let step = source.next_step(&equal, 4_501);
     assert_eq!(step, Step::ReadChanges { from: 30 });
 }
+
+/// The log dropped records of the digest before the node read them; the next confirmation has a higher offset.
+#[test]
+fn an_incomplete_digest_replaces_no_list() {
+    let (source, _) = following();
+    let mut incomplete = confirmed(2_000, 20);
+    incomplete.is_complete = false;
+    assert!(!source.may_apply(&incomplete, 2_000));
+    let step = source.next_step(&incomplete, 2_000);
+    assert_eq!(step, Step::ReadChanges { from: 10 });
+}
