--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -251,8 +251,8 @@
         self.saved_at = Some(Instant::now());
         let checkpoint = {
             let view = self.context.digest.lock();
-            view.is_between_values()
-                .then(|| view.state.checkpoint(view.next))
+            let can_save = view.is_between_values() && view.state.is_complete();
+            can_save.then(|| view.state.checkpoint(view.next))
         };
         let Some(checkpoint) = checkpoint else {
             return;
