Digest of back ends: a short failure of the log does not make its writer list the directory again

Change: the writer reads on while it holds its term, publishes only while the lease is valid, and tries again after a failed append. Why it works: what is published is computed from the digest as it stands in the log, so that a retry writes what is missing.

--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -77,7 +77,8 @@
     context: &'a Context,
     term: Term,
     directory: BackendList,
-    dependency: Dependency,
+    directory_reads: Dependency,
+    digest_writes: Dependency,
     pool_sizes: PoolSizes,
     confirmed_at: Option<Instant>,
     saved_at: Option<Instant>,
@@ -90,7 +91,8 @@
             context,
             term,
             directory: BackendList::default(),
-            dependency: Dependency::new("directory of all back ends"),
+            directory_reads: Dependency::new("directory of all back ends"),
+            digest_writes: Dependency::new("writes of the digest of back ends"),
             pool_sizes: PoolSizes::default(),
             confirmed_at: None,
             saved_at: None,
@@ -98,8 +100,10 @@
         }
     }
 
-    fn is_current_writer(&self) -> bool {
-        term_to_write(self.context) == Some(self.term)
+    /// Whether this node still holds the lease under this term, even if it is not valid at the moment.
+    fn holds_term(&self) -> bool {
+        let grant = self.context.lease_grant();
+        grant.is_some_and(|grant| grant.term == self.term) && is_needed(self.context)
     }
 
     /// Reads the directory and writes its changes to the digest until this node's term ends.
@@ -110,17 +114,35 @@
         self.write(&[DigestRecord::Began { term }, DigestRecord::Kept { term }])
             .await?;
         let mut next = None;
-        while self.is_current_writer() {
+        while self.holds_term() {
             // Only a directory that was read is published: readers take the digest for up to date after each record.
             if let Some(read_to) = self.read_directory(next).await {
                 next = Some(read_to);
-                self.publish(read_to).await?;
-                self.save().await;
+                self.publish_if_valid(read_to).await;
             }
         }
         Ok(())
     }
 
+    /// Publishes what was read, unless the lease is not valid at the moment. The directory is kept, as listing it again
+    /// would take longer than most failures last.
+    async fn publish_if_valid(&mut self, directory_offset: u64) {
+        if term_to_write(self.context) != Some(self.term) {
+            return;
+        }
+        match self.publish(directory_offset).await {
+            Ok(()) => {
+                self.digest_writes.record_success();
+                self.save().await;
+            }
+            Err(error) => {
+                self.digest_writes
+                    .pause_after(error, self.context.read_interval())
+                    .await;
+            }
+        }
+    }
+
     /// Lists the directory, or reads its changes from `from` on. Returns the offset up to which it is read now, or `None` if
     /// the read failed or this node's term has ended.
     async fn read_directory(&mut self, from: Option<u64>) -> Option<u64> {
@@ -132,13 +154,13 @@
         let read = directory.changes(kind, from, DIRECTORY_WAIT, READ_BYTES);
         match read.await {
             Ok(page) => {
-                self.dependency.record_success();
+                self.directory_reads.record_success();
                 apply_entries(&mut self.directory, page.entries);
                 Some(page.next)
             }
             Err(LogError::HistoryDropped { .. }) => self.list().await,
             Err(error) => {
-                self.dependency
+                self.directory_reads
                     .pause_after(error, self.context.read_interval())
                     .await;
                 None
@@ -152,11 +174,11 @@
         let mut directory = BackendList::default();
         let mut first_end = None;
         let mut after: Option<String> = None;
-        while self.is_current_writer() {
+        while self.holds_term() {
             let kind = DirectoryKind::Backends;
             match self.context.directory.list(kind, after.as_deref()).await {
                 Ok(page) => {
-                    self.dependency.record_success();
+                    self.directory_reads.record_success();
                     let end = *first_end.get_or_insert(page.end);
                     apply_entries(&mut directory, page.entries);
                     after = page.more;
@@ -168,7 +190,7 @@
                     }
                 }
                 Err(error) => {
-                    self.dependency
+                    self.directory_reads
                         .pause_after(error, self.context.read_interval())
                         .await
                 }
--- a/crates/gateway/tests/backend_digest.rs
+++ b/crates/gateway/tests/backend_digest.rs
@@ -299,3 +299,24 @@
     let drained = drain(&deployment, 1).await;
     check_known_in_time(&all, 2, drained).await;
 }
+
+/// The answers to the writer's appends are lost for a moment, shorter than the time after which another node claims the
+/// lease. Listing the directory again would take longer than the failure.
+#[tokio::test]
+async fn a_writer_that_loses_answers_for_a_moment_does_not_list_the_directory_again() {
+    let deployment = Deployment::start(1, 4).await;
+    let nodes = start_fleet(&deployment).await;
+    let writer = &nodes[nodes.iter().position(writes_digest).unwrap()];
+    let listings = writer.log.backend_listings();
+    writer.set_faults(LogFaults {
+        loses_answers: true,
+        ..LogFaults::default()
+    });
+    drain(&deployment, 0).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    writer.set_faults(LogFaults::default());
+    let drained = drain(&deployment, 1).await;
+    let all: Vec<&TestNode> = nodes.iter().collect();
+    check_known_in_time(&all, 2, drained).await;
+    assert_eq!(writer.log.backend_listings(), listings);
+}
--- a/crates/gateway/tests/support/log.rs
+++ b/crates/gateway/tests/support/log.rs
@@ -77,6 +77,7 @@
     shared: Arc<MemoryLog>,
     faults: Mutex<LogFaults>,
     listings: AtomicU64,
+    backend_listings: AtomicU64,
     reads: AtomicU64,
     admission_checks: AtomicU64,
     reads_of_changes: AtomicU64,
@@ -201,6 +202,7 @@
             shared: shared.clone(),
             faults: Mutex::new(faults),
             listings: AtomicU64::new(0),
+            backend_listings: AtomicU64::new(0),
             reads: AtomicU64::new(0),
             admission_checks: AtomicU64::new(0),
             reads_of_changes: AtomicU64::new(0),
@@ -216,6 +218,11 @@
                 .is_multiple_of(2)
     }
 
+    /// Number of calls by which the node has listed pages of the back ends.
+    pub fn backend_listings(&self) -> u64 {
+        self.backend_listings.load(Ordering::Relaxed)
+    }
+
     /// Number of calls by which the node has read partitions.
     pub fn reads(&self) -> u64 {
         self.reads.load(Ordering::Relaxed)
@@ -366,6 +373,9 @@
         kind: DirectoryKind,
         after: Option<&str>,
     ) -> Result<ListingPage, LogError> {
+        if kind == DirectoryKind::Backends {
+            self.backend_listings.fetch_add(1, Ordering::Relaxed);
+        }
         self.check_reachable().await?;
         let is_refused = kind == DirectoryKind::Backends && self.faults().refuses_backends;
         if is_refused || self.faults().refuses_listings || self.throttles_next_listing() {
