Back ends: the spread of listings follows the estimated fleet size; the digest's content and offset are taken together

The limits were computed once, at a time when a node that starts hardly knows the size of the fleet. Content and offset of the digest were read under two locks, so that a node could take up newer content under an older offset and read changes again that it had. Found on reading the diff; no run showed either.

--- a/crates/gateway/src/backend_keeper.rs
+++ b/crates/gateway/src/backend_keeper.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use havenstage_rollout::Millis;
-use havenstage_rollout::backend_digest::DigestUpdate;
+use havenstage_rollout::backend_digest::{DigestState, DigestUpdate};
 use havenstage_rollout::backend_source::{BackendSource, DigestStatus, SourceLimits, Step};
 use log::info;
 
@@ -36,6 +36,8 @@
     context: Arc<Context>,
     directory: DirectoryFollower,
     source: BackendSource,
+    /// This node's place, from 0 to 1, in the time over which the nodes spread their listings.
+    listing_place: f64,
     logged_step: Option<&'static str>,
 }
 
@@ -46,11 +48,14 @@
         directory: DirectoryFollower,
         list_offset: Option<u64>,
     ) -> Self {
-        let source = BackendSource::new(limits(&context), list_offset, context.now());
+        let listing_place = rand::random();
+        let limits = limits(&context, listing_place);
+        let source = BackendSource::new(limits, list_offset, context.now());
         Self {
             context,
             directory,
             source,
+            listing_place,
             logged_step: None,
         }
     }
@@ -63,6 +68,8 @@
             let changed = context.digest.changed();
             tokio::pin!(changed);
             changed.as_mut().enable();
+            // The estimate of the fleet size, on which the limits depend, changes.
+            self.source.set_limits(limits(&context, self.listing_place));
             self.apply_digest();
             let step = self.next_step();
             self.log_step(step);
@@ -82,16 +89,14 @@
     /// Applies what is new in the digest, unless the list has come further.
     fn apply_digest(&mut self) {
         let context = &self.context;
-        let status = digest_status(context);
-        if !self.source.may_apply(&status, context.now()) {
-            return;
-        }
-        let update = {
+        let readable_since = context.digest.readable_since(context.now());
+        let (status, update) = {
             let mut digest = context.digest.lock();
-            if digest.state.is_empty() {
+            let status = status_of(&digest.state, readable_since);
+            if digest.state.is_empty() || !self.source.may_apply(&status, context.now()) {
                 return;
             }
-            digest.state.take_update()
+            (status, digest.state.take_update())
         };
         apply_update(context, update);
         self.source.record_digest_applied(&status);
@@ -165,10 +170,11 @@
     }
 }
 
-/// Limits of the digest's age; the time before a listing is random, so that not all nodes list the directory at once.
-fn limits(context: &Context) -> SourceLimits {
+/// Limits of the digest's age. The time before a listing depends on the node's place, so that not all nodes list the
+/// directory at once.
+fn limits(context: &Context, listing_place: f64) -> SourceLimits {
     let drain_in_force_ms = context.settings.bounds.drain_in_force_ms as f64;
-    let spread_ms = listing_time_ms(context) * rand::random::<f64>();
+    let spread_ms = listing_time_ms(context) * listing_place;
     SourceLimits {
         max_digest_age_ms: (drain_in_force_ms * DIGEST_AGE_SHARE) as Millis,
         listing_delay_ms: ABANDONED_AFTER_MS + spread_ms as Millis,
@@ -184,11 +190,14 @@
 
 fn digest_status(context: &Context) -> DigestStatus {
     let readable_since = context.digest.readable_since(context.now());
-    let digest = context.digest.lock();
+    status_of(&context.digest.lock().state, readable_since)
+}
+
+fn status_of(digest: &DigestState, readable_since: Option<Millis>) -> DigestStatus {
     DigestStatus {
-        confirmed_at: digest.state.confirmed_at(),
-        directory_offset: digest.state.directory_offset(),
-        is_complete: digest.state.is_complete(),
+        confirmed_at: digest.confirmed_at(),
+        directory_offset: digest.directory_offset(),
+        is_complete: digest.is_complete(),
         readable_since,
     }
 }
--- a/crates/rollout/src/backend_source.rs
+++ b/crates/rollout/src/backend_source.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Replaces the limits.
+    pub fn set_limits(&mut self, limits: SourceLimits) {
+        self.limits = limits;
+    }
+
     /// Whether the digest may replace the list: it is complete and has come at least as far.
     pub fn may_apply(&self, digest: &DigestStatus, now: Millis) -> bool {
         if !digest.is_complete {
