Stream view: a restore does not go back while a page is on its way

Callers: none seen. Found on reading the diff: a node that went back to a checkpoint while its writer's read was under way took the records between them for dropped, so its digest was incomplete again and its list went on with the directory until the next restore. Cause: the page in flight starts at the old offset, after the checkpoint. Evidence: a_restore_during_a_read_does_not_lose_the_records_after_the_checkpoint fails on the commit before (restored, but not complete). Ruled out: the reader's own reads, which end before it restores.

--- a/crates/gateway/src/stream_view.rs
+++ b/crates/gateway/src/stream_view.rs
@@ -325,10 +325,13 @@
     }
 
     /// Installs a state that holds all records before `next`; false if this view is at least as far. A view whose state is
-    /// incomplete goes back for it, if the log retains the records from `next` on.
+    /// incomplete goes back for it, if the log retains the records from `next` on and no read that confirms the state is
+    /// under way: its page starts at the old offset.
     pub fn restore(&self, state: S, next: u64) -> bool {
+        let turn = self.confirming.try_lock();
         let mut inner = self.lock();
-        let repairs = !inner.state.is_complete() && next >= inner.first_retained;
+        let can_go_back = turn.is_ok() && next >= inner.first_retained;
+        let repairs = !inner.state.is_complete() && can_go_back;
         let is_taken = next > inner.next || repairs;
         if is_taken {
             inner.state = state;
