--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -586,7 +586,7 @@
     }
 
     /// Records that the operators' directory was read to its end.
-    pub fn record_directory_read(&self) {
+    pub fn record_operators_read(&self) {
         let now = self.now();
         self.operators_read_at_ms.fetch_max(now, Ordering::Relaxed);
     }
--- a/crates/gateway/src/digest_writer.rs
+++ b/crates/gateway/src/digest_writer.rs
@@ -202,17 +202,16 @@
     /// Writes what has changed in the digest, now that the directory is read up to an offset, or confirms the digest when
     /// that is due.
     async fn publish(&mut self, directory_offset: u64) -> Result<(), LogError> {
-        let (update, published_offset) = {
+        let update = {
             let view = self.context.digest.lock();
-            self.pool_sizes
-                .update(self.context, &view.state.wanted().clone());
-            let update = self.update_of(&view.state);
-            (update, view.state.directory_offset())
+            let published_offset = view.state.directory_offset();
+            // A listing may be older than what the former writer has published.
+            if published_offset.is_some_and(|published| directory_offset < published) {
+                return Ok(());
+            }
+            self.pool_sizes.update(self.context, view.state.wanted());
+            self.update_of(&view.state)
         };
-        // A listing may be older than what the former writer has published.
-        if published_offset.is_some_and(|published| directory_offset < published) {
-            return Ok(());
-        }
         let term = self.term;
         let confirmed = DigestRecord::Confirmed {
             term,
--- a/crates/gateway/src/directories.rs
+++ b/crates/gateway/src/directories.rs
@@ -156,7 +156,7 @@
     fn record_read(&self) {
         let context = &self.context;
         match self.kind {
-            DirectoryKind::Operators => context.record_directory_read(),
+            DirectoryKind::Operators => context.record_operators_read(),
             DirectoryKind::Backends => context.backends.record_confirmation(context.now()),
         }
     }
