--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -38,10 +38,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`, with seconds since the start of the script."""
+    """Writes what was sent, answered and run to a file, with seconds since the start of the script."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def now(self):
@@ -467,15 +467,24 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(folder, case, limit_s=115):
+async def ended_by_signals(work, limit_s):
+    """Awaits `work`; a signal that ends the script cancels it, so that it ends what it has started."""
+    task = asyncio.ensure_future(work)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, limit_s)
+
+
+def run_case(record_path, case, limit_s=115):
     """Runs `case(record, has_trouble)`, which returns True if the rule held, and exits as the issue asks."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(record_path)
     record.line(f"TROUBLE={int(has_trouble)}")
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, has_trouble), limit_s))
+        held = asyncio.run(ended_by_signals(case(record, has_trouble), limit_s))
         status = 0 if held else 1
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # A fault of the script must not look like a broken rule.
         record.say(f"the case could not run: {error!r}")
         status = 2
     record.say(f"exit status {status}")
