--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,68 +1,57 @@
-"""Requests that may run once at most, while workers are full and some send an answer a second time, late."""
+"""All workers of a service crash at once and start again. Later all nodes are killed and start again: the final fault."""
 import asyncio
 import os
-import random
+import signal
 import sys
 import tempfile
 import time
 
-from standins import HOST, Node, Record, Store, Worker, configuration, message, read_head, read_body
+from standins import HOST, Node, Record, Store, configuration, message, read_body, read_head
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SEED = int(os.environ.get("SEED", "1"))
-# The site's dose of garble with `extra late`: 0.6 of the workers, 0.03 of their answers, for 5 s at a time.
-GARBLING_WORKERS = 2  # of 3: 0.6 x 3, rounded
-EXTRA_SHARE = 0.03
-GARBLE_S = 5.0
-PAUSE_S = 1.0
-ROUNDS = 12
-SLOTS = 6
-WORK_S = 0.2
-TARGET_MS = 400
+WORKERS = 3
+NODES = 3
+REQUESTS_PER_S = 75
+# One request in eight asks for an account of its own; the others read the same summary.
+OWN_EVERY = 8
 DEADLINE_MS = 1_500
-FLOOD_CLIENTS = 26
-NOTICES_PER_S = 48
-NODES = 5
-
-
-class App(Worker):
-    """A worker of an application service: it runs `slots` requests at a time and turns others away."""
-
-    def __init__(self, store, name, record, runs, draw):
-        super().__init__(store, "aviso-app", name, record, None, slots=SLOTS)
-        self.runs, self.draw = runs, draw
-        self.running = 0
-        self.is_garbling = False
-        self.extra = {}
-
-    async def answer(self, method, target, headers, body, writer):
-        request = headers.get("havenstage-request-id", "")
-        # One extra answer arrives late, in the place where the next answer should be.
-        extra = self.extra.pop(writer, None)
-        if extra:
-            self.record.write(f"worker {self.name} sends the answer to {extra[0]} once more, as {request} arrives")
-            writer.write(extra[1])
-        if headers.get("havenstage-expect-instance", self.name) != self.name:
-            answer = message("HTTP/1.1 421 Misdirected Request", {"Havenstage-Instance": self.name})
-        elif self.running >= SLOTS:
-            names = {"Havenstage-Request-Id": request, "Havenstage-Not-Run": "1"}
-            answer = message("HTTP/1.1 503 Service Unavailable", names)
-        else:
-            self.runs.setdefault(request, []).append(self.name)
-            if target.startswith("/notice/"):
-                self.record.write(f"worker {self.name} runs {request}, run {len(self.runs[request])}")
-            self.running += 1
-            try:
-                await asyncio.sleep(WORK_S)
-            finally:
-                self.running -= 1
-            answer = self.head(request, {"Content-Length": 2}) + b"ok"
-        writer.write(answer)
-        await writer.drain()
-        if self.is_garbling and self.draw.random() < EXTRA_SHARE:
-            self.extra[writer] = (request, answer)
-        return True
+CRASH_AT_S = 11.0
+# Below the largest `for_s` of srv_crash in the site file, 4.5 s.
+DOWN_S = 3.4
+# An entry goes after three heartbeats of silence.
+LAPSE_S = 3.6
+KILL_AT_S = 16.0
+NODES_DOWN_S = 1.5
+RECOVERY_S = 12
+LENGTH_S = 42.0
+
+
+class WorkerProcess:
+    def __init__(self, name, store, record):
+        self.name, self.store, self.record, self.process = name, store, record, None
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, os.path.join(HERE, "worker.py"), self.name, stdout=asyncio.subprocess.PIPE
+        )
+        port = (await self.process.stdout.readline()).decode().split()[1]
+        entry = {
+            "service": "aviso-app", "address": f"{HOST}:{port}", "zone": "bilbao-a", "version": "v1",
+            "slotCount": 6, "state": "ready", "coldLeftMs": 0, "callSeq": 0,
+        }
+        await self.store.put("keyed.servers", self.name, entry)
+        self.record.write(f"worker {self.name} started at port {port}")
+        asyncio.create_task(self.copy_lines())
+
+    async def copy_lines(self):
+        while line := await self.process.stdout.readline():
+            self.record.write(line.decode().strip())
+
+    async def end(self):
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
 
 
 async def call(node, path, request):
@@ -71,93 +60,102 @@
     try:
         reader, writer = await asyncio.open_connection(HOST, node.callers)
         names = {"Host": "aviso.example", "Havenstage-Request-Id": request, "Havenstage-Deadline-Ms": DEADLINE_MS}
-        writer.write(message(f"POST {path} HTTP/1.1", names, b'{"plan":1}' + request.encode()))
+        writer.write(message(f"POST {path} HTTP/1.1", names, b"{}"))
         first_line, headers = await asyncio.wait_for(read_head(reader), DEADLINE_MS / 1000)
         await asyncio.wait_for(read_body(reader, headers), DEADLINE_MS / 1000)
         return int(first_line.split()[1])
     except asyncio.TimeoutError:
         return "deadline"
     except (OSError, asyncio.IncompleteReadError):
-        return "closed"
+        return "no answer"
     finally:
         if writer:
             writer.close()
 
 
-async def flood(node, number, trouble):
-    """A client of the lookup route that sends one request after the other."""
-    count = 0
-    while not trouble.done():
-        count += 1
-        if await call(node, "/lookup/1", f"f{number:03x}{count:012x}") != 200:
-            await asyncio.sleep(0.05)
+async def crash(workers, store, record):
+    """All workers of the service crash at once; other processes take their place."""
+    await asyncio.sleep(CRASH_AT_S)
+    record.write("all workers crash")
+    old = list(workers)
+    for worker in old:
+        worker.process.kill()
+    await asyncio.sleep(DOWN_S)
+    for number in range(WORKERS):
+        worker = WorkerProcess(f"i-b{number}", store, record)
+        workers.append(worker)
+        await worker.start()
+    await asyncio.sleep(LAPSE_S - DOWN_S)
+    for worker in old:
+        await store.remove("keyed.servers", worker.name)
 
 
-async def notice(node, request, answers, record):
-    answers[request] = await call(node, "/notice/1", request)
-    record.write(f"client {request}: {answers[request]}")
+async def final_fault(nodes, record):
+    """All processes of the system are killed and start again. Returns when they are back."""
+    await asyncio.sleep(KILL_AT_S)
+    record.write("final fault: all nodes are killed")
+    for node in nodes:
+        node.signal(signal.SIGKILL)
+    await asyncio.sleep(NODES_DOWN_S)
+    for node in nodes:
+        await node.start()
+    return time.monotonic()
 
 
-def route(name, prefix, kind):
-    return {
-        "name": name, "host": "aviso.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": DEADLINE_MS,
-        "targetMs": TARGET_MS, "priority": 2, "service": "aviso-app", "attempts": 2,
-    }
-
-
-async def garble(workers, record):
-    for _ in range(ROUNDS):
-        await asyncio.sleep(PAUSE_S)
-        for worker in workers[:GARBLING_WORKERS]:
-            worker.is_garbling = TROUBLE
-        record.write(f"garble, extra late: {'begins' if TROUBLE else 'left out'}")
-        await asyncio.sleep(GARBLE_S)
-        for worker in workers:
-            worker.is_garbling = False
-            worker.extra.clear()
+def share(answers):
+    return sum(status == 200 for status in answers) / max(1, len(answers))
 
 
 async def play(folder, record):
     store = await Store().start()
-    runs, answers, draw = {}, {}, random.Random(SEED)
-    workers = [await App(store, f"i-aviso{number}", record, runs, draw).start() for number in range(3)]
-    routes = [route("notice", "/notice/", "non_idempotent"), route("lookup", "/lookup/", "idempotent")]
-    await store.put("keyed.op", "config", configuration(1, routes, ["aviso-app"]))
-    nodes = [Node(f"front-bilbao-a-{number + 1}", store, folder, record) for number in range(NODES)]
+    workers = [WorkerProcess(f"i-a{number}", store, record) for number in range(WORKERS)]
+    nodes = []
     try:
+        for worker in list(workers):
+            await worker.start()
+        route = {
+            "name": "status", "host": "aviso.example", "pathPrefix": "/status/", "kind": "idempotent",
+            "timeoutMs": DEADLINE_MS, "targetMs": 150, "priority": 2, "service": "aviso-app", "attempts": 4,
+        }
+        await store.put("keyed.op", "config", configuration(1, [route], ["aviso-app"]))
+        nodes = [Node(f"front-bilbao-a-{number + 1}", store, folder, record) for number in range(NODES)]
         for node in nodes:
             await node.start()
         for node in nodes:
             if not await node.wait_until_ready():
                 return 2
-        # Longer than contactMs since the start of the processes.
-        await asyncio.sleep(3.5)
-        trouble = asyncio.create_task(garble(workers, record))
-        clients = [asyncio.create_task(flood(nodes[0], number, trouble)) for number in range(FLOOD_CLIENTS)]
-        notices, count = [], 0
-        while not trouble.done():
+        began = time.monotonic()
+        fault = asyncio.create_task(final_fault(nodes, record))
+        crashing = asyncio.create_task(crash(workers, store, record)) if TROUBLE else None
+        answers, calls, count = [], [], 0
+
+        async def one(number):
+            path = f"/status/account-{number}" if number % OWN_EVERY == 0 else "/status/summary"
+            request, sent = f"5e{number:014x}", time.monotonic()
+            status = await call(nodes[number % NODES], path, request)
+            answers.append((sent, status))
+            record.write(f"client {request} {path}: sent at {sent - began:.3f} s, {status}")
+
+        while time.monotonic() < began + LENGTH_S:
             count += 1
-            request = f"5e{count:014x}"
-            record.write(f"client sends {request}")
-            notices.append(asyncio.create_task(notice(nodes[1 + count % (NODES - 1)], request, answers, record)))
-            await asyncio.sleep(1 / NOTICES_PER_S)
-        await asyncio.gather(*notices, *clients)
-        twice = [request for request in answers if len(runs.get(request, [])) > 1]
-        refused = [request for request in answers if answers[request] in (429, 503) and request in runs]
-        for request in twice:
-            record.write(f"TWICE: {request} ran at {' and '.join(runs[request])}, answered {answers[request]}")
-        for request in refused:
-            record.write(f"REFUSED: {request} ran at {' and '.join(runs[request])}, answered {answers[request]}")
-        statuses = {}
-        for status in answers.values():
-            statuses[status] = statuses.get(status, 0) + 1
-        result = f"{len(answers)} requests, answers {statuses}: {len(twice)} ran twice, {len(refused)} ran and were refused"
+            calls.append(asyncio.create_task(one(count)))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.gather(*calls)
+        returned = await fault
+        if crashing:
+            await crashing
+        before = [status for sent, status in answers if sent < began + KILL_AT_S]
+        after = [status for sent, status in answers if sent > returned + RECOVERY_S]
+        result = (
+            f"served before the final fault: {share(before):.3f} of {len(before)}; "
+            f"later than {RECOVERY_S} s after it: {share(after):.3f} of {len(after)}"
+        )
         record.write(result)
         print(result)
-        return 1 if twice or refused else 0
+        return 1 if share(before) >= 0.25 > share(after) else 0
     finally:
-        for node in nodes:
-            await node.end()
+        for process in nodes + workers:
+            await process.end()
 
 
 def main():
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""All workers of a service crash at once and start again. Later all nodes are killed and start again: the final fault."""
+"""Workers read the bodies of requests slowly. The platform kills a node whose memory goes over its limit."""
 import asyncio
 import os
 import signal
@@ -6,64 +6,120 @@
 import tempfile
 import time
 
-from standins import HOST, Node, Record, Store, configuration, message, read_body, read_head
+from standins import HOST, Node, Record, Server, Store, configuration, message, read_body, read_head
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+NODES = 2
 WORKERS = 3
-NODES = 3
-REQUESTS_PER_S = 75
-# One request in eight asks for an account of its own; the others read the same summary.
-OWN_EVERY = 8
-DEADLINE_MS = 1_500
-CRASH_AT_S = 11.0
-# Below the largest `for_s` of srv_crash in the site file, 4.5 s.
-DOWN_S = 3.4
-# An entry goes after three heartbeats of silence.
-LAPSE_S = 3.6
-KILL_AT_S = 16.0
-NODES_DOWN_S = 1.5
-RECOVERY_S = 12
-LENGTH_S = 42.0
-
-
-class WorkerProcess:
-    def __init__(self, name, store, record):
-        self.name, self.store, self.record, self.process = name, store, record, None
+# Requests that a worker takes at once: 6 slots and a queue of 24.
+PLACES = 30
+MEMORY_MB = 270
+# `maxBodyBytes` of the configuration is 33,554,432.
+BODY = b"x" * 8_000_000
+REQUESTS_PER_S = 5
+DEADLINE_MS = 8_000
+SLOW_BYTES_PER_S = 1_000_000
+RESTART_S = 0.5
+LENGTH_S = 45.0
+# The rule: three ends on each of two machines at least.
+ENDS = 3
+
+
+class App(Server):
+    """A worker of an application service that takes in documents."""
+
+    def __init__(self, store, name, record):
+        super().__init__()
+        self.store, self.name, self.record, self.taken, self.most_taken = store, name, record, 0, 0
 
     async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, os.path.join(HERE, "worker.py"), self.name, stdout=asyncio.subprocess.PIPE
-        )
-        port = (await self.process.stdout.readline()).decode().split()[1]
+        self.server = await asyncio.start_server(self.serve, HOST, 0, limit=32 * 1024)
+        self.port = self.server.sockets[0].getsockname()[1]
         entry = {
-            "service": "aviso-app", "address": f"{HOST}:{port}", "zone": "bilbao-a", "version": "v1",
+            "service": "aviso-app", "address": f"{HOST}:{self.port}", "zone": "bilbao-a", "version": "v1",
             "slotCount": 6, "state": "ready", "coldLeftMs": 0, "callSeq": 0,
         }
         await self.store.put("keyed.servers", self.name, entry)
-        self.record.write(f"worker {self.name} started at port {port}")
-        asyncio.create_task(self.copy_lines())
+        return self
 
-    async def copy_lines(self):
-        while line := await self.process.stdout.readline():
-            self.record.write(line.decode().strip())
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                _, headers = await read_head(reader)
+                request = headers.get("havenstage-request-id", "")
+                if self.taken >= PLACES:
+                    names = {"Havenstage-Request-Id": request, "Havenstage-Not-Run": "1", "Connection": "close"}
+                    writer.write(message("HTTP/1.1 503 Service Unavailable", names))
+                    await writer.drain()
+                    return
+                self.taken += 1
+                self.most_taken = max(self.most_taken, self.taken)
+                try:
+                    await self.take_in(reader, int(headers.get("content-length", "0")))
+                finally:
+                    self.taken -= 1
+                names = {"Havenstage-Request-Id": request, "Havenstage-Server-Stamp": f"{self.name}.{request}"}
+                writer.write(message("HTTP/1.1 200 OK", names, b"ok"))
+                await writer.drain()
+                self.record.write(f"worker {self.name} has run {request}")
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
 
-    async def end(self):
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+    async def take_in(self, reader, length):
+        began, taken = time.monotonic(), 0
+        while taken < length:
+            piece = await reader.read(min(64 * 1024, length - taken))
+            if not piece:
+                raise ConnectionError("the request broke off")
+            taken += len(piece)
+            if TROUBLE:
+                await asyncio.sleep(max(0.0, began + taken / SLOW_BYTES_PER_S - time.monotonic()))
 
 
-async def call(node, path, request):
-    """Sends a request over a new connection; returns the status, or the way in which the connection ended."""
+def resident_mb(process):
+    """Memory of a process in megabytes; 0 if it has ended."""
+    try:
+        with open(f"/proc/{process.pid}/status", encoding="utf-8") as status:
+            for line in status:
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) * 1024 / 1e6
+    except OSError:
+        pass
+    return 0.0
+
+
+class Watch:
+    """The platform's side of a machine: it kills the process over its memory limit, and starts it again."""
+
+    def __init__(self, node, record):
+        self.node, self.record, self.ends, self.peak_mb = node, record, 0, 0.0
+
+    async def run(self, until):
+        while time.monotonic() < until:
+            used = resident_mb(self.node.process)
+            self.peak_mb = max(self.peak_mb, used)
+            if used > MEMORY_MB:
+                self.ends += 1
+                self.record.write(f"{self.node.name} holds {used:.0f} MB, over its {MEMORY_MB}: killed, end {self.ends}")
+                self.node.signal(signal.SIGKILL)
+                await self.node.process.wait()
+                await asyncio.sleep(RESTART_S)
+                await self.node.start()
+            await asyncio.sleep(0.02)
+
+
+async def call(node, request):
     writer = None
     try:
         reader, writer = await asyncio.open_connection(HOST, node.callers)
         names = {"Host": "aviso.example", "Havenstage-Request-Id": request, "Havenstage-Deadline-Ms": DEADLINE_MS}
-        writer.write(message(f"POST {path} HTTP/1.1", names, b"{}"))
-        first_line, headers = await asyncio.wait_for(read_head(reader), DEADLINE_MS / 1000)
-        await asyncio.wait_for(read_body(reader, headers), DEADLINE_MS / 1000)
-        return int(first_line.split()[1])
+        writer.write(message("POST /documents/1 HTTP/1.1", names, BODY))
+        first_line, headers = await asyncio.wait_for(read_head(reader), DEADLINE_MS / 1000 + 1)
+        await read_body(reader, headers)
+        return first_line.split()[1]
     except asyncio.TimeoutError:
         return "deadline"
     except (OSError, asyncio.IncompleteReadError):
@@ -73,89 +129,50 @@
             writer.close()
 
 
-async def crash(workers, store, record):
-    """All workers of the service crash at once; other processes take their place."""
-    await asyncio.sleep(CRASH_AT_S)
-    record.write("all workers crash")
-    old = list(workers)
-    for worker in old:
-        worker.process.kill()
-    await asyncio.sleep(DOWN_S)
-    for number in range(WORKERS):
-        worker = WorkerProcess(f"i-b{number}", store, record)
-        workers.append(worker)
-        await worker.start()
-    await asyncio.sleep(LAPSE_S - DOWN_S)
-    for worker in old:
-        await store.remove("keyed.servers", worker.name)
-
-
-async def final_fault(nodes, record):
-    """All processes of the system are killed and start again. Returns when they are back."""
-    await asyncio.sleep(KILL_AT_S)
-    record.write("final fault: all nodes are killed")
-    for node in nodes:
-        node.signal(signal.SIGKILL)
-    await asyncio.sleep(NODES_DOWN_S)
-    for node in nodes:
-        await node.start()
-    return time.monotonic()
-
-
-def share(answers):
-    return sum(status == 200 for status in answers) / max(1, len(answers))
-
-
 async def play(folder, record):
     store = await Store().start()
-    workers = [WorkerProcess(f"i-a{number}", store, record) for number in range(WORKERS)]
-    nodes = []
+    workers = [await App(store, f"i-aviso{number}", record).start() for number in range(WORKERS)]
+    route = {
+        "name": "documents", "host": "aviso.example", "pathPrefix": "/documents/", "kind": "idempotent",
+        "timeoutMs": DEADLINE_MS, "targetMs": 1_000, "priority": 2, "service": "aviso-app", "attempts": 1,
+    }
+    await store.put("keyed.op", "config", configuration(1, [route], ["aviso-app"]))
+    nodes = [Node(f"front-bilbao-a-{number + 1}", store, folder, record, MEMORY_MB) for number in range(NODES)]
     try:
-        for worker in list(workers):
-            await worker.start()
-        route = {
-            "name": "status", "host": "aviso.example", "pathPrefix": "/status/", "kind": "idempotent",
-            "timeoutMs": DEADLINE_MS, "targetMs": 150, "priority": 2, "service": "aviso-app", "attempts": 4,
-        }
-        await store.put("keyed.op", "config", configuration(1, [route], ["aviso-app"]))
-        nodes = [Node(f"front-bilbao-a-{number + 1}", store, folder, record) for number in range(NODES)]
         for node in nodes:
             await node.start()
         for node in nodes:
             if not await node.wait_until_ready():
                 return 2
-        began = time.monotonic()
-        fault = asyncio.create_task(final_fault(nodes, record))
-        crashing = asyncio.create_task(crash(workers, store, record)) if TROUBLE else None
-        answers, calls, count = [], [], 0
-
-        async def one(number):
-            path = f"/status/account-{number}" if number % OWN_EVERY == 0 else "/status/summary"
-            request, sent = f"5e{number:014x}", time.monotonic()
-            status = await call(nodes[number % NODES], path, request)
-            answers.append((sent, status))
-            record.write(f"client {request} {path}: sent at {sent - began:.3f} s, {status}")
-
-        while time.monotonic() < began + LENGTH_S:
+        # Longer than contactMs since the start of the processes.
+        await asyncio.sleep(3.5)
+        until = time.monotonic() + LENGTH_S
+        watches = [Watch(node, record) for node in nodes]
+        tasks = [asyncio.create_task(watch.run(until)) for watch in watches]
+        calls, answers, count = [], {}, 0
+
+        async def one(node, request):
+            status = await call(node, request)
+            answers[status] = answers.get(status, 0) + 1
+            record.write(f"client {request} at {node.name}: {status}")
+
+        while time.monotonic() < until and not all(watch.ends >= ENDS for watch in watches):
             count += 1
-            calls.append(asyncio.create_task(one(count)))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        await asyncio.gather(*calls)
-        returned = await fault
-        if crashing:
-            await crashing
-        before = [status for sent, status in answers if sent < began + KILL_AT_S]
-        after = [status for sent, status in answers if sent > returned + RECOVERY_S]
-        result = (
-            f"served before the final fault: {share(before):.3f} of {len(before)}; "
-            f"later than {RECOVERY_S} s after it: {share(after):.3f} of {len(after)}"
-        )
+            calls.append(asyncio.create_task(one(nodes[count % NODES], f"5e{count:014x}")))
+            await asyncio.sleep(1 / (REQUESTS_PER_S * NODES))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*calls, *tasks, return_exceptions=True)
+        ends = " and ".join(f"{watch.ends} at {watch.node.name}" for watch in watches)
+        peaks = " and ".join(f"{watch.peak_mb:.0f} MB" for watch in watches)
+        most = max(worker.most_taken for worker in workers)
+        result = f"ends over the memory limit: {ends}; peaks {peaks}; most at a worker {most}; answers {answers}"
         record.write(result)
         print(result)
-        return 1 if share(before) >= 0.25 > share(after) else 0
+        return 1 if all(watch.ends >= ENDS for watch in watches) else 0
     finally:
-        for process in nodes + workers:
-            await process.end()
+        for node in nodes:
+            await node.end()
 
 
 def main():
