Review: case 5 says 2, not 1, for a fault of its own

Claim: RECOVER, a request that all workers ran as they crashed together is refused for good. Disruption: all three workers of a service crash once, for 3.4 s; the final fault comes with TROUBLE=0 too. An exception in the script, a node that ended or a lack of time gives 2 now; SIGTERM ends all processes that were started. The check is as before.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -144,6 +144,8 @@
         returned = await fault
         if crashing:
             await crashing
+        if any(node.process.returncode is not None for node in nodes):
+            return 2
         before = [status for sent, status in answers if sent < began + KILL_AT_S]
         after = [status for sent, status in answers if sent > returned + RECOVERY_S]
         result = (
@@ -160,10 +162,12 @@
 
 def main():
     record = Record(os.path.join(HERE, "record.txt"))
+    # So that all processes are ended too when the script runs out of time.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as folder:
         try:
             sys.exit(asyncio.run(asyncio.wait_for(play(folder, record), 110)))
-        except (asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # A fault of the script says nothing about the rule.
             record.write(f"the case could not run: {error!r}")
             sys.exit(2)
 
