Crash ledger: a barred request gets a few trials, claimed in the log

What callers saw: all three workers of a service crashed at once while they ran a request that many callers send.

Cause: three ends bar a request, and nothing but a success lifts a bar; a barred request is never sent, so no success can come. Lines of the nodes: the three ends are seen within 8 ms, each alone ("company" 0), then 148 refusals in 30 s and no send. Its class: a verdict without a way back. The same cause stood beside it: a request that is not barred but may be harmful was run by one machine only, the first of those that saw its ends; were that machine gone, all others refused it for good.

Change: such requests get single trials, 2 s after the last end, 6 s after the next, then after 10 minutes, then one an hour. A node claims a trial by its number in the control stream, reads the stream and makes it only if its claim was the first; checkpoints keep the number (format 8, older ones are read, older builds skip the record). Without the log there is no trial. A success clears the request. request_barred tells spread_ms, the time between first and latest end; trial_claimed is new.

Weighed: ends within a moment as one. Sequential retries of a harmful request end workers 40 to 170 ms apart as well, so it tells nothing apart, and the harmful one ends more workers before it is barred.

Replaced, as strict: the choice of the trial machine by name becomes the choice by the log; a node without the log is now also asked after the pause of a trial, and one trial may follow when the log is back (it asserted none).

--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -319,7 +319,8 @@
         self.speeds.retain(|id, _| list.get(id).is_some());
     }
 
-    fn best_for_call(
+    /// The back end that [`Backends::choose_for_call`] would choose.
+    pub(crate) fn best_for_call(
         &self,
         target: &CallTarget<'_>,
         tried: &[BackendId],
--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -163,7 +163,7 @@
         if self.may_have_run > 0 && !self.can_run_again() {
             return Some(self.take_failure());
         }
-        if let Some(outcome) = self.check_admission() {
+        if let Some(outcome) = self.check_admission().await {
             return Some(outcome);
         }
         if self.has_no_backends() {
@@ -184,7 +184,7 @@
     }
 
     /// Returns the outcome if this node must not send the call because of the back ends that crashed under it.
-    fn check_admission(&mut self) -> Option<CallOutcome> {
+    async fn check_admission(&mut self) -> Option<CallOutcome> {
         let admission = self.admission();
         if matches!(admission, Admission::Send(_) | Admission::Wait) {
             return None;
@@ -193,6 +193,12 @@
             return None;
         }
         let (request, id) = (self.call.fingerprint(), self.call.id_text());
+        if matches!(admission, Admission::TrialOnly | Admission::Barred)
+            && self.has_available_backend()
+            && crash_guard::claim_trial(self.context, &request, &id).await
+        {
+            return None;
+        }
         match admission {
             Admission::Barred => {
                 crash_guard::record_barred_retry(self.context, &request, &id);
@@ -201,7 +207,7 @@
             Admission::EndsUnreported => {
                 crash_guard::log_given_up_with_unreported_ends(self.context, &request, &id)
             }
-            _ => crash_guard::log_left_to_another(self.context, &request, &id),
+            _ => crash_guard::log_awaits_trial(self.context, &request, &id),
         }
         Some(match self.may_have_run {
             0 => refused(),
@@ -233,6 +239,16 @@
         self.context.backends.is_fully_listed()
     }
 
+    /// Whether a back end would take a suspected call now, so that a trial of it is not claimed in vain.
+    fn has_available_backend(&self) -> bool {
+        let (now, draw) = (self.context.now(), self.context.draw());
+        let ended = crash_guard::recently_ended_backends(self.context);
+        let target = self.target();
+        let backends = self.context.backends.lock();
+        let best = backends.best_for_call(&target, &self.tried, &ended, now, draw);
+        best.is_some()
+    }
+
     fn target(&self) -> CallTarget<'_> {
         CallTarget {
             pool: self.pool,
@@ -300,7 +316,7 @@
         if !self.can_be_written() {
             return false;
         }
-        let Admission::Send(slot) = self.admission() else {
+        let Admission::Send(mut slot) = self.admission() else {
             return false;
         };
         let (now, draw) = (self.context.now(), self.context.draw());
@@ -317,6 +333,9 @@
         if self.tried.contains(&chosen.id) && !self.running_sends.is_empty() {
             return false;
         }
+        if let Some(slot) = &mut slot {
+            slot.set_may_have_run(true);
+        }
         self.sends += 1;
         let is_again = self.tried.contains(&chosen.id);
         self.tried.push(chosen.id.clone());
@@ -364,7 +383,10 @@
         if let (Some(send), false) = (&ended, matches!(sent, SendOutcome::NotRun(_))) {
             self.record_possible_run(send.started_at_wall);
         }
-        let slot = ended.and_then(|send| send.slot);
+        let mut slot = ended.and_then(|send| send.slot);
+        if let (Some(slot), SendOutcome::NotRun(_)) = (&mut slot, &sent) {
+            slot.set_may_have_run(false);
+        }
         match sent {
             SendOutcome::Answered(answer) if answer.status.is_server_error() => {
                 self.may_have_run += 1;
--- a/crates/gateway/src/coordinator/harmful_loads.rs
+++ b/crates/gateway/src/coordinator/harmful_loads.rs
@@ -36,7 +36,7 @@
         match suspicion {
             Suspicion::None => true,
             Suspicion::Suspected { runs_left, .. } => in_flight < *runs_left,
-            Suspicion::LeftToAnother { .. } | Suspicion::Barred { .. } => {
+            Suspicion::TrialOnly { .. } | Suspicion::Barred { .. } => {
                 let last = self.last_attempt.get(load);
                 in_flight == 0
                     && last.is_none_or(|last| now.saturating_sub(*last) >= RETRY_INTERVAL_MS)
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -4,7 +4,7 @@
 //! the end in the node's crash ledger at once, reports it to all nodes through the control stream, and decides whether
 //! a request may be sent.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
-use crate::log_writes::append_control;
+use crate::log_writes::{append_control, append_control_and_read};
 use crate::metrics;
 use crate::peer_notices;
 
@@ -37,6 +37,8 @@
 const PEER_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time that a request waits until the ends under it are reported: two further appends to the log.
 pub(crate) const UNREPORTED_END_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time that a call waits for its claim of a trial: some ten times what an append and a read of the log take.
+const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of records that wait for an append while the log is unavailable; each holds some 100 bytes.
 const MAX_WAITING_RECORDS: usize = 256;
 /// Number of unreported ends under a request from which on this node holds it back. Unreported ends are lost if this
@@ -56,19 +58,21 @@
     unreported: Mutex<HashMap<Fingerprint, Vec<BackendId>>>,
     /// Notified each time an end is reported.
     end_reported: Notify,
+    /// Requests of which this node is claiming a trial.
+    claiming: Mutex<HashSet<Fingerprint>>,
 }
 
 /// Whether a request may be sent to a back end now.
 pub(crate) enum Admission {
     /// It may be sent. If it is suspected, the slot is held until it is known whether the back end ended.
     Send(Option<SuspectSlot>),
-    /// Not by this node, which cannot tell whether the request is harmful: another node runs it as a test.
-    LeftToAnother,
+    /// Only as a trial, which this node would have to claim: it is unknown whether the request is harmful.
+    TrialOnly,
     /// Not yet: as many sends of it are in flight as back ends may still end under it.
     Wait,
     /// Not before the ends under it that only this node knows of are reported.
     EndsUnreported,
-    /// No: enough back ends ended under it to bar it.
+    /// No, except as a trial, which this node would have to claim: enough back ends ended under it to bar it.
     Barred,
 }
 
@@ -86,10 +90,32 @@
 pub(crate) struct SuspectSlot {
     context: Arc<Context>,
     request: Fingerprint,
+    trial: Option<TakenTrial>,
+}
+
+/// A claimed trial that a send makes.
+struct TakenTrial {
+    number: u32,
+    /// Whether a back end may have run the request.
+    may_have_run: bool,
+}
+
+impl SuspectSlot {
+    /// Records that the request is about to be sent, or that no back end ran it after all.
+    pub(crate) fn set_may_have_run(&mut self, may_have_run: bool) {
+        if let Some(trial) = &mut self.trial {
+            trial.may_have_run = may_have_run;
+        }
+    }
 }
 
 impl Drop for SuspectSlot {
     fn drop(&mut self) {
+        if let Some(trial) = self.trial.take_if(|trial| !trial.may_have_run) {
+            let mut control = self.context.control.lock();
+            let crashes = control.state.crashes_mut();
+            crashes.return_trial(&self.request, trial.number, &self.context.node);
+        }
         let mut in_flight = self.context.crash_guard.lock_in_flight();
         if let Some(count) = in_flight.get_mut(&self.request) {
             *count -= 1;
@@ -165,6 +191,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_claiming(&self) -> MutexGuard<'_, HashSet<Fingerprint>> {
+        self.claiming.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_in_flight(&self) -> MutexGuard<'_, HashMap<Fingerprint, usize>> {
         self.in_flight
             .lock()
@@ -207,11 +237,9 @@
 pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint, sender: Sender) -> Admission {
     let runs_left = match suspicion(context, request) {
         Suspicion::None => return Admission::Send(None),
-        Suspicion::LeftToAnother { .. } if sender == Sender::Any => {
-            return Admission::LeftToAnother;
-        }
-        Suspicion::LeftToAnother { .. } => 1,
-        Suspicion::Barred { .. } => return Admission::Barred,
+        Suspicion::TrialOnly { .. } if sender == Sender::Owner => 1,
+        Suspicion::TrialOnly { .. } => return admit_trial(context, request, Admission::TrialOnly),
+        Suspicion::Barred { .. } => return admit_trial(context, request, Admission::Barred),
         Suspicion::Suspected { runs_left, .. } => runs_left,
     };
     let ends_left = context.crash_guard.unreported_ends_left(request);
@@ -228,9 +256,88 @@
     Admission::Send(Some(SuspectSlot {
         context: context.clone(),
         request: *request,
+        trial: None,
+    }))
+}
+
+/// Admits a request as a trial if this node has claimed one and has not made it; otherwise returns `refusal`.
+fn admit_trial(context: &Arc<Context>, request: &Fingerprint, refusal: Admission) -> Admission {
+    let taken = {
+        let mut control = context.control.lock();
+        let crashes = control.state.crashes_mut();
+        crashes.take_trial(request, &context.node)
+    };
+    let Some(number) = taken else {
+        return refusal;
+    };
+    let mut in_flight = context.crash_guard.lock_in_flight();
+    *in_flight.entry(*request).or_default() += 1;
+    Admission::Send(Some(SuspectSlot {
+        context: context.clone(),
+        request: *request,
+        trial: Some(TakenTrial {
+            number,
+            may_have_run: false,
+        }),
     }))
 }
 
+/// Marks that this node is claiming a trial of a request, until it is dropped.
+struct ClaimInProgress<'a> {
+    guard: &'a CrashGuard,
+    request: Fingerprint,
+}
+
+impl<'a> ClaimInProgress<'a> {
+    /// `None` if this node is claiming a trial of the request already.
+    fn begin(guard: &'a CrashGuard, request: Fingerprint) -> Option<Self> {
+        let is_first = guard.lock_claiming().insert(request);
+        is_first.then_some(Self { guard, request })
+    }
+}
+
+impl Drop for ClaimInProgress<'_> {
+    fn drop(&mut self) {
+        self.guard.lock_claiming().remove(&self.request);
+    }
+}
+
+/// Claims the next trial of a request for this node if one is due. Returns whether this node may make it now. Without the
+/// log there are no trials, since other nodes could make the same one.
+pub(crate) async fn claim_trial(context: &Context, request: &Fingerprint, id: &str) -> bool {
+    let due = {
+        let control = context.control.lock();
+        control.state.crashes().due_trial(request, context.now())
+    };
+    let Some(number) = due else {
+        return false;
+    };
+    let Some(_claim_in_progress) = ClaimInProgress::begin(&context.crash_guard, *request) else {
+        return false;
+    };
+    let record = ControlRecord::TrialClaimed {
+        request: *request,
+        number,
+        node: context.node.clone(),
+    };
+    let appended = append_control_and_read(context, &record);
+    let appended = tokio::time::timeout(TRIAL_CLAIM_TIMEOUT, appended).await;
+    let is_held = {
+        let control = context.control.lock();
+        let crashes = control.state.crashes();
+        crashes.holds_unused_trial(request, &context.node)
+    };
+    let failure = match appended {
+        Ok(Ok(())) => String::new(),
+        Ok(Err(error)) => error.to_string(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    info!(event = "trial_claimed", request = id, content = request.to_string().as_str(),
+        number = number, is_held = is_held, reason = failure.as_str(); "");
+    metrics::trial_claimed(is_held);
+    is_held
+}
+
 /// Whether a suspected request is held back until the ends under it are reported.
 pub(crate) fn is_held_back(context: &Context, request: &Fingerprint) -> bool {
     context.crash_guard.unreported_ends_left(request) == 0
@@ -267,10 +374,10 @@
         ended = describe_ended_backends(&ended).as_str(), last_end_age_ms = age_ms; "");
 }
 
-/// Logs that a request is refused because another node runs it as a test. `id` is the id of this try.
-pub(crate) fn log_left_to_another(context: &Context, request: &Fingerprint, id: &str) {
+/// Logs that a request is refused because it is run only as a trial, and none is due. `id` is the id of this try.
+pub(crate) fn log_awaits_trial(context: &Context, request: &Fingerprint, id: &str) {
     let suspicion = suspicion(context, request);
-    info!(event = "request_left_to_another", request = id, content = request.to_string().as_str(),
+    info!(event = "request_awaits_trial", request = id, content = request.to_string().as_str(),
         suspicion = format!("{suspicion:?}").as_str(); "");
 }
 
@@ -286,6 +393,7 @@
             request,
             suspicion: crashes.suspicion(&request, now),
             others_at_ends: crashes.others_at_ends(&request),
+            ends_spread_ms: crashes.ends_spread_ms(&request),
         })
         .collect();
     let remembered = crashes.len();
@@ -293,7 +401,7 @@
     for barred in barred_requests {
         if let Suspicion::Barred { ended, .. } = barred.suspicion {
             warn!(event = "request_barred", content = barred.request.to_string().as_str(),
-                ended = describe_ended_backends(&ended).as_str(),
+                ended = describe_ended_backends(&ended).as_str(), spread_ms = barred.ends_spread_ms,
                 company = describe_others_at_ends(&barred.others_at_ends).as_str(), remembered = remembered; "");
         }
     }
@@ -304,6 +412,8 @@
     request: Fingerprint,
     suspicion: Suspicion,
     others_at_ends: Vec<OtherRequestsAtEnd>,
+    /// Milliseconds between its first and its latest end: near 0 if the back ends crashed together.
+    ends_spread_ms: Millis,
 }
 
 /// Describes for each end how many other requests ran on the back end, and the maximum number of ends that any of them
--- a/crates/gateway/src/engine/barred.rs
+++ b/crates/gateway/src/engine/barred.rs
@@ -48,8 +48,7 @@
                 Suspicion::Suspected { runs_left: 0, .. } => {
                     barred.insert(key);
                 }
-                Suspicion::None | Suspicion::Suspected { .. } | Suspicion::LeftToAnother { .. } => {
-                }
+                Suspicion::None | Suspicion::Suspected { .. } | Suspicion::TrialOnly { .. } => {}
             }
         }
         barred
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -172,6 +172,12 @@
     counter!("gateway_sends_broken_total", "evidence" => evidence).increment(1);
 }
 
+/// Counts a claim of a trial of a suspected request, by whether this node holds the trial.
+pub fn trial_claimed(is_held: bool) {
+    let outcome = if is_held { "held" } else { "not_held" };
+    counter!("gateway_trials_claimed_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a received request that is barred from back ends because it crashes them.
 pub fn barred_request_received() {
     counter!("gateway_barred_requests_total").increment(1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -165,9 +165,9 @@
                     crash_guard::log_given_up_with_unreported_ends(&self.context, &request, &id);
                     break;
                 }
-                Admission::LeftToAnother => {
+                Admission::TrialOnly => {
                     let id = self.call.id_text();
-                    crash_guard::log_left_to_another(&self.context, &request, &id);
+                    crash_guard::log_awaits_trial(&self.context, &request, &id);
                     break;
                 }
                 Admission::Barred => {
--- a/crates/rollout/src/checkpoint.rs
+++ b/crates/rollout/src/checkpoint.rs
@@ -14,7 +14,7 @@
 
 use crate::Millis;
 use crate::batch_index::BatchNotice;
-use crate::crash_ledger::CrashCheckpoint;
+use crate::crash_ledger::{CrashCheckpoint, TrialCheckpoint};
 use crate::ids::{BackendId, BatchId, MachineName, ModelName, NodeId, Version};
 use crate::lease::Term;
 use crate::peer_addresses::PeerAddress;
@@ -24,10 +24,10 @@
 use crate::usage::DecidedUsage;
 
 /// Version of the current checkpoint format. It rises with each field that is added.
-pub const FORMAT_VERSION: u8 = 7;
+pub const FORMAT_VERSION: u8 = 8;
 /// The oldest format that stores its version. Each later version has one more list at the end: the requests
 /// during which back ends ended, the decided windows of usage, the ordered sizes, the addresses of nodes that run
-/// batches, the addresses of other machines.
+/// batches, the addresses of other machines, the trials of suspected requests.
 const OLDEST_VERSIONED_FORMAT: u8 = 2;
 /// The encoding of an empty list: its length, 0.
 const ENCODED_EMPTY_LIST: u8 = 0;
@@ -71,6 +71,8 @@
     pub peers: Vec<PeerAddress>,
     /// Addresses at which some machines can be reached. Not in format 6.
     pub reachable: ReachableAddresses,
+    /// Trials of suspected requests. Not in format 7.
+    pub trials: Vec<TrialCheckpoint>,
 }
 
 /// Format 1, which is also the beginning of all later formats.
@@ -122,6 +124,7 @@
             sizes: OrderedSizes::new(),
             peers: Vec::new(),
             reachable: ReachableAddresses::new(),
+            trials: Vec::new(),
         }
     }
 }
--- a/crates/rollout/src/control.rs
+++ b/crates/rollout/src/control.rs
@@ -82,7 +82,7 @@
     /// Creates the state before the first record, for a node on machine `own_machine`.
     pub fn new(own_machine: MachineName) -> Self {
         Self {
-            crashes: CrashLedger::new(own_machine.clone()),
+            crashes: CrashLedger::new(),
             own_machine,
             fleet: FleetSize::default(),
             index: BatchIndex::default(),
@@ -133,6 +133,7 @@
             sizes: self.sizes.clone(),
             peers: self.peers.checkpoint(),
             reachable: self.reachable.checkpoint(),
+            trials: self.crashes.trial_checkpoint(),
         }
     }
 
@@ -147,7 +148,7 @@
         state.lease = LeaseState::restored(checkpoint.term, checkpoint.holder, now);
         state.log_time = checkpoint.log_time;
         state.newest = checkpoint.newest;
-        state.crashes = CrashLedger::restored(state.own_machine.clone(), checkpoint.crashes, now);
+        state.crashes = CrashLedger::restored(checkpoint.crashes, checkpoint.trials, now);
         state.usage = UsageLedger::restored(checkpoint.usage);
         state.sizes = checkpoint.sizes;
         state.peers = PeerAddresses::restored(checkpoint.peers, now);
@@ -263,6 +264,13 @@
             ControlRecord::Reachable { machine, address } => {
                 self.reachable.record_address(machine, address);
             }
+            ControlRecord::TrialClaimed {
+                request,
+                number,
+                node,
+            } => {
+                self.crashes.record_trial_claim(&request, number, node, now);
+            }
         }
     }
 
--- a/crates/rollout/src/control_record.rs
+++ b/crates/rollout/src/control_record.rs
@@ -147,6 +147,15 @@
         /// Where the machine receives datagrams of other nodes.
         address: SocketAddr,
     },
+    /// A node claims a trial run of a request that is suspected of ending back ends.
+    TrialClaimed {
+        /// Fingerprint of the request.
+        request: Fingerprint,
+        /// Number of the trial, from 1; the claim counts only if it is one more than that of the last claim.
+        number: u32,
+        /// The node that is to make the trial.
+        node: NodeId,
+    },
 }
 
 impl Stored for ControlRecord {
--- a/crates/rollout/src/crash_ledger/bar_rules.rs
+++ b/crates/rollout/src/crash_ledger/bar_rules.rs
@@ -1,4 +1,4 @@
-//! Rules that decide whether a suspected request is run, waits, is left to another machine or is barred.
+//! Rules that decide whether a suspected request is run, waits, is run only as a trial or is barred.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -21,7 +21,8 @@
 }
 
 impl CrashLedger {
-    /// Maximum number of concurrent runs here of a request that is not barred, assuming that each run ends its back end.
+    /// Maximum number of concurrent runs here of a request that is not barred, assuming that each run ends its back end;
+    /// trials do not count.
     pub(super) fn runs_left(&self, request: &Fingerprint, suspect: &Suspect, now: Millis) -> usize {
         let ends = suspect.ended.len();
         if ends < BAR_AFTER_ENDS {
@@ -32,7 +33,7 @@
         }
         match is_in_ambiguity_grace(suspect, now) {
             true => BAR_AFTER_SHARED_ENDS.saturating_sub(ends),
-            false => usize::from(self.is_trial_machine(suspect)),
+            false => 0,
         }
     }
 
@@ -104,14 +105,6 @@
         latest.unwrap_or(suspect.last_end)
     }
 
-    /// Whether this machine is the one that may run a possibly harmful request, one run at a time. Without this rule
-    /// several machines send it at the same moment: in one seed of the soak test four did, more than 3 s after the third
-    /// end.
-    fn is_trial_machine(&self, suspect: &Suspect) -> bool {
-        let seen_by = suspect.ended.iter().map(|ended| &ended.seen_by);
-        seen_by.min() == Some(&self.own_machine)
-    }
-
     /// Whether a request was alone at an end before its last one. The last one does not count, as other nodes may still
     /// report other requests there.
     fn was_alone_before_last_end(&self, suspect: &Suspect) -> bool {
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -4,9 +4,14 @@
 //! of a request are the ends of back ends that were running it. A request is *suspected* from its first end and
 //! *barred* after several. A successful answer clears it. An end that another request may have caused as well counts
 //! for less.
+//!
+//! A bar can be wrong: when all back ends of a pool crash at once, a harmless request that many callers send has an end
+//! at each of them. So a barred request still gets a few *trials*: single runs with growing pauses, each claimed by one
+//! node of the fleet. One successful trial clears it.
 
 mod attribution;
 mod bar_rules;
+mod trials;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +20,8 @@
 use serde::{Deserialize, Serialize};
 
 use self::bar_rules::CachedCulprits;
+use self::trials::Trials;
+pub use self::trials::{LATER_TRIAL_PAUSE_MS, TRIAL_PAUSES_MS, TrialCheckpoint};
 use crate::Millis;
 use crate::ids::{BackendId, MachineName};
 
@@ -120,13 +127,13 @@
         /// Maximum number of concurrent runs; 0 while reports of other nodes on the latest end may still arrive.
         runs_left: usize,
     },
-    /// Another request is the likelier cause of its ends, but this one may be harmful too: one machine, and not this
-    /// one, runs it to find out. The owner of its batch, the only node that runs the batch's items, may run it as well.
-    LeftToAnother {
+    /// Another request is the likelier cause of its ends, but this one may be harmful too: it is run only as a trial
+    /// until that is known.
+    TrialOnly {
         /// Number of its ends.
         ends: usize,
     },
-    /// The request is taken to be the cause of its ends and must not be run.
+    /// The request is taken to be the cause of its ends and is run only as a trial.
     Barred {
         /// Its ends.
         ended: Vec<EndedBackend>,
@@ -157,6 +164,7 @@
     /// Sequence number of that moment, which orders requests. A checkpoint preserves this order, but not the times.
     barring_end_order: u64,
     last_seen: Millis,
+    trials: Trials,
 }
 
 impl Suspect {
@@ -181,9 +189,8 @@
 }
 
 /// The suspected requests and their ends. All times are on the clock of the node that reads the reports.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
-    own_machine: MachineName,
     suspects: BTreeMap<Fingerprint, Suspect>,
     /// The suspected requests that were running at each back end when it ended.
     requests_at: BTreeMap<BackendId, Vec<Fingerprint>>,
@@ -197,28 +204,20 @@
 }
 
 impl CrashLedger {
-    /// Creates an empty ledger for a node on `own_machine`.
-    pub fn new(own_machine: MachineName) -> Self {
-        Self {
-            own_machine,
-            suspects: BTreeMap::new(),
-            requests_at: BTreeMap::new(),
-            report_times: BTreeMap::new(),
-            reported_barred: BTreeSet::new(),
-            culprits_cache: RefCell::default(),
-            next_order: 0,
-            forgotten: ForgottenRequests::default(),
-        }
+    /// Creates an empty ledger.
+    pub fn new() -> Self {
+        Self::default()
     }
 
-    /// Restores a ledger from a checkpoint. All ends count as learnt of at `now`.
-    pub fn restored(own_machine: MachineName, kept: Vec<CrashCheckpoint>, now: Millis) -> Self {
-        let mut ledger = Self::new(own_machine);
+    /// Restores a ledger from a checkpoint. All ends and trials count as learnt of at `now`.
+    pub fn restored(kept: Vec<CrashCheckpoint>, trials: Vec<TrialCheckpoint>, now: Millis) -> Self {
+        let mut ledger = Self::new();
         for request in kept {
             for ended in request.ended {
                 ledger.record_end(request.request, ended, now);
             }
         }
+        ledger.restore_trials(trials, now);
         ledger
     }
 
@@ -261,6 +260,7 @@
             barring_end_at: now,
             barring_end_order: 0,
             last_seen: now,
+            trials: Trials::default(),
         });
         if suspect.has_end_at(&ended.backend) || suspect.ended.len() >= MAX_ENDS_PER_REQUEST {
             return;
@@ -357,7 +357,7 @@
             0 if self.is_awaiting_reports(request, suspect, now) => {
                 Suspicion::Suspected { ends, runs_left: 0 }
             }
-            0 => Suspicion::LeftToAnother { ends },
+            0 => Suspicion::TrialOnly { ends },
             runs_left => Suspicion::Suspected { ends, runs_left },
         }
     }
@@ -378,6 +378,17 @@
         others_at_ends.collect()
     }
 
+    /// Milliseconds between the reports of the first and the latest end of a request.
+    pub fn ends_spread_ms(&self, request: &Fingerprint) -> Millis {
+        let suspect = self.suspects.get(request);
+        let ended = suspect.into_iter().flat_map(|suspect| &suspect.ended);
+        let reported = ended.filter_map(|ended| self.report_times.get(&ended.backend));
+        let reported: Vec<Millis> = reported.map(|times| times.first).collect();
+        let first = reported.iter().min().copied().unwrap_or(0);
+        let latest = reported.iter().max().copied().unwrap_or(0);
+        latest - first
+    }
+
     /// Records a retry of a request, which prolongs its retention if it is suspected or barred.
     pub fn record_retry(&mut self, request: &Fingerprint, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(request) {
