Items and reward calls are never barred for back ends that crash under them

What callers saw: a sound item of a batch, under which several engines died in a burst of crashes, was never placed again though the engines were back and had room; its group stayed open until the batch ended. The same for an item whose reward call ran as applications crashed, and the reward calls of all items with the same content with it.

Cause: an item went through the ledger of requests that end back ends. Three ends barred it, a barred item was not run, and nothing but a successful run lifts a bar.

Change: items and reward calls leave the ledger. Nothing is recorded or told for them and nothing bars them. An item whose runs break off without progress is run at once twice, then after 1 s, then every 2 s (`backoff`); so is a reward call whose sends break. An answer still shows that its back end lives. A caller's request no longer shares its ends with items, so it is found sooner; a wrong bar of one has its trials. A record of an older build on an item is read and has no effect.

Ruled out: only pacing barred items and leaving them in the ledger. A harmless item could then go on to count as the cause of ends and excuse a harmful call (`explains`).

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -26,7 +26,7 @@
 };
 use crate::context::Context;
 use crate::crash_evidence::{self, SendTarget};
-use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
+use crate::crash_guard::{self, Admission, SuspectSlot};
 use crate::metrics;
 use crate::send::{self, SILENT, SendOutcome, SendTerms};
 
@@ -297,14 +297,10 @@
 
     /// Whether the call may be sent now, in view of the back ends that crashed under it.
     fn admission(&self) -> Admission {
-        if crash_guard::has_no_suspects(self.context) {
+        if !self.call.can_be_barred() || crash_guard::has_no_suspects(self.context) {
             return Admission::Send(None);
         }
-        let sender = match self.call.batch {
-            Some(_) => Sender::Owner,
-            None => Sender::Any,
-        };
-        crash_guard::admit(self.context, &self.call.fingerprint(), sender)
+        crash_guard::admit(self.context, &self.call.fingerprint())
     }
 
     fn can_be_written(&self) -> bool {
@@ -444,7 +440,8 @@
     /// Drops the sends in flight. Their back ends stay watched for a while, as one may be crashing under its send.
     fn abandon_sends(&mut self) {
         self.record_in_flight_sends();
-        for send in self.in_flight.drain(..) {
+        let judged_sends = self.in_flight.drain(..);
+        for send in judged_sends.filter(|_| self.call.can_be_barred()) {
             let mut given_up = send::unanswered_send(self.call, send.target);
             given_up.slot = send.slot;
             crash_evidence::watch_given_up_send(self.context, given_up);
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -61,6 +61,12 @@
         *self.fingerprint.get_or_init(|| fingerprint::of_call(self))
     }
 
+    /// Whether back ends that end under the call count against it. Not for a reward call: its item is still owed, so it is
+    /// made until it is answered.
+    pub(crate) fn can_be_barred(&self) -> bool {
+        self.batch.is_none()
+    }
+
     pub(crate) fn id_text(&self) -> String {
         String::from_utf8_lossy(self.id.as_bytes()).into_owned()
     }
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -76,16 +76,6 @@
     Barred,
 }
 
-/// Which nodes may send a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Sender {
-    /// Any node that its caller asks.
-    Any,
-    /// Only this node, as the owner of the batch that the request belongs to. If the owner left the request to other
-    /// nodes, nobody would send it.
-    Owner,
-}
-
 /// Counts one send of a suspected request as in flight until it is dropped.
 pub(crate) struct SuspectSlot {
     context: Arc<Context>,
@@ -127,15 +117,6 @@
 }
 
 impl CrashGuard {
-    /// Whether any request is held back until the ends under it are reported.
-    pub(crate) fn has_held_back_requests(&self) -> bool {
-        let unreported = self.lock_unreported();
-        self.is_full()
-            || unreported
-                .values()
-                .any(|ends| ends.len() >= MAX_UNREPORTED_ENDS)
-    }
-
     /// How many back ends may still end under a request before it is held back.
     fn unreported_ends_left(&self, request: &Fingerprint) -> usize {
         // Records are dropped while the queue is full, and one of them may report an end under this request.
@@ -234,10 +215,9 @@
 
 /// Decides whether a request may be sent now. Each send that is in flight on this node counts as if it failed, so that
 /// several copies of a request that arrive together don't end more back ends than one copy would.
-pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint, sender: Sender) -> Admission {
+pub(crate) fn admit(context: &Arc<Context>, request: &Fingerprint) -> Admission {
     let runs_left = match suspicion(context, request) {
         Suspicion::None => return Admission::Send(None),
-        Suspicion::TrialOnly { .. } if sender == Sender::Owner => 1,
         Suspicion::TrialOnly { .. } => return admit_trial(context, request, Admission::TrialOnly),
         Suspicion::Barred { .. } => return admit_trial(context, request, Admission::Barred),
         Suspicion::Suspected { runs_left, .. } => runs_left,
@@ -338,12 +318,6 @@
     is_held
 }
 
-/// Whether a suspected request is held back until the ends under it are reported.
-pub(crate) fn is_held_back(context: &Context, request: &Fingerprint) -> bool {
-    context.crash_guard.unreported_ends_left(request) == 0
-        && !matches!(suspicion(context, request), Suspicion::None)
-}
-
 /// Logs and counts that a request is given up because the ends under it could not be reported in time. `id` is the id
 /// of this try.
 pub(crate) fn log_given_up_with_unreported_ends(
@@ -486,7 +460,12 @@
     if is_success {
         clear_suspicion(context, backend, request());
     }
-    if may_be_next_incarnation(context, backend) {
+    record_live_backend(context, backend);
+}
+
+/// Records that a back end answered: the ends recorded for it are retracted.
+pub(crate) fn record_live_backend(context: &Arc<Context>, backend: &BackendId) {
+    if has_no_suspects(context) || may_be_next_incarnation(context, backend) {
         return;
     }
     let is_retracted = {
--- a/crates/gateway/src/engine/active_item.rs
+++ b/crates/gateway/src/engine/active_item.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use havenstage_rollout::Millis;
+use havenstage_rollout::backoff::Backoff;
 use havenstage_rollout::batch::Item;
 use havenstage_rollout::batch_state::ItemState;
 use havenstage_rollout::ids::{BackendId, RunId, Version};
@@ -73,6 +74,10 @@
     pub moves: u32,
     /// How often a back end answered with an internal server error.
     pub failures: u32,
+    /// Counts the runs in a row that broke off without progress.
+    pub backoff: Backoff,
+    /// Time until which no run begins, by the node's clock.
+    pub paused_until: Millis,
     /// When this node began to work on the item, by the node's clock.
     pub since: Millis,
     /// Number of events that the log held when this node began to work on the item.
@@ -98,6 +103,8 @@
             first_version: state.events.first().map(|event| event.version),
             moves: 0,
             failures: 0,
+            backoff: Backoff::default(),
+            paused_until: 0,
             since: now,
             logged_events: events,
             own_runs: Vec::new(),
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -5,7 +5,6 @@
 //! state that is built from the log accepts it: it ignores, for instance, output of an item that has a result.
 
 mod active_item;
-mod barred;
 mod candidates;
 mod carried_over;
 mod claim;
@@ -90,8 +89,6 @@
     item_lengths: ItemLengths,
     carried_over: HashMap<BatchId, CarriedOver>,
     paused_starts: BTreeMap<usize, PausedStarts>,
-    /// Items that were already logged as barred.
-    logged_barred: HashSet<ItemKey>,
     run_messages: UnboundedReceiver<RunMessage>,
     run_message_sender: UnboundedSender<RunMessage>,
     task_ends: UnboundedReceiver<TaskEnd>,
@@ -135,7 +132,6 @@
             item_lengths: ItemLengths::default(),
             carried_over: HashMap::new(),
             paused_starts: BTreeMap::new(),
-            logged_barred: HashSet::new(),
             run_messages,
             run_message_sender,
             task_ends,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -177,8 +177,7 @@
         let free_slots = candidates.iter().map(Candidate::free_slots).sum();
         let running = &work.running;
         schedule::prioritize_waiting(&mut work.waiting, running, free_slots, now, token_ms);
-        let barred = self.barred_items(&work.waiting);
-        work.waiting.retain(|item| !barred.contains(&key_of(item)));
+        work.waiting.retain(|item| !self.is_paused(item, now));
         let probes: HashMap<usize, BackendId> = schedule::assign_probes(&work.waiting, &candidates)
             .into_iter()
             .collect();
@@ -207,6 +206,12 @@
         }
     }
 
+    /// Whether an item waits for the end of a pause, as its last runs broke off without progress.
+    fn is_paused(&self, item: &WaitingItem, now: Millis) -> bool {
+        let active_item = self.items.get(&key_of(item));
+        active_item.is_some_and(|active_item| now < active_item.paused_until)
+    }
+
     /// Restarts an item without its output if all its events must come from one version and no back end
     /// serves that version any more.
     fn restart_if_version_is_gone(&mut self, item: &WaitingItem, pool: &PoolName, now: Millis) {
--- a/crates/gateway/src/engine/reward.rs
+++ b/crates/gateway/src/engine/reward.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use havenstage_clock::Instant;
+use havenstage_rollout::backoff::Backoff;
 use havenstage_rollout::batch::RewardCall;
 use havenstage_rollout::concurrency_limit::CallEnd;
 use havenstage_rollout::ids::{BatchId, RunId};
 use havenstage_rollout::route::{Route, RouteTable};
-use http::Method;
 use http::header::{HOST, HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,8 +27,6 @@
 const UNQUEUED_SHARE: f64 = 0.5;
 /// Pause before a failed reward call is retried.
 const REWARD_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Pause before a barred reward call is tried again, since its bar may be lifted meanwhile.
-const REWARD_BARRED_PAUSE: Duration = Duration::from_millis(500);
 
 /// How a reward call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,6 +54,15 @@
     });
 }
 
+/// Failed attempts of a reward call.
+#[derive(Default)]
+struct Failures {
+    /// Number of answers with status 500.
+    server_errors: u32,
+    /// Counts the attempts in a row in which all sends broke.
+    backoff: Backoff,
+}
+
 /// Result of one attempt of a reward call.
 enum AttemptOutcome {
     /// An application answered with this signature.
@@ -72,7 +80,7 @@
     batch: &BatchId,
     reward: &RewardCall,
 ) -> ScoreEnd {
-    let mut failures = 0;
+    let mut failures = Failures::default();
     loop {
         // Once the end of a batch is in force, no reward call may be made for it, as no item may be run.
         context.wait_until_work_may_start(batch).await;
@@ -90,7 +98,7 @@
     context: &Arc<Context>,
     batch: &BatchId,
     reward: &RewardCall,
-    failures: &mut u32,
+    failures: &mut Failures,
 ) -> AttemptOutcome {
     let routes = context.routes();
     let route = routes
@@ -114,7 +122,7 @@
         return std::future::pending().await;
     };
     let executed = calls::execute(context, route, call).await;
-    *failures += executed.server_errors;
+    failures.server_errors += executed.server_errors;
     let end = pace_outcome(route, &executed.outcome, began.elapsed());
     if end == CallEnd::Rejected {
         // The permit is returned only after the pause. Otherwise the next call would find the same full pool a
@@ -125,11 +133,11 @@
     if let Some(score) = signature_of(context, &executed.outcome) {
         return AttemptOutcome::Scored(score);
     }
-    if *failures >= route.attempts.max(1) {
+    if failures.server_errors >= route.attempts.max(1) {
         return AttemptOutcome::AttemptsUsed;
     }
     AttemptOutcome::Retry {
-        pause: pause_after(&executed.outcome),
+        pause: pause_after(&executed.outcome, &mut failures.backoff),
     }
 }
 
@@ -143,13 +151,18 @@
     is_success.then_some(signature.to_str().ok()?.to_owned())
 }
 
-fn pause_after(outcome: &CallOutcome) -> Duration {
+fn pause_after(outcome: &CallOutcome, backoff: &mut Backoff) -> Duration {
     match outcome {
         CallOutcome::Refused { .. } => Duration::ZERO,
-        CallOutcome::Barred => REWARD_BARRED_PAUSE,
-        CallOutcome::Answered(_) | CallOutcome::Streaming(_) | CallOutcome::Failed { .. } => {
+        CallOutcome::Failed { status } if *status == StatusCode::BAD_GATEWAY => {
+            backoff.record_failure();
+            REWARD_RETRY_PAUSE.max(Duration::from_millis(backoff.pause_ms()))
+        }
+        CallOutcome::Answered(_) | CallOutcome::Streaming(_) => {
+            backoff.record_progress();
             REWARD_RETRY_PAUSE
         }
+        CallOutcome::Failed { .. } | CallOutcome::Barred => REWARD_RETRY_PAUSE,
     }
 }
 
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -21,18 +21,13 @@
 use crate::access;
 use crate::backends::ChosenBackend;
 use crate::context::Context;
-use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
-use crate::fingerprint;
 use crate::send;
 
 /// Maximum time until the head of a response arrives.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Maximum time between two pieces of a response body.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Number of events from which on a broken run is no evidence that its item crashes back ends: the back end
-/// ran the item well until then, and the next run continues after these events.
-const MIN_EVENTS_OF_HEALTHY_RUN: u32 = 3;
 
 /// Identifies an item of a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -159,13 +154,14 @@
     parameters: RunParameters,
     messages: UnboundedSender<RunMessage>,
 ) {
-    let mut events = 0;
     let end = tokio::select! {
-        end = send_and_read(&context, &backend, &parameters, &messages, &mut events) => end,
+        end = send_and_read(&context, &backend, &parameters, &messages) => end,
         // Drops the exchange, which resets its connection.
         () = parameters.stall_signal.notified() => RunEnd::Stalled,
     };
-    record_crash_evidence(&context, &backend, &parameters, &end, events).await;
+    if matches!(end, RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible) {
+        crash_guard::record_live_backend(&context, &backend.id);
+    }
     drop(backend);
     // The engine is gone only when the process ends.
     let _ = messages.send(RunMessage {
@@ -175,45 +171,12 @@
     });
 }
 
-/// Reports to the crash guard what the end of a run shows about whether its item crashes back ends.
-async fn record_crash_evidence(
-    context: &Arc<Context>,
-    backend: &ChosenBackend,
-    parameters: &RunParameters,
-    end: &RunEnd,
-    events: u32,
-) {
-    let request = || fingerprint::of_item(&parameters.host, &parameters.spec);
-    match end {
-        RunEnd::Whole | RunEnd::Failed | RunEnd::Impossible => {
-            let is_success = *end == RunEnd::Whole;
-            crash_guard::record_answer(context, &backend.id, is_success, request);
-        }
-        RunEnd::Broken | RunEnd::Stalled if events < MIN_EVENTS_OF_HEALTHY_RUN => {
-            let broken = UnansweredSend {
-                request: request(),
-                id: parameters.key.item.to_string(),
-                target: SendTarget::of(backend),
-                slot: None,
-            };
-            crash_evidence::check_broken_send(context, broken).await;
-        }
-        RunEnd::Broken
-        | RunEnd::Stalled
-        | RunEnd::NotRun
-        | RunEnd::TooLate
-        | RunEnd::Unreachable
-        | RunEnd::WrongVersion(_) => {}
-    }
-}
-
-/// Sends the request and reads the response. Counts the events that arrive in `events`.
+/// Sends the request and reads the response.
 async fn send_and_read(
     context: &Context,
     backend: &ChosenBackend,
     parameters: &RunParameters,
     messages: &UnboundedSender<RunMessage>,
-    events: &mut u32,
 ) -> RunEnd {
     let Some(request) = item_request(context, &backend.id, parameters) else {
         return RunEnd::Impossible;
@@ -240,10 +203,7 @@
     match check_head(context, parameters, &answer) {
         Ok(version) => {
             send_answered(parameters, messages);
-            read_events(
-                context, backend, parameters, answer, version, messages, events,
-            )
-            .await
+            read_events(context, backend, parameters, answer, version, messages).await
         }
         Err(end) => {
             // Reads the body to its end, so that the connection can be reused.
@@ -348,7 +308,6 @@
     mut answer: Answer,
     mut version: Option<Version>,
     messages: &UnboundedSender<RunMessage>,
-    events: &mut u32,
 ) -> RunEnd {
     let mut reader = EventReader::new(context.dialect.headers().weight_version.as_str());
     let mut count = u64::from(parameters.resumed_from);
@@ -367,7 +326,6 @@
         reader.push(&bytes);
         while let Some(event) = reader.next_event() {
             count += 1;
-            *events += 1;
             if event.id.is_some_and(|id| id != count) {
                 return RunEnd::Broken;
             }
--- a/crates/gateway/src/engine/run_messages.rs
+++ b/crates/gateway/src/engine/run_messages.rs
@@ -94,6 +94,7 @@
             self.queue_record(partition, &progress);
         }
         self.record_backend_outcome(key, &backend, end, began, made_progress);
+        self.update_backoff(key, end, made_progress);
         match end {
             RunEnd::Whole => {
                 self.record_length(key);
@@ -110,6 +111,26 @@
         }
     }
 
+    /// Sets the pause before the next run of an item. Back ends may have crashed under its runs for reasons of their own, so
+    /// it is never given up for that.
+    fn update_backoff(&mut self, key: &ItemKey, end: &RunEnd, made_progress: bool) {
+        let now = self.context.now();
+        let Some(item) = self.items.get_mut(key) else {
+            return;
+        };
+        if made_progress || *end == RunEnd::Whole {
+            item.backoff.record_progress();
+        } else if *end == RunEnd::Broken {
+            item.backoff.record_failure();
+        }
+        let pause_ms = item.backoff.pause_ms();
+        if *end == RunEnd::Broken && pause_ms > 0 {
+            item.paused_until = now + pause_ms;
+            info!(event = "item_paused", request = key.item.as_str(), batch = key.batch.as_str(),
+                pause_ms = pause_ms, broken_runs = item.backoff.failures(); "");
+        }
+    }
+
     pub(super) fn record_backend_outcome(
         &mut self,
         key: &ItemKey,
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,8 +1,7 @@
 //! Fingerprints of requests: a hash of what stays the same when a caller sends a request again, which is its method,
 //! host, path and body. The id, the deadline and whatever else is new with each try are left out. A load of a model
-//! version has a fingerprint too.
+//! version has a fingerprint too; items of batches have none, as they are never held for the cause of a crash.
 
-use havenstage_rollout::batch::Item;
 use havenstage_rollout::crash_ledger::Fingerprint;
 use havenstage_rollout::ids::{ModelName, Version};
 use http::header::HOST;
@@ -27,16 +26,6 @@
     ])
 }
 
-/// The fingerprint of an item of a batch. It does not depend on the batch.
-pub(crate) fn of_item(host: &str, item: &Item) -> Fingerprint {
-    of_parts([
-        http::Method::POST.as_str().as_bytes(),
-        host.as_bytes(),
-        item.path.as_bytes(),
-        &item.body,
-    ])
-}
-
 /// Takes the place of the method in fingerprints of loads. It contains spaces, so no request can have it as its method.
 const LOAD_METHOD: &[u8] = b"load a version";
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::calls::{Call, StreamingAnswer};
 use crate::context::Context;
 use crate::crash_evidence::{self, SendTarget};
-use crate::crash_guard::{self, Admission, Sender, SuspectSlot};
+use crate::crash_guard::{self, Admission, SuspectSlot};
 use crate::send;
 
 /// Pause before the next check whether a suspected stream may be resumed. Other sends of the same request end soon.
@@ -149,7 +149,7 @@
         let mut unreported_since = None;
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.deadline {
             let request = self.call.fingerprint();
-            let slot = match crash_guard::admit(&self.context, &request, Sender::Any) {
+            let slot = match crash_guard::admit(&self.context, &request) {
                 Admission::Send(slot) => slot,
                 Admission::Wait => {
                     tokio::time::sleep(ADMISSION_PAUSE).await;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -112,6 +112,7 @@
             let is_success = answer.status.is_success();
             crash_guard::record_answer(context, &backend, is_success, || call.fingerprint());
         }
+        SendOutcome::MayHaveRun(_) if !call.can_be_barred() => {}
         SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
             crash_evidence::check_broken_send(context, unanswered_send(call, target)).await;
         }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod backend_digest;
 pub mod backend_source;
+pub mod backoff;
 pub mod batch;
 pub mod batch_index;
 pub mod batch_state;
