Link: interim answers without end are no answer

What callers saw: a back end that sends interim answers (100) without end holds a request until its deadline, and the node reads them all the while, as fast as they come.

Cause: the HTTP library limits the size of a head, but skips interim answers one after the other and counts nothing over them. Change: a connection reads at most 128 KiB until a head is complete; beyond that its read fails, the connection closes and the send is `Broken`, which may have run.

--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 
 use crate::error::LinkError;
+use crate::head_limit::{HeadLimit, LimitedStream};
 use crate::silence::ConnectionActivity;
 
 /// Time after which the operating system closes a connection whose peer acknowledges nothing.
@@ -25,6 +26,9 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of a connection's read buffer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes read until a head is complete: a head that fills the buffer, and the body that is read with its
+/// end.
+const MAX_BYTES_TO_HEAD: usize = 2 * READ_BUFFER_BYTES;
 
 /// Makes the operating system close a connection whose peer acknowledges nothing, or accepts no data, for `after`,
 /// whether or not there is data to be sent. Socket options that can't be set are ignored.
@@ -45,6 +49,7 @@
     pub(crate) idle_since: Instant,
     pub(crate) idle_timeout: Duration,
     pub(crate) activity: Arc<ConnectionActivity>,
+    head_limit: HeadLimit,
     driver: JoinHandle<()>,
 }
 
@@ -74,6 +79,11 @@
         // not reach the server after the request was abandoned.
         let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         end_when_unacknowledged(&stream, UNACKNOWLEDGED_TIMEOUT);
+        let head_limit = HeadLimit::new(MAX_BYTES_TO_HEAD);
+        let stream = LimitedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -88,6 +98,7 @@
             idle_since: Instant::now(),
             idle_timeout,
             activity: register(),
+            head_limit,
             driver,
         })
     }
@@ -106,6 +117,7 @@
         let Some(sender) = &mut self.sender else {
             return Err(ExchangeError::NotWritten(Box::new(request)));
         };
+        self.head_limit.begin();
         let response = sender.try_send_request(request);
         tokio::pin!(response);
         let response = tokio::select! {
@@ -118,6 +130,7 @@
                 response.await
             }
         };
+        self.head_limit.end();
         response.map_err(|mut failed| match failed.take_message() {
             Some(unsent) => ExchangeError::NotWritten(Box::new(unsent)),
             None => ExchangeError::Broken,
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod connection;
 mod error;
+mod head_limit;
 mod link;
 mod probe;
 mod send_options;
