Event streams: bytes without end that contain no event end the run or stream

What callers saw: a back end in trouble begins an event stream and then sends bytes without end in which no event ends. The node held them all and searched them again with each piece: a resumable stream had no answer, and its node no time for others, for over 25 s (a test process of 8 GB address space); an item was not completed in 20 s. A stream that cannot be resumed passed such bytes on for ever, beyond the timeout of its route (over 25 s at a route of 3 s).

Cause: the reader of events had no limit, and a piece of a line was searched from its start. A stream that cannot be resumed had no limit of time, and any byte counted as a sign of life for one that can.

Change: an event has 1 MiB at most (`EventTooLong`); beyond it the connection closes and the run is `Broken`, the stream goes on elsewhere. What was searched is not searched again. Every stream ends 0.1 s after its deadline, broken off so that it does not look complete.

Tests: an_item_goes_on_elsewhere_after_a_line_without_end, a_stream_goes_on_elsewhere_after_a_line_without_end, a_stream_that_cannot_be_resumed_ends_at_its_timeout_although_bytes_come fail on the code before (above) and pass here; bytes_without_an_event_are_refused_beyond_a_limit and events_of_the_greatest_size_are_returned.

--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -8,7 +8,7 @@
 use havenstage_http_link::{Answer, LinkError, SendOptions};
 use havenstage_rollout::back_end_speed::StreamGaps;
 use havenstage_rollout::batch::Item;
-use havenstage_rollout::event_stream::EventReader;
+use havenstage_rollout::event_stream::{EventReader, EventTooLong};
 use havenstage_rollout::ids::{BackendId, BatchId, ItemId, RunId, TenantName, Version};
 use havenstage_rollout::record::OutputEvent;
 use http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -324,7 +324,12 @@
             Ok(Err(LinkError::Broken | _)) | Err(_) => return RunEnd::Broken,
         };
         reader.push(&bytes);
-        while let Some(event) = reader.next_event() {
+        loop {
+            let event = match reader.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(EventTooLong) => return RunEnd::Broken,
+            };
             count += 1;
             if event.id.is_some_and(|id| id != count) {
                 return RunEnd::Broken;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use havenstage_clock::Instant;
 use havenstage_http_link::{Answer, LinkError, SendOptions};
-use havenstage_rollout::event_stream::EventReader;
+use havenstage_rollout::event_stream::{EventReader, EventTooLong};
 use havenstage_rollout::ids::{BackendId, PoolName};
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::route::{RequestKind, Route};
@@ -25,6 +25,8 @@
 
 /// Pause before the next check whether a suspected stream may be resumed. Other sends of the same request end soon.
 const ADMISSION_PAUSE: Duration = Duration::from_millis(20);
+/// Time after its deadline for which a stream may end: its last events may be on their way.
+const END_GRACE: Duration = Duration::from_millis(100);
 /// Silence after which a resumable stream is resumed at another back end.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -108,12 +110,17 @@
     /// broke and could not be resumed.
     pub async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         loop {
-            if let Some(event) = self.reader.next_event() {
+            let next_event = self.reader.next_event();
+            if let Ok(Some(event)) = next_event {
                 self.last_event = event.id.or(self.last_event);
                 return Some(Ok(event.raw));
             }
             let current = self.current.as_mut()?;
-            match read(&mut current.answer, self.is_resumable).await {
+            let received = match next_event {
+                Ok(_) => read(&mut current.answer, self.is_resumable, self.deadline).await,
+                Err(EventTooLong) => Err(LinkError::TooLong),
+            };
+            match received {
                 Ok(Some(bytes)) if self.is_resumable => self.reader.push(&bytes),
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) if current.answer.is_framed() && self.reader.remaining().is_empty() => {
@@ -267,11 +274,20 @@
     matches!(error, LinkError::TimedOut | LinkError::Silent)
 }
 
-async fn read(answer: &mut Answer, is_resumable: bool) -> Result<Option<Bytes>, LinkError> {
-    if !is_resumable {
-        // A stream that cannot be resumed is not ended because of silence.
-        return answer.next_bytes().await;
+/// Reads the next bytes of a stream. A stream that cannot be resumed is not ended because of silence, but no stream goes on
+/// after its deadline, even if its back end sends bytes all the time.
+async fn read(
+    answer: &mut Answer,
+    is_resumable: bool,
+    deadline: Instant,
+) -> Result<Option<Bytes>, LinkError> {
+    let mut read_until = deadline + END_GRACE;
+    if is_resumable {
+        read_until = read_until.min(Instant::now() + SILENCE_TIMEOUT);
+    }
+    if Instant::now() >= read_until {
+        return Err(LinkError::TimedOut);
     }
-    let read = tokio::time::timeout(SILENCE_TIMEOUT, answer.next_bytes()).await;
+    let read = havenstage_clock::timeout_at(read_until, answer.next_bytes()).await;
     read.unwrap_or(Err(LinkError::TimedOut))
 }
--- a/crates/rollout/src/event_stream.rs
+++ b/crates/rollout/src/event_stream.rs
@@ -1,9 +1,18 @@
 //! Incremental parser for the server-sent events (`text/event-stream`) of a back end.
 
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 
 use crate::ids::Version;
 
+/// Maximum size of an event. A back end in trouble may send bytes without end that contain no event.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event is longer than [`MAX_EVENT_BYTES`], or what arrived is no stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("no end of an event in {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// One complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -21,6 +30,8 @@
 #[derive(Debug)]
 pub struct EventReader {
     buffer: BytesMut,
+    /// Number of buffered bytes in which no event ends.
+    searched: usize,
     version_field: String,
 }
 
@@ -29,6 +40,7 @@
     pub fn new(version_field: &str) -> Self {
         Self {
             buffer: BytesMut::new(),
+            searched: 0,
             version_field: version_field.to_ascii_lowercase(),
         }
     }
@@ -45,14 +57,24 @@
 
     /// Removes and returns the next complete event; `None` if more bytes are needed. Events without data, for instance
     /// comments, are skipped.
-    pub fn next_event(&mut self) -> Option<StreamEvent> {
-        loop {
-            let end = find_event_end(&self.buffer)?;
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLong`] if the incomplete event is longer than allowed.
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
+        while let Some(end) = find_event_end(&self.buffer, self.searched) {
             let raw = self.buffer.split_to(end.start + end.length).freeze();
+            self.searched = 0;
             if let Some(event) = self.parse_event(&raw) {
-                return Some(event);
+                return Ok(Some(event));
             }
         }
+        // The line ends of an event may have arrived in part.
+        self.searched = self.buffer.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
+        match self.buffer.len() > MAX_EVENT_BYTES {
+            true => Err(EventTooLong),
+            false => Ok(None),
+        }
     }
 
     fn parse_event(&self, raw: &Bytes) -> Option<StreamEvent> {
@@ -100,14 +122,18 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// Maximum length of the two line ends that terminate an event.
+const MAX_EVENT_END_BYTES: usize = 3;
+
 /// The two line ends that terminate an event.
 struct EventEnd {
     start: usize,
     length: usize,
 }
 
-fn find_event_end(buffer: &[u8]) -> Option<EventEnd> {
-    let mut index = 0;
+/// Finds the end of the first event, which does not begin before `from`.
+fn find_event_end(buffer: &[u8], from: usize) -> Option<EventEnd> {
+    let mut index = from;
     while let Some(at) = buffer[index..].iter().position(|byte| *byte == b'\n') {
         let newline = index + at;
         match &buffer[newline + 1..] {
