A rejection counts only if its answer is whole

What callers saw: a back end in trouble sends a head like that of a rejection and then bytes without end. A call that may run once was sent again, or refused with 503 as not run; an item was given up for a 422.

Cause: the class of a rejection was decided by its head; whether its body ever ended was read and then ignored, up to 32 MB of it. Change: not run, failed and impossible need the whole answer, of 64 KiB at most; otherwise the send may have run (`cut_short`), and the run of an item is `broken`.

Tests: a_rejection_without_end_does_not_mean_that_a_call_was_not_run and an_item_is_not_given_up_for_a_rejection_without_end fail on the code before and pass here.

Looked at for the same cause: orders and reports (400 ms, 1 MiB), the store (8 MiB, its timeouts), calls to the operations API, other nodes: all read their answers whole, with a limit of time and size, and an error there is never taken for "not sent".

--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -208,8 +208,16 @@
         Err(end) => {
             // Reads the body to its end, so that the connection can be reused.
             let rest = answer.whole(MAX_REJECTION_BYTES);
-            let _ = tokio::time::timeout(HEAD_TIMEOUT, rest).await;
-            end
+            let rest = tokio::time::timeout(HEAD_TIMEOUT, rest).await;
+            match end {
+                // Only a whole answer counts: what begins like one may be the bytes of a back end in trouble.
+                RunEnd::NotRun | RunEnd::Failed | RunEnd::Impossible
+                    if !matches!(rest, Ok(Ok(_))) =>
+                {
+                    RunEnd::Broken
+                }
+                end => end,
+            }
         }
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -19,6 +19,8 @@
 
 /// Maximum size of an answer's body that is read whole before it is forwarded.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum size of the body of an answer that says that the call was not run.
+const MAX_REJECTION_BYTES: usize = 64 * 1024;
 
 /// Reason of a send of which nothing was written, because its deadline had passed or its batch may have ended.
 const TOO_LATE: &str = "too_late";
@@ -233,9 +235,11 @@
     if named.is_some_and(|named| named != id) {
         return SendOutcome::MayHaveRun("foreign_answer");
     }
-    // The body is read to its end so that the connection can be reused.
-    let _ = answer.whole(MAX_ANSWER_BYTES).await;
-    SendOutcome::NotRun("turned_away")
+    // Only a whole answer counts: what begins like one may be the bytes of a back end in trouble.
+    match answer.whole(MAX_REJECTION_BYTES).await {
+        Ok(_) => SendOutcome::NotRun("turned_away"),
+        Err(_) => SendOutcome::MayHaveRun(CUT_SHORT),
+    }
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -135,6 +135,8 @@
 
 const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-signature: s\r\nx-version: 1\r\n";
+const NOT_RUN_HEAD: &str = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n";
+const IMPOSSIBLE_HEAD: &str = "HTTP/1.1 422 Unprocessable Content\r\n";
 
 fn without_end(head: &'static str, repeated: &'static str) -> EndlessAnswer {
     EndlessAnswer {
@@ -185,6 +187,12 @@
     complete_an_item_beside(without_end(STREAM_HEAD, "data: x")).await;
 }
 
+/// A failure counts only if its answer is whole, so the item is not given up.
+#[tokio::test]
+async fn an_item_is_not_given_up_for_a_rejection_without_end() {
+    complete_an_item_beside(without_end(IMPOSSIBLE_HEAD, "no")).await;
+}
+
 #[tokio::test]
 async fn a_stream_goes_on_elsewhere_after_a_line_without_end() {
     let endless_line = without_end(STREAM_HEAD, "data: x");
@@ -225,3 +233,18 @@
     assert!(!last.ends_with(b"0\r\n\r\n"), "it does not look complete");
     assert_eq!(endless.received.load(Ordering::Relaxed), 1);
 }
+
+/// A call that may run once is neither sent again nor refused as not run on the word of an answer that is not whole.
+#[tokio::test]
+async fn a_rejection_without_end_does_not_mean_that_a_call_was_not_run() {
+    let rejection = without_end(NOT_RUN_HEAD, "no");
+    let (deployment, endless, node) = start(rejection, APPLICATIONS).await;
+    let callers = node.callers;
+    let since = Instant::now();
+    let asked = tokio::spawn(async move { call(callers, "once", "/once/a").await });
+    wait_for_request(&endless).await;
+    let sound = add_sound_backend(&deployment, APPLICATIONS).await;
+    assert_eq!(asked.await.unwrap().status, 502);
+    endless.wait_until_closed(since).await;
+    assert!(sound.seen().is_empty());
+}
