Answers in progress hold at most a quarter of a node's memory

What callers saw: several back ends, or one over several connections, send bodies without end. Each is cut at 32 MB, but a node of 64 MB held 201 MB of eight calls (270 MB are allowed on the users' machines): it is killed, with all requests that it has accepted.

Cause: the limit counts for each answer alone. Change: all answers in progress together hold a quarter of `memory_mb`; beyond it the answer that asks for more is given up (`answer_too_long`), its connection closes, and the send may have run. Answers up to 64 KiB are received in any case. A body whose length says that it is too long is not begun (`Answer::whole`).

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -38,6 +38,7 @@
 use crate::operations::OperationsApi;
 use crate::peer_notices::PeerSocket;
 use crate::peers::Peers;
+use crate::received_answers::ReceivedAnswers;
 use crate::reward_limiter::RewardLimiter;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
@@ -146,6 +147,8 @@
     pub work: Arc<Notify>,
     /// Answers that callers have not received completely yet, and their memory.
     pub answers: Arc<HeldAnswers>,
+    /// The memory of answers of back ends that are being received.
+    pub received_answers: Arc<ReceivedAnswers>,
     /// Whether callers' connections can be accepted.
     pub accept_health: AcceptHealth,
     /// Connections to other nodes, and this node's own address for them.
@@ -190,6 +193,7 @@
         let window_ms = settings.metering().map(|metering| metering.window_ms);
         let regions = settings.region_map();
         let answers = HeldAnswers::new(settings.memory_bytes());
+        let received_answers = ReceivedAnswers::new(settings.memory_bytes());
         let clock = NodeClock::start();
         let work = Arc::new(Notify::new());
         let control_changed = Arc::new(Notify::new());
@@ -231,6 +235,7 @@
             control_read_at: OnceLock::new(),
             participation: watch::Sender::new(false),
             answers,
+            received_answers,
             accept_health: AcceptHealth::default(),
             peers: Peers::default(),
             crash_guard: CrashGuard::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod partition_queries;
 mod peer_notices;
 pub mod peers;
+pub mod received_answers;
 pub mod relay;
 mod request_head;
 mod responses;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,8 +17,6 @@
 use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
 
-/// Maximum size of an answer's body that is read whole before it is forwarded.
-const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
 /// Maximum size of the body of an answer that says that the call was not run.
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
 
@@ -219,7 +217,7 @@
             backend: chosen,
         }));
     }
-    match answer.whole(MAX_ANSWER_BYTES).await {
+    match context.received_answers.receive(answer).await {
         Ok(whole) => SendOutcome::Answered(whole),
         Err(_) => SendOutcome::MayHaveRun(CUT_SHORT),
     }
--- a/crates/gateway/tests/endless_answers.rs
+++ b/crates/gateway/tests/endless_answers.rs
@@ -248,3 +248,44 @@
     endless.wait_until_closed(since).await;
     assert!(sound.seen().is_empty());
 }
+
+/// Memory of the node in the next test, in MB.
+const MEMORY_MB: u32 = 64;
+/// Number of callers at a time, and length of each answer that is never whole.
+const CALLERS: usize = 8;
+const ANSWER_BYTES: usize = 24 * 1024 * 1024;
+/// Most bytes that the buffers of the sockets of a connection hold.
+const SOCKET_BUFFER_BYTES: usize = 7 * 1024 * 1024;
+
+/// Many answers without end at a time do not exceed the memory of the node.
+#[tokio::test]
+async fn answers_in_progress_hold_a_share_of_the_memory() {
+    let deployment = Deployment::start(0, 0).await;
+    let long_answer = EndlessAnswer {
+        head: "HTTP/1.1 200 OK\r\nx-signature: s\r\n",
+        repeated: "x",
+        max_bytes: ANSWER_BYTES,
+    };
+    let endless = EndlessBackend::start(long_answer).await;
+    endless.list_in(&deployment, APPLICATIONS);
+    let mut settings = settings("a");
+    settings.memory_mb = MEMORY_MB;
+    let node = TestNode::start_with_settings(NodeLog::new(&deployment.log), settings).await;
+    node.wait_until_known(1).await;
+    let callers = node.callers;
+    let calls = (0..CALLERS).map(|number| {
+        tokio::spawn(async move { call(callers, &format!("call-{number}"), "/once/a").await })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut most = 0;
+    while calls.iter().any(|call| !call.is_finished()) {
+        most = most.max(endless.held.load(Ordering::Relaxed));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for call in calls {
+        assert!(matches!(call.await.unwrap().status.as_u16(), 502 | 504));
+    }
+    let allowed = MEMORY_MB as usize * 1024 * 1024 / 4 + CALLERS * SOCKET_BUFFER_BYTES;
+    assert!(most < allowed, "{most} bytes were held, {allowed} allowed");
+    assert!(most < CALLERS * ANSWER_BYTES / 2, "{most} bytes were held");
+}
--- a/crates/http-link/src/answer.rs
+++ b/crates/http-link/src/answer.rs
@@ -100,11 +100,23 @@
     }
 
     /// Reads the rest of the body. Returns [`LinkError::TooLong`] if it is longer than `max_bytes`.
-    pub async fn whole(mut self, max_bytes: usize) -> Result<WholeAnswer, LinkError> {
+    pub async fn whole(self, max_bytes: usize) -> Result<WholeAnswer, LinkError> {
+        if self.body.size_hint().lower() > max_bytes as u64 {
+            return Err(LinkError::TooLong);
+        }
+        self.whole_if(|length| length <= max_bytes).await
+    }
+
+    /// Reads the rest of the body as long as `may_hold` allows its length so far, which is asked before each piece is
+    /// kept. Returns [`LinkError::TooLong`] if it does not.
+    pub async fn whole_if(
+        mut self,
+        mut may_hold: impl FnMut(usize) -> bool,
+    ) -> Result<WholeAnswer, LinkError> {
         let framed = self.is_framed();
         let mut body = BytesMut::new();
         while let Some(bytes) = self.next_bytes().await? {
-            if body.len() + bytes.len() > max_bytes {
+            if !may_hold(body.len() + bytes.len()) {
                 return Err(LinkError::TooLong);
             }
             body.extend_from_slice(&bytes);
