--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -402,6 +402,7 @@
                     residency: self.residency.clone(),
                     sends: self.sends,
                     deadline: self.deadline,
+                    ends_at: self.started_at + Duration::from_millis(self.route.timeout_ms),
                     answer: started.answer,
                     backend: started.backend,
                     slot,
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -120,8 +120,11 @@
     pub residency: Residency,
     /// Number of sends of the call so far.
     pub sends: u32,
-    /// Time by which the stream must end.
+    /// Time by which the stream is to end; it is not resumed after it.
     pub deadline: Instant,
+    /// Time at which the route's timeout ends the stream. Until then events are forwarded also after the deadline, as long
+    /// as the caller reads them.
+    pub ends_at: Instant,
     /// The back end's answer, whose head has been received.
     pub answer: Answer,
     /// Back end that produces the stream.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,7 +25,7 @@
 
 /// Pause before the next check whether a suspected stream may be resumed. Other sends of the same request end soon.
 const ADMISSION_PAUSE: Duration = Duration::from_millis(20);
-/// Time after its deadline for which a stream may end: its last events may be on their way.
+/// Time after the route's timeout for which a stream may end: its last events may be on their way.
 const END_GRACE: Duration = Duration::from_millis(100);
 /// Silence after which a resumable stream is resumed at another back end.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -53,6 +53,7 @@
     /// Whether the last break was a silence. Its cause may have silenced other connections too.
     had_silent_send: bool,
     deadline: Instant,
+    ends_at: Instant,
 }
 
 struct ActiveAnswer {
@@ -87,6 +88,7 @@
             is_resumable,
             had_silent_send: false,
             deadline: streaming.deadline,
+            ends_at: streaming.ends_at,
             current: Some(ActiveAnswer {
                 answer: streaming.answer,
                 backend: streaming.backend,
@@ -117,7 +119,7 @@
             }
             let current = self.current.as_mut()?;
             let received = match next_event {
-                Ok(_) => read(&mut current.answer, self.is_resumable, self.deadline).await,
+                Ok(_) => read(&mut current.answer, self.is_resumable, self.ends_at).await,
                 Err(EventTooLong) => Err(LinkError::TooLong),
             };
             match received {
@@ -275,13 +277,13 @@
 }
 
 /// Reads the next bytes of a stream. A stream that cannot be resumed is not ended because of silence, but no stream goes on
-/// after its deadline, even if its back end sends bytes all the time.
+/// after the route's timeout, even if its back end sends bytes all the time.
 async fn read(
     answer: &mut Answer,
     is_resumable: bool,
-    deadline: Instant,
+    ends_at: Instant,
 ) -> Result<Option<Bytes>, LinkError> {
-    let mut read_until = deadline + END_GRACE;
+    let mut read_until = ends_at + END_GRACE;
     if is_resumable {
         read_until = read_until.min(Instant::now() + SILENCE_TIMEOUT);
     }
