Load limit: only loads that an order started are measured, and the estimate forgets

Cause: the quickest time ever taken for a load was the measure, and an order that met a load under way (29 to 680 ms) counted as one. Each true load was slow from then on, and at the minimum nothing raised the limit.

Change: a load counts only if its order was accepted and it succeeded, from that answer on. The estimate is kept for each model, from the latest four uncontended loads or the last 30 s; after 30 s without an uncontended load the limit is at its minimum until one has ended. Concurrency is the most orders in flight while a load ran, where it was their number at its start. Loads at the minimum raise the limit.

--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -61,7 +61,7 @@
                 },
             ))
         });
-        let max_loads_at_once = self.load_limit.allowed(targets.len());
+        let max_loads_at_once = self.load_limit.allowed(targets.len(), now);
         plan_orders(&targets, &demand.collect(), &assignments, max_loads_at_once)
     }
 
@@ -129,7 +129,7 @@
                     .collect(),
                 running: running.get(id).copied().unwrap_or(0),
                 slots: record.slots,
-                is_loading: self.in_flight.contains(id),
+                is_loading: self.in_flight.contains_key(id),
                 is_avoided: is_backing_off || !is_order_old_enough,
             });
         }
--- a/crates/gateway/src/coordinator/harmful_loads.rs
+++ b/crates/gateway/src/coordinator/harmful_loads.rs
@@ -73,7 +73,7 @@
 impl Coordinator {
     /// Whether a planned order may be sent now; if so, its load is counted as in flight.
     pub(super) fn try_begin_load(&mut self, order: &PlannedOrder) -> bool {
-        if self.in_flight.contains(&order.backend) {
+        if self.in_flight.contains_key(&order.backend) {
             return false;
         }
         let load = fingerprint::of_load(&order.model, order.version);
--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -10,7 +10,7 @@
 mod lease;
 mod suspension;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -18,9 +18,9 @@
 use havenstage_clock::{AwakeInstant, Instant};
 use havenstage_rollout::Millis;
 use havenstage_rollout::crash_ledger::Fingerprint;
-use havenstage_rollout::ids::{BackendId, PoolName};
+use havenstage_rollout::ids::{BackendId, ModelName, PoolName};
 use havenstage_rollout::lease::Term;
-use havenstage_rollout::load_limit::LoadLimit;
+use havenstage_rollout::load_limit::{LoadLimit, LoadSample};
 use havenstage_rollout::order_plan::PlannedOrder;
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
@@ -50,7 +50,8 @@
     /// Number of orders that each back end has accepted, as it last reported.
     accepted_orders: BTreeMap<BackendId, u64>,
     /// Back ends whose order has not ended, at most one order each.
-    in_flight: BTreeSet<BackendId>,
+    /// Back ends with an order in flight, and the most orders that were in flight at a time since it began.
+    in_flight: BTreeMap<BackendId, usize>,
     avoided_until: BTreeMap<BackendId, Millis>,
     load_limit: LoadLimit,
     harmful_loads: HarmfulLoads,
@@ -79,20 +80,13 @@
 /// The outcome of an order, sent to the coordinator by the task that followed the order.
 struct OrderOutcome {
     backend: BackendId,
+    model: ModelName,
     /// The load that was ordered; `None` if an earlier lease holder sent the order.
     ordered_load: Option<Fingerprint>,
     /// The last report of the back end after the order; `None` if there is none.
     report: Option<BackendReport>,
-    /// Duration of the load, if this node sent the order and the back end now has the version or a newer one.
-    load: Option<SuccessfulLoad>,
-}
-
-/// A successful load.
-#[derive(Debug, Clone, Copy)]
-struct SuccessfulLoad {
-    took_ms: Millis,
-    /// Orders in flight when it was sent, including itself.
-    orders_in_flight: usize,
+    /// Duration of the load in milliseconds, if the order started it and it succeeded.
+    load_ms: Option<Millis>,
 }
 
 impl Coordinator {
@@ -106,7 +100,7 @@
             context,
             lease: None,
             accepted_orders: BTreeMap::new(),
-            in_flight: BTreeSet::new(),
+            in_flight: BTreeMap::new(),
             valid_until: Arc::new(AtomicU64::new(0)),
             avoided_until: BTreeMap::new(),
             pace: WorkPace::new(PLAN_PAUSE_FACTOR),
@@ -208,42 +202,43 @@
 
     /// Starts a task that follows an order, unless one for the same back end is in flight.
     fn spawn_follower(&mut self, order: Order, start: OrderStart) {
-        if !self.in_flight.insert(order.backend.clone()) {
+        if self.in_flight.contains_key(&order.backend) {
             return;
         }
+        self.in_flight.insert(order.backend.clone(), 0);
+        let count = self.in_flight.len();
+        for most in self.in_flight.values_mut() {
+            *most = count.max(*most);
+        }
         let (context, sender) = (self.context.clone(), self.outcome_sender.clone());
-        let (began, orders_in_flight) = (context.now(), self.in_flight.len());
         let valid_until = self.valid_until.clone();
         tokio::spawn(async move {
-            let report = order_run::execute(&context, &order, start, &valid_until).await;
-            let has_version = report
-                .as_ref()
-                .is_some_and(|report| order.is_fulfilled_by(report));
-            let took_ms = context.now().saturating_sub(began);
+            let executed = order_run::execute(&context, &order, start, &valid_until).await;
             let is_sent = start == OrderStart::Send;
-            let load = (is_sent && has_version).then_some(SuccessfulLoad {
-                took_ms,
-                orders_in_flight,
-            });
             // Sending fails only when the process ends and the coordinator is dropped.
             let _ = sender.send(OrderOutcome {
                 ordered_load: is_sent.then(|| fingerprint::of_load(&order.model, order.version)),
                 backend: order.backend,
-                report,
-                load,
+                model: order.model,
+                report: executed.report,
+                load_ms: executed.load_ms,
             });
         });
     }
 
     /// Records the outcome of an order that has ended.
     fn record_outcome(&mut self, outcome: OrderOutcome) {
-        self.in_flight.remove(&outcome.backend);
+        let concurrent = self.in_flight.remove(&outcome.backend);
         if let Some(load) = outcome.ordered_load {
             self.harmful_loads.record_end(&load);
         }
-        if let Some(load) = outcome.load {
-            self.load_limit
-                .record_load(load.took_ms, load.orders_in_flight);
+        if let (Some(took_ms), Some(concurrent)) = (outcome.load_ms, concurrent) {
+            let load = LoadSample {
+                model: outcome.model,
+                took_ms,
+                concurrent,
+            };
+            self.load_limit.record_load(load, self.context.now());
         }
         match outcome.report {
             Some(report) => {
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -7,6 +7,7 @@
 
 use havenstage_clock::Instant;
 use havenstage_http_link::{LinkError, SendOptions};
+use havenstage_rollout::Millis;
 use havenstage_rollout::control_record::ControlRecord;
 use havenstage_rollout::ids::{BackendId, ModelName, Version};
 use http::StatusCode;
@@ -107,14 +108,34 @@
     valid_until: &'a AtomicU64,
 }
 
-/// Carries out an order and awaits its outcome. Returns the last report of the back end. `None` if it gave
-/// none, if its order count could not be read, or if the order could not be appended to the log.
+/// How an order ended.
+#[derive(Debug, Default)]
+pub struct ExecutedOrder {
+    /// The last report of the back end. `None` if it gave none, if its order count could not be read, or if the order could
+    /// not be appended to the log.
+    pub report: Option<BackendReport>,
+    /// Duration of the load in milliseconds, if the order started it and it succeeded.
+    pub load_ms: Option<Millis>,
+}
+
+/// Carries out an order and awaits its outcome.
 pub async fn execute(
     context: &Arc<Context>,
     order: &Order,
     start: OrderStart,
     valid_until: &AtomicU64,
-) -> Option<BackendReport> {
+) -> ExecutedOrder {
+    let executed = try_execute(context, order, start, valid_until).await;
+    executed.unwrap_or_default()
+}
+
+/// Like [`execute`]; `None` if the order was not sent because of the back end or the log.
+async fn try_execute(
+    context: &Arc<Context>,
+    order: &Order,
+    start: OrderStart,
+    valid_until: &AtomicU64,
+) -> Option<ExecutedOrder> {
     let began = Instant::now();
     let mut send_outcome = SendOutcome::Unsent;
     if start == OrderStart::Send {
@@ -130,8 +151,10 @@
         };
         send_outcome = send(context, order, expected_orders, limits).await;
     }
+    let sent = Instant::now();
     let report = await_outcome(context, order, send_outcome, began).await;
     record_load_outcome(context, order, began, send_outcome, report.as_ref()).await;
+    let load_ms = load_duration_ms(order, sent, send_outcome, report.as_ref());
     let records = outcome_records(order, report.as_ref());
     info!(event = "order_ended", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, outcome = format!("{records:?}").as_str(),
@@ -142,7 +165,20 @@
                 reason = error.to_string().as_str(); "");
         }
     }
-    report
+    Some(ExecutedOrder { report, load_ms })
+}
+
+/// Duration of the load that an order started; `None` if it started none. A back end that holds the version already, or that
+/// is busy with another load, gets the version without a load or in the rest of one.
+fn load_duration_ms(
+    order: &Order,
+    sent: Instant,
+    send_outcome: SendOutcome,
+    report: Option<&BackendReport>,
+) -> Option<Millis> {
+    let has_started = send_outcome == SendOutcome::Answered(StatusCode::ACCEPTED);
+    let has_version = report.is_some_and(|report| order.is_fulfilled_by(report));
+    (has_started && has_version).then(|| sent.elapsed().as_millis() as Millis)
 }
 
 /// Records for the crash ledger whether the back end survived the load.
