Crash guard: a resumed stream uses its trial up; claims of trials in a module of their own

A stream that is resumed under a claimed trial did not mark it as used, so the same trial could be made again without a claim. Found by reading; no test shows it, as a stream has to be barred between its break and its resumption. The claim of a trial moves from crash_guard.rs to trial_claims.rs unchanged.

--- a/crates/gateway/src/call_progress.rs
+++ b/crates/gateway/src/call_progress.rs
@@ -29,6 +29,7 @@
 use crate::crash_guard::{self, Admission, SuspectSlot};
 use crate::metrics;
 use crate::send::{self, SILENT, SendOutcome, SendTerms};
+use crate::trial_claims;
 
 /// Share of the objective after which a repeatable call without an answer is also sent to a second back end.
 const HEDGE_SHARE: f64 = 0.5;
@@ -195,7 +196,7 @@
         let (request, id) = (self.call.fingerprint(), self.call.id_text());
         if matches!(admission, Admission::TrialOnly | Admission::Barred)
             && self.has_available_backend()
-            && crash_guard::claim_trial(self.context, &request, &id).await
+            && trial_claims::claim(self.context, &request, &id).await
         {
             return None;
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -42,6 +42,7 @@
 use crate::reward_limiter::RewardLimiter;
 use crate::settings::Settings;
 use crate::stream_view::StreamView;
+use crate::trial_claims::TrialClaims;
 
 /// The only partition of the control stream in use.
 pub const CONTROL: StreamPartition = StreamPartition {
@@ -154,6 +155,7 @@
     /// Connections to other nodes, and this node's own address for them.
     pub peers: Peers,
     pub(crate) crash_guard: CrashGuard,
+    pub(crate) trial_claims: TrialClaims,
     pub(crate) watched_sends: WatchedSends,
     /// Socket that receives datagrams of other nodes; set once if the node listens for them.
     pub(crate) peer_socket: OnceLock<PeerSocket>,
@@ -239,6 +241,7 @@
             accept_health: AcceptHealth::default(),
             peers: Peers::default(),
             crash_guard: CrashGuard::default(),
+            trial_claims: TrialClaims::default(),
             watched_sends: WatchedSends::default(),
             peer_socket: OnceLock::new(),
             reward_limiter: RewardLimiter::new(clock),
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -4,7 +4,7 @@
 //! the end in the node's crash ledger at once, reports it to all nodes through the control stream, and decides whether
 //! a request may be sent.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::context::Context;
-use crate::log_writes::{append_control, append_control_and_read};
+use crate::log_writes::append_control;
 use crate::metrics;
 use crate::peer_notices;
 
@@ -37,8 +37,6 @@
 const PEER_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time that a request waits until the ends under it are reported: two further appends to the log.
 pub(crate) const UNREPORTED_END_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time that a call waits for its claim of a trial: some ten times what an append and a read of the log take.
-const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of records that wait for an append while the log is unavailable; each holds some 100 bytes.
 const MAX_WAITING_RECORDS: usize = 256;
 /// Number of unreported ends under a request from which on this node holds it back. Unreported ends are lost if this
@@ -58,8 +56,6 @@
     unreported: Mutex<HashMap<Fingerprint, Vec<BackendId>>>,
     /// Notified each time an end is reported.
     end_reported: Notify,
-    /// Requests of which this node is claiming a trial.
-    claiming: Mutex<HashSet<Fingerprint>>,
 }
 
 /// Whether a request may be sent to a back end now.
@@ -172,10 +168,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn lock_claiming(&self) -> MutexGuard<'_, HashSet<Fingerprint>> {
-        self.claiming.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn lock_in_flight(&self) -> MutexGuard<'_, HashMap<Fingerprint, usize>> {
         self.in_flight
             .lock()
@@ -262,62 +254,6 @@
     }))
 }
 
-/// Marks that this node is claiming a trial of a request, until it is dropped.
-struct ClaimInProgress<'a> {
-    guard: &'a CrashGuard,
-    request: Fingerprint,
-}
-
-impl<'a> ClaimInProgress<'a> {
-    /// `None` if this node is claiming a trial of the request already.
-    fn begin(guard: &'a CrashGuard, request: Fingerprint) -> Option<Self> {
-        let is_first = guard.lock_claiming().insert(request);
-        is_first.then_some(Self { guard, request })
-    }
-}
-
-impl Drop for ClaimInProgress<'_> {
-    fn drop(&mut self) {
-        self.guard.lock_claiming().remove(&self.request);
-    }
-}
-
-/// Claims the next trial of a request for this node if one is due. Returns whether this node may make it now. Without the
-/// log there are no trials, since other nodes could make the same one.
-pub(crate) async fn claim_trial(context: &Context, request: &Fingerprint, id: &str) -> bool {
-    let due = {
-        let control = context.control.lock();
-        control.state.crashes().due_trial(request, context.now())
-    };
-    let Some(number) = due else {
-        return false;
-    };
-    let Some(_claim_in_progress) = ClaimInProgress::begin(&context.crash_guard, *request) else {
-        return false;
-    };
-    let record = ControlRecord::TrialClaimed {
-        request: *request,
-        number,
-        node: context.node.clone(),
-    };
-    let appended = append_control_and_read(context, &record);
-    let appended = tokio::time::timeout(TRIAL_CLAIM_TIMEOUT, appended).await;
-    let is_held = {
-        let control = context.control.lock();
-        let crashes = control.state.crashes();
-        crashes.holds_unused_trial(request, &context.node)
-    };
-    let failure = match appended {
-        Ok(Ok(())) => String::new(),
-        Ok(Err(error)) => error.to_string(),
-        Err(elapsed) => elapsed.to_string(),
-    };
-    info!(event = "trial_claimed", request = id, content = request.to_string().as_str(),
-        number = number, is_held = is_held, reason = failure.as_str(); "");
-    metrics::trial_claimed(is_held);
-    is_held
-}
-
 /// Logs and counts that a request is given up because the ends under it could not be reported in time. `id` is the id
 /// of this try.
 pub(crate) fn log_given_up_with_unreported_ends(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,4 +59,5 @@
 pub mod settings;
 pub mod sizing;
 pub mod stream_view;
+mod trial_claims;
 pub mod work_pace;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -158,7 +158,7 @@
         let mut unreported_since = None;
         while self.is_resumable && self.resumes_left > 0 && Instant::now() < self.deadline {
             let request = self.call.fingerprint();
-            let slot = match crash_guard::admit(&self.context, &request) {
+            let mut slot = match crash_guard::admit(&self.context, &request) {
                 Admission::Send(slot) => slot,
                 Admission::Wait => {
                     tokio::time::sleep(ADMISSION_PAUSE).await;
@@ -200,6 +200,9 @@
             let Some(backend) = chosen else {
                 break;
             };
+            if let Some(slot) = &mut slot {
+                slot.set_may_have_run(true);
+            }
             self.tried.push(backend.id.clone());
             if let Some(answer) = self.request_resume(&backend).await {
                 self.report("resumed", from.as_ref(), Some(&backend.id));
