Backoff: the pause does not fall to zero after some sixty failures in a row

Cause: the pause was doubled by a shift, which drops the highest bits without an error: 1,000 ms shifted by 61 is 0. An item whose runs broke off 64 times in a row, some two minutes of pauses, would have been run without a pause three times.

--- a/crates/rollout/src/backoff.rs
+++ b/crates/rollout/src/backoff.rs
@@ -37,9 +37,7 @@
         let Some(further) = self.failures.checked_sub(FAILURES_WITHOUT_PAUSE + 1) else {
             return 0;
         };
-        FIRST_PAUSE_MS
-            .checked_shl(further)
-            .unwrap_or(MAX_PAUSE_MS)
-            .min(MAX_PAUSE_MS)
+        let pause_ms = FIRST_PAUSE_MS.saturating_mul(2_u64.saturating_pow(further));
+        pause_ms.min(MAX_PAUSE_MS)
     }
 }
