--- a/crates/gateway/src/backends.rs
+++ b/crates/gateway/src/backends.rs
@@ -1,6 +1,6 @@
 //! Back ends as this node uses them: which ones are listed, fast or avoided, and the idle connections to each.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,6 +9,7 @@
 use havenstage_clock::Instant;
 use havenstage_http_link::{Link, LinkSettings};
 use havenstage_rollout::Millis;
+use havenstage_rollout::address_claims::REPLACED_MS;
 use havenstage_rollout::back_end_speed::{BackEndSpeed, EqualGaps, GapEstimate};
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
 use havenstage_rollout::health::BackendHealth;
@@ -17,12 +18,17 @@
 };
 use havenstage_rollout::residency::{RegionMap, Residency};
 use havenstage_rollout::slow_start::{ColdLimit, Sender, SlowStart};
+use log::info;
 use tokio::sync::{Notify, watch};
 
+use crate::metrics;
+
 /// Timeout of opening a connection to a back end.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time after which a connection to a back end is not reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(9);
+/// Number of ends of back ends that are remembered.
+const MAX_REMEMBERED_ENDS: usize = 256;
 /// Most idle connections to one back end.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -70,6 +76,17 @@
     slow_start: SlowStart,
     /// Configured limits of what the back ends of each pool are sent while they are cold.
     cold_limits: HashMap<PoolName, ColdLimit>,
+    /// The latest ends that the list showed.
+    ends: VecDeque<ListedEnd>,
+}
+
+/// The end of a back end that had not said that it leaves, as the list showed it: another one was listed under its name or
+/// at its address.
+struct ListedEnd {
+    backend: BackendId,
+    pool: PoolName,
+    /// When this node learnt of it.
+    known_at: Millis,
 }
 
 /// Restricts the back ends to which a call may be sent.
@@ -185,10 +202,24 @@
         now: Millis,
         draw: u64,
     ) -> Option<ChosenBackend> {
-        let id = self.lock().best_for_call(target, tried, ended, now, draw)?;
+        let id = {
+            let mut inner = self.lock();
+            inner.list.expire_replaced(now);
+            inner.best_for_call(target, tried, ended, now, draw)?
+        };
         self.take_for_request(&id, target.sender, now)
     }
 
+    /// Records that another back end turned a request for this one away: this one has ended, and gets no work while its
+    /// entry has not expired.
+    pub fn record_replaced(&self, id: &BackendId, now: Millis) {
+        if self.lock().list.record_replaced(id, now) {
+            metrics::backend_replaced();
+            info!(event = "backend_replaced", backend = id.as_str(), pause_ms = REPLACED_MS; "");
+            self.work.notify_one();
+        }
+    }
+
     /// Reserves a given back end for a request, if it is listed and may be sent one now. This is the last check before
     /// every send: since the back end was chosen, its zone may have been evacuated, or its slow-start allowance for this
     /// second used up.
@@ -222,7 +253,11 @@
 impl BackendsInner {
     fn apply(&mut self, change: BackendChange, now: Millis) {
         let (id, record) = (change.incarnation(), change.record.clone());
+        let former = self.list.incarnation(&change.name).cloned();
         let is_removed = self.list.apply(change);
+        if let (Some(id), Some(record)) = (&id, &record) {
+            self.record_ends(id, record, former, now);
+        }
         if let (Some(id), Some(record)) = (id, record) {
             self.apply_entry(&id, &record, now);
         }
@@ -240,6 +275,47 @@
         self.forget_unlisted(now);
     }
 
+    /// Records the ends that a new entry shows: of the former incarnation, and of others that are listed at its address.
+    fn record_ends(
+        &mut self,
+        id: &BackendId,
+        record: &BackendRecord,
+        former: Option<BackendId>,
+        now: Millis,
+    ) {
+        let crashed = former.filter(|former| self.list.has_crashed(former));
+        let others = self.list.replaced_by(id).cloned();
+        let ended: Vec<BackendId> = crashed.into_iter().chain(others).collect();
+        for backend in ended {
+            if self.ends.iter().any(|end| end.backend == backend) {
+                continue;
+            }
+            if self.ends.len() == MAX_REMEMBERED_ENDS {
+                self.ends.pop_front();
+            }
+            self.ends.push_back(ListedEnd {
+                backend,
+                pool: record.pool.clone(),
+                known_at: now,
+            });
+        }
+    }
+
+    /// Whether the list showed within `max_age_ms` that a back end of a pool ended that is none of `expected`.
+    pub fn has_unexpected_end(
+        &self,
+        pool: &PoolName,
+        expected: &BTreeSet<BackendId>,
+        max_age_ms: Millis,
+        now: Millis,
+    ) -> bool {
+        self.ends.iter().any(|end| {
+            end.pool == *pool
+                && now.saturating_sub(end.known_at) < max_age_ms
+                && !expected.contains(&end.backend)
+        })
+    }
+
     fn suspect_cold(&mut self, zone: &ZoneName, now: Millis) {
         for (id, record) in self.list.in_zone(zone) {
             if let Some(limit) = self.cold_limits.get(&record.pool) {
--- a/crates/gateway/src/coordinator/demand.rs
+++ b/crates/gateway/src/coordinator/demand.rs
@@ -112,7 +112,8 @@
         let running = self.context.occupied(|_| true);
         self.context.apply_observed_versions();
         let control = self.context.control.lock();
-        let backends = self.context.backends.lock();
+        let mut backends = self.context.backends.lock();
+        backends.list.expire_replaced(now);
         let min_order_age_ms = self.context.settings.bounds.order_lease_ms + MAX_ORDER_DELAY_MS;
         let mut targets = Vec::new();
         for (id, record) in backends.list.ready_in(&pool.name) {
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -401,10 +401,16 @@
 
     /// Whether an answer states that the back end did not run the request.
     fn is_not_run(&self, status: StatusCode, headers: &http::HeaderMap) -> bool {
-        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&self.headers().not_run)
+        is_misdirected(status) || headers.contains_key(&self.headers().not_run)
     }
 }
 
+/// Whether an answer states that another back end than the expected one listens at the address. Each request to a back end
+/// names the one that is expected.
+pub fn is_misdirected(status: StatusCode) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Implementations of the external interfaces with which a node is started.
 pub struct NodeDependencies {
     /// Log that all nodes share.
--- a/crates/gateway/src/engine/active_item.rs
+++ b/crates/gateway/src/engine/active_item.rs
@@ -80,6 +80,8 @@
     pub paused_until: Millis,
     /// When this node began to work on the item, by the node's clock.
     pub since: Millis,
+    /// When the last run of this node ended, by the node's clock; `None` before the first one.
+    pub last_run_ended: Option<Millis>,
     /// Number of events that the log held when this node began to work on the item.
     logged_events: u32,
     /// All runs that this node began.
@@ -106,6 +108,7 @@
             backoff: Backoff::default(),
             paused_until: 0,
             since: now,
+            last_run_ended: None,
             logged_events: events,
             own_runs: Vec::new(),
             unrecorded: Vec::new(),
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -35,6 +35,7 @@
         };
         let now = self.context.now();
         let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
+        self.context.backends.lock().list.expire_replaced(now);
         let mut expired = Vec::new();
         let needed = self.context.partitions.needed();
         self.paused_starts
--- a/crates/gateway/src/engine/run.rs
+++ b/crates/gateway/src/engine/run.rs
@@ -22,6 +22,7 @@
 use crate::backends::ChosenBackend;
 use crate::context::Context;
 use crate::crash_guard;
+use crate::edge;
 use crate::send;
 
 /// Maximum time until the head of a response arrives.
@@ -69,6 +70,8 @@
     Whole,
     /// The back end states that it did not run the item.
     NotRun,
+    /// Another back end listens at the address and did not run the item: the chosen one has ended.
+    Replaced,
     /// The request was not written: by the time it could be, this node's knowledge of the batch was too old.
     TooLate,
     /// The back end could not be reached, so the request was not sent.
@@ -91,6 +94,7 @@
         match self {
             Self::Whole => "whole",
             Self::NotRun => "not_run",
+            Self::Replaced => "replaced",
             Self::TooLate => "too_late",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
@@ -211,7 +215,7 @@
             let rest = tokio::time::timeout(HEAD_TIMEOUT, rest).await;
             match end {
                 // Only a whole answer counts: what begins like one may be the bytes of a back end in trouble.
-                RunEnd::NotRun | RunEnd::Failed | RunEnd::Impossible
+                RunEnd::NotRun | RunEnd::Replaced | RunEnd::Failed | RunEnd::Impossible
                     if !matches!(rest, Ok(Ok(_))) =>
                 {
                     RunEnd::Broken
@@ -285,7 +289,10 @@
         .dialect
         .is_not_run(answer.status(), answer.headers())
     {
-        return Err(RunEnd::NotRun);
+        return Err(match edge::is_misdirected(answer.status()) {
+            true => RunEnd::Replaced,
+            false => RunEnd::NotRun,
+        });
     }
     let id = answer.headers().get(&names.request_id);
     if id.is_none_or(|id| id.as_bytes() != parameters.key.item.as_str().as_bytes()) {
--- a/crates/gateway/src/engine/run_messages.rs
+++ b/crates/gateway/src/engine/run_messages.rs
@@ -89,6 +89,7 @@
             events = item.events, took_ms = took_ms; "");
         let made_progress = item.events > item.resumed_from;
         item.phase = Phase::Waiting;
+        item.last_run_ended = Some(now);
         let partition = item.partition;
         if let Some(progress) = item.take_progress(key) {
             self.queue_record(partition, &progress);
@@ -103,6 +104,7 @@
             RunEnd::Impossible => self.give_up(key, GiveUpReason::Impossible),
             RunEnd::Failed => self.handle_run_failure(key),
             RunEnd::NotRun
+            | RunEnd::Replaced
             | RunEnd::TooLate
             | RunEnd::Unreachable
             | RunEnd::Broken
@@ -148,6 +150,8 @@
                 self.record_backend_answer(backend, began);
                 self.breaker(backend).record_rejection(now);
             }
+            // The answer is another back end's, so it says nothing about the breaker of this one.
+            RunEnd::Replaced => self.context.backends.record_replaced(backend, now),
             RunEnd::WrongVersion(version) => {
                 self.record_backend_answer(backend, began);
                 if let Some(model) = self.model_of(key) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -127,6 +127,11 @@
     counter!("gateway_breakers_opened_total", "cause" => cause).increment(1);
 }
 
+/// Counts a back end that gets no work for a while because another one was found at its address.
+pub fn backend_replaced() {
+    counter!("gateway_backends_replaced_total").increment(1);
+}
+
 /// Counts a run that was ended because its back end stopped sending events.
 pub fn run_stalled(reason: &'static str) {
     counter!("gateway_runs_stalled_total", "reason" => reason).increment(1);
--- a/crates/gateway/src/order_exchange.rs
+++ b/crates/gateway/src/order_exchange.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 
 use crate::context::Context;
-use crate::edge::BackendReport;
+use crate::edge::{self, BackendReport};
 
 /// Timeout of a report request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -42,7 +42,7 @@
 }
 
 /// Sends a request that only the known back end is to accept, and reads the whole answer. The request names the
-/// expected back end in a header.
+/// expected back end in a header; if another one turns it away, that is recorded.
 pub(crate) async fn exchange(
     context: &Arc<Context>,
     backend: &BackendId,
@@ -60,5 +60,9 @@
         answer.whole(MAX_ANSWER_BYTES).await
     };
     let answer = tokio::time::timeout(timeout, exchange).await;
-    answer.unwrap_or(Err(LinkError::TimedOut))
+    let answer = answer.unwrap_or(Err(LinkError::TimedOut))?;
+    if edge::is_misdirected(answer.status) {
+        context.backends.record_replaced(backend, context.now());
+    }
+    Ok(answer)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -16,12 +16,15 @@
 use crate::context::Context;
 use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
+use crate::edge;
 
 /// Maximum size of the body of an answer that says that the call was not run.
 const MAX_REJECTION_BYTES: usize = 64 * 1024;
 
 /// Reason of a send of which nothing was written, because its deadline had passed or its batch may have ended.
 const TOO_LATE: &str = "too_late";
+/// Reason of a send that another back end turned away: it listens at the address now.
+const REPLACED: &str = "replaced";
 /// Reason of a send whose connection broke before the head of an answer.
 const BROKEN: &str = "broken";
 /// Reason of a send whose answer's body ended early.
@@ -203,7 +206,14 @@
         .dialect
         .is_not_run(answer.status(), answer.headers())
     {
-        return not_run_unless_foreign(context, answer, &call.id).await;
+        let is_misdirected = edge::is_misdirected(answer.status());
+        let outcome = not_run_unless_foreign(context, answer, &call.id).await;
+        if is_misdirected && matches!(outcome, SendOutcome::NotRun(_)) {
+            let now = context.now();
+            context.backends.record_replaced(&chosen.id, now);
+            return SendOutcome::NotRun(REPLACED);
+        }
+        return outcome;
     }
     if !has_request_id {
         return SendOutcome::MayHaveRun("foreign_answer");
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -44,6 +44,8 @@
     pub event_padding: usize,
     /// Whether it refuses orders.
     pub refuses_orders: bool,
+    /// Whether it answers orders before it carries them out.
+    pub answers_orders_at_once: bool,
     /// How it answers calls.
     pub call: CallBehaviour,
     /// Time that a call takes before it is answered.
@@ -124,6 +126,8 @@
     orders: Mutex<Vec<(String, Instant)>>,
     in_flight: Arc<AtomicUsize>,
     rejected_calls: AtomicUsize,
+    /// Requests for other back ends, which it answered with 421, by the id of the expected one.
+    misdirected: Mutex<HashMap<String, usize>>,
     breaks: Notify,
     ended: watch::Sender<bool>,
 }
@@ -159,6 +163,7 @@
             events: EVENTS,
             event_padding: 0,
             refuses_orders: false,
+            answers_orders_at_once: false,
             call: CallBehaviour::Answer,
             call_time: Duration::ZERO,
             slots: None,
@@ -177,6 +182,7 @@
             orders: Mutex::default(),
             in_flight: Arc::default(),
             rejected_calls: AtomicUsize::new(0),
+            misdirected: Mutex::default(),
             breaks: Notify::new(),
             ended: watch::Sender::new(false),
         });
@@ -203,6 +209,16 @@
         self.rejected_calls.load(Ordering::Relaxed)
     }
 
+    /// Number of requests that it received for each other back end, and did not run.
+    pub fn misdirected(&self) -> HashMap<String, usize> {
+        self.misdirected.lock().unwrap().clone()
+    }
+
+    fn record_misdirected(&self, expected: &str) {
+        let mut misdirected = self.misdirected.lock().unwrap();
+        *misdirected.entry(expected.to_owned()).or_default() += 1;
+    }
+
     /// Breaks the connections of all [`CallBehaviour::Silent`] calls.
     pub fn break_connections(&self) {
         self.breaks.notify_waiters();
@@ -213,6 +229,11 @@
         self.ended.send_replace(true);
     }
 
+    /// Version of the weights that it serves.
+    pub fn version(&self) -> u64 {
+        self.behaviour().version
+    }
+
     /// Whether its process has ended.
     pub fn has_ended(&self) -> bool {
         *self.ended.borrow()
@@ -357,6 +378,18 @@
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
     let path = head.uri.path().to_owned();
+    let expected = head
+        .headers
+        .get("x-expected")
+        .and_then(|value| value.to_str().ok());
+    if let Some(expected) = expected.filter(|expected| *expected != backend.id && path != "/report")
+    {
+        backend.record_misdirected(expected);
+        return Ok(full_response(
+            StatusCode::MISDIRECTED_REQUEST,
+            String::new(),
+        ));
+    }
     match path.as_str() {
         "/order" => return Ok(handle_order(&backend, &body).await),
         "/report" => {
@@ -367,16 +400,6 @@
         }
         _ => {}
     }
-    let expected = head
-        .headers
-        .get("x-expected")
-        .and_then(|value| value.to_str().ok());
-    if expected.is_some_and(|expected| expected != backend.id) {
-        return Ok(full_response(
-            StatusCode::MISDIRECTED_REQUEST,
-            String::new(),
-        ));
-    }
     let received = ReceivedRequest {
         path: path.clone(),
         headers: head.headers,
@@ -422,11 +445,22 @@
         return full_response(StatusCode::ACCEPTED, String::new());
     }
     backend.orders.lock().unwrap().push((order, Instant::now()));
-    backend.load().await;
-    backend.behave(|behaviour| behaviour.version = version);
+    if backend.behaviour().answers_orders_at_once {
+        tokio::spawn(carry_out_order(backend.clone(), version));
+        return full_response(StatusCode::ACCEPTED, String::new());
+    }
+    carry_out_order(backend.clone(), version).await;
     full_response(StatusCode::OK, String::new())
 }
 
+/// Loads a version, unless the process ends before.
+async fn carry_out_order(backend: Arc<StandInBackend>, version: u64) {
+    backend.load().await;
+    if !backend.has_ended() {
+        backend.behave(|behaviour| behaviour.version = version);
+    }
+}
+
 async fn run_call(
     backend: &StandInBackend,
     received: &ReceivedRequest,
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use crate::Millis;
+use crate::address_claims::AddressClaims;
 use crate::ids::{BackendId, BackendName, ModelName, PoolName, Version, ZoneName};
 
 /// The entry that a back end writes about itself.
@@ -63,6 +64,8 @@
     crashed: VecDeque<BackendId>,
     /// Zones that operators evacuate: their back ends get no new work.
     evacuated: BTreeSet<ZoneName>,
+    /// Which back end listens at an address where several are listed.
+    claims: AddressClaims,
 }
 
 impl BackendList {
@@ -83,13 +86,28 @@
             self.remove_replaced(&name, former);
         }
         self.incarnations.insert(name, incarnation.clone());
-        self.entries.insert(incarnation, record);
+        self.insert(incarnation, record);
         former.is_some()
     }
 
+    fn insert(&mut self, id: BackendId, record: BackendRecord) {
+        let address = record.address;
+        let former = self.entries.insert(id.clone(), record);
+        if let Some(former) = former.filter(|former| former.address != address) {
+            self.claims.record_unlisted(&id, former.address);
+        }
+        self.claims.record_listed(&id, address);
+    }
+
     fn remove(&mut self, name: &BackendName) -> bool {
-        let incarnation = self.incarnations.remove(name);
-        incarnation.is_some_and(|incarnation| self.entries.remove(&incarnation).is_some())
+        let Some(incarnation) = self.incarnations.remove(name) else {
+            return false;
+        };
+        let Some(record) = self.entries.remove(&incarnation) else {
+            return false;
+        };
+        self.claims.record_unlisted(&incarnation, record.address);
+        true
     }
 
     /// Removes an incarnation that the next one replaces, and remembers it as crashed unless it was draining.
@@ -142,7 +160,44 @@
         pool: &'a PoolName,
     ) -> impl Iterator<Item = (&'a BackendId, &'a BackendRecord)> {
         self.serving_in(pool)
-            .filter(|(_, record)| !self.is_evacuated(&record.zone))
+            .filter(|(id, record)| self.may_get_work(id, record))
+    }
+
+    fn may_get_work(&self, id: &BackendId, record: &BackendRecord) -> bool {
+        !self.is_evacuated(&record.zone) && self.claims.is_current(id, record.address)
+    }
+
+    /// Records that another back end turned a request for this one away, so that this one gets no work for a while.
+    /// Returns whether that is news.
+    pub fn record_replaced(&mut self, id: &BackendId, now: Millis) -> bool {
+        self.entries.contains_key(id) && self.claims.record_replaced(id, now)
+    }
+
+    /// Gives back ends work again that got none for a while because another one was found at their address.
+    pub fn expire_replaced(&mut self, now: Millis) {
+        self.claims.expire(now);
+    }
+
+    /// Whether a back end is listed and taken to be the one that listens at its address.
+    pub fn is_current(&self, id: &BackendId) -> bool {
+        self.get(id)
+            .is_some_and(|record| self.claims.is_current(id, record.address))
+    }
+
+    /// Listed back ends that have ended, as this one was listed at their address later. None if it is not the one that is
+    /// taken to listen there.
+    pub fn replaced_by<'a>(&'a self, id: &'a BackendId) -> impl Iterator<Item = &'a BackendId> {
+        let current = self.get(id).filter(|_| self.is_current(id));
+        let others = current.map(|record| self.claims.others_at(record.address, id));
+        others.into_iter().flatten().filter(|other| {
+            let record = self.get(other);
+            record.is_some_and(|record| !record.draining)
+        })
+    }
+
+    /// The newest incarnation that is listed under a name.
+    pub fn incarnation(&self, name: &BackendName) -> Option<&BackendId> {
+        self.incarnations.get(name)
     }
 
     /// Back ends of a pool that are not draining, including those of evacuated zones.
@@ -155,11 +210,12 @@
             .filter(move |(_, record)| record.pool == *pool && !record.draining)
     }
 
-    /// Whether a request that was just assigned to a back end may still be sent to it: the back end is listed,
-    /// and its zone is not evacuated. A draining back end still accepts such a request.
+    /// Whether a request that was just assigned to a back end may still be sent to it: the back end is listed, no other
+    /// one is taken to listen at its address, and its zone is not evacuated. A draining back end still accepts such a
+    /// request.
     pub fn can_accept_requests(&self, id: &BackendId) -> bool {
         self.get(id)
-            .is_some_and(|record| !self.is_evacuated(&record.zone))
+            .is_some_and(|record| self.may_get_work(id, record))
     }
 
     fn is_evacuated(&self, zone: &str) -> bool {
@@ -210,8 +266,7 @@
     /// Whether a back end other than `former` is listed at an address: the incarnation that follows the one that used
     /// it before.
     pub fn is_address_reused(&self, address: SocketAddr, former: &BackendId) -> bool {
-        let mut entries = self.entries.iter();
-        entries.any(|(id, record)| record.address == address && id != former)
+        self.claims.others_at(address, former).next().is_some()
     }
 
     /// Number of listed back ends.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,7 @@
 //! next. Callers pass in the current time as milliseconds on a monotonic clock.
 
 pub mod access;
+pub mod address_claims;
 pub mod back_end_speed;
 pub mod backend;
 pub mod backend_digest;
--- a/crates/rollout/tests/backends.rs
+++ b/crates/rollout/tests/backends.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use havenstage_rollout::address_claims::REPLACED_MS;
 use havenstage_rollout::backend::{BackendChange, BackendList, BackendRecord};
 use havenstage_rollout::ids::{BackendId, BackendName, PoolName, ZoneName};
 
@@ -19,10 +20,26 @@
     }
 }
 
+/// The entry of a back end at an address of its own, which follows from the number at the end of its name.
 fn change(name: &str, record: Option<BackendRecord>) -> BackendChange {
     BackendChange {
         name: BackendName::from(name),
-        record,
+        record: record.map(|record| at_own_address(name, record)),
+    }
+}
+
+fn at_own_address(name: &str, mut record: BackendRecord) -> BackendRecord {
+    let number = name.trim_start_matches(|c: char| !c.is_ascii_digit());
+    let number: u16 = number.parse().expect("names end with a number");
+    record.address.set_port(8_000 + number);
+    record
+}
+
+/// The entry of a back end at the address of all of them.
+fn change_at_one_address(name: &str) -> BackendChange {
+    BackendChange {
+        name: BackendName::from(name),
+        record: Some(record(None)),
     }
 }
 
@@ -98,7 +115,10 @@
         list.apply(change(name, Some(record(Some(100)))));
     }
     let listing = [("b2", 300), ("b3", 100)];
-    let listing = listing.map(|(name, at)| (BackendName::from(name), record(Some(at))));
+    let listing = listing.map(|(name, at)| {
+        let record = at_own_address(name, record(Some(at)));
+        (BackendName::from(name), record)
+    });
     list.replace(listing.into());
     assert_eq!(ready_ids(&list), ["b2@300", "b3@100"]);
     assert!(list.has_crashed(&id("b2@100")));
@@ -132,3 +152,39 @@
     assert!(list.set_evacuated(&zone, false));
     assert_eq!(ready_ids(&list), ["b1", "b2", "b3"]);
 }
+
+/// Guards against work for back ends that crashed: their entries stay listed while the next ones listen at their addresses.
+#[test]
+fn of_the_back_ends_at_one_address_only_the_one_listed_last_gets_work() {
+    let mut list = BackendList::default();
+    for name in ["b1", "b2", "b3"] {
+        list.apply(change_at_one_address(name));
+    }
+    assert_eq!(ready_ids(&list), ["b3"]);
+    assert!(!list.can_accept_requests(&id("b1")));
+    // A late entry of one that is listed already changes nothing.
+    list.apply(change_at_one_address("b1"));
+    assert_eq!(ready_ids(&list), ["b3"]);
+    list.apply(BackendChange {
+        name: BackendName::from("b3"),
+        record: None,
+    });
+    assert_eq!(ready_ids(&list), ["b2"]);
+}
+
+/// The one that was listed last may be the wrong one: an entry of an earlier one that is written late, after it expired.
+#[test]
+fn a_back_end_whose_requests_another_one_turns_away_gets_no_work_for_a_while() {
+    let mut list = BackendList::default();
+    for name in ["b1", "b2"] {
+        list.apply(change_at_one_address(name));
+    }
+    assert!(list.record_replaced(&id("b2"), 1_000));
+    assert!(!list.record_replaced(&id("b2"), 1_500), "it is no news");
+    assert_eq!(ready_ids(&list), ["b1"]);
+    list.expire_replaced(1_500 + REPLACED_MS - 1);
+    assert_eq!(ready_ids(&list), ["b1"]);
+    list.expire_replaced(1_500 + REPLACED_MS);
+    assert_eq!(ready_ids(&list), ["b2"]);
+    assert!(!list.record_replaced(&id("b9"), 9_000), "it is not listed");
+}
