--- a/crates/gateway/src/coordinator/mod.rs
+++ b/crates/gateway/src/coordinator/mod.rs
@@ -25,7 +25,7 @@
 use havenstage_rollout::route::RouteTable;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
-use self::harmful_loads::HarmfulLoads;
+use self::harmful_loads::{HarmfulLoads, LoadEnd};
 use self::suspension::SuspensionWatch;
 use crate::context::Context;
 use crate::edge::{BackendReport, LoadMode};
@@ -87,6 +87,8 @@
     report: Option<BackendReport>,
     /// Duration of the load in milliseconds, if the order started it and it succeeded.
     load_ms: Option<Millis>,
+    /// Whether the back end may have begun to load the version.
+    may_have_begun: bool,
 }
 
 impl Coordinator {
@@ -222,6 +224,7 @@
                 model: order.model,
                 report: executed.report,
                 load_ms: executed.load_ms,
+                may_have_begun: executed.may_have_begun,
             });
         });
     }
@@ -230,7 +233,12 @@
     fn record_outcome(&mut self, outcome: OrderOutcome) {
         let concurrent = self.in_flight.remove(&outcome.backend);
         if let Some(load) = outcome.ordered_load {
-            self.harmful_loads.record_end(&load);
+            let end = LoadEnd {
+                backend: &outcome.backend,
+                may_have_begun: outcome.may_have_begun,
+            };
+            let now = self.context.now();
+            self.harmful_loads.record_end(&load, end, now);
         }
         if let (Some(took_ms), Some(concurrent)) = (outcome.load_ms, concurrent) {
             let load = LoadSample {
--- a/crates/gateway/src/crash_guard.rs
+++ b/crates/gateway/src/crash_guard.rs
@@ -431,13 +431,23 @@
 }
 
 fn clear_suspicion(context: &Arc<Context>, backend: &BackendId, request: Fingerprint) {
+    clear(context, request, backend, "answer");
+}
+
+/// Clears a request whose ends say nothing about it, as back ends that did not run it ended with them. `backend` is the one
+/// that it is meant for next.
+pub(crate) fn clear_unfounded(context: &Arc<Context>, backend: &BackendId, request: Fingerprint) {
+    clear(context, request, backend, "other_ends");
+}
+
+fn clear(context: &Arc<Context>, request: Fingerprint, backend: &BackendId, by: &'static str) {
     let is_cleared = {
         let mut control = context.control.lock();
         control.state.crashes_mut().clear(&request)
     };
     if is_cleared {
         info!(event = "request_cleared", content = request.to_string().as_str(),
-            backend = backend.as_str(), by = "answer"; "");
+            backend = backend.as_str(), by = by; "");
         append_until_written(context, ControlRecord::RequestCleared { request });
     }
 }
--- a/crates/gateway/src/order_run.rs
+++ b/crates/gateway/src/order_run.rs
@@ -16,7 +16,7 @@
 use crate::context::Context;
 use crate::crash_evidence::{self, SendTarget, UnansweredSend};
 use crate::crash_guard;
-use crate::edge::{BackendReport, LoadMode, LogError, VersionOrder};
+use crate::edge::{self, BackendReport, LoadMode, LogError, VersionOrder};
 use crate::fingerprint;
 use crate::log_writes::append_control;
 use crate::metrics;
@@ -83,18 +83,40 @@
     Answered(StatusCode),
     /// No answer came; the back end may carry out the order.
     Unanswered,
+    /// No connection to the back end could be established.
+    Unreachable,
     /// No part of the order was sent.
     Unsent,
 }
 
 impl SendOutcome {
+    /// Whether the back end may have begun to load the version.
+    fn may_have_begun(self) -> bool {
+        match self {
+            Self::Answered(status) => status == StatusCode::ACCEPTED,
+            Self::Unanswered => true,
+            Self::Unreachable | Self::Unsent => false,
+        }
+    }
+
+    /// Whether the back end has ended, so that no outcome of the order can be awaited.
+    fn shows_end(self) -> bool {
+        match self {
+            Self::Answered(status) => edge::is_misdirected(status),
+            Self::Unreachable => true,
+            Self::Unanswered | Self::Unsent => false,
+        }
+    }
+
     /// The label in metrics.
     fn name(self) -> &'static str {
         match self {
             Self::Answered(StatusCode::OK) => "holds",
             Self::Answered(StatusCode::ACCEPTED) => "accepted",
+            Self::Answered(status) if edge::is_misdirected(status) => "replaced",
             Self::Answered(_) => "refused",
             Self::Unanswered => "unanswered",
+            Self::Unreachable => "unreachable",
             Self::Unsent => "unsent",
         }
     }
@@ -116,6 +138,8 @@
     pub report: Option<BackendReport>,
     /// Duration of the load in milliseconds, if the order started it and it succeeded.
     pub load_ms: Option<Millis>,
+    /// Whether the back end may have begun to load the version.
+    pub may_have_begun: bool,
 }
 
 /// Carries out an order and awaits its outcome.
@@ -152,7 +176,10 @@
         send_outcome = send(context, order, expected_orders, limits).await;
     }
     let sent = Instant::now();
-    let report = await_outcome(context, order, send_outcome, began).await;
+    let report = match send_outcome.shows_end() {
+        true => None,
+        false => await_outcome(context, order, send_outcome, began).await,
+    };
     record_load_outcome(context, order, began, send_outcome, report.as_ref()).await;
     let load_ms = load_duration_ms(order, sent, send_outcome, report.as_ref());
     let records = outcome_records(order, report.as_ref());
@@ -165,7 +192,11 @@
                 reason = error.to_string().as_str(); "");
         }
     }
-    Some(ExecutedOrder { report, load_ms })
+    Some(ExecutedOrder {
+        report,
+        load_ms,
+        may_have_begun: send_outcome.may_have_begun(),
+    })
 }
 
 /// Duration of the load that an order started; `None` if it started none. A back end that holds the version already, or that
@@ -195,9 +226,9 @@
             crash_guard::record_answer(context, &order.backend, true, load);
         }
         (Some(_), _) => {}
-        // The back end was away before the order reached it, so its end is no evidence against the version.
-        (None, SendOutcome::Unsent) => {}
-        (None, SendOutcome::Answered(_) | SendOutcome::Unanswered) => {
+        // The back end did not load the version, so its end is no evidence against the version.
+        (None, send_outcome) if !send_outcome.may_have_begun() => {}
+        (None, _) => {
             let Some(chosen) = context.backends.take(&order.backend) else {
                 return;
             };
@@ -283,12 +314,15 @@
     };
     let send_outcome = match answer {
         Ok(answer) => SendOutcome::Answered(answer.status),
+        Err(LinkError::NotConnected) => SendOutcome::Unreachable,
         Err(error) if error.is_unsent() => SendOutcome::Unsent,
         Err(_) => SendOutcome::Unanswered,
     };
     let status_text = match send_outcome {
         SendOutcome::Answered(status) => status.as_u16().to_string(),
-        SendOutcome::Unanswered | SendOutcome::Unsent => "none".to_owned(),
+        SendOutcome::Unanswered | SendOutcome::Unreachable | SendOutcome::Unsent => {
+            "none".to_owned()
+        }
     };
     info!(event = "order_given", backend = order.backend.as_str(), model = order.model.as_str(),
         version = order.version, fence = order.fence, expected_orders = expected_orders,
@@ -298,7 +332,7 @@
 }
 
 /// Polls the back end until it is idle and its report cannot date from before the order. `None` if it is no longer
-/// listed, or if it does not answer or stays busy for too long.
+/// listed, if another back end is listed at its address, or if it does not answer or stays busy for too long.
 async fn await_outcome(
     context: &Arc<Context>,
     order: &Order,
@@ -313,7 +347,12 @@
     tokio::time::sleep(first_poll_delay).await;
     let mut unanswered = 0;
     loop {
-        match request_report(context, &order.backend).await {
+        let report = request_report(context, &order.backend).await;
+        // The report may come from the one that took its address.
+        if !context.backends.lock().list.is_current(&order.backend) {
+            return None;
+        }
+        match report {
             Some(report) if !report.busy => {
                 let version = report.models.get(&order.model).copied().unwrap_or(0);
                 if version >= order.version || sent.elapsed() >= report_lag {
@@ -323,9 +362,7 @@
             Some(_) => {}
             None => unanswered += 1,
         }
-        let is_listed = context.backends.lock().list.get(&order.backend).is_some();
-        let is_over = began.elapsed() >= OUTCOME_TIMEOUT || unanswered >= MAX_UNANSWERED_POLLS;
-        if is_over || !is_listed {
+        if began.elapsed() >= OUTCOME_TIMEOUT || unanswered >= MAX_UNANSWERED_POLLS {
             return None;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/rollout/src/crash_ledger/mod.rs
+++ b/crates/rollout/src/crash_ledger/mod.rs
@@ -378,6 +378,13 @@
         others_at_ends.collect()
     }
 
+    /// The back ends that ended under a request, as far as they are stored.
+    pub fn ended_under(&self, request: &Fingerprint) -> BTreeSet<BackendId> {
+        let suspect = self.suspects.get(request);
+        let ended = suspect.into_iter().flat_map(|suspect| &suspect.ended);
+        ended.map(|ended| ended.backend.clone()).collect()
+    }
+
     /// Milliseconds between the reports of the first and the latest end of a request.
     pub fn ends_spread_ms(&self, request: &Fingerprint) -> Millis {
         let suspect = self.suspects.get(request);
