--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -21,6 +21,16 @@
 /// Lower bound of the gap between events that the scheduler calculates with, so that it is never zero.
 const MIN_EVENT_GAP_MS: f64 = 1.0;
 
+/// Number of listed back ends of a pool that may run no items now, by reason.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ExcludedBackends {
+    pub(super) cold: usize,
+    pub(super) breaker_open: usize,
+    pub(super) loading: usize,
+    pub(super) too_old: usize,
+    pub(super) ended: usize,
+}
+
 impl Engine {
     /// Median over a pool's back ends of the time between two events of a stream.
     pub(super) fn median_gap_ms(&self, pool: &PoolName, now: Millis) -> f64 {
@@ -33,7 +43,7 @@
     /// Back ends that may run items now and whose weights are new enough for at least one of them. Excludes
     /// back ends whose circuit breaker is open, that load a version, that ended a moment ago, or that are cold while
     /// others are warm.
-    /// `oldest` is the oldest version of each model that any item may run on; if it is empty, no back end is
+    /// Also returns how many are excluded for which reason. `oldest` is the oldest version of each model that any item may run on; if it is empty, no back end is
     /// excluded for its version.
     pub(super) fn candidates(
         &self,
@@ -42,7 +52,7 @@
         oldest: &BTreeMap<ModelName, Version>,
         median_gap_ms: f64,
         now: Millis,
-    ) -> Vec<Candidate> {
+    ) -> (Vec<Candidate>, ExcludedBackends) {
         let own_node = &self.context.node;
         let other_nodes_running = self.context.occupied(|node| node != own_node);
         let reported_gaps_ms = self.context.reported_event_gaps_ms(|node| node != own_node);
@@ -60,9 +70,11 @@
         let backends = self.context.backends.lock();
         let models = pool.map(|pool| pool.models.clone()).unwrap_or_default();
         let mut candidates = Vec::new();
+        let mut excluded = ExcludedBackends::default();
         let has_warm = backends.has_warm(name, now);
         for (id, record) in backends.list.ready_in(name) {
             if has_warm && backends.is_cold(id, now) {
+                excluded.cold += 1;
                 continue;
             }
             let admission = self
@@ -77,7 +89,19 @@
                 && oldest
                     .iter()
                     .all(|(model, version)| backends.version(id, model) < *version);
-            if admission == Admission::None || is_loading || serves_none || ended.contains(id) {
+            let reason = if admission == Admission::None {
+                Some(&mut excluded.breaker_open)
+            } else if is_loading {
+                Some(&mut excluded.loading)
+            } else if serves_none {
+                Some(&mut excluded.too_old)
+            } else if ended.contains(id) {
+                Some(&mut excluded.ended)
+            } else {
+                None
+            };
+            if let Some(count) = reason {
+                *count += 1;
                 continue;
             }
             let versions = |model: &ModelName| (model.clone(), backends.version(id, model));
@@ -110,7 +134,7 @@
                 groups: groups.get(id).cloned().unwrap_or_default(),
             });
         }
-        candidates
+        (candidates, excluded)
     }
 
     /// Number of this node's running items on each back end.
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -21,6 +21,7 @@
 mod run_messages;
 mod stalls;
 mod start;
+mod waits;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -47,6 +48,7 @@
 use paused_starts::PausedStarts;
 use run::{ItemKey, RunMessage};
 use stalls::StallWatch;
+use waits::WaitLog;
 
 /// Pause after a round of planning, as a multiple of the time that the round took: planning then uses at
 /// most a third of one processor.
@@ -89,6 +91,7 @@
     item_lengths: ItemLengths,
     carried_over: HashMap<BatchId, CarriedOver>,
     paused_starts: BTreeMap<usize, PausedStarts>,
+    wait_log: WaitLog,
     run_messages: UnboundedReceiver<RunMessage>,
     run_message_sender: UnboundedSender<RunMessage>,
     task_ends: UnboundedReceiver<TaskEnd>,
@@ -132,6 +135,7 @@
             item_lengths: ItemLengths::default(),
             carried_over: HashMap::new(),
             paused_starts: BTreeMap::new(),
+            wait_log: WaitLog::default(),
             run_messages,
             run_message_sender,
             task_ends,
@@ -231,6 +235,7 @@
         self.log_ended_batches(&gone);
         for (key, reason) in gone {
             let item = self.items.remove(&key);
+            self.wait_log.forget(&key);
             if reason != RESULT_LISTED {
                 info!(event = "item_dropped", request = key.item.as_str(),
                     batch = key.batch.as_str(), reason = reason,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -14,6 +14,7 @@
 use super::active_item::{ActiveItem, Phase};
 use super::candidates::oldest_versions;
 use super::run::ItemKey;
+use super::waits::PoolState;
 use super::{DEFAULT_GIVE_UP_AFTER_MS, Engine, event_count};
 use crate::metrics;
 
@@ -34,8 +35,8 @@
             return;
         };
         let now = self.context.now();
-        let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         self.context.backends.lock().list.expire_replaced(now);
+        let mut work: BTreeMap<PoolName, PoolWork> = BTreeMap::new();
         let mut expired = Vec::new();
         let needed = self.context.partitions.needed();
         self.paused_starts
@@ -136,6 +137,9 @@
                     .expected_remaining(pool, item, produced_tokens),
                 held_tokens: prompt_tokens.saturating_add(produced_tokens),
                 batch_first_seen: batch.first_seen,
+                waiting_since: active_item
+                    .and_then(|item| item.last_run_ended)
+                    .unwrap_or(batch.first_seen),
                 model: batch.model.clone(),
                 minimum_version: batch.minimum_version,
                 exact_version: first_version(active_item, item).filter(|_| route.single_version),
@@ -173,12 +177,17 @@
         let median_gap_ms = self.median_gap_ms(pool, now);
         let oldest = oldest_versions(&work);
         self.item_lengths.add_running(&work.running);
-        let mut candidates = self.candidates(table.pool(pool), pool, &oldest, median_gap_ms, now);
+        let (mut candidates, excluded) =
+            self.candidates(table.pool(pool), pool, &oldest, median_gap_ms, now);
         let token_ms = median_gap_ms / f64::from(tokens_per_event(table, pool));
         let free_slots = candidates.iter().map(Candidate::free_slots).sum();
         let running = &work.running;
         schedule::prioritize_waiting(&mut work.waiting, running, free_slots, now, token_ms);
-        work.waiting.retain(|item| !self.is_paused(item, now));
+        let (paused, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut work.waiting)
+            .into_iter()
+            .partition(|item| self.is_paused(item, now));
+        work.waiting = waiting;
+        let mut unplaced = Vec::new();
         let probes: HashMap<usize, BackendId> = schedule::assign_probes(&work.waiting, &candidates)
             .into_iter()
             .collect();
@@ -188,6 +197,7 @@
             let chosen = probed.or_else(|| schedule::choose_backend(item, &candidates));
             let Some(chosen) = chosen else {
                 self.restart_if_version_is_gone(item, pool, now);
+                unplaced.push(item.clone());
                 continue;
             };
             let backend = chosen.backend.clone();
@@ -198,6 +208,12 @@
             self.item_lengths.add_item(&backend, item.tokens());
             self.start_item(item, &backend, now);
         }
+        let state = PoolState {
+            pool: pool.as_str(),
+            candidates: &candidates,
+            excluded,
+        };
+        self.wait_log.log(&unplaced, &paused, &state, now);
         let are_all_taken = candidates.iter().all(|c| c.running >= c.slots);
         if are_all_taken && !candidates.is_empty() {
             self.context.backends.want_more(pool);
@@ -256,6 +272,7 @@
         if self.prepare_item(&key, now).is_none() {
             return;
         }
+        self.wait_log.forget(&key);
         if is_first_start && self.reuse_output(&key, item) {
             return;
         }
--- a/crates/rollout/src/schedule/mod.rs
+++ b/crates/rollout/src/schedule/mod.rs
@@ -7,6 +7,7 @@
 mod probe;
 mod relocation;
 mod required_groups;
+mod wait_reason;
 
 use std::collections::{BTreeMap, HashSet};
 
@@ -21,6 +22,7 @@
 pub use probe::assign_probes;
 pub use relocation::{Relocation, RunningItem, plan_relocations};
 pub use required_groups::optional_items;
+pub use wait_reason::{WaitReason, wait_reason};
 
 /// An item that waits for a slot on a back end.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,6 +41,8 @@
     pub held_tokens: u32,
     /// When this node first saw the batch.
     pub batch_first_seen: Millis,
+    /// Since when no back end has the item: when its last run ended, or else when this node first saw the batch.
+    pub waiting_since: Millis,
     /// Model that the item needs; `None` if any back end of the pool will do.
     pub model: Option<ModelName>,
     /// Oldest version of the model that the item may run on.
@@ -121,8 +125,11 @@
 
     /// Whether the back end has a free slot and a suitable region and weights version for the item.
     fn has_slot_for(&self, item: &WaitingItem) -> bool {
-        let is_allowed = item.residency.allows(self.region.as_ref());
-        self.running < self.slots && is_allowed && self.has_version_for(item)
+        self.running < self.slots && self.is_in_region_of(item) && self.has_version_for(item)
+    }
+
+    fn is_in_region_of(&self, item: &WaitingItem) -> bool {
+        item.residency.allows(self.region.as_ref())
     }
 
     fn has_version_for(&self, item: &WaitingItem) -> bool {
--- a/crates/rollout/tests/claims.rs
+++ b/crates/rollout/tests/claims.rs
@@ -80,6 +80,7 @@
         expected_tokens: TOKENS,
         held_tokens: 0,
         batch_first_seen: burst.at_ms,
+        waiting_since: burst.at_ms,
         model: None,
         minimum_version: 0,
         exact_version: None,
--- a/crates/rollout/tests/schedule.rs
+++ b/crates/rollout/tests/schedule.rs
@@ -10,8 +10,8 @@
 use havenstage_rollout::ids::{BatchId, GroupId, ItemId, ModelName, RegionName};
 use havenstage_rollout::residency::Residency;
 use havenstage_rollout::schedule::{
-    Candidate, ItemTokens, RunningItem, TokenMemory, WaitingItem, assign_probes, choose_backend,
-    optional_items, plan_relocations, sort_by_expected_end,
+    Candidate, ItemTokens, RunningItem, TokenMemory, WaitReason, WaitingItem, assign_probes,
+    choose_backend, optional_items, plan_relocations, sort_by_expected_end, wait_reason,
 };
 use support::{backend, claim, item, submitted};
 
@@ -24,6 +24,7 @@
         expected_tokens,
         held_tokens: 0,
         batch_first_seen: 0,
+        waiting_since: 0,
         model: Some(ModelName::from("model")),
         minimum_version: 3,
         exact_version: None,
@@ -458,3 +459,37 @@
 fn item_tokens((held, remaining): (u32, u32)) -> ItemTokens {
     ItemTokens { held, remaining }
 }
+
+/// Guards against a short item that is passed over for good, while long items that break off come back before it.
+#[test]
+fn an_item_that_waits_for_seconds_goes_before_long_ones_that_just_broke_off() {
+    let now = 10_000;
+    let mut passed_over = waiting("passed over", false, 100);
+    passed_over.waiting_since = 4_500;
+    let broken_off = |id: &str, tokens| WaitingItem {
+        waiting_since: now,
+        ..waiting(id, false, tokens)
+    };
+    let mut items = [
+        broken_off("long", 2_000),
+        passed_over,
+        broken_off("longest", 5_850),
+    ];
+    sort_by_expected_end(&mut items, now, 0.7);
+    assert_eq!(items[0].item.as_str(), "passed over");
+}
+
+/// The log must say why an item waits.
+#[test]
+fn the_reason_of_a_wait_is_the_first_condition_that_no_back_end_meets() {
+    let item = waiting("item", false, 100);
+    let reason = |candidates: &[Candidate]| wait_reason(&item, candidates);
+    assert_eq!(reason(&[]), WaitReason::NoBackEnd);
+    assert_eq!(reason(&[half_open("probed")]), WaitReason::OnlyProbes);
+    let too_old = candidate("too old", 0, 2, 1.0);
+    assert_eq!(reason(std::slice::from_ref(&too_old)), WaitReason::Version);
+    let full = candidate("full", 8, 3, 1.0);
+    assert_eq!(reason(&[too_old, full]), WaitReason::NoFreeSlot);
+    let free = candidate("free", 0, 3, 1.0);
+    assert_eq!(reason(&[free]), WaitReason::NotStarted);
+}
--- a/crates/rollout/tests/support/steps.rs
+++ b/crates/rollout/tests/support/steps.rs
@@ -181,6 +181,7 @@
                 .expected_remaining(item.estimated_tokens, generated_tokens),
             held_tokens: self.engines.prompt_tokens + generated_tokens,
             batch_first_seen: self.steps[item.step].submitted_ms as u64,
+            waiting_since: self.steps[item.step].submitted_ms as u64,
             model: Some(self.model_of(self.steps[item.step].trainer)),
             minimum_version: 0,
             exact_version: None,
