--- a/crates/gateway/src/crash_evidence.rs
+++ b/crates/gateway/src/crash_evidence.rs
@@ -283,6 +283,15 @@
     matches!(link.probe(PROBE_TIMEOUT).await, Probe::Refused)
 }
 
+/// Whether a process still listens at the address of a back end, as far as two connections show. A partition shows nothing,
+/// so the back end counts as listening then.
+pub(crate) async fn is_listening(link: &Link) -> bool {
+    match check_listener(link).await {
+        Listener::Open(_) | Listener::Unknown => true,
+        Listener::Gone | Listener::Closing => false,
+    }
+}
+
 /// What connections to an address show about the listener there.
 enum Listener {
     /// No process listens there.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -29,6 +29,8 @@
 const BROKEN: &str = "broken";
 /// Reason of a send whose answer's body ended early.
 const CUT_SHORT: &str = "cut_short";
+/// Reason of a send whose answer's body ended, without a length or chunks, as the back end's process did.
+const UNMARKED_END: &str = "unmarked_end";
 /// Time without the head of an answer after which a reused connection may count as silent, for work that another
 /// back end would have to start from the beginning: an engine processes the whole input before it answers.
 pub(crate) const HEAD_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -116,7 +118,7 @@
             crash_guard::record_answer(context, &backend, is_success, || call.fingerprint());
         }
         SendOutcome::MayHaveRun(_) if !call.can_be_barred() => {}
-        SendOutcome::MayHaveRun(BROKEN | CUT_SHORT) => {
+        SendOutcome::MayHaveRun(BROKEN | CUT_SHORT | UNMARKED_END) => {
             crash_evidence::check_broken_send(context, unanswered_send(call, target)).await;
         }
         SendOutcome::MayHaveRun(SILENT) => {
@@ -228,7 +230,11 @@
         }));
     }
     match context.received_answers.receive(answer).await {
-        Ok(whole) => SendOutcome::Answered(whole),
+        Ok(whole) if whole.framed || crash_evidence::is_listening(&chosen.link).await => {
+            SendOutcome::Answered(whole)
+        }
+        // Without a length or chunks, the end of a process looks like the end of its answer.
+        Ok(_) => SendOutcome::MayHaveRun(UNMARKED_END),
         Err(_) => SendOutcome::MayHaveRun(CUT_SHORT),
     }
 }
--- a/crates/http-link/src/answer.rs
+++ b/crates/http-link/src/answer.rs
@@ -71,9 +71,18 @@
 
     /// Whether a content length or chunked encoding marks the end of the body, or the body is empty.
     pub fn is_framed(&self) -> bool {
-        self.headers.contains_key(CONTENT_LENGTH)
-            || self.headers.contains_key(TRANSFER_ENCODING)
-            || self.body.is_end_stream()
+        self.headers.contains_key(CONTENT_LENGTH) || self.is_chunked() || self.body.is_end_stream()
+    }
+
+    /// Whether the last transfer coding is chunked; no other one marks the end of a body.
+    fn is_chunked(&self) -> bool {
+        let values = self.headers.get_all(TRANSFER_ENCODING);
+        let last = values
+            .iter()
+            .next_back()
+            .and_then(|value| value.to_str().ok());
+        let coding = last.and_then(|value| value.rsplit(',').next());
+        coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
     }
 
     /// Returns the next bytes of the body, or `None` at its end, where the connection goes back to the idle pool.
