--- a/crates/rollout/src/schedule/wait_reason.rs
+++ b/crates/rollout/src/schedule/wait_reason.rs
@@ -33,13 +33,16 @@
     }
 }
 
+/// Whether a candidate meets a condition for an item.
+type Condition = fn(&Candidate, &WaitingItem) -> bool;
+
 /// The first condition that no candidate meets for an item that was not placed.
 pub fn wait_reason(item: &WaitingItem, candidates: &[Candidate]) -> WaitReason {
     if candidates.is_empty() {
         return WaitReason::NoBackEnd;
     }
     let mut left: Vec<&Candidate> = candidates.iter().collect();
-    let conditions: [(fn(&Candidate, &WaitingItem) -> bool, WaitReason); 4] = [
+    let conditions: [(Condition, WaitReason); 4] = [
         (
             |candidate, _| !candidate.is_half_open,
             WaitReason::OnlyProbes,
