Items: the reason of a wait is computed only for the lines that are written

Cause: each round of planning copied every item that it did not place and evaluated its reason on all back ends, for at most eight lines a second: work that grows with items times back ends on machines with half a core. Change: items that are due for a line are chosen first, and only they are evaluated; nothing is done once the lines of the second are used up.

--- a/crates/gateway/src/coordinator/harmful_loads.rs
+++ b/crates/gateway/src/coordinator/harmful_loads.rs
@@ -142,14 +142,8 @@
             let control = self.context.control.lock();
             control.state.crashes().ended_under(load)
         };
-        loading.extend(
-            self.harmful_loads
-                .begun
-                .get(load)
-                .into_iter()
-                .flatten()
-                .cloned(),
-        );
+        let begun = self.harmful_loads.begun.get(load);
+        loading.extend(begun.into_iter().flatten().cloned());
         loading.extend(self.in_flight.keys().cloned());
         let backends = self.context.backends.lock();
         let pool = backends.list.get(backend).map(|record| &record.pool);
--- a/crates/gateway/src/engine/candidates.rs
+++ b/crates/gateway/src/engine/candidates.rs
@@ -43,8 +43,8 @@
     /// Back ends that may run items now and whose weights are new enough for at least one of them. Excludes
     /// back ends whose circuit breaker is open, that load a version, that ended a moment ago, or that are cold while
     /// others are warm.
-    /// Also returns how many are excluded for which reason. `oldest` is the oldest version of each model that any item may run on; if it is empty, no back end is
-    /// excluded for its version.
+    /// `oldest` is the oldest version of each model that any item may run on; if it is empty, no back end is excluded for
+    /// its version. Also returns how many are excluded for which reason.
     pub(super) fn candidates(
         &self,
         pool: Option<&Pool>,
--- a/crates/gateway/src/engine/plan.rs
+++ b/crates/gateway/src/engine/plan.rs
@@ -14,7 +14,7 @@
 use super::active_item::{ActiveItem, Phase};
 use super::candidates::oldest_versions;
 use super::run::ItemKey;
-use super::waits::PoolState;
+use super::waits::{PoolState, UnplacedItems};
 use super::{DEFAULT_GIVE_UP_AFTER_MS, Engine, event_count};
 use crate::metrics;
 
@@ -187,7 +187,7 @@
             .into_iter()
             .partition(|item| self.is_paused(item, now));
         work.waiting = waiting;
-        let mut unplaced = Vec::new();
+        let mut without_place = Vec::new();
         let probes: HashMap<usize, BackendId> = schedule::assign_probes(&work.waiting, &candidates)
             .into_iter()
             .collect();
@@ -197,7 +197,7 @@
             let chosen = probed.or_else(|| schedule::choose_backend(item, &candidates));
             let Some(chosen) = chosen else {
                 self.restart_if_version_is_gone(item, pool, now);
-                unplaced.push(item.clone());
+                without_place.push(item);
                 continue;
             };
             let backend = chosen.backend.clone();
@@ -213,7 +213,11 @@
             candidates: &candidates,
             excluded,
         };
-        self.wait_log.log(&unplaced, &paused, &state, now);
+        let unplaced = UnplacedItems {
+            without_place: &without_place,
+            paused: &paused,
+        };
+        self.wait_log.log(&unplaced, &state, now);
         let are_all_taken = candidates.iter().all(|c| c.running >= c.slots);
         if are_all_taken && !candidates.is_empty() {
             self.context.backends.want_more(pool);
--- a/crates/gateway/src/engine/waits.rs
+++ b/crates/gateway/src/engine/waits.rs
@@ -37,41 +37,50 @@
     pub(super) excluded: ExcludedBackends,
 }
 
+/// Items of a pool that a round of planning placed nowhere.
+pub(super) struct UnplacedItems<'a> {
+    /// Those for which no back end was found.
+    pub(super) without_place: &'a [&'a WaitingItem],
+    /// Those that wait for the end of a pause, as their last runs broke off without progress.
+    pub(super) paused: &'a [WaitingItem],
+}
+
 impl WaitLog {
-    /// Logs some of the items that a round of planning did not place. `paused` are those whose last runs broke off.
-    pub(super) fn log(
-        &mut self,
-        unplaced: &[WaitingItem],
-        paused: &[WaitingItem],
-        state: &PoolState<'_>,
-        now: Millis,
-    ) {
-        if now.saturating_sub(self.interval_began) >= INTERVAL_MS {
-            self.interval_began = now;
-            self.lines = 0;
-            self.next_line_at
-                .retain(|_, at| now.saturating_sub(*at) < RETENTION_MS);
+    /// Logs some of the items that a round of planning placed nowhere.
+    pub(super) fn log(&mut self, unplaced: &UnplacedItems<'_>, state: &PoolState<'_>, now: Millis) {
+        self.begin_interval(now);
+        let left = MAX_LINES - self.lines;
+        if left == 0 {
+            return;
         }
-        let unplaced = unplaced.iter().map(|item| {
-            let reason = wait_reason(item, state.candidates);
-            (item, reason.name())
-        });
-        let paused = paused.iter().map(|item| (item, PAUSED));
-        let mut due: Vec<(&WaitingItem, &'static str)> = unplaced
+        let without_place = unplaced.without_place.iter().map(|item| (*item, None));
+        let paused = unplaced.paused.iter().map(|item| (item, Some(PAUSED)));
+        let mut due: Vec<(&WaitingItem, Option<&'static str>)> = without_place
             .chain(paused)
             .filter(|(item, _)| self.is_due(item, now))
             .collect();
         due.sort_by_key(|(item, _)| item.waiting_since);
-        due.truncate(MAX_LINES - self.lines);
+        due.truncate(left);
         self.lines += due.len();
         for (item, reason) in due {
             let waited_ms = now.saturating_sub(item.waiting_since);
             // Each wait until the next line is as long as the whole wait so far.
             self.next_line_at.insert(key_of(item), now + waited_ms);
+            let reason = reason.unwrap_or_else(|| wait_reason(item, state.candidates).name());
             log_wait(item, reason, waited_ms, state);
         }
     }
 
+    fn begin_interval(&mut self, now: Millis) {
+        if now.saturating_sub(self.interval_began) < INTERVAL_MS {
+            return;
+        }
+        self.interval_began = now;
+        self.lines = 0;
+        self.next_line_at
+            .retain(|_, at| now.saturating_sub(*at) < RETENTION_MS);
+    }
+
     fn is_due(&self, item: &WaitingItem, now: Millis) -> bool {
         let waited_ms = now.saturating_sub(item.waiting_since);
         if waited_ms < FIRST_LOGGED_WAIT_MS {
--- a/crates/rollout/src/address_claims.rs
+++ b/crates/rollout/src/address_claims.rs
@@ -52,7 +52,7 @@
         known.is_none()
     }
 
-    /// Gives back ends work again whose time without work is over.
+    /// Makes back ends eligible again that were found to be replaced [`REPLACED_MS`] ago.
     pub fn expire(&mut self, now: Millis) {
         self.replaced_until.retain(|_, until| *until > now);
     }
--- a/crates/rollout/src/backend.rs
+++ b/crates/rollout/src/backend.rs
@@ -173,7 +173,7 @@
         self.entries.contains_key(id) && self.claims.record_replaced(id, now)
     }
 
-    /// Gives back ends work again that got none for a while because another one was found at their address.
+    /// Makes back ends eligible again that were found to be replaced some time ago.
     pub fn expire_replaced(&mut self, now: Millis) {
         self.claims.expire(now);
     }
