Test: the overloaded owner is asked while it holds its questions

The test waited 300 ms and took the owner, which holds 64 questions for 1,000 ms, for overloaded then. If the test's thread comes to its own read after those 1,000 ms, the owner is free and answers it. Change: the test waits until as many questions are declined as the owner can't hold, and questions are held for 3 s. All assertions stay.

--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -351,18 +351,25 @@
 async fn an_overloaded_owner_declines_and_readers_use_the_log() {
     // More than the 64 questions that an owner answers at a time.
     const QUESTIONS: usize = 80;
+    // The read below must be made while the owner holds them.
+    const HELD_MS: u64 = 3_000;
     let (_deployment, owner, reader) = owner_and_reader(LONG_PAUSE).await;
     let owner = Arc::new(owner);
     let waiting: Vec<_> = (0..QUESTIONS)
         .map(|_| {
             let owner = owner.clone();
             tokio::spawn(async move {
-                let question = request(&owner, "batch", results_from(0, 1_000));
+                let question = request(&owner, "batch", results_from(0, HELD_MS));
                 ask(&owner, &question).await
             })
         })
         .collect();
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    // Questions are declined at once, so the owner holds as many as it can when the others are.
+    wait_until("the owner declines questions", || {
+        let declined = waiting.iter().filter(|question| question.is_finished());
+        declined.count() == QUESTIONS - 64
+    })
+    .await;
     assert_eq!(results(reader.callers, "batch", 0).await, (200, Vec::new()));
     assert!(records_read(&reader, "batch") > 0, "the log was read");
     let mut declined = 0;
