Test: engines that are down keep their addresses

While an engine was down for 1.5 s, the system gave its port to a connection of another process. Change: a bound socket that does not listen reserves the address meanwhile, as the soak's proxies do. Connections there are refused as before.

--- a/crates/gateway/tests/engines_that_crash_in_series.rs
+++ b/crates/gateway/tests/engines_that_crash_in_series.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 use support::caller::{submit, wait_for_results};
 use support::deployment::{Deployment, ENGINES, listed, record, wait_until};
 use support::dialect::{MODEL, write_batch};
+use tokio::net::TcpSocket;
 
 /// More items than the engines run at once.
 const ITEMS: usize = 60;
@@ -54,6 +56,10 @@
     async fn crash_and_restart(&mut self, deployment: &Deployment) {
         self.generation += 1;
         self.current.iter().for_each(|engine| engine.end());
+        let mut reserved = Vec::new();
+        for engine in &self.current {
+            reserved.push(reserve(engine.address).await);
+        }
         tokio::time::sleep(DOWN_TIME).await;
         for (at, engine) in self.current.iter_mut().enumerate() {
             let id = format!("engine-{at}-{}", self.generation);
@@ -88,6 +94,19 @@
     }
 }
 
+/// Binds the address of an engine that ends without listening there, so that the system gives its port to no connection
+/// while the engine is down.
+async fn reserve(address: SocketAddr) -> TcpSocket {
+    loop {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        if socket.bind(address).is_ok() {
+            return socket;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Lists a new incarnation.
 fn prepare(deployment: &Deployment, engine: Arc<StandInBackend>) -> Arc<StandInBackend> {
     engine.behave(|behaviour| {
