Gateway: the bodies of requests hold a bounded part of the memory

What callers saw: a node that ended for lack of memory, with every request that it held, when clients sent large bodies at once, whole or stopping short of their end, or bodies in very small chunks.

Cause: one body was bounded by the configuration's limit and by 10 s, nothing bounded all of them together. Chunks were kept as buffers of their own until the body was whole (some 37 bytes of memory for each byte of body in chunks of one byte) and copied then. A whole body was held until its request was answered. Freed bodies stayed with the allocator.

Change: a new crate, http-server. BodyMemory counts a body from its first byte until the last reference to it is dropped (Bytes::from_owner), so that it counts wherever it waits. Bytes are copied out of the connection's buffer as they come. A body over 64 KiB lies in a mapping of its own, whose pages return to the system when it is dropped (memmap2, a new library). All together hold a quarter of memory_mb; an eighth of that is left to bodies of up to 64 KiB. What finds no room is answered 503 with Retry-After before it is sent on, so "not run" is true. An incomplete body gives way once its client has paused for 250 ms or taken 2 s. After a refusal the rest of the body is read and dropped for at most a second, so that the answer is not lost in a reset.

The heap is no part of the bound: trimming it instead of mapping was ruled out, as glibc raises its mapping threshold to the size of freed blocks, and setting it takes unsafe code.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -27,6 +27,11 @@
 }
 
 impl CloseWatch {
+    /// The byte stream of the connection, for use once the one that was split off is dropped.
+    pub(crate) fn stream(&self) -> CallerStream {
+        CallerStream(self.0.clone())
+    }
+
     /// Returns once the caller has closed or reset the connection or shut down its writing side. A shutdown of the
     /// writing side cannot be told apart from a close here, so it counts as one.
     pub(crate) async fn closed(&self) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -33,6 +33,7 @@
     StreamPartition,
 };
 use crate::held_answers::HeldAnswers;
+use crate::intake::Intake;
 use crate::lease_grant::LeaseGrant;
 use crate::metering::UsageCounter;
 use crate::operations::OperationsApi;
@@ -150,6 +151,8 @@
     pub answers: Arc<HeldAnswers>,
     /// The memory of answers of back ends that are being received.
     pub received_answers: Arc<ReceivedAnswers>,
+    /// Bounds of what is taken from clients at a time.
+    pub intake: Intake,
     /// Whether callers' connections can be accepted.
     pub accept_health: AcceptHealth,
     /// Connections to other nodes, and this node's own address for them.
@@ -196,6 +199,7 @@
         let regions = settings.region_map();
         let answers = HeldAnswers::new(settings.memory_bytes());
         let received_answers = ReceivedAnswers::new(settings.memory_bytes());
+        let intake = Intake::new(&settings);
         let clock = NodeClock::start();
         let work = Arc::new(Notify::new());
         let control_changed = Arc::new(Notify::new());
@@ -238,6 +242,7 @@
             participation: watch::Sender::new(false),
             answers,
             received_answers,
+            intake,
             accept_health: AcceptHealth::default(),
             peers: Peers::default(),
             crash_guard: CrashGuard::default(),
--- a/crates/gateway/src/knowledge_metrics.rs
+++ b/crates/gateway/src/knowledge_metrics.rs
@@ -22,6 +22,8 @@
             routes_age_ms: context.operators_age_ms(),
             log_age_ms: context.contact_age(),
             held_answer_bytes: context.answers.bytes(),
+            held_request_bytes: context.intake.bodies.held_bytes(),
+            caller_connections: context.intake.callers.open(),
         });
         tokio::time::sleep(UPDATE_INTERVAL).await;
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -79,6 +79,10 @@
     pub log_age_ms: u64,
     /// Bytes of answers that callers have not received yet.
     pub held_answer_bytes: usize,
+    /// Bytes of callers' requests that are being received or answered, with what is decoded from them.
+    pub held_request_bytes: usize,
+    /// Open connections of callers.
+    pub caller_connections: usize,
 }
 
 /// Sets the gauges of what a node knows of the fleet now.
@@ -92,6 +96,8 @@
     gauge!("gateway_routes_age_ms").set(known.routes_age_ms as f64);
     gauge!("gateway_log_age_ms").set(known.log_age_ms as f64);
     gauge!("gateway_held_answer_bytes").set(known.held_answer_bytes as f64);
+    gauge!("gateway_held_request_bytes").set(known.held_request_bytes as f64);
+    gauge!("gateway_caller_connections").set(known.caller_connections as f64);
 }
 
 /// Counts a caller's connection that was closed because the caller read its answer too slowly while memory was short.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -122,7 +122,7 @@
     if let Some(address) = listen.metrics {
         let handle = metrics::start(address)?;
         let listener = server::listen("metrics", address).await?;
-        tasks.spawn(server::serve_metrics(handle, listener));
+        tasks.spawn(server::serve_metrics(context.clone(), handle, listener));
     }
     if let Some(address) = listen.peers {
         let listener = server::listen("peers'", address).await?;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 
+use havenstage_http_server::BodyMemory;
 use tokio::sync::Semaphore;
 
 pub(crate) use questions::{OwnerEndOutcome, end, item_body, results};
@@ -25,6 +26,8 @@
 /// Questions that this node asks at a time for its callers; further ones are answered from the log. Each answer may
 /// be a page of 1 MB.
 const MAX_OUTGOING_QUESTIONS: usize = 32;
+/// Bytes of questions that this node receives at a time: one of the longest from each of the most connections.
+const MAX_QUESTION_MEMORY: usize = 4 * 1024 * 1024;
 /// Kilobytes of answers in flight at a time: two of the longest pages, which take 0.4 s on a link of 45 Mbit/s.
 const MAX_ANSWER_KB: usize = 2_048;
 
@@ -35,6 +38,8 @@
     links: PeerLinks,
     /// Permits for questions to other nodes.
     outgoing: Semaphore,
+    /// Memory of questions from other nodes.
+    questions: Arc<BodyMemory>,
     /// Permits for questions from other nodes.
     incoming: Arc<Semaphore>,
     /// Permits for answers to other nodes, one for each kilobyte.
@@ -47,6 +52,7 @@
             own_address: OnceLock::new(),
             links: PeerLinks::default(),
             outgoing: Semaphore::new(MAX_OUTGOING_QUESTIONS),
+            questions: BodyMemory::new(MAX_QUESTION_MEMORY),
             incoming: Arc::new(Semaphore::new(MAX_INCOMING_QUESTIONS)),
             answer_kb_permits: Arc::new(Semaphore::new(MAX_ANSWER_KB)),
         }
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
 use havenstage_http_link::end_when_unacknowledged;
+use havenstage_http_server::{BodyLimits, ConnectionSlot, RequestInProgress};
 use havenstage_rollout::peer_message::{PeerAnswer, PeerRefusal, PeerRequest};
 use havenstage_rollout::stored::Stored;
 use http::{Method, Request, Response, StatusCode};
@@ -20,26 +21,27 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 
 use super::answers;
 use crate::caller_stream;
 use crate::context::Context;
 use crate::metrics;
 use crate::responses::{Body, empty_response, full_body};
-use crate::server::{accept, read_body};
+use crate::server::accept;
 
 /// Request path of questions.
 pub(super) const QUESTION_PATH: &str = "/batch-question";
 
-/// Connections at a time, at most.
-const MAX_CONNECTIONS: usize = 256;
 /// Time for which a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(25);
 /// Time after which a connection is closed whose peer accepts or acknowledges no bytes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest question; it holds only names and a position.
-const MAX_QUESTION_BYTES: usize = 16 * 1024;
+/// Limits on a question, which holds only names and a position.
+const QUESTION_LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 16 * 1024,
+    timeout: Duration::from_secs(10),
+};
 /// Size of the read and write buffers of a connection.
 const BUFFER_BYTES: usize = 32 * 1024;
 /// Bytes of an answer that are passed to a connection at a time.
@@ -49,28 +51,24 @@
 
 /// Accepts connections of other nodes and answers their questions, until the process ends.
 pub async fn serve(context: Arc<Context>, listener: TcpListener) {
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Some(stream) = accept(&listener).await else {
             continue;
         };
-        let Ok(permit) = connections.clone().try_acquire_owned() else {
+        let Some(slot) = context.intake.peers.admit().await else {
             metrics::peer_answered("no_connection", 0);
             continue;
         };
         let context = context.clone();
-        tokio::spawn(async move {
-            let _permit = permit;
-            serve_connection(context, stream).await;
-        });
+        tokio::spawn(async move { serve_connection(context, stream, Arc::new(slot)).await });
     }
 }
 
-async fn serve_connection(context: Arc<Context>, stream: TcpStream) {
+async fn serve_connection(context: Arc<Context>, stream: TcpStream, slot: Arc<ConnectionSlot>) {
     end_when_unacknowledged(&stream, UNACKNOWLEDGED_TIMEOUT);
     let service = service_fn(|request: Request<Incoming>| {
-        let context = context.clone();
-        async move { Ok::<_, Infallible>(handle(context, request).await) }
+        let (context, slot) = (context.clone(), slot.clone());
+        async move { Ok::<_, Infallible>(handle(context, &slot, request).await) }
     });
     let (stream, watch) = caller_stream::split_with_close_watch(stream);
     let connection = http1::Builder::new()
@@ -82,23 +80,35 @@
         // Work for a node that has disconnected is dropped.
         biased;
         () = watch.closed() => {}
+        () = slot.close().notified() => {}
         // A broken connection needs no log line.
         _ = connection => {}
     }
 }
 
-async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+async fn handle(
+    context: Arc<Context>,
+    slot: &Arc<ConnectionSlot>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let (head, body) = request.into_parts();
     if head.method != Method::POST || head.uri.path() != QUESTION_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
+    let questions = &context.peers.questions;
+    let body = match questions.receive(body, QUESTION_LIMITS, slot).await {
+        Ok(body) => body,
+        Err(error) => {
+            warn!(event = "body_refused", listener = "peers", reason = error.name(),
+                status = error.status().as_u16(); "");
+            return empty_response(error.status());
+        }
+    };
+    // Acquired only now, so that questions that stop short of their end do not keep others from being answered.
     let Ok(permit) = context.peers.incoming.clone().try_acquire_owned() else {
         return declined(PeerRefusal::Overloaded);
     };
-    let body = match read_body(body, MAX_QUESTION_BYTES).await {
-        Ok(body) => body,
-        Err(status) => return empty_response(status),
-    };
+    let in_progress = slot.begin_request();
     let request = match PeerRequest::decode(&body) {
         Ok(request) => request,
         Err(error) => {
@@ -106,7 +116,11 @@
             return declined(PeerRefusal::Unreadable);
         }
     };
-    let pieces = prepare(context, request, permit).into_stream().flatten();
+    let permits = QuestionPermits {
+        _question: permit,
+        _in_progress: in_progress,
+    };
+    let pieces = prepare(context, request, permits).into_stream().flatten();
     Response::new(StreamBody::new(pieces.map(|piece| Ok(Frame::data(piece)))).boxed_unsync())
 }
 
@@ -116,10 +130,16 @@
     Response::new(full_body(Bytes::from(answer.encode())))
 }
 
+/// What a question holds until its answer is sent.
+struct QuestionPermits {
+    _question: OwnedSemaphorePermit,
+    _in_progress: RequestInProgress,
+}
+
 /// The unsent rest of an answer, with the permits that it holds until it is sent.
 struct UnsentAnswer {
     rest: Bytes,
-    _question_permit: OwnedSemaphorePermit,
+    _question_permits: QuestionPermits,
     _bytes_permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -127,7 +147,7 @@
 async fn prepare(
     context: Arc<Context>,
     request: PeerRequest,
-    question: OwnedSemaphorePermit,
+    question: QuestionPermits,
 ) -> impl futures::Stream<Item = Bytes> {
     let answer = answers::answer(&context, &request).await;
     let (answer, body) = reserve_bytes(&context, answer);
@@ -138,7 +158,7 @@
         outcome = outcome, bytes = encoded.len(); "");
     let unsent = UnsentAnswer {
         rest: encoded,
-        _question_permit: question,
+        _question_permits: question,
         _bytes_permit: body,
     };
     stream::unfold(unsent, |mut unsent| async move {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,14 +10,15 @@
 use futures::stream;
 use havenstage_clock::Instant;
 use havenstage_http_link::{WholeAnswer, end_when_unacknowledged};
+use havenstage_http_server::{BodyError, ConnectionSlot, discard_rest};
 use havenstage_rollout::access::Caller;
 use havenstage_rollout::route::{CallerLimits, RequestKind, Route};
 use havenstage_rollout::schedule::urgency;
 use http::header::HeaderValue;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -25,10 +26,11 @@
 use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::access;
 use crate::batch_server::{handle_batch_call, handle_submission};
+use crate::caller_connection::{CallerConnection, UnreadBody};
 use crate::caller_stream;
 use crate::calls::{self, Call, CallOutcome};
 use crate::context::Context;
@@ -42,8 +44,8 @@
 /// Time from the signal to close idle connections, or from the accept of a later one, until a connection is closed. A
 /// request whose bytes have arrived by then is read and answered first; a node that stood still finds both at once.
 pub const CLOSE_DELAY: Duration = Duration::from_millis(20);
-/// Timeout of receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Retry delay for a caller whose body found no room: the bodies that hold the memory are sent on, or given up, meanwhile.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time allowed for a call that gives no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Idle timeout of a connection for readiness or metrics, which are queried every few seconds.
@@ -118,10 +120,13 @@
             continue;
         };
         context.accept_health.record_accept();
+        let Some(slot) = context.intake.callers.admit().await else {
+            continue;
+        };
         let context = context.clone();
         let in_flight = in_flight.clone();
         let closing = closing.clone();
-        tokio::spawn(async move { serve_caller(context, stream, in_flight, closing).await });
+        tokio::spawn(async move { serve_caller(context, stream, slot, in_flight, closing).await });
     }
 }
 
@@ -143,6 +148,7 @@
 async fn serve_caller(
     context: Arc<Context>,
     stream: TcpStream,
+    slot: ConnectionSlot,
     in_flight: Arc<InFlight>,
     mut closing: watch::Receiver<bool>,
 ) {
@@ -154,14 +160,15 @@
     end_when_unacknowledged(&stream, idle);
     // Best effort: without it the kernel only buffers more of an answer for a slow reader.
     let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
-    let close = Arc::new(Notify::new());
+    let caller = Arc::new(CallerConnection::new(slot));
     let service = service_fn(|request: Request<Incoming>| {
         let guard = InFlightGuard::new(&in_flight);
-        let (context, close) = (context.clone(), close.clone());
+        let (context, caller) = (context.clone(), caller.clone());
         async move {
-            let response = handle(&context, request).await;
-            let response = context.answers.hold(response, &close);
-            Ok::<_, Infallible>(count_until_sent(response, guard))
+            let response = handle(&context, &caller, request).await;
+            let response = context.answers.hold(response, caller.close());
+            let guards = (guard, caller.take_request());
+            Ok::<_, Infallible>(hold_until_sent(response, guards))
         }
     });
     let (stream, watch) = caller_stream::split_with_close_watch(stream);
@@ -170,7 +177,7 @@
         .header_read_timeout(idle)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let served = async move {
+    let served = async {
         tokio::pin!(connection);
         let close_is_due = async {
             // The sender exists as long as the node runs.
@@ -184,30 +191,55 @@
         }
         let _ = connection.await;
     };
+    let served = async {
+        served.await;
+        if caller.has_unread_body() {
+            discard_rest(&mut watch.stream(), limits.body_bytes).await;
+        }
+    };
     tokio::select! {
         // The close watch is polled first, so that no work starts for a caller that left before its request was read.
         biased;
         () = watch.closed() => {}
-        () = close.notified() => {}
+        () = caller.close().notified() => {}
         () = served => {}
     }
 }
 
-/// Counts the request as in flight until the body of its answer is sent.
-fn count_until_sent(response: Response<Body>, guard: InFlightGuard) -> Response<Body> {
+/// Keeps the guards of a request until the body of its answer is sent.
+fn hold_until_sent<G: Send + 'static>(response: Response<Body>, guards: G) -> Response<Body> {
     response.map(|body| {
         body.map_frame(move |frame| {
-            let _guard = &guard;
+            let _guards = &guards;
             frame
         })
         .boxed_unsync()
     })
 }
 
-async fn handle(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
-    let began = Instant::now();
+async fn handle(
+    context: &Arc<Context>,
+    caller: &Arc<CallerConnection>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let (head, body) = request.into_parts();
+    if body.is_end_stream() {
+        caller.begin_request();
+    }
+    let mut body = UnreadBody::new(body, caller);
+    let response = answer(context, caller, head, &mut body).await;
+    body.end_connection_if_unread(response)
+}
+
+async fn answer(
+    context: &Arc<Context>,
+    caller: &CallerConnection,
+    head: Parts,
+    body: &mut UnreadBody<'_>,
+) -> Response<Body> {
+    let began = Instant::now();
     if let Some(call) = context.dialect.batch_call(&head.method, &head.uri) {
+        caller.begin_request();
         return handle_batch_call(context, &head, call, began).await;
     }
     let Some(table) = context.wait_for_routes().await else {
@@ -219,8 +251,8 @@
     let Some(route) = table.find(&host, head.uri.path()).cloned() else {
         return answer_without_route(context, &head, &host, table.version());
     };
-    let caller = match access::admit(context, &table, &route, &head) {
-        Ok(caller) => caller,
+    let tenant = match access::admit(context, &table, &route, &head) {
+        Ok(tenant) => tenant,
         Err(_) => return access::unauthorized(),
     };
     let Some(id) = head
@@ -230,14 +262,27 @@
     else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let body = match read_body(body, table.limits().body_bytes).await {
+    let body = match body.receive(context, table.limits().body_bytes).await {
         Ok(body) => body,
-        Err(status) => return empty_response(status),
+        Err(error) => return refuse_body(context, &head, error),
     };
+    caller.begin_request();
     if route.kind == RequestKind::Batch {
-        return handle_submission(context, &caller, &head, body, began).await;
+        return handle_submission(context, &tenant, &head, body, began).await;
+    }
+    handle_call(context, &route, &tenant, head, id, body, began).await
+}
+
+/// The answer to a request whose body was not received.
+fn refuse_body(context: &Context, head: &Parts, error: BodyError) -> Response<Body> {
+    let status = error.status();
+    warn!(event = "body_refused", listener = "callers", request = request_id(context, head).as_str(),
+        reason = error.name(), held_bytes = context.intake.bodies.held_bytes(),
+        status = status.as_u16(); "");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => refuse(status, BODY_RETRY_AFTER),
+        _ => empty_response(status),
     }
-    handle_call(context, &route, &caller, head, id, body, began).await
 }
 
 /// The answer to a request that matches no known route. A route may have been added since the configuration was last
@@ -269,16 +314,6 @@
         .to_owned()
 }
 
-pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
-    let read = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
-
 async fn handle_call(
     context: &Arc<Context>,
     route: &Route,
@@ -364,7 +399,8 @@
     let mut server = http1::Builder::new();
     server
         .timer(TokioTimer::new())
-        .header_read_timeout(PROBE_IDLE_TIMEOUT);
+        .header_read_timeout(PROBE_IDLE_TIMEOUT)
+        .max_buf_size(MIN_HEAD_BUFFER_BYTES);
     server
 }
 
@@ -374,6 +410,9 @@
         let Some(stream) = accept(&listener).await else {
             continue;
         };
+        let Some(slot) = context.intake.readiness.admit().await else {
+            continue;
+        };
         let context = context.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
@@ -387,15 +426,19 @@
                 };
                 async move { Ok::<_, Infallible>(empty_response(status)) }
             });
-            let _ = probe_server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let connection = probe_server().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                biased;
+                () = slot.close().notified() => {}
+                _ = connection => {}
+            }
         });
     }
 }
 
 /// Serves metrics in the Prometheus text format.
 pub async fn serve_metrics(
+    context: Arc<Context>,
     handle: metrics_exporter_prometheus::PrometheusHandle,
     listener: TcpListener,
 ) {
@@ -403,15 +446,21 @@
         let Some(stream) = accept(&listener).await else {
             continue;
         };
+        let Some(slot) = context.intake.metrics.admit().await else {
+            continue;
+        };
         let handle = handle.clone();
         tokio::spawn(async move {
             let service = service_fn(|_: Request<Incoming>| {
                 let text = Bytes::from(handle.render());
                 async move { Ok::<_, Infallible>(Response::new(full_body(text))) }
             });
-            let _ = probe_server()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            let connection = probe_server().serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                biased;
+                () = slot.close().notified() => {}
+                _ = connection => {}
+            }
         });
     }
 }
