--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     /// Memory that the process may use, in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// Number of descriptors that the process may have open; without it the limit of the operating system.
+    pub max_descriptors: Option<u32>,
     /// Addresses to listen on.
     pub listen: ListenSettings,
     /// Address and limits of the shared log.
@@ -265,6 +267,10 @@
             ("log.call_bytes", self.log.call_bytes as u64),
             ("log.reads_per_s", u64::from(self.log.reads_per_s)),
             ("memory_mb", u64::from(self.memory_mb)),
+            (
+                "max_descriptors",
+                self.max_descriptors.map_or(u64::MAX, u64::from),
+            ),
             ("bounds.end_in_force_ms", self.bounds.end_in_force_ms),
             ("bounds.drain_in_force_ms", self.bounds.drain_in_force_ms),
             ("tuning.read_wait_ms", self.tuning.read_wait_ms),
--- a/crates/service/src/settings/gateway.rs
+++ b/crates/service/src/settings/gateway.rs
@@ -47,6 +47,7 @@
             zone: self.zone.clone(),
             regions: BTreeMap::new(),
             memory_mb: PROCESS_MB + self.store.most_mb,
+            max_descriptors: None,
             listen: ListenSettings {
                 callers: self.listen.callers,
                 ready: self.listen.ready,
