Gateway: the decoded form of a batch counts as memory of requests

What callers saw: a node that ended for lack of memory when some batches of very many small items came at once.

Cause: a batch is decoded beside its body and stored as a record beside that. A list of small values takes many times its text: the item {"instanceId":"","path":""} has 27 bytes and takes some 700.

Change: before a batch is decoded, an estimate of what that takes (three copies of the text, and the allocations of each string, value and object) is reserved in the memory of bodies until the batch is stored. What can never fit is answered 413, what doesn't now 503.

--- a/crates/gateway/src/batch_server.rs
+++ b/crates/gateway/src/batch_server.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use havenstage_clock::Instant;
+use havenstage_http_server::BodyShare;
 use havenstage_rollout::access::Caller;
 use havenstage_rollout::ids::BatchId;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -69,10 +70,15 @@
     };
     let host = &request_host(head).unwrap_or_default();
     let path = head.uri.path();
+    let _decoded = match reserve_memory(context, id, &body) {
+        Ok(share) => share,
+        Err(refusal) => return batch_response(context, "submit", refusal, began),
+    };
     let waiting_caller = WaitingCaller::new("submit", id, began);
     let read = context
         .dialect
         .read_submission(BatchId::from(id), host, path, &body);
+    drop(body);
     let answer = match read {
         Ok(submission) => batch_submissions::submit(context, submission, caller.tenant()).await,
         Err(error) => {
@@ -85,6 +91,21 @@
     batch_response(context, "submit", answer, began)
 }
 
+/// Reserves the memory for the decoded form of a batch.
+fn reserve_memory(context: &Context, id: &str, body: &[u8]) -> Result<BodyShare, BatchAnswer> {
+    let bodies = &context.intake.bodies;
+    let bytes = context.dialect.submission_memory(body);
+    bodies.reserve(bytes).map_err(|error| {
+        let status = match bytes > bodies.largest_body_bytes() {
+            true => StatusCode::PAYLOAD_TOO_LARGE,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        warn!(event = "batch_refused", batch = id, status = status.as_u16(), decoded_bytes = bytes,
+            reason = error.to_string().as_str(); "");
+        BatchAnswer::empty(status)
+    })
+}
+
 /// Handles a call on a submitted batch: a read of results, a read of an item's body, or an end.
 pub(crate) async fn handle_batch_call(
     context: &Arc<Context>,
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use thiserror::Error;
 
+use crate::decoded_size::decoded_json_bytes;
 use crate::operations::OperationsApi;
 
 /// A stream of the shared log that nodes write to.
@@ -365,6 +366,12 @@
     /// Parses a call about a batch; `None` if the path is not reserved for such calls.
     fn batch_call(&self, method: &Method, uri: &Uri) -> Option<BatchCall>;
 
+    /// Estimated memory in bytes that [`Self::read_submission`] takes for a body, and that its result takes until it is
+    /// stored.
+    fn submission_memory(&self, body: &[u8]) -> usize {
+        decoded_json_bytes(body)
+    }
+
     /// Parses a batch that is submitted under an id, from the host, path and body of the request.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod counted_log;
 mod crash_evidence;
 mod crash_guard;
+pub mod decoded_size;
 mod dependency;
 mod digest_reader;
 mod digest_writer;
