Bodies: the oldest that makes progress is completed

What callers would have seen: none of many large bodies that come at once is served. A body without room was refused at the moment it needed more, which struck an old one that was nearly whole as often as one that had just begun, and those that came back took the room again.

Change: a body that needs room may displace, after those whose clients have paused for 250 ms or send less than 256 KiB/s after 2 s, large ones that began later, the youngest first. A large one still never displaces a small one.

--- a/crates/http-server/src/body_memory.rs
+++ b/crates/http-server/src/body_memory.rs
@@ -1,9 +1,10 @@
 //! The memory that the request bodies of a server hold together.
 //!
 //! A body counts from its first byte until nobody refers to it any more, also while it waits for a back end. If there is no
-//! room for more, incomplete bodies of clients that have paused, or that take long, give way, the oldest first. Bodies that
-//! make progress do not: if all gave way to each other, none would be completed. Large bodies leave a part of the memory to
-//! small ones and never displace them, so that ordinary requests are served beside a crowd of large ones.
+//! room for more, incomplete bodies of clients that have paused, or that send slowly, give way, the oldest first; then those
+//! that began later than the one that needs the room, the youngest first. So the oldest that makes progress is completed,
+//! while if all gave way to each other, none would be. Large bodies leave a part of the memory to small ones and never
+//! displace them, so that ordinary requests are served beside a crowd of large ones.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,8 +20,10 @@
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Time without a byte after which an incomplete body may be displaced.
 const MAX_PAUSE: Duration = Duration::from_millis(250);
-/// Age from which an incomplete body may be displaced even if bytes arrive.
-const MAX_AGE: Duration = Duration::from_secs(2);
+/// Age from which an incomplete body may be displaced if its bytes arrive more slowly than at [`MIN_BYTES_PER_S`].
+const MIN_AGE: Duration = Duration::from_secs(2);
+/// Average rate below which a body is sent slowly.
+const MIN_BYTES_PER_S: f64 = 256.0 * 1024.0;
 /// One part in so many is left to small bodies.
 const SMALL_PART: usize = 8;
 
@@ -65,8 +68,16 @@
 }
 
 impl Incoming {
-    fn may_be_displaced(&self) -> bool {
-        self.last_byte_at.elapsed() >= MAX_PAUSE || self.began_at.elapsed() >= MAX_AGE
+    fn is_large(&self) -> bool {
+        self.buffer.len() > SMALL_BODY_BYTES
+    }
+
+    /// Whether its client has paused or sends slowly.
+    fn is_slow(&self) -> bool {
+        let age = self.began_at.elapsed();
+        let bytes_per_s = self.buffer.len() as f64 / age.as_secs_f64();
+        self.last_byte_at.elapsed() >= MAX_PAUSE
+            || (age >= MIN_AGE && bytes_per_s < MIN_BYTES_PER_S)
     }
 }
 
@@ -97,7 +108,11 @@
     pub fn reserve(self: &Arc<Self>, bytes: usize) -> Result<BodyShare, NoRoom> {
         let mut inner = self.lock();
         let limit = self.limit(bytes);
-        if !inner.make_room(bytes, limit, bytes > SMALL_BODY_BYTES, None) {
+        let purpose = Purpose {
+            body: None,
+            is_large: bytes > SMALL_BODY_BYTES,
+        };
+        if !inner.make_room(bytes, limit, purpose) {
             return Err(NoRoom {
                 held_bytes: inner.held_bytes,
             });
@@ -142,28 +157,20 @@
     }
 }
 
+/// What room is needed for.
+#[derive(Debug, Clone, Copy)]
+struct Purpose {
+    /// Number of the incomplete body that grows; `None` for what is made from a whole one, which counts as older.
+    body: Option<u64>,
+    /// Whether that is large.
+    is_large: bool,
+}
+
 impl Inner {
-    /// Makes room for `more` bytes below `limit`, at the expense of other incomplete bodies; those that are small are spared
-    /// if `spares_small`. Returns whether there is room.
-    fn make_room(
-        &mut self,
-        more: usize,
-        limit: usize,
-        spares_small: bool,
-        except: Option<u64>,
-    ) -> bool {
+    /// Makes room for `more` bytes below `limit`, at the expense of other incomplete bodies. Returns whether there is room.
+    fn make_room(&mut self, more: usize, limit: usize, purpose: Purpose) -> bool {
         while self.held_bytes + more > limit {
-            let displaceable = || {
-                let others = self.incoming.iter().filter(|(at, _)| Some(**at) != except);
-                others.filter(|(_, body)| body.may_be_displaced())
-            };
-            let large = displaceable().find(|(_, body)| body.buffer.len() > SMALL_BODY_BYTES);
-            let small = || displaceable().find(|(_, body)| body.buffer.len() > 0);
-            let oldest = match spares_small {
-                true => large,
-                false => large.or_else(small),
-            };
-            let Some(number) = oldest.map(|(number, _)| *number) else {
+            let Some(number) = self.next_to_displace(purpose) else {
                 return false;
             };
             if let Some(body) = self.remove(number) {
@@ -173,6 +180,25 @@
         true
     }
 
+    fn next_to_displace(&self, purpose: Purpose) -> Option<u64> {
+        let others = || {
+            let bodies = self.incoming.iter();
+            bodies.filter(|(number, _)| purpose.body != Some(**number))
+        };
+        let large = || others().filter(|(_, body)| body.is_large());
+        let slow_large = || large().find(|(_, body)| body.is_slow());
+        let slow_small = || {
+            let slow = others().find(|(_, body)| body.buffer.len() > 0 && body.is_slow());
+            slow.filter(|_| !purpose.is_large)
+        };
+        let youngest_large = || {
+            let youngest = large().next_back();
+            youngest.filter(|(number, _)| !purpose.is_large || purpose.body < Some(**number))
+        };
+        let chosen = slow_large().or_else(slow_small).or_else(youngest_large);
+        chosen.map(|(number, _)| *number)
+    }
+
     fn remove(&mut self, number: u64) -> Option<Incoming> {
         let body = self.incoming.remove(&number)?;
         self.held_bytes -= body.buffer.len();
@@ -220,8 +246,11 @@
         };
         let length = body.buffer.len() + bytes.len();
         let limit = self.memory.limit(length);
-        let is_large = length > SMALL_BODY_BYTES;
-        if !inner.make_room(bytes.len(), limit, is_large, Some(self.number)) {
+        let purpose = Purpose {
+            body: Some(self.number),
+            is_large: length > SMALL_BODY_BYTES,
+        };
+        if !inner.make_room(bytes.len(), limit, purpose) {
             return Err(AppendError::NoRoom);
         }
         let Some(body) = inner.incoming.get_mut(&self.number) else {
