serve and stand-ins: bodies and connections of every listener are bounded

What callers saw: serve ended a machine of some hundred MB when large bodies came at once; a single whole body of 3,000,000 bytes got 502 after three sends; at 512 descriptors ordinary requests waited.

Cause: the emulated engines and the operators' interface of the same process took bodies (2 MB each) and connections without a sum. An engine refused a body over 2 MB with an answer that names no request, which the gateway takes for a foreign one and sends again. An engine kept a body while it ran, and decoded it beside that. Eight threads kept what each had freed.

Change: RouterServer of http-server serves an axum router within a BodyMemory and a table of connections, and receives each body whole before the router sees it. Stand-ins, engines and operators are served by it.

--- a/crates/havenstage/src/commands/mod.rs
+++ b/crates/havenstage/src/commands/mod.rs
@@ -61,6 +61,15 @@
     Ok(())
 }
 
+/// Runs a future on a runtime of this thread alone. The allocator keeps freed memory for each thread, so a process that
+/// must stay within a machine's memory runs on one.
+fn block_on_this_thread<T>(future: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(future)
+}
+
 /// Runs a future on a runtime of all cores.
 fn block_on<T>(future: impl Future<Output = Result<T, Failure>>) -> Result<T, Failure> {
     tokio::runtime::Builder::new_multi_thread()
--- a/crates/havenstage/src/commands/serve.rs
+++ b/crates/havenstage/src/commands/serve.rs
@@ -7,7 +7,7 @@
 use havenstage_service::settings::{self, ServeSettings};
 
 use crate::arguments::CommandLine;
-use crate::commands::{block_on, print};
+use crate::commands::{block_on_this_thread, print};
 use crate::exit::Failure;
 
 /// Bytes of decisions that are kept for `ctl explain`: some ten thousand of them.
@@ -25,7 +25,8 @@
     let output = logging::writer(settings.log_lines_per_s);
     let writer = RecordingWriter::new(output, records.clone());
     let _logger = logging::start_with(Box::new(writer))?;
-    let served = block_on(async { Ok(havenstage_service::run(&settings, records).await?) });
+    let served =
+        block_on_this_thread(async { Ok(havenstage_service::run(&settings, records).await?) });
     logging::wait_until_written();
     served
 }
--- a/crates/service/src/engines/mod.rs
+++ b/crates/service/src/engines/mod.rs
@@ -12,10 +12,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use havenstage_emulator::EngineSettings;
+use havenstage_http_server::{BodyMemory, max_descriptors};
 use havenstage_memory_store::MemoryStore;
 use havenstage_rollout::ids::{BackendName, ModelName, PoolName};
 use havenstage_standin::engine::{EngineStandin, EngineStandinSettings};
-use havenstage_standin::{Running, StandinError};
+use havenstage_standin::{Intake, Running, StandinError};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
@@ -27,6 +28,9 @@
 /// may serve for days.
 const MAX_RECORDS: u32 = 1_000;
 
+/// One part of the descriptors in so many is for connections to each engine.
+const ENGINE_DESCRIPTOR_PART: usize = 4;
+
 /// Identity, settings and counters of an engine.
 struct EngineIdentity {
     name: BackendName,
@@ -41,6 +45,8 @@
     number: u64,
     executions: AtomicU64,
     orders_taken: AtomicU64,
+    /// Memory of the bodies that all engines of the process receive, and of what is decoded from them.
+    bodies: Arc<BodyMemory>,
     /// Whether an operator has asked for the engine to be drained: it gets no new requests.
     is_draining: AtomicBool,
 }
@@ -78,6 +84,8 @@
 /// them.
 pub(crate) struct EmulatedEngines {
     store: Arc<MemoryStore>,
+    /// Memory of the bodies that the engines receive.
+    bodies: Arc<BodyMemory>,
     running: Mutex<RunningEngines>,
 }
 
@@ -100,6 +108,7 @@
     ) -> Result<Self, EngineStartError> {
         let engines = Self {
             store: store.clone(),
+            bodies: BodyMemory::new(settings.engine_body_bytes()),
             running: Mutex::default(),
         };
         for pool in &settings.pools {
@@ -116,7 +125,8 @@
     ) -> Result<(), EngineStartError> {
         for index in 1..=pool.emulated_engines {
             let number = self.lock().engines.len() as u64;
-            let identity = Arc::new(new_identity(pool, zone, index, number));
+            let bodies = self.bodies.clone();
+            let identity = Arc::new(new_identity(pool, zone, index, number, bodies));
             let engine = start_engine(&identity).await?;
             let announcer = Announcer::new(
                 identity.clone(),
@@ -155,7 +165,13 @@
     }
 }
 
-fn new_identity(pool: &PoolSettings, zone: &str, index: u32, number: u64) -> EngineIdentity {
+fn new_identity(
+    pool: &PoolSettings,
+    zone: &str,
+    index: u32,
+    number: u64,
+    bodies: Arc<BodyMemory>,
+) -> EngineIdentity {
     // If the system clock is set before 1970, the start time is given as 0.
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
     let started_at_ms = since_1970.map_or(0, |time| time.as_millis() as u64);
@@ -169,6 +185,7 @@
         number,
         executions: AtomicU64::new(0),
         orders_taken: AtomicU64::new(0),
+        bodies,
         is_draining: AtomicBool::new(false),
     }
 }
@@ -190,7 +207,12 @@
         ..EngineStandinSettings::default()
     };
     let routes = server::routes(identity.clone());
-    let started = EngineStandin::start_with(listener, settings, routes).await;
+    let intake = Intake {
+        bodies: identity.bodies.clone(),
+        connections: max_descriptors() / ENGINE_DESCRIPTOR_PART,
+        refuse: server::refuse_body,
+    };
+    let started = EngineStandin::start_with(listener, settings, routes, intake).await;
     started.map_err(|source| EngineStartError::Refused {
         name: name(),
         source,
--- a/crates/service/src/engines/server.rs
+++ b/crates/service/src/engines/server.rs
@@ -6,6 +6,7 @@
 
 use axum::body::Body;
 use axum::extract::State;
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use havenstage_emulator::SubmitRefusal;
 use havenstage_emulator::content::Answer;
+use havenstage_http_server::{BodyError, NoRoom};
 use havenstage_standin::engine::EngineStandin;
 use havenstage_types::engine::{EngineAction, EngineOrder, GenerateRequest};
 use havenstage_types::ids::{AttemptId, FencingToken, NodeId, VersionNumber};
@@ -37,6 +39,9 @@
         .layer(Extension(identity))
 }
 
+/// Copies of a body that a run makes: the text of its prompt, and the tokens of that.
+const COPIES: usize = 2;
+
 /// Why an engine rejects a request.
 enum Refusal {
     /// The request names another engine as its target.
@@ -45,6 +50,8 @@
     NoRequestId,
     /// The body is not a completion request; the text names the key and what is wrong.
     Unreadable(String),
+    /// Other requests hold the memory that the request needs, which has not been started.
+    NoRoom(NoRoom),
     /// The engine cannot run the request now, and has not started it.
     NotRun(SubmitRefusal),
     /// The engine can never run the request.
@@ -70,6 +77,10 @@
             Self::Misdirected => StatusCode::MISDIRECTED_REQUEST.into_response(),
             Self::NoRequestId => StatusCode::BAD_REQUEST.into_response(),
             Self::Unreadable(reason) => (StatusCode::UNPROCESSABLE_ENTITY, reason).into_response(),
+            Self::NoRoom(error) => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                (status, [not_run], error.to_string()).into_response()
+            }
             Self::NotRun(refusal) => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 (status, [not_run], refusal.to_string()).into_response()
@@ -81,6 +92,20 @@
     }
 }
 
+/// Answers a request whose body the engine did not receive: it did not run.
+pub(super) fn refuse_body(head: &Parts, error: BodyError) -> Response {
+    let names = headers();
+    let mut response = (error.status(), error.to_string()).into_response();
+    let answer = response.headers_mut();
+    if error.status() == StatusCode::SERVICE_UNAVAILABLE {
+        answer.insert(names.not_run, HeaderValue::from_static("1"));
+    }
+    if let Some(id) = head.headers.get(&names.request_id) {
+        answer.insert(names.request_id, id.clone());
+    }
+    response
+}
+
 async fn complete(
     State(engine): State<Arc<EngineStandin>>,
     Extension(identity): Identity,
@@ -91,7 +116,7 @@
         Ok(id) => id,
         Err(refusal) => return refusal.into_response(),
     };
-    let response = match run(&engine, &identity, &head, id, &body).await {
+    let response = match run(&engine, &identity, &head, id, body).await {
         Ok(response) => response,
         Err(refusal) => refusal.into_response(),
     };
@@ -122,10 +147,13 @@
     identity: &EngineIdentity,
     head: &HeaderMap,
     id: &str,
-    body: &[u8],
+    body: Bytes,
 ) -> Result<Response, Refusal> {
     let names = headers();
-    let request = read_request(body)?;
+    let share = identity.bodies.reserve(COPIES * body.len());
+    let _share = share.map_err(Refusal::NoRoom)?;
+    let request = read_request(&body)?;
+    drop(body);
     let resumed_from = text(head, &names.last_event_id).and_then(|id| id.parse().ok());
     let resumed_from: u32 = resumed_from.unwrap_or(0);
     let settings = &identity.settings;
--- a/crates/service/src/serve.rs
+++ b/crates/service/src/serve.rs
@@ -1,13 +1,19 @@
 //! Assembles the service, runs it, and shuts it down gracefully.
 
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use havenstage_gateway::edge::NodeDependencies;
 use havenstage_gateway::node::{self, NodeError, RunningNode};
+use havenstage_http_server::{
+    BodyLimits, BodyMemory, Connections, RouterLimits, RouterServer, max_descriptors,
+    refuse_plainly,
+};
 use havenstage_memory_store::{InvalidStoreSetting, MemoryStore};
-use log::{error, info};
+use log::info;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -19,6 +25,19 @@
 use crate::operators::{Configuration, NamedVersions, OperatorState, RecordingDirectory, router};
 use crate::settings::ServeSettings;
 
+/// Maximum size of a body of the operators' interface in bytes.
+const OPERATOR_BODY_BYTES: usize = 2 * 1024 * 1024;
+/// Bytes of bodies that the operators' interface holds at a time.
+const OPERATOR_BODY_MEMORY: usize = 8 * 1024 * 1024;
+/// Time within which a body of the operators' interface must be received.
+const OPERATOR_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of a request's head at the operators' interface in bytes.
+const OPERATOR_HEAD_BYTES: usize = 16 * 1024;
+/// Time for which a connection of the operators' interface may be idle.
+const OPERATOR_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// One part of the descriptors in so many is for connections of operators.
+const OPERATOR_DESCRIPTOR_PART: usize = 16;
+
 /// Why the service cannot run.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -147,7 +166,21 @@
 }
 
 async fn serve_operators(listener: TcpListener, state: OperatorState) {
-    if let Err(error) = axum::serve(listener, router(state)).await {
-        error!(event = "operators_not_served", reason = error.to_string().as_str(); "");
-    }
+    let limits = RouterLimits {
+        body: BodyLimits {
+            max_bytes: OPERATOR_BODY_BYTES,
+            timeout: OPERATOR_BODY_TIMEOUT,
+        },
+        head_bytes: OPERATOR_HEAD_BYTES,
+        idle_timeout: OPERATOR_IDLE_TIMEOUT,
+    };
+    let connections = max_descriptors() / OPERATOR_DESCRIPTOR_PART;
+    let server = RouterServer::new(
+        router(state),
+        limits,
+        BodyMemory::new(OPERATOR_BODY_MEMORY),
+        Connections::new("operators", connections),
+        refuse_plainly,
+    );
+    server.serve(listener, pending()).await;
 }
--- a/crates/service/src/settings/check.rs
+++ b/crates/service/src/settings/check.rs
@@ -62,6 +62,8 @@
         self.check_durations()?;
         let lines = self.log_lines_per_s;
         require(lines > 0, "log_lines_per_s", lines, "at least 1")?;
+        let memory_mb = self.memory_mb;
+        require(memory_mb > 0, "memory_mb", memory_mb, "at least 1")?;
         let max_mb = self.store.most_mb;
         require(max_mb > 0, "store.most_mb", max_mb, "at least 1")?;
         let pools = self.check_pools()?;
--- a/crates/service/src/settings/gateway.rs
+++ b/crates/service/src/settings/gateway.rs
@@ -7,11 +7,17 @@
 use havenstage_gateway::settings::{
     BoundSettings, ListenSettings, LogSettings, Settings, TuningSettings,
 };
+use havenstage_http_server::max_descriptors;
 use havenstage_memory_store::MemoryStoreSettings;
 
 use super::ServeSettings;
 
 const BYTES_PER_MB: usize = 1_000_000;
+/// One part of the descriptors in so many is for the gateway. A call to an emulated engine takes three: the caller's
+/// connection, and both ends of the one to the engine.
+const GATEWAY_DESCRIPTOR_PART: usize = 2;
+/// One part of the memory in so many is for the bodies that emulated engines receive, and what they decode from them.
+const ENGINE_BODY_MEMORY_PART: usize = 2;
 /// Time for which the store keeps records in addition to the time for which nodes keep batches. The margin
 /// is needed because the retention of a batch starts at its last record.
 const STORE_MARGIN: Duration = Duration::from_secs(60);
@@ -28,8 +34,6 @@
 const RECORD_BYTES: usize = 64 * 1024;
 /// Maximum size of a call to the store, in bytes.
 const CALL_BYTES: usize = 1024 * 1024;
-/// Memory of the process without the store, in megabytes.
-const PROCESS_MB: u32 = 256;
 /// Milliseconds between the last order of one holder of the order lease and the first of the next.
 const ORDER_LEASE_MS: u64 = 1_000;
 /// Milliseconds for which a node sends no orders after its process was suspended.
@@ -46,8 +50,9 @@
             node: self.node.clone(),
             zone: self.zone.clone(),
             regions: BTreeMap::new(),
-            memory_mb: PROCESS_MB + self.store.most_mb,
-            max_descriptors: None,
+            memory_mb: self.memory_mb,
+            // The emulated engines and the operators' interface use descriptors of this process too.
+            max_descriptors: Some((max_descriptors() / GATEWAY_DESCRIPTOR_PART) as u32),
             listen: ListenSettings {
                 callers: self.listen.callers,
                 ready: self.listen.ready,
@@ -84,6 +89,11 @@
         }
     }
 
+    /// Returns the number of bytes of bodies that all emulated engines together may hold.
+    pub(crate) fn engine_body_bytes(&self) -> usize {
+        self.memory_mb as usize * BYTES_PER_MB / ENGINE_BODY_MEMORY_PART
+    }
+
     /// Returns the settings of the store in memory.
     pub fn memory_store(&self) -> MemoryStoreSettings {
         MemoryStoreSettings {
--- a/crates/service/src/settings/mod.rs
+++ b/crates/service/src/settings/mod.rs
@@ -28,6 +28,8 @@
     pub stop_grace_s: f64,
     /// Maximum number of log lines per second; warnings are not limited.
     pub log_lines_per_s: u32,
+    /// Memory that the process may use in addition to the store, in megabytes.
+    pub memory_mb: u32,
     /// Addresses to listen on.
     pub listen: ListenSettings,
     /// Bounds of the store in memory.
@@ -215,6 +217,7 @@
             hosts: vec!["localhost".to_owned(), "127.0.0.1".to_owned()],
             stop_grace_s: 10.0,
             log_lines_per_s: 200,
+            memory_mb: 256,
             listen: ListenSettings::default(),
             store: StoreSettings::default(),
             pools: vec![pool],
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 use crate::gate::Gate;
-use crate::server::{OUTAGE_DELAY, Running, Standin, StandinError};
+use crate::server::{Intake, OUTAGE_DELAY, Running, Standin, StandinError};
 
 /// Settings of the engine stand-in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -126,14 +126,15 @@
         listener: TcpListener,
         settings: EngineStandinSettings,
     ) -> Result<Running<Self>, StandinError> {
-        Self::start_with(listener, settings, routes::routes()).await
+        Self::start_with(listener, settings, routes::routes(), Intake::default()).await
     }
 
-    /// Starts an engine on `listener` behind the routes of another dialect.
+    /// Starts an engine on `listener` behind the routes of another dialect, within the bounds of `intake`.
     pub async fn start_with(
         listener: TcpListener,
         mut settings: EngineStandinSettings,
         routes: Router<Arc<Self>>,
+        intake: Intake,
     ) -> Result<Running<Self>, StandinError> {
         settings.validate()?;
         settings.engine.swap.external_fetch = settings.weight_store.is_some();
@@ -155,7 +156,7 @@
             wake: Notify::new(),
         });
         let driver = tokio::spawn(drive(state.clone()));
-        let running = Running::start(listener, gate, state, routes)?;
+        let running = Running::start_with(listener, gate, state, routes, intake)?;
         Ok(running.with_task(driver))
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod trainer;
 pub mod weight_store;
 
-pub use server::{Running, Standin, StandinError};
+pub use server::{Intake, Running, Standin, StandinError};
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,5 +1,6 @@
 //! What all stand-ins share: starting, stopping, the control paths and broken answers.
 
+use std::future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,6 +13,10 @@
 use axum::{Json, Router};
 use futures::stream;
 use havenstage_emulator::InvalidEngineSettings;
+use havenstage_http_server::{
+    BodyLimits, BodyMemory, Connections, Refuse, RouterLimits, RouterServer, max_descriptors,
+    refuse_plainly,
+};
 use havenstage_platform_http::http_client::InvalidHttpClientSettings;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -29,6 +34,55 @@
 /// Time for the answer to a command to leave before the command breaks the connections.
 pub(crate) const OUTAGE_DELAY: Duration = Duration::from_millis(50);
 
+/// Maximum size of a body in bytes, where a stand-in has no lower limit of its own.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes of bodies that a stand-in holds at a time.
+const BODY_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+/// Time within which a body must be received.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum size of the head of a request in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+/// Time for which a connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// One part of the descriptors in so many is for connections of clients.
+const DESCRIPTOR_PART: usize = 2;
+
+/// What a stand-in takes from its clients at a time.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    /// Memory of the bodies; several stand-ins of a process may share it.
+    pub bodies: Arc<BodyMemory>,
+    /// Maximum number of connections.
+    pub connections: usize,
+    /// Answers requests whose bodies are not received.
+    pub refuse: Refuse,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Self {
+            bodies: BodyMemory::new(BODY_MEMORY_BYTES),
+            connections: max_descriptors() / DESCRIPTOR_PART,
+            refuse: refuse_plainly,
+        }
+    }
+}
+
+impl Intake {
+    fn server(self, router: Router) -> RouterServer {
+        let limits = RouterLimits {
+            body: BodyLimits {
+                max_bytes: MAX_BODY_BYTES,
+                timeout: BODY_TIMEOUT,
+            },
+            head_bytes: HEAD_BYTES,
+            idle_timeout: IDLE_TIMEOUT,
+        };
+        let connections = Connections::new("standin", self.connections);
+        RouterServer::new(router, limits, self.bodies, connections, self.refuse)
+    }
+}
+
 /// A stand-in's state, shared by its request handlers.
 pub trait Standin: Send + Sync + Sized + 'static {
     /// Commands that make it misbehave or behave again.
@@ -81,6 +135,17 @@
         gate: Gate,
         state: Arc<S>,
         routes: Router<Arc<S>>,
+    ) -> Result<Self, StandinError> {
+        Self::start_with(listener, gate, state, routes, Intake::default())
+    }
+
+    /// Starts serving `routes` and the control paths within the bounds of `intake`.
+    pub(crate) fn start_with(
+        listener: TcpListener,
+        gate: Gate,
+        state: Arc<S>,
+        routes: Router<Arc<S>>,
+        intake: Intake,
     ) -> Result<Self, StandinError> {
         let address = listener.local_addr()?;
         let listener = GatedListener::new(listener, gate.clone())?;
@@ -88,11 +153,7 @@
             .route(MISBEHAVE_PATH, post(take_command::<S>))
             .route(RECORD_PATH, get(show_record::<S>))
             .with_state(state.clone());
-        let server = tokio::spawn(async move {
-            if let Err(error) = axum::serve(listener, router).await {
-                log::error!(error:% = error; "stand-in stopped");
-            }
-        });
+        let server = tokio::spawn(intake.server(router).serve(listener, future::pending()));
         Ok(Self {
             address,
             gate,
