Peers of havenstage node: frames and connections are bounded

Cause: the listener for peers took any number of connections, and on each a frame of up to 16 MiB with no sum over them.

Change: frames are received within a BodyMemory of 64 MiB and must be whole within 30 s; connections take a quarter of the descriptors, and the one whose peer has sent nothing for the longest time is closed for a new one.

--- a/crates/peer-net/src/lib.rs
+++ b/crates/peer-net/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod frame;
+mod incoming_frame;
 mod network;
 mod server;
 mod traffic;
--- a/crates/peer-net/src/server.rs
+++ b/crates/peer-net/src/server.rs
@@ -4,22 +4,25 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::StreamExt;
 use havenstage_edge::peer::PeerHandler;
+use havenstage_http_server::{
+    BodyMemory, ConnectionSlot, Connections, RequestInProgress, max_descriptors,
+};
 use havenstage_types::codec;
 use havenstage_types::gossip::GossipPacket;
 use havenstage_types::peer::PeerResponse;
 use thiserror::Error;
+use tokio::io::BufReader;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
-use tokio_util::codec::FramedRead;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::frame::{
-    LENGTH_BYTES, RequestFrame, ResponseFrame, encode_frame, length_codec, write_frames,
+    LENGTH_BYTES, MAX_FRAME_BYTES, RequestFrame, ResponseFrame, encode_frame, write_frames,
 };
+use crate::incoming_frame::read_frame;
 use crate::network::TcpUdpNetwork;
 use crate::traffic::{Traffic, TrafficCounters};
 
@@ -32,6 +35,12 @@
 /// Requests of one connection that are handled at once; more wait in the socket.
 const MAX_REQUESTS_PER_CONNECTION: usize = 1_024;
 
+/// Bytes of the requests that are being received or decoded at a time.
+const REQUEST_MEMORY: usize = 4 * MAX_FRAME_BYTES;
+
+/// One part of the descriptors in so many is for connections of peers.
+const DESCRIPTOR_PART: usize = 4;
+
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -120,6 +129,8 @@
             counters: self.counters.clone(),
             stopping: CancellationToken::new(),
             tasks: TaskTracker::new(),
+            requests: BodyMemory::new(REQUEST_MEMORY),
+            connections: Connections::new("peers", max_descriptors() / DESCRIPTOR_PART),
         };
         let handle = PeerServerHandle {
             address: self.address,
@@ -176,6 +187,8 @@
     counters: TrafficCounters,
     stopping: CancellationToken,
     tasks: TaskTracker,
+    requests: Arc<BodyMemory>,
+    connections: Arc<Connections>,
 }
 
 impl Service {
@@ -187,7 +200,10 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.tasks.spawn(self.clone().serve_connection(stream));
+                    if let Some(slot) = self.connections.admit().await {
+                        self.tasks
+                            .spawn(self.clone().serve_connection(stream, slot));
+                    }
                 }
                 Err(error) => {
                     log::warn!("accepting a peer failed: {error}");
@@ -197,29 +213,39 @@
         }
     }
 
-    async fn serve_connection(self, stream: TcpStream) {
+    async fn serve_connection(self, stream: TcpStream, slot: ConnectionSlot) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
+        let slot = Arc::new(slot);
         let (read_half, write_half) = stream.into_split();
         let (answers, queue) = mpsc::channel(MAX_REQUESTS_PER_CONNECTION);
         let writer = write_frames(write_half, queue, self.counters.clone());
-        let reader = self.read_requests(read_half, answers);
-        tokio::join!(reader, writer);
+        let reader = self.read_requests(read_half, answers, &slot);
+        tokio::select! {
+            biased;
+            () = slot.close().notified() => {}
+            _ = async { tokio::join!(reader, writer) } => {}
+        }
     }
 
-    async fn read_requests(&self, stream: OwnedReadHalf, answers: mpsc::Sender<Bytes>) {
-        let mut frames = FramedRead::new(stream, length_codec());
+    async fn read_requests(
+        &self,
+        stream: OwnedReadHalf,
+        answers: mpsc::Sender<Bytes>,
+        slot: &Arc<ConnectionSlot>,
+    ) {
+        let mut stream = BufReader::new(stream);
         let slots = Arc::new(Semaphore::new(MAX_REQUESTS_PER_CONNECTION));
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else {
+            let Ok(permit) = slots.clone().acquire_owned().await else {
                 return;
             };
             let frame = tokio::select! {
                 () = self.stopping.cancelled() => return,
-                frame = frames.next() => frame,
+                frame = read_frame(&mut stream, &self.requests, slot) => frame,
             };
-            let Some(Ok(frame)) = frame else {
+            let Some(frame) = frame else {
                 return;
             };
             self.counters
@@ -228,7 +254,12 @@
                 log::warn!("a peer sent a malformed request; closing the connection");
                 return;
             };
-            let answering = answer_request(self.handler.clone(), request, answers.clone(), slot);
+            let answering = answer_request(
+                self.handler.clone(),
+                request,
+                answers.clone(),
+                (permit, slot.begin_request()),
+            );
             self.tasks.spawn(answering);
         }
     }
@@ -256,7 +287,7 @@
     handler: Arc<dyn PeerHandler>,
     frame: RequestFrame,
     answers: mpsc::Sender<Bytes>,
-    _slot: OwnedSemaphorePermit,
+    _guards: (OwnedSemaphorePermit, RequestInProgress),
 ) {
     let response = handler.handle_request(frame.request).await;
     if let Some(bytes) = encode_answer(frame.id, response) {
