havenstage node: bodies and connections of its interface are bounded

What callers saw: a node that ended for lack of memory when bodies of 4 MB came at once, and one that took no more connections while clients stopped in their heads.

Cause: each body was bounded (4 MB), all together were not. axum::serve sets no timeout for the head of a request, so a connection that stops in it stayed for good.

New settings http.max_held_body_bytes (64 MiB) and http.max_connections (8,192, half of the descriptors if that is less).

--- a/crates/havenstage/src/commands/demo/nodes.rs
+++ b/crates/havenstage/src/commands/demo/nodes.rs
@@ -45,7 +45,7 @@
 /// What ends when the node's process would end.
 struct ProcessParts {
     shut_down: oneshot::Sender<()>,
-    server: JoinHandle<std::io::Result<()>>,
+    server: JoinHandle<()>,
     peers: PeerServerHandle,
 }
 
@@ -184,9 +184,9 @@
             return Ok(());
         };
         self.node.stop().await;
-        // The server may have ended by itself; then its result says why.
+        // A server that panicked says so here.
         let _ = process.shut_down.send(());
-        process.server.await??;
+        process.server.await?;
         // Peers that do not read their answers must not hold up the stop.
         let _ = tokio::time::timeout(PEER_SHUTDOWN, process.peers.shutdown()).await;
         self.spawner.close();
--- a/crates/havenstage/src/commands/node/mod.rs
+++ b/crates/havenstage/src/commands/node/mod.rs
@@ -78,13 +78,13 @@
     let mut server = tokio::spawn(serve(listener, node.clone(), settings.http, shutdown));
     let mut signals = tokio::select! {
         signals = signals.first() => signals,
-        ended = &mut server => return Ok(ended??),
+        ended = &mut server => return Ok(ended?),
     };
     log::info!("planned stop begins");
     signals.report_until(&node, node.stop()).await;
     // Refusals are served until here, so that callers learn that the node is stopping.
     let _ = shut_down.send(());
-    signals.report_until(&node, server).await??;
+    signals.report_until(&node, server).await?;
     // Last, so that other nodes are answered as long as this one has work in flight. A peer that
     // does not read its answer must not keep the program from ending.
     if tokio::time::timeout(PEER_SHUTDOWN, peers.shutdown())
--- a/crates/havenstage/tests/crowds.rs
+++ b/crates/havenstage/tests/crowds.rs
@@ -33,6 +33,9 @@
 /// Memory of the machine of `serve`, in megabytes, of which the store has a part.
 const SERVE_MEMORY_MB: u64 = 192;
 const SERVE_SETTINGS: &str = "memory_mb = 160\n[store]\nmost_mb = 32\n";
+/// Memory of the machine of a node, in megabytes.
+const NODE_MEMORY_MB: u64 = 128;
+const NODE_SETTINGS: &str = "[http]\nmax_held_body_bytes = 16777216\n";
 /// Memory of the machine of a stand-in, in megabytes.
 const STANDIN_MEMORY_MB: u64 = 400;
 
@@ -235,10 +238,98 @@
     tested.process.assert_memory_within(512);
 }
 
+/// Starts a node; returns it with its address for peers.
+fn node(descriptors: u64) -> (Tested, SocketAddr) {
+    let names = ["log", "machines", "scorer", "weights"];
+    let services: Vec<Service> = names.map(|name| Service::start(name, &[])).into();
+    let settings = file("crowds-node.toml", NODE_SETTINGS);
+    let mut arguments: Vec<String> = ["node", "--config", settings.to_str().unwrap()]
+        .map(str::to_owned)
+        .into();
+    for (name, service) in names.iter().zip(&services) {
+        arguments.extend([format!("--{name}-address"), service.address.to_string()]);
+    }
+    for (option, value) in [
+        ("--name", "n"),
+        ("--zone", "z"),
+        ("--peer-address", "127.0.0.1:0"),
+        ("--http-address", "127.0.0.1:0"),
+    ] {
+        arguments.extend([option.to_owned(), value.to_owned()]);
+    }
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let mut process = Measured::start(PROGRAM, &arguments, descriptors);
+    let line = wait_for_line(&mut process, "message", "node serves");
+    let tested = Tested {
+        process,
+        memory_mb: NODE_MEMORY_MB,
+        descriptors,
+        ordinary_address: address(&line, "http_address"),
+        ordinary_request: |_| get("/metrics"),
+        _services: services,
+    };
+    tested.ordinary_request();
+    (tested, address(&line, "peer_address"))
+}
+
 fn get(path: &str) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").into_bytes()
 }
 
+#[test]
+fn node_whole_large_bodies_at_once() {
+    let _alone = alone();
+    let (mut tested, _) = node(MANY_DESCRIPTORS);
+    let shape = completions(4 * MB, Framing::Length, End::Nowhere);
+    tested.play(tested.ordinary_address, 60, &shape);
+}
+
+#[test]
+fn node_bodies_with_a_length_that_stop_short_of_their_end() {
+    let _alone = alone();
+    let (mut tested, _) = node(MANY_DESCRIPTORS);
+    let shape = completions(4 * MB, Framing::Length, End::InBody);
+    tested.play(tested.ordinary_address, 60, &shape);
+}
+
+#[test]
+fn node_bodies_in_very_small_chunks_that_stop_short_of_their_end() {
+    let _alone = alone();
+    let (mut tested, _) = node(MANY_DESCRIPTORS);
+    let shape = completions(2 * MB, Framing::Chunks(1), End::InBody);
+    tested.play(tested.ordinary_address, 4, &shape);
+}
+
+#[test]
+fn node_more_heads_that_stop_short_of_their_end_than_descriptors() {
+    let _alone = alone();
+    let (mut tested, _) = node(FEW_DESCRIPTORS);
+    let shape = completions(10, Framing::Length, End::InHead);
+    tested.play(tested.ordinary_address, 400, &shape);
+}
+
+#[test]
+fn node_large_frames_at_the_peers_listener_that_stop_short_of_their_end() {
+    let _alone = alone();
+    let (mut tested, peers) = node(MANY_DESCRIPTORS);
+    tested.play(peers, 30, &frames(8_300_000));
+}
+
+#[test]
+fn node_more_frames_at_the_peers_listener_than_descriptors() {
+    let _alone = alone();
+    let (mut tested, peers) = node(FEW_DESCRIPTORS);
+    tested.play(peers, 400, &frames(1_000));
+}
+
+/// Bytes that a listener for frames takes for one that is a little longer. The first line and what follows it stand in
+/// place of a length: the first four bytes announce the frame.
+fn frames(bytes: usize) -> Shape {
+    let mut shape = completions(bytes, Framing::Length, End::InBody);
+    shape.first_line = "\0\u{7f}POST /";
+    shape
+}
+
 #[test]
 fn standin_large_bodies_that_stop_short_of_their_end() {
     let _alone = alone();
--- a/crates/http-api/src/error.rs
+++ b/crates/http-api/src/error.rs
@@ -5,6 +5,7 @@
 use axum::Json;
 use axum::response::{IntoResponse, Response};
 use havenstage_config::manifest::ManifestError;
+use havenstage_http_server::BodyError;
 use havenstage_types::config::ChangeError;
 use havenstage_types::ids::{ChangeId, Revision};
 use havenstage_types::refusal::{BadRequest, Execution, Refusal, RefusalReason};
@@ -37,6 +38,9 @@
         /// Path asked for.
         path: String,
     },
+    /// The body of the request was not received.
+    #[error(transparent)]
+    BodyNotReceived(BodyError),
     /// A path segment or query parameter could not be read.
     #[error("{detail}")]
     BadParameter {
@@ -132,6 +136,9 @@
             Self::AnswerCutOff => "answer_cut_off",
             Self::UnknownRoute { .. } => "unknown_route",
             Self::MethodNotAllowed { .. } => "method_not_allowed",
+            Self::BodyNotReceived(BodyError::TimedOut) => "body_timed_out",
+            Self::BodyNotReceived(BodyError::Broken) => "malformed",
+            Self::BodyNotReceived(_) => "overloaded",
             Self::BadParameter { .. } => "bad_parameter",
             Self::UnknownKind { .. } => "unknown_kind",
             Self::NoResource { .. } => "no_resource",
@@ -151,6 +158,7 @@
                 StatusCode::NOT_FOUND
             }
             Self::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            Self::BodyNotReceived(error) => error.status(),
             Self::BadParameter { .. } => StatusCode::BAD_REQUEST,
             Self::Conflict { .. } => StatusCode::CONFLICT,
             Self::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
@@ -195,6 +203,15 @@
     }
 }
 
+impl From<BodyError> for ApiError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLong { max_bytes } => Self::body_too_large(max_bytes as u64),
+            error => Self::BodyNotReceived(error),
+        }
+    }
+}
+
 impl From<ChangeError> for ApiError {
     fn from(error: ChangeError) -> Self {
         match error {
--- a/crates/http-api/src/settings.rs
+++ b/crates/http-api/src/settings.rs
@@ -11,6 +11,10 @@
 pub struct HttpApiSettings {
     /// Largest request body in bytes.
     pub max_body_bytes: u64,
+    /// Bytes of all request bodies that are held at a time.
+    pub max_held_body_bytes: u64,
+    /// Most connections at a time; half of the descriptors of the process if that is less.
+    pub max_connections: u64,
     /// Longest wait of a long poll in milliseconds; a longer one asked for is cut to this.
     pub max_wait_ms: u64,
     /// Longest deadline a caller may ask for in milliseconds.
@@ -27,6 +31,8 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 4 * 1024 * 1024,
+            max_held_body_bytes: 64 * 1024 * 1024,
+            max_connections: 8_192,
             max_wait_ms: 30_000,
             max_deadline_ms: 3_600_000,
             default_max_tokens: 256,
@@ -57,6 +63,14 @@
         let max_tokens_limit = u64::from(self.max_tokens_limit);
         let ranges = [
             ("max_body_bytes", self.max_body_bytes, 1_024, 1 << 30),
+            (
+                "max_held_body_bytes",
+                self.max_held_body_bytes,
+                // Large bodies leave a part of the memory to small ones.
+                self.max_body_bytes.saturating_mul(2),
+                1 << 40,
+            ),
+            ("max_connections", self.max_connections, 1, 1 << 20),
             ("max_wait_ms", self.max_wait_ms, 1, 600_000),
             ("max_deadline_ms", self.max_deadline_ms, 10, 86_400_000),
             ("max_tokens_limit", max_tokens_limit, 1, 1 << 24),
