Connections to back ends: a status that HTTP does not define is no answer

What callers saw: an answer with status 600, 700, 999 or 101 of a back end in trouble reached them as it was, signed or not. 000, 00, 0 and 099 did not: the HTTP library refuses them, and callers got 502.

Cause: the library delivers each status from 100 to 999 as that of a final answer, but for the interim ones, and nothing asked whether it can be one.

Change: a response whose status is not in 200 to 599 counts as a broken exchange, for calls, streams, items, reward calls, orders and the store alike: the request may have run, what may be repeated goes to another back end, and callers get 502.

--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -1,6 +1,7 @@
 //! A TCP connection with an HTTP/1.1 client, and the task that drives it.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,10 @@
 /// end.
 const MAX_BYTES_TO_HEAD: usize = 2 * READ_BUFFER_BYTES;
 
+/// Statuses that a final response may have. The HTTP library delivers others too: those up to 999, for which HTTP defines no
+/// class, and 101, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Makes the operating system close a connection whose peer acknowledges nothing, or accepts no data, for `after`,
 /// whether or not there is data to be sent. Socket options that can't be set are ignored.
 pub fn end_when_unacknowledged(stream: &TcpStream, after: Duration) {
@@ -131,10 +136,14 @@
             }
         };
         self.head_limit.end();
-        response.map_err(|mut failed| match failed.take_message() {
+        let response = response.map_err(|mut failed| match failed.take_message() {
             Some(unsent) => ExchangeError::NotWritten(Box::new(unsent)),
             None => ExchangeError::Broken,
-        })
+        })?;
+        match FINAL_STATUSES.contains(&response.status().as_u16()) {
+            true => Ok(response),
+            false => Err(ExchangeError::Broken),
+        }
     }
 }
 
