--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -191,7 +191,7 @@
         }
         let _ = connection.await;
     };
-    let served = async {
+    let served_and_drained = async {
         served.await;
         if caller.has_unread_body() {
             discard_rest(&mut watch.stream(), limits.body_bytes).await;
@@ -202,7 +202,7 @@
         biased;
         () = watch.closed() => {}
         () = caller.close().notified() => {}
-        () = served => {}
+        () = served_and_drained => {}
     }
 }
 
--- a/crates/http-server/tests/body_memory.rs
+++ b/crates/http-server/tests/body_memory.rs
@@ -102,6 +102,21 @@
     assert_eq!(paused.end().await, Err(BodyError::Displaced));
 }
 
+#[tokio::test]
+async fn a_body_that_is_sent_slowly_gives_way() {
+    let (memory, slot) = memory().await;
+    let slow = Client::start(&memory, &slot).await;
+    slow.send(PIECE).await;
+    for _ in 0..25 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        slow.send(1).await;
+    }
+    let other = Client::start(&memory, &slot).await;
+    other.send(LIMITS.max_bytes - PIECE / 2).await;
+    assert_eq!(other.end().await, Ok(LIMITS.max_bytes - PIECE / 2));
+    assert_eq!(slow.end().await, Err(BodyError::Displaced));
+}
+
 #[tokio::test]
 async fn a_body_that_has_not_paused_does_not_give_way_to_a_younger_one() {
     let (memory, slot) = memory().await;
