http-server: ages of bodies by the clock of the workspace

body_memory read the standard library's clock; docs/DEVELOPING.md asks for the one place that reads clocks, which counts time in which the machine was suspended. No change otherwise; the 12 tests of the crate pass.

--- a/crates/http-server/src/body_memory.rs
+++ b/crates/http-server/src/body_memory.rs
@@ -8,9 +8,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use havenstage_clock::Instant;
 use thiserror::Error;
 use tokio::sync::Notify;
 
