Tests: each request of a crowd has an id of its own

Traced: the ids of a crowd began at crowd-0 in each of the two rounds, so a request that was served in the first had the id of one that was refused in the second (crowd-0 to crowd-16 among those named). Ids now rise over the whole process, so the check compares what it names.

--- a/crates/havenstage/tests/support/crowd.rs
+++ b/crates/havenstage/tests/support/crowd.rs
@@ -20,6 +20,9 @@
 /// Statuses that state that a request was not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Number in the id of the next request; no two requests of a process have the same.
+static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+
 /// How the body of a request is sent.
 #[derive(Debug, Clone, Copy)]
 pub enum Framing {
@@ -137,7 +140,6 @@
 #[derive(Debug, Default)]
 struct Shared {
     leaves: AtomicBool,
-    next_id: AtomicU64,
     /// Members that have sent their first request, or as much of it as the server took.
     arrived: AtomicUsize,
     /// Ids of the requests to which the server answered that they were not run.
@@ -192,7 +194,7 @@
 fn attend(address: SocketAddr, shape: &Shape, body: &[u8], shared: &Shared) {
     let mut is_first = true;
     while !shared.leaves.load(Ordering::Relaxed) {
-        let number = shared.next_id.fetch_add(1, Ordering::Relaxed);
+        let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
         let id = format!("crowd-{number}");
         if let Ok(mut stream) = TcpStream::connect_timeout(&address, NEVER) {
             let taken = send(&mut stream, &shape.head(&id), body, shared);
